Add the design page, common types, build and checks

Cause: an empty repository; every module needs the same identifiers, clock, digest and result codes before it can be written apart from the others. Ruled out: one test binary (a broken module would stop all tests), and a 128-bit digest over the sorted state (O(state) for each delta). Before: nothing. Conclusion: modules can be built in parallel against docs/design.md.

--- /dev/null
+++ b/dragonflylane/BootClock.h
@@ -0,0 +1,24 @@
+#pragma once
+
+// The only clock that decisions use. It is monotonic and counts suspended time, so a lease or a deadline also runs
+// out while the machine or the process is stopped.
+
+#include <chrono>
+
+namespace dragonflylane {
+
+/// Clock over CLOCK_BOOTTIME.
+struct BootClock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<BootClock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept;
+};
+
+using TimePoint = BootClock::time_point;
+using Duration = BootClock::duration;
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/Strong.h
@@ -0,0 +1,69 @@
+#pragma once
+
+// Strong types for identifiers: a ServiceName cannot be passed where an UpstreamId is expected.
+//
+//     using ServiceName = StrongString<struct ServiceNameTag>;
+//     ServiceName name("orders");
+//     name.value();
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace dragonflylane {
+
+/// A string identifier of one kind. Ordered and hashable.
+template <typename Tag> class StrongString {
+public:
+    StrongString() = default;
+    explicit StrongString(std::string value)
+        : m_value(std::move(value))
+    {
+    }
+
+    const std::string& value() const { return m_value; }
+    bool isEmpty() const { return m_value.empty(); }
+
+    auto operator<=>(const StrongString&) const = default;
+    bool operator==(const StrongString&) const = default;
+
+private:
+    std::string m_value;
+};
+
+/// A 64-bit counter or number of one kind. Ordered and hashable.
+template <typename Tag> class StrongNumber {
+public:
+    constexpr StrongNumber() = default;
+    constexpr explicit StrongNumber(uint64_t value)
+        : m_value(value)
+    {
+    }
+
+    constexpr uint64_t value() const { return m_value; }
+    constexpr StrongNumber next() const { return StrongNumber(m_value + 1); }
+
+    constexpr auto operator<=>(const StrongNumber&) const = default;
+    constexpr bool operator==(const StrongNumber&) const = default;
+
+private:
+    uint64_t m_value { 0 };
+};
+
+} // namespace dragonflylane
+
+template <typename Tag> struct std::hash<dragonflylane::StrongString<Tag>> {
+    size_t operator()(const dragonflylane::StrongString<Tag>& id) const noexcept
+    {
+        return std::hash<std::string> {}(id.value());
+    }
+};
+
+template <typename Tag> struct std::hash<dragonflylane::StrongNumber<Tag>> {
+    size_t operator()(const dragonflylane::StrongNumber<Tag>& id) const noexcept
+    {
+        return std::hash<uint64_t> {}(id.value());
+    }
+};
--- /dev/null
+++ b/wire/peer.thrift
@@ -0,0 +1,63 @@
+// Frames between daemons: greeting, heartbeats and forwarded calls.
+namespace cpp dragonflylane.wire
+
+// First frame in each direction. Each side proves that it knows the shared secret over the other side's nonce.
+struct Hello {
+  1: string meshId
+  2: string hostId
+  3: binary nonce
+}
+
+struct HelloProof {
+  1: binary proof
+}
+
+struct Header {
+  1: string name
+  2: string value
+}
+
+struct ForwardRequest {
+  1: i64 requestId
+  2: string traceId
+  3: string serviceName
+  4: string upstreamId
+  5: i64 upstreamIncarnation
+  6: i64 remainingMicroseconds
+  7: i32 attempt
+  8: i32 hops
+  9: bool idempotent
+  10: bool order
+  11: i64 fingerprint
+  12: string method
+  13: string target
+  14: list<Header> headers
+  15: binary body
+}
+
+struct ForwardResponse {
+  1: i64 requestId
+  2: i32 code
+  3: i32 status
+  4: list<Header> headers
+  5: binary body
+  6: i32 running
+  7: i32 queued
+  8: i32 limit
+  9: i64 serviceMicroseconds
+}
+
+struct ForwardCancel {
+  1: i64 requestId
+}
+
+// A whole call handed to another entry daemon by one that may not serve routes yet.
+struct CallTransfer {
+  1: i64 requestId
+  2: string traceId
+  3: i64 remainingMicroseconds
+  4: string method
+  5: string target
+  6: list<Header> headers
+  7: binary body
+}
