--- /dev/null
+++ b/dragonflylane/Frame.h
@@ -0,0 +1,49 @@
+#pragma once
+
+// Frames between daemons: 4 bytes of payload length (little endian), 1 byte of kind, payload.
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+namespace dragonflylane {
+
+/// What the payload of a frame holds.
+enum class FrameKind : uint8_t {
+    Hello = 1,
+    HelloProof = 2,
+    Heartbeat = 3,
+    ForwardRequest = 10,
+    ForwardResponse = 11,
+    ForwardCancel = 12,
+    CallTransfer = 13,
+    Log = 20,
+    Relay = 21,
+    Claim = 22,
+    JournalQuery = 23,
+    JournalAnswer = 24,
+};
+
+inline constexpr size_t frameHeaderBytes = 5;
+/// Above the largest call (1 MB of body and headers) and the largest snapshot.
+inline constexpr size_t maxFramePayloadBytes = 16 << 20;
+/// A peer that has not proved that it belongs to the mesh may send no more than this.
+inline constexpr size_t maxGreetingPayloadBytes = 1024;
+
+/// Header and payload as one string.
+std::string encodeFrame(FrameKind, std::string_view payload);
+
+/// The first frame in a buffer.
+struct FrameView {
+    FrameKind kind { FrameKind::Heartbeat };
+    std::string_view payload;
+    /// Bytes of the buffer that the frame occupies; zero if it is not complete.
+    size_t size { 0 };
+};
+
+/// Reads the first frame of a buffer. Returns FrameTooLarge if its length exceeds the limit.
+std::error_code decodeFrame(std::string_view buffer, size_t maxPayloadBytes, FrameView&);
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/HttpExchange.h
@@ -0,0 +1,57 @@
+#pragma once
+
+// One request of a caller and the answer to it.
+
+#include "dragonflylane/BootClock.h"
+#include "dragonflylane/HttpMessage.h"
+
+#include <functional>
+
+namespace dragonflylane {
+
+/// Answers exactly once. The handler may keep it beyond the call; an answer after the caller has gone is dropped.
+class HttpExchange {
+public:
+    using Responder = std::function<void(HttpResponse)>;
+
+    HttpExchange(HttpRequest request, TimePoint received, Responder responder)
+        : m_request(std::move(request))
+        , m_received(received)
+        , m_responder(std::move(responder))
+    {
+    }
+
+    const HttpRequest& request() const { return m_request; }
+    HttpRequest& request() { return m_request; }
+    TimePoint received() const { return m_received; }
+
+    void respond(HttpResponse response)
+    {
+        if (!m_responder)
+            return;
+        Responder responder = std::move(m_responder);
+        m_responder = nullptr;
+        responder(std::move(response));
+    }
+
+    /// Runs the hook if the caller closes its connection before the answer.
+    void setCancelHook(std::function<void()> hook) { m_cancelHook = std::move(hook); }
+
+    void cancel()
+    {
+        m_responder = nullptr;
+        if (!m_cancelHook)
+            return;
+        auto hook = std::move(m_cancelHook);
+        m_cancelHook = nullptr;
+        hook();
+    }
+
+private:
+    HttpRequest m_request;
+    TimePoint m_received;
+    Responder m_responder;
+    std::function<void()> m_cancelHook;
+};
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/HttpServer.cpp
@@ -0,0 +1,125 @@
+#include "dragonflylane/HttpServer.h"
+
+#include "dragonflylane/HttpSession.h"
+#include "dragonflylane/Metrics.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <unordered_map>
+#include <vector>
+
+namespace dragonflylane {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
+public:
+    Impl(asio::io_context& context, HttpServerOptions options, Metrics& metrics, Handler handler)
+        : m_context(context)
+        , m_options(std::move(options))
+        , m_metrics(metrics)
+        , m_acceptor(context)
+    {
+        m_hooks.handler = std::move(handler);
+        m_hooks.closed = [this](HttpSession& session) { m_sessions.erase(&session); };
+        m_hooks.refused = [this](ResultCode code) { m_metrics.countCall(code); };
+        m_hooks.isStopping = [this] { return m_isStopping; };
+    }
+
+    std::error_code start()
+    {
+        tcp::endpoint endpoint(asio::ip::make_address(m_options.listen.address), m_options.listen.port);
+        boost::system::error_code error;
+        m_acceptor.open(endpoint.protocol(), error);
+        if (!error)
+            m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        if (!error)
+            m_acceptor.bind(endpoint, error);
+        if (!error)
+            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+        if (error)
+            return ResultCode::ListenFailed;
+        accept();
+        return {};
+    }
+
+    void stop()
+    {
+        m_isStopping = true;
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        std::vector<std::shared_ptr<HttpSession>> sessions;
+        for (const auto& [key, weak] : m_sessions) {
+            if (auto session = weak.lock())
+                sessions.push_back(session);
+        }
+        for (const auto& session : sessions)
+            session->closeIfIdle();
+    }
+
+    size_t inFlight() const
+    {
+        size_t count = 0;
+        for (const auto& [key, weak] : m_sessions) {
+            auto session = weak.lock();
+            count += session && session->isBusy() ? 1 : 0;
+        }
+        return count;
+    }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([self = shared_from_this()](boost::system::error_code error, tcp::socket socket) {
+            if (!self->m_acceptor.is_open())
+                return;
+            if (!error)
+                self->adopt(std::move(socket));
+            self->accept();
+        });
+    }
+
+    void adopt(tcp::socket socket)
+    {
+        if (m_sessions.size() >= m_options.maxConnections) {
+            m_metrics.countCall(ResultCode::TooManyConnections);
+            return;
+        }
+        auto session = std::make_shared<HttpSession>(std::move(socket), m_options, m_hooks);
+        m_sessions.emplace(session.get(), session);
+        session->start();
+    }
+
+    asio::io_context& m_context;
+    const HttpServerOptions m_options;
+    Metrics& m_metrics;
+    tcp::acceptor m_acceptor;
+    HttpSession::Hooks m_hooks;
+    std::unordered_map<HttpSession*, std::weak_ptr<HttpSession>> m_sessions;
+    bool m_isStopping { false };
+};
+
+HttpServer::HttpServer(asio::io_context& context, HttpServerOptions options, Metrics& metrics, Handler handler)
+    : m_impl(std::make_shared<Impl>(context, std::move(options), metrics, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    m_impl->stop();
+}
+std::error_code HttpServer::start()
+{
+    return m_impl->start();
+}
+void HttpServer::stop()
+{
+    m_impl->stop();
+}
+size_t HttpServer::inFlight() const
+{
+    return m_impl->inFlight();
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/HttpServer.h
@@ -0,0 +1,54 @@
+#pragma once
+
+// HTTP/1.1 listener for callers and operators.
+//
+// Bounded in every direction: connections, header bytes, body bytes, and the time in which a whole request must have
+// arrived. A request with contradictory lengths is refused, since two parsers may disagree on where it ends.
+
+#include "dragonflylane/BootClock.h"
+#include "dragonflylane/Endpoint.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <system_error>
+
+namespace dragonflylane {
+
+class HttpExchange;
+class Metrics;
+
+struct HttpServerOptions {
+    Endpoint listen;
+    size_t maxConnections { 2000 };
+    uint32_t maxHeaderBytes { 16 << 10 };
+    uint64_t maxBodyBytes { 1 << 20 };
+    /// From the first byte of a request to its last.
+    Duration requestTimeout { std::chrono::seconds(5) };
+    /// Between two requests of a kept-alive connection.
+    Duration idleTimeout { std::chrono::seconds(60) };
+};
+
+/// Accepts connections and hands each whole request to the handler.
+class HttpServer {
+public:
+    using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
+
+    HttpServer(boost::asio::io_context&, HttpServerOptions, Metrics&, Handler);
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+    /// Errors: ListenFailed.
+    std::error_code start();
+    /// Stops accepting; requests in flight are answered and then their connections close.
+    void stop();
+    /// Exchanges that have not been answered.
+    size_t inFlight() const;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/Metrics.h
@@ -0,0 +1,48 @@
+#pragma once
+
+// Counters and latency histograms of one daemon. There is one counter for each result code, so every refusal and
+// retry reason can be read off. Not thread-safe: owned by the thread that runs the daemon's tasks.
+
+#include "dragonflylane/BootClock.h"
+#include "dragonflylane/ResultCode.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace dragonflylane {
+
+class LatencyHistogram;
+
+/// Named counters and histograms.
+class Metrics {
+public:
+    Metrics();
+    ~Metrics();
+    Metrics(const Metrics&) = delete;
+    Metrics& operator=(const Metrics&) = delete;
+
+    void add(std::string_view name, uint64_t count = 1);
+    void set(std::string_view name, uint64_t value);
+    uint64_t value(std::string_view name) const;
+
+    /// Counts an answer to a caller by its code.
+    void countCall(ResultCode);
+    /// Counts another attempt by the code of the attempt before it.
+    void countRetry(ResultCode);
+    /// Records a duration under a histogram's name.
+    void observe(std::string_view name, Duration);
+    /// Quantile of a histogram, zero if nothing was recorded. Relative error under 5 %.
+    Duration quantile(std::string_view name, double q) const;
+
+    /// One "name value" line each, sorted by name.
+    std::string render() const;
+
+private:
+    std::map<std::string, uint64_t, std::less<>> m_counters;
+    std::map<std::string, std::unique_ptr<LatencyHistogram>, std::less<>> m_histograms;
+};
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/PeerHub.cpp
@@ -0,0 +1,339 @@
+#include "dragonflylane/PeerHub.h"
+
+#include "dragonflylane/Event.h"
+#include "dragonflylane/MeshSecret.h"
+#include "dragonflylane/Metrics.h"
+#include "dragonflylane/PeerLink.h"
+#include "dragonflylane/ResultCode.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace dragonflylane {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+class PeerHub::Impl : public std::enable_shared_from_this<PeerHub::Impl> {
+public:
+    Impl(asio::io_context& context, PeerHubOptions options, const MeshSecret& secret, Metrics& metrics)
+        : m_context(context)
+        , m_options(std::move(options))
+        , m_secret(secret)
+        , m_metrics(metrics)
+        , m_acceptor(context)
+        , m_timer(context)
+    {
+    }
+
+    std::error_code start()
+    {
+        tcp::endpoint endpoint(asio::ip::make_address(m_options.listen.address), m_options.listen.port);
+        boost::system::error_code error;
+        m_acceptor.open(endpoint.protocol(), error);
+        if (!error)
+            m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        if (!error)
+            m_acceptor.bind(endpoint, error);
+        if (!error)
+            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+        if (error)
+            return ResultCode::ListenFailed;
+        m_lastTick = BootClock::now();
+        accept();
+        scheduleTick();
+        return {};
+    }
+
+    void stopListening()
+    {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+    }
+
+    void closeAll()
+    {
+        m_isStopped = true;
+        stopListening();
+        m_timer.cancel();
+        closeLinks(ResultCode::DaemonLeaving);
+    }
+
+    void subscribe(FrameKind kind, FrameHandler handler) { m_handlers[kind] = std::move(handler); }
+    void subscribeLinkDown(LinkDownHandler handler) { m_downHandlers.push_back(std::move(handler)); }
+    void setAddress(const HostId& host, const Endpoint& endpoint) { m_addresses[host] = endpoint; }
+
+    void withLink(const HostId& host, LinkHandler handler)
+    {
+        auto existing = m_byHost.find(host);
+        if (existing != m_byHost.end())
+            return handler({}, existing->second);
+        auto [dial, isNew] = m_dials.try_emplace(host);
+        dial->second.push_back(std::move(handler));
+        if (isNew)
+            startDial(host);
+    }
+
+    bool send(LinkId id, FrameKind kind, std::string_view payload)
+    {
+        auto it = m_links.find(id);
+        if (it == m_links.end() || !it->second->isEstablished())
+            return false;
+        it->second->send(kind, payload);
+        return m_links.contains(id);
+    }
+
+    void sendToHost(const HostId& host, FrameKind kind, std::string payload)
+    {
+        withLink(
+            host, [self = shared_from_this(), kind, payload = std::move(payload)](std::error_code error, LinkId id) {
+                if (!error)
+                    self->send(id, kind, payload);
+            });
+    }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([self = shared_from_this()](boost::system::error_code error, tcp::socket socket) {
+            if (error == asio::error::operation_aborted || !self->m_acceptor.is_open())
+                return;
+            if (!error)
+                self->adopt(std::move(socket), HostId());
+            self->accept();
+        });
+    }
+
+    // Starts the greeting. dialled is the host that we wanted to reach, or empty for an accepted connection.
+    void adopt(tcp::socket socket, const HostId& dialled)
+    {
+        if (m_links.size() >= m_options.maxLinks) {
+            m_metrics.add("peer_links_refused");
+            failDial(dialled);
+            return;
+        }
+        LinkId id = m_nextLink;
+        m_nextLink = m_nextLink.next();
+        PeerLink::Hooks hooks {
+            .established = [this, dialled](PeerLink& link) { established(link, dialled); },
+            .frame = [this](PeerLink& link, const FrameView& frame) { dispatch(link, frame); },
+            .closed = [this, dialled](PeerLink& link, std::error_code reason) { closed(link, dialled, reason); },
+        };
+        auto link = std::make_shared<PeerLink>(std::move(socket), id, m_options, m_secret, std::move(hooks));
+        m_links.emplace(id, link);
+        link->start(BootClock::now());
+    }
+
+    void startDial(const HostId& host)
+    {
+        auto address = m_addresses.find(host);
+        if (address == m_addresses.end() || m_isStopped)
+            return failDial(host);
+        auto socket = std::make_shared<tcp::socket>(m_context);
+        auto timer = std::make_shared<asio::steady_timer>(m_context, m_options.connectTimeout);
+        timer->async_wait([socket](boost::system::error_code error) {
+            boost::system::error_code ignored;
+            if (!error)
+                socket->close(ignored);
+        });
+        tcp::endpoint endpoint(asio::ip::make_address(address->second.address), address->second.port);
+        socket->async_connect(
+            endpoint, [self = shared_from_this(), socket, timer, host](boost::system::error_code error) {
+                timer->cancel();
+                if (error || !socket->is_open())
+                    return self->failDial(host);
+                self->adopt(std::move(*socket), host);
+            });
+    }
+
+    void failDial(const HostId& host)
+    {
+        if (host.isEmpty())
+            return;
+        // The handlers may dial again, so they run after the entry is gone and outside the caller's stack.
+        asio::post(m_context,
+            [self = shared_from_this(), host] { self->finishDial(host, ResultCode::OwnerUnreachable, LinkId()); });
+    }
+
+    void finishDial(const HostId& host, std::error_code error, LinkId id)
+    {
+        auto node = m_dials.extract(host);
+        if (node.empty())
+            return;
+        for (LinkHandler& handler : node.mapped())
+            handler(error, id);
+    }
+
+    void established(PeerLink& link, const HostId& dialled)
+    {
+        if (!dialled.isEmpty() && link.peer() != dialled) {
+            Event("peer_identity_mismatch", EventLevel::Warning).with("wanted", dialled).with("found", link.peer());
+            m_metrics.add("peer_identity_mismatch");
+            return link.close(ResultCode::WrongProof);
+        }
+        // The first link stays in use while it lives, so that frames to one host keep their order.
+        m_byHost.try_emplace(link.peer(), link.id());
+        finishDial(link.peer(), {}, link.id());
+    }
+
+    void dispatch(PeerLink& link, const FrameView& frame)
+    {
+        if (noticePause(BootClock::now()))
+            return;
+        auto handler = m_handlers.find(frame.kind);
+        if (handler == m_handlers.end()) {
+            m_metrics.add("peer_frames_unknown");
+            return;
+        }
+        m_metrics.add("peer_frames_received");
+        handler->second({ link.id(), link.peer(), frame.kind, frame.payload });
+    }
+
+    void closed(PeerLink& link, const HostId& dialled, std::error_code reason)
+    {
+        m_metrics.add(std::string("peer_closed_").append(name(resultCode(reason))));
+        if (resultCode(reason) != ResultCode::PeerClosed && resultCode(reason) != ResultCode::DaemonLeaving)
+            Event("peer_closed", EventLevel::Warning).with("peer", link.peer()).with("reason", reason);
+        LinkId id = link.id();
+        const HostId& peer = link.peer();
+        bool wasEstablished = link.isEstablished();
+        m_links.erase(id);
+        if (!wasEstablished)
+            return failDial(dialled);
+        auto primary = m_byHost.find(peer);
+        if (primary != m_byHost.end() && primary->second == id) {
+            m_byHost.erase(primary);
+            adoptOtherLink(peer);
+        }
+        for (const LinkDownHandler& handler : m_downHandlers)
+            handler(id, peer);
+    }
+
+    void adoptOtherLink(const HostId& peer)
+    {
+        for (const auto& [id, link] : m_links) {
+            if (link->isEstablished() && link->peer() == peer)
+                m_byHost[peer] = id;
+        }
+    }
+
+    void scheduleTick()
+    {
+        m_timer.expires_after(m_options.heartbeatInterval / 2);
+        m_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+            if (error || self->m_isStopped)
+                return;
+            self->tick();
+            self->scheduleTick();
+        });
+    }
+
+    void tick()
+    {
+        TimePoint now = BootClock::now();
+        noticePause(now);
+        std::vector<std::shared_ptr<PeerLink>> links;
+        links.reserve(m_links.size());
+        for (const auto& [id, link] : m_links)
+            links.push_back(link);
+        for (const auto& link : links)
+            link->tick(now);
+        m_metrics.set("peer_links", m_links.size());
+    }
+
+    // A process that was stopped for longer than the peer timeout finds old frames in its sockets. Its peers have
+    // given up those links, so none of the frames may be acted on.
+    bool noticePause(TimePoint now)
+    {
+        bool wasPaused = now - m_lastTick > m_options.peerTimeout;
+        m_lastTick = now;
+        if (!wasPaused)
+            return false;
+        Event("process_was_paused", EventLevel::Warning).with("links_closed", m_links.size());
+        m_metrics.add("process_pauses");
+        closeLinks(ResultCode::PeerTimeout);
+        return true;
+    }
+
+    void closeLinks(ResultCode reason)
+    {
+        std::vector<std::shared_ptr<PeerLink>> links;
+        for (const auto& [id, link] : m_links)
+            links.push_back(link);
+        for (const auto& link : links)
+            link->close(reason);
+    }
+
+    asio::io_context& m_context;
+    const PeerHubOptions m_options;
+    const MeshSecret& m_secret;
+    Metrics& m_metrics;
+    tcp::acceptor m_acceptor;
+    asio::steady_timer m_timer;
+    bool m_isStopped { false };
+    TimePoint m_lastTick;
+
+    LinkId m_nextLink { 1 };
+    std::unordered_map<LinkId, std::shared_ptr<PeerLink>> m_links;
+    /// The link used for sending; there may be more when both sides dialled at once.
+    std::unordered_map<HostId, LinkId> m_byHost;
+    std::unordered_map<HostId, std::vector<LinkHandler>> m_dials;
+    std::unordered_map<HostId, Endpoint> m_addresses;
+    std::map<FrameKind, FrameHandler> m_handlers;
+    std::vector<LinkDownHandler> m_downHandlers;
+};
+
+PeerHub::PeerHub(asio::io_context& context, PeerHubOptions options, const MeshSecret& secret, Metrics& metrics)
+    : m_impl(std::make_shared<Impl>(context, std::move(options), secret, metrics))
+{
+}
+
+PeerHub::~PeerHub()
+{
+    m_impl->closeAll();
+}
+
+std::error_code PeerHub::start()
+{
+    return m_impl->start();
+}
+void PeerHub::stopListening()
+{
+    m_impl->stopListening();
+}
+void PeerHub::closeAll()
+{
+    m_impl->closeAll();
+}
+
+void PeerHub::subscribe(FrameKind kind, FrameHandler handler)
+{
+    m_impl->subscribe(kind, std::move(handler));
+}
+void PeerHub::subscribeLinkDown(LinkDownHandler handler)
+{
+    m_impl->subscribeLinkDown(std::move(handler));
+}
+void PeerHub::setAddress(const HostId& host, const Endpoint& endpoint)
+{
+    m_impl->setAddress(host, endpoint);
+}
+void PeerHub::withLink(const HostId& host, LinkHandler handler)
+{
+    m_impl->withLink(host, std::move(handler));
+}
+
+bool PeerHub::send(LinkId id, FrameKind kind, std::string_view payload)
+{
+    return m_impl->send(id, kind, payload);
+}
+
+void PeerHub::sendToHost(const HostId& host, FrameKind kind, std::string payload)
+{
+    m_impl->sendToHost(host, kind, std::move(payload));
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/PeerHub.h
@@ -0,0 +1,88 @@
+#pragma once
+
+// Connections between daemons: dials, greets, checks the shared secret, keeps heartbeats, and carries frames.
+//
+//     hub.subscribe(FrameKind::Log, [&](const PeerFrame& frame) { ... });
+//     hub.setAddress(HostId("b"), endpoint);
+//     hub.sendToHost(HostId("b"), FrameKind::Log, payload);
+//
+// Each connection has a LinkId that is never used again, so an answer that arrives for a request of an earlier
+// connection cannot be mistaken for an answer of the present one.
+
+#include "dragonflylane/BootClock.h"
+#include "dragonflylane/Endpoint.h"
+#include "dragonflylane/Frame.h"
+#include "dragonflylane/Ids.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+namespace dragonflylane {
+
+class MeshSecret;
+class Metrics;
+
+/// Incarnation of one connection between two daemons.
+using LinkId = StrongNumber<struct LinkIdTag>;
+
+/// A frame that arrived, valid during the call.
+struct PeerFrame {
+    LinkId link;
+    HostId from;
+    FrameKind kind;
+    std::string_view payload;
+};
+
+struct PeerHubOptions {
+    std::string meshId;
+    HostId self;
+    Endpoint listen;
+    Duration heartbeatInterval { std::chrono::milliseconds(500) };
+    /// A link with no frame for this long is closed: a silent partition sends no reset.
+    Duration peerTimeout { std::chrono::seconds(2) };
+    Duration connectTimeout { std::chrono::seconds(1) };
+    /// A peer that reads too slowly loses its link instead of filling our memory.
+    size_t maxQueuedBytes { 32 << 20 };
+    size_t maxLinks { 1024 };
+};
+
+/// Owns all connections to other daemons. Not thread-safe.
+class PeerHub {
+public:
+    using FrameHandler = std::function<void(const PeerFrame&)>;
+    using LinkDownHandler = std::function<void(LinkId, const HostId&)>;
+    using LinkHandler = std::function<void(std::error_code, LinkId)>;
+
+    PeerHub(boost::asio::io_context&, PeerHubOptions, const MeshSecret&, Metrics&);
+    ~PeerHub();
+    PeerHub(const PeerHub&) = delete;
+    PeerHub& operator=(const PeerHub&) = delete;
+
+    /// Opens the listener. Errors: ListenFailed.
+    std::error_code start();
+    /// Closes the listener; links stay.
+    void stopListening();
+    void closeAll();
+
+    void subscribe(FrameKind, FrameHandler);
+    void subscribeLinkDown(LinkDownHandler);
+
+    void setAddress(const HostId&, const Endpoint&);
+
+    /// Calls back with an established link, at once if there is one. Errors: OwnerUnreachable.
+    void withLink(const HostId&, LinkHandler);
+    /// Returns false if the link is gone; then nothing was sent.
+    bool send(LinkId, FrameKind, std::string_view payload);
+    /// Best effort: dials if needed; the frame is dropped if that fails.
+    void sendToHost(const HostId&, FrameKind, std::string payload);
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/PeerLink.cpp
@@ -0,0 +1,193 @@
+#include "dragonflylane/PeerLink.h"
+
+#include "dragonflylane/MeshSecret.h"
+#include "dragonflylane/ResultCode.h"
+#include "dragonflylane/Wire.h"
+#include "gen-cpp/peer_types.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace dragonflylane {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // Reads start small, because a daemon holds many idle links within a few MB, and grow while the buffer fills up.
+    constexpr size_t minReadBytes = 2 << 10;
+    constexpr size_t maxReadBytes = 64 << 10;
+
+} // namespace
+
+PeerLink::PeerLink(
+    asio::ip::tcp::socket socket, LinkId id, const PeerHubOptions& options, const MeshSecret& secret, Hooks hooks)
+    : m_socket(std::move(socket))
+    , m_id(id)
+    , m_options(options)
+    , m_secret(secret)
+    , m_hooks(std::move(hooks))
+    , m_ownNonce(MeshSecret::makeNonce())
+    , m_readBytes(minReadBytes)
+{
+}
+
+void PeerLink::start(TimePoint now)
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    m_lastReceived = now;
+    m_lastSent = now;
+    wire::Hello hello;
+    hello.meshId = m_options.meshId;
+    hello.hostId = m_options.self.value();
+    hello.nonce = m_ownNonce;
+    enqueue(encodeFrame(FrameKind::Hello, encodeThrift(hello)));
+    read();
+}
+
+void PeerLink::send(FrameKind kind, std::string_view payload)
+{
+    if (!m_isClosed)
+        enqueue(encodeFrame(kind, payload));
+}
+
+void PeerLink::close(std::error_code reason)
+{
+    if (m_isClosed)
+        return;
+    // The hook drops the hub's reference.
+    auto self = shared_from_this();
+    m_isClosed = true;
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    m_hooks.closed(*this, reason);
+}
+
+void PeerLink::tick(TimePoint now)
+{
+    if (now - m_lastReceived > m_options.peerTimeout)
+        return close(ResultCode::PeerTimeout);
+    if (m_isEstablished && now - m_lastSent >= m_options.heartbeatInterval && m_writing.empty())
+        send(FrameKind::Heartbeat, {});
+}
+
+void PeerLink::read()
+{
+    size_t used = m_input.size();
+    m_input.resize(used + m_readBytes);
+    m_socket.async_read_some(asio::buffer(m_input.data() + used, m_readBytes),
+        [self = shared_from_this(), used](boost::system::error_code error, size_t bytes) {
+            self->m_input.resize(used + bytes);
+            if (self->m_isClosed)
+                return;
+            if (error)
+                return self->close(ResultCode::PeerClosed);
+            self->readSome(bytes);
+        });
+}
+
+void PeerLink::readSome(size_t bytes)
+{
+    m_lastReceived = BootClock::now();
+    m_readBytes = bytes == m_readBytes ? std::min(m_readBytes * 2, maxReadBytes) : minReadBytes;
+    size_t offset = 0;
+    while (!m_isClosed) {
+        FrameView frame;
+        size_t limit = m_isEstablished ? maxFramePayloadBytes : maxGreetingPayloadBytes;
+        if (auto error = decodeFrame(std::string_view(m_input).substr(offset), limit, frame))
+            return close(error);
+        if (frame.size == 0)
+            break;
+        if (auto error = handle(frame))
+            return close(error);
+        offset += frame.size;
+    }
+    if (m_isClosed)
+        return;
+    m_input.erase(0, offset);
+    if (m_input.empty() && m_input.capacity() > maxReadBytes)
+        m_input.shrink_to_fit();
+    read();
+}
+
+std::error_code PeerLink::handle(const FrameView& frame)
+{
+    if (frame.kind == FrameKind::Hello)
+        return handleHello(frame.payload);
+    if (frame.kind == FrameKind::HelloProof)
+        return handleProof(frame.payload);
+    if (!m_isEstablished)
+        return ResultCode::WrongProof;
+    if (frame.kind != FrameKind::Heartbeat)
+        m_hooks.frame(*this, frame);
+    return {};
+}
+
+std::error_code PeerLink::handleHello(std::string_view payload)
+{
+    wire::Hello hello;
+    if (!m_peerNonce.empty() || !decodeThrift(payload, hello) || hello.nonce.empty() || hello.hostId.empty())
+        return ResultCode::MalformedFrame;
+    if (hello.meshId != m_options.meshId)
+        return ResultCode::WrongMesh;
+    // A connection that echoes our own nonce would let a stranger obtain our proof for it.
+    if (hello.nonce == m_ownNonce)
+        return ResultCode::WrongProof;
+    m_peer = HostId(hello.hostId);
+    m_peerNonce = hello.nonce;
+    wire::HelloProof proof;
+    proof.proof = m_secret.prove("hello", transcript(m_options.self.value(), m_peerNonce, m_ownNonce));
+    enqueue(encodeFrame(FrameKind::HelloProof, encodeThrift(proof)));
+    return {};
+}
+
+std::error_code PeerLink::handleProof(std::string_view payload)
+{
+    wire::HelloProof proof;
+    if (m_peerNonce.empty() || m_isEstablished || !decodeThrift(payload, proof))
+        return ResultCode::MalformedFrame;
+    if (!m_secret.verify("hello", transcript(m_peer.value(), m_ownNonce, m_peerNonce), proof.proof))
+        return ResultCode::WrongProof;
+    m_isEstablished = true;
+    m_hooks.established(*this);
+    return {};
+}
+
+std::string PeerLink::transcript(
+    const std::string& prover, const std::string& challenge, const std::string& ownNonce) const
+{
+    return std::to_string(prover.size()) + ":" + prover + challenge + ownNonce;
+}
+
+void PeerLink::enqueue(std::string frame)
+{
+    m_queuedBytes += frame.size();
+    if (m_queuedBytes > m_options.maxQueuedBytes)
+        return close(ResultCode::PeerTimeout);
+    m_queue.push_back(std::move(frame));
+    if (m_writing.empty())
+        write();
+}
+
+void PeerLink::write()
+{
+    m_writing.swap(m_queue);
+    std::vector<asio::const_buffer> buffers;
+    buffers.reserve(m_writing.size());
+    for (const std::string& frame : m_writing)
+        buffers.emplace_back(frame.data(), frame.size());
+    m_lastSent = BootClock::now();
+    asio::async_write(m_socket, buffers, [self = shared_from_this()](boost::system::error_code error, size_t bytes) {
+        self->m_queuedBytes -= std::min(bytes, self->m_queuedBytes);
+        self->m_writing.clear();
+        if (self->m_isClosed)
+            return;
+        if (error)
+            return self->close(ResultCode::PeerClosed);
+        if (!self->m_queue.empty())
+            self->write();
+    });
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/PeerLink.h
@@ -0,0 +1,77 @@
+#pragma once
+
+// One TCP connection between two daemons, from greeting to close.
+//
+// Both sides send Hello with a nonce, and answer the other's Hello with a proof over both nonces. No other frame is
+// read or written before both proofs have been checked, so a frame that was queued on a link that never got
+// established has certainly not reached the peer.
+
+#include "dragonflylane/BootClock.h"
+#include "dragonflylane/Frame.h"
+#include "dragonflylane/Ids.h"
+#include "dragonflylane/PeerHub.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace dragonflylane {
+
+/// One connection; owned by PeerHub through shared pointers that pending operations extend.
+class PeerLink : public std::enable_shared_from_this<PeerLink> {
+public:
+    struct Hooks {
+        std::function<void(PeerLink&)> established;
+        std::function<void(PeerLink&, const FrameView&)> frame;
+        /// Called once, with the reason.
+        std::function<void(PeerLink&, std::error_code)> closed;
+    };
+
+    PeerLink(boost::asio::ip::tcp::socket, LinkId, const PeerHubOptions&, const MeshSecret&, Hooks);
+
+    /// Starts the greeting on a connected socket.
+    void start(TimePoint now);
+    void send(FrameKind, std::string_view payload);
+    void close(std::error_code reason);
+    /// Sends a heartbeat when nothing else was sent, and closes a link that has been silent for too long.
+    void tick(TimePoint now);
+
+    LinkId id() const { return m_id; }
+    const HostId& peer() const { return m_peer; }
+    bool isEstablished() const { return m_isEstablished; }
+    bool isClosed() const { return m_isClosed; }
+
+private:
+    void read();
+    void readSome(size_t bytes);
+    std::error_code handle(const FrameView&);
+    std::error_code handleHello(std::string_view payload);
+    std::error_code handleProof(std::string_view payload);
+    void enqueue(std::string frame);
+    void write();
+    std::string transcript(const std::string& prover, const std::string& challenge, const std::string& ownNonce) const;
+
+    boost::asio::ip::tcp::socket m_socket;
+    LinkId m_id;
+    const PeerHubOptions& m_options;
+    const MeshSecret& m_secret;
+    Hooks m_hooks;
+
+    HostId m_peer;
+    std::string m_ownNonce;
+    std::string m_peerNonce;
+    bool m_isEstablished { false };
+    bool m_isClosed { false };
+
+    std::string m_input;
+    size_t m_readBytes;
+    std::deque<std::string> m_queue;
+    std::deque<std::string> m_writing;
+    size_t m_queuedBytes { 0 };
+    TimePoint m_lastReceived;
+    TimePoint m_lastSent;
+};
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/Settings.cpp
@@ -0,0 +1,284 @@
+#include "dragonflylane/Settings.h"
+
+#include <algorithm>
+#include <charconv>
+#include <filesystem>
+#include <fstream>
+#include <ini.h>
+#include <sstream>
+
+namespace dragonflylane {
+
+namespace {
+
+    constexpr SettingInfo table[] = {
+        { "mesh", "id", "", "local", "1 to 64 of a-z A-Z 0-9 . _ -",
+            "Name of the mesh; daemons of another mesh are refused." },
+        { "mesh", "secret-file", "path", "", "file of 16 to 4096 bytes",
+            "Shared secret of the mesh. Required as soon as a listener is not on loopback." },
+        { "mesh", "seeds", "addresses", "", "up to 64", "Peer addresses of a few daemons, asked first when joining." },
+        { "host", "id", "", "local", "1 to 64 of a-z A-Z 0-9 . _ -", "Name of this host, unique in the mesh." },
+        { "host", "data-centre", "", "local", "1 to 64 of a-z A-Z 0-9 . _ -", "Data centre of this host." },
+        { "host", "region", "", "local", "1 to 64 of a-z A-Z 0-9 . _ -", "Region of this host." },
+        { "listen", "callers", "address", "127.0.0.1:8080", "IP:port", "Where callers send HTTP requests." },
+        { "listen", "peer", "address", "127.0.0.1:7080", "IP:port",
+            "Where other daemons connect (TCP) and gossip (UDP)." },
+        { "listen", "api", "address", "127.0.0.1:7081", "IP:port", "Operator API and announcements of the upstream." },
+        { "control", "voters", "host=address list", "this host", "1, 3 or 5",
+            "Founding voters of the replicated log with their peer addresses; the same on every host." },
+        { "control", "data-folder", "path", "data", "", "Folder of the replicated log. Used on control hosts only." },
+        { "control", "operators-file", "path", "", "lines of name token",
+            "Operators and their tokens. Required as soon as the API is not on loopback." },
+        { "calls", "default-timeout-ms", "ms", "2000", "1 to 600000", "Deadline of a call that states none." },
+        { "calls", "max-connections", "connections", "2000", "1 to 60000", "Most callers connected at a time." },
+        { "calls", "max-body-bytes", "bytes", "1048576", "0 to 1048576", "Largest request or answer body." },
+        { "calls", "drain-timeout-s", "s", "60", "1 to 3600", "Longest wait for calls in flight at shutdown." },
+        { "log", "level", "", "info", "debug, info, warning, error", "Lowest level that is logged." },
+    };
+
+    using Values = std::map<std::string, std::string>;
+
+    std::string keyOf(std::string_view section, std::string_view key)
+    {
+        return std::string(section) + "." + std::string(key);
+    }
+
+    const SettingInfo* findSetting(std::string_view section, std::string_view key)
+    {
+        for (const SettingInfo& info : table) {
+            if (info.section == section && info.key == key)
+                return &info;
+        }
+        return nullptr;
+    }
+
+    bool isName(std::string_view text)
+    {
+        constexpr size_t maxNameLength = 64;
+        if (text.empty() || text.size() > maxNameLength)
+            return false;
+        return std::all_of(text.begin(), text.end(),
+            [](unsigned char c) { return std::isalnum(c) || c == '.' || c == '_' || c == '-'; });
+    }
+
+    std::vector<std::string> splitList(const std::string& text)
+    {
+        std::vector<std::string> parts;
+        std::istringstream stream(text);
+        for (std::string part; std::getline(stream, part, ',');) {
+            size_t first = part.find_first_not_of(" \t");
+            size_t last = part.find_last_not_of(" \t");
+            if (first != std::string::npos)
+                parts.push_back(part.substr(first, last - first + 1));
+        }
+        return parts;
+    }
+
+    // Reads typed values out of the raw ones and remembers the first error.
+    class Reader {
+    public:
+        Reader(const std::string& file, const Values& values)
+            : m_file(file)
+            , m_values(values)
+        {
+        }
+
+        const SettingsError& error() const { return m_error; }
+        bool isGiven(const char* section, const char* key) const { return m_values.contains(keyOf(section, key)); }
+
+        std::string text(const char* section, const char* key) const
+        {
+            auto it = m_values.find(keyOf(section, key));
+            return it != m_values.end() ? it->second : findSetting(section, key)->defaultValue;
+        }
+
+        std::string identifier(const char* section, const char* key)
+        {
+            std::string value = text(section, key);
+            if (!isName(value))
+                fail(ResultCode::SettingInvalid, section, key,
+                    "'" + value + "' is not a name of 1 to 64 of a-z A-Z 0-9 . _ -");
+            return value;
+        }
+
+        Endpoint endpoint(const char* section, const char* key)
+        {
+            std::string value = text(section, key);
+            auto parsed = Endpoint::parse(value);
+            if (!parsed || !parsed->isSet()) {
+                fail(ResultCode::SettingInvalid, section, key, "'" + value + "' is not an IP address with a port");
+                return {};
+            }
+            return *parsed;
+        }
+
+        uint32_t number(const char* section, const char* key, uint32_t min, uint32_t max)
+        {
+            std::string value = text(section, key);
+            uint32_t parsed = 0;
+            auto [end, status] = std::from_chars(value.data(), value.data() + value.size(), parsed);
+            if (status == std::errc::invalid_argument || end != value.data() + value.size())
+                fail(ResultCode::SettingInvalid, section, key, "'" + value + "' is not a whole number");
+            else if (status != std::errc() || parsed < min || parsed > max)
+                fail(ResultCode::SettingOutOfRange, section, key,
+                    "'" + value + "' is not between " + std::to_string(min) + " and " + std::to_string(max));
+            return parsed;
+        }
+
+        void fail(ResultCode code, const char* section, const char* key, const std::string& reason)
+        {
+            if (m_error.code != ResultCode::Ok)
+                return;
+            m_error = { code, m_file + ": [" + section + "] " + key + ": " + reason };
+        }
+
+    private:
+        const std::string& m_file;
+        const Values& m_values;
+        SettingsError m_error;
+    };
+
+    struct RawFile {
+        Values values;
+        std::string unknown;
+        std::string repeated;
+    };
+
+    int collect(void* user, const char* section, const char* key, const char* value)
+    {
+        auto& raw = *static_cast<RawFile*>(user);
+        std::string where = std::string("[") + section + "] " + key;
+        if (!findSetting(section, key)) {
+            if (raw.unknown.empty())
+                raw.unknown = where;
+            return 1;
+        }
+        if (!raw.values.emplace(keyOf(section, key), value).second && raw.repeated.empty())
+            raw.repeated = where;
+        return 1;
+    }
+
+    void readVoters(Reader& reader, Settings& settings)
+    {
+        if (!reader.isGiven("control", "voters")) {
+            settings.voters = { { settings.hostId, settings.peer } };
+            return;
+        }
+        for (const std::string& part : splitList(reader.text("control", "voters"))) {
+            size_t equals = part.find('=');
+            auto endpoint = equals == std::string::npos ? std::nullopt : Endpoint::parse(part.substr(equals + 1));
+            if (!endpoint || !endpoint->isSet() || !isName(part.substr(0, equals)))
+                return reader.fail(
+                    ResultCode::SettingInvalid, "control", "voters", "'" + part + "' is not host=IP:port");
+            if (!settings.voters.emplace(HostId(part.substr(0, equals)), *endpoint).second)
+                return reader.fail(ResultCode::SettingInvalid, "control", "voters", "'" + part + "' repeats a host");
+        }
+        size_t count = settings.voters.size();
+        if (count != 1 && count != 3 && count != 5)
+            reader.fail(ResultCode::SettingOutOfRange, "control", "voters",
+                std::to_string(count) + " voters; a log has 1, 3 or 5");
+        auto own = settings.voters.find(settings.hostId);
+        if (own != settings.voters.end() && own->second != settings.peer)
+            reader.fail(ResultCode::SettingInvalid, "control", "voters",
+                "the address of this host differs from [listen] peer " + settings.peer.toString());
+    }
+
+    void readSeeds(Reader& reader, Settings& settings)
+    {
+        constexpr size_t maxSeeds = 64;
+        for (const std::string& part : splitList(reader.text("mesh", "seeds"))) {
+            auto endpoint = Endpoint::parse(part);
+            if (!endpoint || !endpoint->isSet())
+                return reader.fail(
+                    ResultCode::SettingInvalid, "mesh", "seeds", "'" + part + "' is not an IP address with a port");
+            settings.seeds.push_back(*endpoint);
+        }
+        if (settings.seeds.size() > maxSeeds)
+            reader.fail(ResultCode::SettingOutOfRange, "mesh", "seeds", "more than 64 seeds");
+    }
+
+    std::string resolvePath(const std::string& file, const std::string& path)
+    {
+        if (path.empty() || std::filesystem::path(path).is_absolute())
+            return path;
+        return (std::filesystem::path(file).parent_path() / path).string();
+    }
+
+    bool isLoopback(const Endpoint& endpoint)
+    {
+        return endpoint.address.starts_with("127.") || endpoint.address == "::1";
+    }
+
+    // A listener that others can reach without proving that they belong to the mesh would let anyone change it.
+    void checkExposure(Reader& reader, const Settings& settings)
+    {
+        if (settings.secretFile.empty() && (!isLoopback(settings.peer) || !isLoopback(settings.callers)))
+            reader.fail(ResultCode::SettingMissing, "mesh", "secret-file", "required for a listener beyond loopback");
+        if (isLoopback(settings.api))
+            return;
+        if (settings.secretFile.empty())
+            reader.fail(ResultCode::SettingMissing, "mesh", "secret-file", "required for a listener beyond loopback");
+        if (settings.operatorsFile.empty())
+            reader.fail(ResultCode::SettingMissing, "control", "operators-file", "required for an API beyond loopback");
+    }
+
+    void readAll(Reader& reader, const std::string& file, Settings& settings)
+    {
+        settings = {};
+        settings.meshId = reader.identifier("mesh", "id");
+        settings.secretFile = resolvePath(file, reader.text("mesh", "secret-file"));
+        settings.hostId = HostId(reader.identifier("host", "id"));
+        settings.dataCentre = DataCentreName(reader.identifier("host", "data-centre"));
+        settings.region = RegionName(reader.identifier("host", "region"));
+        settings.callers = reader.endpoint("listen", "callers");
+        settings.peer = reader.endpoint("listen", "peer");
+        settings.api = reader.endpoint("listen", "api");
+        settings.dataFolder = resolvePath(file, reader.text("control", "data-folder"));
+        settings.operatorsFile = resolvePath(file, reader.text("control", "operators-file"));
+        settings.defaultTimeout = std::chrono::milliseconds(reader.number("calls", "default-timeout-ms", 1, 600000));
+        settings.maxConnections = reader.number("calls", "max-connections", 1, 60000);
+        settings.maxBodyBytes = reader.number("calls", "max-body-bytes", 0, 1048576);
+        settings.drainTimeout = std::chrono::seconds(reader.number("calls", "drain-timeout-s", 1, 3600));
+        settings.logLevel = reader.text("log", "level");
+        static constexpr std::string_view levels[] = { "debug", "info", "warning", "error" };
+        if (std::find(std::begin(levels), std::end(levels), settings.logLevel) == std::end(levels))
+            reader.fail(ResultCode::SettingInvalid, "log", "level",
+                "'" + settings.logLevel + "' is not debug, info, warning or error");
+        readSeeds(reader, settings);
+        readVoters(reader, settings);
+        checkExposure(reader, settings);
+    }
+
+} // namespace
+
+std::span<const SettingInfo> settingsTable()
+{
+    return table;
+}
+
+SettingsError parseSettings(const std::string& text, const std::string& name, Settings& settings)
+{
+    RawFile raw;
+    int line = ini_parse_string(text.c_str(), collect, &raw);
+    if (line != 0)
+        return { ResultCode::SettingInvalid, name + ": line " + std::to_string(line) + " is not valid INI" };
+    if (!raw.unknown.empty())
+        return { ResultCode::SettingUnknown, name + ": " + raw.unknown + ": unknown setting" };
+    if (!raw.repeated.empty())
+        return { ResultCode::SettingInvalid, name + ": " + raw.repeated + ": given more than once" };
+    Reader reader(name, raw.values);
+    readAll(reader, name, settings);
+    return reader.error();
+}
+
+SettingsError readSettings(const std::string& path, Settings& settings)
+{
+    std::ifstream stream(path);
+    std::stringstream text;
+    text << stream.rdbuf();
+    if (!stream)
+        return { ResultCode::FileUnreadable, path + ": cannot be read" };
+    return parseSettings(text.str(), path, settings);
+}
+
+} // namespace dragonflylane
