--- /dev/null
+++ b/dragonflylane/LogReplica.h
@@ -0,0 +1,328 @@
+#pragma once
+
+// Decisions of one replica of the log: Raft (Ongaro and Ousterhout 2014; Ongaro's dissertation for pre-vote,
+// check-quorum, leases and single-server membership change). It performs no I/O.
+//
+//     LogReplica replica(options, recovered, BootClock::now());
+//     replica.receive(message, now);  replica.tick(now);  replica.propose(payload, now, &index);
+//     for (LogOutput& output : replica.takeOutputs())
+//         ...                          // in this order
+//
+// Outputs and the task's duties:
+//  * LogSend: send the message to the host; loss, duplication and reordering are allowed.
+//  * LogPersist: write to the LogStore in the given order, sync, then call persisted(token, now). Messages that promise
+//    durability are held back until then. After a write error the process must stop.
+//  * LogApply: a committed entry, in index order, each once after a start. Only kind Command has a payload.
+//  * LogRestore: replace the application's state; later entries follow.
+//  * LogTakeSnapshot: pass the application's state after all applied entries to snapshotTaken().
+//  * LogRoleChange: leadership changed. `isReady` turns true once the leader has committed in its term.
+//
+// A proposal is committed when LogApply returns its index with the term that term() had when it was proposed. If the
+// index returns with another term it was not committed. After a loss of leadership it is uncertain until then.
+//
+// First start: the control host with the lowest id creates the log once all control hosts have stated, in answer to
+// its own replica id, that their disks are empty. All other replicas with empty disks start as learners.
+
+#include "dragonflylane/LogMessages.h"
+
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <system_error>
+
+namespace dragonflylane {
+
+/// Settings of a replica. The switches at the end exist for tests, which show what each mechanism prevents.
+struct LogReplicaOptions {
+    HostId self;
+    /// All hosts with a replica, including this one (section [control], voters). Used by learners to reach a leader and
+    /// for the first start of the log.
+    std::vector<HostId> controlHosts;
+    Duration heartbeatInterval { std::chrono::milliseconds(100) };
+    Duration electionTimeoutMin { std::chrono::milliseconds(600) };
+    Duration electionTimeoutMax { std::chrono::milliseconds(1000) };
+    Duration joinInterval { std::chrono::milliseconds(500) };
+    /// Seed of the election timeouts and of the life number; should differ at each start.
+    uint64_t seed { 1 };
+
+    /// Limits of the entries in memory. Proposals are refused beyond them.
+    size_t maxEntriesInMemory { 16384 };
+    size_t maxBytesInMemory { 64U << 20 };
+    size_t maxPayloadBytes { 512U << 10 };
+    /// Limit of the entries or the chunk in one message; one entry is always sent.
+    size_t maxMessageBytes { 512U << 10 };
+    size_t maxEntriesPerMessage { 512 };
+    /// Messages with entries in flight to one follower.
+    size_t maxInFlightMessages { 8 };
+    size_t maxSnapshotBytes { 64U << 20 };
+    /// A snapshot is requested after this many applied entries.
+    size_t snapshotEveryEntries { 4096 };
+    /// Entries kept in memory behind a snapshot for followers that are slightly behind.
+    size_t keepEntries { 1024 };
+
+    bool preVote { true };
+    bool checkQuorum { true };
+    bool waitForSync { true };
+    /// If off, a replica with a new disk counts as the voter of its host at once.
+    bool learnerBeforeVoter { true };
+};
+
+/// Number of a LogPersist output. Grows by one with each.
+using PersistToken = StrongNumber<struct PersistTokenTag>;
+
+enum class LogRole : uint8_t {
+    Follower,
+    PreCandidate,
+    Candidate,
+    Leader,
+};
+
+struct LogSend {
+    HostId host;
+    LogMessage message;
+};
+
+struct LogPersist {
+    PersistToken token;
+    LogWrite write;
+};
+
+struct LogApply {
+    LogEntry entry;
+};
+
+struct LogRestore {
+    LogSnapshot snapshot;
+};
+
+struct LogTakeSnapshot {
+    /// Index of the last entry whose LogApply precedes this output.
+    LogIndex index;
+};
+
+struct LogRoleChange {
+    LogRole role { LogRole::Follower };
+    Term term;
+    /// Empty while unknown.
+    LogMember leader;
+    bool isReady { false };
+};
+
+using LogOutput = std::variant<LogSend, LogPersist, LogApply, LogRestore, LogTakeSnapshot, LogRoleChange>;
+
+/// A single-server change of the membership.
+struct LogMembershipChange {
+    enum class Action : uint8_t {
+        /// Adds a learner that becomes a voter once it has caught up.
+        Add,
+        Remove,
+    };
+    Action action { Action::Add };
+    LogMember member;
+};
+
+/// One replica. Not thread-safe.
+class LogReplica {
+public:
+    LogReplica(LogReplicaOptions, RecoveredLog, TimePoint now);
+
+    void receive(const LogMessage&, TimePoint now);
+    /// Appends a command. NotLeader; PlanTooLarge; QuorumLost if the limits of uncommitted entries are reached.
+    std::error_code propose(std::string payload, TimePoint now, LogIndex* assigned);
+    /// NotLeader; MembershipChangePending if an earlier change is not finished; NotFound; InvalidValue.
+    std::error_code changeVoters(const LogMembershipChange&, TimePoint now);
+    /// The write of this token and all earlier ones are synced.
+    void persisted(PersistToken, TimePoint now);
+    /// State of the application after entry `index`, which must have been applied. PlanTooLarge if over the limit,
+    /// NotFound if the index is not above the last snapshot or not applied.
+    std::error_code snapshotTaken(LogIndex index, std::string data, TimePoint now);
+    void tick(TimePoint now);
+    TimePoint nextWakeup() const;
+    std::vector<LogOutput> takeOutputs();
+
+    /// A time such that a quorum answered a question that this leader asked at or after it. Absent on replicas that are
+    /// not leader and before the leader has committed in its term.
+    std::optional<TimePoint> quorumProvenAt() const;
+    /// The same on a follower, derived from the leader's messages by the rule of section 4.3, once the follower has
+    /// committed as much as the leader had; on a leader equal to quorumProvenAt().
+    std::optional<TimePoint> provenAt() const;
+    /// True while no other replica can have become leader: reads at the leader are current.
+    bool hasLease(TimePoint now) const;
+
+    LogRole role() const { return m_role; }
+    Term term() const { return m_hardState.term; }
+    const LogMember& leader() const { return m_leader; }
+    LogIndex commitIndex() const { return m_commitIndex; }
+    LogIndex lastIndex() const;
+    LogIndex firstIndex() const { return LogIndex(m_firstIndex); }
+    const ReplicaId& replicaId() const { return m_self.id; }
+    /// Latest membership in the log, committed or not.
+    const LogMembership& membership() const { return m_memberships.back().membership; }
+    bool isVoter() const;
+
+private:
+    enum class PeerMode : uint8_t {
+        Probe,
+        Replicate,
+        Snapshot,
+    };
+
+    /// What the leader knows of another replica.
+    struct Peer {
+        LogMember member;
+        PeerMode mode { PeerMode::Probe };
+        uint64_t next { 1 };
+        uint64_t match { 0 };
+        /// Last index of each message with entries in flight.
+        std::deque<uint64_t> inFlight;
+        TimePoint probeSentAt { TimePoint::min() };
+        TimePoint lastSentAt { TimePoint::min() };
+        /// Latest question that was answered.
+        TimePoint answeredAskedAt { TimePoint::min() };
+        TimePoint lastHeardAt { TimePoint::min() };
+        uint64_t echoLife { 0 };
+        std::optional<TimePoint> echo;
+        uint64_t snapshotIndex { 0 };
+        uint64_t snapshotOffset { 0 };
+        TimePoint chunkSentAt { TimePoint::min() };
+    };
+
+    struct MembershipAt {
+        uint64_t index { 0 };
+        LogMembership membership;
+    };
+
+    struct HeldMessage {
+        PersistToken token;
+        LogSend send;
+    };
+
+    struct UnsyncedWrite {
+        PersistToken token;
+        uint64_t lastIndex { 0 };
+    };
+
+    struct PendingProof {
+        TimePoint proof;
+        uint64_t commit { 0 };
+    };
+
+    // Log access.
+    uint64_t last() const { return m_firstIndex + m_entries.size() - 1; }
+    std::optional<Term> termAt(uint64_t index) const;
+    const LogEntry& entryAt(uint64_t index) const { return m_entries[index - m_firstIndex]; }
+    void append(LogEntry);
+    void truncate(uint64_t from);
+    void dropFront(uint64_t upTo);
+    uint64_t synced() const;
+
+    // Messages and durability.
+    void send(const LogMember& to, decltype(LogMessage::body) body);
+    void sendAfterSync(const LogMember& to, decltype(LogMessage::body) body);
+    LogSend makeSend(const LogMember& to, Term, decltype(LogMessage::body) body) const;
+    LogWrite& pendingWrite();
+    void persistHardState();
+    void releaseHeld();
+
+    // Roles.
+    void becomeFollower(Term, const LogMember& leader);
+    void becomeLeader(TimePoint now);
+    void campaign(bool preVote, TimePoint now);
+    void countVotes(TimePoint now);
+    void resetElectionTimer(TimePoint now);
+    void checkLeadership(TimePoint now);
+    void announceRole();
+    bool heardLeaderRecently(TimePoint now) const;
+
+    // Membership.
+    bool isVoter(const ReplicaId&) const;
+    LogMember memberOf(const LogMember& sender) const;
+    bool changePending() const;
+    void appendMembership(LogMembership);
+    void advanceMembership(TimePoint now);
+    void tryBootstrap(TimePoint now);
+    bool isEmptyDisk() const;
+    void sendJoin(TimePoint now);
+    void syncPeers(TimePoint now);
+
+    // Message handlers.
+    bool acceptTerm(const LogMessage&, TimePoint now);
+    void handle(const LogMessage&, const LogVoteRequest&, TimePoint now);
+    void handle(const LogMessage&, const LogVoteResponse&, TimePoint now);
+    void handle(const LogMessage&, const LogAppendRequest&, TimePoint now);
+    void handle(const LogMessage&, const LogAppendResponse&, TimePoint now);
+    void handle(const LogMessage&, const LogSnapshotRequest&, TimePoint now);
+    void handle(const LogMessage&, const LogSnapshotResponse&, TimePoint now);
+    void handle(const LogMessage&, const LogJoinRequest&, TimePoint now);
+    void followLeader(const LogMessage&, TimePoint now);
+    bool appendEntries(const LogAppendRequest&);
+    void acknowledge(const LogMember& leader, TimePoint askedAt, TimePoint now);
+    void refuse(const LogMember& leader, const LogAppendRequest&, TimePoint now);
+    void noteProof(const LogAppendRequest&, TimePoint now);
+    void installSnapshot(LogSnapshot);
+
+    // Replication by the leader.
+    Peer* peerOf(const LogMessage&);
+    void notePeerAnswer(Peer&, TimePoint askedAt, uint64_t life, TimePoint sentAt, TimePoint now);
+    void replicate(Peer&, bool heartbeat, TimePoint now);
+    void replicateAll(bool heartbeat, TimePoint now);
+    void sendAppend(Peer&, bool withEntries, TimePoint now);
+    void sendChunk(Peer&, TimePoint now);
+    void advanceCommit(TimePoint now);
+    void commitTo(uint64_t index);
+    void applyProofs();
+    TimePoint quorumAnsweredAt() const;
+
+    LogReplicaOptions m_options;
+    LogMember m_self;
+    uint64_t m_life { 0 };
+    std::mt19937_64 m_random;
+    TimePoint m_now;
+
+    LogHardState m_hardState;
+    LogSnapshot m_snapshot;
+    uint64_t m_firstIndex { 1 };
+    /// Term of the entry before m_firstIndex.
+    Term m_termBeforeFirst;
+    std::deque<LogEntry> m_entries;
+    size_t m_entryBytes { 0 };
+    LogIndex m_commitIndex;
+    uint64_t m_appliedIndex { 0 };
+    bool m_snapshotRequested { false };
+    /// Membership at the snapshot and every later one, by index.
+    std::vector<MembershipAt> m_memberships;
+
+    LogRole m_role { LogRole::Follower };
+    LogMember m_leader;
+    bool m_ready { false };
+    uint64_t m_termStartIndex { 0 };
+    TimePoint m_electionDeadline;
+    TimePoint m_leaderHeardAt;
+    TimePoint m_leaderSince;
+    TimePoint m_nextHeartbeat;
+    TimePoint m_nextJoin;
+    std::set<ReplicaId> m_votes;
+    std::map<ReplicaId, Peer> m_peers;
+
+    /// Highest index known to match the log of the current term's leader.
+    uint64_t m_matched { 0 };
+    TimePoint m_lastAskedAt;
+    std::deque<PendingProof> m_pendingProofs;
+    std::optional<TimePoint> m_followerProof;
+    std::optional<LogSnapshot> m_incoming;
+    std::map<HostId, ReplicaId> m_heard;
+    std::map<HostId, ReplicaId> m_heardEmpty;
+
+    LogWrite m_write;
+    bool m_writeOpen { false };
+    PersistToken m_lastToken;
+    PersistToken m_persistedToken;
+    std::deque<UnsyncedWrite> m_unsynced;
+    uint64_t m_durableIndex { 0 };
+    std::deque<HeldMessage> m_held;
+    PersistToken m_selfVoteToken;
+    std::vector<LogOutput> m_outputs;
+};
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/LogStore.h
@@ -0,0 +1,81 @@
+#pragma once
+
+// The durable part of a log replica: one checksummed file in the data folder.
+//
+//     std::unique_ptr<LogFiles> files;
+//     openLogFolder(path, files);
+//     LogStore store({ .self = host, .random = randomNumber }, std::move(files));
+//     RecoveredLog log;
+//     LogStoreReport report;
+//     if (auto error = store.open(log, report)) ...   // refuse to start; report names file and offset
+//     store.write(persist.write);                      // synced on return
+//
+// Format of "replica.log": a header (8 bytes magic, 8 bytes salt, 8 bytes checksum), then records (4 bytes magic,
+// 4 bytes length, 8 bytes checksum, encoded LogBatch), all little-endian. A write is one record, so it is recovered
+// whole or not at all. The checksum is seeded with the salt and the record's offset, so a record copied into a payload
+// is not taken for one.
+//
+// open() writes what it recovered to a new file, syncs and renames it. Data read back after a crash of only the process
+// may still be unsynced, and pages whose sync failed may be marked clean; writing them again makes them durable before
+// the replica acts on them. A snapshot also writes a new file, which removes the old entries.
+//
+// Limit: damage inside the last record cannot be told from a torn write and is truncated and reported.
+
+#include "dragonflylane/LogFiles.h"
+#include "dragonflylane/LogMessages.h"
+
+#include <cstdint>
+
+namespace dragonflylane {
+
+struct LogStoreOptions {
+    /// Prefix of the replica id of a new folder.
+    HostId self;
+    /// Random number for the replica id of a new folder and the salt of the file; must differ at each start.
+    uint64_t random { 0 };
+    /// A file is written again without superseded records when it exceeds this and twice its live size.
+    size_t rewriteBytes { 16U << 20 };
+};
+
+/// Result of opening, for the log line and the error message.
+struct LogStoreReport {
+    std::string file;
+    /// Offset of the damage or of the torn tail.
+    uint64_t offset { 0 };
+    /// Bytes removed behind the last whole record.
+    uint64_t tornBytes { 0 };
+    bool isNew { false };
+};
+
+/// Not thread-safe; may be used on a thread of its own.
+class LogStore {
+public:
+    LogStore(LogStoreOptions, std::unique_ptr<LogFiles>);
+
+    /// Recovers the log, or creates an empty one with a new replica id. LogDamaged for damage before the last record;
+    /// StorageFailed for errors of the file system.
+    std::error_code open(RecoveredLog&, LogStoreReport&);
+    /// Writes and syncs. After any error the store refuses all further writes with the same error, since the state of
+    /// the file is unknown (a second fsync may succeed without having written the pages of the first).
+    std::error_code write(const LogWrite&);
+    uint64_t fileBytes() const { return m_fileBytes; }
+
+private:
+    std::error_code readRecords(std::string_view content, LogStoreReport&);
+    std::error_code rewrite();
+    std::error_code appendRecord(LogFile&, std::string_view batch);
+    std::error_code fail(const std::error_code&);
+    bool apply(const LogWrite&);
+
+    LogStoreOptions m_options;
+    std::unique_ptr<LogFiles> m_files;
+    std::unique_ptr<LogFile> m_file;
+    /// Mirror of the durable state, which rewrite() writes.
+    RecoveredLog m_log;
+    uint64_t m_salt { 0 };
+    uint64_t m_fileBytes { 0 };
+    uint64_t m_liveBytes { 0 };
+    std::error_code m_error;
+};
+
+} // namespace dragonflylane
