Add public headers of the configuration model and its wire format

Cause: the tasks around the configuration model are written in parallel and need its interface. Ruled out: Thrift types in the public headers (decision modules include no Thrift header), so ConfigWire converts. Before: no configuration model. After: headers and generated code compile; the member functions are not defined yet. Conclusion: the interface can be coded against; definitions follow.

--- /dev/null
+++ b/dragonflylane/ConfigState.h
@@ -0,0 +1,82 @@
+#pragma once
+
+// A whole configuration at one revision: an ordered map of items with revision and digest.
+//
+//     ConfigState next = held;
+//     if (std::error_code error = next.apply(delta)) ...      // next is unchanged
+//     if (std::error_code error = next.validate(&detail)) ...
+//     held = std::move(next);
+//
+// Items are immutable and shared between copies, so a copy costs one pointer an item.
+
+#include "dragonflylane/ConfigDelta.h"
+
+#include <map>
+#include <memory>
+#include <span>
+
+namespace dragonflylane {
+
+/// Checks of ConfigState::apply(). Only tests switch one off, to show which invariant it protects.
+struct ApplyChecks {
+    bool base { true };
+    bool digest { true };
+};
+
+/// Set of items with revision and digest. Revision 0 is the empty configuration.
+class ConfigState {
+public:
+    using Items = std::map<ItemKey, std::shared_ptr<const ConfigItem>>;
+
+    ConfigState() = default;
+    /// Builds a state from items; a later item replaces an earlier one with the same key.
+    ConfigState(Revision, std::vector<ConfigItem>);
+
+    Revision revision() const { return m_revision; }
+    const Digest& digest() const { return m_digest; }
+    const Items& items() const { return m_items; }
+
+    const ConfigItem* find(const ItemKey&) const;
+    const ServiceItem* service(const ServiceName&) const;
+    const RouteItem* route(const RouteName&) const;
+    const KeeperViewItem* keeperView() const;
+    bool isDrained(const UpstreamId&) const;
+    bool isCallAllowed(const ServiceName& caller, const ServiceName& callee) const;
+
+    /// All items of one kind, in order of name.
+    template <typename Item> std::vector<const Item*> all() const
+    {
+        std::vector<const Item*> result;
+        for (const auto& [key, item] : m_items) {
+            if (const Item* value = std::get_if<Item>(item.get()))
+                result.push_back(value);
+        }
+        return result;
+    }
+
+    void insert(ConfigItem);
+    /// False if there was no such item.
+    bool remove(const ItemKey&);
+    void setRevision(Revision revision) { m_revision = revision; }
+
+    /// Checks that the items are consistent with one another: every split and call rule names existing services
+    /// (DanglingRoute, UnknownService), path prefixes are unique (DuplicatePrefix), call rules have no cycle
+    /// (CallCycle), and each item is in its limits. O(items). The sentence in `detail` names the item.
+    std::error_code validate(std::string* detail = nullptr) const;
+
+    /// Applies a delta as a whole or not at all. Refusals: StaleRevision (does not advance), BaseMismatch,
+    /// DigestMismatch (of the base or of the result).
+    std::error_code apply(const ConfigDelta&, ApplyChecks = {});
+
+    /// The delta that leads from this state to `target`.
+    ConfigDelta deltaTo(const ConfigState& target) const;
+
+    bool operator==(const ConfigState&) const;
+
+private:
+    Items m_items;
+    Revision m_revision;
+    Digest m_digest;
+};
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/ConfigWire.h
@@ -0,0 +1,38 @@
+#pragma once
+
+// Encoding of the configuration for the wire and for log snapshots: Thrift compact protocol (wire/config.thrift),
+// snapshots compressed with zstd. Decoders check sizes before they allocate, return MalformedFrame for anything that
+// is not exactly one well-formed value, and FrameTooLarge for one over the limits. They do not check whether the items
+// are consistent; ConfigState::validate() does.
+
+#include "dragonflylane/ConfigPayload.h"
+#include "dragonflylane/ConfigState.h"
+
+namespace dragonflylane {
+
+/// Limits on decoding.
+struct ConfigWireLimits {
+    /// About ten times the snapshot of 280 services with all routes and call rules.
+    static constexpr size_t snapshotBytes = size_t { 16 } << 20;
+    static constexpr size_t payloadBytes = size_t { 16 } << 20;
+    static constexpr int containerElements = 100'000;
+    static constexpr int stringBytes = 16 << 20;
+};
+
+std::string encodeDelta(const ConfigDelta&);
+std::error_code decodeDelta(std::string_view, ConfigDelta*);
+
+/// Compressed snapshot. The second form is not compressed, to compare sizes.
+std::string encodeSnapshot(const ConfigState&);
+std::string encodeRawSnapshot(const ConfigState&);
+/// Also returns DigestMismatch if the digest of the items is not the one that the snapshot states.
+std::error_code decodeSnapshot(std::string_view, ConfigState*, bool checkDigest = true);
+
+std::string encodePayload(const ConfigPayload&);
+std::error_code decodePayload(std::string_view, ConfigPayload*);
+
+/// zstd with a bounded result.
+std::string compress(std::string_view);
+std::error_code decompress(std::string_view, size_t maxBytes, std::string* result);
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/PictureBuilder.h
@@ -0,0 +1,71 @@
+#pragma once
+
+// Builds pictures from a configuration and announced upstreams. Keeps what it built: a picture after the change of one
+// upstream costs O(services + upstreams of the service), and shares all other services with the picture before.
+//
+//     builder.setState(state);
+//     builder.update(host, entry);
+//     std::shared_ptr<const Picture> picture = builder.build();
+
+#include "dragonflylane/ConfigState.h"
+#include "dragonflylane/Picture.h"
+
+#include <map>
+#include <set>
+
+namespace dragonflylane {
+
+/// Two hosts announce the same upstream id. The entry with the higher incarnation is used; with equal incarnations
+/// the one of the host whose id sorts first, so that all daemons choose alike.
+struct UpstreamConflict {
+    UpstreamId id;
+    HostId used;
+    HostId ignored;
+
+    auto operator<=>(const UpstreamConflict&) const = default;
+    bool operator==(const UpstreamConflict&) const = default;
+};
+
+/// Incremental builder of pictures. Owned by one task.
+class PictureBuilder {
+public:
+    PictureBuilder();
+
+    /// Takes a configuration that passes validate().
+    void setState(const ConfigState&);
+    /// Replaces the upstream that a host announces; nothing: it announces none. Returns the conflicts over the id of
+    /// the new entry.
+    std::vector<UpstreamConflict> update(const HostId& owner, std::optional<UpstreamEntry>);
+    /// Replaces all upstreams; the owner is taken from each entry.
+    std::vector<UpstreamConflict> setUpstreams(const std::vector<UpstreamEntry>&);
+    /// All conflicts at present, ordered.
+    std::vector<UpstreamConflict> conflicts() const;
+
+    /// The current picture; the same object as before if nothing changed.
+    std::shared_ptr<const Picture> build();
+
+private:
+    /// Announcements of one upstream id by host, and the one in use.
+    struct Claims {
+        std::map<HostId, UpstreamEntry> byOwner;
+        UpstreamEntry used;
+    };
+
+    void withdraw(const HostId& owner);
+    void resolve(const UpstreamId&);
+    void markDirty(const ServiceName&);
+    std::shared_ptr<const Picture::Tables> buildTables() const;
+    std::shared_ptr<const PictureService> buildService(const ServiceItem&) const;
+    void appendConflicts(const UpstreamId&, std::vector<UpstreamConflict>*) const;
+
+    ConfigState m_state;
+    std::map<HostId, UpstreamId> m_announced;
+    std::map<UpstreamId, Claims> m_claims;
+    std::unordered_map<ServiceName, std::set<UpstreamId>> m_byService;
+    std::unordered_set<ServiceName> m_dirty;
+    bool m_stateChanged { true };
+    std::unordered_map<ServiceName, std::shared_ptr<const PictureService>> m_services;
+    std::shared_ptr<const Picture> m_picture;
+};
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/PlanBook.h
@@ -0,0 +1,157 @@
+#pragma once
+
+// The replicated state machine behind the log: plans by id, and the configuration that confirmed plans produce. Every
+// replica applies the same commands in the same order and gets the same outcomes, so nothing here depends on time,
+// random numbers or the view of the fleet.
+//
+//     std::string command = PlanBook::encode(ConfirmCommand { planId, operatorName });
+//     // ... replicated ...
+//     ApplyOutcome outcome = book.apply(command);
+//     if (outcome.delta) relay.publish(*outcome.delta, ...);
+
+#include "dragonflylane/ConfigHistory.h"
+#include "dragonflylane/Plan.h"
+#include "dragonflylane/ResultCode.h"
+
+#include <list>
+#include <unordered_map>
+
+namespace dragonflylane {
+
+/// Stores a reviewed plan. A repeated command returns the first answer.
+struct ProposeCommand {
+    PlanId plan;
+    PlanRequest request;
+    OperatorName operatorName;
+
+    bool operator==(const ProposeCommand&) const = default;
+};
+
+/// Applies a stored plan if the current revision is still its base.
+struct ConfirmCommand {
+    PlanId plan;
+    OperatorName operatorName;
+
+    bool operator==(const ConfirmCommand&) const = default;
+};
+
+/// Replaces the keeper view. The epoch must be higher than the held one; the held view again has no effect.
+struct SetKeepersCommand {
+    Epoch epoch;
+    std::vector<HostId> hosts;
+
+    bool operator==(const SetKeepersCommand&) const = default;
+};
+
+using PlanCommand = std::variant<ProposeCommand, ConfirmCommand, SetKeepersCommand>;
+
+/// Where a plan stands.
+enum class PlanStatus : uint8_t {
+    Proposed = 0,
+    Confirmed = 1,
+    Conflicted = 2,
+    Refused = 3,
+};
+
+/// A plan in the book.
+struct PlanRecord {
+    PlanId id;
+    Revision base;
+    std::vector<PlanChange> changes;
+    OperatorName proposedBy;
+    OperatorName confirmedBy;
+    PlanStatus status { PlanStatus::Proposed };
+    /// Confirmed: the revision it created. Conflicted: the current revision at that time.
+    Revision revision;
+    /// Refused or conflicted: why.
+    ResultCode code {};
+    std::string detail;
+    /// Conflicted: items changed since the base, at most PlanBookOptions::maxConflictItems, and their number. The
+    /// number is absent if the base is no longer in the history.
+    std::vector<ItemKey> conflictItems;
+    std::optional<uint64_t> conflictCount;
+
+    bool operator==(const PlanRecord&) const = default;
+};
+
+/// Answer to a command.
+struct ApplyOutcome {
+    ResultCode code {};
+    std::string detail;
+    PlanId plan;
+    PlanStatus status { PlanStatus::Refused };
+    /// The plan's revision if it is confirmed, otherwise the current revision.
+    Revision revision;
+    std::vector<ItemKey> conflictItems;
+    std::optional<uint64_t> conflictCount;
+    /// The command was a resend and this is the first answer again.
+    bool repeated { false };
+    /// Set if the command created a revision: to be published.
+    std::optional<ConfigDelta> delta;
+
+    bool operator==(const ApplyOutcome&) const = default;
+};
+
+/// Bounds of the book. They must be the same on all replicas.
+struct PlanBookOptions {
+    size_t maxPlans { 1024 };
+    /// Encoded changes of all plans; 1,024 plans of the largest size would need 256 MB.
+    size_t maxPlanBytes { size_t { 8 } << 20 };
+    size_t maxOpenPerOperator { 64 };
+    size_t maxConflictItems { 128 };
+    /// Only tests switch these off, to show which invariant they protect.
+    bool checkBase { true };
+    bool answerResends { true };
+};
+
+/// Plans and configuration as the log's state machine.
+class PlanBook {
+public:
+    explicit PlanBook(PlanBookOptions = {});
+
+    static std::string encode(const PlanCommand&);
+    static std::error_code decode(std::string_view, PlanCommand*);
+
+    /// Applies one committed command. Deterministic. A command that does not decode has the outcome MalformedPlan and
+    /// no effect.
+    ApplyOutcome apply(std::string_view command);
+
+    const ConfigState& state() const { return m_history.state(); }
+    const ConfigHistory& history() const { return m_history; }
+    /// Null if unknown or no longer retained.
+    const PlanRecord* find(const PlanId&) const;
+    /// Newest first.
+    std::vector<const PlanRecord*> plans() const;
+
+    /// The whole book for a snapshot of the log. Equal books give equal bytes.
+    std::string serialise() const;
+    /// Replaces the book; on an error it is unchanged.
+    std::error_code restore(std::string_view);
+
+private:
+    struct Entry {
+        PlanRecord record;
+        size_t bytes { 0 };
+    };
+    using Entries = std::list<Entry>;
+
+    ApplyOutcome propose(const ProposeCommand&);
+    ApplyOutcome confirm(const ConfirmCommand&);
+    ApplyOutcome setKeepers(const SetKeepersCommand&);
+    ApplyOutcome outcomeOf(const PlanRecord&) const;
+    ApplyOutcome refusal(const PlanId&, ResultCode, std::string detail) const;
+    void markConflict(PlanRecord*) const;
+    size_t openPlans(const OperatorName&) const;
+    bool isOpen(const PlanRecord&) const;
+    void store(PlanRecord);
+    void evict();
+
+    PlanBookOptions m_options;
+    ConfigHistory m_history;
+    /// Oldest first.
+    Entries m_plans;
+    std::unordered_map<PlanId, Entries::iterator> m_index;
+    size_t m_planBytes { 0 };
+};
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/UpstreamEntry.h
@@ -0,0 +1,33 @@
+#pragma once
+
+// An upstream as the members of the mesh announce it.
+
+#include "dragonflylane/Ids.h"
+
+#include <cstdint>
+
+namespace dragonflylane {
+
+/// Life cycle of an upstream. Only cold and ready ones take new requests.
+enum class UpstreamPhase : uint8_t {
+    Cold,
+    Ready,
+    Draining,
+    Stopped,
+};
+
+/// One upstream and the host whose daemon owns it.
+struct UpstreamEntry {
+    UpstreamId id;
+    HostId owner;
+    ServiceName service;
+    DataCentreName dataCentre;
+    Incarnation incarnation;
+    uint32_t slots { 0 };
+    UpstreamPhase phase { UpstreamPhase::Cold };
+
+    bool operator==(const UpstreamEntry&) const = default;
+    bool takesRequests() const { return phase == UpstreamPhase::Cold || phase == UpstreamPhase::Ready; }
+};
+
+} // namespace dragonflylane
--- /dev/null
+++ b/wire/config.thrift
@@ -0,0 +1,70 @@
+// Configuration items, deltas, snapshots and payloads.
+namespace cpp dragonflylane.wire
+
+struct ConfigService {
+  1: string name
+  2: i32 timeoutMilliseconds
+  3: i32 maxAttempts
+}
+
+struct ConfigSplitPart {
+  1: string serviceName
+  2: i32 weight
+}
+
+struct ConfigRoute {
+  1: string name
+  2: string pathPrefix
+  3: list<ConfigSplitPart> split
+  4: i32 timeoutMilliseconds
+  5: list<string> idempotentMethods
+}
+
+struct ConfigCallRule {
+  1: string caller
+  2: string callee
+}
+
+struct ConfigKeeperView {
+  1: i64 epoch
+  2: list<string> hosts
+}
+
+// Items grouped by kind, which is shorter than a tag for each item.
+struct ConfigItems {
+  1: optional list<ConfigService> services
+  2: optional list<ConfigRoute> routes
+  3: optional list<ConfigCallRule> callRules
+  4: optional list<string> drains
+  5: optional ConfigKeeperView keeperView
+}
+
+struct ConfigItemKey {
+  1: i32 kind
+  2: string name
+}
+
+// Digests are 16 bytes, big-endian.
+struct ConfigDelta {
+  1: i64 fromRevision
+  2: binary fromDigest
+  3: i64 toRevision
+  4: binary toDigest
+  5: ConfigItems upserts
+  6: optional list<ConfigItemKey> removals
+}
+
+struct ConfigSnapshot {
+  1: i64 revision
+  2: binary digest
+  3: ConfigItems items
+}
+
+// Kinds: 0 up to date, 1 delta, 2 snapshot.
+struct ConfigPayload {
+  1: i32 kind
+  2: i64 revision
+  3: binary digest
+  4: optional ConfigDelta delta
+  5: optional binary snapshot
+}
--- /dev/null
+++ b/wire/plan.thrift
@@ -0,0 +1,54 @@
+// Commands of the plan book and its snapshot in the log.
+namespace cpp dragonflylane.wire
+
+include "config.thrift"
+
+// Exactly one field is set, and `item` contains exactly one item.
+struct PlanChange {
+  1: optional config.ConfigItems item
+  2: optional config.ConfigItemKey removal
+}
+
+struct PlanPropose {
+  1: string planId
+  2: optional i64 base
+  3: list<PlanChange> changes
+  4: string operatorName
+}
+
+struct PlanConfirm {
+  1: string planId
+  2: string operatorName
+}
+
+struct PlanSetKeepers {
+  1: i64 epoch
+  2: list<string> hosts
+}
+
+// Exactly one field is set.
+struct PlanCommand {
+  1: optional PlanPropose propose
+  2: optional PlanConfirm confirm
+  3: optional PlanSetKeepers setKeepers
+}
+
+struct PlanRecord {
+  1: string planId
+  2: i64 base
+  3: list<PlanChange> changes
+  4: string proposedBy
+  5: string confirmedBy
+  6: i32 status
+  7: i64 revision
+  8: i32 code
+  9: string detail
+  10: optional list<config.ConfigItemKey> conflictItems
+  11: optional i64 conflictCount
+}
+
+struct PlanBookSnapshot {
+  1: config.ConfigSnapshot state
+  2: list<config.ConfigDelta> deltas
+  3: list<PlanRecord> plans
+}
