--- a/dragonflylane/ConfigHistory.h
+++ b/dragonflylane/ConfigHistory.h
@@ -34,6 +34,9 @@
 
     /// Replaces the state and drops all deltas.
     void reset(ConfigState);
+    /// Replaces state and deltas. BaseMismatch or DigestMismatch, then nothing is changed, if the deltas do not form a
+    /// chain that ends at the state.
+    std::error_code restore(ConfigState, const std::vector<ConfigDelta>&);
     /// Applies the delta to the state and records it. Errors as ConfigState::apply(), then nothing is changed. Does
     /// not validate the new state.
     std::error_code append(const ConfigDelta&);
--- /dev/null
+++ b/dragonflylane/ConfigItem.cpp
@@ -0,0 +1,301 @@
+#include "dragonflylane/ConfigItem.h"
+
+#include "dragonflylane/ResultCode.h"
+
+#include <algorithm>
+#include <set>
+
+namespace dragonflylane {
+
+namespace {
+
+    constexpr uint32_t byteBits = 8;
+    constexpr uint64_t byteMask = 0xff;
+
+    void appendNumber(std::string& out, uint64_t value)
+    {
+        for (size_t i = 0; i < sizeof(value); ++i)
+            out.push_back(static_cast<char>((value >> (byteBits * i)) & byteMask));
+    }
+
+    void appendText(std::string& out, std::string_view text)
+    {
+        appendNumber(out, text.size());
+        out.append(text);
+    }
+
+    struct CanonicalWriter {
+        std::string& out;
+
+        void operator()(const ServiceItem& item) const
+        {
+            appendText(out, item.name.value());
+            appendNumber(out, static_cast<uint64_t>(item.timeout.count()));
+            appendNumber(out, item.maxAttempts);
+        }
+
+        void operator()(const RouteItem& item) const
+        {
+            appendText(out, item.name.value());
+            appendText(out, item.pathPrefix);
+            appendNumber(out, item.split.size());
+            for (const SplitPart& part : item.split) {
+                appendText(out, part.service.value());
+                appendNumber(out, part.weight);
+            }
+            appendNumber(out, static_cast<uint64_t>(item.timeout.count()));
+            appendNumber(out, item.idempotentMethods.size());
+            for (const std::string& method : item.idempotentMethods)
+                appendText(out, method);
+        }
+
+        void operator()(const CallRuleItem& item) const
+        {
+            appendText(out, item.caller.value());
+            appendText(out, item.callee.value());
+        }
+
+        void operator()(const DrainItem& item) const { appendText(out, item.upstream.value()); }
+
+        void operator()(const KeeperViewItem& item) const
+        {
+            appendNumber(out, item.epoch.value());
+            appendNumber(out, item.hosts.size());
+            for (const HostId& host : item.hosts)
+                appendText(out, host.value());
+        }
+    };
+
+    struct KeyMaker {
+        ItemKey operator()(const ServiceItem& item) const { return serviceKey(item.name); }
+        ItemKey operator()(const RouteItem& item) const { return routeKey(item.name); }
+        ItemKey operator()(const CallRuleItem& item) const { return callRuleKey(item.caller, item.callee); }
+        ItemKey operator()(const DrainItem& item) const { return drainKey(item.upstream); }
+        ItemKey operator()(const KeeperViewItem&) const { return keeperViewKey(); }
+    };
+
+    std::error_code refuse(ResultCode code, std::string text, std::string* detail)
+    {
+        if (detail)
+            *detail = std::move(text);
+        return code;
+    }
+
+    bool isNameCharacter(char c)
+    {
+        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+    }
+
+    bool isPathCharacter(char c)
+    {
+        constexpr std::string_view punctuation = "/-._~!$&'()*+,;=:@";
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9')
+            || punctuation.find(c) != std::string_view::npos;
+    }
+
+    // Empty, "." and ".." segments are refused because clients and proxies normalise them differently.
+    bool isValidPathPrefix(std::string_view prefix)
+    {
+        if (prefix == "/")
+            return true;
+        if (prefix.empty() || prefix.size() > ItemLimits::pathPrefixLength || prefix.front() != '/')
+            return false;
+        if (!std::all_of(prefix.begin(), prefix.end(), isPathCharacter))
+            return false;
+        for (size_t begin = 1; begin <= prefix.size();) {
+            size_t end = std::min(prefix.find('/', begin), prefix.size());
+            std::string_view segment = prefix.substr(begin, end - begin);
+            if (segment.empty() || segment == "." || segment == "..")
+                return false;
+            begin = end + 1;
+        }
+        return true;
+    }
+
+    bool isValidMethod(std::string_view method)
+    {
+        return !method.empty() && method.size() <= ItemLimits::methodLength
+            && std::all_of(method.begin(), method.end(), [](char c) { return c >= 'A' && c <= 'Z'; });
+    }
+
+    struct ItemChecker {
+        std::string* detail;
+
+        std::error_code checkName(std::string_view kind, const std::string& name) const
+        {
+            if (isValidName(name))
+                return {};
+            return refuse(ResultCode::InvalidName,
+                std::string(kind) + " name '" + name.substr(0, ItemLimits::nameLength) + "' is not valid", detail);
+        }
+
+        std::error_code operator()(const ServiceItem& item) const
+        {
+            if (std::error_code error = checkName("service", item.name.value()))
+                return error;
+            if (item.name.value() == clientServiceName)
+                return refuse(ResultCode::InvalidName, "service name 'client' is reserved for callers outside", detail);
+            if (item.timeout.count() < 1 || item.timeout > ItemLimits::timeout)
+                return refuse(
+                    ResultCode::InvalidValue, "timeout of service " + item.name.value() + " is out of range", detail);
+            if (item.maxAttempts < 1 || item.maxAttempts > ItemLimits::maxAttempts)
+                return refuse(ResultCode::InvalidValue,
+                    "maxAttempts of service " + item.name.value() + " is out of range", detail);
+            return {};
+        }
+
+        std::error_code operator()(const RouteItem& item) const
+        {
+            if (std::error_code error = checkName("route", item.name.value()))
+                return error;
+            const std::string where = " of route " + item.name.value();
+            if (!isValidPathPrefix(item.pathPrefix))
+                return refuse(ResultCode::InvalidValue, "path prefix" + where + " is not valid", detail);
+            if (item.timeout.count() < 0 || item.timeout > ItemLimits::timeout)
+                return refuse(ResultCode::InvalidValue, "timeout" + where + " is out of range", detail);
+            if (std::error_code error = checkMethods(item, where))
+                return error;
+            return checkSplit(item, where);
+        }
+
+        std::error_code checkMethods(const RouteItem& item, const std::string& where) const
+        {
+            if (item.idempotentMethods.size() > ItemLimits::idempotentMethods)
+                return refuse(ResultCode::InvalidValue, "too many idempotent methods" + where, detail);
+            for (const std::string& method : item.idempotentMethods) {
+                if (!isValidMethod(method))
+                    return refuse(ResultCode::InvalidValue, "idempotent method" + where + " is not valid", detail);
+            }
+            return {};
+        }
+
+        std::error_code checkSplit(const RouteItem& item, const std::string& where) const
+        {
+            if (item.split.size() > ItemLimits::splitParts)
+                return refuse(ResultCode::InvalidValue, "split" + where + " has too many services", detail);
+            std::set<ServiceName> seen;
+            uint64_t sum = 0;
+            for (const SplitPart& part : item.split) {
+                if (std::error_code error = checkName("service", part.service.value()))
+                    return error;
+                if (part.weight > ItemLimits::weight)
+                    return refuse(ResultCode::InvalidValue, "a weight" + where + " is out of range", detail);
+                if (!seen.insert(part.service).second)
+                    return refuse(ResultCode::InvalidValue,
+                        "split" + where + " names service " + part.service.value() + " twice", detail);
+                sum += part.weight;
+            }
+            if (sum == 0)
+                return refuse(ResultCode::ZeroWeights, "weights" + where + " sum to zero", detail);
+            return {};
+        }
+
+        std::error_code operator()(const CallRuleItem& item) const
+        {
+            if (std::error_code error = checkName("service", item.caller.value()))
+                return error;
+            if (std::error_code error = checkName("service", item.callee.value()))
+                return error;
+            if (item.callee.value() == clientServiceName)
+                return refuse(ResultCode::InvalidValue, "service client cannot be called", detail);
+            return {};
+        }
+
+        std::error_code operator()(const DrainItem& item) const { return checkName("upstream", item.upstream.value()); }
+
+        std::error_code operator()(const KeeperViewItem& item) const
+        {
+            if (item.hosts.size() > ItemLimits::keeperHosts)
+                return refuse(ResultCode::InvalidValue, "keeper view has too many hosts", detail);
+            std::set<HostId> seen;
+            for (const HostId& host : item.hosts) {
+                if (std::error_code error = checkName("host", host.value()))
+                    return error;
+                if (!seen.insert(host).second)
+                    return refuse(
+                        ResultCode::InvalidValue, "keeper view names host " + host.value() + " twice", detail);
+            }
+            return {};
+        }
+    };
+
+} // namespace
+
+std::string ItemKey::toString() const
+{
+    return name.empty() ? std::string(kindName(kind)) : std::string(kindName(kind)) + " " + name;
+}
+
+ItemKey keyOf(const ConfigItem& item)
+{
+    return std::visit(KeyMaker {}, item);
+}
+
+ItemKey serviceKey(const ServiceName& name)
+{
+    return { ItemKind::Service, name.value() };
+}
+
+ItemKey routeKey(const RouteName& name)
+{
+    return { ItemKind::Route, name.value() };
+}
+
+ItemKey callRuleKey(const ServiceName& caller, const ServiceName& callee)
+{
+    return { ItemKind::CallRule, caller.value() + ">" + callee.value() };
+}
+
+ItemKey drainKey(const UpstreamId& upstream)
+{
+    return { ItemKind::Drain, upstream.value() };
+}
+
+ItemKey keeperViewKey()
+{
+    return { ItemKind::KeeperView, {} };
+}
+
+std::string_view kindName(ItemKind kind)
+{
+    switch (kind) {
+    case ItemKind::Service:
+        return "service";
+    case ItemKind::Route:
+        return "route";
+    case ItemKind::CallRule:
+        return "call_rule";
+    case ItemKind::Drain:
+        return "drain";
+    case ItemKind::KeeperView:
+        return "keeper_view";
+    }
+    return "unknown";
+}
+
+std::string canonicalKey(const ItemKey& key)
+{
+    return static_cast<char>(key.kind) + key.name;
+}
+
+std::string canonicalValue(const ConfigItem& item)
+{
+    std::string out;
+    std::visit(CanonicalWriter { out }, item);
+    return out;
+}
+
+bool isValidName(std::string_view name)
+{
+    if (name.empty() || name.size() > ItemLimits::nameLength)
+        return false;
+    bool startsWell = (name.front() >= 'a' && name.front() <= 'z') || (name.front() >= '0' && name.front() <= '9');
+    return startsWell && std::all_of(name.begin(), name.end(), isNameCharacter);
+}
+
+std::error_code checkItem(const ConfigItem& item, std::string* detail)
+{
+    return std::visit(ItemChecker { detail }, item);
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/ConfigState.cpp
@@ -0,0 +1,261 @@
+#include "dragonflylane/ConfigState.h"
+
+#include "dragonflylane/ResultCode.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace dragonflylane {
+
+namespace {
+
+    std::error_code refuse(ResultCode code, std::string text, std::string* detail)
+    {
+        if (detail)
+            *detail = std::move(text);
+        return code;
+    }
+
+    /// Callers and callees of each service, by service name. The names are borrowed from the call rules.
+    class CallGraph {
+    public:
+        explicit CallGraph(const std::vector<const CallRuleItem*>& rules)
+        {
+            for (const CallRuleItem* rule : rules) {
+                size_t caller = node(rule->caller.value());
+                size_t callee = node(rule->callee.value());
+                m_callees[caller].push_back(callee);
+                m_callers[callee].push_back(caller);
+            }
+        }
+
+        /// A cycle as "a > b > a"; empty if there is none. Removes services without callers until none is left
+        /// (Kahn's algorithm), without recursion, since a chain may have as many services as the state.
+        std::string findCycle() const
+        {
+            std::vector<size_t> openCallers;
+            std::vector<size_t> ready;
+            for (size_t i = 0; i < m_names.size(); ++i) {
+                openCallers.push_back(m_callers[i].size());
+                if (m_callers[i].empty())
+                    ready.push_back(i);
+            }
+            while (!ready.empty()) {
+                size_t caller = ready.back();
+                ready.pop_back();
+                for (size_t callee : m_callees[caller]) {
+                    if (--openCallers[callee] == 0)
+                        ready.push_back(callee);
+                }
+            }
+            auto left = std::find_if(openCallers.begin(), openCallers.end(), [](size_t count) { return count > 0; });
+            if (left == openCallers.end())
+                return {};
+            return describe(static_cast<size_t>(left - openCallers.begin()), openCallers);
+        }
+
+    private:
+        size_t node(std::string_view name)
+        {
+            auto [position, inserted] = m_indexes.try_emplace(name, m_names.size());
+            if (inserted) {
+                m_names.push_back(name);
+                m_callees.emplace_back();
+                m_callers.emplace_back();
+            }
+            return position->second;
+        }
+
+        // Every service that is left has a caller that is left, so going from caller to caller ends in a cycle.
+        std::string describe(size_t start, const std::vector<size_t>& openCallers) const
+        {
+            std::vector<size_t> path { start };
+            std::vector<bool> visited(m_names.size());
+            visited[start] = true;
+            for (;;) {
+                const std::vector<size_t>& callers = m_callers[path.back()];
+                size_t next
+                    = *std::find_if(callers.begin(), callers.end(), [&](size_t i) { return openCallers[i] > 0; });
+                path.push_back(next);
+                if (visited[next])
+                    break;
+                visited[next] = true;
+            }
+            auto first = std::find(path.begin(), path.end(), path.back());
+            std::string text;
+            for (auto i = path.end(); i != first;)
+                text += (text.empty() ? "" : " > ") + std::string(m_names[*--i]);
+            return text;
+        }
+
+        std::unordered_map<std::string_view, size_t> m_indexes;
+        std::vector<std::string_view> m_names;
+        std::vector<std::vector<size_t>> m_callees;
+        std::vector<std::vector<size_t>> m_callers;
+    };
+
+    std::error_code checkRoutes(const ConfigState& state, std::string* detail)
+    {
+        std::unordered_map<std::string_view, const RouteItem*> prefixes;
+        for (const RouteItem* route : state.all<RouteItem>()) {
+            for (const SplitPart& part : route->split) {
+                if (!state.service(part.service))
+                    return refuse(ResultCode::DanglingRoute,
+                        "route " + route->name.value() + " names the unknown service " + part.service.value(), detail);
+            }
+            auto [other, inserted] = prefixes.try_emplace(route->pathPrefix, route);
+            if (!inserted)
+                return refuse(ResultCode::DuplicatePrefix,
+                    "routes " + other->second->name.value() + " and " + route->name.value()
+                        + " have the same path prefix " + route->pathPrefix,
+                    detail);
+        }
+        return {};
+    }
+
+    std::error_code checkCallRules(const ConfigState& state, std::string* detail)
+    {
+        const std::vector<const CallRuleItem*> rules = state.all<CallRuleItem>();
+        for (const CallRuleItem* rule : rules) {
+            bool knowsCaller = rule->caller.value() == clientServiceName || state.service(rule->caller);
+            if (!knowsCaller || !state.service(rule->callee))
+                return refuse(ResultCode::UnknownService,
+                    "call rule " + rule->caller.value() + " > " + rule->callee.value() + " names the unknown service "
+                        + (knowsCaller ? rule->callee : rule->caller).value(),
+                    detail);
+        }
+        std::string cycle = CallGraph(rules).findCycle();
+        if (!cycle.empty())
+            return refuse(ResultCode::CallCycle, "call rules form the cycle " + cycle, detail);
+        return {};
+    }
+
+} // namespace
+
+ConfigState::ConfigState(Revision revision, std::vector<ConfigItem> items)
+    : m_revision(revision)
+{
+    for (ConfigItem& item : items)
+        insert(std::move(item));
+}
+
+const ConfigItem* ConfigState::find(const ItemKey& key) const
+{
+    auto position = m_items.find(key);
+    return position == m_items.end() ? nullptr : position->second.get();
+}
+
+const ServiceItem* ConfigState::service(const ServiceName& name) const
+{
+    const ConfigItem* item = find(serviceKey(name));
+    return item ? std::get_if<ServiceItem>(item) : nullptr;
+}
+
+const RouteItem* ConfigState::route(const RouteName& name) const
+{
+    const ConfigItem* item = find(routeKey(name));
+    return item ? std::get_if<RouteItem>(item) : nullptr;
+}
+
+const KeeperViewItem* ConfigState::keeperView() const
+{
+    const ConfigItem* item = find(keeperViewKey());
+    return item ? std::get_if<KeeperViewItem>(item) : nullptr;
+}
+
+bool ConfigState::isDrained(const UpstreamId& upstream) const
+{
+    return find(drainKey(upstream)) != nullptr;
+}
+
+bool ConfigState::isCallAllowed(const ServiceName& caller, const ServiceName& callee) const
+{
+    return find(callRuleKey(caller, callee)) != nullptr;
+}
+
+void ConfigState::insert(ConfigItem item)
+{
+    ItemKey key = keyOf(item);
+    remove(key);
+    std::string keyBytes = canonicalKey(key);
+    std::string valueBytes = canonicalValue(item);
+    m_digest.add(keyBytes, valueBytes);
+    m_bytes += keyBytes.size() + valueBytes.size();
+    m_items.emplace(std::move(key), std::make_shared<const ConfigItem>(std::move(item)));
+}
+
+bool ConfigState::remove(const ItemKey& key)
+{
+    auto position = m_items.find(key);
+    if (position == m_items.end())
+        return false;
+    std::string keyBytes = canonicalKey(key);
+    std::string valueBytes = canonicalValue(*position->second);
+    m_digest.remove(keyBytes, valueBytes);
+    m_bytes -= keyBytes.size() + valueBytes.size();
+    m_items.erase(position);
+    return true;
+}
+
+std::error_code ConfigState::validate(std::string* detail) const
+{
+    if (m_items.size() > maxItems || m_bytes > maxBytes)
+        return refuse(ResultCode::PlanTooLarge, "the configuration would have too many items or bytes", detail);
+    for (const auto& [key, item] : m_items) {
+        if (std::error_code error = checkItem(*item, detail))
+            return error;
+    }
+    if (std::error_code error = checkRoutes(*this, detail))
+        return error;
+    return checkCallRules(*this, detail);
+}
+
+std::error_code ConfigState::apply(const ConfigDelta& delta, ApplyChecks checks)
+{
+    if (checks.base && delta.fromRevision != m_revision)
+        return ResultCode::BaseMismatch;
+    if (checks.base && delta.toRevision <= delta.fromRevision)
+        return ResultCode::StaleRevision;
+    if (checks.digest && delta.fromDigest != m_digest)
+        return ResultCode::DigestMismatch;
+    ConfigState next = *this;
+    for (const ItemKey& key : delta.removals)
+        next.remove(key);
+    for (const auto& [key, item] : delta.upserts)
+        next.insert(item);
+    if (checks.digest && next.m_digest != delta.toDigest)
+        return ResultCode::DigestMismatch;
+    next.m_revision = delta.toRevision;
+    *this = std::move(next);
+    return {};
+}
+
+ConfigDelta ConfigState::deltaTo(const ConfigState& target) const
+{
+    ConfigDelta delta;
+    delta.fromRevision = m_revision;
+    delta.fromDigest = m_digest;
+    delta.toRevision = target.m_revision;
+    delta.toDigest = target.m_digest;
+    for (const auto& [key, item] : m_items) {
+        if (!target.m_items.contains(key))
+            delta.removals.insert(key);
+    }
+    for (const auto& [key, item] : target.m_items) {
+        auto position = m_items.find(key);
+        bool same = position != m_items.end() && (position->second == item || *position->second == *item);
+        if (!same)
+            delta.upserts.emplace(key, *item);
+    }
+    return delta;
+}
+
+bool ConfigState::operator==(const ConfigState& other) const
+{
+    if (m_revision != other.m_revision || m_digest != other.m_digest || m_items.size() != other.m_items.size())
+        return false;
+    return std::equal(m_items.begin(), m_items.end(), other.m_items.begin(),
+        [](const auto& left, const auto& right) { return left.first == right.first && *left.second == *right.second; });
+}
+
+} // namespace dragonflylane
--- a/dragonflylane/ConfigState.h
+++ b/dragonflylane/ConfigState.h
@@ -27,6 +27,10 @@
 class ConfigState {
 public:
     using Items = std::map<ItemKey, std::shared_ptr<const ConfigItem>>;
+    /// Bounds the memory and validation time of every daemon; the planned 280 services need about 2,000.
+    static constexpr size_t maxItems = 20'000;
+    /// Bound on the sum of canonical encodings, so that every valid state fits the limits of the wire.
+    static constexpr size_t maxBytes = size_t { 4 } << 20;
 
     ConfigState() = default;
     /// Builds a state from items; a later item replaces an earlier one with the same key.
@@ -35,6 +39,8 @@
     Revision revision() const { return m_revision; }
     const Digest& digest() const { return m_digest; }
     const Items& items() const { return m_items; }
+    /// Sum of the canonical encodings of keys and values.
+    size_t bytes() const { return m_bytes; }
 
     const ConfigItem* find(const ItemKey&) const;
     const ServiceItem* service(const ServiceName&) const;
@@ -61,7 +67,8 @@
 
     /// Checks that the items are consistent with one another: every split and call rule names existing services
     /// (DanglingRoute, UnknownService), path prefixes are unique (DuplicatePrefix), call rules have no cycle
-    /// (CallCycle), and each item is in its limits. O(items). The sentence in `detail` names the item.
+    /// (CallCycle), each item is in its limits, and so is their number (PlanTooLarge). O(items). The sentence in
+    /// `detail` names the item.
     std::error_code validate(std::string* detail = nullptr) const;
 
     /// Applies a delta as a whole or not at all. Refusals: StaleRevision (does not advance), BaseMismatch,
@@ -77,6 +84,7 @@
     Items m_items;
     Revision m_revision;
     Digest m_digest;
+    size_t m_bytes { 0 };
 };
 
 } // namespace dragonflylane
--- a/dragonflylane/ConfigWire.h
+++ b/dragonflylane/ConfigWire.h
@@ -12,11 +12,9 @@
 
 /// Limits on decoding.
 struct ConfigWireLimits {
-    /// About ten times the snapshot of 280 services with all routes and call rules.
-    static constexpr size_t snapshotBytes = size_t { 16 } << 20;
-    static constexpr size_t payloadBytes = size_t { 16 } << 20;
-    static constexpr int containerElements = 100'000;
-    static constexpr int stringBytes = 16 << 20;
+    /// Twice ConfigState::maxBytes, which is counted in a longer encoding, so every valid state decodes.
+    static constexpr size_t snapshotBytes = size_t { 8 } << 20;
+    static constexpr size_t payloadBytes = size_t { 8 } << 20;
 };
 
 std::string encodeDelta(const ConfigDelta&);
--- /dev/null
+++ b/dragonflylane/PictureBuilder.cpp
@@ -0,0 +1,206 @@
+#include "dragonflylane/PictureBuilder.h"
+
+#include <algorithm>
+
+namespace dragonflylane {
+
+namespace {
+
+    constexpr unsigned indexBits = 32;
+
+} // namespace
+
+PictureBuilder::PictureBuilder() = default;
+
+void PictureBuilder::setState(const ConfigState& state)
+{
+    ConfigDelta delta = m_state.deltaTo(state);
+    m_stateChanged = m_stateChanged || delta.size() > 0 || m_state.revision() != state.revision();
+    m_state = state;
+    for (const ItemKey& key : delta.keys()) {
+        if (key.kind == ItemKind::Service)
+            m_dirty.insert(ServiceName(key.name));
+        if (key.kind == ItemKind::Drain) {
+            auto claims = m_claims.find(UpstreamId(key.name));
+            if (claims != m_claims.end())
+                m_dirty.insert(claims->second.used.service);
+        }
+    }
+}
+
+std::vector<UpstreamConflict> PictureBuilder::update(const HostId& owner, std::optional<UpstreamEntry> entry)
+{
+    std::vector<UpstreamConflict> conflicts;
+    if (entry)
+        entry->owner = owner;
+    auto announced = m_announced.find(owner);
+    bool sameId = announced != m_announced.end() && entry && announced->second == entry->id;
+    if (sameId && m_claims[entry->id].byOwner[owner] == *entry) {
+        appendConflicts(entry->id, &conflicts);
+        return conflicts;
+    }
+    if (announced != m_announced.end() && !sameId)
+        withdraw(owner);
+    if (!entry)
+        return conflicts;
+    UpstreamId id = entry->id;
+    m_announced[owner] = id;
+    m_claims[id].byOwner.insert_or_assign(owner, std::move(*entry));
+    resolve(id);
+    appendConflicts(id, &conflicts);
+    return conflicts;
+}
+
+std::vector<UpstreamConflict> PictureBuilder::setUpstreams(const std::vector<UpstreamEntry>& entries)
+{
+    std::set<HostId> present;
+    for (const UpstreamEntry& entry : entries)
+        present.insert(entry.owner);
+    std::vector<HostId> absent;
+    for (const auto& [owner, id] : m_announced) {
+        if (!present.contains(owner))
+            absent.push_back(owner);
+    }
+    for (const HostId& owner : absent)
+        withdraw(owner);
+    for (const UpstreamEntry& entry : entries)
+        update(entry.owner, entry);
+    return conflicts();
+}
+
+std::vector<UpstreamConflict> PictureBuilder::conflicts() const
+{
+    std::vector<UpstreamConflict> result;
+    for (const auto& [id, claims] : m_claims)
+        appendConflicts(id, &result);
+    return result;
+}
+
+std::shared_ptr<const Picture> PictureBuilder::build()
+{
+    if (m_picture && !m_stateChanged && m_dirty.empty())
+        return m_picture;
+    auto picture = std::make_shared<Picture>();
+    if (m_stateChanged) {
+        picture->m_tables = buildTables();
+        std::unordered_map<ServiceName, std::shared_ptr<const PictureService>> services;
+        for (const ServiceItem* item : m_state.all<ServiceItem>()) {
+            auto known = m_services.find(item->name);
+            bool reusable = known != m_services.end() && !m_dirty.contains(item->name);
+            picture->m_services.push_back(reusable ? known->second : buildService(*item));
+            services.emplace(item->name, picture->m_services.back());
+        }
+        m_services = std::move(services);
+    } else {
+        *picture = *m_picture;
+        for (const ServiceName& name : m_dirty) {
+            const ServiceItem* item = m_state.service(name);
+            if (!item)
+                continue;
+            std::shared_ptr<const PictureService> service = buildService(*item);
+            picture->m_services[*picture->findService(name.value())] = service;
+            m_services[name] = std::move(service);
+        }
+    }
+    m_stateChanged = false;
+    m_dirty.clear();
+    m_picture = std::move(picture);
+    return m_picture;
+}
+
+void PictureBuilder::withdraw(const HostId& owner)
+{
+    auto announced = m_announced.find(owner);
+    if (announced == m_announced.end())
+        return;
+    UpstreamId id = announced->second;
+    m_announced.erase(announced);
+    m_claims[id].byOwner.erase(owner);
+    resolve(id);
+}
+
+// Selects the claim in use after a change of the claims to one id.
+void PictureBuilder::resolve(const UpstreamId& id)
+{
+    auto position = m_claims.find(id);
+    Claims& claims = position->second;
+    if (claims.inUse) {
+        m_dirty.insert(claims.used.service);
+        auto service = m_byService.find(claims.used.service);
+        service->second.erase(id);
+        if (service->second.empty())
+            m_byService.erase(service);
+    }
+    if (claims.byOwner.empty()) {
+        m_claims.erase(position);
+        return;
+    }
+    auto used = std::max_element(claims.byOwner.begin(), claims.byOwner.end(),
+        [](const auto& left, const auto& right) { return left.second.incarnation < right.second.incarnation; });
+    claims.used = used->second;
+    claims.inUse = true;
+    m_dirty.insert(claims.used.service);
+    m_byService[claims.used.service].insert(id);
+}
+
+std::shared_ptr<const Picture::Tables> PictureBuilder::buildTables() const
+{
+    auto tables = std::make_shared<Picture::Tables>();
+    tables->revision = m_state.revision();
+    tables->digest = m_state.digest();
+    if (const KeeperViewItem* keepers = m_state.keeperView())
+        tables->keepers = *keepers;
+    for (const ServiceItem* service : m_state.all<ServiceItem>())
+        tables->serviceByName.emplace(service->name.value(), static_cast<ServiceIndex>(tables->serviceByName.size()));
+    const auto client = static_cast<ServiceIndex>(tables->serviceByName.size());
+    for (const RouteItem* item : m_state.all<RouteItem>()) {
+        PictureRoute route { item->name, item->pathPrefix, {}, 0, item->timeout, item->idempotentMethods };
+        for (const SplitPart& part : item->split) {
+            route.split.push_back({ tables->serviceByName.at(part.service.value()), part.weight });
+            route.totalWeight += part.weight;
+        }
+        tables->longestPrefix = std::max(tables->longestPrefix, route.pathPrefix.size());
+        tables->routeByPrefix.emplace(route.pathPrefix, static_cast<uint32_t>(tables->routes.size()));
+        tables->routes.push_back(std::move(route));
+    }
+    for (const CallRuleItem* rule : m_state.all<CallRuleItem>()) {
+        auto caller = tables->serviceByName.find(rule->caller.value());
+        uint64_t callerIndex = caller == tables->serviceByName.end() ? client : caller->second;
+        tables->callRules.insert((callerIndex << indexBits) | tables->serviceByName.at(rule->callee.value()));
+    }
+    return tables;
+}
+
+std::shared_ptr<const PictureService> PictureBuilder::buildService(const ServiceItem& item) const
+{
+    auto service = std::make_shared<PictureService>();
+    service->name = item.name;
+    service->timeout = item.timeout;
+    service->maxAttempts = item.maxAttempts;
+    auto upstreams = m_byService.find(item.name);
+    if (upstreams == m_byService.end())
+        return service;
+    service->upstreams.reserve(upstreams->second.size());
+    for (const UpstreamId& id : upstreams->second) {
+        const UpstreamEntry& entry = m_claims.at(id).used;
+        if (entry.phase == UpstreamPhase::Stopped)
+            continue;
+        service->upstreams.push_back(entry);
+        if (m_state.isDrained(id))
+            service->upstreams.back().phase = UpstreamPhase::Draining;
+    }
+    return service;
+}
+
+void PictureBuilder::appendConflicts(const UpstreamId& id, std::vector<UpstreamConflict>* result) const
+{
+    auto claims = m_claims.find(id);
+    if (claims == m_claims.end())
+        return;
+    for (const auto& [owner, entry] : claims->second.byOwner) {
+        if (owner != claims->second.used.owner)
+            result->push_back({ id, claims->second.used.owner, owner });
+    }
+}
+
+} // namespace dragonflylane
--- a/dragonflylane/PictureBuilder.h
+++ b/dragonflylane/PictureBuilder.h
@@ -49,11 +49,11 @@
     struct Claims {
         std::map<HostId, UpstreamEntry> byOwner;
         UpstreamEntry used;
+        bool inUse { false };
     };
 
     void withdraw(const HostId& owner);
     void resolve(const UpstreamId&);
-    void markDirty(const ServiceName&);
     std::shared_ptr<const Picture::Tables> buildTables() const;
     std::shared_ptr<const PictureService> buildService(const ServiceItem&) const;
     void appendConflicts(const UpstreamId&, std::vector<UpstreamConflict>*) const;
--- a/dragonflylane/Plan.h
+++ b/dragonflylane/Plan.h
@@ -50,6 +50,8 @@
     std::vector<ItemKey> added;
     std::vector<ItemKey> changed;
     std::vector<ItemKey> removed;
+    /// Values of the changed and removed items at the base.
+    std::map<ItemKey, ConfigItem> before;
     /// Routes that exist only after or only before.
     std::vector<RouteName> routesGained;
     std::vector<RouteName> routesLost;
--- /dev/null
+++ b/dragonflylane/PlanBook.cpp
@@ -0,0 +1,263 @@
+#include "dragonflylane/PlanBook.h"
+
+#include "dragonflylane/PlanReview.h"
+#include "dragonflylane/PlanWire.h"
+
+#include <algorithm>
+
+namespace dragonflylane {
+
+PlanBook::PlanBook(PlanBookOptions options)
+    : m_options(options)
+{
+}
+
+std::string PlanBook::encode(const PlanCommand& command)
+{
+    return encodeCommand(command);
+}
+
+std::error_code PlanBook::decode(std::string_view bytes, PlanCommand* command)
+{
+    return decodeCommand(bytes, command);
+}
+
+ApplyOutcome PlanBook::apply(std::string_view bytes)
+{
+    PlanCommand command;
+    if (decode(bytes, &command))
+        return refusal({}, ResultCode::MalformedPlan, "the command cannot be decoded");
+    if (const auto* proposal = std::get_if<ProposeCommand>(&command))
+        return propose(*proposal);
+    if (const auto* confirmation = std::get_if<ConfirmCommand>(&command))
+        return confirm(*confirmation);
+    return setKeepers(std::get<SetKeepersCommand>(command));
+}
+
+ApplyOutcome PlanBook::propose(const ProposeCommand& command)
+{
+    if (!isValidName(command.plan.value()))
+        return refusal(command.plan, ResultCode::InvalidName, "the plan id is not valid");
+    const std::string& operatorName = command.operatorName.value();
+    if (operatorName.empty() || operatorName.size() > ItemLimits::nameLength)
+        return refusal(command.plan, ResultCode::InvalidName, "the operator name is empty or too long");
+    if (const PlanRecord* known = find(command.plan)) {
+        bool sameBase = !command.request.base || *command.request.base == known->base;
+        if (!sameBase || known->changes != command.request.changes || known->proposedBy != command.operatorName)
+            return refusal(command.plan, ResultCode::InvalidValue, "the plan id belongs to another plan");
+        ApplyOutcome outcome = outcomeOf(*known);
+        outcome.repeated = true;
+        return outcome;
+    }
+    PlanRecord record;
+    record.id = command.plan;
+    record.base = command.request.base.value_or(state().revision());
+    record.changes = command.request.changes;
+    record.proposedBy = command.operatorName;
+    if (record.base != state().revision()) {
+        markConflict(&record);
+    } else {
+        Plan plan;
+        std::error_code error = PlanReview(state()).review(record.changes, &plan, &record.detail);
+        // Oversized changes are not stored, since they would push other plans out of the book.
+        if (resultCode(error) == ResultCode::PlanTooLarge)
+            return refusal(command.plan, ResultCode::PlanTooLarge, record.detail);
+        if (error) {
+            record.status = PlanStatus::Refused;
+            record.code = resultCode(error);
+            record.revision = state().revision();
+        } else if (openPlans(command.operatorName) >= m_options.maxOpenPerOperator)
+            return refusal(command.plan, ResultCode::TooManyPlans, "the operator has too many open plans");
+    }
+    ApplyOutcome outcome = outcomeOf(record);
+    store(std::move(record));
+    return outcome;
+}
+
+ApplyOutcome PlanBook::confirm(const ConfirmCommand& command)
+{
+    auto position = m_index.find(command.plan);
+    if (position == m_index.end())
+        return refusal(command.plan, ResultCode::PlanNotFound, "no plan has this id");
+    PlanRecord& record = position->second->record;
+    bool answered = record.status != PlanStatus::Proposed;
+    if (answered && (m_options.answerResends || record.status == PlanStatus::Refused)) {
+        ApplyOutcome outcome = outcomeOf(record);
+        outcome.repeated = true;
+        return outcome;
+    }
+    record.confirmedBy = command.operatorName;
+    if (m_options.checkBase && record.base != state().revision()) {
+        markConflict(&record);
+        return outcomeOf(record);
+    }
+    // The replica may run other code than the one that reviewed the proposal, so the decision is made here.
+    Plan plan;
+    ConfigState next = state();
+    std::error_code error = PlanReview(state()).review(record.changes, &plan, &record.detail);
+    if (!error)
+        error = next.apply(plan.delta);
+    if (error) {
+        record.status = PlanStatus::Refused;
+        record.code = resultCode(error);
+        record.revision = state().revision();
+        return outcomeOf(record);
+    }
+    m_history.append(plan.delta, std::move(next));
+    record.status = PlanStatus::Confirmed;
+    record.revision = state().revision();
+    ApplyOutcome outcome = outcomeOf(record);
+    outcome.delta = std::move(plan.delta);
+    return outcome;
+}
+
+ApplyOutcome PlanBook::setKeepers(const SetKeepersCommand& command)
+{
+    KeeperViewItem view { command.epoch, command.hosts };
+    std::sort(view.hosts.begin(), view.hosts.end());
+    std::string detail;
+    if (std::error_code error = checkItem(view, &detail))
+        return refusal({}, resultCode(error), detail);
+    ApplyOutcome outcome;
+    outcome.status = PlanStatus::Confirmed;
+    if (const KeeperViewItem* held = state().keeperView()) {
+        if (*held == view) {
+            outcome.revision = state().revision();
+            outcome.repeated = true;
+            return outcome;
+        }
+        if (view.epoch <= held->epoch)
+            return refusal({}, ResultCode::PlanConflict, "the keeper view already has this epoch or a higher one");
+    }
+    ConfigState next = state();
+    next.insert(view);
+    next.setRevision(state().revision().next());
+    outcome.delta = state().deltaTo(next);
+    m_history.append(*outcome.delta, std::move(next));
+    outcome.revision = state().revision();
+    return outcome;
+}
+
+ApplyOutcome PlanBook::outcomeOf(const PlanRecord& record) const
+{
+    ApplyOutcome outcome;
+    outcome.code = record.code;
+    outcome.detail = record.detail;
+    outcome.plan = record.id;
+    outcome.status = record.status;
+    outcome.revision = record.status == PlanStatus::Proposed ? state().revision() : record.revision;
+    outcome.conflictItems = record.conflictItems;
+    outcome.conflictCount = record.conflictCount;
+    return outcome;
+}
+
+ApplyOutcome PlanBook::refusal(const PlanId& plan, ResultCode code, std::string detail) const
+{
+    ApplyOutcome outcome;
+    outcome.code = code;
+    outcome.detail = std::move(detail);
+    outcome.plan = plan;
+    outcome.revision = state().revision();
+    return outcome;
+}
+
+void PlanBook::markConflict(PlanRecord* record) const
+{
+    record->status = PlanStatus::Conflicted;
+    record->code = ResultCode::PlanConflict;
+    record->revision = state().revision();
+    record->detail = "the plan is based on revision " + std::to_string(record->base.value())
+        + " but the current one is " + std::to_string(state().revision().value());
+    std::optional<ConfigDelta> since = m_history.deltaSince(record->base);
+    if (!since)
+        return;
+    record->conflictItems = since->keys();
+    record->conflictCount = record->conflictItems.size();
+    if (record->conflictItems.size() > m_options.maxConflictItems)
+        record->conflictItems.resize(m_options.maxConflictItems);
+}
+
+size_t PlanBook::openPlans(const OperatorName& operatorName) const
+{
+    return static_cast<size_t>(std::count_if(m_plans.begin(), m_plans.end(),
+        [&](const Entry& entry) { return isOpen(entry.record) && entry.record.proposedBy == operatorName; }));
+}
+
+// A proposal whose base has passed can no longer be confirmed, so it does not count.
+bool PlanBook::isOpen(const PlanRecord& record) const
+{
+    return record.status == PlanStatus::Proposed && record.base == state().revision();
+}
+
+void PlanBook::store(PlanRecord record)
+{
+    size_t bytes = encodedChangesSize(record.changes);
+    PlanId id = record.id;
+    m_plans.push_back({ std::move(record), bytes });
+    m_index.emplace(std::move(id), std::prev(m_plans.end()));
+    m_planBytes += bytes;
+    while (m_plans.size() > 1 && (m_plans.size() > m_options.maxPlans || m_planBytes > m_options.maxPlanBytes))
+        evict();
+}
+
+// Removes the oldest plan, but never the newest one. Refused plans go first and open ones last, because a flood of
+// proposals must not make the book forget the answers to confirmations.
+void PlanBook::evict()
+{
+    auto rank = [&](const PlanRecord& record) {
+        constexpr int openRank = 2;
+        if (isOpen(record))
+            return openRank;
+        return record.status == PlanStatus::Refused ? 0 : 1;
+    };
+    auto victim = std::min_element(m_plans.begin(), std::prev(m_plans.end()),
+        [&](const Entry& left, const Entry& right) { return rank(left.record) < rank(right.record); });
+    m_planBytes -= victim->bytes;
+    m_index.erase(victim->record.id);
+    m_plans.erase(victim);
+}
+
+const PlanRecord* PlanBook::find(const PlanId& plan) const
+{
+    auto position = m_index.find(plan);
+    return position == m_index.end() ? nullptr : &position->second->record;
+}
+
+std::vector<const PlanRecord*> PlanBook::plans() const
+{
+    std::vector<const PlanRecord*> result;
+    for (auto entry = m_plans.rbegin(); entry != m_plans.rend(); ++entry)
+        result.push_back(&entry->record);
+    return result;
+}
+
+std::string PlanBook::serialise() const
+{
+    PlanBookImage image;
+    image.state = state();
+    image.deltas = m_history.deltas();
+    for (const Entry& entry : m_plans)
+        image.plans.push_back(entry.record);
+    return encodeImage(image);
+}
+
+std::error_code PlanBook::restore(std::string_view bytes)
+{
+    PlanBookImage image;
+    if (std::error_code error = decodeImage(bytes, &image))
+        return error;
+    if (image.state.validate())
+        return ResultCode::InvalidConfiguration;
+    PlanBook restored(m_options);
+    if (std::error_code error = restored.m_history.restore(std::move(image.state), image.deltas))
+        return error;
+    for (PlanRecord& record : image.plans) {
+        if (restored.find(record.id))
+            return ResultCode::MalformedFrame;
+        restored.store(std::move(record));
+    }
+    *this = std::move(restored);
+    return {};
+}
+
+} // namespace dragonflylane
--- a/dragonflylane/PlanBook.h
+++ b/dragonflylane/PlanBook.h
@@ -108,6 +108,10 @@
 class PlanBook {
 public:
     explicit PlanBook(PlanBookOptions = {});
+    PlanBook(const PlanBook&) = delete;
+    PlanBook& operator=(const PlanBook&) = delete;
+    PlanBook(PlanBook&&) = default;
+    PlanBook& operator=(PlanBook&&) = default;
 
     static std::string encode(const PlanCommand&);
     static std::error_code decode(std::string_view, PlanCommand*);
--- /dev/null
+++ b/dragonflylane/PlanWire.cpp
@@ -0,0 +1,208 @@
+#include "dragonflylane/PlanWire.h"
+
+#include "dragonflylane/ConfigThrift.h"
+#include "dragonflylane/ConfigWire.h"
+#include "dragonflylane/ThriftCodec.h"
+#include "gen-cpp/plan_types.h"
+
+namespace dragonflylane {
+
+namespace {
+
+    std::vector<wire::PlanChange> changesToWire(const std::vector<PlanChange>& changes)
+    {
+        std::vector<wire::PlanChange> result;
+        for (const PlanChange& change : changes) {
+            result.emplace_back();
+            if (const auto* set = std::get_if<SetItem>(&change)) {
+                appendItem(set->item, &result.back().item);
+                result.back().__isset.item = true;
+            } else
+                result.back().__set_removal(toWire(std::get<RemoveItem>(change).key));
+        }
+        return result;
+    }
+
+    bool readChanges(const std::vector<wire::PlanChange>& wireChanges, std::vector<PlanChange>* changes)
+    {
+        for (const wire::PlanChange& change : wireChanges) {
+            if (change.__isset.item == change.__isset.removal)
+                return false;
+            if (change.__isset.item) {
+                std::vector<ConfigItem> items;
+                if (!readItems(change.item, &items) || items.size() != 1)
+                    return false;
+                changes->push_back(SetItem { std::move(items.front()) });
+                continue;
+            }
+            ItemKey key;
+            if (!readKey(change.removal, &key))
+                return false;
+            changes->push_back(RemoveItem { std::move(key) });
+        }
+        return true;
+    }
+
+    struct CommandWriter {
+        wire::PlanCommand* out;
+
+        void operator()(const ProposeCommand& command) const
+        {
+            wire::PlanPropose propose;
+            propose.planId = command.plan.value();
+            if (command.request.base)
+                propose.__set_base(static_cast<int64_t>(command.request.base->value()));
+            propose.changes = changesToWire(command.request.changes);
+            propose.operatorName = command.operatorName.value();
+            out->__set_propose(propose);
+        }
+
+        void operator()(const ConfirmCommand& command) const
+        {
+            wire::PlanConfirm confirm;
+            confirm.planId = command.plan.value();
+            confirm.operatorName = command.operatorName.value();
+            out->__set_confirm(confirm);
+        }
+
+        void operator()(const SetKeepersCommand& command) const
+        {
+            wire::PlanSetKeepers keepers;
+            keepers.epoch = static_cast<int64_t>(command.epoch.value());
+            for (const HostId& host : command.hosts)
+                keepers.hosts.push_back(host.value());
+            out->__set_setKeepers(keepers);
+        }
+    };
+
+    bool readPropose(const wire::PlanPropose& propose, PlanCommand* command)
+    {
+        ProposeCommand result;
+        result.plan = PlanId(propose.planId);
+        if (propose.__isset.base)
+            result.request.base = Revision(static_cast<uint64_t>(propose.base));
+        result.operatorName = OperatorName(propose.operatorName);
+        if (!readChanges(propose.changes, &result.request.changes))
+            return false;
+        *command = std::move(result);
+        return true;
+    }
+
+    wire::PlanRecord recordToWire(const PlanRecord& record)
+    {
+        wire::PlanRecord result;
+        result.planId = record.id.value();
+        result.base = static_cast<int64_t>(record.base.value());
+        result.changes = changesToWire(record.changes);
+        result.proposedBy = record.proposedBy.value();
+        result.confirmedBy = record.confirmedBy.value();
+        result.status = static_cast<int32_t>(record.status);
+        result.revision = static_cast<int64_t>(record.revision.value());
+        result.code = static_cast<int32_t>(record.code);
+        result.detail = record.detail;
+        for (const ItemKey& key : record.conflictItems)
+            result.conflictItems.push_back(toWire(key));
+        result.__isset.conflictItems = !record.conflictItems.empty();
+        if (record.conflictCount)
+            result.__set_conflictCount(static_cast<int64_t>(*record.conflictCount));
+        return result;
+    }
+
+    bool readRecord(const wire::PlanRecord& wireRecord, PlanRecord* record)
+    {
+        if (wireRecord.status < 0 || wireRecord.status > static_cast<int32_t>(PlanStatus::Refused))
+            return false;
+        record->id = PlanId(wireRecord.planId);
+        record->base = Revision(static_cast<uint64_t>(wireRecord.base));
+        record->proposedBy = OperatorName(wireRecord.proposedBy);
+        record->confirmedBy = OperatorName(wireRecord.confirmedBy);
+        record->status = static_cast<PlanStatus>(wireRecord.status);
+        record->revision = Revision(static_cast<uint64_t>(wireRecord.revision));
+        record->code = static_cast<ResultCode>(wireRecord.code);
+        record->detail = wireRecord.detail;
+        if (wireRecord.__isset.conflictCount)
+            record->conflictCount = static_cast<uint64_t>(wireRecord.conflictCount);
+        for (const wire::ConfigItemKey& wireKey : wireRecord.conflictItems) {
+            record->conflictItems.emplace_back();
+            if (!readKey(wireKey, &record->conflictItems.back()))
+                return false;
+        }
+        return readChanges(wireRecord.changes, &record->changes);
+    }
+
+} // namespace
+
+std::string encodeCommand(const PlanCommand& command)
+{
+    wire::PlanCommand result;
+    std::visit(CommandWriter { &result }, command);
+    return encodeThrift(result);
+}
+
+std::error_code decodeCommand(std::string_view bytes, PlanCommand* command)
+{
+    wire::PlanCommand wireCommand;
+    if (std::error_code error = decodeThrift(bytes, PlanWireLimits::commandBytes, &wireCommand))
+        return error;
+    const auto& isSet = wireCommand.__isset;
+    if (int { isSet.propose } + int { isSet.confirm } + int { isSet.setKeepers } != 1)
+        return ResultCode::MalformedFrame;
+    if (isSet.propose && !readPropose(wireCommand.propose, command))
+        return ResultCode::MalformedFrame;
+    if (isSet.confirm)
+        *command
+            = ConfirmCommand { PlanId(wireCommand.confirm.planId), OperatorName(wireCommand.confirm.operatorName) };
+    if (isSet.setKeepers) {
+        SetKeepersCommand keepers;
+        keepers.epoch = Epoch(static_cast<uint64_t>(wireCommand.setKeepers.epoch));
+        for (const std::string& host : wireCommand.setKeepers.hosts)
+            keepers.hosts.emplace_back(host);
+        *command = std::move(keepers);
+    }
+    return {};
+}
+
+size_t encodedChangesSize(const std::vector<PlanChange>& changes)
+{
+    wire::PlanRecord record;
+    record.changes = changesToWire(changes);
+    return encodeThrift(record).size();
+}
+
+std::string encodeImage(const PlanBookImage& image)
+{
+    wire::PlanBookSnapshot result;
+    result.state = toWire(image.state);
+    for (const ConfigDelta& delta : image.deltas)
+        result.deltas.push_back(toWire(delta));
+    for (const PlanRecord& record : image.plans)
+        result.plans.push_back(recordToWire(record));
+    return compress(encodeThrift(result));
+}
+
+std::error_code decodeImage(std::string_view bytes, PlanBookImage* image)
+{
+    std::string raw;
+    if (std::error_code error = decompress(bytes, PlanWireLimits::imageBytes, &raw))
+        return error;
+    wire::PlanBookSnapshot snapshot;
+    if (std::error_code error = decodeThrift(raw, PlanWireLimits::imageBytes, &snapshot))
+        return error;
+    PlanBookImage result;
+    if (std::error_code error = readSnapshot(snapshot.state, &result.state, true))
+        return error;
+    for (const wire::ConfigDelta& delta : snapshot.deltas) {
+        result.deltas.emplace_back();
+        if (!readDelta(delta, &result.deltas.back()))
+            return ResultCode::MalformedFrame;
+    }
+    for (const wire::PlanRecord& record : snapshot.plans) {
+        result.plans.emplace_back();
+        if (!readRecord(record, &result.plans.back()))
+            return ResultCode::MalformedFrame;
+    }
+    *image = std::move(result);
+    return {};
+}
+
+} // namespace dragonflylane
--- a/dragonflylane/ResultCode.cpp
+++ b/dragonflylane/ResultCode.cpp
@@ -72,6 +72,7 @@
         { ResultCode::InvalidValue, "invalid_value", "A value of the plan is out of range." },
         { ResultCode::UnknownItem, "unknown_item", "The plan removes an item that does not exist." },
         { ResultCode::NotFound, "not_found", "Nothing is known under this id." },
+        { ResultCode::TooManyPlans, "too_many_plans", "The operator has too many plans that are not confirmed." },
         { ResultCode::SettingUnknown, "setting_unknown", "The settings file has an unknown key." },
         { ResultCode::SettingMissing, "setting_missing", "A required setting is missing." },
         { ResultCode::SettingOutOfRange, "setting_out_of_range", "A setting is out of its range." },
--- a/dragonflylane/ResultCode.h
+++ b/dragonflylane/ResultCode.h
@@ -71,6 +71,7 @@
     InvalidValue = 317,
     UnknownItem = 318,
     NotFound = 319,
+    TooManyPlans = 320,
 
     // Settings and storage.
     SettingUnknown = 401,
