Add the tree position, the relay's messages and interface

Cause: the Asio task and the relay are written at the same time and need the same headers. Ruled out: one message type per change, proof and acknowledgement (three frames where one with optional fields is smaller), and echoes as absolute clock values (9 bytes instead of 3 to 5). Before: nothing.

--- /dev/null
+++ b/dragonflylane/Relay.cpp
@@ -0,0 +1,1 @@
+#include "dragonflylane/Relay.h"
--- /dev/null
+++ b/dragonflylane/RelayMessages.h
@@ -0,0 +1,141 @@
+#pragma once
+
+// Messages between a daemon and its parent in the distribution tree. Times are milliseconds. A field that is optional
+// and absent has the value that the last message of the session stated, so that a heartbeat is a few bytes.
+
+#include "dragonflylane/Digest.h"
+#include "dragonflylane/Ids.h"
+#include "dragonflylane/ResultCode.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace dragonflylane {
+
+/// A revision together with the digest of its content.
+struct HeldState {
+    Revision revision;
+    Digest digest;
+
+    bool operator==(const HeldState&) const = default;
+};
+
+/// Configuration in transit; the bytes are opaque to the relay.
+struct RelayPayload {
+    enum class Kind : uint8_t {
+        None,
+        Delta,
+        Snapshot,
+    };
+
+    Kind kind { Kind::None };
+    std::string bytes;
+    /// State after the payload has been applied.
+    HeldState to;
+
+    bool operator==(const RelayPayload&) const = default;
+};
+
+/// Stragglers and refusals named in one summary.
+inline constexpr size_t maxNamedHosts = 16;
+
+/// A host that holds less than the relay that names it.
+struct Straggler {
+    HostId host;
+    Revision held;
+
+    bool operator==(const Straggler&) const = default;
+};
+
+/// A revision that a host could not apply.
+struct RevisionRefusal {
+    HostId host;
+    Revision revision;
+    ResultCode code { ResultCode::Ok };
+
+    bool operator==(const RevisionRefusal&) const = default;
+};
+
+/// Acknowledgements of a subtree, including its root.
+struct AckSummary {
+    Revision lowest;
+    uint32_t count { 0 };
+    std::vector<Straggler> stragglers;
+    std::vector<RevisionRefusal> refusals;
+
+    bool operator==(const AckSummary&) const = default;
+};
+
+/// Child to parent, first message of a session. The child chooses the session number.
+struct RelayAttach {
+    uint32_t session { 0 };
+    /// Of the child's clock, since the start of the session.
+    uint64_t timestamp { 0 };
+    HeldState held;
+    Term term;
+    AckSummary summary;
+
+    bool operator==(const RelayAttach&) const = default;
+};
+
+/// Child to parent: heartbeat, acknowledgement, or both.
+struct RelayChildHeartbeat {
+    uint32_t session { 0 };
+    uint64_t timestamp { 0 };
+    std::optional<HeldState> held;
+    std::optional<AckSummary> summary;
+    /// The last payload was refused; `revision` names it.
+    std::optional<RevisionRefusal> refused;
+    bool wantsSnapshot { false };
+
+    bool operator==(const RelayChildHeartbeat&) const = default;
+};
+
+/// Child to parent: end of the session.
+struct RelayDetach {
+    uint32_t session { 0 };
+
+    bool operator==(const RelayDetach&) const = default;
+};
+
+/// Parent to child: answer to a heartbeat, a change, or both. The first one of a session accepts the child.
+struct RelayParentHeartbeat {
+    uint32_t session { 0 };
+    /// Newest timestamp received from the child.
+    uint64_t echo { 0 };
+    /// Age of the sender's proof when the message was made; absent without a proof.
+    std::optional<uint64_t> proofAge;
+    /// Time since the sender's proof last advanced; absent if short. The child times its heartbeats by it.
+    std::optional<uint64_t> sinceProof;
+    std::optional<Term> term;
+    /// What the sender holds.
+    std::optional<HeldState> held;
+    std::optional<RelayPayload> payload;
+
+    bool operator==(const RelayParentHeartbeat&) const = default;
+};
+
+/// Parent to child: the session is refused or ended.
+struct RelayRefusal {
+    uint32_t session { 0 };
+    ResultCode code { ResultCode::Ok };
+    uint64_t retryAfter { 0 };
+
+    bool operator==(const RelayRefusal&) const = default;
+};
+
+/// Parent to child: the parent shuts down; the child moves while the session still works.
+struct RelayLeaving {
+    uint32_t session { 0 };
+
+    bool operator==(const RelayLeaving&) const = default;
+};
+
+using RelayMessage
+    = std::variant<RelayAttach, RelayChildHeartbeat, RelayDetach, RelayParentHeartbeat, RelayRefusal, RelayLeaving>;
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/TreePosition.cpp
@@ -0,0 +1,308 @@
+#include "dragonflylane/TreePosition.h"
+
+#include "dragonflylane/Digest.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace dragonflylane {
+
+namespace {
+
+    /// Finaliser of SplitMix64: spreads the combination of two hashes over all bits.
+    uint64_t mix(uint64_t value)
+    {
+        value ^= value >> 30U;
+        value *= 0xbf58476d1ce4e5b9U;
+        value ^= value >> 27U;
+        value *= 0x94d049bb133111ebU;
+        return value ^ (value >> 31U);
+    }
+
+    uint64_t hashOf(const HostId& host)
+    {
+        return stableHash(host.value());
+    }
+
+    /// Rendezvous weight of a parent for a child; the highest is preferred.
+    uint64_t weight(uint64_t child, uint64_t parent)
+    {
+        return mix(child * 0x9e3779b97f4a7c15U + parent);
+    }
+
+    /// Half-open range of ranks that make up a level of a data centre.
+    std::pair<size_t, size_t> levelRange(unsigned level, const TreeOptions& options)
+    {
+        size_t begin = 0;
+        size_t width = std::max(options.headsPerDataCentre, 1U);
+        for (unsigned current = 1; current < level; ++current) {
+            begin += width;
+            width *= std::max(options.fanOut, 2U);
+        }
+        return { begin, begin + width };
+    }
+
+    unsigned levelOfRank(size_t rank, const TreeOptions& options)
+    {
+        unsigned level = 1;
+        while (rank >= levelRange(level, options).second)
+            ++level;
+        return level;
+    }
+
+    /// The deepest level that is not below `level` and has members, for a data centre of `size` members.
+    std::pair<size_t, size_t> filledLevel(unsigned level, size_t size, const TreeOptions& options)
+    {
+        unsigned filled = std::min(level, levelOfRank(size - 1, options));
+        std::pair<size_t, size_t> range = levelRange(filled, options);
+        return { range.first, std::min(range.second, size) };
+    }
+
+    /// Foreign data centres in the order in which a host falls back to them: its own region first, then by weight.
+    auto foreignKey(uint64_t self, const RegionName& own, const RegionName& region, const DataCentreName& name)
+    {
+        return std::tuple(region != own, ~weight(self, stableHash(name.value())), name);
+    }
+
+    using Hosts = std::vector<std::pair<uint64_t, HostId>>;
+
+    /// The hosts with the highest weights for `self`, in falling order.
+    Hosts best(Hosts hosts, uint64_t self, size_t limit)
+    {
+        for (auto& [hash, host] : hosts)
+            hash = ~weight(self, hash);
+        size_t kept = std::min(limit, hosts.size());
+        std::partial_sort(hosts.begin(), hosts.begin() + static_cast<std::ptrdiff_t>(kept), hosts.end());
+        hosts.resize(kept);
+        return hosts;
+    }
+
+    /// Puts the parts in the order of section 4.3 of the design: two near parents, another data centre, then the rest.
+    std::vector<ParentCandidate> joined(std::vector<ParentCandidate> nearby,
+        const std::vector<ParentCandidate>& foreign, const std::vector<ParentCandidate>& control,
+        const TreeOptions& options)
+    {
+        std::vector<ParentCandidate> result;
+        size_t primary = std::min<size_t>(options.primaryCandidates, nearby.size());
+        auto middle = nearby.begin() + static_cast<std::ptrdiff_t>(primary);
+        result.insert(result.end(), nearby.begin(), middle);
+        result.insert(result.end(), foreign.begin(), foreign.end());
+        result.insert(result.end(), middle, nearby.end());
+        result.insert(result.end(), control.begin(), control.end());
+        return result;
+    }
+
+} // namespace
+
+TreePosition treePosition(const std::vector<TreeMember>& members, const HostId& self, const TreeOptions& options)
+{
+    const uint64_t selfHash = hashOf(self);
+    const TreeMember* own = nullptr;
+    std::map<HostId, const TreeMember*> byHost;
+    std::map<DataCentreName, Hosts> dataCentres;
+    std::map<DataCentreName, RegionName> regions;
+    Hosts control;
+    for (const TreeMember& member : members) {
+        byHost[member.host] = &member;
+        if (member.host == self)
+            own = &member;
+        if (member.isControl) {
+            control.emplace_back(hashOf(member.host), member.host);
+            continue;
+        }
+        dataCentres[member.dataCentre].emplace_back(hashOf(member.host), member.host);
+        regions[member.dataCentre] = member.region;
+    }
+    for (auto& [name, hosts] : dataCentres)
+        std::sort(hosts.begin(), hosts.end());
+
+    const auto candidates = [&](const Hosts& hosts) {
+        std::vector<ParentCandidate> result;
+        for (const auto& [hash, host] : hosts)
+            result.push_back({ host, byHost[host]->dataCentre, byHost[host]->isControl });
+        return result;
+    };
+    if (own && own->isControl)
+        return { 0, {} };
+    std::vector<ParentCandidate> controlCandidates = candidates(best(control, selfHash, options.controlCandidates));
+    if (!own)
+        return { 1, controlCandidates };
+
+    const Hosts& peers = dataCentres[own->dataCentre];
+    const auto rank = std::find(peers.begin(), peers.end(), std::pair(selfHash, self)) - peers.begin();
+    const unsigned level = levelOfRank(static_cast<size_t>(rank), options);
+    std::vector<DataCentreName> order;
+    for (const auto& [name, hosts] : dataCentres)
+        if (name != own->dataCentre)
+            order.push_back(name);
+    std::sort(order.begin(), order.end(), [&](const DataCentreName& left, const DataCentreName& right) {
+        return foreignKey(selfHash, own->region, regions[left], left)
+            < foreignKey(selfHash, own->region, regions[right], right);
+    });
+    order.resize(std::min<size_t>(order.size(), options.foreignCandidates));
+    std::vector<ParentCandidate> foreign;
+    for (const DataCentreName& name : order) {
+        const Hosts& hosts = dataCentres[name];
+        auto [begin, end] = filledLevel(level > 1 ? level - 1 : 1, hosts.size(), options);
+        Hosts part(
+            hosts.begin() + static_cast<std::ptrdiff_t>(begin), hosts.begin() + static_cast<std::ptrdiff_t>(end));
+        for (const ParentCandidate& candidate : candidates(best(part, selfHash, 1)))
+            foreign.push_back(candidate);
+    }
+    if (level == 1)
+        return { level, joined(controlCandidates, foreign, {}, options) };
+    auto [begin, end] = levelRange(level - 1, options);
+    Hosts above(peers.begin() + static_cast<std::ptrdiff_t>(begin), peers.begin() + static_cast<std::ptrdiff_t>(end));
+    Hosts nearby = best(above, selfHash, options.primaryCandidates + options.secondaryCandidates);
+    return { level, joined(candidates(nearby), foreign, controlCandidates, options) };
+}
+
+TreeIndex::TreeIndex(HostId self, TreeOptions options)
+    : m_self(std::move(self))
+    , m_selfHash(hashOf(m_self))
+    , m_options(options)
+{
+    m_position.level = 1;
+}
+
+bool TreeIndex::update(const TreeMember& member)
+{
+    auto found = m_members.find(member.host);
+    if (found != m_members.end() && found->second == member)
+        return false;
+    bool affected = false;
+    if (found != m_members.end()) {
+        affected = affectsPosition(found->second);
+        erase(found->second);
+    }
+    m_members[member.host] = member;
+    insert(member);
+    return (affectsPosition(member) || affected) && refresh();
+}
+
+bool TreeIndex::remove(const HostId& host)
+{
+    auto found = m_members.find(host);
+    if (found == m_members.end())
+        return false;
+    bool affected = affectsPosition(found->second);
+    erase(found->second);
+    m_members.erase(found);
+    return affected && refresh();
+}
+
+void TreeIndex::insert(const TreeMember& member)
+{
+    Entry entry { hashOf(member.host), member.host };
+    std::vector<Entry>* entries = &m_control;
+    if (!member.isControl) {
+        DataCentre& dataCentre = m_dataCentres[member.dataCentre];
+        dataCentre.region = member.region;
+        entries = &dataCentre.entries;
+    }
+    entries->insert(std::lower_bound(entries->begin(), entries->end(), entry), std::move(entry));
+}
+
+void TreeIndex::erase(const TreeMember& member)
+{
+    Entry entry { hashOf(member.host), member.host };
+    std::vector<Entry>& entries = member.isControl ? m_control : m_dataCentres[member.dataCentre].entries;
+    auto found = std::lower_bound(entries.begin(), entries.end(), entry);
+    if (found != entries.end() && *found == entry)
+        entries.erase(found);
+    if (!member.isControl && entries.empty())
+        m_dataCentres.erase(member.dataCentre);
+}
+
+bool TreeIndex::affectsPosition(const TreeMember& member) const
+{
+    auto own = m_members.find(m_self);
+    if (member.isControl || member.host == m_self || own == m_members.end())
+        return true;
+    if (member.dataCentre == own->second.dataCentre)
+        return true;
+    if (m_foreign.size() < m_options.foreignCandidates)
+        return true;
+    if (std::find(m_foreign.begin(), m_foreign.end(), member.dataCentre) != m_foreign.end())
+        return true;
+    // A data centre with one member has just appeared or is about to vanish.
+    auto found = m_dataCentres.find(member.dataCentre);
+    return found == m_dataCentres.end() || found->second.entries.size() <= 1;
+}
+
+std::vector<ParentCandidate> TreeIndex::foreignCandidates(const TreeMember& own, unsigned level)
+{
+    std::vector<DataCentreName> order;
+    for (const auto& [name, dataCentre] : m_dataCentres)
+        if (name != own.dataCentre)
+            order.push_back(name);
+    std::sort(order.begin(), order.end(), [&](const DataCentreName& left, const DataCentreName& right) {
+        return foreignKey(m_selfHash, own.region, m_dataCentres[left].region, left)
+            < foreignKey(m_selfHash, own.region, m_dataCentres[right].region, right);
+    });
+    order.resize(std::min<size_t>(order.size(), m_options.foreignCandidates));
+    std::vector<ParentCandidate> result;
+    for (const DataCentreName& name : order) {
+        const std::vector<Entry>& entries = m_dataCentres[name].entries;
+        auto [begin, end] = filledLevel(level > 1 ? level - 1 : 1, entries.size(), m_options);
+        const Entry* chosen = &entries[begin];
+        for (size_t i = begin + 1; i < end; ++i)
+            if (weight(m_selfHash, entries[i].hash) > weight(m_selfHash, chosen->hash))
+                chosen = &entries[i];
+        result.push_back({ chosen->host, name, false });
+    }
+    m_foreign = std::move(order);
+    return result;
+}
+
+bool TreeIndex::refresh()
+{
+    const auto candidates = [&](const std::vector<Entry>& entries, size_t begin, size_t end, size_t limit) {
+        std::vector<std::pair<uint64_t, const Entry*>> weighted;
+        weighted.reserve(end - begin);
+        for (size_t i = begin; i < end; ++i)
+            weighted.emplace_back(~weight(m_selfHash, entries[i].hash), &entries[i]);
+        size_t kept = std::min(limit, weighted.size());
+        std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(kept), weighted.end(),
+            [](const auto& left, const auto& right) {
+                return std::tie(left.first, left.second->host) < std::tie(right.first, right.second->host);
+            });
+        std::vector<ParentCandidate> result;
+        for (size_t i = 0; i < kept; ++i) {
+            const TreeMember& member = m_members.at(weighted[i].second->host);
+            result.push_back({ member.host, member.dataCentre, member.isControl });
+        }
+        return result;
+    };
+
+    TreePosition position;
+    auto found = m_members.find(m_self);
+    m_foreign.clear();
+    if (found == m_members.end() || !found->second.isControl) {
+        std::vector<ParentCandidate> control = candidates(m_control, 0, m_control.size(), m_options.controlCandidates);
+        position.level = 1;
+        if (found == m_members.end()) {
+            position.candidates = std::move(control);
+        } else {
+            const TreeMember& own = found->second;
+            const std::vector<Entry>& peers = m_dataCentres[own.dataCentre].entries;
+            auto rank = std::lower_bound(peers.begin(), peers.end(), Entry { m_selfHash, m_self }) - peers.begin();
+            position.level = levelOfRank(static_cast<size_t>(rank), m_options);
+            std::vector<ParentCandidate> foreign = foreignCandidates(own, position.level);
+            if (position.level == 1) {
+                position.candidates = joined(std::move(control), foreign, {}, m_options);
+            } else {
+                auto [begin, end] = levelRange(position.level - 1, m_options);
+                size_t limit = m_options.primaryCandidates + m_options.secondaryCandidates;
+                position.candidates = joined(candidates(peers, begin, end, limit), foreign, control, m_options);
+            }
+        }
+    }
+    if (position == m_position)
+        return false;
+    m_position = std::move(position);
+    return true;
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/TreePosition.h
@@ -0,0 +1,110 @@
+#pragma once
+
+// Position of a daemon in the distribution tree, computed from the live members without any assignment by a centre.
+//
+//     TreeIndex index(self);
+//     if (index.update(member))
+//         relay.setCandidates(index.position().candidates, index.position().level, now);
+//
+// Control hosts are level 0. In each data centre the other members, ordered by the hash of their id, fill level 1
+// (`headsPerDataCentre` heads), level 2 (`fanOut` times wider) and so on. A parent is always at a lower level than its
+// child, except that a head may fall back to a head of another data centre. Members with the same view therefore build
+// no loop below the heads; `Relay` leaves those that differing views cause.
+
+#include "dragonflylane/Ids.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace dragonflylane {
+
+/// A live member as far as the tree is concerned.
+struct TreeMember {
+    HostId host;
+    DataCentreName dataCentre;
+    RegionName region;
+    bool isControl { false };
+
+    bool operator==(const TreeMember&) const = default;
+};
+
+/// A host to ask for a parent session.
+struct ParentCandidate {
+    HostId host;
+    DataCentreName dataCentre;
+    bool isControl { false };
+
+    bool operator==(const ParentCandidate&) const = default;
+};
+
+struct TreeOptions {
+    unsigned headsPerDataCentre { 2 };
+    unsigned fanOut { 8 };
+    /// Candidates in the own data centre before the first one in another.
+    unsigned primaryCandidates { 2 };
+    /// Candidates in other data centres, one in each.
+    unsigned foreignCandidates { 2 };
+    /// Further candidates in the own data centre, tried after those in others.
+    unsigned secondaryCandidates { 2 };
+    /// Control hosts at the end of the list.
+    unsigned controlCandidates { 5 };
+};
+
+/// Level (0 for control hosts) and parent candidates, the preferred one first.
+struct TreePosition {
+    unsigned level { 0 };
+    std::vector<ParentCandidate> candidates;
+
+    bool operator==(const TreePosition&) const = default;
+};
+
+/// Computes the position from scratch in O(n log n). A host that is not among the members gets level 1 and the control
+/// hosts only. Reference for TreeIndex.
+TreePosition treePosition(const std::vector<TreeMember>&, const HostId& self, const TreeOptions& = {});
+
+/// Keeps the position up to date. A change costs O(log n) plus a memmove within one data centre; the candidates are
+/// computed again, in O(width of the level above), only if the change can affect them.
+class TreeIndex {
+public:
+    explicit TreeIndex(HostId self, TreeOptions = {});
+
+    /// Adds a member or replaces its attributes. True if the own position changed.
+    bool update(const TreeMember&);
+    /// True if the own position changed.
+    bool remove(const HostId&);
+    const TreePosition& position() const { return m_position; }
+    size_t size() const { return m_members.size(); }
+
+private:
+    struct Entry {
+        uint64_t hash { 0 };
+        HostId host;
+
+        auto operator<=>(const Entry&) const = default;
+    };
+    /// Members of one data centre without control hosts, ordered by hash.
+    struct DataCentre {
+        RegionName region;
+        std::vector<Entry> entries;
+    };
+
+    void insert(const TreeMember&);
+    void erase(const TreeMember&);
+    bool affectsPosition(const TreeMember&) const;
+    bool refresh();
+    std::vector<ParentCandidate> foreignCandidates(const TreeMember& own, unsigned level);
+
+    HostId m_self;
+    uint64_t m_selfHash;
+    TreeOptions m_options;
+    std::map<HostId, TreeMember> m_members;
+    std::map<DataCentreName, DataCentre> m_dataCentres;
+    std::vector<Entry> m_control;
+    TreePosition m_position;
+    /// Data centres whose members are among the candidates.
+    std::vector<DataCentreName> m_foreign;
+};
+
+} // namespace dragonflylane
