Implement the relay: sessions, freshness proofs, payloads, acknowledgements

Cause: Relay.cpp was empty. Ruled out: answering every message of a child (reports would double the frames of a change), and heartbeats at unaligned times (each level would add up to 500 ms to the age of a proof; four levels exceed the limit of 2 s). Before: declarations only. After: compiles; not yet tested. Conclusion: tests and a simulation in virtual time follow.

--- a/dragonflylane/Relay.cpp
+++ b/dragonflylane/Relay.cpp
@@ -1,1 +1,984 @@
 #include "dragonflylane/Relay.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+#include <utility>
+
+namespace dragonflylane {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    /// Wire sessions are non-negative 32-bit numbers. A random start keeps the sessions of two lives of a process
+    /// apart; a small one keeps them short on the wire.
+    constexpr uint32_t firstSessionRange = 4096;
+    constexpr uint32_t sessionMask = 0x7fffffff;
+    /// A heartbeat that follows the parent's advance by less than this needs no alignment.
+    constexpr Duration alignmentTolerance = milliseconds(50);
+    /// Distance after the parent's advance that alignment aims at, so that jitter does not put the question before it.
+    constexpr Duration alignmentMargin = milliseconds(10);
+    /// Factors for `backoffBase` stop growing here.
+    constexpr unsigned maxBackoffShift = 16;
+    /// A full relay stays full for long; its hint is this many times `retryAfter`.
+    constexpr int fullRelayRetryFactor = 10;
+
+    uint64_t floorMilliseconds(Duration duration)
+    {
+        return static_cast<uint64_t>(std::max<int64_t>(std::chrono::floor<milliseconds>(duration).count(), 0));
+    }
+
+    uint64_t ceilMilliseconds(Duration duration)
+    {
+        return static_cast<uint64_t>(std::max<int64_t>(std::chrono::ceil<milliseconds>(duration).count(), 0));
+    }
+
+    /// Limits a duration from the wire, so that arithmetic on it cannot overflow.
+    Duration fromWire(uint64_t value)
+    {
+        constexpr uint64_t longest = uint64_t { 365 } * 24 * 3600 * 1000;
+        return milliseconds(std::min(value, longest));
+    }
+
+    std::string revisionCause(std::string_view verb, Revision revision)
+    {
+        return std::string(verb) + " revision " + std::to_string(revision.value());
+    }
+
+} // namespace
+
+Relay::Relay(RelayOptions options, TimePoint now)
+    : m_options(std::move(options))
+    , m_startedAt(now)
+    , m_now(now)
+    , m_random(m_options.seed)
+    , m_nextSession(static_cast<uint32_t>(m_random() % firstSessionRange) + 1)
+    , m_heldSince(now)
+    , m_provenSince(now - m_options.freshnessLimit)
+    , m_improveAt(now)
+    , m_reportedAt(now - m_options.ackInterval)
+{
+}
+
+// Candidates and attempts
+
+void Relay::setCandidates(std::vector<ParentCandidate> candidates, unsigned level, TimePoint now)
+{
+    noteActivity(now);
+    if (m_options.isControl)
+        return;
+    m_candidates = std::move(candidates);
+    m_level = std::max(level, 1U);
+    m_cursor = 0;
+    std::erase_if(m_notBefore, [&](const auto& entry) { return entry.second <= now; });
+    if (m_attempt && !candidateIndex(m_attempt->host))
+        failAttempt(ResultCode::Ok, "no longer a candidate", {}, now);
+    checkParent(now);
+}
+
+std::optional<size_t> Relay::candidateIndex(const HostId& host) const
+{
+    for (size_t i = 0; i < m_candidates.size(); ++i)
+        if (m_candidates[i].host == host)
+            return i;
+    return std::nullopt;
+}
+
+std::optional<size_t> Relay::nextCandidate(TimePoint now) const
+{
+    for (size_t step = 0; step < m_candidates.size(); ++step) {
+        size_t index = (m_cursor + step) % m_candidates.size();
+        const HostId& host = m_candidates[index].host;
+        auto blocked = m_notBefore.find(host);
+        bool isBlocked = blocked != m_notBefore.end() && blocked->second > now;
+        bool isParent = m_parent && m_parent->host == host;
+        if (!isBlocked && !isParent && host != m_options.self)
+            return index;
+    }
+    return std::nullopt;
+}
+
+TimePoint Relay::staleAt(const Upstream& session) const
+{
+    unsigned graceLevels = std::min(m_level - 1, m_options.maxGraceLevels);
+    Duration limit = m_options.freshnessLimit + m_options.freshnessGracePerLevel * graceLevels;
+    return std::max(session.proof.value_or(session.freshSince), session.freshSince) + limit;
+}
+
+bool Relay::isFresh(const Upstream& session, TimePoint now) const
+{
+    return session.proof && now - *session.proof <= m_options.freshnessLimit;
+}
+
+std::string_view Relay::reasonForNewParent(TimePoint now) const
+{
+    if (m_options.isControl || m_leaveBy)
+        return {};
+    if (!m_parent)
+        return "no parent";
+    if (m_parent->isLeaving)
+        return "the parent leaves";
+    if (now >= staleAt(*m_parent))
+        return "the parent's proof is older than the freshness limit";
+    if (!candidateIndex(m_parent->host))
+        return "the parent is no longer a candidate";
+    return {};
+}
+
+Duration Relay::backoffCeiling() const
+{
+    if (!m_options.mechanisms.backoff)
+        return {};
+    return std::min(m_options.backoffCap, m_options.backoffBase * (1 << std::min(m_failures, maxBackoffShift)));
+}
+
+Duration Relay::backoffDelay()
+{
+    return Duration(std::uniform_int_distribution<Duration::rep>(0, backoffCeiling().count())(m_random));
+}
+
+void Relay::scheduleAttempt(std::string_view reason, std::string_view cause, TimePoint now)
+{
+    if (m_attempt || m_candidates.empty())
+        return;
+    TimePoint at = now + backoffDelay();
+    m_attemptAt = m_attemptAt ? std::min(*m_attemptAt, at) : at;
+    m_attemptReason = reason;
+    m_attemptCause = cause;
+}
+
+void Relay::runScheduledAttempt(TimePoint now)
+{
+    m_attemptAt.reset();
+    if (reasonForNewParent(now).empty())
+        return;
+    if (std::optional<size_t> candidate = nextCandidate(now)) {
+        startAttempt(*candidate, m_attemptReason, m_attemptCause, now);
+        return;
+    }
+    // All candidates are blocked: wait for the first of them, with jitter.
+    std::optional<TimePoint> earliest;
+    for (const ParentCandidate& candidate : m_candidates) {
+        auto blocked = m_notBefore.find(candidate.host);
+        if (blocked != m_notBefore.end() && blocked->second > now)
+            earliest = std::min(earliest.value_or(blocked->second), blocked->second);
+    }
+    ++m_failures;
+    if (earliest)
+        m_attemptAt = *earliest + backoffDelay();
+}
+
+void Relay::startAttempt(size_t candidate, std::string_view reason, std::string_view cause, TimePoint now)
+{
+    m_attempt = std::make_unique<Upstream>();
+    m_attempt->host = m_candidates[candidate].host;
+    m_attempt->session = m_nextSession;
+    m_attempt->startedAt = now;
+    m_attempt->reason = reason;
+    m_attempt->cause = cause;
+    m_nextSession = (m_nextSession + 1) & sessionMask;
+    m_cursor = (candidate + 1) % m_candidates.size();
+    ++m_counters.attempts;
+    m_outputs.emplace_back(RelayConnect { m_attempt->host });
+}
+
+void Relay::connected(const HostId& host, TimePoint now)
+{
+    noteActivity(now);
+    if (!m_attempt || m_attempt->host != host || m_attempt->isConnected)
+        return;
+    m_attempt->isConnected = true;
+    m_attempt->reported = m_held;
+    m_attempt->reportedSummary = acks();
+    RelayAttach attach { m_attempt->session, timestamp(*m_attempt, now), m_held, m_term, m_attempt->reportedSummary };
+    send(host, RelayLink::ToParent, std::move(attach));
+}
+
+void Relay::disconnected(const HostId& host, RelayLink link, TimePoint now)
+{
+    noteActivity(now);
+    if (link == RelayLink::ToChild) {
+        dropChild(host, ResultCode::PeerClosed, "the connection closed", now);
+        finishLeaving(now);
+    } else if (m_attempt && m_attempt->host == host) {
+        failAttempt(ResultCode::PeerClosed, "the connection closed", {}, now);
+    } else if (m_parent && m_parent->host == host) {
+        loseParent(ResultCode::PeerClosed, "the connection closed", m_options.retryAfter, now);
+    }
+}
+
+void Relay::closeUpstream(const Upstream& session)
+{
+    if (session.isConnected)
+        send(session.host, RelayLink::ToParent, RelayDetach { session.session });
+    m_outputs.emplace_back(RelayDisconnect { session.host, RelayLink::ToParent });
+}
+
+void Relay::failAttempt(ResultCode code, std::string_view reason, Duration retryAfter, TimePoint now)
+{
+    std::unique_ptr<Upstream> attempt = std::move(m_attempt);
+    closeUpstream(*attempt);
+    ++m_counters.attemptsFailed;
+    ++m_failures;
+    emit(RelayEvent::Kind::AttemptFailed, attempt->host, code, reason, attempt->reason);
+    if (m_options.mechanisms.backoff)
+        m_notBefore[attempt->host] = now + std::max(retryAfter, backoffCeiling());
+    std::string_view needed = reasonForNewParent(now);
+    if (!needed.empty())
+        scheduleAttempt(needed, "a candidate failed: " + std::string(reason), now);
+}
+
+void Relay::loseParent(ResultCode code, std::string_view reason, Duration retryAfter, TimePoint now)
+{
+    std::unique_ptr<Upstream> lost = std::move(m_parent);
+    closeUpstream(*lost);
+    ++m_counters.parentsLost;
+    emit(RelayEvent::Kind::ParentLost, lost->host, code, reason, lost->reason);
+    if (m_options.mechanisms.backoff)
+        m_notBefore[lost->host] = now + retryAfter;
+    m_cursor = 0;
+    scheduleAttempt(reason, "lost parent " + lost->host.value(), now);
+}
+
+void Relay::failSession(Upstream& session, ResultCode code, std::string_view reason, Duration retryAfter, TimePoint now)
+{
+    if (&session == m_attempt.get())
+        failAttempt(code, reason, retryAfter, now);
+    else
+        loseParent(code, reason, retryAfter, now);
+}
+
+bool Relay::shouldAdopt(const Upstream& attempt, TimePoint now) const
+{
+    if (!m_parent || m_parent->isLeaving)
+        return true;
+    if (!attempt.isImprovement && reasonForNewParent(now).empty())
+        return false;
+    if (isFresh(attempt, now))
+        return true;
+    if (isFresh(*m_parent, now))
+        return false;
+    // Neither is fresh, as in an outage of the source: move only towards newer proofs or data.
+    if (attempt.proof && (!m_parent->proof || *attempt.proof > *m_parent->proof))
+        return true;
+    return attempt.stated.revision > m_parent->stated.revision;
+}
+
+void Relay::adoptAttempt(TimePoint now)
+{
+    if (m_parent) {
+        ++m_counters.parentsLost;
+        emit(RelayEvent::Kind::ParentLost, m_parent->host, ResultCode::Ok, m_attempt->reason, m_attempt->cause);
+        closeUpstream(*m_parent);
+    }
+    m_parent = std::move(m_attempt);
+    m_parent->freshSince = now;
+    m_parent->heartbeatAt = now + m_options.heartbeatInterval;
+    m_attemptAt.reset();
+    m_cursor = 0;
+    if (isFresh(*m_parent, now))
+        m_failures = 0;
+    m_summaryChanged = true;
+    ++m_counters.parentsSelected;
+    emit(RelayEvent::Kind::ParentSelected, m_parent->host, ResultCode::Ok, m_parent->reason, m_parent->cause);
+    std::uniform_int_distribution<Duration::rep> jitter(0, m_options.improvementInterval.count());
+    m_improveAt = now + m_options.improvementInterval / 2 + Duration(jitter(m_random));
+}
+
+void Relay::checkParent(TimePoint now)
+{
+    if (m_parent && now >= m_parent->heardAt + m_options.parentSilenceLimit)
+        loseParent(ResultCode::PeerTimeout, "the parent sent nothing", m_options.freshnessLimit, now);
+    if (m_attempt && now >= m_attempt->startedAt + m_options.attemptTimeout)
+        failAttempt(ResultCode::PeerTimeout, "the candidate did not answer", {}, now);
+    if (m_attemptAt && now >= *m_attemptAt)
+        runScheduledAttempt(now);
+    std::string_view needed = reasonForNewParent(now);
+    if (!needed.empty() && !m_attempt && !m_attemptAt)
+        scheduleAttempt(needed, "timer", now);
+    tryBetterCandidate(now);
+}
+
+void Relay::tryBetterCandidate(TimePoint now)
+{
+    if (!m_parent || m_attempt || m_attemptAt || m_leaveBy || now < m_improveAt)
+        return;
+    m_improveAt = now + m_options.improvementInterval;
+    size_t current = candidateIndex(m_parent->host).value_or(0);
+    for (size_t i = 0; i < current; ++i) {
+        auto blocked = m_notBefore.find(m_candidates[i].host);
+        if (blocked != m_notBefore.end() && blocked->second > now)
+            continue;
+        startAttempt(i, "a preferred candidate may be back", "timer", now);
+        m_attempt->isImprovement = true;
+        return;
+    }
+}
+
+Relay::Upstream* Relay::upstream(const HostId& host, uint32_t session)
+{
+    for (Upstream* candidate : { m_parent.get(), m_attempt.get() })
+        if (candidate && candidate->isConnected && candidate->host == host && candidate->session == session)
+            return candidate;
+    ++m_counters.staleSession;
+    return nullptr;
+}
+
+// Messages to the parent
+
+uint64_t Relay::timestamp(Upstream& session, TimePoint now)
+{
+    session.lastTimestamp = std::max(session.lastTimestamp, floorMilliseconds(now - session.startedAt));
+    return session.lastTimestamp;
+}
+
+void Relay::sendQuestion(Upstream& session, TimePoint now)
+{
+    RelayChildHeartbeat question;
+    question.session = session.session;
+    question.timestamp = timestamp(session, now);
+    session.heartbeatAt = now + m_options.heartbeatInterval;
+    send(session.host, RelayLink::ToParent, std::move(question));
+}
+
+void Relay::sendReport(Upstream& session, RelayChildHeartbeat report, TimePoint now)
+{
+    report.session = session.session;
+    report.timestamp = timestamp(session, now);
+    if (m_held != session.reported)
+        report.held = m_held;
+    session.reported = m_held;
+    // The parent derives the summary of a daemon without children from the state that it reports.
+    if (report.held && m_children.empty() && !m_refusal && !report.summary)
+        session.reportedSummary = acks();
+    send(session.host, RelayLink::ToParent, std::move(report));
+}
+
+TimePoint Relay::reportDueAt() const
+{
+    // A summary that still names stragglers waits, since most of them answer within a few hops.
+    if (lowestHeld() == m_held.revision)
+        return m_reportedAt + m_options.ackInterval;
+    return std::max(m_reportedAt, m_heldSince) + m_options.ackInterval;
+}
+
+void Relay::considerReport(TimePoint now)
+{
+    if (!m_summaryChanged || !m_parent || now < reportDueAt())
+        return;
+    m_summaryChanged = false;
+    AckSummary summary = acks();
+    if (summary == m_parent->reportedSummary)
+        return;
+    m_parent->reportedSummary = summary;
+    m_reportedAt = now;
+    RelayChildHeartbeat report;
+    report.summary = std::move(summary);
+    sendReport(*m_parent, std::move(report), now);
+}
+
+// Messages from the parent
+
+bool Relay::refusesTerm(Upstream& session, const RelayParentHeartbeat& message, TimePoint now)
+{
+    if (session.term >= m_term || !m_options.mechanisms.termCheck) {
+        m_term = std::max(m_term, session.term);
+        return false;
+    }
+    ++m_counters.staleTerm;
+    if (!session.staleTermReported)
+        emit(RelayEvent::Kind::MessageRefused, session.host, ResultCode::StaleTerm, "a newer term is known",
+            "term " + std::to_string(session.term.value()) + " is below " + std::to_string(m_term.value()));
+    session.staleTermReported = true;
+    if (message.payload) {
+        RelayChildHeartbeat report;
+        report.refused = RevisionRefusal { m_options.self, message.payload->to.revision, ResultCode::StaleTerm };
+        sendReport(session, std::move(report), now);
+    }
+    return true;
+}
+
+void Relay::receive(const HostId& from, const RelayParentHeartbeat& message, TimePoint now)
+{
+    Upstream* session = upstream(from, message.session);
+    if (!session)
+        return;
+    if (message.echo > session->lastTimestamp) {
+        ++m_counters.invalidEcho;
+        failSession(*session, ResultCode::MalformedFrame, "the echo is newer than the last timestamp",
+            m_options.freshnessLimit, now);
+        return;
+    }
+    const bool isAttempt = session == m_attempt.get();
+    session->heardAt = now;
+    session->term = message.term.value_or(session->term);
+    session->stated = message.held.value_or(session->stated);
+    bool isRefused = refusesTerm(*session, message, now);
+    if (!isRefused) {
+        if (message.proofAge) {
+            TimePoint asked = session->startedAt + fromWire(message.echo);
+            TimePoint proof = (m_options.mechanisms.echoes ? asked : now) - fromWire(*message.proofAge);
+            session->proof = std::max(session->proof.value_or(proof), proof);
+        }
+        if (message.payload)
+            applyPayload(*session, *message.payload, now);
+        checkDigest(*session, now);
+        learnProof(*session, now);
+    }
+    if (isAttempt) {
+        if (isRefused)
+            failAttempt(ResultCode::StaleTerm, "the candidate's term is stale", m_options.freshnessLimit, now);
+        else if (shouldAdopt(*session, now))
+            adoptAttempt(now);
+        else
+            failAttempt(ResultCode::Ok, "the candidate is no better than the parent", {}, now);
+    }
+    if (m_parent && m_parent->session == message.session) {
+        alignHeartbeat(*m_parent, message, now);
+        if (isFresh(*m_parent, now) && reasonForNewParent(now).empty())
+            m_failures = 0;
+    }
+    considerReport(now);
+}
+
+void Relay::alignHeartbeat(Upstream& session, const RelayParentHeartbeat& message, TimePoint now)
+{
+    // A question that arrives just after the parent's proof advanced gets the youngest answer. Without alignment each
+    // level adds up to one interval of age.
+    if (!message.sinceProof || message.echo != session.lastTimestamp)
+        return;
+    Duration since = std::min(fromWire(*message.sinceProof), m_options.heartbeatInterval);
+    session.heartbeatAt = now + m_options.heartbeatInterval - since + alignmentMargin;
+}
+
+void Relay::applyPayload(Upstream& session, const RelayPayload& payload, TimePoint now)
+{
+    if (payload.kind == RelayPayload::Kind::None)
+        return;
+    if (payload.to.revision < m_held.revision) {
+        ++m_counters.staleRevision;
+        emit(RelayEvent::Kind::MessageRefused, session.host, ResultCode::StaleRevision, "a newer revision is held",
+            revisionCause("received", payload.to.revision), payload.to.revision);
+        session.reported = {};
+        sendReport(session, {}, now);
+        return;
+    }
+    if (payload.to == m_held) {
+        ++m_counters.duplicatePayloads;
+        session.reported = {};
+        sendReport(session, {}, now);
+        return;
+    }
+    // An equal revision with another digest is resolved by a snapshot only.
+    if (payload.to.revision == m_held.revision && payload.kind != RelayPayload::Kind::Snapshot) {
+        refuseRevision(session, payload, ResultCode::DigestMismatch, now);
+        return;
+    }
+    AcceptResult result = m_options.accept(payload);
+    if (result.error) {
+        refuseRevision(session, payload, result.error, now);
+        return;
+    }
+    if (result.held.revision < m_held.revision) {
+        refuseRevision(session, payload, ResultCode::StaleRevision, now);
+        return;
+    }
+    m_held = result.held;
+    m_heldSince = now;
+    m_refusal.reset();
+    m_summaryChanged = true;
+    ++m_counters.revisionsApplied;
+    bool isDelta = payload.kind == RelayPayload::Kind::Delta;
+    emit(RelayEvent::Kind::RevisionApplied, session.host, ResultCode::Ok, isDelta ? "delta" : "snapshot",
+        revisionCause("received", payload.to.revision), m_held.revision);
+    pushToChildren(now);
+    sendReport(session, {}, now);
+}
+
+void Relay::refuseRevision(Upstream& session, const RelayPayload& payload, const std::error_code& error, TimePoint now)
+{
+    ResultCode code = resultCode(error);
+    RevisionRefusal refusal { m_options.self, payload.to.revision, code };
+    m_refusal = refusal;
+    m_summaryChanged = true;
+    ++m_counters.revisionsRefused;
+    emit(RelayEvent::Kind::RevisionRefused, session.host, code, error.message(),
+        revisionCause("received", payload.to.revision), payload.to.revision);
+    bool baseIsWrong = code == ResultCode::BaseMismatch || code == ResultCode::DigestMismatch;
+    if (baseIsWrong && payload.kind == RelayPayload::Kind::Delta) {
+        requestSnapshot(session, refusal, now);
+        return;
+    }
+    RelayChildHeartbeat report;
+    report.refused = refusal;
+    sendReport(session, std::move(report), now);
+}
+
+void Relay::checkDigest(Upstream& session, TimePoint now)
+{
+    if (session.stated.revision != m_held.revision || session.stated.digest == m_held.digest) {
+        session.mismatchReported.reset();
+        return;
+    }
+    if (session.mismatchReported != session.stated) {
+        session.mismatchReported = session.stated;
+        ++m_counters.digestMismatch;
+        emit(RelayEvent::Kind::DigestMismatch, session.host, ResultCode::DigestMismatch,
+            "the parent holds " + session.stated.digest.toString() + " and this host " + m_held.digest.toString(),
+            revisionCause("compared", m_held.revision), m_held.revision);
+    }
+    requestSnapshot(session, std::nullopt, now);
+}
+
+void Relay::requestSnapshot(Upstream& session, std::optional<RevisionRefusal> refused, TimePoint now)
+{
+    bool isDue
+        = !session.snapshotRequestedAt || now - *session.snapshotRequestedAt >= m_options.snapshotRequestInterval;
+    if (!isDue && !refused)
+        return;
+    RelayChildHeartbeat report;
+    report.refused = std::move(refused);
+    report.wantsSnapshot = isDue;
+    if (isDue) {
+        session.snapshotRequestedAt = now;
+        ++m_counters.snapshotRequests;
+    }
+    sendReport(session, std::move(report), now);
+}
+
+void Relay::learnProof(const Upstream& session, TimePoint now)
+{
+    bool holdsStated = m_held.revision > session.stated.revision || m_held == session.stated;
+    if (session.proof && holdsStated)
+        advanceProof(*session.proof, now);
+}
+
+void Relay::advanceProof(TimePoint proof, TimePoint now)
+{
+    if (m_provenAt && proof <= *m_provenAt)
+        return;
+    // Small advances come from pushed changes, whose echoes are older; they are no reason to move the rhythm.
+    bool isLarge = !m_provenAt || proof - *m_provenAt >= m_options.heartbeatInterval / 4;
+    m_provenAt = proof;
+    if (!isLarge)
+        return;
+    bool isOverdue = now - m_provenSince > m_options.heartbeatInterval * 5 / 4;
+    m_provenSince = now;
+    if (!isOverdue)
+        return;
+    // The proof was interrupted: tell the children at once, so that they do not leave too.
+    for (auto& [host, child] : m_children)
+        send(host, RelayLink::ToChild, heartbeatFor(child, now));
+}
+
+void Relay::receive(const HostId& from, const RelayRefusal& message, TimePoint now)
+{
+    Upstream* session = upstream(from, message.session);
+    if (!session)
+        return;
+    Duration retryAfter = std::min(fromWire(message.retryAfter), m_options.leavingPenalty);
+    failSession(*session, message.code, "the other side refused", retryAfter, now);
+}
+
+void Relay::receive(const HostId& from, const RelayLeaving& message, TimePoint now)
+{
+    Upstream* session = upstream(from, message.session);
+    if (!session)
+        return;
+    if (session == m_attempt.get()) {
+        failAttempt(ResultCode::DaemonLeaving, "the candidate leaves", m_options.leavingPenalty, now);
+        return;
+    }
+    session->isLeaving = true;
+    m_notBefore[from] = now + m_options.leavingPenalty;
+    m_cursor = 0;
+    checkParent(now);
+}
+
+// Children
+
+void Relay::refuseChild(const HostId& host, uint32_t session, ResultCode code, Duration retryAfter)
+{
+    ++m_counters.childrenRefused;
+    emit(RelayEvent::Kind::ChildRefused, host, code, message(code), "attach");
+    send(host, RelayLink::ToChild, RelayRefusal { session, code, floorMilliseconds(retryAfter) });
+    m_outputs.emplace_back(RelayDisconnect { host, RelayLink::ToChild });
+}
+
+void Relay::dropChild(const HostId& host, ResultCode code, std::string_view reason, TimePoint now)
+{
+    if (m_children.erase(host) == 0)
+        return;
+    ++m_counters.childrenLost;
+    m_summaryChanged = true;
+    emit(RelayEvent::Kind::ChildLost, host, code, reason, "session");
+    // Its snapshot slot may be free now.
+    pushToChildren(now);
+    considerReport(now);
+}
+
+void Relay::receive(const HostId& from, const RelayAttach& message, TimePoint now)
+{
+    m_children.erase(from);
+    if (m_leaveBy) {
+        refuseChild(from, message.session, ResultCode::DaemonLeaving, m_options.leavingPenalty);
+        return;
+    }
+    if (m_children.size() >= m_options.maxChildren) {
+        refuseChild(from, message.session, ResultCode::TooManyChildren, m_options.retryAfter * fullRelayRetryFactor);
+        return;
+    }
+    Child child;
+    child.session = message.session;
+    child.timestamp = message.timestamp;
+    child.heardAt = now;
+    child.held = message.held;
+    child.summary = message.summary;
+    bool needsSnapshot = needsPayload(child, now) && payloadFor(child.held).kind == RelayPayload::Kind::Snapshot;
+    if (needsSnapshot && !mayHaveSnapshot()) {
+        refuseChild(from, message.session, ResultCode::SnapshotLimit, m_options.retryAfter);
+        return;
+    }
+    m_summaryChanged = true;
+    emit(RelayEvent::Kind::ChildAttached, from, ResultCode::Ok, revisionCause("holds", child.held.revision), "attach",
+        child.held.revision);
+    serveChild(from, m_children[from] = std::move(child), true, now);
+    considerReport(now);
+}
+
+void Relay::receive(const HostId& from, const RelayChildHeartbeat& message, TimePoint now)
+{
+    auto found = m_children.find(from);
+    if (found == m_children.end() || found->second.session != message.session) {
+        ++m_counters.staleSession;
+        // The child was dropped while it was paused or cut off: it may attach again at once.
+        if (found == m_children.end())
+            send(from, RelayLink::ToChild, RelayRefusal { message.session, ResultCode::PeerClosed, 0 });
+        return;
+    }
+    Child& child = found->second;
+    child.timestamp = std::max(child.timestamp, message.timestamp);
+    child.heardAt = now;
+    if (message.summary)
+        child.summary = *message.summary;
+    if (message.held) {
+        child.held = *message.held;
+        if (child.summary.count <= 1 && !message.summary)
+            child.summary = { child.held.revision, 1, {}, {} };
+    }
+    m_summaryChanged = m_summaryChanged || message.summary || message.held;
+    if (message.refused) {
+        bool isFinal = message.refused->code == ResultCode::InvalidConfiguration;
+        child.refused = child.inFlightTo;
+        child.retryAt = isFinal ? TimePoint::max() : now + m_options.snapshotRequestInterval;
+    }
+    child.wantsSnapshot = child.wantsSnapshot || message.wantsSnapshot;
+    bool isDone = message.refused || message.wantsSnapshot || child.held.revision >= child.inFlightTo.revision;
+    bool freesSlot = isDone && child.inFlight == RelayPayload::Kind::Snapshot;
+    if (isDone)
+        child.inFlight = RelayPayload::Kind::None;
+    bool isQuestion = !message.held && !message.summary && !message.refused && !message.wantsSnapshot;
+    serveChild(from, child, isQuestion, now);
+    if (freesSlot)
+        pushToChildren(now);
+    considerReport(now);
+}
+
+void Relay::receive(const HostId& from, const RelayDetach& message, TimePoint now)
+{
+    auto found = m_children.find(from);
+    if (found == m_children.end() || found->second.session != message.session)
+        return;
+    m_outputs.emplace_back(RelayDisconnect { from, RelayLink::ToChild });
+    dropChild(from, ResultCode::PeerClosed, "the child detached", now);
+    finishLeaving(now);
+}
+
+bool Relay::needsPayload(const Child& child, TimePoint now) const
+{
+    if (child.held == m_held || child.held.revision > m_held.revision)
+        return false;
+    if (child.wantsSnapshot)
+        return true;
+    if (child.held.revision == m_held.revision)
+        return false;
+    return child.refused != m_held || now >= child.retryAt;
+}
+
+size_t Relay::snapshotsInFlight() const
+{
+    return static_cast<size_t>(std::count_if(m_children.begin(), m_children.end(),
+        [](const auto& entry) { return entry.second.inFlight == RelayPayload::Kind::Snapshot; }));
+}
+
+bool Relay::mayHaveSnapshot() const
+{
+    return !m_options.mechanisms.snapshotLimit || snapshotsInFlight() < m_options.maxSnapshotsInFlight;
+}
+
+const RelayPayload& Relay::payloadFor(const HeldState& held)
+{
+    std::pair<HeldState, HeldState> key(held, m_held);
+    if (m_cachedFor != key) {
+        m_cached = m_options.payloadFor(held.revision, held.digest);
+        m_cachedFor = key;
+    }
+    return m_cached;
+}
+
+RelayParentHeartbeat Relay::heartbeatFor(Child& child, TimePoint now)
+{
+    RelayParentHeartbeat message;
+    message.session = child.session;
+    message.echo = child.timestamp;
+    if (m_provenAt)
+        message.proofAge = ceilMilliseconds(now - *m_provenAt);
+    if (child.sentTerm != m_term)
+        message.term = child.sentTerm = m_term;
+    if (child.sentHeld != m_held)
+        message.held = child.sentHeld = m_held;
+    return message;
+}
+
+void Relay::serveChild(const HostId& host, Child& child, bool isQuestion, TimePoint now)
+{
+    if (child.inFlight == RelayPayload::Kind::None && needsPayload(child, now)) {
+        const RelayPayload& payload = payloadFor(child.wantsSnapshot ? HeldState {} : child.held);
+        bool isSnapshot = payload.kind == RelayPayload::Kind::Snapshot;
+        if (payload.kind != RelayPayload::Kind::None && (!isSnapshot || mayHaveSnapshot())) {
+            RelayParentHeartbeat message = heartbeatFor(child, now);
+            message.payload = payload;
+            child.inFlight = payload.kind;
+            child.inFlightTo = payload.to;
+            child.wantsSnapshot = false;
+            child.refused.reset();
+            ++(isSnapshot ? m_counters.snapshotsSent : m_counters.deltasSent);
+            send(host, RelayLink::ToChild, std::move(message));
+            return;
+        }
+    }
+    if (!isQuestion)
+        return;
+    RelayParentHeartbeat answer = heartbeatFor(child, now);
+    Duration since = now - m_provenSince;
+    // A control host's proof advances all the time, so that its children need no alignment.
+    if (!m_options.isControl && since > alignmentTolerance && since < m_options.heartbeatInterval)
+        answer.sinceProof = floorMilliseconds(since);
+    send(host, RelayLink::ToChild, std::move(answer));
+}
+
+void Relay::pushToChildren(TimePoint now)
+{
+    for (auto& [host, child] : m_children)
+        serveChild(host, child, false, now);
+}
+
+Revision Relay::lowestHeld() const
+{
+    Revision lowest = m_held.revision;
+    for (const auto& [host, child] : m_children)
+        lowest = std::min({ lowest, child.held.revision, child.summary.lowest });
+    return lowest;
+}
+
+AckSummary Relay::acks() const
+{
+    AckSummary result;
+    result.lowest = lowestHeld();
+    result.count = 1;
+    if (m_refusal)
+        result.refusals.push_back(*m_refusal);
+    for (const auto& [host, child] : m_children) {
+        result.count += child.summary.count;
+        if (child.held.revision < m_held.revision)
+            result.stragglers.push_back({ host, child.held.revision });
+        for (const Straggler& straggler : child.summary.stragglers)
+            if (straggler.held < m_held.revision)
+                result.stragglers.push_back(straggler);
+        for (const RevisionRefusal& refusal : child.summary.refusals)
+            if (result.refusals.size() < maxNamedHosts)
+                result.refusals.push_back(refusal);
+    }
+    std::sort(result.stragglers.begin(), result.stragglers.end(), [](const Straggler& left, const Straggler& right) {
+        return std::tie(left.held, left.host) < std::tie(right.held, right.host);
+    });
+    if (result.stragglers.size() > maxNamedHosts)
+        result.stragglers.resize(maxNamedHosts);
+    return result;
+}
+
+// Control hosts
+
+void Relay::setLocal(Revision revision, Digest digest, Term term, TimePoint now)
+{
+    noteActivity(now);
+    m_term = std::max(m_term, term);
+    HeldState state { revision, digest };
+    if (state == m_held)
+        return;
+    if (revision < m_held.revision) {
+        ++m_counters.staleRevision;
+        emit(RelayEvent::Kind::MessageRefused, m_options.self, ResultCode::StaleRevision, "a newer revision is held",
+            revisionCause("log applied", revision), revision);
+        return;
+    }
+    if (revision == m_held.revision && m_held.revision != Revision()) {
+        ++m_counters.digestMismatch;
+        emit(RelayEvent::Kind::DigestMismatch, m_options.self, ResultCode::DigestMismatch,
+            "the log replaced " + m_held.digest.toString() + " by " + digest.toString(),
+            revisionCause("log applied", revision), revision);
+    }
+    m_held = state;
+    m_heldSince = now;
+    m_summaryChanged = true;
+    ++m_counters.revisionsApplied;
+    emit(RelayEvent::Kind::RevisionApplied, m_options.self, ResultCode::Ok, "log",
+        revisionCause("log applied", revision), revision);
+    pushToChildren(now);
+}
+
+void Relay::setProof(std::optional<TimePoint> proof, TimePoint now)
+{
+    noteActivity(now);
+    if (proof)
+        advanceProof(std::min(*proof, now), now);
+}
+
+// Time
+
+void Relay::noteActivity(TimePoint now)
+{
+    TimePoint expected = std::max(nextWakeup(), m_now);
+    if (expected < TimePoint::max() - m_options.pauseLimit && now > expected + m_options.pauseLimit) {
+        // Neighbours were not silent, this process was. What is queued from before the pause proves nothing, since its
+        // echoes are old.
+        ++m_counters.pauses;
+        emit(RelayEvent::Kind::Resumed, m_options.self, ResultCode::Ok, "the process was paused",
+            "no input for " + std::to_string(floorMilliseconds(now - m_now)) + " ms");
+        if (m_parent) {
+            m_parent->heardAt = now;
+            m_parent->freshSince = now;
+            m_parent->heartbeatAt = now;
+        }
+        for (auto& [host, child] : m_children)
+            child.heardAt = now;
+    }
+    m_now = std::max(m_now, now);
+}
+
+void Relay::receive(const HostId& from, const RelayMessage& message, TimePoint now)
+{
+    noteActivity(now);
+    std::visit([&](const auto& content) { receive(from, content, now); }, message);
+}
+
+void Relay::tick(TimePoint now)
+{
+    noteActivity(now);
+    std::vector<HostId> silent;
+    for (const auto& [host, child] : m_children)
+        if (now >= child.heardAt + m_options.childSilenceLimit)
+            silent.push_back(host);
+    for (const HostId& host : silent) {
+        m_outputs.emplace_back(RelayDisconnect { host, RelayLink::ToChild });
+        dropChild(host, ResultCode::PeerTimeout, "the child sent nothing", now);
+    }
+    checkParent(now);
+    if (m_parent && now >= m_parent->heartbeatAt)
+        sendQuestion(*m_parent, now);
+    considerReport(now);
+    finishLeaving(now);
+}
+
+TimePoint Relay::nextWakeup() const
+{
+    TimePoint next = TimePoint::max();
+    const auto at = [&](TimePoint time) { next = std::min(next, time); };
+    if (m_parent) {
+        at(m_parent->heartbeatAt);
+        at(m_parent->heardAt + m_options.parentSilenceLimit);
+        if (staleAt(*m_parent) > m_now)
+            at(staleAt(*m_parent));
+        if (m_improveAt > m_now)
+            at(m_improveAt);
+        if (m_summaryChanged)
+            at(std::max(reportDueAt(), m_now));
+    }
+    if (m_attempt)
+        at(m_attempt->startedAt + m_options.attemptTimeout);
+    if (m_attemptAt)
+        at(*m_attemptAt);
+    for (const auto& [host, child] : m_children)
+        at(child.heardAt + m_options.childSilenceLimit);
+    if (m_leaveBy && !m_hasLeft)
+        at(*m_leaveBy);
+    return next;
+}
+
+void Relay::leave(TimePoint now)
+{
+    noteActivity(now);
+    if (m_leaveBy)
+        return;
+    m_leaveBy = now + m_options.leaveTimeout;
+    emit(RelayEvent::Kind::Leaving, m_options.self, ResultCode::DaemonLeaving, "orderly shutdown",
+        std::to_string(m_children.size()) + " children told to move");
+    if (m_attempt)
+        closeUpstream(*m_attempt);
+    m_attempt.reset();
+    m_attemptAt.reset();
+    for (const auto& [host, child] : m_children)
+        send(host, RelayLink::ToChild, RelayLeaving { child.session });
+    finishLeaving(now);
+}
+
+void Relay::finishLeaving(TimePoint now)
+{
+    if (!m_leaveBy || m_hasLeft || (!m_children.empty() && now < *m_leaveBy))
+        return;
+    m_hasLeft = true;
+    for (const auto& [host, child] : m_children)
+        m_outputs.emplace_back(RelayDisconnect { host, RelayLink::ToChild });
+    m_children.clear();
+    if (m_parent)
+        closeUpstream(*m_parent);
+    m_parent.reset();
+}
+
+// Outputs
+
+bool Relay::hasLeft() const
+{
+    return m_hasLeft;
+}
+
+bool Relay::hasFloor() const
+{
+    if (!m_options.mechanisms.floor)
+        return m_held.revision > Revision();
+    return m_provenAt && *m_provenAt > m_startedAt;
+}
+
+std::optional<HostId> Relay::parent() const
+{
+    return m_parent ? std::optional(m_parent->host) : std::nullopt;
+}
+
+std::vector<RelayOutput> Relay::takeOutputs()
+{
+    return std::exchange(m_outputs, {});
+}
+
+void Relay::emit(RelayEvent::Kind kind, const HostId& peer, ResultCode code, std::string_view reason,
+    std::string_view cause, Revision revision)
+{
+    m_outputs.emplace_back(RelayEvent { kind, peer, code, revision, std::string(reason), std::string(cause) });
+}
+
+void Relay::send(const HostId& host, RelayLink link, RelayMessage message)
+{
+    m_outputs.emplace_back(RelaySend { host, link, std::move(message) });
+}
+
+} // namespace dragonflylane
--- a/dragonflylane/Relay.h
+++ b/dragonflylane/Relay.h
@@ -41,10 +41,10 @@
     /// replacement is sought if it is no longer among them.
     void setCandidates(std::vector<ParentCandidate>, unsigned level, TimePoint now);
 
-    /// At control hosts: the committed state and the term it is derived from.
+    /// At control hosts: the committed state and the term it is derived from. A lower revision is refused.
     void setLocal(Revision, Digest, Term, TimePoint now);
     /// At control hosts: a time at which no committed revision was newer than the one given to `setLocal`, from an
-    /// answer that a leader with a quorum gave to a question asked then. None withdraws the proof.
+    /// answer that a leader with a quorum gave to a question asked then. None adds nothing; the earlier proof ages.
     void setProof(std::optional<TimePoint>, TimePoint now);
 
     void connected(const HostId&, TimePoint now);
@@ -81,15 +81,24 @@
         uint32_t session { 0 };
         TimePoint startedAt;
         bool isConnected { false };
+        bool isLeaving { false };
+        /// The attempt was not needed; a preferred candidate was tried.
+        bool isImprovement { false };
         uint64_t lastTimestamp { 0 };
         TimePoint heardAt;
         TimePoint heartbeatAt;
+        /// Freshness is demanded from this time on: adoption, or the end of a pause of this process.
+        TimePoint freshSince;
         /// Newest proof time that the parent has shown, whether or not the own state qualifies for it.
         std::optional<TimePoint> proof;
+        /// Values that the parent stated last; it leaves them out while they do not change.
         Term term;
         HeldState stated;
+        /// What this host reported last.
         HeldState reported;
-        std::optional<RevisionRefusal> refused;
+        AckSummary reportedSummary;
+        bool staleTermReported { false };
+        std::optional<HeldState> mismatchReported;
         std::optional<TimePoint> snapshotRequestedAt;
         std::string reason;
         std::string cause;
@@ -104,76 +113,93 @@
         RelayPayload::Kind inFlight { RelayPayload::Kind::None };
         HeldState inFlightTo;
         bool wantsSnapshot { false };
+        /// State that the child refused last; it is offered again at `retryAt`, or never if it is invalid.
         std::optional<HeldState> refused;
-        TimePoint refusedAt;
-        /// Values last sent in this session, which are left out until they change.
+        TimePoint retryAt;
+        /// Values sent last in this session, left out until they change.
         std::optional<Term> sentTerm;
         std::optional<HeldState> sentHeld;
     };
 
-    // Parent side of this host's own sessions.
+    // The own session with a parent.
+    std::string_view reasonForNewParent(TimePoint now) const;
+    TimePoint staleAt(const Upstream&) const;
+    bool isFresh(const Upstream&, TimePoint now) const;
+    Upstream* upstream(const HostId&, uint32_t session);
+    std::optional<size_t> candidateIndex(const HostId&) const;
+    std::optional<size_t> nextCandidate(TimePoint now) const;
+    Duration backoffDelay();
+    Duration backoffCeiling() const;
     void scheduleAttempt(std::string_view reason, std::string_view cause, TimePoint now);
-    void startAttempt(TimePoint now);
-    void failAttempt(ResultCode, std::string_view cause, Duration retryAfter, TimePoint now);
-    void loseParent(ResultCode, std::string_view reason, std::string_view cause, TimePoint now);
+    void runScheduledAttempt(TimePoint now);
+    void startAttempt(size_t candidate, std::string_view reason, std::string_view cause, TimePoint now);
+    void failSession(Upstream&, ResultCode, std::string_view reason, Duration retryAfter, TimePoint now);
+    void failAttempt(ResultCode, std::string_view reason, Duration retryAfter, TimePoint now);
+    void loseParent(ResultCode, std::string_view reason, Duration retryAfter, TimePoint now);
     bool shouldAdopt(const Upstream&, TimePoint now) const;
     void adoptAttempt(TimePoint now);
-    void closeUpstream(Upstream&);
+    void closeUpstream(const Upstream&);
     void checkParent(TimePoint now);
-    void sendHeartbeat(Upstream&, bool withSummary, TimePoint now);
+    void tryBetterCandidate(TimePoint now);
+    uint64_t timestamp(Upstream&, TimePoint now);
+    void sendQuestion(Upstream&, TimePoint now);
+    void sendReport(Upstream&, RelayChildHeartbeat, TimePoint now);
+    TimePoint reportDueAt() const;
     void considerReport(TimePoint now);
-    Duration staleLimit() const;
-    bool isFresh(const Upstream&, TimePoint now) const;
-    Upstream* upstream(const HostId&, uint32_t session);
-    std::optional<size_t> nextCandidate(TimePoint now) const;
-    Duration backoffDelay();
-    bool parentIsFirstChoice() const;
 
-    void receiveAttach(const HostId& from, const RelayAttach&, TimePoint now);
-    void receiveChildHeartbeat(const HostId& from, const RelayChildHeartbeat&, TimePoint now);
-    void receiveDetach(const HostId& from, const RelayDetach&, TimePoint now);
-    void receiveParentHeartbeat(const HostId& from, const RelayParentHeartbeat&, TimePoint now);
-    void receiveRefusal(const HostId& from, const RelayRefusal&, TimePoint now);
-    void receiveLeaving(const HostId& from, const RelayLeaving&, TimePoint now);
+    void receive(const HostId& from, const RelayAttach&, TimePoint now);
+    void receive(const HostId& from, const RelayChildHeartbeat&, TimePoint now);
+    void receive(const HostId& from, const RelayDetach&, TimePoint now);
+    void receive(const HostId& from, const RelayParentHeartbeat&, TimePoint now);
+    void receive(const HostId& from, const RelayRefusal&, TimePoint now);
+    void receive(const HostId& from, const RelayLeaving&, TimePoint now);
 
+    bool refusesTerm(Upstream&, const RelayParentHeartbeat&, TimePoint now);
     void applyPayload(Upstream&, const RelayPayload&, TimePoint now);
-    void requestSnapshot(Upstream&, TimePoint now);
-    void reportDigestMismatch(Upstream&, const HeldState& theirs, TimePoint now);
+    void refuseRevision(Upstream&, const RelayPayload&, const std::error_code&, TimePoint now);
+    void checkDigest(Upstream&, TimePoint now);
+    void requestSnapshot(Upstream&, std::optional<RevisionRefusal>, TimePoint now);
+    void alignHeartbeat(Upstream&, const RelayParentHeartbeat&, TimePoint now);
     void learnProof(const Upstream&, TimePoint now);
     void advanceProof(TimePoint proof, TimePoint now);
 
     // Children.
-    void refuseChild(const HostId&, uint32_t session, ResultCode, Duration retryAfter, std::string_view cause);
-    void dropChild(const HostId&, ResultCode, std::string_view cause, TimePoint now);
+    void refuseChild(const HostId&, uint32_t session, ResultCode, Duration retryAfter);
+    void dropChild(const HostId&, ResultCode, std::string_view reason, TimePoint now);
     bool needsPayload(const Child&, TimePoint now) const;
-    /// Sends a payload if the child needs one and may have it, else the state if `always` is set.
-    void serveChild(const HostId&, Child&, bool always, TimePoint now);
+    bool mayHaveSnapshot() const;
+    /// Sends a payload if the child needs one and may have it; otherwise answers if `isQuestion`.
+    void serveChild(const HostId&, Child&, bool isQuestion, TimePoint now);
     RelayParentHeartbeat heartbeatFor(Child&, TimePoint now);
     const RelayPayload& payloadFor(const HeldState&);
     void pushToChildren(TimePoint now);
+    Revision lowestHeld() const;
 
     void noteActivity(TimePoint now);
-    void emit(
-        RelayEvent::Kind, const HostId& peer, ResultCode, Revision, std::string_view reason, std::string_view cause);
+    void finishLeaving(TimePoint now);
+    void emit(RelayEvent::Kind, const HostId& peer, ResultCode, std::string_view reason, std::string_view cause,
+        Revision = {});
     void send(const HostId&, RelayLink, RelayMessage);
 
     RelayOptions m_options;
     RelayCounters m_counters;
     TimePoint m_startedAt;
+    /// Time of the last input.
     TimePoint m_now;
     std::mt19937_64 m_random;
     uint32_t m_nextSession;
 
     HeldState m_held;
+    TimePoint m_heldSince;
     Term m_term;
     std::optional<TimePoint> m_provenAt;
-    /// When the proof last advanced; children time their heartbeats by it.
+    /// When the proof last advanced by a good part of an interval; children time their heartbeats by it.
     TimePoint m_provenSince;
 
     std::vector<ParentCandidate> m_candidates;
     unsigned m_level { 1 };
     std::map<HostId, TimePoint> m_notBefore;
-    size_t m_nextCandidate { 0 };
+    size_t m_cursor { 0 };
     std::unique_ptr<Upstream> m_parent;
     std::unique_ptr<Upstream> m_attempt;
     std::optional<TimePoint> m_attemptAt;
@@ -184,11 +210,10 @@
 
     std::map<HostId, Child> m_children;
     std::optional<RevisionRefusal> m_refusal;
-    AckSummary m_reported;
     bool m_summaryChanged { false };
     TimePoint m_reportedAt;
 
-    /// Payload made last, shared by children that hold the same state.
+    /// The payload made last and the pair (child's state, own state) that it is for.
     std::optional<std::pair<HeldState, HeldState>> m_cachedFor;
     RelayPayload m_cached;
 
--- a/dragonflylane/RelayMessages.h
+++ b/dragonflylane/RelayMessages.h
@@ -82,7 +82,8 @@
     bool operator==(const RelayAttach&) const = default;
 };
 
-/// Child to parent: heartbeat, acknowledgement, or both.
+/// Child to parent. Without any of the optional fields it is a question, which the parent answers at once; with them it
+/// is a report, which is not answered.
 struct RelayChildHeartbeat {
     uint32_t session { 0 };
     uint64_t timestamp { 0 };
