Declare the decisions of the request path

Cause: the Asio tasks of the request path are written against these interfaces at the same time as the decisions themselves. Ruled out: waiting for the implementations, which would serialise the work. Before: no request path.

--- /dev/null
+++ b/dragonflylane/DuplicateRecords.h
@@ -0,0 +1,139 @@
+#pragma once
+
+// Keeper side of duplicate records (5.4): which idempotency keys have been claimed, and the answers to finished ones.
+//
+//     DuplicateRecords records({ .self = host }, now);
+//     records.setNoView(now);              // the proved configuration has no keeper view yet
+//     records.setView(view, now);          // from each new picture
+//     records.receive(from, message, now);
+//     for (ClaimSend& send : records.takeOutputs()) ...
+//
+// Invariants: a key that has a record is not granted again before the retention time since its claim has passed; a
+// record is never evicted earlier, so a full table refuses new keys. A keeper grants a key only if it has every record
+// of it that a majority of the key's keepers may have made:
+//   * within an epoch that it has seen begin, it has them itself;
+//   * in a new epoch, after records came from enough of the key's previous keepers to meet every majority of them;
+//   * after a restart with empty memory, after records came from all other keepers of the key, asked at least
+//     claimTimeout after the start;
+//   * otherwise once the retention time has passed.
+// A call must end within the retention time of its claim. claim and finish cost O(log records + keeper hosts).
+
+#include "dragonflylane/BootClock.h"
+#include "dragonflylane/ClaimMessages.h"
+#include "dragonflylane/Ids.h"
+#include "dragonflylane/KeeperSelection.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace dragonflylane {
+
+struct DuplicateRecordsOptions {
+    HostId self;
+    Duration retention { std::chrono::minutes(10) };
+    /// At about 300 bytes a record, 32,768 records take 10 MB of the daemon's 32 MB.
+    size_t maxRecords { 32768 };
+    /// Sum of the stored answers; further answers are recorded without content.
+    size_t maxAnswerBytes { 4U << 20U };
+    Duration transferRetry { std::chrono::milliseconds(500) };
+    Duration settleTime { claimTimeout };
+
+    // Switches that disable a mechanism for a test.
+    bool waitAfterRestart { true };
+    bool waitInNewEpoch { true };
+    bool fenceEpochs { true };
+    bool settleAfterRestart { true };
+};
+
+class DuplicateRecords {
+public:
+    DuplicateRecords(DuplicateRecordsOptions, TimePoint now);
+
+    /// The proved current configuration has no keeper view, so no record can exist. Call only with a floor.
+    void setNoView();
+    /// Takes the view of a new picture. Older and equal epochs are ignored.
+    void setView(const KeeperView&, TimePoint now);
+
+    void receive(const HostId& from, const ClaimMessage&, TimePoint now);
+    /// Expires records and repeats transfer requests.
+    void tick(TimePoint now);
+    std::optional<TimePoint> nextWakeup() const;
+    std::vector<ClaimSend> takeOutputs();
+
+    /// True if this keeper grants every key of its own without waiting.
+    bool isComplete(TimePoint now) const;
+    /// True if this keeper can decide on the key.
+    bool isReadyFor(std::string_view key, TimePoint now) const;
+    size_t size() const { return m_records.size(); }
+    size_t answerBytes() const { return m_answerBytes; }
+
+private:
+    struct Record {
+        RecordState state { RecordState::Running };
+        std::vector<ClaimId> claims;
+        std::string answer;
+        std::multimap<TimePoint, const std::string*>::iterator expiry;
+    };
+    using Records = std::map<std::string, Record, std::less<>>;
+
+    /// Where the knowledge of earlier records comes from.
+    enum class Origin : uint8_t {
+        /// Saw the epoch begin and was complete before, or no record can exist.
+        Complete,
+        /// Saw the epoch begin; takes records from the previous keepers.
+        NewEpoch,
+        /// Lost its memory or missed an epoch; takes records from the other keepers.
+        Restart,
+    };
+
+    /// A transfer from one peer.
+    struct Transfer {
+        uint64_t number { 0 };
+        std::string afterKey;
+        TimePoint nextRequestAt;
+        bool isDone { false };
+    };
+
+    void handle(const HostId& from, const ClaimRequest&, TimePoint now);
+    void handle(const HostId& from, const ClaimRelease&, TimePoint now);
+    void handle(const HostId& from, const ClaimFinish&, TimePoint now);
+    void handle(const HostId& from, const TransferRequest&, TimePoint now);
+    void handle(const HostId& from, const TransferChunk&, TimePoint now);
+    ClaimReply answerClaim(const ClaimRequest&, TimePoint now);
+    ClaimReply describe(const ClaimRequest&, const Record&) const;
+    Records::iterator insert(const std::string& key, TimePoint claimedAt);
+    void erase(Records::iterator);
+    void setAnswer(Record&, std::string answer);
+    void merge(const DuplicateRecord&, TimePoint now);
+    void expire(TimePoint now);
+    bool isFull() const { return m_records.size() >= m_options.maxRecords; }
+    bool isWaiting(TimePoint now) const;
+    void startTransfers(TimePoint now);
+    void requestChunk(const HostId&, Transfer&, TimePoint now);
+    bool hasTransferFrom(const HostId&) const;
+    bool wasCompleteInPreviousEpoch() const { return m_selfCountsInPrevious; }
+    void send(const HostId& to, ClaimMessage);
+
+    DuplicateRecordsOptions m_options;
+    Records m_records;
+    std::multimap<TimePoint, const std::string*> m_expiry;
+    size_t m_answerBytes { 0 };
+
+    std::optional<KeeperView> m_view;
+    std::optional<KeeperView> m_previousView;
+    bool m_hadNoView { false };
+    Origin m_origin { Origin::Restart };
+    bool m_selfCountsInPrevious { false };
+    TimePoint m_startedAt;
+    /// From then on every record that could be missing has expired.
+    TimePoint m_waitUntil;
+    uint64_t m_nextTransfer { 1 };
+    std::map<HostId, Transfer> m_transfers;
+    std::vector<ClaimSend> m_outputs;
+};
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/OwnerAdmission.h
@@ -0,0 +1,197 @@
+#pragma once
+
+// Admission of calls at the owner daemon, the only process that talks to its upstream.
+//
+//     OwnerAdmission admission({ .slots = 12 });
+//     AdmitDecision decision = admission.offer(ticket, now);  // admit now, queue, or refuse with a code
+//     ...
+//     AdmissionChanges changes = admission.finished(ticket.id, CallOutcome::Success, now);
+//     // changes.handOver: forward these now; changes.refused: answer these callers with the code
+//
+// Invariants: never more calls run than the upstream has slots; no call is handed over at or after its deadline; every
+// ticket that was admitted or queued leaves exactly once, by finished(), cancel() or a refusal. All refusals carry
+// codes that mean "not run". Costs O(queue) per call; the queue holds at most one ticket per slot.
+
+#include "dragonflylane/BootClock.h"
+#include "dragonflylane/ResultCode.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace dragonflylane {
+
+/// One call that asks for a slot of the upstream.
+struct CallTicket {
+    /// Unique among the tickets that are queued or running.
+    uint64_t id { 0 };
+    /// Orders and renewals; all other calls are lookups.
+    bool isOrder { false };
+    /// The fingerprint was in flight when an upstream died (5.5).
+    bool isSuspect { false };
+    TimePoint deadline;
+};
+
+enum class AdmitAction : uint8_t {
+    Admit,
+    Queue,
+    Refuse,
+};
+
+/// Answer to an offered ticket; the code is Ok unless the ticket is refused.
+struct AdmitDecision {
+    AdmitAction action { AdmitAction::Refuse };
+    ResultCode code { ResultCode::Ok };
+};
+
+/// How a call that was handed over ended.
+enum class CallOutcome : uint8_t {
+    Success,
+    Failure,
+    Shed,
+    Timeout,
+    Cancelled,
+};
+
+struct RefusedTicket {
+    CallTicket ticket;
+    ResultCode code { ResultCode::Ok };
+};
+
+/// Queued tickets that leave the queue.
+struct AdmissionChanges {
+    std::vector<CallTicket> handOver;
+    std::vector<RefusedTicket> refused;
+};
+
+/// Attached to answers so that entry daemons can correct their choices.
+struct LoadReport {
+    uint32_t running { 0 };
+    uint32_t queued { 0 };
+    uint32_t limit { 0 };
+    /// Mean over both classes; zero before the first answer.
+    Duration serviceTime { 0 };
+};
+
+struct OwnerAdmissionOptions {
+    uint32_t slots { 12 };
+    /// Queue capacity as a multiple of the slots.
+    double queuePerSlot { 1.0 };
+    /// Share of the slots and of the queue that is kept for orders, and the one that is kept for lookups. Each
+    /// reservation is rounded down to at least one and holds only while its class is in use.
+    double orderShare { 0.25 };
+    double lookupShare { 0.25 };
+    /// A class counts as in use for this long after its last offer.
+    Duration classIdleAfter { std::chrono::seconds(10) };
+    /// Factor of the limit after a shed answer.
+    double decreaseFactor { 0.7 };
+    /// Growth of the limit over as many successes as the limit is high.
+    double increaseStep { 1.0 };
+    /// Weight of a new sample in the service time estimate.
+    double estimateWeight { 0.1 };
+    /// Without new samples the estimate halves in this time, so that one slow period cannot refuse all calls for ever.
+    Duration estimateHalfLife { std::chrono::seconds(1) };
+
+    // Switches that disable a mechanism for a test.
+    bool adaptLimit { true };
+    bool refuseLate { true };
+    bool reserveShares { true };
+    bool limitSuspects { true };
+    bool orderByDeadline { true };
+};
+
+class OwnerAdmission {
+public:
+    explicit OwnerAdmission(OwnerAdmissionOptions);
+
+    /// Refusals: DeadlineExceeded, WouldMissDeadline, QueueFull, SuspectAlreadyRunning, UpstreamDraining,
+    /// DaemonLeaving, NoUpstream (no slots).
+    AdmitDecision offer(const CallTicket&, TimePoint now);
+    /// A call that was handed over has ended. Unknown ids are ignored.
+    AdmissionChanges finished(uint64_t id, CallOutcome, TimePoint now);
+    /// Removes a queued ticket; true if it was queued. A running call is cancelled at the upstream and then finished().
+    bool cancel(uint64_t id);
+    /// Updates the mark after a crash report or a clear for a ticket that is queued or running.
+    AdmissionChanges setSuspect(uint64_t id, bool isSuspect, TimePoint now);
+
+    /// New number of slots, from the announcement of the upstream. Zero stops handing over.
+    AdmissionChanges setSlots(uint32_t slots, TimePoint now);
+    /// While draining, new tickets are refused; queued and running ones finish.
+    void setDraining(bool isDraining) { m_isDraining = isDraining; }
+    /// The daemon shuts down: as draining, with the code DaemonLeaving.
+    void setLeaving() { m_isLeaving = true; }
+    /// Refuses all queued tickets with this code, after the upstream died or was replaced.
+    std::vector<RefusedTicket> refuseQueued(ResultCode);
+
+    /// Expires queued tickets.
+    AdmissionChanges tick(TimePoint now);
+    /// Earliest deadline in the queue.
+    std::optional<TimePoint> nextWakeup() const;
+
+    bool isIdle() const { return m_running.empty() && queuedCount() == 0; }
+    bool isDraining() const { return m_isDraining; }
+    LoadReport load(TimePoint now) const;
+    /// Estimate for one class; zero before its first answer.
+    Duration serviceTime(bool isOrder, TimePoint now) const;
+
+private:
+    struct RunningCall {
+        TimePoint startedAt;
+        bool isOrder { false };
+        bool isSuspect { false };
+    };
+
+    /// Exponentially weighted mean of the service time of one class.
+    struct Estimate {
+        double nanoseconds { 0 };
+        TimePoint updatedAt;
+        bool hasSample { false };
+    };
+
+    /// State of lookups (index 0) or orders (index 1).
+    struct CallClass {
+        std::vector<CallTicket> queue;
+        uint32_t running { 0 };
+        /// Work handed over divided by the share; the class with the lower value is served next.
+        double virtualTime { 0 };
+        std::optional<TimePoint> lastOfferAt;
+        Estimate estimate;
+    };
+
+    static size_t classIndex(bool isOrder) { return isOrder ? 1 : 0; }
+    CallClass& classOf(bool isOrder) { return m_classes[classIndex(isOrder)]; }
+    const CallClass& classOf(bool isOrder) const { return m_classes[classIndex(isOrder)]; }
+    double shareOf(bool isOrder) const;
+    uint32_t limit() const;
+    uint32_t queueCapacity() const;
+    uint32_t queuedCount() const;
+    bool isInUse(bool isOrder, TimePoint now) const;
+    uint32_t reserved(bool isOrder, uint32_t total, TimePoint now) const;
+    bool mayRun(bool isOrder, TimePoint now) const;
+    bool suspectRuns() const { return m_suspectsRunning > 0; }
+    bool suspectQueued() const;
+    Duration expectedWait(const CallTicket&, TimePoint now) const;
+    ResultCode lateness(const CallTicket&, Duration wait, TimePoint now) const;
+    void enqueue(const CallTicket&);
+    void start(const CallTicket&, TimePoint now);
+    std::optional<size_t> nextIndex(bool isOrder) const;
+    std::optional<bool> nextClass(TimePoint now) const;
+    void expire(AdmissionChanges&, TimePoint now);
+    void handOver(AdmissionChanges&, TimePoint now);
+    void learn(const RunningCall&, CallOutcome, TimePoint now);
+    void lowerLimit(const RunningCall&, TimePoint now);
+    void raiseLimit();
+
+    OwnerAdmissionOptions m_options;
+    double m_limit { 0 };
+    std::optional<TimePoint> m_limitLoweredAt;
+    std::array<CallClass, 2> m_classes;
+    std::unordered_map<uint64_t, RunningCall> m_running;
+    uint32_t m_suspectsRunning { 0 };
+    bool m_isDraining { false };
+    bool m_isLeaving { false };
+};
+
+} // namespace dragonflylane
