Implement the decisions of the request path

Cause: the request path had headers only. Ruled out: a claim that a majority grants although a restarted keeper has forgotten an earlier grant (it copies records only after every claim it could have granted is decided); ordering clears of crash reports by time (a clear names the deaths it removes, so the order of arrival does not matter).

--- a/dragonflylane/ClaimCoordinator.h
+++ b/dragonflylane/ClaimCoordinator.h
@@ -9,8 +9,8 @@
 //     coordinator.finish(callId, answer, now);          // or finishUnknown(), or abandon() if nothing was handed over
 //
 // The task calls handedOver() before it sends any byte of the request to an owner. abandon() releases a claim only
-// if that has not happened; proved "not run" refusals by owners are reported with notRun(). Claims of one call are
-// tracked until the keepers have acknowledged the end or the resends are used up.
+// if that has not happened; proved "not run" refusals by owners are reported with notRun(). The end of a claim is sent
+// again until the keepers have acknowledged the end or the resends are used up.
 
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/ClaimMessages.h"
@@ -24,6 +24,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -104,7 +105,6 @@
     /// A release or finish that some keepers have not acknowledged.
     struct Closing {
         ClaimMessage message;
-        std::string key;
         std::set<HostId> waiting;
         uint32_t sends { 0 };
         TimePoint nextSendAt;
@@ -114,9 +114,8 @@
     void handleReply(const HostId& from, const ClaimReply&, TimePoint now);
     void handleAck(const HostId& from, const ClaimAck&);
     void refuse(uint64_t call, ResultCode, std::string answer, TimePoint now);
-    void release(const Call&, TimePoint now);
     void close(const Call&, ClaimMessage, TimePoint now);
-    void sendClosing(Closing&, TimePoint now);
+    void sendClosing(uint64_t number, TimePoint now);
     void forget(uint64_t call);
 
     ClaimCoordinatorOptions m_options;
@@ -127,6 +126,8 @@
     std::map<uint64_t, Closing> m_closing;
     /// Times at which asking calls fail.
     std::set<std::pair<TimePoint, uint64_t>> m_timeouts;
+    /// Times at which closing claims are sent again.
+    std::set<std::pair<TimePoint, uint64_t>> m_resends;
     std::vector<ClaimOutput> m_outputs;
 };
 
--- /dev/null
+++ b/dragonflylane/DuplicateRecords.cpp
@@ -0,0 +1,384 @@
+#include "dragonflylane/DuplicateRecords.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflylane {
+
+namespace {
+
+    // Bounds the time that one transfer request takes at the sender.
+    constexpr size_t maxRecordsScanned = 1024;
+
+    // Transfers start at a number that grows with time, so two lives of one host do not use the same numbers.
+    uint64_t firstTransferNumber(TimePoint now)
+    {
+        return static_cast<uint64_t>(now.time_since_epoch().count());
+    }
+
+    bool contains(const std::vector<HostId>& hosts, const HostId& host)
+    {
+        return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+    }
+
+} // namespace
+
+DuplicateRecords::DuplicateRecords(DuplicateRecordsOptions options, TimePoint now)
+    : m_options(std::move(options))
+    , m_waitUntil(now + m_options.retention)
+    , m_nextTransfer(firstTransferNumber(now))
+{
+}
+
+void DuplicateRecords::setNoView()
+{
+    m_hadNoView = !m_view;
+}
+
+void DuplicateRecords::setView(const KeeperView& view, TimePoint now)
+{
+    if (m_view && view.epoch <= m_view->epoch)
+        return;
+    constexpr Epoch firstEpoch { 1 };
+    bool wasComplete = m_view && m_view->contains(m_options.self) && isComplete(now);
+    bool isFirstView = !m_view && m_hadNoView && view.epoch == firstEpoch;
+    bool isNext = m_view && view.epoch == m_view->epoch.next();
+
+    m_previousView = std::exchange(m_view, view);
+    m_selfCountsInPrevious = isNext && wasComplete;
+    m_waitUntil = now + m_options.retention;
+    m_transfers.clear();
+    if (isFirstView) {
+        m_origin = Origin::Complete;
+    } else if (isNext) {
+        m_origin = Origin::NewEpoch;
+        startTransfers(*m_previousView, now);
+    } else {
+        m_origin = Origin::Restart;
+        startTransfers(*m_view, m_options.settleAfterRestart ? now + m_options.settleTime : now);
+    }
+}
+
+void DuplicateRecords::receive(const HostId& from, const ClaimMessage& message, TimePoint now)
+{
+    expire(now);
+    std::visit(
+        [&](const auto& part) {
+            if constexpr (requires { handle(from, part, now); })
+                handle(from, part, now);
+        },
+        message);
+}
+
+void DuplicateRecords::tick(TimePoint now)
+{
+    expire(now);
+    if (isComplete(now)) {
+        m_transfers.clear();
+        m_origin = Origin::Complete;
+        return;
+    }
+    for (auto& [host, transfer] : m_transfers) {
+        if (!transfer.isDone && transfer.nextRequestAt <= now)
+            requestChunk(host, transfer, now);
+    }
+}
+
+std::optional<TimePoint> DuplicateRecords::nextWakeup() const
+{
+    std::optional<TimePoint> wakeup;
+    auto consider = [&wakeup](TimePoint time) { wakeup = wakeup ? std::min(*wakeup, time) : time; };
+    if (!m_expiry.empty())
+        consider(m_expiry.begin()->first);
+    if (m_view && m_origin != Origin::Complete)
+        consider(m_waitUntil);
+    for (const auto& [host, transfer] : m_transfers) {
+        if (!transfer.isDone)
+            consider(transfer.nextRequestAt);
+    }
+    return wakeup;
+}
+
+std::vector<ClaimSend> DuplicateRecords::takeOutputs()
+{
+    return std::exchange(m_outputs, {});
+}
+
+bool DuplicateRecords::isComplete(TimePoint now) const
+{
+    if (!m_view)
+        return false;
+    if (m_origin == Origin::Complete || now >= m_waitUntil)
+        return true;
+    auto done = static_cast<size_t>(std::count_if(
+        m_transfers.begin(), m_transfers.end(), [](const auto& transfer) { return transfer.second.isDone; }));
+    if (m_origin == Origin::Restart)
+        return !m_options.waitAfterRestart || (!m_transfers.empty() && done == m_transfers.size());
+    // All but one of the previous hosts, that is, two of any three.
+    size_t hosts = m_previousView->hosts.size();
+    done += m_selfCountsInPrevious ? 1 : 0;
+    return !m_options.waitInNewEpoch || (hosts > 0 && done >= std::max<size_t>(1, hosts - 1));
+}
+
+bool DuplicateRecords::isReadyFor(std::string_view key, TimePoint now) const
+{
+    if (!m_view)
+        return false;
+    std::vector<HostId> keepers = keepersOf(key, *m_view);
+    if (!contains(keepers, m_options.self))
+        return false;
+    if (isComplete(now))
+        return true;
+    if (m_origin == Origin::Restart)
+        return hasMetMajorities(keepers, false);
+    return hasMetMajorities(keepersOf(key, *m_previousView), m_selfCountsInPrevious);
+}
+
+// A set of keepers meets every majority if too few are left outside it to form one.
+bool DuplicateRecords::hasMetMajorities(const std::vector<HostId>& keepers, bool selfCounts) const
+{
+    auto known = static_cast<size_t>(std::count_if(keepers.begin(), keepers.end(),
+        [&](const HostId& host) { return host == m_options.self ? selfCounts : hasTransferFrom(host); }));
+    return !keepers.empty() && keepers.size() - known < majorityOf(keepers.size());
+}
+
+void DuplicateRecords::handle(const HostId& from, const ClaimRequest& request, TimePoint now)
+{
+    send(from, answerClaim(request, now));
+}
+
+ClaimReply DuplicateRecords::answerClaim(const ClaimRequest& request, TimePoint now)
+{
+    auto refuse = [&request](ResultCode code) { return ClaimReply { request.id, ClaimStatus::Refused, code, {} }; };
+    if (request.key.empty() || request.key.size() > maxClaimKeyBytes)
+        return refuse(ResultCode::MalformedRequest);
+    auto found = m_records.find(request.key);
+    // An earlier claim is reported in any epoch and before the keeper is complete, since it is certain.
+    bool isOwn = found != m_records.end() && found->second.state == RecordState::Running
+        && found->second.claims == std::vector { request.id };
+    if (found != m_records.end() && !isOwn)
+        return describe(request, found->second);
+    if (!m_view || (m_options.fenceEpochs && request.epoch != m_view->epoch))
+        return refuse(ResultCode::EpochMismatch);
+    if (!isReadyFor(request.key, now))
+        return refuse(ResultCode::KeeperNotReady);
+    if (!isOwn) {
+        if (isFull())
+            return refuse(ResultCode::DuplicateTableFull);
+        insert(request.key, now)->second.claims.push_back(request.id);
+    }
+    return { request.id, ClaimStatus::Granted, ResultCode::Ok, {} };
+}
+
+ClaimReply DuplicateRecords::describe(const ClaimRequest& request, const Record& record) const
+{
+    switch (record.state) {
+    case RecordState::Running:
+        return { request.id, ClaimStatus::Running, ResultCode::DuplicateRunning, {} };
+    case RecordState::Finished:
+        return { request.id, ClaimStatus::Finished, ResultCode::Ok, record.answer };
+    case RecordState::Unknown:
+        break;
+    }
+    return { request.id, ClaimStatus::Unknown, ResultCode::DuplicateUnknown, {} };
+}
+
+void DuplicateRecords::handle(const HostId& from, const ClaimRelease& release, TimePoint /* now */)
+{
+    send(from, ClaimAck { release.id });
+    auto found = m_records.find(release.key);
+    if (found == m_records.end() || found->second.state != RecordState::Running)
+        return;
+    if (std::erase(found->second.claims, release.id) && found->second.claims.empty())
+        erase(found);
+}
+
+// Only a coordinator that had a majority sends a finish, so it replaces a claim that never got one.
+void DuplicateRecords::handle(const HostId& from, const ClaimFinish& finish, TimePoint now)
+{
+    send(from, ClaimAck { finish.id });
+    if (finish.key.empty() || finish.key.size() > maxClaimKeyBytes)
+        return;
+    auto found = m_records.find(finish.key);
+    if (found == m_records.end()) {
+        if (isFull())
+            return;
+        found = insert(finish.key, now);
+    }
+    Record& record = found->second;
+    if (record.state == RecordState::Finished)
+        return;
+    record.claims = { finish.id };
+    record.state = RecordState::Unknown;
+    if (finish.hasAnswer)
+        setAnswer(record, finish.answer);
+}
+
+void DuplicateRecords::handle(const HostId& from, const TransferRequest& request, TimePoint now)
+{
+    // Having entered the epoch, this keeper grants nothing in an older one, so the records it sends are final for it.
+    if (!m_view || request.epoch != m_view->epoch)
+        return;
+    bool isOwnComplete = request.purpose == TransferPurpose::NewEpoch ? m_selfCountsInPrevious : isComplete(now);
+    TransferChunk chunk;
+    if (isOwnComplete)
+        chunk = makeChunk(from, request, now);
+    chunk.isComplete = isOwnComplete;
+    chunk.epoch = request.epoch;
+    chunk.purpose = request.purpose;
+    chunk.transfer = request.transfer;
+    send(from, std::move(chunk));
+}
+
+TransferChunk DuplicateRecords::makeChunk(const HostId& requester, const TransferRequest& request, TimePoint now) const
+{
+    TransferChunk chunk;
+    chunk.afterKey = request.afterKey;
+    auto next = m_records.upper_bound(request.afterKey);
+    for (size_t scanned = 0; next != m_records.end(); ++next, ++scanned) {
+        if (scanned == maxRecordsScanned || chunk.records.size() == maxRecordsPerChunk)
+            return chunk;
+        chunk.afterKey = next->first;
+        if (!contains(keepersOf(next->first, *m_view), requester))
+            continue;
+        const Record& record = next->second;
+        Duration age = m_options.retention - (record.expiry->first - now);
+        chunk.records.push_back({ next->first, record.state, record.claims, record.answer, age });
+    }
+    chunk.isLast = true;
+    return chunk;
+}
+
+void DuplicateRecords::handle(const HostId& from, const TransferChunk& chunk, TimePoint now)
+{
+    auto found = m_transfers.find(from);
+    if (!m_view || chunk.epoch != m_view->epoch || found == m_transfers.end())
+        return;
+    Transfer& transfer = found->second;
+    if (transfer.isDone || chunk.transfer != transfer.number)
+        return;
+    if (!chunk.isComplete) {
+        restartTransfer(transfer, now);
+        return;
+    }
+    // Anything but the last chunk moves on; a duplicate of an earlier one does not.
+    if (!chunk.isLast && chunk.afterKey <= transfer.afterKey)
+        return;
+    for (const DuplicateRecord& record : chunk.records) {
+        if (!merge(record, now)) {
+            restartTransfer(transfer, now);
+            return;
+        }
+    }
+    transfer.afterKey = chunk.afterKey;
+    transfer.isDone = chunk.isLast;
+    if (!transfer.isDone)
+        requestChunk(from, transfer, now);
+}
+
+DuplicateRecords::Records::iterator DuplicateRecords::insert(const std::string& key, TimePoint claimedAt)
+{
+    auto inserted = m_records.try_emplace(key).first;
+    inserted->second.expiry = m_expiry.emplace(claimedAt + m_options.retention, &inserted->first);
+    return inserted;
+}
+
+void DuplicateRecords::erase(Records::iterator record)
+{
+    m_answerBytes -= record->second.answer.size();
+    m_expiry.erase(record->second.expiry);
+    m_records.erase(record);
+}
+
+// Without room for the content the outcome of a resend is reported as unknown.
+void DuplicateRecords::setAnswer(Record& record, std::string answer)
+{
+    bool fits = answer.size() <= maxStoredAnswerBytes && m_answerBytes + answer.size() <= m_options.maxAnswerBytes;
+    if (!fits) {
+        record.state = RecordState::Unknown;
+        return;
+    }
+    m_answerBytes += answer.size();
+    record.state = RecordState::Finished;
+    record.answer = std::move(answer);
+    record.answer.shrink_to_fit();
+}
+
+/// Returns false if the record has no room; the transfer then does not count.
+bool DuplicateRecords::merge(const DuplicateRecord& copy, TimePoint now)
+{
+    if (copy.age >= m_options.retention)
+        return true;
+    auto found = m_records.find(copy.key);
+    if (found == m_records.end()) {
+        if (isFull())
+            return false;
+        found = insert(copy.key, now - copy.age);
+    }
+    Record& record = found->second;
+    if (record.state == RecordState::Finished)
+        return true;
+    if (copy.state == RecordState::Finished) {
+        record.claims = copy.claims;
+        setAnswer(record, copy.answer);
+        return true;
+    }
+    // A release by one coordinator must not remove the claim of another, so all claims are kept.
+    for (const ClaimId& id : copy.claims) {
+        if (std::find(record.claims.begin(), record.claims.end(), id) == record.claims.end())
+            record.claims.push_back(id);
+    }
+    if (copy.state == RecordState::Unknown)
+        record.state = RecordState::Unknown;
+    if (record.claims.size() > maxClaimsPerRecord) {
+        record.claims.resize(maxClaimsPerRecord);
+        record.state = RecordState::Unknown;
+    }
+    return true;
+}
+
+void DuplicateRecords::expire(TimePoint now)
+{
+    while (!m_expiry.empty() && m_expiry.begin()->first <= now)
+        erase(m_records.find(*m_expiry.begin()->second));
+}
+
+void DuplicateRecords::startTransfers(const KeeperView& sources, TimePoint firstRequestAt)
+{
+    if (!m_view->contains(m_options.self))
+        return;
+    for (const KeeperHost& source : sources.hosts) {
+        if (source.host == m_options.self)
+            continue;
+        Transfer& transfer = m_transfers[source.host];
+        transfer.number = m_nextTransfer++;
+        transfer.nextRequestAt = firstRequestAt;
+    }
+}
+
+void DuplicateRecords::requestChunk(const HostId& host, Transfer& transfer, TimePoint now)
+{
+    transfer.nextRequestAt = now + m_options.transferRetry;
+    TransferPurpose purpose = m_origin == Origin::Restart ? TransferPurpose::Restart : TransferPurpose::NewEpoch;
+    send(host, TransferRequest { m_view->epoch, purpose, transfer.number, transfer.afterKey });
+}
+
+void DuplicateRecords::restartTransfer(Transfer& transfer, TimePoint now)
+{
+    transfer.number = m_nextTransfer++;
+    transfer.afterKey.clear();
+    transfer.nextRequestAt = now + m_options.transferRetry;
+}
+
+bool DuplicateRecords::hasTransferFrom(const HostId& host) const
+{
+    auto found = m_transfers.find(host);
+    return found != m_transfers.end() && found->second.isDone;
+}
+
+void DuplicateRecords::send(const HostId& to, ClaimMessage message)
+{
+    m_outputs.push_back({ to, std::move(message) });
+}
+
+} // namespace dragonflylane
--- a/dragonflylane/DuplicateRecords.h
+++ b/dragonflylane/DuplicateRecords.h
@@ -13,8 +13,8 @@
 // of it that a majority of the key's keepers may have made:
 //   * within an epoch that it has seen begin, it has them itself;
 //   * in a new epoch, after records came from enough of the key's previous keepers to meet every majority of them;
-//   * after a restart with empty memory, after records came from all other keepers of the key, asked at least
-//     claimTimeout after the start;
+//   * after a restart with empty memory, after records came from the key's other keepers, asked only after every claim
+//     that it granted before the crash has been decided;
 //   * otherwise once the retention time has passed.
 // A call must end within the retention time of its claim. claim and finish cost O(log records + keeper hosts).
 
@@ -40,7 +40,9 @@
     /// Sum of the stored answers; further answers are recorded without content.
     size_t maxAnswerBytes { 4U << 20U };
     Duration transferRetry { std::chrono::milliseconds(500) };
-    Duration settleTime { claimTimeout };
+    /// Time after a restart before records are copied; twice the time in which a claim that the keeper granted before
+    /// the crash is decided, which leaves room for clocks that run at different rates.
+    Duration settleTime { 2 * claimTimeout };
 
     // Switches that disable a mechanism for a test.
     bool waitAfterRestart { true };
@@ -108,14 +110,15 @@
     Records::iterator insert(const std::string& key, TimePoint claimedAt);
     void erase(Records::iterator);
     void setAnswer(Record&, std::string answer);
-    void merge(const DuplicateRecord&, TimePoint now);
+    bool merge(const DuplicateRecord&, TimePoint now);
     void expire(TimePoint now);
     bool isFull() const { return m_records.size() >= m_options.maxRecords; }
-    bool isWaiting(TimePoint now) const;
-    void startTransfers(TimePoint now);
+    void startTransfers(const KeeperView& sources, TimePoint firstRequestAt);
+    bool hasMetMajorities(const std::vector<HostId>& keepers, bool selfCounts) const;
     void requestChunk(const HostId&, Transfer&, TimePoint now);
+    void restartTransfer(Transfer&, TimePoint now);
     bool hasTransferFrom(const HostId&) const;
-    bool wasCompleteInPreviousEpoch() const { return m_selfCountsInPrevious; }
+    TransferChunk makeChunk(const HostId& requester, const TransferRequest&, TimePoint now) const;
     void send(const HostId& to, ClaimMessage);
 
     DuplicateRecordsOptions m_options;
@@ -128,9 +131,9 @@
     bool m_hadNoView { false };
     Origin m_origin { Origin::Restart };
     bool m_selfCountsInPrevious { false };
-    TimePoint m_startedAt;
     /// From then on every record that could be missing has expired.
     TimePoint m_waitUntil;
+    /// Unique across restarts, so that a chunk sent to an earlier life is ignored.
     uint64_t m_nextTransfer { 1 };
     std::map<HostId, Transfer> m_transfers;
     std::vector<ClaimSend> m_outputs;
--- /dev/null
+++ b/dragonflylane/UpstreamSelector.cpp
@@ -0,0 +1,327 @@
+#include "dragonflylane/UpstreamSelector.h"
+
+#include "dragonflylane/Digest.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <utility>
+
+namespace dragonflylane {
+
+namespace {
+
+    // Picks by index until one is usable; then the tier is scanned. Bounds the cost of choose().
+    constexpr int maxSamples = 8;
+
+    struct RankedCandidate {
+        uint64_t hash { 0 };
+        size_t index { 0 };
+    };
+
+    struct RankedDataCentre {
+        bool isOwn { false };
+        bool isOwnRegion { false };
+        uint64_t hash { 0 };
+        std::vector<RankedCandidate> members;
+        size_t taken { 0 };
+    };
+
+    bool takeNext(RankedDataCentre& dataCentre, std::vector<size_t>& subset)
+    {
+        if (dataCentre.taken == dataCentre.members.size())
+            return false;
+        subset.push_back(dataCentre.members[dataCentre.taken].index);
+        ++dataCentre.taken;
+        return true;
+    }
+
+} // namespace
+
+UpstreamSelector::UpstreamSelector(UpstreamSelectorOptions options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+{
+}
+
+void UpstreamSelector::rebuild(std::span<const UpstreamCandidate> candidates, TimePoint /* now */)
+{
+    std::vector<Entry> entries;
+    std::unordered_map<UpstreamId, size_t> index;
+    for (auto& tier : m_tiers)
+        tier.clear();
+    for (size_t chosen : chooseSubset(candidates)) {
+        const UpstreamCandidate& candidate = candidates[chosen];
+        if (!index.emplace(candidate.id, entries.size()).second)
+            continue;
+        Entry entry;
+        auto known = m_index.find(candidate.id);
+        if (known != m_index.end() && m_entries[known->second].candidate.owner == candidate.owner)
+            entry = std::move(m_entries[known->second]);
+        else
+            entry.number = m_nextNumber++;
+        entry.candidate = candidate;
+        entry.tier = tierOf(candidate);
+        m_tiers[entry.tier].push_back(entries.size());
+        entries.push_back(std::move(entry));
+    }
+    m_entries = std::move(entries);
+    m_index = std::move(index);
+}
+
+std::optional<Choice> UpstreamSelector::choose(std::span<const HostId> tried, TimePoint now)
+{
+    std::optional<size_t> best;
+    double bestLoad = 0;
+    for (size_t tier = 0; tier < tierCount; ++tier) {
+        std::optional<size_t> found = chooseInTier(tier, tried, now);
+        if (!found)
+            continue;
+        double load = loadPerSlot(m_entries[*found], now);
+        if (!best || load < bestLoad) {
+            best = found;
+            bestLoad = load;
+        }
+        if (load < m_options.spillLoad)
+            break;
+    }
+    if (!best)
+        best = lastResort(tried, now);
+    if (!best)
+        return std::nullopt;
+    Entry& entry = m_entries[*best];
+    ++entry.outstanding;
+    return Choice { entry.candidate.id, entry.candidate.owner, entry.number };
+}
+
+void UpstreamSelector::finished(
+    const Choice& choice, SelectionOutcome outcome, const std::optional<LoadReport>& report, TimePoint now)
+{
+    auto found = m_index.find(choice.upstream);
+    if (found == m_index.end() || m_entries[found->second].number != choice.entry)
+        return;
+    Entry& entry = m_entries[found->second];
+    if (entry.outstanding > 0)
+        --entry.outstanding;
+    if (report) {
+        double reported = static_cast<double>(report->running) + report->queued;
+        entry.foreignLoad = std::max(0.0, reported - entry.outstanding);
+        entry.reportedLimit = report->limit;
+        entry.reportedAt = now;
+    }
+    switch (outcome) {
+    case SelectionOutcome::Success:
+        entry.failures = 0;
+        if (entry.ejections > 0)
+            --entry.ejections;
+        break;
+    case SelectionOutcome::Failure:
+    case SelectionOutcome::Timeout:
+        ++entry.failures;
+        if (entry.failures >= m_options.ejectAfter)
+            eject(entry, now);
+        break;
+    case SelectionOutcome::Unavailable:
+        entry.unavailableUntil = now + m_options.unavailableFor;
+        break;
+    case SelectionOutcome::Refused:
+    case SelectionOutcome::Ignored:
+        break;
+    }
+}
+
+std::vector<UpstreamId> UpstreamSelector::subset() const
+{
+    std::vector<UpstreamId> ids;
+    ids.reserve(m_entries.size());
+    for (const Entry& entry : m_entries)
+        ids.push_back(entry.candidate.id);
+    return ids;
+}
+
+bool UpstreamSelector::isEjected(const UpstreamId& id, TimePoint now) const
+{
+    auto found = m_index.find(id);
+    return found != m_index.end() && m_entries[found->second].ejectedUntil > now;
+}
+
+uint32_t UpstreamSelector::outstanding(const UpstreamId& id) const
+{
+    auto found = m_index.find(id);
+    return found == m_index.end() ? 0 : m_entries[found->second].outstanding;
+}
+
+size_t UpstreamSelector::tierOf(const UpstreamCandidate& candidate) const
+{
+    if (!m_options.preferNear || candidate.dataCentre == m_options.dataCentre)
+        return 0;
+    return candidate.region == m_options.region ? 1 : 2;
+}
+
+// The own data centre first gets its share; the others are then taken in turn, so that a lost data centre or a switch
+// takes only a part of the subset; the own one fills what is left.
+std::vector<size_t> UpstreamSelector::chooseSubset(std::span<const UpstreamCandidate> candidates) const
+{
+    uint64_t seed = stableHash(m_options.self.value());
+    std::map<DataCentreName, RankedDataCentre> grouped;
+    for (size_t i = 0; i < candidates.size(); ++i) {
+        const UpstreamCandidate& candidate = candidates[i];
+        if (!candidate.isReady || candidate.slots == 0)
+            continue;
+        RankedDataCentre& dataCentre = grouped[candidate.dataCentre];
+        dataCentre.isOwn = candidate.dataCentre == m_options.dataCentre;
+        dataCentre.isOwnRegion = candidate.region == m_options.region;
+        dataCentre.members.push_back({ stableHash(candidate.id.value(), seed), i });
+    }
+    std::vector<RankedDataCentre> order;
+    for (auto& [name, dataCentre] : grouped) {
+        dataCentre.hash = stableHash(name.value(), seed);
+        size_t kept = std::min(dataCentre.members.size(), m_options.subsetSize);
+        std::partial_sort(dataCentre.members.begin(), dataCentre.members.begin() + static_cast<std::ptrdiff_t>(kept),
+            dataCentre.members.end(),
+            [](const RankedCandidate& a, const RankedCandidate& b) { return a.hash > b.hash; });
+        dataCentre.members.resize(kept);
+        order.push_back(std::move(dataCentre));
+    }
+    std::sort(order.begin(), order.end(), [](const RankedDataCentre& a, const RankedDataCentre& b) {
+        if (a.isOwn != b.isOwn)
+            return a.isOwn;
+        if (a.isOwnRegion != b.isOwnRegion)
+            return a.isOwnRegion;
+        return a.hash > b.hash;
+    });
+
+    std::vector<size_t> subset;
+    auto nearCount = static_cast<size_t>(std::ceil(m_options.nearShare * static_cast<double>(m_options.subsetSize)));
+    if (!order.empty() && order.front().isOwn) {
+        while (subset.size() < nearCount && takeNext(order.front(), subset)) { }
+    }
+    bool progress = true;
+    while (progress && subset.size() < m_options.subsetSize) {
+        progress = false;
+        for (RankedDataCentre& dataCentre : order) {
+            if (dataCentre.isOwn || subset.size() >= m_options.subsetSize)
+                continue;
+            progress |= takeNext(dataCentre, subset);
+        }
+    }
+    if (!order.empty() && order.front().isOwn) {
+        while (subset.size() < m_options.subsetSize && takeNext(order.front(), subset)) { }
+    }
+    return subset;
+}
+
+double UpstreamSelector::weight(const Entry& entry, TimePoint now) const
+{
+    Duration age = now - entry.candidate.readySince;
+    if (!m_options.slowStartEnabled || age >= m_options.slowStart)
+        return 1;
+    double share = static_cast<double>(age.count()) / static_cast<double>(m_options.slowStart.count());
+    return std::max(m_options.slowStartFloor, share);
+}
+
+double UpstreamSelector::loadPerSlot(const Entry& entry, TimePoint now) const
+{
+    double load = entry.outstanding;
+    double capacity = entry.candidate.slots;
+    if (m_options.useReports && entry.reportedAt) {
+        double age = static_cast<double>((now - *entry.reportedAt).count());
+        double share = std::exp2(-age / static_cast<double>(m_options.reportHalfLife.count()));
+        load += entry.foreignLoad * share;
+        double limit = std::min<double>(entry.reportedLimit, capacity);
+        capacity -= (capacity - limit) * share;
+    }
+    return load / std::max(1.0, capacity);
+}
+
+bool UpstreamSelector::isUsable(const Entry& entry, std::span<const HostId> tried, TimePoint now) const
+{
+    if (entry.ejectedUntil > now || entry.unavailableUntil > now)
+        return false;
+    return std::find(tried.begin(), tried.end(), entry.candidate.owner) == tried.end();
+}
+
+// An upstream in slow start is passed over at random, which gives it its part of the traffic at any load.
+std::optional<size_t> UpstreamSelector::sample(size_t tier, std::span<const HostId> tried, TimePoint now)
+{
+    const std::vector<size_t>& members = m_tiers[tier];
+    if (members.empty())
+        return std::nullopt;
+    for (int i = 0; i < maxSamples; ++i) {
+        size_t index = members[randomBelow(members.size())];
+        const Entry& entry = m_entries[index];
+        if (!isUsable(entry, tried, now))
+            continue;
+        double share = weight(entry, now);
+        if (share >= 1 || random() < share)
+            return index;
+    }
+    size_t start = randomBelow(members.size());
+    for (size_t i = 0; i < members.size(); ++i) {
+        size_t index = members[(start + i) % members.size()];
+        if (isUsable(m_entries[index], tried, now))
+            return index;
+    }
+    return std::nullopt;
+}
+
+std::optional<size_t> UpstreamSelector::chooseInTier(size_t tier, std::span<const HostId> tried, TimePoint now)
+{
+    std::optional<size_t> first = sample(tier, tried, now);
+    if (!first || !m_options.twoChoices || m_tiers[tier].size() < 2)
+        return first;
+    std::optional<size_t> second = sample(tier, tried, now);
+    if (second == first)
+        second = sample(tier, tried, now);
+    return loadPerSlot(m_entries[*second], now) < loadPerSlot(m_entries[*first], now) ? second : first;
+}
+
+// If only ejected upstreams are left, a likely failure is better than a certain one.
+std::optional<size_t> UpstreamSelector::lastResort(std::span<const HostId> tried, TimePoint now) const
+{
+    std::optional<size_t> best;
+    for (size_t i = 0; i < m_entries.size(); ++i) {
+        const Entry& entry = m_entries[i];
+        if (entry.unavailableUntil > now)
+            continue;
+        if (std::find(tried.begin(), tried.end(), entry.candidate.owner) != tried.end())
+            continue;
+        if (!best || entry.outstanding < m_entries[*best].outstanding)
+            best = i;
+    }
+    return best;
+}
+
+size_t UpstreamSelector::ejectedCount(TimePoint now) const
+{
+    return static_cast<size_t>(std::count_if(
+        m_entries.begin(), m_entries.end(), [now](const Entry& entry) { return entry.ejectedUntil > now; }));
+}
+
+void UpstreamSelector::eject(Entry& entry, TimePoint now)
+{
+    if (!m_options.ejectOutliers || entry.ejectedUntil > now)
+        return;
+    auto allowed = static_cast<size_t>(m_options.maxEjectedShare * static_cast<double>(m_entries.size()));
+    if (ejectedCount(now) >= allowed)
+        return;
+    // Doubles with each ejection that follows without a success in between.
+    constexpr uint32_t maxDoublings = 8;
+    Duration time = m_options.ejection * (1 << std::min(entry.ejections, maxDoublings));
+    entry.ejectedUntil = now + std::min(time, m_options.maxEjection);
+    ++entry.ejections;
+    // One failure after the return ejects it again.
+    entry.failures = m_options.ejectAfter - 1;
+}
+
+double UpstreamSelector::random()
+{
+    return std::uniform_real_distribution<double>(0, 1)(m_random);
+}
+
+size_t UpstreamSelector::randomBelow(size_t bound)
+{
+    return static_cast<size_t>(m_random() % bound);
+}
+
+} // namespace dragonflylane
--- a/dragonflylane/UpstreamSelector.h
+++ b/dragonflylane/UpstreamSelector.h
@@ -129,7 +129,7 @@
     bool isUsable(const Entry&, std::span<const HostId> tried, TimePoint now) const;
     std::optional<size_t> sample(size_t tier, std::span<const HostId> tried, TimePoint now);
     std::optional<size_t> chooseInTier(size_t tier, std::span<const HostId> tried, TimePoint now);
-    std::optional<size_t> lastResort(std::span<const HostId> tried) const;
+    std::optional<size_t> lastResort(std::span<const HostId> tried, TimePoint now) const;
     size_t ejectedCount(TimePoint now) const;
     void eject(Entry&, TimePoint now);
     double random();
