--- /dev/null
+++ b/dragonflylane/CallHeaders.cpp
@@ -0,0 +1,101 @@
+#include "dragonflylane/CallHeaders.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace dragonflylane {
+
+namespace {
+
+    constexpr size_t maxKeyBytes = 128;
+    constexpr size_t maxRequestIdBytes = 96;
+    constexpr uint64_t maxTimeoutMilliseconds = 600'000;
+
+    bool parseNumber(std::string_view text, uint64_t max, uint64_t& value)
+    {
+        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        return error == std::errc() && end == text.data() + text.size() && value <= max;
+    }
+
+    bool isRequestId(std::string_view text)
+    {
+        if (text.empty() || text.size() > maxRequestIdBytes)
+            return false;
+        return std::all_of(text.begin(), text.end(),
+            [](unsigned char c) { return std::isalnum(c) || c == '.' || c == '_' || c == '-'; });
+    }
+
+} // namespace
+
+std::error_code parseCallHeaders(const HttpRequest& request, CallHeaders& headers)
+{
+    headers = {};
+    std::string_view caller = request.header("Dragonflylane-Caller");
+    headers.caller = ServiceName(caller.empty() ? clientServiceName : std::string(caller));
+    headers.key = IdempotencyKey(std::string(request.header("Idempotency-Key")));
+    if (headers.key.value().size() > maxKeyBytes)
+        return ResultCode::RequestTooLarge;
+    if (std::string_view text = request.header("Dragonflylane-Deadline-Ms"); !text.empty()) {
+        uint64_t milliseconds = 0;
+        if (!parseNumber(text, maxTimeoutMilliseconds, milliseconds))
+            return ResultCode::MalformedRequest;
+        headers.timeout = std::chrono::milliseconds(milliseconds);
+    }
+    if (std::string_view text = request.header("Dragonflylane-Hops"); !text.empty()) {
+        uint64_t hops = 0;
+        if (!parseNumber(text, UINT32_MAX, hops))
+            return ResultCode::MalformedRequest;
+        headers.hops = static_cast<uint32_t>(hops);
+    }
+    std::string_view id = request.header("Dragonflylane-Request-Id");
+    if (isRequestId(id))
+        headers.requestId = RequestId(std::string(id));
+    headers.isTransferred = !request.header("Dragonflylane-Transferred").empty();
+    return {};
+}
+
+unsigned httpStatus(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::NoRoute:
+        return 404;
+    case ResultCode::CallerNotAllowed:
+        return 403;
+    case ResultCode::MalformedRequest:
+        return 400;
+    case ResultCode::RequestTooLarge:
+        return 413;
+    case ResultCode::RequestTimeout:
+        return 408;
+    case ResultCode::TooManyHops:
+        return 508;
+    case ResultCode::DuplicateRunning:
+        return 409;
+    case ResultCode::DeadlineExceeded:
+    case ResultCode::UpstreamTimeout:
+        return 504;
+    case ResultCode::OwnerLost:
+    case ResultCode::UpstreamLost:
+    case ResultCode::AnswerTruncated:
+    case ResultCode::AnswerTooLarge:
+    case ResultCode::MalformedAnswer:
+    case ResultCode::DuplicateUnknown:
+        return 502;
+    default:
+        return 503;
+    }
+}
+
+HttpResponse makeRefusal(ResultCode code, const RequestId& id)
+{
+    HttpResponse response { .status = httpStatus(code) };
+    bool isNotRun = runState(code) == RunState::NotRun;
+    response.headers = { { "Dragonflylane-Code", std::to_string(static_cast<unsigned>(code)) },
+        { "Dragonflylane-Run", isNotRun ? "not-run" : "unknown" }, { "Content-Type", "text/plain" } };
+    if (!id.isEmpty())
+        response.headers.push_back({ "Dragonflylane-Request-Id", id.value() });
+    response.body = std::string(message(code)) + "\n";
+    return response;
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/EntryService.h
@@ -0,0 +1,47 @@
+#pragma once
+
+// What an entry daemon keeps for each service that it calls: the upstreams to choose from and the retry budget.
+
+#include "dragonflylane/Picture.h"
+#include "dragonflylane/RetryPolicy.h"
+#include "dragonflylane/UpstreamSelector.h"
+
+#include <map>
+#include <memory>
+
+namespace dragonflylane {
+
+struct EntryServiceOptions {
+    HostId self;
+    DataCentreName dataCentre;
+    RegionName region;
+    uint64_t seed { 1 };
+};
+
+/// Selector and retry policy of one service.
+class EntryService {
+public:
+    EntryService(const EntryServiceOptions&, TimePoint now);
+
+    /// Takes the service of a new picture. Does nothing if it is the same object as before.
+    void setService(std::shared_ptr<const PictureService>, TimePoint now);
+
+    UpstreamSelector& selector() { return m_selector; }
+    RetryPolicy& policy() { return m_policy; }
+    /// Never null for a choice of selector().
+    const UpstreamEntry* find(const UpstreamId& id) const { return m_service->find(id); }
+    uint32_t maxAttempts() const { return m_service->maxAttempts; }
+
+private:
+    struct Seen {
+        Incarnation incarnation;
+        TimePoint readySince;
+    };
+
+    UpstreamSelector m_selector;
+    RetryPolicy m_policy;
+    std::shared_ptr<const PictureService> m_service;
+    std::map<UpstreamId, Seen> m_seen;
+};
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/EntryTask.cpp
@@ -0,0 +1,679 @@
+#include "dragonflylane/EntryTask.h"
+
+#include "dragonflylane/ClaimTask.h"
+#include "dragonflylane/CrashTask.h"
+#include "dragonflylane/EntryCall.h"
+#include "dragonflylane/EntryService.h"
+#include "dragonflylane/Fingerprint.h"
+#include "dragonflylane/ForwardWire.h"
+#include "dragonflylane/Journal.h"
+#include "dragonflylane/Metrics.h"
+#include "dragonflylane/OwnerTask.h"
+#include "dragonflylane/PeerHub.h"
+#include "dragonflylane/Wire.h"
+#include "gen-cpp/peer_types.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <set>
+#include <unordered_map>
+
+namespace dragonflylane {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    using CallPtr = std::shared_ptr<EntryCall>;
+
+    SelectionOutcome selectionOutcome(ResultCode code)
+    {
+        switch (code) {
+        case ResultCode::Ok:
+            return SelectionOutcome::Success;
+        case ResultCode::UpstreamTimeout:
+            return SelectionOutcome::Timeout;
+        case ResultCode::QueueFull:
+        case ResultCode::WouldMissDeadline:
+        case ResultCode::UpstreamShed:
+        case ResultCode::SuspectAlreadyRunning:
+            return SelectionOutcome::Refused;
+        case ResultCode::UpstreamDraining:
+        case ResultCode::DaemonLeaving:
+        case ResultCode::UpstreamChanged:
+        case ResultCode::UpstreamUnreachable:
+            return SelectionOutcome::Unavailable;
+        case ResultCode::DeadlineExceeded:
+        case ResultCode::RequestQuarantined:
+        case ResultCode::CallerGone:
+            return SelectionOutcome::Ignored;
+        default:
+            return SelectionOutcome::Failure;
+        }
+    }
+
+    LoadReport loadReport(const wire::ForwardResponse& response)
+    {
+        return { .running = static_cast<uint32_t>(response.running),
+            .queued = static_cast<uint32_t>(response.queued),
+            .limit = static_cast<uint32_t>(response.limit),
+            .serviceTime = std::chrono::microseconds(response.serviceMicroseconds) };
+    }
+
+} // namespace
+
+class EntryTask::Impl : public std::enable_shared_from_this<EntryTask::Impl> {
+public:
+    Impl(asio::io_context& context, EntryTaskOptions options, Parts parts, Hooks hooks)
+        : m_context(context)
+        , m_options(std::move(options))
+        , m_parts(parts)
+        , m_hooks(std::move(hooks))
+        , m_picture(std::make_shared<Picture>())
+    {
+    }
+
+    void start()
+    {
+        m_parts.hub.subscribe(FrameKind::ForwardRequest, [this](const PeerFrame& frame) { serveForward(frame); });
+        m_parts.hub.subscribe(FrameKind::ForwardCancel, [this](const PeerFrame& frame) { serveCancel(frame); });
+        m_parts.hub.subscribe(FrameKind::ForwardResponse, [this](const PeerFrame& frame) { takeResponse(frame); });
+        m_parts.hub.subscribe(FrameKind::CallTransfer, [this](const PeerFrame& frame) { serveTransfer(frame); });
+        m_parts.hub.subscribeLinkDown([this](LinkId link, const HostId&) { linkDown(link); });
+    }
+
+    void setPicture(std::shared_ptr<const Picture> picture)
+    {
+        m_picture = std::move(picture);
+        TimePoint now = BootClock::now();
+        for (ServiceIndex index = 0; index < m_picture->serviceCount(); ++index) {
+            auto service = m_picture->sharedService(index);
+            auto& state = m_services[service->name];
+            if (!state)
+                state = std::make_unique<EntryService>(entryServiceOptions(service->name), now);
+            state->setService(std::move(service), now);
+        }
+    }
+
+    void leave() { m_isLeaving = true; }
+    bool isIdle() const { return m_calls.empty() && m_servedForwards.empty(); }
+
+    void handle(std::shared_ptr<HttpExchange> exchange)
+    {
+        auto call = std::make_shared<EntryCall>();
+        call->id = m_nextId++;
+        call->exchange = std::move(exchange);
+        call->deadline = call->exchange->received() + m_options.defaultTimeout;
+        m_calls.emplace(call->id, call);
+        std::error_code error = parseCallHeaders(call->exchange->request(), call->headers);
+        call->requestId = call->headers.requestId.isEmpty() ? makeRequestId(call->id) : call->headers.requestId;
+        if (error)
+            return refuse(call, resultCode(error));
+        call->exchange->setCancelHook([this, call] { cancelCall(call); });
+        admit(call);
+    }
+
+private:
+    // ---- read -> deadline -> route -> duplicate check -> quarantine ----
+
+    void admit(const CallPtr& call)
+    {
+        if (m_isLeaving)
+            return refuse(call, ResultCode::DaemonLeaving);
+        if (call->headers.hops >= m_options.maxHops)
+            return refuse(call, ResultCode::TooManyHops);
+        if (call->headers.timeout)
+            call->deadline = call->exchange->received() + *call->headers.timeout;
+        if (!m_hooks.hasFloor())
+            return transfer(call);
+        ResultCode code = route(call);
+        if (code != ResultCode::Ok)
+            return refuse(call, code);
+        m_deadlines.emplace(call->deadline + m_options.answerGrace, call->id);
+        armDeadlines();
+        const HttpRequest& request = call->exchange->request();
+        call->fingerprint = requestFingerprint(call->serviceName, request.method, request.target, request.body);
+        if (m_parts.crash.stateOf(call->fingerprint) == CrashState::Quarantined)
+            return refuse(call, ResultCode::RequestQuarantined);
+        if (call->isIdempotent || call->headers.key.isEmpty())
+            return attempt(call);
+        claim(call);
+    }
+
+    ResultCode route(const CallPtr& call)
+    {
+        const HttpRequest& request = call->exchange->request();
+        call->picture = m_picture;
+        const PictureRoute* route = m_picture->findRoute(request.target);
+        if (!route)
+            return ResultCode::NoRoute;
+        // A resend with the same key goes to the same part of a split.
+        const std::string& seed = call->headers.key.isEmpty() ? call->requestId.value() : call->headers.key.value();
+        call->service = route->select(stableHash(seed));
+        const PictureService& service = m_picture->service(call->service);
+        call->serviceName = service.name;
+        call->isIdempotent = route->isIdempotent(request.method);
+        if (!call->headers.timeout) {
+            auto timeout = m_picture->timeout(*route, call->service);
+            call->deadline = call->exchange->received() + (timeout.count() > 0 ? timeout : m_options.defaultTimeout);
+        }
+        if (!m_picture->mayCall(call->headers.caller.value(), call->service))
+            return ResultCode::CallerNotAllowed;
+        if (BootClock::now() >= call->deadline)
+            return ResultCode::DeadlineExceeded;
+        return ResultCode::Ok;
+    }
+
+    // The key is scoped by method and target instead of the service, because a plan that changes a split between a
+    // request and its resend must not make the resend look new.
+    void claim(const CallPtr& call)
+    {
+        const HttpRequest& request = call->exchange->request();
+        std::string key = claimKey(ServiceName(request.method + " " + request.target), call->headers.key);
+        m_parts.claims.claim(call->id, std::move(key), [this, call](const ClaimTask::Outcome& outcome) {
+            if (call->isFinished)
+                return;
+            if (outcome.isReplay)
+                return replay(call, outcome.answer);
+            if (outcome.code != ResultCode::Ok)
+                return refuse(call, outcome.code);
+            call->isClaimed = true;
+            attempt(call);
+        });
+    }
+
+    void replay(const CallPtr& call, const std::string& answer)
+    {
+        wire::ForwardResponse response;
+        if (!decodeThrift(answer, response))
+            return refuse(call, ResultCode::DuplicateUnknown);
+        HttpResponse http = toHttpResponse(std::move(response));
+        http.headers.push_back({ "Dragonflylane-Replayed", "true" });
+        m_parts.metrics.add("calls_replayed");
+        respond(call, ResultCode::Ok, std::move(http));
+    }
+
+    // ---- select -> owner admission -> forward ----
+
+    EntryService& serviceOf(const CallPtr& call) { return *m_services.at(call->serviceName); }
+
+    void attempt(const CallPtr& call)
+    {
+        if (call->isFinished)
+            return;
+        TimePoint now = BootClock::now();
+        if (now >= call->deadline)
+            return giveUp(call, ResultCode::DeadlineExceeded);
+        auto choice = serviceOf(call).selector().choose(call->tried, now);
+        if (!choice)
+            return giveUp(call, ResultCode::NoUpstream);
+        const UpstreamEntry* upstream = serviceOf(call).find(choice->upstream);
+        ++call->attempts;
+        call->tried.push_back(choice->owner);
+        EntryAttempt attempt { .id = m_nextId++, .choice = *choice, .startedAt = now };
+        call->open.push_back(attempt);
+        m_attempts.emplace(attempt.id, call);
+        wire::ForwardRequest request = makeForwardRequest(*call, attempt.id, *upstream, now);
+        if (call->isClaimed)
+            m_parts.claims.handedOver(call->id);
+        if (choice->owner == m_options.self)
+            forwardToSelf(call, attempt.id, std::move(request));
+        else
+            forwardToPeer(call, attempt.id, choice->owner, std::move(request));
+        if (call->attempts == 1)
+            scheduleHedge(call);
+    }
+
+    void forwardToSelf(const CallPtr& call, uint64_t attemptId, wire::ForwardRequest request)
+    {
+        if (EntryAttempt* attempt = findAttempt(*call, attemptId))
+            attempt->isSent = true;
+        uint64_t ownerCall = m_parts.owner.handle(std::move(request), [this](wire::ForwardResponse response) {
+            // The owner may answer within handle(), before the attempt is complete.
+            asio::post(m_context, [self = shared_from_this(), response = std::move(response)]() mutable {
+                self->finishAttempt(static_cast<uint64_t>(response.requestId), LinkId(), std::move(response));
+            });
+        });
+        if (EntryAttempt* attempt = findAttempt(*call, attemptId))
+            attempt->ownerCall = ownerCall;
+    }
+
+    void forwardToPeer(const CallPtr& call, uint64_t attemptId, const HostId& owner, wire::ForwardRequest request)
+    {
+        m_parts.hub.withLink(owner,
+            [self = shared_from_this(), call, attemptId, request = std::move(request)](
+                std::error_code error, LinkId link) mutable { self->send(call, attemptId, request, error, link); });
+    }
+
+    void send(
+        const CallPtr& call, uint64_t attemptId, wire::ForwardRequest& request, std::error_code error, LinkId link)
+    {
+        EntryAttempt* attempt = findAttempt(*call, attemptId);
+        if (!attempt)
+            return;
+        TimePoint now = BootClock::now();
+        request.remainingMicroseconds
+            = std::chrono::duration_cast<std::chrono::microseconds>(call->deadline - now).count();
+        attempt->link = link;
+        attempt->isSent = !error && m_parts.hub.send(link, FrameKind::ForwardRequest, encodeThrift(request));
+        if (attempt->isSent)
+            return;
+        finishAttempt(attemptId, link, makeResponse(attemptId, ResultCode::OwnerUnreachable));
+    }
+
+    void takeResponse(const PeerFrame& frame)
+    {
+        wire::ForwardResponse response;
+        if (!decodeThrift(frame.payload, response))
+            return m_parts.metrics.add("forward_malformed");
+        auto id = static_cast<uint64_t>(response.requestId);
+        if (auto transferred = m_transfers.find(id); transferred != m_transfers.end())
+            return finishTransfer(id, frame.link, std::move(response));
+        finishAttempt(id, frame.link, std::move(response));
+    }
+
+    void finishAttempt(uint64_t attemptId, LinkId link, wire::ForwardResponse response)
+    {
+        auto it = m_attempts.find(attemptId);
+        EntryAttempt* attempt = it == m_attempts.end() ? nullptr : findAttempt(*it->second, attemptId);
+        if (!attempt || attempt->link != link)
+            return m_parts.metrics.add("answers_late");
+        CallPtr call = it->second;
+        EntryAttempt done = *attempt;
+        std::erase_if(call->open, [&](const EntryAttempt& other) { return other.id == attemptId; });
+        m_attempts.erase(it);
+
+        TimePoint now = BootClock::now();
+        auto code = static_cast<ResultCode>(response.code);
+        std::optional<LoadReport> report;
+        if (response.limit > 0)
+            report = loadReport(response);
+        serviceOf(call).selector().finished(done.choice, selectionOutcome(code), report, now);
+        if (code == ResultCode::Ok) {
+            serviceOf(call).policy().recordSuccess(now - done.startedAt);
+            return answer(call, done, std::move(response));
+        }
+        decide(call, done, code, std::move(response), now);
+    }
+
+    void decide(
+        const CallPtr& call, const EntryAttempt& done, ResultCode code, wire::ForwardResponse response, TimePoint now)
+    {
+        if (runState(code) != RunState::NotRun)
+            call->earlierUnknown = code;
+        if (!call->open.empty())
+            return;
+        if (call->isClaimed && call->earlierUnknown == ResultCode::Ok)
+            m_parts.claims.notRun(call->id);
+        // The upstream's own refusal of an order is its answer; only idempotent calls try elsewhere.
+        bool isFinalShed = code == ResultCode::UpstreamShed && !call->isIdempotent;
+        RetryDecision decision;
+        if (!isFinalShed) {
+            decision = serviceOf(call).policy().decide({ .code = code,
+                                                           .isIdempotent = call->isIdempotent,
+                                                           .attempts = call->attempts,
+                                                           .remaining = call->deadline - now,
+                                                           .earlierUnknown = call->earlierUnknown,
+                                                           .maxAttempts = serviceOf(call).maxAttempts() },
+                now);
+        }
+        if (decision.isRetry) {
+            m_parts.metrics.countRetry(code);
+            return retryAfter(call, decision.delay);
+        }
+        if (code == ResultCode::UpstreamShed)
+            return answer(call, done, std::move(response));
+        refuse(call, isFinalShed ? code : decision.code);
+    }
+
+    void retryAfter(const CallPtr& call, Duration delay)
+    {
+        if (delay <= Duration::zero())
+            return attempt(call);
+        auto timer = std::make_shared<asio::steady_timer>(m_context, delay);
+        timer->async_wait([self = shared_from_this(), timer, call](boost::system::error_code) { self->attempt(call); });
+    }
+
+    void scheduleHedge(const CallPtr& call)
+    {
+        auto delay = serviceOf(call).policy().hedgeDelay(call->isIdempotent, call->deadline - BootClock::now());
+        if (!delay)
+            return;
+        auto timer = std::make_shared<asio::steady_timer>(m_context, *delay);
+        std::weak_ptr<EntryCall> weak = call;
+        timer->async_wait([self = shared_from_this(), timer, weak](boost::system::error_code) {
+            auto pending = weak.lock();
+            if (!pending || pending->isFinished || pending->open.size() != 1 || pending->attempts != 1)
+                return;
+            if (!self->serviceOf(pending).policy().tryHedge(BootClock::now()))
+                return;
+            self->m_parts.metrics.add("calls_hedged");
+            self->attempt(pending);
+        });
+    }
+
+    // ---- answer ----
+
+    void giveUp(const CallPtr& call, ResultCode code)
+    {
+        if (!call->open.empty())
+            return;
+        refuse(call, call->earlierUnknown != ResultCode::Ok ? call->earlierUnknown : code);
+    }
+
+    void answer(const CallPtr& call, const EntryAttempt& done, wire::ForwardResponse response)
+    {
+        auto code = static_cast<ResultCode>(response.code);
+        if (call->isClaimed) {
+            call->isClaimed = false;
+            m_parts.claims.finish(call->id, encodeThrift(response));
+        }
+        m_parts.journal.record({ .event = "call_answered",
+            .subjects = { call->requestId.value(), done.choice.upstream.value(), done.choice.owner.value() },
+            .cause = call->requestId.value(),
+            .code = code,
+            .detail = "attempts " + std::to_string(call->attempts) });
+        HttpResponse http = toHttpResponse(std::move(response));
+        http.headers.push_back({ "Dragonflylane-Request-Id", call->requestId.value() });
+        respond(call, code, std::move(http));
+    }
+
+    void refuse(const CallPtr& call, ResultCode code)
+    {
+        m_parts.journal.record({ .event = "call_refused",
+            .subjects = { call->requestId.value() },
+            .cause = call->requestId.value(),
+            .code = code,
+            .detail = "attempts " + std::to_string(call->attempts) });
+        respond(call, code, makeRefusal(code, call->requestId));
+    }
+
+    void respond(const CallPtr& call, ResultCode code, HttpResponse response)
+    {
+        m_parts.metrics.countCall(code);
+        m_parts.metrics.observe("call_latency", BootClock::now() - call->exchange->received());
+        finish(call);
+        call->exchange->respond(std::move(response));
+    }
+
+    void cancelCall(const CallPtr& call)
+    {
+        m_parts.metrics.countCall(ResultCode::CallerGone);
+        finish(call);
+    }
+
+    void finish(const CallPtr& call)
+    {
+        if (call->isFinished)
+            return;
+        call->isFinished = true;
+        call->exchange->setCancelHook(nullptr);
+        for (const EntryAttempt& attempt : call->open)
+            cancelAttempt(call, attempt);
+        call->open.clear();
+        closeClaim(call);
+        m_deadlines.erase({ call->deadline + m_options.answerGrace, call->id });
+        m_calls.erase(call->id);
+    }
+
+    void closeClaim(const CallPtr& call)
+    {
+        bool mayClaim = !call->headers.key.isEmpty() && !call->isIdempotent;
+        if (!mayClaim)
+            return;
+        if (call->isClaimed && call->earlierUnknown != ResultCode::Ok)
+            m_parts.claims.finishUnknown(call->id);
+        else
+            m_parts.claims.abandon(call->id);
+    }
+
+    void cancelAttempt(const CallPtr& call, const EntryAttempt& attempt)
+    {
+        m_attempts.erase(attempt.id);
+        if (attempt.isSent)
+            call->earlierUnknown = ResultCode::OwnerLost;
+        serviceOf(call).selector().finished(attempt.choice, SelectionOutcome::Ignored, std::nullopt, BootClock::now());
+        if (attempt.link == LinkId()) {
+            if (attempt.isSent)
+                m_parts.owner.cancel(attempt.ownerCall);
+            return;
+        }
+        wire::ForwardCancel cancel;
+        cancel.requestId = static_cast<int64_t>(attempt.id);
+        m_parts.hub.send(attempt.link, FrameKind::ForwardCancel, encodeThrift(cancel));
+    }
+
+    void expireCalls()
+    {
+        TimePoint now = BootClock::now();
+        while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+            CallPtr call = m_calls.at(m_deadlines.begin()->second);
+            bool wasSent = std::any_of(
+                call->open.begin(), call->open.end(), [](const EntryAttempt& attempt) { return attempt.isSent; });
+            if (wasSent)
+                call->earlierUnknown = ResultCode::UpstreamTimeout;
+            refuse(call, call->earlierUnknown != ResultCode::Ok ? call->earlierUnknown : ResultCode::DeadlineExceeded);
+        }
+        armDeadlines();
+    }
+
+    // Deadlines are checked every few milliseconds instead of with one timer a call.
+    void armDeadlines()
+    {
+        constexpr std::chrono::milliseconds resolution { 5 };
+        if (m_deadlines.empty() || m_isDeadlineArmed)
+            return;
+        m_isDeadlineArmed = true;
+        auto timer = std::make_shared<asio::steady_timer>(m_context, resolution);
+        timer->async_wait([weak = weak_from_this(), timer](boost::system::error_code) {
+            auto self = weak.lock();
+            if (!self)
+                return;
+            self->m_isDeadlineArmed = false;
+            self->expireCalls();
+        });
+    }
+
+    // An attempt on a broken connection may have reached the owner, so its outcome is unknown.
+    void linkDown(LinkId link)
+    {
+        std::vector<uint64_t> lost;
+        for (const auto& [id, call] : m_attempts) {
+            const EntryAttempt* attempt = findAttempt(*call, id);
+            if (attempt && attempt->link == link)
+                lost.push_back(id);
+        }
+        for (uint64_t id : lost)
+            finishAttempt(id, link, makeResponse(id, ResultCode::OwnerLost));
+        failTransfers(link);
+        dropServedForwards(link);
+    }
+
+    static EntryAttempt* findAttempt(EntryCall& call, uint64_t id)
+    {
+        for (EntryAttempt& attempt : call.open) {
+            if (attempt.id == id)
+                return &attempt;
+        }
+        return nullptr;
+    }
+
+    // ---- owner side of the frames ----
+
+    struct ServedForward {
+        LinkId link;
+        uint64_t ownerCall { 0 };
+    };
+
+    void serveForward(const PeerFrame& frame)
+    {
+        wire::ForwardRequest request;
+        if (!decodeThrift(frame.payload, request))
+            return m_parts.metrics.add("forward_malformed");
+        auto key = std::pair(frame.link, request.requestId);
+        m_servedForwards[key] = {};
+        uint64_t ownerCall
+            = m_parts.owner.handle(std::move(request), [this, key](const wire::ForwardResponse& response) {
+                  m_servedForwards.erase(key);
+                  m_parts.hub.send(key.first, FrameKind::ForwardResponse, encodeThrift(response));
+              });
+        if (auto it = m_servedForwards.find(key); it != m_servedForwards.end())
+            it->second = { frame.link, ownerCall };
+    }
+
+    void serveCancel(const PeerFrame& frame)
+    {
+        wire::ForwardCancel cancel;
+        if (!decodeThrift(frame.payload, cancel))
+            return m_parts.metrics.add("forward_malformed");
+        auto node = m_servedForwards.extract({ frame.link, cancel.requestId });
+        if (!node.empty())
+            m_parts.owner.cancel(node.mapped().ownerCall);
+    }
+
+    // The entry daemon is gone. Idempotent work is cancelled; an order that was handed over runs to its end.
+    void dropServedForwards(LinkId link)
+    {
+        std::erase_if(m_servedForwards, [link](const auto& item) { return item.first.first == link; });
+    }
+
+    // ---- hand-over of whole calls by a daemon without a floor ----
+
+    struct Transfer {
+        CallPtr call;
+        LinkId link;
+        HostId peer;
+    };
+
+    void transfer(const CallPtr& call)
+    {
+        HostId peer = call->headers.isTransferred ? HostId() : m_hooks.transferPeer(call->tried);
+        if (peer.isEmpty() || call->tried.size() >= maxTransferAttempts)
+            return refuse(call, ResultCode::NoFloor);
+        call->tried.push_back(peer);
+        uint64_t id = m_nextId++;
+        wire::CallTransfer message = makeTransfer(*call, id);
+        m_transfers.emplace(id, Transfer { call, LinkId(), peer });
+        m_parts.metrics.add("calls_transferred");
+        m_parts.hub.withLink(
+            peer, [self = shared_from_this(), id, message = std::move(message)](std::error_code error, LinkId link) {
+                auto it = self->m_transfers.find(id);
+                if (it == self->m_transfers.end())
+                    return;
+                it->second.link = link;
+                if (error || !self->m_parts.hub.send(link, FrameKind::CallTransfer, encodeThrift(message)))
+                    self->finishTransfer(id, link, makeResponse(id, ResultCode::OwnerUnreachable));
+            });
+        m_deadlines.emplace(call->deadline + m_options.answerGrace, call->id);
+        armDeadlines();
+    }
+
+    void finishTransfer(uint64_t id, LinkId link, wire::ForwardResponse response)
+    {
+        auto it = m_transfers.find(id);
+        if (it == m_transfers.end() || it->second.link != link)
+            return m_parts.metrics.add("answers_late");
+        CallPtr call = it->second.call;
+        m_transfers.erase(it);
+        if (call->isFinished)
+            return m_parts.metrics.add("answers_late");
+        auto code = static_cast<ResultCode>(response.code);
+        bool mayTryAnother
+            = code == ResultCode::NoFloor || code == ResultCode::OwnerUnreachable || code == ResultCode::DaemonLeaving;
+        if (mayTryAnother && BootClock::now() < call->deadline)
+            return transfer(call);
+        if (response.status == 0)
+            return refuse(call, code);
+        respond(call, code, toHttpResponse(std::move(response)));
+    }
+
+    void failTransfers(LinkId link)
+    {
+        std::vector<uint64_t> lost;
+        for (const auto& [id, pending] : m_transfers) {
+            if (pending.link == link)
+                lost.push_back(id);
+        }
+        for (uint64_t id : lost)
+            finishTransfer(id, link, makeResponse(id, ResultCode::OwnerLost));
+    }
+
+    void serveTransfer(const PeerFrame& frame)
+    {
+        wire::CallTransfer message;
+        if (!decodeThrift(frame.payload, message))
+            return m_parts.metrics.add("forward_malformed");
+        int64_t id = message.requestId;
+        auto exchange = std::make_shared<HttpExchange>(
+            toHttpRequest(std::move(message)), BootClock::now(), [this, id, link = frame.link](HttpResponse response) {
+                wire::ForwardResponse reply = toForwardResponse(std::move(response));
+                reply.requestId = id;
+                m_parts.hub.send(link, FrameKind::ForwardResponse, encodeThrift(reply));
+            });
+        handle(std::move(exchange));
+    }
+
+    // ---- helpers ----
+
+    EntryServiceOptions entryServiceOptions(const ServiceName& service)
+    {
+        return { .self = m_options.self,
+            .dataCentre = m_options.dataCentre,
+            .region = m_options.region,
+            .seed = m_options.life ^ stableHash(service.value()) };
+    }
+
+    RequestId makeRequestId(uint64_t id) const
+    {
+        char life[9];
+        std::snprintf(life, sizeof(life), "%08x", static_cast<unsigned>(m_options.life));
+        return RequestId(m_options.self.value() + "." + life + "." + std::to_string(id));
+    }
+
+    static constexpr size_t maxTransferAttempts = 3;
+
+    asio::io_context& m_context;
+    const EntryTaskOptions m_options;
+    Parts m_parts;
+    Hooks m_hooks;
+    std::shared_ptr<const Picture> m_picture;
+    std::unordered_map<ServiceName, std::unique_ptr<EntryService>> m_services;
+
+    uint64_t m_nextId { 1 };
+    std::unordered_map<uint64_t, CallPtr> m_calls;
+    std::unordered_map<uint64_t, CallPtr> m_attempts;
+    std::unordered_map<uint64_t, Transfer> m_transfers;
+    std::map<std::pair<LinkId, int64_t>, ServedForward> m_servedForwards;
+    std::set<std::pair<TimePoint, uint64_t>> m_deadlines;
+    bool m_isDeadlineArmed { false };
+    bool m_isLeaving { false };
+};
+
+EntryTask::EntryTask(asio::io_context& context, EntryTaskOptions options, Parts parts, Hooks hooks)
+    : m_impl(std::make_shared<Impl>(context, std::move(options), parts, std::move(hooks)))
+{
+}
+
+EntryTask::~EntryTask() = default;
+void EntryTask::start()
+{
+    m_impl->start();
+}
+void EntryTask::setPicture(std::shared_ptr<const Picture> picture)
+{
+    m_impl->setPicture(std::move(picture));
+}
+void EntryTask::handle(std::shared_ptr<HttpExchange> exchange)
+{
+    m_impl->handle(std::move(exchange));
+}
+void EntryTask::leave()
+{
+    m_impl->leave();
+}
+bool EntryTask::isIdle() const
+{
+    return m_impl->isIdle();
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/ForwardWire.cpp
@@ -0,0 +1,133 @@
+#include "dragonflylane/ForwardWire.h"
+
+#include "dragonflylane/EntryCall.h"
+
+#include <charconv>
+
+namespace dragonflylane {
+
+namespace {
+
+    std::vector<wire::Header> toWire(const std::vector<HttpHeader>& headers)
+    {
+        std::vector<wire::Header> converted;
+        converted.reserve(headers.size());
+        for (const HttpHeader& header : headers) {
+            if (isHopByHopHeader(header.name))
+                continue;
+            wire::Header wireHeader;
+            wireHeader.name = header.name;
+            wireHeader.value = header.value;
+            converted.push_back(std::move(wireHeader));
+        }
+        return converted;
+    }
+
+    std::vector<HttpHeader> fromWire(std::vector<wire::Header>& headers)
+    {
+        std::vector<HttpHeader> converted;
+        converted.reserve(headers.size());
+        for (wire::Header& header : headers)
+            converted.push_back({ std::move(header.name), std::move(header.value) });
+        return converted;
+    }
+
+    // Headers of ours that the owner daemon sets anew.
+    bool isRewritten(std::string_view name)
+    {
+        return equalsIgnoringCase(name, "Dragonflylane-Deadline-Ms") || equalsIgnoringCase(name, "Dragonflylane-Hops")
+            || equalsIgnoringCase(name, "Dragonflylane-Request-Id")
+            || equalsIgnoringCase(name, "Dragonflylane-Transferred");
+    }
+
+    int64_t microseconds(Duration duration)
+    {
+        return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+    }
+
+} // namespace
+
+wire::ForwardRequest makeForwardRequest(
+    const EntryCall& call, uint64_t attemptId, const UpstreamEntry& upstream, TimePoint now)
+{
+    const HttpRequest& source = call.exchange->request();
+    wire::ForwardRequest request;
+    request.requestId = static_cast<int64_t>(attemptId);
+    request.traceId = call.requestId.value();
+    request.serviceName = call.serviceName.value();
+    request.upstreamId = upstream.id.value();
+    request.upstreamIncarnation = static_cast<int64_t>(upstream.incarnation.value());
+    request.remainingMicroseconds = microseconds(call.deadline - now);
+    request.attempt = static_cast<int32_t>(call.attempts);
+    request.hops = static_cast<int32_t>(call.headers.hops + 1);
+    request.idempotent = call.isIdempotent;
+    request.order = !call.isIdempotent;
+    request.fingerprint = static_cast<int64_t>(call.fingerprint.value());
+    request.method = source.method;
+    request.target = source.target;
+    request.headers = toWire(source.headers);
+    std::erase_if(request.headers, [](const wire::Header& header) { return isRewritten(header.name); });
+    request.body = source.body;
+    return request;
+}
+
+wire::ForwardResponse makeResponse(uint64_t attemptId, ResultCode code)
+{
+    wire::ForwardResponse response;
+    response.requestId = static_cast<int64_t>(attemptId);
+    response.code = static_cast<int32_t>(code);
+    return response;
+}
+
+HttpResponse toHttpResponse(wire::ForwardResponse response)
+{
+    HttpResponse http { .status = static_cast<unsigned>(response.status) };
+    http.headers = fromWire(response.headers);
+    http.body = std::move(response.body);
+    return http;
+}
+
+wire::CallTransfer makeTransfer(const EntryCall& call, uint64_t id)
+{
+    const HttpRequest& source = call.exchange->request();
+    wire::CallTransfer message;
+    message.requestId = static_cast<int64_t>(id);
+    message.traceId = call.requestId.value();
+    message.remainingMicroseconds = microseconds(call.deadline - BootClock::now());
+    message.method = source.method;
+    message.target = source.target;
+    message.headers = toWire(source.headers);
+    message.body = source.body;
+    return message;
+}
+
+HttpRequest toHttpRequest(wire::CallTransfer message)
+{
+    HttpRequest request { .method = std::move(message.method), .target = std::move(message.target) };
+    for (wire::Header& header : message.headers) {
+        bool isOurs = isRewritten(header.name) && !equalsIgnoringCase(header.name, "Dragonflylane-Hops");
+        if (!isOurs)
+            request.headers.push_back({ std::move(header.name), std::move(header.value) });
+    }
+    int64_t milliseconds = std::max<int64_t>(message.remainingMicroseconds / 1000, 0);
+    request.headers.push_back({ "Dragonflylane-Deadline-Ms", std::to_string(milliseconds) });
+    request.headers.push_back({ "Dragonflylane-Request-Id", std::move(message.traceId) });
+    request.headers.push_back({ "Dragonflylane-Transferred", "1" });
+    request.body = std::move(message.body);
+    return request;
+}
+
+wire::ForwardResponse toForwardResponse(HttpResponse http)
+{
+    wire::ForwardResponse response;
+    std::string_view code = http.header("Dragonflylane-Code");
+    int32_t number = 0;
+    std::from_chars(code.data(), code.data() + code.size(), number);
+    response.code = number;
+    response.status = static_cast<int32_t>(http.status);
+    response.headers = toWire(http.headers);
+    response.body = std::move(http.body);
+    return response;
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/Journal.h
@@ -0,0 +1,51 @@
+#pragma once
+
+// Bounded record of recent decisions of one daemon, for `dragonflylane explain`.
+//
+//     journal.record({ .event = "call_refused", .subjects = { request, upstream }, .cause = request, .code = code });
+//     for (const JournalEntry& entry : journal.find("kandy-a-1.17")) ...
+
+#include "dragonflylane/ResultCode.h"
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dragonflylane {
+
+/// One decision.
+struct JournalEntry {
+    uint64_t number { 0 };
+    /// Wall-clock time in milliseconds since 1970, for people only.
+    int64_t wallMilliseconds { 0 };
+    std::string host;
+    /// What was decided, such as "call_refused".
+    std::string event;
+    /// Ids under which the entry is found: request, plan, daemon, upstream.
+    std::vector<std::string> subjects;
+    /// Id of what led to it.
+    std::string cause;
+    ResultCode code { ResultCode::Ok };
+    std::string detail;
+};
+
+/// Ring of the last entries. Memory is bounded by the number of entries and the length of each text.
+class Journal {
+public:
+    explicit Journal(std::string host, size_t capacity = 4096);
+
+    void record(JournalEntry);
+    /// Entries with this subject or cause, oldest first, at most the newest `limit`. O(capacity).
+    std::vector<JournalEntry> find(std::string_view id, size_t limit = 100) const;
+    size_t size() const { return m_entries.size(); }
+
+private:
+    std::string m_host;
+    size_t m_capacity;
+    uint64_t m_nextNumber { 1 };
+    std::deque<JournalEntry> m_entries;
+};
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/LogTask.cpp
@@ -0,0 +1,250 @@
+#include "dragonflylane/LogTask.h"
+
+#include "dragonflylane/Event.h"
+#include "dragonflylane/Journal.h"
+#include "dragonflylane/LogStore.h"
+#include "dragonflylane/LogWire.h"
+#include "dragonflylane/Metrics.h"
+#include "dragonflylane/PeerHub.h"
+
+#include <boost/asio/post.hpp>
+#include <random>
+
+namespace dragonflylane {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // An operator's command that is not applied within this time is reported as uncertain. Longer than an election.
+    constexpr std::chrono::seconds submitTimeout { 4 };
+
+    std::string_view roleName(LogRole role)
+    {
+        switch (role) {
+        case LogRole::Follower:
+            return "follower";
+        case LogRole::PreCandidate:
+            return "pre_candidate";
+        case LogRole::Candidate:
+            return "candidate";
+        case LogRole::Leader:
+            return "leader";
+        }
+        return "invalid";
+    }
+
+    uint64_t randomNumber()
+    {
+        std::random_device device;
+        return (static_cast<uint64_t>(device()) << 32) | device();
+    }
+
+} // namespace
+
+LogTask::LogTask(
+    asio::io_context& context, LogReplicaOptions options, PeerHub& hub, Metrics& metrics, Journal& journal, Hooks hooks)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_hub(hub)
+    , m_metrics(metrics)
+    , m_journal(journal)
+    , m_hooks(std::move(hooks))
+    , m_timer(context, [this] {
+        TimePoint now = BootClock::now();
+        m_replica->tick(now);
+        failOverdue(now);
+        drain();
+    })
+{
+}
+
+LogTask::~LogTask()
+{
+    m_disk.join();
+}
+
+std::error_code LogTask::start(const std::string& dataFolder, std::string& detail)
+{
+    std::unique_ptr<LogFiles> files;
+    if (auto error = openLogFolder(dataFolder, files)) {
+        detail = dataFolder + ": " + error.message();
+        return ResultCode::StorageFailed;
+    }
+    m_store = std::make_unique<LogStore>(
+        LogStoreOptions { .self = m_options.self, .random = randomNumber() }, std::move(files));
+    RecoveredLog recovered;
+    LogStoreReport report;
+    if (auto error = m_store->open(recovered, report)) {
+        detail = dataFolder + "/" + report.file + ": offset " + std::to_string(report.offset) + ": " + error.message();
+        return error;
+    }
+    if (report.tornBytes > 0) {
+        Event("log_tail_truncated", EventLevel::Warning)
+            .with("file", report.file)
+            .with("offset", report.offset)
+            .with("bytes", report.tornBytes);
+    }
+    Event("log_opened")
+        .with("replica", recovered.replicaId)
+        .with("new", static_cast<int>(report.isNew))
+        .with("entries", recovered.entries.size());
+    m_hub.subscribe(FrameKind::Log, [this](const PeerFrame& frame) { handleFrame(frame); });
+    m_replica = std::make_unique<LogReplica>(m_options, std::move(recovered), BootClock::now());
+    drain();
+    return {};
+}
+
+void LogTask::stop()
+{
+    m_isStopped = true;
+    m_timer.cancel();
+}
+
+void LogTask::submit(const PlanCommand& command, Callback callback)
+{
+    TimePoint now = BootClock::now();
+    LogIndex index;
+    if (auto error = m_replica->propose(PlanBook::encode(command), now, &index))
+        return callback(error, {});
+    m_pending.emplace(index, Pending { m_replica->term(), now, std::move(callback) });
+    drain();
+}
+
+bool LogTask::isCurrent(TimePoint now) const
+{
+    constexpr std::chrono::seconds followerFreshness { 2 };
+    if (m_replica->role() == LogRole::Leader)
+        return m_replica->hasLease(now);
+    auto proof = m_replica->provenAt();
+    return proof && now - *proof < followerFreshness;
+}
+
+void LogTask::exportMetrics() const
+{
+    m_metrics.set("log_term", m_replica->term().value());
+    m_metrics.set("log_commit_index", m_replica->commitIndex().value());
+    m_metrics.set("log_is_leader", m_replica->role() == LogRole::Leader ? 1 : 0);
+    m_metrics.set("log_pending_commands", m_pending.size());
+    m_metrics.set("config_revision_committed", m_book.state().revision().value());
+}
+
+void LogTask::handleFrame(const PeerFrame& frame)
+{
+    if (m_isStopped)
+        return;
+    m_metrics.add("control_bytes_received_log", frame.payload.size());
+    LogMessage message;
+    if (decode(frame.payload, message))
+        return m_metrics.add("log_malformed");
+    m_replica->receive(message, BootClock::now());
+    drain();
+}
+
+void LogTask::drain()
+{
+    if (m_isStopped || m_isDraining)
+        return;
+    m_isDraining = true;
+    for (auto outputs = m_replica->takeOutputs(); !outputs.empty(); outputs = m_replica->takeOutputs()) {
+        for (LogOutput& output : outputs)
+            std::visit([this](auto& value) { handle(value); }, output);
+    }
+    m_isDraining = false;
+    // After the entries have been applied, so that the proof covers what is published.
+    m_hooks.proved(m_replica->provenAt());
+    m_timer.arm(m_replica->nextWakeup());
+}
+
+void LogTask::handle(LogSend& send)
+{
+    std::string bytes = encode(send.message);
+    m_metrics.add("control_bytes_sent_log", bytes.size());
+    m_hub.sendToHost(send.host, FrameKind::Log, std::move(bytes));
+}
+
+void LogTask::handle(LogPersist& persist)
+{
+    asio::post(m_disk, [this, token = persist.token, write = std::move(persist.write)] {
+        TimePoint began = BootClock::now();
+        std::error_code error = m_store->write(write);
+        asio::post(m_context, [this, token, error, began] {
+            if (m_isStopped)
+                return;
+            if (error)
+                return m_hooks.failed(error);
+            TimePoint now = BootClock::now();
+            m_metrics.observe("log_sync", now - began);
+            m_replica->persisted(token, now);
+            drain();
+        });
+    });
+}
+
+void LogTask::handle(LogApply& apply)
+{
+    if (apply.entry.kind != LogEntryKind::Command)
+        return finishPending(apply.entry.index, apply.entry.term, {});
+    ApplyOutcome outcome = m_book.apply(apply.entry.payload);
+    if (outcome.delta) {
+        Event("revision_committed")
+            .with("revision", outcome.revision)
+            .with("plan", outcome.plan)
+            .with("term", apply.entry.term);
+        m_journal.record({ .event = "revision_committed",
+            .subjects = { outcome.plan.value(), "revision-" + std::to_string(outcome.revision.value()) },
+            .cause = outcome.plan.value(),
+            .detail = "term " + std::to_string(apply.entry.term.value()) });
+    }
+    m_hooks.committed(m_book, m_replica->term());
+    finishPending(apply.entry.index, apply.entry.term, outcome);
+}
+
+void LogTask::handle(LogRestore& restore)
+{
+    if (auto error = m_book.restore(restore.snapshot.data))
+        return m_hooks.failed(error);
+    m_hooks.committed(m_book, m_replica->term());
+}
+
+void LogTask::handle(const LogTakeSnapshot& request)
+{
+    if (auto error = m_replica->snapshotTaken(request.index, m_book.serialise(), BootClock::now()))
+        Event("log_snapshot_failed", EventLevel::Error).with("reason", error);
+}
+
+void LogTask::handle(const LogRoleChange& change)
+{
+    Event("log_role")
+        .with("role", roleName(change.role))
+        .with("term", change.term)
+        .with("leader", change.leader.host)
+        .with("ready", static_cast<int>(change.isReady));
+    m_journal.record({ .event = "log_role",
+        .subjects = { m_options.self.value(), change.leader.host.value() },
+        .cause = "term-" + std::to_string(change.term.value()),
+        .detail = std::string(roleName(change.role)) });
+    m_hooks.committed(m_book, change.term);
+}
+
+// An index that was applied with another term holds the command of another leader, so ours was not committed.
+void LogTask::finishPending(LogIndex index, Term term, const ApplyOutcome& outcome)
+{
+    auto node = m_pending.extract(index);
+    if (node.empty())
+        return;
+    Pending& pending = node.mapped();
+    bool isOurs = pending.term == term;
+    m_metrics.observe("log_commit", BootClock::now() - pending.submitted);
+    pending.callback(isOurs ? std::error_code() : make_error_code(ResultCode::NotLeader), outcome);
+}
+
+void LogTask::failOverdue(TimePoint now)
+{
+    while (!m_pending.empty() && now - m_pending.begin()->second.submitted > submitTimeout) {
+        auto node = m_pending.extract(m_pending.begin());
+        node.mapped().callback(ResultCode::OutcomeUncertain, {});
+    }
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/MembershipTask.cpp
@@ -0,0 +1,140 @@
+#include "dragonflylane/MembershipTask.h"
+
+#include "dragonflylane/GossipWire.h"
+#include "dragonflylane/MeshSecret.h"
+#include "dragonflylane/Metrics.h"
+#include "dragonflylane/ResultCode.h"
+
+namespace dragonflylane {
+
+namespace asio = boost::asio;
+using udp = asio::ip::udp;
+
+MembershipTask::MembershipTask(asio::io_context& context, MembershipOptions options, MemberRecord self,
+    const MeshSecret& secret, Metrics& metrics, Hooks hooks)
+    : m_secret(secret)
+    , m_metrics(metrics)
+    , m_hooks(std::move(hooks))
+    , m_membership(options, std::move(self), BootClock::now())
+    , m_socket(context)
+    , m_buffer(maxGossipDatagramSize + 1, '\0')
+    , m_timer(context, [this] {
+        m_membership.tick(BootClock::now());
+        drain();
+    })
+{
+}
+
+std::error_code MembershipTask::start(std::vector<Endpoint> seeds)
+{
+    const Endpoint& address = m_membership.self().address;
+    udp::endpoint endpoint(asio::ip::make_address(address.address), address.port);
+    boost::system::error_code error;
+    m_socket.open(endpoint.protocol(), error);
+    if (!error)
+        m_socket.bind(endpoint, error);
+    if (error)
+        return ResultCode::ListenFailed;
+    receive();
+    m_membership.join(std::move(seeds), BootClock::now());
+    drain();
+    return {};
+}
+
+void MembershipTask::stop()
+{
+    m_timer.cancel();
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+}
+
+void MembershipTask::setUpstream(std::optional<UpstreamRecord> record)
+{
+    m_membership.setUpstream(std::move(record), BootClock::now());
+    drain();
+}
+
+void MembershipTask::setControlRole(ControlRole role)
+{
+    m_membership.setControlRole(role, BootClock::now());
+    drain();
+}
+
+bool MembershipTask::broadcast(std::string payload)
+{
+    bool isQueued = m_membership.broadcast(std::move(payload), BootClock::now());
+    drain();
+    return isQueued;
+}
+
+void MembershipTask::leave()
+{
+    m_membership.leave(BootClock::now());
+    drain();
+}
+
+void MembershipTask::exportMetrics() const
+{
+    const MembershipCounters& counters = m_membership.counters();
+    m_metrics.set("membership_present", m_membership.presentCount());
+    m_metrics.set("membership_suspicions", counters.suspicions);
+    m_metrics.set("membership_deaths", counters.deaths);
+    m_metrics.set("membership_refutations", counters.refutations);
+    m_metrics.set("membership_probes_failed", counters.probesFailed);
+    m_metrics.set("membership_records_refused", counters.recordsRefused);
+    m_metrics.set("membership_record_conflicts", counters.recordConflicts);
+    m_metrics.set("membership_broadcasts_refused", counters.broadcastsRefused);
+}
+
+void MembershipTask::receive()
+{
+    m_socket.async_receive_from(
+        asio::buffer(m_buffer), m_sender, [this](boost::system::error_code error, size_t bytes) {
+            if (error == asio::error::operation_aborted || !m_socket.is_open())
+                return;
+            if (!error)
+                handleDatagram(std::string_view(m_buffer).substr(0, bytes));
+            receive();
+        });
+}
+
+void MembershipTask::handleDatagram(std::string_view sealed)
+{
+    m_metrics.add("control_bytes_received_gossip", sealed.size());
+    std::string_view datagram;
+    if (!m_secret.open(sealed, datagram))
+        return m_metrics.add("gossip_wrong_seal");
+    GossipMessage message;
+    if (decode(datagram, message))
+        return m_metrics.add("gossip_malformed");
+    m_membership.receive({ m_sender.address().to_string(), m_sender.port() }, message, BootClock::now());
+    drain();
+}
+
+void MembershipTask::drain()
+{
+    for (MembershipOutput& output : m_membership.takeOutputs()) {
+        if (auto* datagram = std::get_if<GossipDatagram>(&output))
+            send(*datagram);
+        else if (auto* change = std::get_if<MemberChanged>(&output))
+            m_hooks.memberChanged(change->host, change->current);
+        else if (auto* broadcast = std::get_if<BroadcastReceived>(&output))
+            m_hooks.broadcastReceived(broadcast->origin, broadcast->payload);
+    }
+    m_timer.arm(m_membership.nextWakeup());
+}
+
+void MembershipTask::send(const GossipDatagram& datagram)
+{
+    boost::system::error_code error;
+    auto address = asio::ip::make_address(datagram.to.address, error);
+    if (error || !m_socket.is_open())
+        return;
+    std::string sealed = m_secret.seal(encode(datagram.message));
+    m_metrics.add("control_bytes_sent_gossip", sealed.size());
+    // A full socket buffer loses the datagram, which the protocol tolerates.
+    m_socket.non_blocking(true, error);
+    m_socket.send_to(asio::buffer(sealed), udp::endpoint(address, datagram.to.port), 0, error);
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/OwnerTask.cpp
@@ -0,0 +1,382 @@
+#include "dragonflylane/OwnerTask.h"
+
+#include "dragonflylane/CrashTask.h"
+#include "dragonflylane/Event.h"
+#include "dragonflylane/Journal.h"
+#include "dragonflylane/MemberRecord.h"
+#include "dragonflylane/Metrics.h"
+#include "gen-cpp/peer_types.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+
+namespace dragonflylane {
+
+namespace asio = boost::asio;
+
+struct OwnerTask::Call {
+    CallId id { 0 };
+    wire::ForwardRequest request;
+    Responder respond;
+    TimePoint deadline;
+    TimePoint handedOverAt;
+    Incarnation incarnation;
+    UpstreamClient::Cancel cancel;
+    bool isSuspect { false };
+
+    Fingerprint fingerprint() const { return Fingerprint(static_cast<uint64_t>(request.fingerprint)); }
+};
+
+namespace {
+
+    constexpr unsigned statusServiceUnavailable = 503;
+    constexpr std::chrono::milliseconds probeTimeout { 200 };
+
+    // An upstream that refuses work to shed load says so by 503 with Retry-After, or with a header of its own.
+    bool isShedAnswer(const HttpResponse& response)
+    {
+        bool isMarked = !response.header("Retry-After").empty() || !response.header("X-Load-Shed").empty();
+        return response.status == statusServiceUnavailable && isMarked;
+    }
+
+    CallOutcome outcomeOf(ResultCode code)
+    {
+        switch (code) {
+        case ResultCode::Ok:
+            return CallOutcome::Success;
+        case ResultCode::UpstreamShed:
+            return CallOutcome::Shed;
+        case ResultCode::UpstreamTimeout:
+            return CallOutcome::Timeout;
+        default:
+            return CallOutcome::Failure;
+        }
+    }
+
+    HttpRequest toHttp(wire::ForwardRequest& request, Duration remaining)
+    {
+        HttpRequest http { .method = request.method, .target = request.target };
+        http.headers.reserve(request.headers.size() + 3);
+        for (wire::Header& header : request.headers)
+            http.headers.push_back({ std::move(header.name), std::move(header.value) });
+        auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
+        http.headers.push_back({ "Dragonflylane-Deadline-Ms", std::to_string(milliseconds) });
+        http.headers.push_back({ "Dragonflylane-Hops", std::to_string(request.hops) });
+        http.headers.push_back({ "Dragonflylane-Request-Id", request.traceId });
+        http.body = std::move(request.body);
+        return http;
+    }
+
+} // namespace
+
+OwnerTask::OwnerTask(asio::io_context& context, OwnerTaskOptions options, CrashTask& crash, Metrics& metrics,
+    Journal& journal, Hooks hooks)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_crash(crash)
+    , m_metrics(metrics)
+    , m_journal(journal)
+    , m_hooks(std::move(hooks))
+    , m_admission(OwnerAdmissionOptions { .slots = 0 })
+    , m_timer(context, [this] {
+        checkLease();
+        apply(m_admission.tick(BootClock::now()));
+    })
+{
+}
+
+OwnerTask::~OwnerTask() = default;
+
+bool OwnerTask::isAnnouncedDrain() const
+{
+    return m_announcement && m_announcement->phase == UpstreamPhase::Draining;
+}
+
+void OwnerTask::announce(const Announcement& announcement)
+{
+    m_leaseEnd = BootClock::now() + m_options.lease;
+    bool isOtherProcess = !m_announcement || m_announcement->id != announcement.id
+        || m_announcement->instance != announcement.instance || m_announcement->address != announcement.address
+        || m_announcement->service != announcement.service;
+    if (isOtherProcess && m_announcement && !m_isStopped)
+        declareDead("announced another instance");
+    if (isOtherProcess || m_isStopped)
+        startIncarnation(announcement);
+    m_announcement = announcement;
+    m_isStopped = announcement.phase == UpstreamPhase::Stopped;
+    applyDrain();
+    apply(m_admission.setSlots(m_isStopped ? 0 : announcement.slots, BootClock::now()));
+    publish();
+}
+
+void OwnerTask::startIncarnation(const Announcement& announcement)
+{
+    m_incarnation = std::max(m_incarnation, m_hooks.knownIncarnation(announcement.id)).next();
+    UpstreamClientOptions options { .upstream = announcement.address, .maxBodyBytes = m_options.maxBodyBytes };
+    m_client = std::make_shared<UpstreamClient>(m_context, options, m_metrics);
+    Event("upstream_announced")
+        .with("upstream", announcement.id)
+        .with("service", announcement.service)
+        .with("address", announcement.address.toString())
+        .with("incarnation", m_incarnation);
+    m_journal.record({ .event = "upstream_announced",
+        .subjects = { announcement.id.value(), m_options.self.value() },
+        .cause = announcement.instance });
+}
+
+void OwnerTask::publish()
+{
+    if (!m_announcement || m_isLeaving)
+        return m_hooks.announced(std::nullopt);
+    UpstreamPhase phase = m_isStopped ? UpstreamPhase::Stopped : m_announcement->phase;
+    m_hooks.announced(UpstreamRecord { .id = m_announcement->id,
+        .service = m_announcement->service,
+        .phase = phase,
+        .slots = m_announcement->slots,
+        .incarnation = m_incarnation });
+}
+
+void OwnerTask::setPlannedDrain(const std::function<bool(const UpstreamId&)>& isDrained)
+{
+    bool isPlanned = m_announcement && isDrained(m_announcement->id);
+    if (isPlanned == m_isPlannedDrain)
+        return;
+    m_isPlannedDrain = isPlanned;
+    applyDrain();
+}
+
+void OwnerTask::applyDrain()
+{
+    if (m_admission.isDraining() == isDraining())
+        return;
+    m_admission.setDraining(isDraining());
+    Event("upstream_drain").with("upstream", m_announcement->id).with("draining", static_cast<int>(isDraining()));
+    m_journal.record({ .event = isDraining() ? "upstream_draining" : "upstream_undrained",
+        .subjects = { m_announcement->id.value(), m_options.self.value() },
+        .cause = m_isPlannedDrain ? "configuration" : "announcement" });
+}
+
+void OwnerTask::checkLease()
+{
+    if (m_announcement && !m_isStopped && BootClock::now() >= m_leaseEnd)
+        declareDead("lease ended");
+}
+
+ResultCode OwnerTask::check(const wire::ForwardRequest& request) const
+{
+    if (m_isLeaving)
+        return ResultCode::DaemonLeaving;
+    if (!m_announcement || m_isStopped)
+        return ResultCode::UpstreamUnreachable;
+    bool isSame = m_announcement->id.value() == request.upstreamId
+        && m_announcement->service.value() == request.serviceName
+        && m_incarnation.value() == static_cast<uint64_t>(request.upstreamIncarnation);
+    if (!isSame)
+        return ResultCode::UpstreamChanged;
+    if (request.remainingMicroseconds <= 0)
+        return ResultCode::DeadlineExceeded;
+    return ResultCode::Ok;
+}
+
+OwnerTask::CallId OwnerTask::handle(wire::ForwardRequest request, Responder respond)
+{
+    auto call = std::make_shared<Call>();
+    call->id = m_nextCall++;
+    call->request = std::move(request);
+    call->respond = std::move(respond);
+    call->deadline = BootClock::now() + std::chrono::microseconds(call->request.remainingMicroseconds);
+    m_calls.emplace(call->id, call);
+
+    ResultCode refusal = check(call->request);
+    CrashState state = m_crash.stateOf(call->fingerprint());
+    if (refusal == ResultCode::Ok && state == CrashState::Quarantined)
+        refusal = ResultCode::RequestQuarantined;
+    if (refusal != ResultCode::Ok) {
+        answer(call, refusal, {});
+        return call->id;
+    }
+    call->isSuspect = state == CrashState::Suspect;
+    CallTicket ticket {
+        .id = call->id, .isOrder = call->request.order, .isSuspect = call->isSuspect, .deadline = call->deadline
+    };
+    AdmitDecision decision = m_admission.offer(ticket, BootClock::now());
+    if (decision.action == AdmitAction::Admit)
+        handOver(call);
+    else if (decision.action == AdmitAction::Refuse)
+        answer(call, decision.code, {});
+    else
+        m_metrics.add("owner_calls_queued");
+    armTimer();
+    return call->id;
+}
+
+void OwnerTask::cancel(CallId id)
+{
+    auto it = m_calls.find(id);
+    if (it == m_calls.end())
+        return;
+    CallPtr call = it->second;
+    m_calls.erase(it);
+    m_metrics.add("owner_calls_cancelled");
+    if (m_admission.cancel(id))
+        return;
+    if (call->cancel)
+        call->cancel();
+    apply(m_admission.finished(id, CallOutcome::Cancelled, BootClock::now()));
+}
+
+void OwnerTask::handOver(const CallPtr& call)
+{
+    call->handedOverAt = BootClock::now();
+    call->incarnation = m_incarnation;
+    HttpRequest request = toHttp(call->request, call->deadline - call->handedOverAt);
+    std::weak_ptr<Call> weak = call;
+    call->cancel = m_client->send(
+        std::move(request), call->request.idempotent, call->deadline, [this, weak](UpstreamResult result) {
+            if (auto pending = weak.lock())
+                finish(pending, std::move(result));
+        });
+}
+
+void OwnerTask::finish(const CallPtr& call, UpstreamResult result)
+{
+    TimePoint now = BootClock::now();
+    if (result.code == ResultCode::Ok && isShedAnswer(result.response))
+        result.code = ResultCode::UpstreamShed;
+    if (result.code == ResultCode::Ok) {
+        m_metrics.observe("upstream_latency", now - call->handedOverAt);
+        m_crash.completed(call->fingerprint());
+    } else if (result.isConnectionLost) {
+        noteLostRequest(*call);
+    }
+    AdmissionChanges changes = m_admission.finished(call->id, outcomeOf(result.code), now);
+    answer(call, result.code, std::move(result.response));
+    apply(changes);
+}
+
+void OwnerTask::answer(const CallPtr& call, ResultCode code, HttpResponse response)
+{
+    m_calls.erase(call->id);
+    m_metrics.add(std::string("owner_").append(name(code)));
+    if (code != ResultCode::Ok) {
+        m_journal.record({ .event = "owner_answered",
+            .subjects = { call->request.traceId, call->request.upstreamId },
+            .cause = call->request.traceId,
+            .code = code });
+    }
+    wire::ForwardResponse reply;
+    reply.requestId = call->request.requestId;
+    reply.code = static_cast<int32_t>(code);
+    reply.status = static_cast<int32_t>(response.status);
+    reply.headers.reserve(response.headers.size());
+    for (HttpHeader& header : response.headers) {
+        wire::Header wireHeader;
+        wireHeader.name = std::move(header.name);
+        wireHeader.value = std::move(header.value);
+        reply.headers.push_back(std::move(wireHeader));
+    }
+    reply.body = std::move(response.body);
+    LoadReport report = load();
+    reply.running = static_cast<int32_t>(report.running);
+    reply.queued = static_cast<int32_t>(report.queued);
+    reply.limit = static_cast<int32_t>(report.limit);
+    reply.serviceMicroseconds = std::chrono::duration_cast<std::chrono::microseconds>(report.serviceTime).count();
+    call->respond(std::move(reply));
+}
+
+void OwnerTask::apply(const AdmissionChanges& changes)
+{
+    for (const CallTicket& ticket : changes.handOver) {
+        auto it = m_calls.find(ticket.id);
+        if (it != m_calls.end())
+            handOver(CallPtr(it->second));
+    }
+    for (const RefusedTicket& refused : changes.refused) {
+        auto it = m_calls.find(refused.ticket.id);
+        if (it != m_calls.end())
+            answer(CallPtr(it->second), refused.code, {});
+    }
+    armTimer();
+}
+
+void OwnerTask::leave()
+{
+    m_isLeaving = true;
+    m_admission.setLeaving();
+    publish();
+}
+
+void OwnerTask::noteLostRequest(const Call& call)
+{
+    if (call.incarnation != m_incarnation || m_isStopped)
+        return;
+    TimePoint now = BootClock::now();
+    std::erase_if(m_lost, [&](const LostRequest& lost) { return now - lost.lostAt > m_options.crashWindow; });
+    m_lost.push_back({ call.fingerprint(), now });
+    probeAfterLoss();
+}
+
+// A lost connection may be a crash or the upstream closing it. Only a refused connection shows that the process is
+// gone; a process that was already replaced shows by its next announcement.
+void OwnerTask::probeAfterLoss()
+{
+    if (m_isProbing)
+        return;
+    m_isProbing = true;
+    auto timer = std::make_shared<asio::steady_timer>(m_context, m_options.crashProbeDelay);
+    timer->async_wait([this, timer](boost::system::error_code) {
+        auto socket = std::make_shared<asio::ip::tcp::socket>(m_context);
+        const Endpoint& address = m_announcement->address;
+        timer->expires_after(probeTimeout);
+        timer->async_wait([socket](boost::system::error_code error) {
+            boost::system::error_code ignored;
+            if (!error)
+                socket->close(ignored);
+        });
+        socket->async_connect({ asio::ip::make_address(address.address), address.port },
+            [this, socket, timer, incarnation = m_incarnation](boost::system::error_code error) {
+                timer->cancel();
+                m_isProbing = false;
+                if (error == asio::error::connection_refused && incarnation == m_incarnation && !m_isStopped)
+                    declareDead("connection refused");
+            });
+    });
+}
+
+void OwnerTask::declareDead(std::string_view evidence)
+{
+    m_isStopped = true;
+    TimePoint now = BootClock::now();
+    std::vector<Fingerprint> fingerprints;
+    for (const LostRequest& lost : m_lost) {
+        if (now - lost.lostAt <= m_options.crashWindow)
+            fingerprints.push_back(lost.fingerprint);
+    }
+    m_lost.clear();
+    m_journal.record({ .event = "upstream_stopped",
+        .subjects = { m_announcement->id.value(), m_options.self.value() },
+        .cause = std::string(evidence) });
+    if (!fingerprints.empty())
+        m_crash.upstreamDied(m_announcement->id, m_incarnation, fingerprints);
+    else
+        Event("upstream_stopped").with("upstream", m_announcement->id).with("evidence", evidence);
+    for (const RefusedTicket& refused : m_admission.refuseQueued(ResultCode::UpstreamUnreachable)) {
+        auto it = m_calls.find(refused.ticket.id);
+        if (it != m_calls.end())
+            answer(CallPtr(it->second), refused.code, {});
+    }
+    publish();
+}
+
+void OwnerTask::armTimer()
+{
+    if (!m_announcement)
+        return;
+    TimePoint next = m_isStopped ? TimePoint::max() : m_leaseEnd;
+    if (auto wakeup = m_admission.nextWakeup())
+        next = std::min(next, *wakeup);
+    if (next != TimePoint::max())
+        m_timer.arm(next);
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/OwnerTask.h
@@ -0,0 +1,138 @@
+#pragma once
+
+// The owner daemon's part of a call: admission, hand-over to the upstream beside this daemon, and the announcement of
+// that upstream. No other process talks to the upstream, so this task knows whether a request was handed over.
+
+#include "dragonflylane/BootClock.h"
+#include "dragonflylane/Endpoint.h"
+#include "dragonflylane/Ids.h"
+#include "dragonflylane/OwnerAdmission.h"
+#include "dragonflylane/UpstreamClient.h"
+#include "dragonflylane/UpstreamPhase.h"
+#include "dragonflylane/WakeupTimer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace dragonflylane {
+
+namespace wire {
+    class ForwardRequest;
+    class ForwardResponse;
+}
+
+class CrashTask;
+class Journal;
+class Metrics;
+struct UpstreamRecord;
+
+/// What an upstream says about itself.
+struct Announcement {
+    UpstreamId id;
+    ServiceName service;
+    Endpoint address;
+    uint32_t slots { 0 };
+    UpstreamPhase phase { UpstreamPhase::Ready };
+    /// Differs between successive processes of the upstream.
+    std::string instance;
+};
+
+struct OwnerTaskOptions {
+    HostId self;
+    uint64_t maxBodyBytes { 1 << 20 };
+    /// An upstream that has not announced itself for this long is stopped.
+    Duration lease { std::chrono::seconds(3) };
+    /// After a lost connection the upstream gets this long to die before it is probed.
+    Duration crashProbeDelay { std::chrono::milliseconds(20) };
+    /// Requests lost within this time before a death were in flight when it happened.
+    Duration crashWindow { std::chrono::seconds(3) };
+};
+
+/// Owns admission and connections of one upstream.
+class OwnerTask {
+public:
+    struct Hooks {
+        /// The announcement to spread; empty when there is no upstream.
+        std::function<void(std::optional<UpstreamRecord>)> announced;
+        /// Incarnation that the mesh last knew for this upstream, zero if none.
+        std::function<Incarnation(const UpstreamId&)> knownIncarnation;
+    };
+    using Responder = std::function<void(wire::ForwardResponse)>;
+    using CallId = uint64_t;
+
+    OwnerTask(boost::asio::io_context&, OwnerTaskOptions, CrashTask&, Metrics&, Journal&, Hooks);
+    ~OwnerTask();
+    OwnerTask(const OwnerTask&) = delete;
+    OwnerTask& operator=(const OwnerTask&) = delete;
+
+    /// Takes an announcement, which renews the lease.
+    void announce(const Announcement&);
+    /// Marks the upstream as drained by the configuration.
+    void setPlannedDrain(const std::function<bool(const UpstreamId&)>& isDrained);
+
+    /// Answers exactly once unless cancelled.
+    CallId handle(wire::ForwardRequest, Responder);
+    void cancel(CallId);
+
+    /// Refuses new work; work in flight goes on.
+    void leave();
+    bool isIdle() const { return m_calls.empty(); }
+
+    const std::optional<Announcement>& upstream() const { return m_announcement; }
+    Incarnation incarnation() const { return m_incarnation; }
+    LoadReport load() const { return m_admission.load(BootClock::now()); }
+    bool isDraining() const { return m_isPlannedDrain || isAnnouncedDrain(); }
+
+private:
+    struct Call;
+    using CallPtr = std::shared_ptr<Call>;
+
+    struct LostRequest {
+        Fingerprint fingerprint;
+        TimePoint lostAt;
+    };
+
+    bool isAnnouncedDrain() const;
+    void startIncarnation(const Announcement&);
+    void publish();
+    void applyDrain();
+    void checkLease();
+    ResultCode check(const wire::ForwardRequest&) const;
+    void handOver(const CallPtr&);
+    void finish(const CallPtr&, UpstreamResult);
+    void answer(const CallPtr&, ResultCode, HttpResponse);
+    void apply(const AdmissionChanges&);
+    void noteLostRequest(const Call&);
+    void probeAfterLoss();
+    void declareDead(std::string_view evidence);
+    void armTimer();
+
+    boost::asio::io_context& m_context;
+    OwnerTaskOptions m_options;
+    CrashTask& m_crash;
+    Metrics& m_metrics;
+    Journal& m_journal;
+    Hooks m_hooks;
+
+    std::optional<Announcement> m_announcement;
+    Incarnation m_incarnation;
+    bool m_isStopped { true };
+    bool m_isPlannedDrain { false };
+    bool m_isLeaving { false };
+    TimePoint m_leaseEnd;
+
+    OwnerAdmission m_admission;
+    std::shared_ptr<UpstreamClient> m_client;
+    CallId m_nextCall { 1 };
+    std::unordered_map<CallId, CallPtr> m_calls;
+    std::vector<LostRequest> m_lost;
+    bool m_isProbing { false };
+    WakeupTimer m_timer;
+};
+
+} // namespace dragonflylane
--- a/dragonflylane/ResultCode.h
+++ b/dragonflylane/ResultCode.h
@@ -39,7 +39,6 @@
     TooManyConnections = 123,
     TooManyHops = 124,
     CallerGone = 125,
-    UpstreamShed = 126,
 
     // A call may or may not have run.
     OwnerLost = 201,
@@ -50,6 +49,7 @@
     DuplicateRunning = 206,
     DuplicateUnknown = 207,
     MalformedAnswer = 208,
+    UpstreamShed = 209,
 
     // Plans and operators.
     UnknownService = 301,
--- a/dragonflylane/UpstreamEntry.h
+++ b/dragonflylane/UpstreamEntry.h
@@ -3,19 +3,12 @@
 // An upstream as the members of the mesh announce it.
 
 #include "dragonflylane/Ids.h"
+#include "dragonflylane/UpstreamPhase.h"
 
 #include <cstdint>
 
 namespace dragonflylane {
 
-/// Life cycle of an upstream. Only cold and ready ones take new requests.
-enum class UpstreamPhase : uint8_t {
-    Cold,
-    Ready,
-    Draining,
-    Stopped,
-};
-
 /// One upstream and the host whose daemon owns it.
 struct UpstreamEntry {
     UpstreamId id;
