Add the decisions of the log replica and the log file

Ruled out: replacing a lost replica in one change of voters, because {A, C} and {B, D} would be disjoint quorums; the replacement removes first, then adds. Holding back every append answer for the sync was ruled out as well, since a slow disk would then look like a lost quorum; answers go out at once and count synced entries only. Conclusion: not yet tested; the tests follow.

--- a/dragonflylane/LogReplica.h
+++ b/dragonflylane/LogReplica.h
@@ -163,8 +163,11 @@
 
 private:
     enum class PeerMode : uint8_t {
+        /// The point where the logs agree is unknown: one message at a time.
         Probe,
+        /// Messages are sent ahead of their answers.
         Replicate,
+        /// The entries that the peer needs are compacted.
         Snapshot,
     };
 
@@ -176,16 +179,15 @@
         uint64_t match { 0 };
         /// Last index of each message with entries in flight.
         std::deque<uint64_t> inFlight;
-        TimePoint probeSentAt { TimePoint::min() };
-        TimePoint lastSentAt { TimePoint::min() };
-        /// Latest question that was answered.
-        TimePoint answeredAskedAt { TimePoint::min() };
-        TimePoint lastHeardAt { TimePoint::min() };
+        bool probeInFlight { false };
+        /// Latest question that was answered; zero if none.
+        TimePoint answeredAskedAt;
+        TimePoint lastHeardAt;
         uint64_t echoLife { 0 };
         std::optional<TimePoint> echo;
         uint64_t snapshotIndex { 0 };
         uint64_t snapshotOffset { 0 };
-        TimePoint chunkSentAt { TimePoint::min() };
+        TimePoint chunkSentAt;
     };
 
     struct MembershipAt {
@@ -208,112 +210,139 @@
         uint64_t commit { 0 };
     };
 
+    using Body = decltype(LogMessage::body);
+
     // Log access.
     uint64_t last() const { return m_firstIndex + m_entries.size() - 1; }
+    uint64_t commit() const { return m_commitIndex.value(); }
     std::optional<Term> termAt(uint64_t index) const;
+    Term lastTerm() const { return *termAt(last()); }
     const LogEntry& entryAt(uint64_t index) const { return m_entries[index - m_firstIndex]; }
+    uint64_t lastIndexUpToTerm(Term) const;
+    uint64_t firstIndexOfTerm(Term) const;
+    bool isFull() const;
     void append(LogEntry);
+    void appendOwn(LogEntryKind, std::string payload, LogMembership);
     void truncate(uint64_t from);
     void dropFront(uint64_t upTo);
+    void dropAll();
     uint64_t synced() const;
 
     // Messages and durability.
-    void send(const LogMember& to, decltype(LogMessage::body) body);
-    void sendAfterSync(const LogMember& to, decltype(LogMessage::body) body);
-    LogSend makeSend(const LogMember& to, Term, decltype(LogMessage::body) body) const;
+    LogSend makeSend(const LogMember& to, Term, Body) const;
+    void send(const LogMember& to, Body);
+    void sendAfterSync(const LogMember& to, Body);
+    bool isSynced(PersistToken) const;
     LogWrite& pendingWrite();
-    void persistHardState();
-    void releaseHeld();
+    void setHardState(Term, const ReplicaId& votedFor);
 
     // Roles.
     void becomeFollower(Term, const LogMember& leader);
-    void becomeLeader(TimePoint now);
-    void campaign(bool preVote, TimePoint now);
-    void countVotes(TimePoint now);
-    void resetElectionTimer(TimePoint now);
-    void checkLeadership(TimePoint now);
+    void forgetLeader();
+    void becomeLeader();
+    void campaign(bool preVote);
+    void countVotes();
+    void resetElectionTimer();
+    void checkLeadership();
     void announceRole();
-    bool heardLeaderRecently(TimePoint now) const;
+    bool heardLeaderRecently() const;
+    bool isUpToDate(const LogVoteRequest&) const;
 
     // Membership.
-    bool isVoter(const ReplicaId&) const;
     LogMember memberOf(const LogMember& sender) const;
     bool changePending() const;
     void appendMembership(LogMembership);
-    void advanceMembership(TimePoint now);
-    void tryBootstrap(TimePoint now);
+    void advanceMembership();
+    bool promoteLearner();
+    void replaceLostReplica();
+    bool isCaughtUp(const Peer&) const;
+    bool isSilent(const LogMember&) const;
+    void tryBootstrap();
     bool isEmptyDisk() const;
-    void sendJoin(TimePoint now);
-    void syncPeers(TimePoint now);
+    void sendJoin();
+    void syncPeers();
 
     // Message handlers.
-    bool acceptTerm(const LogMessage&, TimePoint now);
-    void handle(const LogMessage&, const LogVoteRequest&, TimePoint now);
-    void handle(const LogMessage&, const LogVoteResponse&, TimePoint now);
-    void handle(const LogMessage&, const LogAppendRequest&, TimePoint now);
-    void handle(const LogMessage&, const LogAppendResponse&, TimePoint now);
-    void handle(const LogMessage&, const LogSnapshotRequest&, TimePoint now);
-    void handle(const LogMessage&, const LogSnapshotResponse&, TimePoint now);
-    void handle(const LogMessage&, const LogJoinRequest&, TimePoint now);
-    void followLeader(const LogMessage&, TimePoint now);
-    bool appendEntries(const LogAppendRequest&);
-    void acknowledge(const LogMember& leader, TimePoint askedAt, TimePoint now);
-    void refuse(const LogMember& leader, const LogAppendRequest&, TimePoint now);
-    void noteProof(const LogAppendRequest&, TimePoint now);
+    bool acceptTerm(const LogMessage&);
+    void answerStale(const LogMessage&);
+    void handle(const LogMessage&, const LogVoteRequest&);
+    void handle(const LogMessage&, const LogVoteResponse&);
+    void handle(const LogMessage&, const LogAppendRequest&);
+    void handle(const LogMessage&, const LogAppendResponse&);
+    void handle(const LogMessage&, const LogSnapshotRequest&);
+    void handle(const LogMessage&, const LogSnapshotResponse&);
+    void handle(const LogMessage&, const LogJoinRequest&);
+    void answerPreVote(const LogMessage&, const LogVoteRequest&);
+    bool followLeader(const LogMessage&);
+    bool matchesPrevious(const LogAppendRequest&) const;
+    bool takeEntries(const LogMessage&, const LogAppendRequest&);
+    void acknowledge(TimePoint askedAt);
+    void refuse(const LogAppendRequest&);
+    void noteProof(const LogAppendRequest&);
+    void applyProofs();
+    bool takeChunk(const LogSnapshotRequest&);
     void installSnapshot(LogSnapshot);
 
     // Replication by the leader.
     Peer* peerOf(const LogMessage&);
-    void notePeerAnswer(Peer&, TimePoint askedAt, uint64_t life, TimePoint sentAt, TimePoint now);
-    void replicate(Peer&, bool heartbeat, TimePoint now);
-    void replicateAll(bool heartbeat, TimePoint now);
-    void sendAppend(Peer&, bool withEntries, TimePoint now);
-    void sendChunk(Peer&, TimePoint now);
-    void advanceCommit(TimePoint now);
+    void noteAnswer(Peer&, TimePoint askedAt, uint64_t life, TimePoint sentAt);
+    void noteMatch(Peer&, uint64_t match);
+    void backUp(Peer&, const LogAppendResponse&);
+    void replicate(Peer&, bool heartbeat);
+    void replicateAll(bool heartbeat);
+    void sendAppend(Peer&, bool withEntries);
+    void sendChunk(Peer&);
+    void startSnapshot(Peer&);
+    void advanceCommit();
     void commitTo(uint64_t index);
-    void applyProofs();
     TimePoint quorumAnsweredAt() const;
 
     LogReplicaOptions m_options;
     LogMember m_self;
-    uint64_t m_life { 0 };
     std::mt19937_64 m_random;
+    uint64_t m_life { 0 };
+    /// Time of the latest call.
     TimePoint m_now;
 
     LogHardState m_hardState;
     LogSnapshot m_snapshot;
+    /// At most m_snapshot.index + 1: some entries are kept behind the snapshot.
     uint64_t m_firstIndex { 1 };
-    /// Term of the entry before m_firstIndex.
     Term m_termBeforeFirst;
     std::deque<LogEntry> m_entries;
     size_t m_entryBytes { 0 };
     LogIndex m_commitIndex;
-    uint64_t m_appliedIndex { 0 };
     bool m_snapshotRequested { false };
-    /// Membership at the snapshot and every later one, by index.
+    /// The membership at the snapshot and each later one, by index. Never empty.
     std::vector<MembershipAt> m_memberships;
 
     LogRole m_role { LogRole::Follower };
     LogMember m_leader;
-    bool m_ready { false };
-    uint64_t m_termStartIndex { 0 };
+    /// Leader that has committed in its term.
+    bool m_isReady { false };
+    LogRoleChange m_announced;
     TimePoint m_electionDeadline;
-    TimePoint m_leaderHeardAt;
+    /// Absent on a new disk, which has made no promise to a leader.
+    std::optional<TimePoint> m_leaderHeardAt;
     TimePoint m_leaderSince;
     TimePoint m_nextHeartbeat;
     TimePoint m_nextJoin;
     std::set<ReplicaId> m_votes;
+    PersistToken m_ownVoteToken;
     std::map<ReplicaId, Peer> m_peers;
 
     /// Highest index known to match the log of the current term's leader.
     uint64_t m_matched { 0 };
+    uint64_t m_acknowledged { 0 };
+    /// Latest question of the current term's leader; zero if none.
     TimePoint m_lastAskedAt;
     std::deque<PendingProof> m_pendingProofs;
-    std::optional<TimePoint> m_followerProof;
+    std::optional<TimePoint> m_proof;
     std::optional<LogSnapshot> m_incoming;
     std::map<HostId, ReplicaId> m_heard;
     std::map<HostId, ReplicaId> m_heardEmpty;
 
+    /// Changes since the latest LogPersist output; m_lastToken is their token while m_writeOpen.
     LogWrite m_write;
     bool m_writeOpen { false };
     PersistToken m_lastToken;
@@ -321,7 +350,6 @@
     std::deque<UnsyncedWrite> m_unsynced;
     uint64_t m_durableIndex { 0 };
     std::deque<HeldMessage> m_held;
-    PersistToken m_selfVoteToken;
     std::vector<LogOutput> m_outputs;
 };
 
--- a/dragonflylane/LogStore.h
+++ b/dragonflylane/LogStore.h
@@ -33,7 +33,8 @@
     HostId self;
     /// Random number for the replica id of a new folder and the salt of the file; must differ at each start.
     uint64_t random { 0 };
-    /// A file is written again without superseded records when it exceeds this and twice its live size.
+    /// The file is written again without superseded records when it exceeds this and twice its size after the last
+    /// time.
     size_t rewriteBytes { 16U << 20 };
 };
 
@@ -47,6 +48,9 @@
     bool isNew { false };
 };
 
+/// Applies a write to the log in memory; false if the entries would not be contiguous.
+bool applyLogWrite(const LogWrite&, RecoveredLog&);
+
 /// Not thread-safe; may be used on a thread of its own.
 class LogStore {
 public:
@@ -61,20 +65,21 @@
     uint64_t fileBytes() const { return m_fileBytes; }
 
 private:
-    std::error_code readRecords(std::string_view content, LogStoreReport&);
+    std::error_code recover(std::string_view content, LogStoreReport&);
     std::error_code rewrite();
     std::error_code appendRecord(LogFile&, std::string_view batch);
     std::error_code fail(const std::error_code&);
-    bool apply(const LogWrite&);
 
     LogStoreOptions m_options;
     std::unique_ptr<LogFiles> m_files;
     std::unique_ptr<LogFile> m_file;
-    /// Mirror of the durable state, which rewrite() writes.
+    /// Copy of the durable state, which rewrite() writes. Its size is bounded by the replica's snapshots.
     RecoveredLog m_log;
     uint64_t m_salt { 0 };
+    uint64_t m_rewrites { 0 };
     uint64_t m_fileBytes { 0 };
-    uint64_t m_liveBytes { 0 };
+    /// Size of the file after it was last rewritten.
+    uint64_t m_rewrittenBytes { 0 };
     std::error_code m_error;
 };
 
