--- a/dragonflylane/LogReplica.h
+++ b/dragonflylane/LogReplica.h
@@ -35,10 +35,10 @@
 
 /// Settings of a replica. The switches at the end exist for tests, which show what each mechanism prevents.
 struct LogReplicaOptions {
-    HostId self;
+    HostId self {};
     /// All hosts with a replica, including this one (section [control], voters). Used by learners to reach a leader and
     /// for the first start of the log.
-    std::vector<HostId> controlHosts;
+    std::vector<HostId> controlHosts {};
     Duration heartbeatInterval { std::chrono::milliseconds(100) };
     Duration electionTimeoutMin { std::chrono::milliseconds(600) };
     Duration electionTimeoutMax { std::chrono::milliseconds(1000) };
--- a/dragonflylane/LogStore.h
+++ b/dragonflylane/LogStore.h
@@ -30,7 +30,7 @@
 
 struct LogStoreOptions {
     /// Prefix of the replica id of a new folder.
-    HostId self;
+    HostId self {};
     /// Random number for the replica id of a new folder and the salt of the file; must differ at each start.
     uint64_t random { 0 };
     /// The file is written again without superseded records when it exceeds this and twice its size after the last
@@ -40,7 +40,7 @@
 
 /// Result of opening, for the log line and the error message.
 struct LogStoreReport {
-    std::string file;
+    std::string file {};
     /// Offset of the damage or of the torn tail.
     uint64_t offset { 0 };
     /// Bytes removed behind the last whole record.
--- /dev/null
+++ b/tests/LogReplicaTest.cpp
@@ -0,0 +1,742 @@
+#include "dragonflylane/LogReplica.h"
+
+#include "dragonflylane/Digest.h"
+#include "dragonflylane/LogStore.h"
+#include "dragonflylane/LogWire.h"
+#include "dragonflylane/ResultCode.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <memory>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+namespace dragonflylane {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    constexpr Duration step = milliseconds(5);
+
+    /// Faults of the simulated network and disks.
+    struct Faults {
+        double loss { 0 };
+        double duplication { 0 };
+        milliseconds maxDelay { 1 };
+        /// Probability that a disk finishes its oldest write within a step.
+        double syncChance { 1 };
+    };
+
+    /// Several replicas in one process, checked against one naive list of the committed entries.
+    class Cluster {
+    public:
+        struct Node {
+            LogReplicaOptions options;
+            RecoveredLog disk;
+            std::deque<LogPersist> unsynced;
+            std::unique_ptr<LogReplica> replica;
+            uint64_t applied { 0 };
+            Duration clockOffset {};
+            bool isFrozen { false };
+            int lives { 0 };
+        };
+
+        Cluster(size_t size, uint64_t seed, LogReplicaOptions options = {}, bool bootstrap = false)
+            : m_random(seed)
+        {
+            LogMembership members;
+            for (size_t i = 0; i < size; ++i) {
+                options.self = HostId("host" + std::to_string(i));
+                options.controlHosts.push_back(options.self);
+                members.voters.push_back({ ReplicaId(options.self.value() + "/0"), options.self });
+            }
+            for (size_t i = 0; i < size; ++i) {
+                Node node;
+                node.options = options;
+                node.options.self = options.controlHosts[i];
+                node.clockOffset = seconds(1000 * (i + 1));
+                node.disk.replicaId = members.voters[i].id;
+                if (!bootstrap)
+                    node.disk.snapshot.membership = members;
+                nodes.push_back(std::move(node));
+            }
+            for (size_t i = 0; i < size; ++i)
+                start(i);
+        }
+
+        void start(size_t i)
+        {
+            Node& node = nodes[i];
+            node.options.seed = m_random();
+            node.applied = node.disk.snapshot.index.value();
+            node.isFrozen = false;
+            ++node.lives;
+            node.replica = std::make_unique<LogReplica>(node.options, node.disk, clock(node));
+            drain(i);
+        }
+
+        /// Of the writes that are not synced, a random number of the oldest survives.
+        void crash(size_t i, bool loseAllUnsynced = false)
+        {
+            Node& node = nodes[i];
+            size_t kept = loseAllUnsynced ? 0 : m_random() % (node.unsynced.size() + 1);
+            for (size_t w = 0; w < kept; ++w)
+                applyLogWrite(node.unsynced[w].write, node.disk);
+            node.unsynced.clear();
+            node.replica.reset();
+        }
+
+        void loseDisk(size_t i)
+        {
+            crash(i);
+            Node& node = nodes[i];
+            node.disk = {};
+            node.disk.replicaId = ReplicaId(node.options.self.value() + "/" + std::to_string(node.lives));
+        }
+
+        void cut(size_t i, bool isCut = true)
+        {
+            for (size_t j = 0; j < nodes.size(); ++j)
+                setLink(i, j, isCut);
+        }
+
+        void setLink(size_t i, size_t j, bool isCut)
+        {
+            for (auto link : { std::pair(i, j), std::pair(j, i) }) {
+                if (isCut && i != j)
+                    m_cut.insert(link);
+                else
+                    m_cut.erase(link);
+            }
+        }
+
+        void heal() { m_cut.clear(); }
+
+        void run(Duration duration)
+        {
+            for (TimePoint end = now + duration; now < end;)
+                runStep();
+        }
+
+        bool runUntil(const std::function<bool()>& condition, Duration limit = seconds(20))
+        {
+            for (TimePoint end = now + limit; now < end; runStep()) {
+                if (condition())
+                    return true;
+            }
+            return condition();
+        }
+
+        /// The leader of the highest term, or -1.
+        int leader() const
+        {
+            int found = -1;
+            for (size_t i = 0; i < nodes.size(); ++i) {
+                const auto& replica = nodes[i].replica;
+                bool leads = replica && replica->role() == LogRole::Leader;
+                if (leads && (found < 0 || replica->term() > at(found).term()))
+                    found = static_cast<int>(i);
+            }
+            return found;
+        }
+
+        size_t waitForLeader()
+        {
+            EXPECT_TRUE(runUntil([&] { return leader() >= 0 && at(leader()).quorumProvenAt(); })) << "no leader";
+            return static_cast<size_t>(std::max(leader(), 0));
+        }
+
+        std::error_code propose(size_t i, std::string payload)
+        {
+            auto error = nodes[i].replica->propose(std::move(payload), clock(nodes[i]), nullptr);
+            drain(i);
+            return error;
+        }
+
+        std::error_code change(size_t i, LogMembershipChange::Action action, const LogMember& member)
+        {
+            auto error = nodes[i].replica->changeVoters({ action, member }, clock(nodes[i]));
+            drain(i);
+            return error;
+        }
+
+        bool commitsMore(size_t count = 5)
+        {
+            size_t goal = committed.size() + count;
+            return runUntil([&] {
+                if (leader() >= 0 && committed.size() < goal)
+                    propose(static_cast<size_t>(leader()), "more");
+                return committed.size() >= goal;
+            });
+        }
+
+        bool converges()
+        {
+            return runUntil([&] {
+                return std::ranges::all_of(nodes, [&](const Node& node) {
+                    return node.replica && node.applied == committed.size() && node.replica->isVoter();
+                });
+            });
+        }
+
+        /// Host ids of the current disks equal the voters of the latest committed membership.
+        bool isWhole() const
+        {
+            LogMembership latest = nodes[0].disk.snapshot.membership;
+            for (const LogEntry& entry : committed) {
+                if (entry.kind == LogEntryKind::Membership)
+                    latest = entry.membership;
+            }
+            bool hasChanged = std::ranges::any_of(
+                committed, [](const LogEntry& entry) { return entry.kind == LogEntryKind::Membership; });
+            return std::ranges::all_of(nodes, [&](const Node& node) {
+                bool isInitial = !hasChanged && node.lives >= 1 && node.disk.replicaId.value().ends_with("/0");
+                return isInitial || std::ranges::count(latest.voters, node.disk.replicaId, &LogMember::id) == 1;
+            });
+        }
+
+        LogReplica& at(int i) { return *nodes[static_cast<size_t>(i)].replica; }
+        const LogReplica& at(int i) const { return *nodes[static_cast<size_t>(i)].replica; }
+        TimePoint clock(const Node& node) const { return now + node.clockOffset; }
+
+        std::vector<Node> nodes;
+        Faults faults;
+        TimePoint now { seconds(100) };
+        /// The naive list, and the time at which each entry was first known as committed.
+        std::vector<LogEntry> committed;
+        std::vector<TimePoint> committedAt;
+        /// First violated invariant.
+        std::string violation;
+        size_t refusals { 0 };
+        /// Holds back messages to this host if set.
+        std::optional<HostId> stalled;
+
+    private:
+        struct InFlight {
+            TimePoint due;
+            size_t from { 0 };
+            LogSend send;
+        };
+
+        bool happens(double chance) { return static_cast<double>(m_random() % 1000000) < chance * 1000000; }
+
+        void violate(const std::string& what)
+        {
+            if (violation.empty())
+                violation = what;
+        }
+
+        void runStep()
+        {
+            now += step;
+            deliver();
+            for (size_t i = 0; i < nodes.size(); ++i) {
+                Node& node = nodes[i];
+                if (!node.replica)
+                    continue;
+                checkLease(node);
+                if (node.isFrozen)
+                    continue;
+                if (!node.unsynced.empty() && happens(faults.syncChance))
+                    syncOldest(i);
+                node.replica->tick(clock(node));
+                drain(i);
+                checkProof(node);
+            }
+        }
+
+        void syncOldest(size_t i)
+        {
+            Node& node = nodes[i];
+            LogPersist done = std::move(node.unsynced.front());
+            node.unsynced.pop_front();
+            if (!applyLogWrite(done.write, node.disk))
+                violate("write is not contiguous");
+            node.replica->persisted(done.token, clock(node));
+            drain(i);
+        }
+
+        void deliver()
+        {
+            std::vector<InFlight> due;
+            std::vector<InFlight> later;
+            for (InFlight& message : m_messages) {
+                bool isHeld = message.due > now || stalled == message.send.host;
+                (isHeld ? later : due).push_back(std::move(message));
+            }
+            m_messages = std::move(later);
+            std::ranges::shuffle(due, m_random);
+            for (const InFlight& message : due)
+                deliver(message);
+        }
+
+        void deliver(const InFlight& message)
+        {
+            for (size_t i = 0; i < nodes.size(); ++i) {
+                Node& node = nodes[i];
+                bool isTarget = node.options.self == message.send.host && node.replica;
+                if (!isTarget || m_cut.contains({ message.from, i }))
+                    continue;
+                // A frozen process receives what waits in its sockets once it resumes.
+                if (node.isFrozen) {
+                    m_messages.push_back(message);
+                    continue;
+                }
+                LogMessage decoded;
+                if (decode(encode(message.send.message), decoded) || decoded != message.send.message)
+                    violate("message changed by encoding");
+                node.replica->receive(decoded, clock(node));
+                drain(i);
+            }
+        }
+
+        void drain(size_t i)
+        {
+            for (LogOutput& output : nodes[i].replica->takeOutputs())
+                std::visit([&](auto& value) { handle(i, value); }, output);
+        }
+
+        void handle(size_t i, LogSend& send)
+        {
+            if (const auto* answer = std::get_if<LogAppendResponse>(&send.message.body))
+                refusals += !answer->accepted;
+            if (happens(faults.loss))
+                return;
+            int copies = happens(faults.duplication) ? 2 : 1;
+            for (int c = 0; c < copies; ++c) {
+                Duration delay = milliseconds(m_random() % static_cast<uint64_t>(faults.maxDelay.count() + 1));
+                m_messages.push_back({ now + delay, i, send });
+            }
+        }
+
+        void handle(size_t i, LogPersist& persist) { nodes[i].unsynced.push_back(std::move(persist)); }
+
+        void handle(size_t i, LogApply& apply)
+        {
+            uint64_t index = apply.entry.index.value();
+            if (index != nodes[i].applied + 1)
+                violate("entry applied out of order");
+            nodes[i].applied = index;
+            if (index == committed.size() + 1) {
+                committed.push_back(apply.entry);
+                committedAt.push_back(now);
+                m_states.push_back(stableHash(apply.entry.payload + "@" + std::to_string(apply.entry.term.value()),
+                    m_states.empty() ? 0 : m_states.back()));
+            } else if (index > committed.size() || committed[index - 1] != apply.entry) {
+                violate("committed entry lost or changed at index " + std::to_string(index));
+            }
+        }
+
+        void handle(size_t i, LogRestore& restore)
+        {
+            uint64_t index = restore.snapshot.index.value();
+            nodes[i].applied = index;
+            if (index > m_states.size() || restore.snapshot.data != state(index))
+                violate("snapshot differs from the committed entries");
+        }
+
+        void handle(size_t i, LogTakeSnapshot& request)
+        {
+            Node& node = nodes[i];
+            if (request.index.value() <= m_states.size())
+                node.replica->snapshotTaken(request.index, state(request.index.value()), clock(node));
+        }
+
+        void handle(size_t i, LogRoleChange& change)
+        {
+            if (change.role != LogRole::Leader)
+                return;
+            auto [entry, isNew] = m_leaders.try_emplace(change.term, nodes[i].disk.replicaId);
+            if (!isNew && entry->second != nodes[i].disk.replicaId)
+                violate("two leaders in term " + std::to_string(change.term.value()));
+        }
+
+        // A replica that proves freshness at a time holds everything that was committed before that time.
+        void checkProof(const Node& node)
+        {
+            std::optional<TimePoint> proven = node.replica->provenAt();
+            if (!proven)
+                return;
+            TimePoint global = *proven - node.clockOffset;
+            auto end = std::ranges::lower_bound(committedAt, global);
+            if (node.replica->commitIndex().value() < static_cast<uint64_t>(end - committedAt.begin()))
+                violate("proof without a committed entry");
+        }
+
+        void checkLease(const Node& node)
+        {
+            bool isSuperseded = !committed.empty() && committed.back().term > node.replica->term();
+            if (isSuperseded && node.replica->hasLease(clock(node)))
+                violate("lease of a superseded leader");
+        }
+
+        // Long enough to need several chunks in tests with small messages.
+        std::string state(uint64_t index) const { return std::string(700, 's') + std::to_string(m_states[index - 1]); }
+
+        std::mt19937_64 m_random;
+        std::vector<InFlight> m_messages;
+        std::set<std::pair<size_t, size_t>> m_cut;
+        std::vector<uint64_t> m_states;
+        std::map<Term, ReplicaId> m_leaders;
+    };
+
+    LogReplicaOptions smallLimits()
+    {
+        return { .maxMessageBytes = 400, .maxInFlightMessages = 3, .snapshotEveryEntries = 30, .keepEntries = 7 };
+    }
+
+    size_t otherThan(size_t a, size_t b = 99)
+    {
+        for (size_t i = 0;; ++i) {
+            if (i != a && i != b)
+                return i;
+        }
+    }
+
+    void randomFault(Cluster& cluster, uint64_t choice)
+    {
+        size_t i = choice / 16 % cluster.nodes.size();
+        size_t j = choice / 256 % cluster.nodes.size();
+        Cluster::Node& node = cluster.nodes[i];
+        switch (choice % 16) {
+        case 0:
+        case 1:
+            if (node.replica)
+                cluster.crash(i);
+            return;
+        case 2:
+            // A second disk may be lost only after the first is replaced; two losses at once lose data by design.
+            if (node.replica && cluster.isWhole())
+                cluster.loseDisk(i);
+            return;
+        case 3:
+            cluster.cut(i);
+            return;
+        case 4:
+            cluster.setLink(i, j, true);
+            return;
+        case 5:
+            node.isFrozen = !node.isFrozen;
+            return;
+        case 6:
+        case 7:
+            cluster.heal();
+            return;
+        default:
+            if (!node.replica)
+                cluster.start(i);
+        }
+    }
+
+    void runRandomly(size_t size, uint64_t seed)
+    {
+        Cluster cluster(size, seed, smallLimits());
+        std::mt19937_64 random(seed + 1);
+        cluster.faults = { .loss = static_cast<double>(random() % 20) / 100,
+            .duplication = static_cast<double>(random() % 20) / 100,
+            .maxDelay = milliseconds(1 + random() % 60),
+            .syncChance = 0.2 + static_cast<double>(random() % 80) / 100 };
+        for (int round = 0; round < 60 && cluster.violation.empty(); ++round) {
+            randomFault(cluster, random());
+            for (size_t i = 0; i < size; ++i) {
+                if (cluster.nodes[i].replica && !cluster.nodes[i].isFrozen)
+                    cluster.propose(i, std::to_string(random()));
+            }
+            cluster.run(milliseconds(random() % 700));
+        }
+        cluster.heal();
+        cluster.faults = {};
+        for (size_t i = 0; i < size; ++i) {
+            cluster.nodes[i].isFrozen = false;
+            if (!cluster.nodes[i].replica)
+                cluster.start(i);
+        }
+        RC_ASSERT(cluster.violation == std::string());
+        RC_ASSERT(cluster.commitsMore());
+        RC_ASSERT(cluster.converges());
+        RC_ASSERT(cluster.violation == std::string());
+    }
+
+} // namespace
+
+// Guards against lost or reordered commits, two leaders of one term, and false proofs under every mix of faults.
+RC_GTEST_PROP(LogReplicaTest, ThreeReplicasAgreeWithTheNaiveList, (uint64_t seed))
+{
+    runRandomly(3, seed);
+}
+
+RC_GTEST_PROP(LogReplicaTest, FiveReplicasAgreeWithTheNaiveList, (uint64_t seed))
+{
+    runRandomly(5, seed);
+}
+
+// Guards against a first start that never elects a leader, or that creates two logs.
+TEST(LogReplicaTest, EmptyDisksCreateOneLog)
+{
+    for (size_t size : { 1, 3, 5 }) {
+        Cluster cluster(size, size, {}, true);
+        size_t leader = cluster.waitForLeader();
+        EXPECT_EQ(cluster.nodes[leader].replica->membership().voters.size(), size);
+        EXPECT_TRUE(cluster.commitsMore());
+        EXPECT_TRUE(cluster.converges());
+        EXPECT_EQ(cluster.violation, "");
+    }
+}
+
+// Guards against a replica that takes the loss of its disk for a first start and creates a second log.
+TEST(LogReplicaTest, LostDiskOfTheCreatorDoesNotCreateAnotherLog)
+{
+    Cluster cluster(3, 7, {}, true);
+    cluster.waitForLeader();
+    EXPECT_TRUE(cluster.commitsMore());
+    cluster.loseDisk(0);
+    cluster.start(0);
+    EXPECT_TRUE(cluster.commitsMore());
+    EXPECT_TRUE(cluster.converges());
+    EXPECT_EQ(cluster.violation, "");
+}
+
+namespace {
+
+    /// Entries are committed on the leader and one follower; the follower loses its disk and returns, and the leader
+    /// is lost. Only the follower that missed the entries and the new disk remain.
+    void loseSecondHostBeforeCatchUp(Cluster& cluster)
+    {
+        size_t leader = cluster.waitForLeader();
+        size_t behind = otherThan(leader);
+        size_t holder = otherThan(leader, behind);
+        cluster.cut(behind);
+        EXPECT_TRUE(cluster.commitsMore());
+        cluster.loseDisk(holder);
+        cluster.crash(leader);
+        cluster.start(holder);
+        cluster.heal();
+        cluster.run(seconds(5));
+        if (cluster.leader() >= 0)
+            cluster.propose(static_cast<size_t>(cluster.leader()), "after the loss");
+        cluster.run(seconds(1));
+        cluster.start(leader);
+        cluster.run(seconds(5));
+    }
+
+} // namespace
+
+// Guards against the loss of committed entries when a second host is lost before the repair of the first has finished.
+TEST(LogReplicaTest, SecondHostLostBeforeCatchUpLosesNothing)
+{
+    Cluster cluster(3, 11);
+    loseSecondHostBeforeCatchUp(cluster);
+    EXPECT_TRUE(cluster.commitsMore());
+    EXPECT_TRUE(cluster.converges());
+    EXPECT_EQ(cluster.violation, "");
+}
+
+// Shows that learner-before-voter prevents this loss.
+TEST(LogReplicaTest, WithoutLearnerPhaseCommittedEntriesAreLost)
+{
+    Cluster cluster(3, 11, { .learnerBeforeVoter = false });
+    loseSecondHostBeforeCatchUp(cluster);
+    EXPECT_NE(cluster.violation, "");
+}
+
+// Guards against a repaired replica that does not count as a voter, so that the next loss stops the log.
+TEST(LogReplicaTest, SecondHostLostAfterCatchUpLeavesAQuorum)
+{
+    Cluster cluster(3, 13, smallLimits());
+    size_t leader = cluster.waitForLeader();
+    EXPECT_TRUE(cluster.commitsMore(100));
+    size_t lost = otherThan(leader);
+    cluster.loseDisk(lost);
+    cluster.start(lost);
+    EXPECT_FALSE(cluster.nodes[lost].replica->isVoter());
+    EXPECT_TRUE(cluster.runUntil([&] { return cluster.isWhole(); }));
+    cluster.crash(leader);
+    EXPECT_TRUE(cluster.commitsMore());
+    EXPECT_EQ(cluster.violation, "");
+}
+
+// Guards against a leader behind a silent partition that keeps its subtree on an old configuration.
+TEST(LogReplicaTest, LeaderBehindAPartitionStopsProving)
+{
+    Cluster cluster(3, 17);
+    size_t old = cluster.waitForLeader();
+    cluster.run(seconds(1));
+    size_t follower = otherThan(old);
+    EXPECT_TRUE(cluster.nodes[follower].replica->provenAt());
+    cluster.cut(old);
+    TimePoint cutAt = cluster.now;
+    cluster.run(seconds(3));
+    EXPECT_EQ(cluster.nodes[old].replica->quorumProvenAt(), std::nullopt);
+    EXPECT_FALSE(cluster.nodes[old].replica->hasLease(cluster.clock(cluster.nodes[old])));
+    EXPECT_LE(cluster.nodes[old].replica->provenAt(), cutAt + cluster.nodes[old].clockOffset);
+    EXPECT_GT(
+        cluster.nodes[follower].replica->provenAt(), cluster.now - seconds(1) + cluster.nodes[follower].clockOffset);
+    EXPECT_NE(cluster.nodes[old].replica->role(), LogRole::Leader);
+}
+
+// Shows that check-quorum makes it step down.
+TEST(LogReplicaTest, WithoutCheckQuorumTheOldLeaderKeepsAcceptingProposals)
+{
+    for (bool checkQuorum : { true, false }) {
+        Cluster cluster(3, 17, { .checkQuorum = checkQuorum });
+        size_t old = cluster.waitForLeader();
+        cluster.cut(old);
+        cluster.run(seconds(10));
+        auto error = cluster.propose(old, "never committed");
+        EXPECT_EQ(error, checkQuorum ? std::error_code(ResultCode::NotLeader) : std::error_code());
+    }
+}
+
+// Guards against old answers, delivered in a burst after a pause, that renew a proof.
+TEST(LogReplicaTest, BurstOfOldMessagesProvesNothing)
+{
+    Cluster cluster(3, 19);
+    size_t leader = cluster.waitForLeader();
+    cluster.run(seconds(1));
+    size_t follower = otherThan(leader);
+    Cluster::Node& node = cluster.nodes[follower];
+    cluster.stalled = node.options.self;
+    TimePoint stalledAt = cluster.clock(node);
+    cluster.run(milliseconds(400));
+    cluster.cut(leader);
+    cluster.run(seconds(5));
+    cluster.heal();
+    cluster.crash(leader);
+    cluster.stalled.reset();
+    cluster.run(milliseconds(10));
+    EXPECT_LE(node.replica->provenAt(), stalledAt);
+}
+
+// Guards against a leader that resumes after a long freeze and acts on its old authority.
+TEST(LogReplicaTest, FrozenLeaderStepsDownWhenItResumes)
+{
+    Cluster cluster(3, 23);
+    size_t old = cluster.waitForLeader();
+    cluster.run(seconds(1));
+    cluster.nodes[old].isFrozen = true;
+    cluster.run(seconds(5));
+    EXPECT_FALSE(cluster.nodes[old].replica->hasLease(cluster.clock(cluster.nodes[old])));
+    EXPECT_EQ(cluster.propose(old, "late"), ResultCode::NotLeader);
+    cluster.nodes[old].isFrozen = false;
+    EXPECT_TRUE(cluster.commitsMore());
+    EXPECT_TRUE(cluster.converges());
+    EXPECT_EQ(cluster.violation, "");
+}
+
+// Shows that pre-vote keeps a replica that returns from a partition from deposing the leader.
+TEST(LogReplicaTest, WithoutPreVoteAReturningReplicaDeposesTheLeader)
+{
+    for (bool preVote : { true, false }) {
+        Cluster cluster(3, 29, { .preVote = preVote });
+        size_t leader = cluster.waitForLeader();
+        Term before = cluster.nodes[leader].replica->term();
+        cluster.cut(otherThan(leader));
+        cluster.run(seconds(10));
+        cluster.heal();
+        cluster.run(seconds(10));
+        Term after = cluster.nodes[cluster.waitForLeader()].replica->term();
+        EXPECT_EQ(after == before, preVote);
+    }
+}
+
+// Shows that waiting for the sync keeps acknowledged entries through a loss of power on all hosts.
+TEST(LogReplicaTest, WithoutWaitingForTheSyncAPowerLossLosesCommits)
+{
+    for (bool waitForSync : { true, false }) {
+        Cluster cluster(3, 31, { .waitForSync = waitForSync });
+        cluster.waitForLeader();
+        cluster.faults.syncChance = 0.02;
+        EXPECT_TRUE(cluster.commitsMore());
+        for (size_t i = 0; i < 3; ++i)
+            cluster.crash(i, true);
+        cluster.faults.syncChance = 1;
+        for (size_t i = 0; i < 3; ++i)
+            cluster.start(i);
+        EXPECT_TRUE(cluster.commitsMore());
+        cluster.run(seconds(2));
+        EXPECT_EQ(cluster.violation.empty(), waitForSync) << cluster.violation;
+    }
+}
+
+// Guards against two overlapping changes, which could form disjoint quorums.
+TEST(LogReplicaTest, SecondMembershipChangeWaitsForTheFirst)
+{
+    using Action = LogMembershipChange::Action;
+    Cluster cluster(5, 37);
+    size_t leader = cluster.waitForLeader();
+    const LogMembership initial = cluster.nodes[leader].replica->membership();
+    const LogMember& first = initial.voters[otherThan(leader)];
+    const LogMember& second = initial.voters[otherThan(leader, otherThan(leader))];
+    EXPECT_EQ(cluster.change(otherThan(leader), Action::Remove, first), ResultCode::NotLeader);
+    EXPECT_EQ(cluster.change(leader, Action::Remove, first), std::error_code());
+    EXPECT_EQ(cluster.change(leader, Action::Remove, second), ResultCode::MembershipChangePending);
+    EXPECT_TRUE(cluster.commitsMore());
+    EXPECT_EQ(cluster.change(leader, Action::Remove, second), std::error_code());
+    EXPECT_TRUE(cluster.commitsMore());
+    EXPECT_EQ(cluster.nodes[leader].replica->membership().voters.size(), 3U);
+    EXPECT_EQ(cluster.change(leader, Action::Add, first), std::error_code());
+    EXPECT_EQ(cluster.change(leader, Action::Add, second), ResultCode::MembershipChangePending);
+    EXPECT_TRUE(cluster.runUntil([&] { return cluster.nodes[leader].replica->membership().voters.size() == 4; }));
+    // A leader that removes itself hands over after the commit.
+    EXPECT_TRUE(cluster.commitsMore());
+    EXPECT_EQ(cluster.change(leader, Action::Remove, initial.voters[leader]), std::error_code());
+    EXPECT_TRUE(
+        cluster.runUntil([&] { return cluster.leader() >= 0 && cluster.leader() != static_cast<int>(leader); }));
+    EXPECT_TRUE(cluster.commitsMore());
+    EXPECT_EQ(cluster.violation, "");
+}
+
+// Guards against back-up by one entry per refusal after a long divergence.
+TEST(LogReplicaTest, DivergedFollowerIsRepairedWithFewRefusals)
+{
+    Cluster cluster(3, 41);
+    size_t old = cluster.waitForLeader();
+    cluster.cut(old);
+    for (int i = 0; i < 500; ++i)
+        cluster.propose(old, "diverged");
+    cluster.run(seconds(3));
+    EXPECT_TRUE(cluster.commitsMore(50));
+    cluster.heal();
+    cluster.refusals = 0;
+    EXPECT_TRUE(cluster.converges());
+    EXPECT_LT(cluster.refusals, 10U);
+    EXPECT_EQ(cluster.violation, "");
+}
+
+// Guards against unbounded memory while no quorum acknowledges.
+TEST(LogReplicaTest, ProposalsAreRefusedWhenMemoryIsFull)
+{
+    Cluster cluster(3, 43, { .maxEntriesInMemory = 100, .maxPayloadBytes = 10 });
+    size_t leader = cluster.waitForLeader();
+    cluster.cut(leader);
+    EXPECT_EQ(cluster.propose(leader, "over eleven"), ResultCode::PlanTooLarge);
+    std::error_code error;
+    int accepted = 0;
+    while (!(error = cluster.propose(leader, "x")) && accepted < 1000)
+        ++accepted;
+    EXPECT_EQ(error, ResultCode::QuorumLost);
+    EXPECT_LT(accepted, 100);
+}
+
+// Guards against a crash or unlimited allocation on damaged or hostile bytes.
+RC_GTEST_PROP(LogReplicaTest, DecodingDamagedMessagesReturns, (uint64_t seed))
+{
+    std::mt19937_64 random(seed);
+    LogAppendRequest append;
+    append.previousIndex = LogIndex(random());
+    append.proofAge = Duration(5);
+    append.entries.resize(2);
+    append.entries[0].membership.voters.push_back({ ReplicaId("a/1"), HostId("a") });
+    std::string bytes = encode({ { ReplicaId("b/1"), HostId("b") }, ReplicaId("a/1"), Term(3), append });
+    LogMessage decoded;
+    RC_ASSERT(!decode(bytes, decoded));
+    RC_ASSERT(std::get<LogAppendRequest>(decoded.body) == append);
+    RC_ASSERT(decode(bytes.substr(0, random() % bytes.size()), decoded));
+    for (int i = 0; i < 3; ++i)
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+    static_cast<void>(decode(bytes, decoded));
+}
+
+} // namespace dragonflylane
