--- a/dragonflylane/ConfigHolder.h
+++ b/dragonflylane/ConfigHolder.h
@@ -14,7 +14,7 @@
 
 /// Options of a ConfigHolder. Each check protects an invariant; only tests switch one off, to show it broken.
 struct ConfigHolderOptions {
-    ConfigHistoryOptions history;
+    ConfigHistoryOptions history {};
     bool checkRevision { true };
     bool checkEqualRevision { true };
     bool checkBase { true };
--- a/dragonflylane/ConfigItem.cpp
+++ b/dragonflylane/ConfigItem.cpp
@@ -125,8 +125,8 @@
         {
             if (isValidName(name))
                 return {};
-            return refuse(ResultCode::InvalidName,
-                std::string(kind) + " name '" + name.substr(0, ItemLimits::nameLength) + "' is not valid", detail);
+            return refuse(
+                ResultCode::InvalidName, std::string(kind) + " name '" + excerpt(name) + "' is not valid", detail);
         }
 
         std::error_code operator()(const ServiceItem& item) const
@@ -293,6 +293,16 @@
     return startsWell && std::all_of(name.begin(), name.end(), isNameCharacter);
 }
 
+std::string excerpt(std::string_view text)
+{
+    std::string result(text.substr(0, ItemLimits::nameLength));
+    for (char& c : result) {
+        if (c < ' ' || c > '~')
+            c = '?';
+    }
+    return result;
+}
+
 std::error_code checkItem(const ConfigItem& item, std::string* detail)
 {
     return std::visit(ItemChecker { detail }, item);
--- a/dragonflylane/ConfigItem.h
+++ b/dragonflylane/ConfigItem.h
@@ -122,6 +122,8 @@
 
 /// 1 to 64 characters of [a-z0-9._-], starting with a letter or digit.
 bool isValidName(std::string_view);
+/// A text from outside for use in messages: at most 64 characters, all but printable ASCII replaced by '?'.
+std::string excerpt(std::string_view);
 /// Checks one item by itself: names and ranges. On refusal returns InvalidName, InvalidValue or ZeroWeights and a
 /// sentence in `detail`.
 std::error_code checkItem(const ConfigItem&, std::string* detail = nullptr);
--- a/dragonflylane/PlanReview.cpp
+++ b/dragonflylane/PlanReview.cpp
@@ -187,7 +187,7 @@
                 return error;
             final->insert(set->item);
         } else if (!final->remove(key))
-            return refuse(ResultCode::UnknownItem, key.toString() + " does not exist", detail);
+            return refuse(ResultCode::UnknownItem, excerpt(key.toString()) + " does not exist", detail);
     }
     return {};
 }
--- /dev/null
+++ b/tests/ConfigStateTest.cpp
@@ -0,0 +1,531 @@
+#include "dragonflylane/ConfigHolder.h"
+#include "dragonflylane/ConfigWire.h"
+#include "dragonflylane/ResultCode.h"
+#include "tests/ConfigGenerators.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace dragonflylane {
+
+namespace {
+
+    ServiceItem service(const std::string& name, int timeout = 1000)
+    {
+        return { ServiceName(name), std::chrono::milliseconds(timeout), 2 };
+    }
+
+    RouteItem route(const std::string& name, const std::string& prefix, const std::string& target, uint32_t weight = 1)
+    {
+        RouteItem item;
+        item.name = RouteName(name);
+        item.pathPrefix = prefix;
+        item.split = { { ServiceName(target), weight } };
+        return item;
+    }
+
+    CallRuleItem rule(const std::string& caller, const std::string& callee)
+    {
+        return { ServiceName(caller), ServiceName(callee) };
+    }
+
+    ConfigPayload deltaPayload(const ConfigState& from, const ConfigState& to)
+    {
+        ConfigPayload payload;
+        payload.kind = ConfigPayload::Kind::Delta;
+        payload.revision = to.revision();
+        payload.digest = to.digest();
+        payload.delta = from.deltaTo(to);
+        return payload;
+    }
+
+    ConfigPayload snapshotPayload(const ConfigState& state)
+    {
+        ConfigPayload payload;
+        payload.kind = ConfigPayload::Kind::Snapshot;
+        payload.revision = state.revision();
+        payload.digest = state.digest();
+        payload.snapshot = encodeSnapshot(state);
+        return payload;
+    }
+
+    ConfigPayload upToDatePayload(const ConfigState& state)
+    {
+        ConfigPayload payload;
+        payload.revision = state.revision();
+        payload.digest = state.digest();
+        return payload;
+    }
+
+    /// Revisions 0 to 3: empty; service a; a and b; b.
+    std::vector<ConfigState> shortChain()
+    {
+        return { ConfigState(), ConfigState(Revision(1), { service("a") }),
+            ConfigState(Revision(2), { service("a"), service("b") }), ConfigState(Revision(3), { service("b") }) };
+    }
+
+    ConfigHolder holderOf(const ConfigState& state, ConfigHolderOptions options = {})
+    {
+        ConfigHolder holder(options);
+        if (state.revision() > Revision(0)) {
+            EXPECT_FALSE(holder.accept(snapshotPayload(state)));
+        }
+        return holder;
+    }
+
+    void expectRefused(const ConfigState& held, const ConfigPayload& payload, ResultCode code)
+    {
+        ConfigHolder holder = holderOf(held);
+        EXPECT_EQ(holder.accept(payload), code);
+        EXPECT_EQ(holder.state(), held);
+    }
+
+} // namespace
+
+// Guards against any order of merged, duplicated, late and reordered payloads that leaves a holder with a state that
+// is not exactly one of the source's revisions, or with an older one than before (I1, I3).
+RC_GTEST_PROP(ConfigHolderProperty, HoldsOnlyWholeRevisionsAndNeverAnOlderOne, ())
+{
+    constexpr uint32_t length = 8;
+    std::vector<ConfigState> chain = randomChain(length);
+    ConfigHolder holder;
+    for (int step = 0; step < 25; ++step) {
+        uint32_t from = randomBelow(length);
+        uint32_t to = from + 1 + randomBelow(length - from);
+        ConfigPayload payload;
+        switch (randomBelow(5)) {
+        case 0:
+            payload = snapshotPayload(chain[to]);
+            break;
+        case 1:
+            payload = upToDatePayload(chain[to]);
+            break;
+        case 2: // Merged from single steps.
+            payload = deltaPayload(chain[from], chain[from + 1]);
+            for (uint32_t i = from + 1; i < to; ++i)
+                RC_ASSERT(!payload.delta.append(chain[i].deltaTo(chain[i + 1])));
+            payload.revision = chain[to].revision();
+            payload.digest = chain[to].digest();
+            break;
+        default:
+            payload = deltaPayload(chain[from], chain[from + 1]);
+        }
+        ConfigPayload decoded;
+        RC_ASSERT(!decodePayload(encodePayload(payload), &decoded));
+        RC_ASSERT(decoded == payload);
+        ConfigState before = holder.state();
+        std::error_code error = holder.accept(decoded);
+        RC_ASSERT(holder.state().revision() >= before.revision());
+        RC_ASSERT(holder.state() == chain[holder.state().revision().value()]);
+        if (error)
+            RC_ASSERT(holder.state() == before);
+        else
+            RC_ASSERT(holder.state().revision() == payload.revision);
+    }
+}
+
+// Guards against a history that cannot bring a holder of some revision to the current one, or sends more than needed.
+RC_GTEST_PROP(ConfigHistoryProperty, BringsEveryHolderToTheCurrentRevision, ())
+{
+    constexpr uint32_t length = 10;
+    std::vector<ConfigState> chain = randomChain(length);
+    ConfigHistoryOptions options;
+    options.maxDeltas = 1 + randomBelow(length);
+    ConfigHistory history(options);
+    for (uint32_t i = 0; i < length; ++i)
+        RC_ASSERT(!history.append(chain[i].deltaTo(chain[i + 1])));
+    RC_ASSERT(history.state() == chain.back());
+    RC_ASSERT(history.deltas().size() == options.maxDeltas);
+    for (const ConfigState& held : chain) {
+        ConfigPayload payload = history.payloadFor(held.revision(), held.digest());
+        if (held.revision() == chain.back().revision()) {
+            RC_ASSERT(payload.kind == ConfigPayload::Kind::UpToDate);
+            continue;
+        }
+        bool retained = held.revision().value() + options.maxDeltas >= length;
+        std::optional<ConfigDelta> merged = history.deltaSince(held.revision());
+        RC_ASSERT(merged.has_value() == retained);
+        bool deltaIsShorter = retained && encodeDelta(*merged).size() <= history.snapshot().size();
+        RC_ASSERT((payload.kind == ConfigPayload::Kind::Delta) == deltaIsShorter);
+        ConfigHolder holder = holderOf(held);
+        RC_ASSERT(!holder.accept(payload));
+        RC_ASSERT(holder.state() == chain.back());
+    }
+}
+
+// Guards against encodings that lose or confuse a field.
+RC_GTEST_PROP(ConfigWireProperty, RoundTripKeepsEveryValue, ())
+{
+    std::vector<ConfigState> chain = randomChain(3);
+    ConfigState state;
+    RC_ASSERT(!decodeSnapshot(encodeSnapshot(chain[3]), &state));
+    RC_ASSERT(state == chain[3]);
+    ConfigDelta delta;
+    RC_ASSERT(!decodeDelta(encodeDelta(chain[1].deltaTo(chain[3])), &delta));
+    RC_ASSERT(delta == chain[1].deltaTo(chain[3]));
+}
+
+// Guards against a decoder that crashes, or takes a damaged snapshot for a whole one.
+RC_GTEST_PROP(ConfigWireProperty, DamagedBytesNeverYieldAnotherConfiguration, ())
+{
+    ConfigState original = randomChain(4).back();
+    ConfigPayload payload = snapshotPayload(original);
+    std::string bytes = encodePayload(payload);
+    uint32_t size = static_cast<uint32_t>(bytes.size());
+    ConfigPayload decoded;
+    RC_ASSERT(
+        decodePayload(std::string_view(bytes).substr(0, randomBelow(size)), &decoded) == ResultCode::MalformedFrame);
+    RC_ASSERT(decodePayload(bytes + "x", &decoded) == ResultCode::MalformedFrame);
+    bytes[randomBelow(size)] ^= static_cast<char>(1U << randomBelow(8));
+    if (decodePayload(bytes, &decoded))
+        return;
+    ConfigHolder holder;
+    if (!holder.accept(decoded) && holder.state().revision() > Revision(0))
+        RC_ASSERT(holder.state().digest() == original.digest());
+}
+
+// Guards against a digest that depends on the path by which a state was reached.
+RC_GTEST_PROP(ConfigStateProperty, DigestAndSizeDependOnTheItemsOnly, ())
+{
+    ConfigState state = randomChain(6).back();
+    std::vector<ConfigItem> items;
+    for (const auto& [key, item] : state.items())
+        items.insert(items.begin(), *item);
+    ConfigState rebuilt(state.revision(), items);
+    RC_ASSERT(rebuilt == state);
+    RC_ASSERT(rebuilt.bytes() == state.bytes());
+    for (const ConfigItem& item : items)
+        rebuilt.remove(keyOf(item));
+    RC_ASSERT(rebuilt.digest() == Digest());
+    RC_ASSERT(rebuilt.bytes() == 0U);
+}
+
+// Guards against a rollback (I1).
+TEST(ConfigHolderTest, RefusesLowerRevision)
+{
+    std::vector<ConfigState> chain = shortChain();
+    expectRefused(chain[3], snapshotPayload(chain[2]), ResultCode::StaleRevision);
+    expectRefused(chain[3], deltaPayload(chain[1], chain[2]), ResultCode::StaleRevision);
+    expectRefused(chain[3], upToDatePayload(chain[2]), ResultCode::StaleRevision);
+
+    ConfigHolder unchecked = holderOf(chain[3], { .checkRevision = false });
+    EXPECT_FALSE(unchecked.accept(snapshotPayload(chain[2])));
+    EXPECT_EQ(unchecked.state().revision(), Revision(2)) << "without the check the holder moves back";
+}
+
+// Guards against two configurations under one revision.
+TEST(ConfigHolderTest, RefusesEqualRevisionWithAnotherDigest)
+{
+    std::vector<ConfigState> chain = shortChain();
+    ConfigState divergent(Revision(3), { service("c") });
+    expectRefused(chain[3], snapshotPayload(divergent), ResultCode::DigestMismatch);
+    expectRefused(chain[3], upToDatePayload(divergent), ResultCode::DigestMismatch);
+
+    ConfigHolder unchecked = holderOf(chain[3], { .checkEqualRevision = false });
+    EXPECT_FALSE(unchecked.accept(snapshotPayload(divergent)));
+    EXPECT_EQ(unchecked.state(), divergent) << "without the check revision 3 has two meanings";
+}
+
+// Guards against a divergence that cannot be repaired, and against a repair that moves back.
+TEST(ConfigHolderTest, ReplacesDivergentStateOnlyOnExplicitRequest)
+{
+    std::vector<ConfigState> chain = shortChain();
+    ConfigState divergent(Revision(3), { service("c") });
+    ConfigHolder holder = holderOf(divergent);
+    EXPECT_EQ(holder.replaceDivergent(snapshotPayload(chain[2])), ResultCode::StaleRevision);
+    EXPECT_EQ(holder.replaceDivergent(deltaPayload(chain[2], chain[3])), ResultCode::MalformedFrame);
+    EXPECT_EQ(holder.state(), divergent);
+    EXPECT_FALSE(holder.replaceDivergent(snapshotPayload(chain[3])));
+    EXPECT_EQ(holder.state(), chain[3]);
+}
+
+// Guards against a delta on top of a state that it was not made for (I3).
+TEST(ConfigHolderTest, RefusesWrongBase)
+{
+    std::vector<ConfigState> chain = shortChain();
+    expectRefused(chain[1], deltaPayload(chain[2], chain[3]), ResultCode::BaseMismatch);
+    expectRefused(chain[1], upToDatePayload(chain[2]), ResultCode::BaseMismatch);
+    ConfigState otherBase(Revision(2), { service("a") });
+    expectRefused(otherBase, deltaPayload(chain[2], chain[3]), ResultCode::DigestMismatch);
+
+    ConfigHolder unchecked = holderOf(chain[1], { .checkBase = false, .checkDigest = false });
+    EXPECT_FALSE(unchecked.accept(deltaPayload(chain[2], chain[3])));
+    EXPECT_NE(unchecked.state(), chain[3]) << "without the checks revision 3 lacks service b";
+}
+
+// Guards against a payload whose heading promises another revision than its contents have.
+TEST(ConfigHolderTest, RefusesHeadingThatDiffersFromContents)
+{
+    std::vector<ConfigState> chain = shortChain();
+    for (ConfigPayload payload : { deltaPayload(chain[1], chain[2]), snapshotPayload(chain[2]) }) {
+        ConfigPayload wrongRevision = payload;
+        wrongRevision.revision = Revision(9);
+        expectRefused(chain[1], wrongRevision, ResultCode::BaseMismatch);
+        ConfigPayload wrongDigest = payload;
+        wrongDigest.digest = Digest(1, 2);
+        expectRefused(chain[1], wrongDigest, ResultCode::DigestMismatch);
+    }
+}
+
+// Guards against a delta or snapshot that was damaged on the way (I3).
+TEST(ConfigHolderTest, RefusesWrongResultingDigest)
+{
+    std::vector<ConfigState> chain = shortChain();
+    ConfigPayload damaged = deltaPayload(chain[1], chain[2]);
+    damaged.delta.upserts[serviceKey(ServiceName("b"))] = service("b", 1);
+    expectRefused(chain[1], damaged, ResultCode::DigestMismatch);
+
+    ConfigHolder unchecked = holderOf(chain[1], { .checkDigest = false });
+    EXPECT_FALSE(unchecked.accept(damaged));
+    EXPECT_NE(unchecked.state().items().size(), 0U);
+    EXPECT_EQ(unchecked.state().service(ServiceName("b"))->timeout.count(), 1) << "without the check damage is taken";
+}
+
+// Guards against a revision that is at most the base's, which would repeat or lower revisions.
+TEST(ConfigHolderTest, RefusesDeltaThatDoesNotAdvance)
+{
+    std::vector<ConfigState> chain = shortChain();
+    ConfigDelta delta = chain[2].deltaTo(chain[3]);
+    delta.toRevision = Revision(2);
+    ConfigState state = chain[2];
+    EXPECT_EQ(state.apply(delta), ResultCode::StaleRevision);
+    EXPECT_EQ(state, chain[2]);
+}
+
+// Guards against a route in a proxy to a service that it does not have (I2).
+TEST(ConfigHolderTest, RefusesConfigurationThatDoesNotValidate)
+{
+    std::vector<ConfigState> chain = shortChain();
+    ConfigState dangling(Revision(4), { service("b"), route("r", "/r", "absent") });
+    std::string detail;
+    ConfigHolder holder = holderOf(chain[3]);
+    EXPECT_EQ(holder.accept(deltaPayload(chain[3], dangling), &detail), ResultCode::InvalidConfiguration);
+    EXPECT_EQ(detail, "route r names the unknown service absent");
+    expectRefused(chain[3], snapshotPayload(dangling), ResultCode::InvalidConfiguration);
+
+    // The next revision that applies completely is taken.
+    ConfigState repaired(Revision(5), { service("b"), service("absent"), route("r", "/r", "absent") });
+    EXPECT_FALSE(holder.accept(deltaPayload(chain[3], repaired)));
+    EXPECT_EQ(holder.state(), repaired);
+
+    ConfigHolder unchecked = holderOf(chain[3], { .checkValidity = false });
+    EXPECT_FALSE(unchecked.accept(deltaPayload(chain[3], dangling)));
+    EXPECT_EQ(unchecked.state().service(ServiceName("absent")), nullptr) << "without the check the route dangles";
+}
+
+// Guards against a snapshot that does not decode.
+TEST(ConfigHolderTest, RefusesMalformedSnapshot)
+{
+    std::vector<ConfigState> chain = shortChain();
+    ConfigPayload payload = snapshotPayload(chain[2]);
+    payload.snapshot = "not a snapshot";
+    expectRefused(chain[1], payload, ResultCode::MalformedFrame);
+}
+
+// Guards against a small frame that expands beyond the memory of a daemon.
+TEST(ConfigWireTest, RefusesSnapshotThatExpandsBeyondTheLimit)
+{
+    std::string bomb = compress(std::string(ConfigWireLimits::snapshotBytes + 1, '\0'));
+    EXPECT_LT(bomb.size(), 10'000U);
+    ConfigState state;
+    EXPECT_EQ(decodeSnapshot(bomb, &state), ResultCode::FrameTooLarge);
+    std::string result;
+    EXPECT_FALSE(decompress(bomb, ConfigWireLimits::snapshotBytes + 1, &result));
+    ConfigPayload payload;
+    EXPECT_EQ(decodePayload(std::string(ConfigWireLimits::payloadBytes + 1, 'x'), &payload), ResultCode::FrameTooLarge);
+}
+
+// Guards against a forged length that makes the decoder allocate before it has seen the bytes.
+TEST(ConfigWireTest, RefusesForgedLengths)
+{
+    ConfigDelta delta;
+    // Field 2 (binary) with a length of 2^31 - 1, and field 6 (list) with 2^31 - 1 structs.
+    EXPECT_EQ(decodeDelta(std::string("\x28\xff\xff\xff\xff\x07", 6), &delta), ResultCode::MalformedFrame);
+    EXPECT_EQ(decodeDelta(std::string("\x69\xfc\xff\xff\xff\xff\x07", 7), &delta), ResultCode::MalformedFrame);
+    EXPECT_EQ(decodeDelta("", &delta), ResultCode::MalformedFrame);
+}
+
+// Guards against a delta whose key is both set and removed, whose meaning would depend on the order of application.
+TEST(ConfigWireTest, RefusesKeyInBothParts)
+{
+    ConfigDelta delta = ConfigState().deltaTo(ConfigState(Revision(1), { service("a") }));
+    delta.removals.insert(serviceKey(ServiceName("a")));
+    ConfigDelta decoded;
+    EXPECT_EQ(decodeDelta(encodeDelta(delta), &decoded), ResultCode::MalformedFrame);
+}
+
+// Guards against deltas merged across a gap or between diverged histories.
+TEST(ConfigDeltaTest, AppendRefusesGapAndDivergence)
+{
+    std::vector<ConfigState> chain = shortChain();
+    ConfigDelta first = chain[0].deltaTo(chain[1]);
+    const ConfigDelta before = first;
+    EXPECT_EQ(first.append(chain[2].deltaTo(chain[3])), ResultCode::BaseMismatch);
+    ConfigState divergent(Revision(1), { service("c") });
+    EXPECT_EQ(first.append(divergent.deltaTo(chain[2])), ResultCode::DigestMismatch);
+    EXPECT_EQ(first, before);
+}
+
+// Guards against a merged delta that grows with the number of revisions instead of the number of items.
+TEST(ConfigDeltaTest, MergedDeltaIsBoundedByTheItemsTouched)
+{
+    ConfigHistory history;
+    ConfigState state;
+    for (int i = 1; i <= 500; ++i) {
+        ConfigState next = state;
+        next.insert(service("a", i));
+        next.setRevision(Revision(static_cast<uint64_t>(i)));
+        ASSERT_FALSE(history.append(state.deltaTo(next)));
+        state = next;
+    }
+    EXPECT_EQ(history.deltaSince(Revision(0))->size(), 1U);
+}
+
+// Guards against unbounded memory: deltas are dropped by number and by bytes.
+TEST(ConfigHistoryTest, BoundsDeltasByNumberAndBytes)
+{
+    for (ConfigHistoryOptions options : { ConfigHistoryOptions {}, ConfigHistoryOptions { .maxBytes = 1000 } }) {
+        ConfigHistory history(options);
+        ConfigState state;
+        for (uint64_t i = 1; i <= 1100; ++i) {
+            ConfigState next = state;
+            next.insert(service("a", static_cast<int>(i)));
+            next.setRevision(Revision(i));
+            ASSERT_FALSE(history.append(state.deltaTo(next)));
+            state = next;
+        }
+        size_t bytes = 0;
+        for (const ConfigDelta& delta : history.deltas())
+            bytes += encodeDelta(delta).size();
+        EXPECT_LE(bytes, options.maxBytes);
+        EXPECT_GT(history.deltas().size(), 1U);
+        EXPECT_LE(history.deltas().size(), 1024U);
+        EXPECT_EQ(history.payloadFor(Revision(0), Digest()).kind, ConfigPayload::Kind::Snapshot);
+    }
+}
+
+// Guards against a delta for a child whose state diverged, and against serving a child that is ahead.
+TEST(ConfigHistoryTest, DistinguishesDivergedAndNewerChildren)
+{
+    std::vector<ConfigState> chain = shortChain();
+    ConfigHistory history;
+    for (size_t i = 0; i + 1 < chain.size(); ++i)
+        ASSERT_FALSE(history.append(chain[i].deltaTo(chain[i + 1])));
+    EXPECT_EQ(history.payloadFor(Revision(2), Digest(1, 1)).kind, ConfigPayload::Kind::Snapshot);
+    EXPECT_EQ(history.payloadFor(Revision(3), Digest(1, 1)).kind, ConfigPayload::Kind::Snapshot);
+    ConfigPayload newer = history.payloadFor(Revision(9), Digest(1, 1));
+    EXPECT_EQ(newer.kind, ConfigPayload::Kind::UpToDate);
+    EXPECT_EQ(newer.revision, Revision(3));
+}
+
+// Guards against a cached snapshot of an earlier revision.
+TEST(ConfigHistoryTest, SnapshotFollowsTheState)
+{
+    std::vector<ConfigState> chain = shortChain();
+    ConfigHistory history;
+    for (size_t i = 0; i + 1 < chain.size(); ++i) {
+        ASSERT_FALSE(history.append(chain[i].deltaTo(chain[i + 1])));
+        ConfigState decoded;
+        ASSERT_FALSE(decodeSnapshot(history.snapshot(), &decoded));
+        EXPECT_EQ(decoded, chain[i + 1]);
+    }
+    history.reset(chain[1]);
+    ConfigState decoded;
+    ASSERT_FALSE(decodeSnapshot(history.snapshot(), &decoded));
+    EXPECT_EQ(decoded, chain[1]);
+}
+
+// Guards against each kind of inconsistency that a proxy must not hold.
+TEST(ConfigStateTest, ValidateNamesEachFault)
+{
+    auto validate = [](std::vector<ConfigItem> items, std::string* detail = nullptr) {
+        return ConfigState(Revision(1), std::move(items)).validate(detail);
+    };
+    EXPECT_FALSE(validate({ service("a"), route("r", "/", "a"), rule("client", "a") }));
+    EXPECT_EQ(validate({ route("r", "/", "a") }), ResultCode::DanglingRoute);
+    EXPECT_EQ(validate({ service("a"), route("r", "/r", "a"), route("s", "/r", "a") }), ResultCode::DuplicatePrefix);
+    EXPECT_EQ(validate({ service("a"), route("r", "/r", "a", 0) }), ResultCode::ZeroWeights);
+    EXPECT_EQ(validate({ service("a"), rule("a", "b") }), ResultCode::UnknownService);
+    EXPECT_EQ(validate({ service("a"), rule("b", "a") }), ResultCode::UnknownService);
+    EXPECT_EQ(validate({ service("a"), rule("a", "client") }), ResultCode::InvalidValue);
+    EXPECT_EQ(validate({ service("client") }), ResultCode::InvalidName);
+    EXPECT_EQ(validate({ service("a"), rule("a", "a") }), ResultCode::CallCycle);
+    std::string detail;
+    EXPECT_EQ(validate({ service("a"), service("b"), service("c"), service("d"), rule("a", "b"), rule("b", "c"),
+                           rule("c", "b"), rule("c", "d") },
+                  &detail),
+        ResultCode::CallCycle);
+    EXPECT_TRUE(detail.ends_with("b > c > b") || detail.ends_with("c > b > c")) << detail;
+}
+
+// Guards against a state that is valid but too large for the wire limits, which no daemon could then receive.
+TEST(ConfigStateTest, ValidateBoundsNumberAndBytes)
+{
+    ConfigState state;
+    for (size_t i = 0; i < ConfigState::maxItems; ++i)
+        state.insert(DrainItem { UpstreamId("u" + std::to_string(i)) });
+    EXPECT_FALSE(state.validate());
+    state.insert(DrainItem { UpstreamId("one-more") });
+    EXPECT_EQ(state.validate(), ResultCode::PlanTooLarge);
+
+    ConfigState wide(Revision(1), { service("a") });
+    RouteItem item = route("r", "/", "a");
+    item.idempotentMethods.assign(ItemLimits::idempotentMethods, std::string(ItemLimits::methodLength, 'A'));
+    size_t count = 0;
+    while (wide.bytes() <= ConfigState::maxBytes) {
+        item.name = RouteName("r" + std::to_string(count));
+        item.pathPrefix = "/" + std::to_string(count++) + std::string(ItemLimits::pathPrefixLength - 10, 'p');
+        ConfigState last = wide;
+        wide.insert(item);
+        if (wide.bytes() > ConfigState::maxBytes) {
+            EXPECT_FALSE(last.validate());
+            EXPECT_LE(encodeRawSnapshot(last).size(), ConfigWireLimits::snapshotBytes);
+        }
+    }
+    EXPECT_LT(count, ConfigState::maxItems);
+    EXPECT_EQ(wide.validate(), ResultCode::PlanTooLarge);
+}
+
+// Guards against values that the request path or the wire cannot represent.
+TEST(ConfigItemTest, CheckItemRefusesValuesOutOfRange)
+{
+    auto with = [](auto item, auto change) {
+        change(item);
+        return checkItem(item);
+    };
+    const ServiceItem goodService = service("a");
+    const RouteItem goodRoute = route("r", "/a/b-c.d", "a");
+    EXPECT_FALSE(checkItem(goodService));
+    EXPECT_FALSE(checkItem(goodRoute));
+    using std::chrono::milliseconds;
+    EXPECT_EQ(with(goodService, [](auto& i) { i.timeout = milliseconds(0); }), ResultCode::InvalidValue);
+    EXPECT_EQ(with(goodService, [](auto& i) { i.timeout = milliseconds(600'001); }), ResultCode::InvalidValue);
+    EXPECT_EQ(with(goodService, [](auto& i) { i.maxAttempts = 0; }), ResultCode::InvalidValue);
+    EXPECT_EQ(with(goodService, [](auto& i) { i.maxAttempts = 11; }), ResultCode::InvalidValue);
+    EXPECT_EQ(with(goodRoute, [](auto& i) { i.timeout = milliseconds(-1); }), ResultCode::InvalidValue);
+    EXPECT_EQ(with(goodRoute, [](auto& i) { i.split[0].weight = 10'001; }), ResultCode::InvalidValue);
+    EXPECT_EQ(with(goodRoute, [](auto& i) { i.split.push_back(i.split[0]); }), ResultCode::InvalidValue);
+    EXPECT_EQ(with(goodRoute, [](auto& i) { i.split.clear(); }), ResultCode::ZeroWeights);
+    EXPECT_EQ(with(goodRoute, [](auto& i) { i.split.resize(17); }), ResultCode::InvalidValue);
+    EXPECT_EQ(with(goodRoute, [](auto& i) { i.idempotentMethods = { "get" }; }), ResultCode::InvalidValue);
+    EXPECT_EQ(with(goodRoute, [](auto& i) { i.idempotentMethods.resize(17, "GET"); }), ResultCode::InvalidValue);
+    for (const char* prefix : { "", "a", "/a/", "//", "/a//b", "/.", "/a/..", "/a?b", "/a b", "/a%2fb", "/\n" })
+        EXPECT_EQ(with(goodRoute, [&](auto& i) { i.pathPrefix = prefix; }), ResultCode::InvalidValue) << prefix;
+    for (const char* name : { "", "A", "-a", "a b", "a>b", "\xc3\xa4" })
+        EXPECT_EQ(with(goodService, [&](auto& i) { i.name = ServiceName(name); }), ResultCode::InvalidName) << name;
+    EXPECT_EQ(with(goodService, [](auto& i) { i.name = ServiceName(std::string(65, 'a')); }), ResultCode::InvalidName);
+    KeeperViewItem keepers { Epoch(1), { HostId("a"), HostId("a") } };
+    EXPECT_EQ(checkItem(keepers), ResultCode::InvalidValue);
+    keepers.hosts.clear();
+    for (size_t i = 0; i <= ItemLimits::keeperHosts; ++i)
+        keepers.hosts.emplace_back("host-" + std::to_string(i));
+    EXPECT_EQ(checkItem(keepers), ResultCode::InvalidValue);
+}
+
+// Guards against methods that are repeated although the service did not declare them idempotent (I6).
+TEST(ConfigItemTest, PutAndDeleteAreNotIdempotentByDefault)
+{
+    EXPECT_EQ(RouteItem().idempotentMethods, (std::vector<std::string> { "GET", "HEAD", "OPTIONS" }));
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/tests/PlanBookTest.cpp
@@ -0,0 +1,371 @@
+#include "dragonflylane/PlanBook.h"
+
+#include "dragonflylane/PlanWire.h"
+#include "tests/ConfigGenerators.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace dragonflylane {
+
+namespace {
+
+    PlanChange setService(const std::string& name, int timeout = 1000)
+    {
+        return SetItem { ServiceItem { ServiceName(name), std::chrono::milliseconds(timeout), 2 } };
+    }
+
+    PlanChange removeService(const std::string& name)
+    {
+        return RemoveItem { serviceKey(ServiceName(name)) };
+    }
+
+    std::string proposal(const std::string& plan, std::vector<PlanChange> changes,
+        std::optional<Revision> base = std::nullopt, const std::string& operatorName = "anna")
+    {
+        return PlanBook::encode(
+            ProposeCommand { PlanId(plan), { base, std::move(changes) }, OperatorName(operatorName) });
+    }
+
+    std::string confirmation(const std::string& plan, const std::string& operatorName = "anna")
+    {
+        return PlanBook::encode(ConfirmCommand { PlanId(plan), OperatorName(operatorName) });
+    }
+
+    std::string keepers(uint64_t epoch, const std::vector<std::string>& hosts)
+    {
+        SetKeepersCommand command { Epoch(epoch), {} };
+        for (const std::string& host : hosts)
+            command.hosts.emplace_back(host);
+        return PlanBook::encode(command);
+    }
+
+    /// Lists instead of maps and histories; plans only set or remove one service.
+    class NaiveBook {
+    public:
+        struct Plan {
+            std::string id;
+            uint64_t base;
+            std::string service;
+            int timeout; // 0 removes the service.
+            PlanStatus status;
+            uint64_t revision;
+            std::set<std::string> conflict;
+        };
+
+        Plan propose(const std::string& id, std::optional<uint64_t> base, const std::string& service, int timeout)
+        {
+            Plan plan { id, base.value_or(revision()), service, timeout, PlanStatus::Proposed, revision(), {} };
+            if (plan.base != revision())
+                conflict(plan);
+            else {
+                bool exists = m_services.contains(service);
+                bool changes = timeout == 0 ? exists : !exists || m_services[service] != timeout;
+                if (!changes)
+                    plan.status = PlanStatus::Refused;
+            }
+            plans.push_back(plan);
+            return plan;
+        }
+
+        Plan confirm(size_t index)
+        {
+            Plan& plan = plans[index];
+            if (plan.status != PlanStatus::Proposed)
+                return plan;
+            if (plan.base != revision()) {
+                conflict(plan);
+                return plan;
+            }
+            if (plan.timeout == 0)
+                m_services.erase(plan.service);
+            else
+                m_services[plan.service] = plan.timeout;
+            m_touched.push_back(plan.service);
+            plan.status = PlanStatus::Confirmed;
+            plan.revision = revision();
+            return plan;
+        }
+
+        uint64_t revision() const { return m_touched.size(); }
+        const std::map<std::string, int>& services() const { return m_services; }
+
+        std::vector<Plan> plans;
+
+    private:
+        void conflict(Plan& plan) const
+        {
+            plan.status = PlanStatus::Conflicted;
+            plan.revision = revision();
+            for (uint64_t i = plan.base; i < revision(); ++i)
+                plan.conflict.insert(m_touched[i]);
+        }
+
+        std::map<std::string, int> m_services;
+        std::vector<std::string> m_touched;
+    };
+
+    void compare(const ApplyOutcome& outcome, const NaiveBook::Plan& plan, uint64_t current)
+    {
+        RC_ASSERT(outcome.status == plan.status);
+        RC_ASSERT(outcome.revision.value() == (plan.status == PlanStatus::Proposed ? current : plan.revision));
+        std::set<std::string> conflict;
+        for (const ItemKey& key : outcome.conflictItems)
+            conflict.insert(key.name);
+        RC_ASSERT(conflict == plan.conflict);
+        bool isConflict = plan.status == PlanStatus::Conflicted;
+        RC_ASSERT((outcome.code == ResultCode::PlanConflict) == isConflict);
+        if (isConflict && plan.base <= current)
+            RC_ASSERT(outcome.conflictCount.value_or(0) == conflict.size());
+    }
+
+} // namespace
+
+// Guards against any sequence of proposals and confirmations, fresh, resent or racing, whose answers differ from a
+// naive list; and against replicas that answer differently, also when one was restored from a snapshot on the way.
+RC_GTEST_PROP(PlanBookProperty, AgreesWithNaiveListAndBetweenReplicas, ())
+{
+    NaiveBook naive;
+    PlanBook book;
+    PlanBook replica;
+    std::vector<std::string> sent;
+    for (int step = 0; step < 60; ++step) {
+        uint32_t action = randomBelow(10);
+        std::string command;
+        if (action < 5 || naive.plans.empty()) {
+            std::string id = "plan-" + std::to_string(naive.plans.size());
+            std::string name = "service-" + std::to_string(randomBelow(4));
+            int timeout = static_cast<int>(randomBelow(4));
+            std::optional<uint64_t> base;
+            if (randomBelow(3) == 0)
+                base = randomBelow(static_cast<uint32_t>(naive.revision()) + 2);
+            command = proposal(id, { timeout == 0 ? removeService(name) : setService(name, timeout) },
+                base ? std::optional(Revision(*base)) : std::nullopt);
+            ApplyOutcome outcome = book.apply(command);
+            compare(outcome, naive.propose(id, base, name, timeout), naive.revision());
+            RC_ASSERT(!outcome.repeated);
+            RC_ASSERT(replica.apply(command) == outcome);
+        } else {
+            size_t index = randomBelow(static_cast<uint32_t>(naive.plans.size()));
+            bool answered = naive.plans[index].status != PlanStatus::Proposed;
+            command = confirmation("plan-" + std::to_string(index));
+            ApplyOutcome outcome = book.apply(command);
+            compare(outcome, naive.confirm(index), naive.revision());
+            RC_ASSERT(outcome.repeated == answered);
+            bool created = !answered && outcome.status == PlanStatus::Confirmed;
+            RC_ASSERT(outcome.delta.has_value() == created);
+            RC_ASSERT(replica.apply(command) == outcome);
+        }
+        RC_ASSERT(book.state().revision().value() == naive.revision());
+        RC_ASSERT(book.state().items().size() == naive.services().size());
+        for (const auto& [name, timeout] : naive.services())
+            RC_ASSERT(book.state().service(ServiceName(name))->timeout.count() == timeout);
+        RC_ASSERT(book.serialise() == replica.serialise());
+        if (randomBelow(10) == 0) {
+            PlanBook restored;
+            RC_ASSERT(!restored.restore(book.serialise()));
+            replica = std::move(restored);
+        }
+    }
+}
+
+// Guards against a command that changes when it is encoded.
+RC_GTEST_PROP(PlanBookProperty, CommandsKeepTheirValues, ())
+{
+    ProposeCommand propose { PlanId("p"), {}, OperatorName("anna") };
+    if (randomBelow(2) == 0)
+        propose.request.base = Revision(randomBelow(9));
+    for (uint32_t i = randomBelow(5); i > 0; --i) {
+        if (randomBelow(2) == 0)
+            propose.request.changes.push_back(SetItem { randomItem() });
+        else
+            propose.request.changes.push_back(RemoveItem { keyOf(randomItem()) });
+    }
+    PlanCommand decoded;
+    RC_ASSERT(!PlanBook::decode(PlanBook::encode(propose), &decoded));
+    RC_ASSERT(decoded == PlanCommand(propose));
+    std::string bytes = PlanBook::encode(propose);
+    RC_ASSERT(!!PlanBook::decode(bytes.substr(0, randomBelow(static_cast<uint32_t>(bytes.size()))), &decoded));
+}
+
+// Guards against a lost update when two operators confirm plans on the same revision.
+TEST(PlanBookTest, SecondConfirmationOnTheSameBaseConflicts)
+{
+    auto race = [](PlanBook& book) {
+        book.apply(proposal("base", { setService("a", 1) }));
+        book.apply(confirmation("base"));
+        book.apply(proposal("first", { setService("a", 2) }, Revision(1), "anna"));
+        book.apply(proposal("second", { setService("a", 3) }, Revision(1), "bert"));
+        book.apply(confirmation("first", "anna"));
+        return book.apply(confirmation("second", "bert"));
+    };
+    PlanBook book;
+    ApplyOutcome outcome = race(book);
+    EXPECT_EQ(outcome.code, ResultCode::PlanConflict);
+    EXPECT_EQ(outcome.revision, Revision(2));
+    EXPECT_EQ(outcome.conflictItems, (std::vector<ItemKey> { { ItemKind::Service, "a" } }));
+    EXPECT_EQ(book.state().service(ServiceName("a"))->timeout.count(), 2);
+
+    PlanBook unchecked({ .checkBase = false });
+    EXPECT_EQ(race(unchecked).code, ResultCode::Ok);
+    EXPECT_EQ(unchecked.state().service(ServiceName("a"))->timeout.count(), 3) << "without the check 2 is lost";
+}
+
+// Guards against an operator who resends after a lost answer and is told that the plan was not applied.
+TEST(PlanBookTest, ResentConfirmationGetsTheFirstAnswer)
+{
+    auto resend = [](PlanBook& book) {
+        book.apply(proposal("p", { setService("a") }));
+        ApplyOutcome first = book.apply(confirmation("p"));
+        EXPECT_EQ(first.code, ResultCode::Ok);
+        EXPECT_TRUE(first.delta.has_value());
+        book.apply(proposal("q", { setService("b") }));
+        book.apply(confirmation("q"));
+        return book.apply(confirmation("p", "bert"));
+    };
+    PlanBook book;
+    ApplyOutcome again = resend(book);
+    EXPECT_EQ(again.code, ResultCode::Ok);
+    EXPECT_EQ(again.revision, Revision(1));
+    EXPECT_TRUE(again.repeated);
+    EXPECT_FALSE(again.delta.has_value());
+    EXPECT_EQ(book.find(PlanId("p"))->confirmedBy, OperatorName("anna"));
+
+    PlanBook unchecked({ .answerResends = false });
+    EXPECT_EQ(resend(unchecked).code, ResultCode::PlanConflict) << "without the record the resend looks refused";
+}
+
+// Guards against a plan id that means two plans.
+TEST(PlanBookTest, ResentProposalGetsTheFirstAnswerAndAnotherPlanIsRefused)
+{
+    PlanBook book;
+    EXPECT_EQ(book.apply(proposal("p", { setService("a") })).status, PlanStatus::Proposed);
+    EXPECT_TRUE(book.apply(proposal("p", { setService("a") })).repeated);
+    EXPECT_TRUE(book.apply(proposal("p", { setService("a") }, Revision(0))).repeated);
+    EXPECT_EQ(book.apply(proposal("p", { setService("b") })).code, ResultCode::InvalidValue);
+    EXPECT_EQ(book.apply(proposal("p", { setService("a") }, Revision(1))).code, ResultCode::InvalidValue);
+    EXPECT_EQ(book.apply(proposal("p", { setService("a") }, std::nullopt, "bert")).code, ResultCode::InvalidValue);
+    EXPECT_EQ(book.plans().size(), 1U);
+}
+
+// Guards against commands without a valid plan or operator, and bytes that are no command.
+TEST(PlanBookTest, RefusesMalformedCommands)
+{
+    PlanBook book;
+    EXPECT_EQ(book.apply("").code, ResultCode::MalformedPlan);
+    EXPECT_EQ(book.apply("no command").code, ResultCode::MalformedPlan);
+    EXPECT_EQ(book.apply(proposal("Bad id", { setService("a") })).code, ResultCode::InvalidName);
+    EXPECT_EQ(book.apply(proposal("p", { setService("a") }, {}, "")).code, ResultCode::InvalidName);
+    EXPECT_EQ(book.apply(proposal("p", { setService("a") }, {}, std::string(65, 'o'))).code, ResultCode::InvalidName);
+    EXPECT_EQ(book.apply(confirmation("absent")).code, ResultCode::PlanNotFound);
+    EXPECT_EQ(book.apply(proposal("p", {})).code, ResultCode::EmptyPlan);
+    EXPECT_EQ(book.apply(confirmation("p")).code, ResultCode::EmptyPlan) << "a refused plan cannot be confirmed";
+    EXPECT_EQ(book.state(), ConfigState());
+}
+
+// Guards against an operator whose proposals fill the book. Plans whose base has passed do not count.
+TEST(PlanBookTest, LimitsOpenPlansPerOperator)
+{
+    PlanBook book;
+    for (int i = 0; i < 64; ++i)
+        EXPECT_EQ(book.apply(proposal("p" + std::to_string(i), { setService("a") })).code, ResultCode::Ok);
+    EXPECT_EQ(book.apply(proposal("more", { setService("a") })).code, ResultCode::TooManyPlans);
+    EXPECT_EQ(book.find(PlanId("more")), nullptr);
+    EXPECT_EQ(book.apply(proposal("other", { setService("a") }, {}, "bert")).code, ResultCode::Ok);
+    EXPECT_EQ(book.apply(confirmation("p0")).code, ResultCode::Ok);
+    EXPECT_EQ(book.apply(proposal("more", { setService("b") })).code, ResultCode::Ok);
+}
+
+// Guards against unbounded memory, and against a flood of refused plans that makes the book forget a confirmation.
+TEST(PlanBookTest, BoundsPlansByNumberAndBytes)
+{
+    PlanBook book;
+    book.apply(proposal("kept", { setService("a") }));
+    book.apply(confirmation("kept"));
+    for (int i = 0; i < 1100; ++i)
+        book.apply(proposal("refused-" + std::to_string(i), { setService("a") }));
+    EXPECT_EQ(book.plans().size(), 1024U);
+    EXPECT_TRUE(book.apply(confirmation("kept")).repeated);
+    EXPECT_EQ(book.find(PlanId("refused-0")), nullptr);
+    EXPECT_NE(book.find(PlanId("refused-1099")), nullptr);
+
+    PlanBook small({ .maxPlanBytes = 1000 });
+    for (int i = 0; i < 100; ++i)
+        small.apply(proposal("p" + std::to_string(i), { setService("a", i + 1) }, {}, "anna" + std::to_string(i)));
+    size_t bytes = 0;
+    for (const PlanRecord* record : small.plans())
+        bytes += encodedChangesSize(record->changes);
+    EXPECT_LE(bytes, 1000U);
+    EXPECT_GT(small.plans().size(), 1U);
+}
+
+// Guards against a conflict report that grows with the history.
+TEST(PlanBookTest, BoundsReportedConflictItems)
+{
+    PlanBook book;
+    std::vector<PlanChange> changes;
+    for (int i = 0; i < 200; ++i)
+        changes.push_back(setService("s" + std::to_string(i)));
+    book.apply(proposal("many", changes));
+    book.apply(confirmation("many"));
+    ApplyOutcome outcome = book.apply(proposal("late", { setService("a") }, Revision(0)));
+    EXPECT_EQ(outcome.code, ResultCode::PlanConflict);
+    EXPECT_EQ(outcome.conflictItems.size(), 128U);
+    EXPECT_EQ(outcome.conflictCount, 200U);
+    EXPECT_EQ(book.apply(proposal("early", { setService("a") }, Revision(9))).conflictCount, std::nullopt);
+}
+
+// Guards against an older keeper view that replaces a newer one, and against a resend that creates a revision.
+TEST(PlanBookTest, KeeperViewAdvancesByEpoch)
+{
+    PlanBook book;
+    ApplyOutcome first = book.apply(keepers(1, { "b", "a" }));
+    EXPECT_EQ(first.code, ResultCode::Ok);
+    EXPECT_TRUE(first.delta.has_value());
+    ApplyOutcome again = book.apply(keepers(1, { "a", "b" }));
+    EXPECT_EQ(again.code, ResultCode::Ok);
+    EXPECT_FALSE(again.delta.has_value());
+    EXPECT_EQ(book.state().revision(), Revision(1));
+    EXPECT_EQ(book.apply(keepers(1, { "c" })).code, ResultCode::PlanConflict);
+    EXPECT_EQ(book.apply(keepers(0, { "c" })).code, ResultCode::PlanConflict);
+    EXPECT_EQ(book.apply(keepers(2, { "c", "c" })).code, ResultCode::InvalidValue);
+    EXPECT_EQ(book.state().revision(), Revision(1));
+    EXPECT_EQ(book.apply(keepers(5, { "c" })).revision, Revision(2));
+    EXPECT_EQ(book.state().keeperView()->epoch, Epoch(5));
+}
+
+// Guards against a book that is half replaced by a damaged or inconsistent snapshot.
+TEST(PlanBookTest, RestoreRefusesDamagedSnapshots)
+{
+    PlanBook book;
+    book.apply(proposal("p", { setService("a") }));
+    book.apply(confirmation("p"));
+    const std::string good = book.serialise();
+    PlanBookImage image;
+    ASSERT_FALSE(decodeImage(good, &image));
+
+    auto refused = [&](const std::string& bytes) {
+        std::error_code error = book.restore(bytes);
+        EXPECT_EQ(book.serialise(), good);
+        return error;
+    };
+    EXPECT_EQ(refused("nonsense"), ResultCode::MalformedFrame);
+    EXPECT_EQ(refused(good.substr(0, good.size() - 1)), ResultCode::MalformedFrame);
+    PlanBookImage twice = image;
+    twice.plans.push_back(twice.plans.front());
+    EXPECT_EQ(refused(encodeImage(twice)), ResultCode::MalformedFrame);
+    PlanBookImage gap = image;
+    gap.deltas.back().toRevision = Revision(7);
+    EXPECT_EQ(refused(encodeImage(gap)), ResultCode::BaseMismatch);
+    PlanBookImage diverged = image;
+    diverged.deltas.back().toDigest = Digest(1, 1);
+    EXPECT_EQ(refused(encodeImage(diverged)), ResultCode::DigestMismatch);
+    PlanBookImage invalid = image;
+    invalid.deltas.clear();
+    invalid.state.insert(CallRuleItem { ServiceName("a"), ServiceName("absent") });
+    EXPECT_EQ(refused(encodeImage(invalid)), ResultCode::InvalidConfiguration);
+    EXPECT_FALSE(book.restore(good));
+    EXPECT_EQ(book.serialise(), good);
+}
+
+} // namespace dragonflylane
