--- /dev/null
+++ b/tests/PictureTest.cpp
@@ -0,0 +1,265 @@
+#include "dragonflylane/PictureBuilder.h"
+
+#include "tests/ConfigGenerators.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace dragonflylane {
+
+namespace {
+
+    ServiceItem service(const std::string& name)
+    {
+        return { ServiceName(name), std::chrono::milliseconds(1000), 2 };
+    }
+
+    RouteItem route(const std::string& name, const std::string& prefix, std::vector<SplitPart> split)
+    {
+        RouteItem item;
+        item.name = RouteName(name);
+        item.pathPrefix = prefix;
+        item.split = std::move(split);
+        return item;
+    }
+
+    UpstreamEntry upstream(const std::string& id, const std::string& owner, const std::string& service,
+        uint64_t incarnation = 1, UpstreamPhase phase = UpstreamPhase::Ready)
+    {
+        return { UpstreamId(id), HostId(owner), ServiceName(service), DataCentreName("kandy-a"),
+            Incarnation(incarnation), 12, phase };
+    }
+
+    UpstreamEntry randomUpstream()
+    {
+        return upstream("upstream-" + std::to_string(randomBelow(6)), "host-" + std::to_string(randomBelow(6)),
+            "service-" + std::to_string(randomBelow(6)), randomBelow(4), static_cast<UpstreamPhase>(randomBelow(4)));
+    }
+
+    /// A prefix matches the path itself and what follows it after a slash.
+    const RouteItem* naiveRoute(const ConfigState& state, const std::string& target)
+    {
+        std::string path = target.substr(0, std::min(target.find('?'), target.find('#')));
+        const RouteItem* best = nullptr;
+        for (const RouteItem* item : state.all<RouteItem>()) {
+            const std::string& prefix = item->pathPrefix;
+            bool matches = path == prefix || path.starts_with(prefix == "/" ? prefix : prefix + "/");
+            if (matches && (!best || prefix.size() > best->pathPrefix.size()))
+                best = item;
+        }
+        return best;
+    }
+
+    using Announced = std::map<HostId, UpstreamEntry>;
+
+    std::vector<UpstreamEntry> naiveUpstreams(
+        const ConfigState& state, const Announced& announced, const ServiceName& of)
+    {
+        std::vector<UpstreamEntry> result;
+        std::set<UpstreamId> ids;
+        for (const auto& [host, entry] : announced)
+            ids.insert(entry.id);
+        for (const UpstreamId& id : ids) {
+            const UpstreamEntry* best = nullptr;
+            for (const auto& [host, entry] : announced) {
+                if (entry.id == id && (!best || entry.incarnation > best->incarnation))
+                    best = &entry;
+            }
+            if (best->service != of || best->phase == UpstreamPhase::Stopped)
+                continue;
+            result.push_back(*best);
+            if (state.isDrained(id))
+                result.back().phase = UpstreamPhase::Draining;
+        }
+        return result;
+    }
+
+    void compareServices(const Picture& picture, const ConfigState& state, const Announced& announced)
+    {
+        std::vector<const ServiceItem*> services = state.all<ServiceItem>();
+        RC_ASSERT(picture.serviceCount() == services.size());
+        for (const ServiceItem* item : services) {
+            std::optional<ServiceIndex> index = picture.findService(item->name.value());
+            RC_ASSERT(index.has_value());
+            const PictureService& found = picture.service(*index);
+            RC_ASSERT(found.name == item->name);
+            RC_ASSERT(found.timeout == item->timeout);
+            RC_ASSERT(found.maxAttempts == item->maxAttempts);
+            RC_ASSERT(found.upstreams == naiveUpstreams(state, announced, item->name));
+            for (const UpstreamEntry& entry : found.upstreams)
+                RC_ASSERT(found.find(entry.id) == &entry);
+            RC_ASSERT(found.find(UpstreamId("absent")) == nullptr);
+            for (const char* caller : { "client", "service-0", "service-1", "service-2", "service-9" })
+                RC_ASSERT(picture.mayCall(caller, *index) == state.isCallAllowed(ServiceName(caller), item->name));
+        }
+    }
+
+    void compareRoutes(const Picture& picture, const ConfigState& state)
+    {
+        for (const char* target : { "", "x", "/", "/a", "/a/", "/a/b", "/a/b/", "/a/bc", "/a/bcd", "/a/b/c/d", "/ab/c",
+                 "/abc", "/b?/a/b", "/b/#/a", "/c", "//", "/a//b", "/a/b/c/d/e/f/g/h?x=/a" }) {
+            const PictureRoute* found = picture.findRoute(target);
+            const RouteItem* expected = naiveRoute(state, target);
+            RC_ASSERT((found == nullptr) == (expected == nullptr));
+            if (!found)
+                continue;
+            RC_ASSERT(found->name == expected->name);
+            RC_ASSERT(found->idempotentMethods == expected->idempotentMethods);
+            RC_ASSERT(found->split.size() == expected->split.size());
+            for (size_t i = 0; i < found->split.size(); ++i) {
+                RC_ASSERT(picture.service(found->split[i].service).name == expected->split[i].service);
+                RC_ASSERT(found->split[i].weight == expected->split[i].weight);
+            }
+        }
+    }
+
+} // namespace
+
+// Guards against an incremental picture that differs from a naive lookup in state and announcements, in any sequence
+// of revisions, announcements, conflicts and departures.
+RC_GTEST_PROP(PictureProperty, AgreesWithNaiveLookup, ())
+{
+    PictureBuilder builder;
+    ConfigState state;
+    Announced announced;
+    for (int step = 0; step < 40; ++step) {
+        switch (randomBelow(6)) {
+        case 0:
+            state = randomSuccessor(state);
+            builder.setState(state);
+            break;
+        case 1: {
+            HostId owner("host-" + std::to_string(randomBelow(6)));
+            announced.erase(owner);
+            builder.update(owner, std::nullopt);
+            break;
+        }
+        case 2: {
+            std::vector<UpstreamEntry> entries;
+            announced.clear();
+            for (uint32_t i = randomBelow(6); i > 0; --i) {
+                entries.push_back(randomUpstream());
+                announced[entries.back().owner] = entries.back();
+            }
+            builder.setUpstreams(entries);
+            break;
+        }
+        default: {
+            UpstreamEntry entry = randomUpstream();
+            announced[entry.owner] = entry;
+            builder.update(entry.owner, entry);
+        }
+        }
+        if (randomBelow(3) == 0)
+            continue; // Several changes go into one picture.
+        std::shared_ptr<const Picture> picture = builder.build();
+        RC_ASSERT(picture->revision() == state.revision());
+        RC_ASSERT(picture->digest() == state.digest());
+        RC_ASSERT(picture->keepers() == (state.keeperView() ? *state.keeperView() : KeeperViewItem {}));
+        compareServices(*picture, state, announced);
+        compareRoutes(*picture, state);
+        RC_ASSERT(builder.build() == picture);
+    }
+}
+
+// Guards against a rebuild of all services for one upstream, and against a picture that changes under its readers.
+TEST(PictureTest, UpdateSharesUnchangedServicesAndLeavesOldPicturesAlone)
+{
+    PictureBuilder builder;
+    builder.setState(ConfigState(Revision(1), { service("a"), service("b"), service("c") }));
+    builder.update(HostId("h1"), upstream("a-1", "h1", "a"));
+    builder.update(HostId("h2"), upstream("b-1", "h2", "b"));
+    std::shared_ptr<const Picture> before = builder.build();
+    builder.update(HostId("h1"), upstream("a-1", "h1", "a", 1, UpstreamPhase::Draining));
+    std::shared_ptr<const Picture> after = builder.build();
+    EXPECT_EQ(before->service(0).upstreams[0].phase, UpstreamPhase::Ready);
+    EXPECT_EQ(after->service(0).upstreams[0].phase, UpstreamPhase::Draining);
+    EXPECT_EQ(before->sharedService(1), after->sharedService(1));
+    EXPECT_EQ(before->sharedService(2), after->sharedService(2));
+
+    // Also when a new revision moves the indexes and drains one upstream.
+    builder.setState(ConfigState(
+        Revision(2), { service("0"), service("a"), service("b"), service("c"), DrainItem { UpstreamId("b-1") } }));
+    std::shared_ptr<const Picture> moved = builder.build();
+    EXPECT_EQ(moved->sharedService(1), after->sharedService(0));
+    EXPECT_EQ(moved->sharedService(3), after->sharedService(2));
+    EXPECT_EQ(moved->service(2).upstreams[0].phase, UpstreamPhase::Draining);
+}
+
+// Guards against two hosts that both serve as owner of one upstream, and against daemons that choose differently.
+TEST(PictureTest, HighestIncarnationOwnsAnUpstreamIdAndConflictIsReturned)
+{
+    PictureBuilder builder;
+    builder.setState(ConfigState(Revision(1), { service("a"), service("b") }));
+    EXPECT_TRUE(builder.update(HostId("h2"), upstream("u", "h2", "a", 5)).empty());
+    std::vector<UpstreamConflict> conflict { { UpstreamId("u"), HostId("h2"), HostId("h1") } };
+    EXPECT_EQ(builder.update(HostId("h1"), upstream("u", "h1", "a", 4)), conflict);
+    EXPECT_EQ(builder.build()->service(0).upstreams[0].owner, HostId("h2"));
+
+    // An equal incarnation: the host that sorts first.
+    conflict = { { UpstreamId("u"), HostId("h1"), HostId("h2") } };
+    EXPECT_EQ(builder.update(HostId("h1"), upstream("u", "h1", "a", 5)), conflict);
+    EXPECT_EQ(builder.update(HostId("h1"), upstream("u", "h1", "a", 5)), conflict) << "also without a change";
+    EXPECT_EQ(builder.conflicts(), conflict);
+    EXPECT_EQ(builder.build()->service(0).upstreams[0].owner, HostId("h1"));
+
+    // A stopped entry of a higher incarnation also takes precedence: the older one must be out of date.
+    builder.update(HostId("h3"), upstream("u", "h3", "b", 9, UpstreamPhase::Stopped));
+    EXPECT_TRUE(builder.build()->service(0).upstreams.empty());
+    EXPECT_TRUE(builder.build()->service(1).upstreams.empty());
+
+    builder.update(HostId("h3"), std::nullopt);
+    builder.update(HostId("h1"), std::nullopt);
+    EXPECT_EQ(builder.build()->service(0).upstreams[0].owner, HostId("h2"));
+    EXPECT_TRUE(builder.conflicts().empty());
+}
+
+// Guards against a split that does not follow its weights, and against a service of weight zero that gets requests.
+TEST(PictureTest, SelectFollowsWeights)
+{
+    PictureBuilder builder;
+    builder.setState(ConfigState(Revision(1),
+        { service("a"), service("b"), service("c"),
+            route("r", "/r", { { ServiceName("c"), 3 }, { ServiceName("b"), 0 }, { ServiceName("a"), 1 } }) }));
+    std::shared_ptr<const Picture> picture = builder.build();
+    const PictureRoute* found = picture->findRoute("/r");
+    ASSERT_NE(found, nullptr);
+    std::vector<int> counts(3);
+    for (uint64_t random = 0; random < 400; ++random)
+        ++counts[found->select(random)];
+    EXPECT_EQ(counts, (std::vector<int> { 100, 0, 300 }));
+}
+
+// Guards against a retried PUT or DELETE that the operator did not declare idempotent (I6).
+TEST(PictureTest, OnlyListedMethodsAreIdempotent)
+{
+    PictureBuilder builder;
+    RouteItem declared = route("s", "/s", { { ServiceName("a"), 1 } });
+    declared.idempotentMethods = { "PUT" };
+    declared.timeout = std::chrono::milliseconds(50);
+    builder.setState(
+        ConfigState(Revision(1), { service("a"), route("r", "/r", { { ServiceName("a"), 1 } }), declared }));
+    std::shared_ptr<const Picture> picture = builder.build();
+    const PictureRoute* defaults = picture->findRoute("/r");
+    for (const char* method : { "GET", "HEAD", "OPTIONS" })
+        EXPECT_TRUE(defaults->isIdempotent(method)) << method;
+    for (const char* method : { "PUT", "DELETE", "POST", "PATCH", "get", "" })
+        EXPECT_FALSE(defaults->isIdempotent(method)) << method;
+    EXPECT_TRUE(picture->findRoute("/s")->isIdempotent("PUT"));
+    EXPECT_FALSE(picture->findRoute("/s")->isIdempotent("GET"));
+    EXPECT_EQ(picture->timeout(*defaults, 0), std::chrono::milliseconds(1000));
+    EXPECT_EQ(picture->timeout(*picture->findRoute("/s"), 0), std::chrono::milliseconds(50));
+}
+
+// Guards against a picture that answers before a configuration was held.
+TEST(PictureTest, EmptyPictureHasNoRoutes)
+{
+    std::shared_ptr<const Picture> picture = PictureBuilder().build();
+    EXPECT_EQ(picture->revision(), Revision(0));
+    EXPECT_EQ(picture->findRoute("/"), nullptr);
+    EXPECT_EQ(picture->findRoute("/a/b"), nullptr);
+    EXPECT_FALSE(picture->findService("client").has_value());
+    EXPECT_TRUE(picture->keepers().hosts.empty());
+}
+
+} // namespace dragonflylane
