--- a/dragonflylane/GossipMessages.h
+++ b/dragonflylane/GossipMessages.h
@@ -26,8 +26,8 @@
 
 /// Records and broadcasts that ride on another message.
 struct GossipCargo {
-    std::vector<MemberRecord> records;
-    std::vector<GossipBroadcast> broadcasts;
+    std::vector<MemberRecord> records {};
+    std::vector<GossipBroadcast> broadcasts {};
 
     bool operator==(const GossipCargo&) const = default;
     bool isEmpty() const { return records.empty() && broadcasts.empty(); }
@@ -38,7 +38,7 @@
     uint32_t number { 0 };
     /// Low 32 bits of the target's host hash, so another daemon at a reused address does not answer for it.
     uint32_t target { 0 };
-    GossipCargo cargo;
+    GossipCargo cargo {};
 
     bool operator==(const GossipPing&) const = default;
 };
@@ -47,8 +47,8 @@
 struct GossipIndirectPing {
     uint32_t number { 0 };
     uint32_t target { 0 };
-    Endpoint targetAddress;
-    GossipCargo cargo;
+    Endpoint targetAddress {};
+    GossipCargo cargo {};
 
     bool operator==(const GossipIndirectPing&) const = default;
 };
@@ -56,7 +56,7 @@
 /// Answers a ping with the ping's number.
 struct GossipAcknowledgement {
     uint32_t number { 0 };
-    GossipCargo cargo;
+    GossipCargo cargo {};
 
     bool operator==(const GossipAcknowledgement&) const = default;
 };
@@ -74,11 +74,11 @@
 
 /// Asks for what differs: by the digest of all records, by names of records, or by page.
 struct GossipDigestRequest {
-    std::optional<uint64_t> root;
+    std::optional<uint64_t> root {};
     /// Host hashes of records that the sender lacks.
-    std::vector<uint64_t> wanted;
-    std::optional<GossipPageRequest> page;
-    std::optional<MemberRecord> sender;
+    std::vector<uint64_t> wanted {};
+    std::optional<GossipPageRequest> page {};
+    std::optional<MemberRecord> sender {};
 
     bool operator==(const GossipDigestRequest&) const = default;
 };
@@ -96,10 +96,10 @@
 
 /// Either the digests of all buckets, or the versions of all records with host hashes in [first, last].
 struct GossipDigest {
-    std::vector<uint32_t> buckets;
+    std::vector<uint32_t> buckets {};
     uint64_t first { 0 };
     uint64_t last { 0 };
-    std::vector<GossipDigestEntry> entries;
+    std::vector<GossipDigestEntry> entries {};
 
     bool operator==(const GossipDigest&) const = default;
 };
@@ -115,8 +115,8 @@
 
 /// Carries records, unasked or as an answer.
 struct GossipRecords {
-    GossipCargo cargo;
-    std::optional<GossipPageEnd> page;
+    GossipCargo cargo {};
+    std::optional<GossipPageEnd> page {};
 
     bool operator==(const GossipRecords&) const = default;
 };
--- a/dragonflylane/MemberRecord.h
+++ b/dragonflylane/MemberRecord.h
@@ -35,27 +35,27 @@
 
 /// Announcement of the upstream that a daemon owns.
 struct UpstreamRecord {
-    UpstreamId id;
-    ServiceName service;
+    UpstreamId id {};
+    ServiceName service {};
     UpstreamPhase phase { UpstreamPhase::Cold };
     uint32_t slots { 0 };
-    Incarnation incarnation;
+    Incarnation incarnation {};
 
     bool operator==(const UpstreamRecord&) const = default;
 };
 
 /// One member of the mesh.
 struct MemberRecord {
-    HostId host;
-    Endpoint address;
-    DataCentreName dataCentre;
-    RegionName region;
-    LifeId life;
-    Incarnation incarnation;
-    Sequence sequence;
+    HostId host {};
+    Endpoint address {};
+    DataCentreName dataCentre {};
+    RegionName region {};
+    LifeId life {};
+    Incarnation incarnation {};
+    Sequence sequence {};
     MemberState state { MemberState::Alive };
     ControlRole controlRole { ControlRole::None };
-    std::optional<UpstreamRecord> upstream;
+    std::optional<UpstreamRecord> upstream {};
 
     bool operator==(const MemberRecord&) const = default;
 
--- a/dragonflylane/Membership.cpp
+++ b/dragonflylane/Membership.cpp
@@ -1,1 +1,1247 @@
 #include "dragonflylane/Membership.h"
+
+#include "dragonflylane/Digest.h"
+#include "dragonflylane/GossipWire.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <string_view>
+#include <tuple>
+
+namespace dragonflylane {
+
+namespace {
+
+    // Bound of the fixed fields of any message that carries records.
+    constexpr size_t messageOverhead = 96;
+    constexpr size_t cargoBudget = maxGossipMessageSize - messageOverhead;
+    // Bound of an encoded digest entry: two 64-bit and one 32-bit varint with small counters, and field headers.
+    constexpr size_t digestEntrySize = 36;
+    constexpr size_t maxEntriesPerDatagram = cargoBudget / digestEntrySize;
+    // A 64-bit varint has up to 10 bytes.
+    constexpr size_t maxWantedPerDatagram = cargoBudget / 10;
+    // Records tried for the rest of a datagram that the next one in the queue does not fit into.
+    constexpr size_t maxMisfits = 4;
+    // Entries of equal buckets sent along to cover two differing buckets with one range.
+    constexpr size_t maxGapEntries = 8;
+    constexpr size_t maxRelayedProbes = 256;
+    // Tries to find a member that differs from those already chosen.
+    constexpr size_t maxChoiceAttempts = 8;
+
+    constexpr size_t joinRanges = 8;
+    constexpr size_t nearContacts = 8;
+    constexpr size_t maxContacts = 14;
+    // Bounds the search for members of the same data centre, which is made for each joining daemon.
+    constexpr size_t maxContactSearch = 2000;
+    constexpr unsigned maxBackoffDoublings = 16;
+
+    uint64_t hashOf(const HostId& host)
+    {
+        return stableHash(host.value());
+    }
+
+    size_t bucketOf(uint64_t hostHash)
+    {
+        return hostHash >> 56;
+    }
+
+    uint64_t bucketFirst(size_t bucket)
+    {
+        return static_cast<uint64_t>(bucket) << 56;
+    }
+
+    uint64_t bucketLast(size_t bucket)
+    {
+        return bucketFirst(bucket) | 0x00ff'ffff'ffff'ffff;
+    }
+
+    void appendNumber(std::string& out, uint64_t value)
+    {
+        for (int shift = 0; shift < 64; shift += 8)
+            out.push_back(static_cast<char>(value >> shift));
+    }
+
+    void appendText(std::string& out, std::string_view text)
+    {
+        appendNumber(out, text.size());
+        out.append(text);
+    }
+
+    // Hash of everything but host, incarnation, sequence and state.
+    uint32_t tieBreakOf(const MemberRecord& record)
+    {
+        std::string content;
+        appendNumber(content, record.life.value());
+        appendText(content, record.address.address);
+        appendNumber(content, record.address.port);
+        appendText(content, record.dataCentre.value());
+        appendText(content, record.region.value());
+        appendNumber(content, static_cast<uint64_t>(record.controlRole));
+        if (record.upstream) {
+            appendText(content, record.upstream->id.value());
+            appendText(content, record.upstream->service.value());
+            appendNumber(content, static_cast<uint64_t>(record.upstream->phase));
+            appendNumber(content, record.upstream->slots);
+            appendNumber(content, record.upstream->incarnation.value());
+        }
+        return static_cast<uint32_t>(stableHash(content));
+    }
+
+    // Total order of the records of one host.
+    auto orderOf(const MemberRecord& record, uint32_t tieBreak)
+    {
+        return std::tuple(record.incarnation, record.sequence, record.state, tieBreak);
+    }
+
+    auto orderOf(const GossipDigestEntry& entry)
+    {
+        return std::tuple(entry.incarnation, entry.sequence, entry.state, entry.tieBreak);
+    }
+
+} // namespace
+
+Membership::Membership(MembershipOptions options, MemberRecord self, TimePoint now)
+    : m_options(options)
+    , m_random(options.seed)
+    , m_transferTokens(options.transferBurst)
+    , m_transferTokensAt(now)
+    , m_lastCall(now)
+    , m_reprobeUntil(now)
+    , m_nextBump(now)
+    , m_nextGossip(now)
+    , m_nextJoin(now)
+{
+    if (self.life == LifeId())
+        self.life = LifeId(m_random());
+    if (self.incarnation == Incarnation())
+        self.incarnation = Incarnation(1);
+    self.state = MemberState::Alive;
+    // Low numbers are short on the wire; a random start tells the answers to a previous life apart.
+    m_lastNumber = static_cast<uint32_t>(m_random() % (1 << 20));
+    m_selfHash = hashOf(self.host);
+    m_selfNode = m_members.emplace(self.host, self).first;
+    Entry entry { .node = m_selfNode, .tieBreak = tieBreakOf(self) };
+    addToDigest(m_selfHash, entry);
+    m_entries.emplace(m_selfHash, entry);
+    // A random phase spreads the periodic work of daemons that start together.
+    m_nextProbe = now + randomDuration(m_options.probePeriod);
+    m_nextRepair = now + randomDuration(m_options.repairPeriod);
+    m_nextLostProbe = now + randomDuration(m_options.lostProbePeriod);
+}
+
+// Our own announcement
+
+void Membership::setUpstream(std::optional<UpstreamRecord> upstream, TimePoint now)
+{
+    noteTime(now);
+    MemberRecord next = self();
+    if (m_hasLeft || next.upstream == upstream)
+        return;
+    next.upstream = std::move(upstream);
+    next.sequence = next.sequence.next();
+    if (!isEncodable(next)) {
+        ++m_counters.recordsInvalid;
+        return;
+    }
+    publishOwnRecord(std::move(next));
+}
+
+void Membership::setControlRole(ControlRole role, TimePoint now)
+{
+    noteTime(now);
+    MemberRecord next = self();
+    if (m_hasLeft || next.controlRole == role)
+        return;
+    next.controlRole = role;
+    next.sequence = next.sequence.next();
+    publishOwnRecord(std::move(next));
+}
+
+void Membership::leave(TimePoint now)
+{
+    noteTime(now);
+    if (m_hasLeft)
+        return;
+    MemberRecord next = self();
+    next.state = MemberState::Left;
+    next.sequence = next.sequence.next();
+    publishOwnRecord(std::move(next));
+    m_hasLeft = true;
+    m_probe.reset();
+    m_joinStage = JoinStage::Done;
+    m_nextGossip = now;
+    runGossip(now);
+}
+
+void Membership::publishOwnRecord(MemberRecord next)
+{
+    auto it = m_entries.find(m_selfHash);
+    removeFromDigest(m_selfHash, it->second);
+    m_selfNode->second = std::move(next);
+    it->second.tieBreak = tieBreakOf(self());
+    addToDigest(m_selfHash, it->second);
+    queueUpdate(it);
+    m_outputs.emplace_back(MemberChanged { self().host, self() });
+}
+
+// Time
+
+void Membership::noteTime(TimePoint now)
+{
+    Duration limit = std::max(m_options.pauseLimit, 2 * m_options.probePeriod);
+    bool wasPaused = now - m_lastCall > limit;
+    m_lastCall = std::max(m_lastCall, now);
+    if (wasPaused)
+        resumeAfterPause(now);
+}
+
+// Answers that arrived during the pause are lost and timers have run out, which says nothing about the others.
+void Membership::resumeAfterPause(TimePoint now)
+{
+    ++m_counters.pauses;
+    m_probe.reset();
+    m_relayedProbes.clear();
+    m_reprobeUntil = now + suspicionTime();
+    m_nextProbe = now;
+    for (HostHash hash : m_present) {
+        auto it = m_entries.find(hash);
+        if (it->second.deadline)
+            setDeadline(it, now + suspicionTime());
+    }
+    for (PageRange& range : m_pages) {
+        range.number = 0;
+        range.due = now;
+    }
+}
+
+void Membership::tick(TimePoint now)
+{
+    noteTime(now);
+    runDeadlines(now);
+    if (!m_hasLeft) {
+        runProbe(now);
+        runRepair(now);
+        runLostProbe(now);
+        runJoin(now);
+    }
+    runGossip(now);
+}
+
+TimePoint Membership::nextWakeup() const
+{
+    TimePoint next = m_nextProbe;
+    if (m_hasLeft)
+        next = m_lastCall + m_options.probePeriod;
+    if (m_probe && !m_probe->isIndirect && m_options.indirectProbing)
+        next = std::min(next, m_probe->indirectAt);
+    if (!m_deadlines.empty())
+        next = std::min(next, m_deadlines.begin()->first);
+    if (hasUpdates() && !m_present.empty())
+        next = std::min(next, m_nextGossip);
+    if (m_hasLeft)
+        return next;
+    if (!m_present.empty())
+        next = std::min(next, m_nextRepair);
+    if (hasLostCandidates())
+        next = std::min(next, m_nextLostProbe);
+    if (m_joinStage == JoinStage::Contacts)
+        next = std::min(next, m_nextJoin);
+    size_t inFlight = std::count_if(m_pages.begin(), m_pages.end(), [](auto& range) { return range.number != 0; });
+    for (const PageRange& range : m_pages) {
+        if (range.number != 0 || inFlight < m_options.maxPagesInFlight)
+            next = std::min(next, range.due);
+    }
+    return next;
+}
+
+std::vector<MembershipOutput> Membership::takeOutputs()
+{
+    return std::exchange(m_outputs, {});
+}
+
+void Membership::runDeadlines(TimePoint now)
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        auto it = m_entries.find(m_deadlines.begin()->second);
+        if (it->second.node->second.state == MemberState::Suspect)
+            declare(it, MemberState::Dead, now);
+        else
+            eraseMember(it);
+    }
+}
+
+// Probes
+
+void Membership::runProbe(TimePoint now)
+{
+    if (m_probe && !m_probe->isIndirect && now >= m_probe->indirectAt)
+        sendIndirectProbes(now);
+    if (now < m_nextProbe)
+        return;
+    m_nextProbe += m_options.probePeriod;
+    if (m_nextProbe <= now)
+        m_nextProbe = now + m_options.probePeriod;
+    std::erase_if(m_relayedProbes, [&](const auto& item) { return item.second.forgetAt <= now; });
+    if (m_probe)
+        finishFailedProbe(now);
+    if (m_probe)
+        return;
+    if (std::optional<HostHash> target = nextProbeTarget())
+        startProbe(*target, false, now);
+}
+
+void Membership::finishFailedProbe(TimePoint now)
+{
+    Probe probe = *std::exchange(m_probe, std::nullopt);
+    ++m_counters.probesFailed;
+    auto it = m_entries.find(probe.target);
+    if (it == m_entries.end() || it->second.node->second.state != MemberState::Alive)
+        return;
+    if (now < m_reprobeUntil && !probe.isRepeated) {
+        startProbe(probe.target, true, now);
+        return;
+    }
+    declare(it, m_options.suspicionWithRefutation ? MemberState::Suspect : MemberState::Dead, now);
+}
+
+void Membership::startProbe(HostHash target, bool isRepeated, TimePoint now)
+{
+    ++m_counters.probes;
+    m_probe = Probe {
+        .target = target, .number = nextNumber(), .indirectAt = now + m_options.probeTimeout, .isRepeated = isRepeated
+    };
+    Endpoint address = m_entries.find(target)->second.node->second.address;
+    send(address,
+        GossipPing {
+            .number = m_probe->number, .target = static_cast<uint32_t>(target), .cargo = updatesFor(address) });
+}
+
+void Membership::sendIndirectProbes(TimePoint now)
+{
+    m_probe->isIndirect = true;
+    if (!m_options.indirectProbing)
+        return;
+    auto target = m_entries.find(m_probe->target);
+    if (target == m_entries.end())
+        return;
+    ++m_counters.indirectProbes;
+    std::set<HostHash> chosen { m_probe->target };
+    size_t wanted = std::min(m_options.indirectProbes + 1, m_present.size());
+    for (size_t attempt = 0; chosen.size() < wanted && attempt < wanted + maxChoiceAttempts; ++attempt) {
+        HostHash relay = *randomPresent();
+        if (!chosen.insert(relay).second)
+            continue;
+        send(m_entries.find(relay)->second.node->second.address,
+            GossipIndirectPing { .number = m_probe->number,
+                .target = static_cast<uint32_t>(m_probe->target),
+                .targetAddress = target->second.node->second.address,
+                .cargo = takeUpdates() });
+    }
+    // The answers have the rest of the period, which a late tick must not shorten.
+    m_nextProbe = std::max(m_nextProbe, now + m_options.probeTimeout);
+}
+
+// Round robin over a shuffled list bounds the time until each member is probed (SWIM, section 4.3).
+std::optional<Membership::HostHash> Membership::nextProbeTarget()
+{
+    for (int pass = 0; pass < 2; ++pass) {
+        while (m_probePosition < m_probeOrder.size()) {
+            HostHash hash = m_probeOrder[m_probePosition++];
+            auto it = m_entries.find(hash);
+            if (it != m_entries.end() && it->second.node->second.isPresent())
+                return hash;
+        }
+        m_probeOrder = m_present;
+        m_probePosition = 0;
+        std::shuffle(m_probeOrder.begin(), m_probeOrder.end(), m_random);
+    }
+    return std::nullopt;
+}
+
+void Membership::handle(const Endpoint& from, const GossipPing& ping, TimePoint now)
+{
+    takeCargo(ping.cargo, Spread::Yes, now);
+    if (ping.target != static_cast<uint32_t>(m_selfHash)) {
+        ++m_counters.misdirectedPings;
+        return;
+    }
+    GossipAcknowledgement answer { .number = ping.number };
+    bool isAboutUs = std::any_of(ping.cargo.records.begin(), ping.cargo.records.end(),
+        [&](const MemberRecord& record) { return record.host == self().host && record != self(); });
+    std::vector<MemberRecord> urgent;
+    if (isAboutUs || m_hasLeft)
+        urgent.push_back(self());
+    // A daemon that was declared dead learns it from the answer to its own probe.
+    auto sender = entryAt(from);
+    if (sender != m_entries.end() && sender->second.node->second.state != MemberState::Alive)
+        urgent.push_back(sender->second.node->second);
+    answer.cargo = takeUpdates(std::move(urgent));
+    send(from, std::move(answer));
+}
+
+void Membership::handle(const Endpoint& from, const GossipIndirectPing& request, TimePoint now)
+{
+    takeCargo(request.cargo, Spread::Yes, now);
+    if (m_relayedProbes.size() >= maxRelayedProbes)
+        m_relayedProbes.erase(m_relayedProbes.begin());
+    uint32_t number = nextNumber();
+    m_relayedProbes.emplace(number, RelayedProbe { from, request.number, now + m_options.probePeriod });
+    send(request.targetAddress,
+        GossipPing { .number = number, .target = request.target, .cargo = updatesFor(request.targetAddress) });
+}
+
+void Membership::handle(const Endpoint&, const GossipAcknowledgement& answer, TimePoint now)
+{
+    takeCargo(answer.cargo, Spread::Yes, now);
+    if (m_probe && m_probe->number == answer.number) {
+        ++m_counters.probesAnswered;
+        m_probe.reset();
+        return;
+    }
+    auto relayed = m_relayedProbes.find(answer.number);
+    if (relayed == m_relayedProbes.end())
+        return;
+    send(relayed->second.requester,
+        GossipAcknowledgement { .number = relayed->second.requesterNumber, .cargo = takeUpdates() });
+    m_relayedProbes.erase(relayed);
+}
+
+// Records
+
+void Membership::receive(const Endpoint& from, const GossipMessage& message, TimePoint now)
+{
+    noteTime(now);
+    std::visit([&](const auto& alternative) { handle(from, alternative, now); }, message);
+}
+
+void Membership::takeCargo(const GossipCargo& cargo, Spread spread, TimePoint now)
+{
+    for (const MemberRecord& record : cargo.records)
+        applyRecord(record, spread, now);
+    for (const GossipBroadcast& broadcast : cargo.broadcasts)
+        takeBroadcast(broadcast);
+}
+
+void Membership::applyRecord(const MemberRecord& record, Spread spread, TimePoint now)
+{
+    if (record.host.isEmpty() || !record.address.isSet()) {
+        ++m_counters.recordsInvalid;
+        return;
+    }
+    if (record.host == self().host) {
+        applyOwnRecord(record, now);
+        return;
+    }
+    HostHash hash = hashOf(record.host);
+    uint32_t tieBreak = tieBreakOf(record);
+    auto it = m_entries.find(hash);
+    if (it == m_entries.end()) {
+        insertMember(record, hash, tieBreak, spread, now);
+        return;
+    }
+    const MemberRecord& known = it->second.node->second;
+    if (known.host != record.host) {
+        // Two host ids with the same 64-bit hash.
+        ++m_counters.recordsRefused;
+        return;
+    }
+    if (orderOf(record, tieBreak) > orderOf(known, it->second.tieBreak)) {
+        replaceRecord(it, record, tieBreak, spread, now);
+        return;
+    }
+    ++m_counters.recordsOutdated;
+    if (tieBreak != it->second.tieBreak && record.life == known.life && record.incarnation == known.incarnation
+        && record.sequence == known.sequence)
+        ++m_counters.recordConflicts;
+}
+
+void Membership::applyOwnRecord(const MemberRecord& record, TimePoint now)
+{
+    uint32_t ownTieBreak = m_entries.find(m_selfHash)->second.tieBreak;
+    bool isNewer = orderOf(record, tieBreakOf(record)) > orderOf(self(), ownTieBreak);
+    bool isOtherLife = record.life != self().life;
+    if (m_hasLeft || (!isNewer && !(isOtherLife && record.incarnation >= self().incarnation)))
+        return;
+    if (isOtherLife ? !m_options.incarnationBump || now < m_nextBump : !m_options.suspicionWithRefutation)
+        return;
+    if (isOtherLife)
+        m_nextBump = now + m_options.probePeriod;
+    ++(isOtherLife ? m_counters.incarnationBumps : m_counters.refutations);
+    MemberRecord next = self();
+    next.incarnation = record.incarnation.next();
+    publishOwnRecord(std::move(next));
+}
+
+void Membership::insertMember(
+    const MemberRecord& record, HostHash hash, uint32_t tieBreak, Spread spread, TimePoint now)
+{
+    // Learning of a member only after its end is of no use, and would keep the record in circulation for ever.
+    if (!record.isPresent()) {
+        ++m_counters.recordsOutdated;
+        return;
+    }
+    if (m_members.size() >= m_options.maxMembers) {
+        ++m_counters.recordsRefused;
+        return;
+    }
+    auto node = m_members.emplace(record.host, record).first;
+    auto it = m_entries.emplace(hash, Entry { .node = node, .tieBreak = tieBreak }).first;
+    enterState(it, now);
+    size_t remaining = m_probeOrder.size() - m_probePosition;
+    size_t position = m_probePosition + randomBelow(remaining + 1);
+    m_probeOrder.insert(m_probeOrder.begin() + static_cast<std::ptrdiff_t>(position), hash);
+    ++m_counters.recordsApplied;
+    if (spread == Spread::Yes)
+        queueUpdate(it);
+    m_outputs.emplace_back(MemberChanged { record.host, record });
+}
+
+void Membership::replaceRecord(
+    Entries::iterator it, const MemberRecord& record, uint32_t tieBreak, Spread spread, TimePoint now)
+{
+    MemberState before = it->second.node->second.state;
+    leaveState(it);
+    it->second.node->second = record;
+    it->second.tieBreak = tieBreak;
+    enterState(it, now);
+    ++m_counters.recordsApplied;
+    if (record.state == MemberState::Alive && (before == MemberState::Suspect || before == MemberState::Dead))
+        ++m_counters.recoveries;
+    // An update that was queued must not go on with the transmissions of the previous record.
+    if (spread == Spread::Yes || it->second.transmissions)
+        queueUpdate(it);
+    m_outputs.emplace_back(MemberChanged { record.host, record });
+}
+
+void Membership::enterState(Entries::iterator it, TimePoint now)
+{
+    const MemberRecord& record = it->second.node->second;
+    addToDigest(it->first, it->second);
+    m_byAddress[record.address] = it->first;
+    if (record.isPresent()) {
+        it->second.listIndex = m_present.size();
+        m_present.push_back(it->first);
+        if (record.state == MemberState::Suspect) {
+            ++m_counters.suspicions;
+            setDeadline(it, now + suspicionTime());
+        }
+        return;
+    }
+    ++(record.state == MemberState::Dead ? m_counters.deaths : m_counters.departures);
+    if (record.state == MemberState::Dead) {
+        it->second.listIndex = m_dead.size();
+        m_dead.push_back(it->first);
+    }
+    setDeadline(it, m_options.keepDeadRecords ? now + m_options.deadRetention : now);
+}
+
+void Membership::leaveState(Entries::iterator it)
+{
+    const MemberRecord& record = it->second.node->second;
+    removeFromDigest(it->first, it->second);
+    setDeadline(it, std::nullopt);
+    auto address = m_byAddress.find(record.address);
+    if (address != m_byAddress.end() && address->second == it->first)
+        m_byAddress.erase(address);
+    if (record.state == MemberState::Left)
+        return;
+    std::vector<HostHash>& list = record.isPresent() ? m_present : m_dead;
+    HostHash moved = list.back();
+    list[it->second.listIndex] = moved;
+    m_entries.find(moved)->second.listIndex = it->second.listIndex;
+    list.pop_back();
+}
+
+void Membership::eraseMember(Entries::iterator it)
+{
+    const MemberRecord& record = it->second.node->second;
+    if (record.state == MemberState::Dead)
+        rememberLost(record.address, m_lastCall);
+    leaveState(it);
+    dropUpdate(it);
+    ++m_counters.expirations;
+    m_outputs.emplace_back(MemberChanged { record.host, std::nullopt });
+    m_members.erase(it->second.node);
+    m_entries.erase(it);
+}
+
+void Membership::declare(Entries::iterator it, MemberState state, TimePoint now)
+{
+    MemberRecord record = it->second.node->second;
+    record.state = state;
+    replaceRecord(it, record, it->second.tieBreak, Spread::Yes, now);
+}
+
+void Membership::setDeadline(Entries::iterator it, std::optional<TimePoint> deadline)
+{
+    if (it->second.deadline)
+        m_deadlines.erase({ *it->second.deadline, it->first });
+    it->second.deadline = deadline;
+    if (deadline)
+        m_deadlines.emplace(*deadline, it->first);
+}
+
+GossipDigestEntry Membership::digestEntry(HostHash hash, const Entry& entry)
+{
+    const MemberRecord& record = entry.node->second;
+    return { .hostHash = hash,
+        .incarnation = record.incarnation,
+        .sequence = record.sequence,
+        .state = record.state,
+        .tieBreak = entry.tieBreak };
+}
+
+static uint64_t versionHash(const GossipDigestEntry& entry)
+{
+    const uint64_t fields[] = { entry.hostHash, entry.incarnation.value(), entry.sequence.value(),
+        static_cast<uint64_t>(entry.state), entry.tieBreak };
+    return stableHash({ reinterpret_cast<const char*>(fields), sizeof(fields) });
+}
+
+// Dead and left records are not part of the digests: daemons forget them at different times, which is no difference
+// worth repairing.
+void Membership::addToDigest(HostHash hash, const Entry& entry)
+{
+    if (!entry.node->second.isPresent())
+        return;
+    uint64_t version = versionHash(digestEntry(hash, entry));
+    m_rootDigest += version;
+    m_bucketDigests[bucketOf(hash)] += static_cast<uint32_t>(version);
+}
+
+void Membership::removeFromDigest(HostHash hash, const Entry& entry)
+{
+    if (!entry.node->second.isPresent())
+        return;
+    uint64_t version = versionHash(digestEntry(hash, entry));
+    m_rootDigest -= version;
+    m_bucketDigests[bucketOf(hash)] -= static_cast<uint32_t>(version);
+}
+
+// Dissemination
+
+void Membership::runGossip(TimePoint now)
+{
+    if (now < m_nextGossip || !hasUpdates() || m_present.empty())
+        return;
+    m_nextGossip = now + m_options.gossipPeriod;
+    for (size_t i = 0; i < m_options.gossipFanout && hasUpdates(); ++i)
+        sendUpdates(m_entries.find(*randomPresent())->second.node->second.address);
+}
+
+void Membership::sendUpdates(const Endpoint& to)
+{
+    send(to, GossipRecords { .cargo = updatesFor(to) });
+}
+
+// A member that is not believed to be alive is told so, because only it can refute.
+GossipCargo Membership::updatesFor(const Endpoint& to)
+{
+    auto it = entryAt(to);
+    if (it == m_entries.end() || it->second.node->second.state == MemberState::Alive)
+        return takeUpdates();
+    return takeUpdates({ it->second.node->second });
+}
+
+GossipCargo Membership::takeUpdates(std::vector<MemberRecord> urgent)
+{
+    GossipCargo cargo { .records = std::move(urgent) };
+    if (!hasUpdates())
+        return cargo;
+    size_t budget = cargoBudget;
+    for (const MemberRecord& record : cargo.records)
+        budget -= std::min(budget, encodedSizeBound(record));
+    // Neither kind may starve the other.
+    bool recordsFirst = randomBelow(2) == 0;
+    if (recordsFirst)
+        fillWithRecords(cargo, budget);
+    fillWithBroadcasts(cargo, budget);
+    if (!recordsFirst)
+        fillWithRecords(cargo, budget);
+    return cargo;
+}
+
+void Membership::fillWithRecords(GossipCargo& cargo, size_t& budget)
+{
+    std::vector<std::pair<uint32_t, HostHash>> taken;
+    size_t misfits = 0;
+    for (auto update = m_updates.begin(); update != m_updates.end() && misfits < maxMisfits; ++update) {
+        const MemberRecord& record = m_entries.find(update->second)->second.node->second;
+        size_t size = encodedSizeBound(record);
+        if (size > budget) {
+            ++misfits;
+            continue;
+        }
+        budget -= size;
+        cargo.records.push_back(record);
+        taken.push_back(*update);
+    }
+    uint32_t limit = transmissionLimit();
+    for (const auto& [transmissions, hash] : taken) {
+        m_updates.erase({ transmissions, hash });
+        Entry& entry = m_entries.find(hash)->second;
+        entry.transmissions.reset();
+        if (transmissions + 1 >= limit)
+            continue;
+        entry.transmissions = transmissions + 1;
+        m_updates.emplace(transmissions + 1, hash);
+    }
+}
+
+void Membership::fillWithBroadcasts(GossipCargo& cargo, size_t& budget)
+{
+    uint32_t limit = transmissionLimit();
+    for (size_t remaining = m_broadcasts.size(); remaining > 0; --remaining) {
+        QueuedBroadcast item = std::move(m_broadcasts.front());
+        m_broadcasts.pop_front();
+        size_t size = encodedSizeBound(item.broadcast);
+        if (size <= budget) {
+            budget -= size;
+            cargo.broadcasts.push_back(item.broadcast);
+            ++item.transmissions;
+        }
+        if (item.transmissions < limit)
+            m_broadcasts.push_back(std::move(item));
+    }
+}
+
+void Membership::queueUpdate(Entries::iterator it)
+{
+    dropUpdate(it);
+    it->second.transmissions = 0;
+    m_updates.emplace(0, it->first);
+}
+
+void Membership::dropUpdate(Entries::iterator it)
+{
+    if (it->second.transmissions)
+        m_updates.erase({ *it->second.transmissions, it->first });
+    it->second.transmissions.reset();
+}
+
+uint32_t Membership::transmissionLimit() const
+{
+    double rounds = std::log2(static_cast<double>(m_present.size() + 2));
+    return static_cast<uint32_t>(std::ceil(m_options.transmissionFactor * rounds));
+}
+
+bool Membership::broadcast(std::string payload, TimePoint now)
+{
+    noteTime(now);
+    if (payload.size() > maxGossipPayloadSize || m_broadcasts.size() >= m_options.maxBroadcasts) {
+        ++m_counters.broadcastsRefused;
+        return false;
+    }
+    ++m_counters.broadcastsSent;
+    GossipBroadcast item { self().host, self().life, ++m_lastBroadcast, std::move(payload) };
+    rememberBroadcast(item);
+    if (!m_present.empty())
+        m_broadcasts.push_back({ .broadcast = std::move(item) });
+    return true;
+}
+
+void Membership::takeBroadcast(const GossipBroadcast& broadcast)
+{
+    if (!rememberBroadcast(broadcast)) {
+        ++m_counters.broadcastsDuplicate;
+        return;
+    }
+    ++m_counters.broadcastsReceived;
+    m_outputs.emplace_back(BroadcastReceived { broadcast.origin, broadcast.payload });
+    if (m_broadcasts.size() < m_options.maxBroadcasts)
+        m_broadcasts.push_back({ .broadcast = broadcast });
+    else
+        ++m_counters.broadcastsDropped;
+}
+
+// False if the broadcast was seen before.
+bool Membership::rememberBroadcast(const GossipBroadcast& broadcast)
+{
+    std::string identity;
+    appendText(identity, broadcast.origin.value());
+    appendNumber(identity, broadcast.life.value());
+    appendNumber(identity, broadcast.number);
+    uint64_t hash = stableHash(identity);
+    if (!m_broadcastIdentities.insert(hash).second)
+        return false;
+    m_broadcastOrder.push_back(hash);
+    if (m_broadcastOrder.size() > m_options.maxBroadcastIdentities) {
+        m_broadcastIdentities.erase(m_broadcastOrder.front());
+        m_broadcastOrder.pop_front();
+    }
+    return true;
+}
+
+// Repair
+
+void Membership::runRepair(TimePoint now)
+{
+    if (now < m_nextRepair)
+        return;
+    // Jitter keeps daemons from comparing in step.
+    m_nextRepair = now + m_options.repairPeriod * 3 / 4 + randomDuration(m_options.repairPeriod / 2);
+    std::optional<HostHash> target = randomPresent();
+    if (!target)
+        return;
+    ++m_counters.repairs;
+    send(m_entries.find(*target)->second.node->second.address, GossipDigestRequest { .root = m_rootDigest });
+}
+
+void Membership::handle(const Endpoint& from, const GossipDigestRequest& request, TimePoint now)
+{
+    if (request.sender) {
+        applyRecord(*request.sender, Spread::Yes, now);
+        auto it = m_entries.find(hashOf(request.sender->host));
+        bool isOutdated = it != m_entries.end() && it->second.node->second != *request.sender;
+        if (isOutdated && it->first != m_selfHash)
+            sendRecords(from, { it->second.node->second });
+    }
+    if (request.root && *request.root != m_rootDigest) {
+        ++m_counters.repairsWithDifference;
+        if (mayTransfer(now))
+            send(from, GossipDigest { .buckets = { m_bucketDigests.begin(), m_bucketDigests.end() } });
+    }
+    if (!request.wanted.empty())
+        answerWanted(from, request.wanted);
+    if (!request.page || !mayTransfer(now))
+        return;
+    if (request.page->contactsOnly)
+        answerContacts(from, *request.page, request.sender);
+    else
+        answerPage(from, *request.page);
+}
+
+void Membership::handle(const Endpoint& from, const GossipDigest& digest, TimePoint)
+{
+    if (digest.buckets.size() == gossipBucketCount)
+        compareBuckets(from, digest);
+    else
+        compareEntries(from, digest);
+}
+
+void Membership::handle(const Endpoint&, const GossipRecords& records, TimePoint now)
+{
+    // Pages hold what only the joining daemon lacks.
+    takeCargo(records.cargo, records.page ? Spread::No : Spread::Yes, now);
+    if (!records.page)
+        return;
+    if (m_joinStage == JoinStage::Contacts && records.page->number == m_contactNumber) {
+        if (records.page->isLast)
+            m_joinStage = JoinStage::Done;
+        else
+            startPages(now);
+        return;
+    }
+    if (m_joinStage == JoinStage::Pages)
+        finishPage(*records.page, now);
+}
+
+void Membership::compareBuckets(const Endpoint& from, const GossipDigest& digest)
+{
+    std::vector<size_t> differing;
+    for (size_t bucket = 0; bucket < gossipBucketCount; ++bucket) {
+        if (digest.buckets[bucket] != m_bucketDigests[bucket])
+            differing.push_back(bucket);
+    }
+    if (differing.empty())
+        return;
+    // The number of datagrams is bounded, so each comparison starts elsewhere.
+    auto start = differing.begin() + static_cast<std::ptrdiff_t>(randomBelow(differing.size()));
+    std::rotate(differing.begin(), start, differing.end());
+    sendEntries(from, differing);
+}
+
+void Membership::sendEntries(const Endpoint& to, const std::vector<size_t>& buckets)
+{
+    size_t next = 0;
+    for (size_t sent = 0; sent < m_options.repairDatagrams && next < buckets.size() && mayTransfer(m_lastCall);
+         ++sent) {
+        size_t bucket = buckets[next++];
+        GossipDigest digest { .first = bucketFirst(bucket), .last = bucketLast(bucket) };
+        size_t count = countEntries(digest.first, digest.last);
+        if (count > maxEntriesPerDatagram) {
+            // Only a part of the bucket fits; the random start lets other comparisons cover the rest.
+            size_t skipped = randomBelow(count);
+            auto it = std::next(m_entries.lower_bound(digest.first), static_cast<std::ptrdiff_t>(skipped));
+            if (skipped > 0)
+                digest.first = it->first;
+        }
+        count = appendEntries(digest, digest.first, digest.last);
+        // Following buckets join the range if few entries of equal buckets lie between.
+        while (next < buckets.size() && buckets[next] > bucketOf(digest.last)
+            && digest.last == bucketLast(bucketOf(digest.last))) {
+            HostHash end = bucketLast(buckets[next]);
+            size_t gap = countEntries(digest.last + 1, bucketFirst(buckets[next]) - 1);
+            size_t added = countEntries(digest.last + 1, end);
+            if (gap > maxGapEntries || count + added > maxEntriesPerDatagram)
+                break;
+            count += appendEntries(digest, digest.last + 1, end);
+            digest.last = end;
+            ++next;
+        }
+        ++m_counters.transfersSent;
+        send(to, std::move(digest));
+    }
+}
+
+// Appends the entries of a range up to what fits, and shortens the digest's range to those.
+size_t Membership::appendEntries(GossipDigest& digest, HostHash first, HostHash last) const
+{
+    size_t count = 0;
+    for (auto it = m_entries.lower_bound(first); it != m_entries.end() && it->first <= last; ++it) {
+        if (digest.entries.size() >= maxEntriesPerDatagram) {
+            digest.last = digest.entries.back().hostHash;
+            break;
+        }
+        digest.entries.push_back(digestEntry(it->first, it->second));
+        ++count;
+    }
+    return count;
+}
+
+size_t Membership::countEntries(HostHash first, HostHash last) const
+{
+    if (first > last)
+        return 0;
+    return static_cast<size_t>(std::distance(m_entries.lower_bound(first), m_entries.upper_bound(last)));
+}
+
+void Membership::compareEntries(const Endpoint& from, const GossipDigest& digest)
+{
+    if (digest.first > digest.last)
+        return;
+    std::map<HostHash, const GossipDigestEntry*> theirs;
+    for (const GossipDigestEntry& entry : digest.entries)
+        theirs[entry.hostHash] = &entry;
+    std::vector<MemberRecord> newer;
+    for (auto it = m_entries.lower_bound(digest.first); it != m_entries.end() && it->first <= digest.last; ++it) {
+        auto their = theirs.find(it->first);
+        const MemberRecord& record = it->second.node->second;
+        bool isNewer = their == theirs.end() ? record.isPresent()
+                                             : orderOf(record, it->second.tieBreak) > orderOf(*their->second);
+        if (isNewer)
+            newer.push_back(record);
+    }
+    GossipDigestRequest request;
+    for (const auto& [hash, entry] : theirs) {
+        auto it = m_entries.find(hash);
+        bool isEnded = entry->state == MemberState::Dead || entry->state == MemberState::Left;
+        bool isWanted = it == m_entries.end() ? !isEnded
+                                              : orderOf(*entry) > orderOf(it->second.node->second, it->second.tieBreak);
+        if (isWanted && request.wanted.size() < maxWantedPerDatagram)
+            request.wanted.push_back(hash);
+    }
+    if (!newer.empty())
+        sendRecords(from, std::move(newer));
+    if (!request.wanted.empty())
+        send(from, std::move(request));
+}
+
+void Membership::answerWanted(const Endpoint& to, const std::vector<uint64_t>& wanted)
+{
+    std::vector<MemberRecord> records;
+    for (uint64_t hash : wanted) {
+        auto it = m_entries.find(hash);
+        if (it != m_entries.end())
+            records.push_back(it->second.node->second);
+    }
+    sendRecords(to, std::move(records));
+}
+
+// Sends as many datagrams as the rate limit allows; the next comparison brings the rest.
+void Membership::sendRecords(const Endpoint& to, std::vector<MemberRecord> records)
+{
+    GossipRecords message;
+    size_t budget = cargoBudget;
+    for (MemberRecord& record : records) {
+        size_t size = encodedSizeBound(record);
+        if (size > budget) {
+            if (!mayTransfer(m_lastCall))
+                return;
+            ++m_counters.transfersSent;
+            send(to, std::exchange(message, {}));
+            budget = cargoBudget;
+        }
+        budget -= size;
+        message.cargo.records.push_back(std::move(record));
+    }
+    if (message.cargo.records.empty() || !mayTransfer(m_lastCall))
+        return;
+    ++m_counters.transfersSent;
+    send(to, std::move(message));
+}
+
+// Token bucket over everything that is sent on request.
+bool Membership::mayTransfer(TimePoint now)
+{
+    std::chrono::duration<double> elapsed = now - m_transferTokensAt;
+    m_transferTokensAt = now;
+    m_transferTokens = std::min(
+        m_options.transferBurst, m_transferTokens + std::max(0.0, elapsed.count()) * m_options.transfersPerSecond);
+    if (m_transferTokens < 1) {
+        ++m_counters.transfersLimited;
+        return false;
+    }
+    m_transferTokens -= 1;
+    return true;
+}
+
+// Members out of contact
+
+void Membership::rememberLost(const Endpoint& address, TimePoint now)
+{
+    LostMember lost { address, now + m_options.lostRetention };
+    if (m_lost.size() < m_options.maxLostMembers)
+        m_lost.push_back(std::move(lost));
+    else if (!m_lost.empty())
+        m_lost[randomBelow(m_lost.size())] = std::move(lost);
+}
+
+bool Membership::isPresentAt(const Endpoint& address) const
+{
+    auto it = m_byAddress.find(address);
+    return it != m_byAddress.end() && m_entries.find(it->second)->second.node->second.isPresent();
+}
+
+std::vector<Endpoint> Membership::missingSeeds() const
+{
+    std::vector<Endpoint> missing;
+    std::copy_if(m_seeds.begin(), m_seeds.end(), std::back_inserter(missing),
+        [&](const Endpoint& seed) { return !isPresentAt(seed); });
+    return missing;
+}
+
+bool Membership::hasLostCandidates() const
+{
+    return m_joinStage == JoinStage::Done
+        && (!m_dead.empty() || !m_lost.empty()
+            || std::any_of(m_seeds.begin(), m_seeds.end(), [&](const Endpoint& seed) { return !isPresentAt(seed); }));
+}
+
+void Membership::runLostProbe(TimePoint now)
+{
+    if (now < m_nextLostProbe || !hasLostCandidates())
+        return;
+    m_nextLostProbe = now + m_options.lostProbePeriod * 3 / 4 + randomDuration(m_options.lostProbePeriod / 2);
+    std::erase_if(m_lost, [&](const LostMember& lost) { return lost.forgetAt <= now || isPresentAt(lost.address); });
+    std::vector<Endpoint> seeds = missingSeeds();
+    size_t candidates = m_dead.size() + m_lost.size() + seeds.size();
+    if (candidates == 0)
+        return;
+    ++m_counters.lostProbes;
+    size_t choice = randomBelow(candidates);
+    if (choice < m_dead.size()) {
+        contactLost(m_entries.find(m_dead[choice])->second.node->second.address);
+        return;
+    }
+    choice -= m_dead.size();
+    contactLost(choice < m_lost.size() ? m_lost[choice].address : seeds[choice - m_lost.size()]);
+}
+
+// The answer to the digest shows each side what the other lacks.
+void Membership::contactLost(const Endpoint& address)
+{
+    auto it = entryAt(address);
+    if (it == m_entries.end()) {
+        send(address, GossipDigestRequest { .root = m_rootDigest, .sender = self() });
+        return;
+    }
+    send(address,
+        GossipPing {
+            .number = nextNumber(), .target = static_cast<uint32_t>(it->first), .cargo = updatesFor(address) });
+}
+
+// Joining
+
+void Membership::join(std::vector<Endpoint> seeds, TimePoint now)
+{
+    noteTime(now);
+    std::erase(seeds, self().address);
+    m_seeds = std::move(seeds);
+    m_joinAttempts = 0;
+    m_pages.clear();
+    m_joinStage = m_seeds.empty() ? JoinStage::Done : JoinStage::Contacts;
+    m_nextJoin = now + randomDuration(m_options.joinBackoffBase);
+}
+
+void Membership::runJoin(TimePoint now)
+{
+    if (m_joinStage == JoinStage::Contacts && now >= m_nextJoin)
+        requestContacts(now);
+    if (m_joinStage == JoinStage::Pages)
+        requestPages(now);
+}
+
+void Membership::requestContacts(TimePoint now)
+{
+    ++m_counters.joinAttempts;
+    m_contactNumber = nextNumber();
+    m_nextJoin = now + m_options.pageTimeout + joinBackoff(m_joinAttempts++);
+    GossipPageRequest page { .number = m_contactNumber, .contactsOnly = true };
+    send(m_seeds[randomBelow(m_seeds.size())], GossipDigestRequest { .page = page, .sender = self() });
+}
+
+void Membership::answerContacts(
+    const Endpoint& to, const GossipPageRequest& request, const std::optional<MemberRecord>& sender)
+{
+    GossipRecords answer { .page = GossipPageEnd { .number = request.number } };
+    size_t budget = cargoBudget;
+    std::set<HostHash> chosen;
+    auto add = [&](HostHash hash) {
+        const MemberRecord& record = m_entries.find(hash)->second.node->second;
+        size_t size = encodedSizeBound(record);
+        if (size > budget || answer.cargo.records.size() >= maxContacts || !chosen.insert(hash).second)
+            return;
+        budget -= size;
+        answer.cargo.records.push_back(record);
+    };
+    add(m_selfHash);
+    size_t searched = std::min(m_present.size(), maxContactSearch);
+    size_t start = randomBelow(m_present.size() + 1);
+    for (size_t i = 0; sender && i < searched && chosen.size() <= nearContacts; ++i) {
+        HostHash hash = m_present[(start + i) % m_present.size()];
+        if (m_entries.find(hash)->second.node->second.dataCentre == sender->dataCentre)
+            add(hash);
+    }
+    for (size_t i = 0; i < std::min(m_present.size(), maxContacts); ++i)
+        add(m_present[(start + i) % m_present.size()]);
+    answer.page->isLast = isJoined() && chosen.size() == m_present.size() + 1;
+    ++m_counters.transfersSent;
+    send(to, std::move(answer));
+}
+
+void Membership::startPages(TimePoint now)
+{
+    m_joinStage = JoinStage::Pages;
+    m_pageSources.clear();
+    for (HostHash hash : m_present) {
+        if (m_entries.find(hash)->second.node->second.dataCentre == self().dataCentre)
+            m_pageSources.push_back(hash);
+    }
+    constexpr HostHash rangeSize = UINT64_MAX / joinRanges + 1;
+    for (size_t i = 0; i < joinRanges; ++i)
+        m_pages.push_back({ .first = i * rangeSize, .last = i * rangeSize + (rangeSize - 1), .due = now });
+    requestPages(now);
+}
+
+void Membership::requestPages(TimePoint now)
+{
+    size_t inFlight = 0;
+    for (PageRange& range : m_pages) {
+        if (range.number != 0 && range.due <= now) {
+            ++m_counters.pagesTimedOut;
+            range.number = 0;
+            range.due = now + joinBackoff(range.attempts++);
+        }
+        inFlight += range.number != 0;
+    }
+    for (PageRange& range : m_pages) {
+        if (range.number != 0 || range.due > now || inFlight >= m_options.maxPagesInFlight)
+            continue;
+        requestPage(range, now);
+        ++inFlight;
+    }
+}
+
+void Membership::requestPage(PageRange& range, TimePoint now)
+{
+    ++m_counters.pagesRequested;
+    range.number = nextNumber();
+    range.due = now + m_options.pageTimeout;
+    GossipPageRequest page { .number = range.number, .first = range.first, .last = range.last };
+    send(choosePageSource(range.attempts), GossipDigestRequest { .page = page });
+}
+
+// Members of our data centre first; any member after failures, and a seed if there is none.
+Endpoint Membership::choosePageSource(unsigned attempts)
+{
+    if (attempts < 2 && !m_pageSources.empty()) {
+        auto it = m_entries.find(m_pageSources[randomBelow(m_pageSources.size())]);
+        if (it != m_entries.end() && it->second.node->second.isPresent())
+            return it->second.node->second.address;
+    }
+    if (std::optional<HostHash> any = randomPresent())
+        return m_entries.find(*any)->second.node->second.address;
+    return m_seeds[randomBelow(m_seeds.size())];
+}
+
+void Membership::answerPage(const Endpoint& to, const GossipPageRequest& request)
+{
+    GossipRecords answer { .page = GossipPageEnd { .number = request.number, .isLast = true } };
+    size_t budget = cargoBudget;
+    for (auto it = m_entries.lower_bound(request.first); it != m_entries.end() && it->first <= request.last; ++it) {
+        const MemberRecord& record = it->second.node->second;
+        if (!record.isPresent())
+            continue;
+        size_t size = encodedSizeBound(record);
+        if (size > budget) {
+            answer.page->next = it->first;
+            answer.page->isLast = false;
+            break;
+        }
+        budget -= size;
+        answer.cargo.records.push_back(record);
+    }
+    ++m_counters.transfersSent;
+    send(to, std::move(answer));
+}
+
+void Membership::finishPage(const GossipPageEnd& page, TimePoint now)
+{
+    auto range = std::find_if(m_pages.begin(), m_pages.end(),
+        [&](const PageRange& item) { return item.number != 0 && item.number == page.number; });
+    if (range == m_pages.end())
+        return;
+    if (page.isLast || page.next <= range->first)
+        m_pages.erase(range);
+    else
+        *range = { .first = page.next, .last = range->last, .due = now };
+    if (!m_pages.empty()) {
+        requestPages(now);
+        return;
+    }
+    m_joinStage = JoinStage::Done;
+    // What changed while the pages were fetched is repaired soon, not a whole period later.
+    m_nextRepair = now + randomDuration(m_options.probePeriod);
+}
+
+Duration Membership::joinBackoff(unsigned attempts)
+{
+    Duration bound = m_options.joinBackoffBase;
+    for (unsigned i = 0; i < std::min(attempts, maxBackoffDoublings) && bound < m_options.joinBackoffLimit; ++i)
+        bound *= 2;
+    return randomDuration(std::min(bound, m_options.joinBackoffLimit));
+}
+
+// Helpers
+
+void Membership::send(const Endpoint& to, GossipMessage message)
+{
+    m_outputs.emplace_back(GossipDatagram { to, std::move(message) });
+}
+
+std::optional<Membership::HostHash> Membership::randomPresent()
+{
+    if (m_present.empty())
+        return std::nullopt;
+    return m_present[randomBelow(m_present.size())];
+}
+
+size_t Membership::randomBelow(size_t bound)
+{
+    return std::uniform_int_distribution<size_t>(0, bound - 1)(m_random);
+}
+
+Duration Membership::randomDuration(Duration bound)
+{
+    return Duration(std::uniform_int_distribution<Duration::rep>(0, bound.count())(m_random));
+}
+
+Membership::Entries::iterator Membership::entryAt(const Endpoint& address)
+{
+    auto it = m_byAddress.find(address);
+    return it == m_byAddress.end() ? m_entries.end() : m_entries.find(it->second);
+}
+
+} // namespace dragonflylane
--- a/dragonflylane/Membership.h
+++ b/dragonflylane/Membership.h
@@ -90,13 +90,14 @@
     // What is known about a member beside its record.
     struct Entry {
         Members::iterator node;
-        uint64_t tieBreak { 0 };
-        // Position in m_present, if present.
-        size_t presentIndex { 0 };
+        // Hash of the record's life and content; the last criterion of its order.
+        uint32_t tieBreak { 0 };
+        // Position in m_present or m_dead.
+        size_t listIndex { 0 };
         // When a suspect is declared dead, or a dead or left record expires.
-        std::optional<TimePoint> deadline;
+        std::optional<TimePoint> deadline {};
         // Transmissions so far, while the record is in m_updates.
-        std::optional<uint32_t> transmissions;
+        std::optional<uint32_t> transmissions {};
     };
     using Entries = std::map<HostHash, Entry>;
 
@@ -110,13 +111,14 @@
     };
 
     struct RelayedProbe {
-        Endpoint requester;
+        Endpoint requester {};
         uint32_t requesterNumber { 0 };
+        TimePoint forgetAt;
     };
 
     struct LostMember {
-        Endpoint address;
-        TimePoint forgetAt;
+        Endpoint address {};
+        TimePoint forgetAt {};
     };
 
     enum class JoinStage : uint8_t {
@@ -160,12 +162,12 @@
 
     void applyRecord(const MemberRecord&, Spread, TimePoint now);
     void applyOwnRecord(const MemberRecord&, TimePoint now);
-    void insertMember(const MemberRecord&, HostHash, uint64_t tieBreak, Spread, TimePoint now);
-    void replaceRecord(Entries::iterator, const MemberRecord&, uint64_t tieBreak, Spread, TimePoint now);
+    void insertMember(const MemberRecord&, HostHash, uint32_t tieBreak, Spread, TimePoint now);
+    void replaceRecord(Entries::iterator, const MemberRecord&, uint32_t tieBreak, Spread, TimePoint now);
     void enterState(Entries::iterator, TimePoint now);
     void leaveState(Entries::iterator);
     void eraseMember(Entries::iterator);
-    void publishOwnRecord();
+    void publishOwnRecord(MemberRecord);
     void rememberLost(const Endpoint&, TimePoint now);
     void declare(Entries::iterator, MemberState, TimePoint now);
     void setDeadline(Entries::iterator, std::optional<TimePoint>);
@@ -183,25 +185,33 @@
     void runLostProbe(TimePoint now);
     bool hasLostCandidates() const;
 
+    void contactLost(const Endpoint&);
+    std::vector<Endpoint> missingSeeds() const;
+    bool isPresentAt(const Endpoint&) const;
+
     void runJoin(TimePoint now);
     void requestContacts(TimePoint now);
     void startPages(TimePoint now);
     void requestPages(TimePoint now);
     void requestPage(PageRange&, TimePoint now);
     void finishPage(const GossipPageEnd&, TimePoint now);
-    Endpoint choosePageSource();
+    Endpoint choosePageSource(unsigned attempts);
     Duration joinBackoff(unsigned attempts);
 
-    void answerPage(const Endpoint& to, const GossipPageRequest&, const std::optional<MemberRecord>& sender);
+    void answerPage(const Endpoint& to, const GossipPageRequest&);
     void answerContacts(const Endpoint& to, const GossipPageRequest&, const std::optional<MemberRecord>& sender);
     void answerWanted(const Endpoint& to, const std::vector<uint64_t>& wanted);
     void compareBuckets(const Endpoint& from, const GossipDigest&);
     void compareEntries(const Endpoint& from, const GossipDigest&);
     void sendEntries(const Endpoint& to, const std::vector<size_t>& buckets);
+    size_t appendEntries(GossipDigest&, HostHash first, HostHash last) const;
+    size_t countEntries(HostHash first, HostHash last) const;
     void sendRecords(const Endpoint& to, std::vector<MemberRecord>);
     bool mayTransfer(TimePoint now);
 
-    GossipCargo takeUpdates(size_t budget);
+    // The urgent records are sent whether or not they are queued.
+    GossipCargo takeUpdates(std::vector<MemberRecord> urgent = {});
+    GossipCargo updatesFor(const Endpoint& to);
     void fillWithRecords(GossipCargo&, size_t& budget);
     void fillWithBroadcasts(GossipCargo&, size_t& budget);
     void queueUpdate(Entries::iterator);
@@ -217,7 +227,9 @@
     size_t randomBelow(size_t bound);
     Duration randomDuration(Duration bound);
     uint32_t nextNumber() { return ++m_lastNumber; }
-    const Endpoint& addressOf(HostHash) const;
+    Entries::iterator entryAt(const Endpoint&);
+    static GossipDigestEntry digestEntry(HostHash, const Entry&);
+    Duration suspicionTime() const { return m_options.probePeriod * m_options.suspicionPeriods; }
 
     MembershipOptions m_options;
     std::mt19937_64 m_random;
@@ -234,6 +246,7 @@
     std::vector<HostHash> m_present;
     std::map<Endpoint, HostHash> m_byAddress;
     std::set<std::pair<TimePoint, HostHash>> m_deadlines;
+    // Dead members whose records are kept.
     std::vector<HostHash> m_dead;
 
     std::array<uint32_t, gossipBucketCount> m_bucketDigests {};
@@ -259,6 +272,8 @@
     unsigned m_joinAttempts { 0 };
     uint32_t m_contactNumber { 0 };
     std::vector<PageRange> m_pages;
+    // Members of our data centre that were known when the pages were started.
+    std::vector<HostHash> m_pageSources;
 
     double m_transferTokens { 0 };
     TimePoint m_transferTokensAt;
@@ -266,6 +281,8 @@
     TimePoint m_lastCall;
     // Until then a failed probe is repeated once before it counts, because of a pause.
     TimePoint m_reprobeUntil;
+    // Two daemons with one host id would otherwise raise their incarnations as fast as messages travel.
+    TimePoint m_nextBump;
     TimePoint m_nextProbe;
     TimePoint m_nextGossip;
     TimePoint m_nextRepair;
--- /dev/null
+++ b/tests/MembershipTest.cpp
@@ -0,0 +1,375 @@
+#include "dragonflylane/Membership.h"
+#include "bench/VirtualMesh.h"
+#include "dragonflylane/GossipWire.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+#include <set>
+
+namespace dragonflylane {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Derived from the options: the subject is probed by some member within 5 periods (with n members probing at
+    // random, none does so with probability e^-5 for large n, and each list is a round robin), 1 period for the probe
+    // itself, 5 periods of suspicion, and 2 for spreading both records.
+    constexpr int detectionPeriods = 13;
+    const Duration detectionLimit = MembershipOptions {}.probePeriod * detectionPeriods;
+
+    void convergeAll(VirtualMesh& mesh, Duration limit = 60s)
+    {
+        ASSERT_TRUE(mesh.runUntil([&] { return mesh.isConverged(); }, limit));
+    }
+
+    MemberRecord recordOf(size_t daemon, uint64_t sequence = 0)
+    {
+        return { .host = VirtualMesh::hostOf(daemon),
+            .address = VirtualMesh::addressOf(daemon),
+            .life = LifeId(daemon + 1),
+            .incarnation = Incarnation(1),
+            .sequence = Sequence(sequence) };
+    }
+
+    GossipRecords carry(MemberRecord record)
+    {
+        return { .cargo = { .records = { std::move(record) } } };
+    }
+
+    uint64_t sumOf(VirtualMesh& mesh, uint64_t MembershipCounters::*counter)
+    {
+        uint64_t sum = 0;
+        for (size_t i = 0; i < mesh.size(); ++i)
+            sum += mesh.isRunning(i) ? mesh.at(i).counters().*counter : 0;
+        return sum;
+    }
+
+} // namespace
+
+class MembershipLossTest : public testing::TestWithParam<size_t> { };
+
+// Guards against records that are lost for good when datagrams are.
+TEST_P(MembershipLossTest, ConvergesUnderLoss)
+{
+    VirtualMesh mesh({ .loss = 0.2, .duplication = 0.05 });
+    mesh.start(GetParam());
+    convergeAll(mesh);
+    mesh.runFor(60s);
+    EXPECT_EQ(sumOf(mesh, &MembershipCounters::deaths), 0u);
+    EXPECT_LE(mesh.traffic().largest, maxGossipDatagramSize);
+    EXPECT_EQ(mesh.traffic().undecodable, 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, MembershipLossTest, testing::Values(2, 5, 16, 64));
+
+// Guards against a dead member that stays in some views longer than the design allows.
+TEST(MembershipTest, DeathIsDetectedByAllWithinBound)
+{
+    for (size_t size : { 5, 16, 64 }) {
+        VirtualMesh mesh({ .seed = size });
+        mesh.start(size);
+        convergeAll(mesh);
+        mesh.stop(3);
+        EXPECT_TRUE(mesh.runUntil([&] { return mesh.allSee(3, MemberState::Dead); }, detectionLimit)) << size;
+        EXPECT_EQ(sumOf(mesh, &MembershipCounters::deaths), size - 1) << size;
+    }
+}
+
+// Guards against a graceful leave that others must first detect as a failure.
+TEST(MembershipTest, LeaveIsSeenWithoutSuspicion)
+{
+    VirtualMesh mesh({});
+    mesh.start(16);
+    convergeAll(mesh);
+    mesh.call(5, [](Membership& membership, TimePoint now) { membership.leave(now); });
+    EXPECT_TRUE(mesh.runUntil([&] { return mesh.allSee(5, MemberState::Left); }, 1s));
+    mesh.stop(5);
+    mesh.runFor(20s);
+    EXPECT_EQ(sumOf(mesh, &MembershipCounters::suspicions), 0u);
+    EXPECT_TRUE(mesh.allSee(5, MemberState::Left));
+}
+
+// Guards against a restarted daemon that is hidden behind the records of its previous life.
+TEST(MembershipTest, RestartTakesHigherIncarnation)
+{
+    for (bool bump : { true, false }) {
+        VirtualMesh mesh({ .membership = { .incarnationBump = bump } });
+        mesh.start(16);
+        convergeAll(mesh);
+        mesh.call(7, [](Membership& membership, TimePoint now) { membership.setUpstream(std::nullopt, now); });
+        mesh.runFor(2s);
+        mesh.restart(7);
+        mesh.runFor(5s);
+        LifeId life = mesh.at(7).self().life;
+        EXPECT_EQ(mesh.view(3, 7)->life == life, bump);
+        EXPECT_EQ(mesh.view(3, 7)->upstream.has_value(), bump);
+        EXPECT_EQ(mesh.isConverged(), bump);
+    }
+}
+
+// Guards against a restart after a graceful leave that is refused because the record `left` is still kept.
+TEST(MembershipTest, ReturnsAfterLeaving)
+{
+    VirtualMesh mesh({});
+    mesh.start(8);
+    convergeAll(mesh);
+    mesh.call(5, [](Membership& membership, TimePoint now) { membership.leave(now); });
+    mesh.runFor(1s);
+    mesh.restart(5);
+    EXPECT_TRUE(mesh.runUntil([&] { return mesh.isConverged(); }, 5s));
+}
+
+// Guards against a paused process that blames the others for its own absence.
+TEST(MembershipTest, ResumedDaemonDeclaresNobodySuspect)
+{
+    for (Duration pause : { Duration(3s), Duration(30s), Duration(50s) }) {
+        VirtualMesh mesh({});
+        mesh.start(16);
+        convergeAll(mesh);
+        mesh.pause(4);
+        mesh.runFor(pause);
+        uint64_t before = mesh.at(4).counters().suspicions;
+        mesh.resume(4);
+        mesh.runFor(20s);
+        EXPECT_EQ(mesh.at(4).counters().pauses, 1u);
+        EXPECT_EQ(mesh.at(4).counters().suspicions, before);
+        EXPECT_EQ(mesh.at(4).counters().deaths, 0u);
+        EXPECT_TRUE(mesh.isConverged());
+    }
+}
+
+// Guards against halves that never find each other again, before and after they forgot each other's records.
+TEST(MembershipTest, PartitionIsRepaired)
+{
+    for (Duration partition : { Duration(20s), Duration(5min) }) {
+        VirtualMesh mesh({ .loss = 0.02 });
+        mesh.start(32);
+        convergeAll(mesh);
+        mesh.setReachable([](size_t from, size_t to) { return from % 2 == to % 2; });
+        mesh.runFor(partition);
+        EXPECT_EQ(mesh.at(0).presentCount(), 16u);
+        EXPECT_EQ(mesh.at(1).presentCount(), 16u);
+        mesh.setReachable(nullptr);
+        EXPECT_TRUE(mesh.runUntil([&] { return mesh.isConverged(); }, 60s));
+    }
+}
+
+// Guards against a seed that is flooded when many daemons restart at once, and against joins that starve.
+TEST(MembershipTest, HerdRestartDoesNotOverloadSeeds)
+{
+    VirtualMesh mesh({});
+    mesh.start(300);
+    convergeAll(mesh);
+    std::map<size_t, uint64_t> before;
+    for (size_t i = 0; i < 2; ++i)
+        before[i] = mesh.at(i).counters().transfersSent;
+    for (size_t i = 200; i < 300; ++i)
+        mesh.restart(i);
+    TimePoint start = mesh.now();
+    EXPECT_TRUE(mesh.runUntil([&] { return mesh.isConverged(); }, 15s));
+    MembershipOptions options;
+    double seconds = std::chrono::duration<double>(mesh.now() - start).count();
+    for (size_t i = 0; i < 2; ++i) {
+        uint64_t sent = mesh.at(i).counters().transfersSent - before[i];
+        EXPECT_LE(sent, options.transferBurst + options.transfersPerSecond * seconds);
+    }
+    for (size_t i = 200; i < 300; ++i)
+        EXPECT_TRUE(mesh.at(i).isJoined());
+}
+
+// Guards against a view that hides one of two claims, which the reader needs for its decision.
+TEST(MembershipTest, TwoClaimsOfOneUpstreamIdStayVisible)
+{
+    VirtualMesh mesh({});
+    mesh.start(8);
+    convergeAll(mesh);
+    for (size_t daemon : { 2, 6 }) {
+        mesh.call(daemon, [&](Membership& membership, TimePoint now) {
+            membership.setUpstream(
+                UpstreamRecord {
+                    .id = UpstreamId("same"), .service = ServiceName("orders"), .incarnation = Incarnation(daemon) },
+                now);
+        });
+    }
+    mesh.runFor(2s);
+    for (size_t daemon : { 2, 6 }) {
+        EXPECT_EQ(mesh.view(0, daemon)->upstream->id, UpstreamId("same"));
+        EXPECT_EQ(mesh.view(0, daemon)->upstream->incarnation, Incarnation(daemon));
+    }
+}
+
+// Guards against the death of a member that only missed some datagrams.
+TEST(MembershipTest, SuspicionWithRefutationPreventsFalseDeaths)
+{
+    for (bool enabled : { true, false }) {
+        VirtualMesh mesh({ .loss = 0.2, .membership = { .suspicionWithRefutation = enabled } });
+        mesh.start(16);
+        mesh.runFor(120s);
+        EXPECT_EQ(sumOf(mesh, &MembershipCounters::deaths) == 0, enabled);
+        EXPECT_EQ(sumOf(mesh, &MembershipCounters::refutations) > 0, enabled);
+    }
+}
+
+// Guards against suspicion of a member that one path does not reach although others do.
+TEST(MembershipTest, IndirectProbesBridgeABrokenPath)
+{
+    for (bool enabled : { true, false }) {
+        VirtualMesh mesh({ .membership = { .indirectProbing = enabled } });
+        mesh.start(8);
+        convergeAll(mesh);
+        mesh.setReachable([](size_t from, size_t to) { return from + to != 3 || from * to != 2; });
+        mesh.runFor(60s);
+        EXPECT_EQ(sumOf(mesh, &MembershipCounters::suspicions) == 0, enabled);
+    }
+}
+
+// Guards against an old record that makes a dead member appear alive again.
+TEST(MembershipTest, DeadRecordsAreKeptAgainstOldOnes)
+{
+    for (bool enabled : { true, false }) {
+        TimePoint now { 1h };
+        Membership membership({ .keepDeadRecords = enabled }, recordOf(0), now);
+        MemberRecord old = recordOf(1, 4);
+        MemberRecord dead = recordOf(1, 4);
+        dead.state = MemberState::Dead;
+        membership.receive(old.address, carry(old), now);
+        membership.receive(old.address, carry(dead), now);
+        TimePoint end = now + 59s;
+        for (; now < end; now += 500ms)
+            membership.tick(now);
+        membership.receive(old.address, carry(old), now);
+        auto it = membership.members().find(old.host);
+        bool isPresent = it != membership.members().end() && it->second.isPresent();
+        EXPECT_EQ(isPresent, !enabled);
+    }
+}
+
+// Guards against dead records that circulate for ever because daemons forget them at different times.
+TEST(MembershipTest, DeadRecordIsForgottenByAll)
+{
+    VirtualMesh mesh({});
+    mesh.start(16);
+    convergeAll(mesh);
+    mesh.stop(9);
+    mesh.runFor(detectionLimit + 70s);
+    for (size_t i = 0; i < mesh.size(); ++i) {
+        if (mesh.isRunning(i))
+            EXPECT_EQ(mesh.view(i, 9), nullptr);
+    }
+}
+
+// Guards against broadcasts that are lost, delivered twice, or accepted without bound.
+TEST(MembershipTest, BroadcastIsDeliveredOnce)
+{
+    VirtualMesh mesh({ .loss = 0.2, .duplication = 0.2 });
+    mesh.start(64);
+    convergeAll(mesh);
+    std::map<std::pair<size_t, std::string>, int> deliveries;
+    mesh.setObserver([&](size_t daemon, const MembershipOutput& output) {
+        if (const auto* received = std::get_if<BroadcastReceived>(&output))
+            ++deliveries[{ daemon, received->payload }];
+    });
+    for (int i = 0; i < 10; ++i) {
+        mesh.call(i, [&](Membership& membership, TimePoint now) {
+            EXPECT_TRUE(membership.broadcast(std::string(500, 'x') + std::to_string(i), now));
+        });
+    }
+    mesh.runFor(20s);
+    EXPECT_EQ(deliveries.size(), 63u * 10);
+    for (const auto& [key, count] : deliveries)
+        EXPECT_EQ(count, 1) << key.first;
+
+    Membership& origin = mesh.at(0);
+    EXPECT_FALSE(origin.broadcast(std::string(maxGossipPayloadSize + 1, 'x'), mesh.now()));
+    for (size_t i = 0; i < 64; ++i)
+        EXPECT_TRUE(origin.broadcast("y", mesh.now()));
+    EXPECT_FALSE(origin.broadcast("y", mesh.now()));
+    EXPECT_EQ(origin.counters().broadcastsRefused, 2u);
+}
+
+// Guards against unbounded growth of the member table.
+TEST(MembershipTest, RefusesMembersBeyondTheLimit)
+{
+    TimePoint now { 1h };
+    Membership membership({ .maxMembers = 4 }, recordOf(0), now);
+    for (size_t i = 1; i < 10; ++i)
+        membership.receive(recordOf(i).address, carry(recordOf(i)), now);
+    EXPECT_EQ(membership.members().size(), 4u);
+    EXPECT_EQ(membership.counters().recordsRefused, 6u);
+}
+
+// Guards against two daemons that keep different records of equal (incarnation, sequence) for ever.
+TEST(MembershipTest, EqualVersionsHaveOneWinner)
+{
+    TimePoint now { 1h };
+    MemberRecord a = recordOf(1);
+    MemberRecord b = recordOf(1);
+    b.dataCentre = DataCentreName("elsewhere");
+    Membership first({}, recordOf(8), now);
+    Membership second({}, recordOf(9), now);
+    for (const MemberRecord& record : { a, b })
+        first.receive(record.address, carry(record), now);
+    for (const MemberRecord& record : { b, a })
+        second.receive(record.address, carry(record), now);
+    EXPECT_EQ(first.members().at(a.host), second.members().at(a.host));
+    EXPECT_EQ(first.counters().recordConflicts + second.counters().recordConflicts, 1u);
+}
+
+// Guards against a view that goes back to an older record, or that differs from the newest records in the end. The
+// daemons are reached only by the records given here and by comparing digests with each other.
+RC_GTEST_PROP(MembershipPropertyTest, ViewsEqualTheNaiveMap, ())
+{
+    constexpr size_t daemons = 4;
+    constexpr size_t subjects = 12;
+    using Version = std::tuple<uint64_t, uint64_t, MemberState>;
+    VirtualMesh mesh({ .seed = *rc::gen::arbitrary<uint64_t>(), .loss = 0.3, .duplication = 0.3, .maxLatency = 400ms });
+    mesh.start(daemons);
+    mesh.runFor(20s);
+    std::map<std::pair<size_t, HostId>, Version> held;
+    mesh.setObserver([&](size_t daemon, const MembershipOutput& output) {
+        const auto* changed = std::get_if<MemberChanged>(&output);
+        if (!changed || !changed->current)
+            return;
+        Version version { changed->current->incarnation.value(), changed->current->sequence.value(),
+            changed->current->state };
+        Version& last = held[{ daemon, changed->host }];
+        RC_ASSERT(last <= version);
+        last = version;
+    });
+
+    // A running daemon stands behind no subject, so the reference covers the time before suspicion only.
+    std::map<HostId, std::pair<Version, MemberRecord>> reference;
+    auto count = *rc::gen::inRange<size_t>(1, 60);
+    for (size_t i = 0; i < count; ++i) {
+        size_t subject = 1000 + *rc::gen::inRange<size_t>(0, subjects);
+        MemberRecord record = recordOf(subject, *rc::gen::inRange<uint64_t>(0, 6));
+        record.incarnation = Incarnation(*rc::gen::inRange<uint64_t>(1, 4));
+        record.upstream
+            = UpstreamRecord { .id = UpstreamId("u"), .slots = static_cast<uint32_t>(record.sequence.value()) };
+        Version version { record.incarnation.value(), record.sequence.value(), record.state };
+        auto it = reference.try_emplace(record.host, version, record).first;
+        if (it->second.first < version)
+            it->second = { version, record };
+        size_t daemon = *rc::gen::inRange<size_t>(0, daemons);
+        mesh.call(daemon,
+            [&](Membership& membership, TimePoint now) { membership.receive(record.address, carry(record), now); });
+    }
+    // Subjects answer no probe, so they turn suspect and dead; what counts is that content and version agree.
+    mesh.runFor(40s);
+    for (size_t daemon = 0; daemon < daemons; ++daemon) {
+        for (const auto& [host, expected] : reference) {
+            auto it = mesh.at(daemon).members().find(host);
+            RC_ASSERT(it != mesh.at(daemon).members().end());
+            RC_ASSERT(it->second.incarnation == expected.second.incarnation);
+            RC_ASSERT(it->second.sequence == expected.second.sequence);
+            RC_ASSERT(it->second.upstream == expected.second.upstream);
+            RC_ASSERT(it->second.state == MemberState::Dead);
+        }
+        RC_ASSERT(mesh.at(daemon).rootDigest() == mesh.at(0).rootDigest());
+    }
+}
+
+} // namespace dragonflylane
