--- a/dragonflylane/Relay.cpp
+++ b/dragonflylane/Relay.cpp
@@ -399,7 +399,7 @@
     return true;
 }
 
-void Relay::receive(const HostId& from, const RelayParentHeartbeat& message, TimePoint now)
+void Relay::handle(const HostId& from, const RelayParentHeartbeat& message, TimePoint now)
 {
     Upstream* session = upstream(from, message.session);
     if (!session)
@@ -572,7 +572,7 @@
         send(host, RelayLink::ToChild, heartbeatFor(child, now));
 }
 
-void Relay::receive(const HostId& from, const RelayRefusal& message, TimePoint now)
+void Relay::handle(const HostId& from, const RelayRefusal& message, TimePoint now)
 {
     Upstream* session = upstream(from, message.session);
     if (!session)
@@ -581,7 +581,7 @@
     failSession(*session, message.code, "the other side refused", retryAfter, now);
 }
 
-void Relay::receive(const HostId& from, const RelayLeaving& message, TimePoint now)
+void Relay::handle(const HostId& from, const RelayLeaving& message, TimePoint now)
 {
     Upstream* session = upstream(from, message.session);
     if (!session)
@@ -618,7 +618,7 @@
     considerReport(now);
 }
 
-void Relay::receive(const HostId& from, const RelayAttach& message, TimePoint now)
+void Relay::handle(const HostId& from, const RelayAttach& message, TimePoint now)
 {
     m_children.erase(from);
     if (m_leaveBy) {
@@ -647,7 +647,7 @@
     considerReport(now);
 }
 
-void Relay::receive(const HostId& from, const RelayChildHeartbeat& message, TimePoint now)
+void Relay::handle(const HostId& from, const RelayChildHeartbeat& message, TimePoint now)
 {
     auto found = m_children.find(from);
     if (found == m_children.end() || found->second.session != message.session) {
@@ -685,7 +685,7 @@
     considerReport(now);
 }
 
-void Relay::receive(const HostId& from, const RelayDetach& message, TimePoint now)
+void Relay::handle(const HostId& from, const RelayDetach& message, TimePoint now)
 {
     auto found = m_children.find(from);
     if (found == m_children.end() || found->second.session != message.session)
@@ -870,7 +870,7 @@
 void Relay::receive(const HostId& from, const RelayMessage& message, TimePoint now)
 {
     noteActivity(now);
-    std::visit([&](const auto& content) { receive(from, content, now); }, message);
+    std::visit([&](const auto& content) { handle(from, content, now); }, message);
 }
 
 void Relay::tick(TimePoint now)
--- a/dragonflylane/Relay.h
+++ b/dragonflylane/Relay.h
@@ -147,12 +147,12 @@
     TimePoint reportDueAt() const;
     void considerReport(TimePoint now);
 
-    void receive(const HostId& from, const RelayAttach&, TimePoint now);
-    void receive(const HostId& from, const RelayChildHeartbeat&, TimePoint now);
-    void receive(const HostId& from, const RelayDetach&, TimePoint now);
-    void receive(const HostId& from, const RelayParentHeartbeat&, TimePoint now);
-    void receive(const HostId& from, const RelayRefusal&, TimePoint now);
-    void receive(const HostId& from, const RelayLeaving&, TimePoint now);
+    void handle(const HostId& from, const RelayAttach&, TimePoint now);
+    void handle(const HostId& from, const RelayChildHeartbeat&, TimePoint now);
+    void handle(const HostId& from, const RelayDetach&, TimePoint now);
+    void handle(const HostId& from, const RelayParentHeartbeat&, TimePoint now);
+    void handle(const HostId& from, const RelayRefusal&, TimePoint now);
+    void handle(const HostId& from, const RelayLeaving&, TimePoint now);
 
     bool refusesTerm(Upstream&, const RelayParentHeartbeat&, TimePoint now);
     void applyPayload(Upstream&, const RelayPayload&, TimePoint now);
--- a/dragonflylane/TreePosition.cpp
+++ b/dragonflylane/TreePosition.cpp
@@ -160,7 +160,6 @@
 
 TreeIndex::TreeIndex(HostId self, TreeOptions options)
     : m_self(std::move(self))
-    , m_selfHash(hashOf(m_self))
     , m_options(options)
 {
     m_position.level = 1;
@@ -231,74 +230,82 @@
     return found == m_dataCentres.end() || found->second.entries.size() <= 1;
 }
 
-std::vector<ParentCandidate> TreeIndex::foreignCandidates(const TreeMember& own, unsigned level)
+std::vector<DataCentreName> TreeIndex::foreignOrder(const TreeMember& own) const
 {
-    std::vector<DataCentreName> order;
+    using Key = decltype(foreignKey(0, own.region, own.region, own.dataCentre));
+    const uint64_t ownHash = hashOf(own.host);
+    std::vector<Key> keys;
     for (const auto& [name, dataCentre] : m_dataCentres)
         if (name != own.dataCentre)
-            order.push_back(name);
-    std::sort(order.begin(), order.end(), [&](const DataCentreName& left, const DataCentreName& right) {
-        return foreignKey(m_selfHash, own.region, m_dataCentres[left].region, left)
-            < foreignKey(m_selfHash, own.region, m_dataCentres[right].region, right);
-    });
-    order.resize(std::min<size_t>(order.size(), m_options.foreignCandidates));
+            keys.push_back(foreignKey(ownHash, own.region, dataCentre.region, name));
+    std::sort(keys.begin(), keys.end());
+    keys.resize(std::min<size_t>(keys.size(), m_options.foreignCandidates));
+    std::vector<DataCentreName> order;
+    for (Key& key : keys)
+        order.push_back(std::move(std::get<2>(key)));
+    return order;
+}
+
+std::vector<ParentCandidate> TreeIndex::foreignCandidates(const TreeMember& own, unsigned level) const
+{
     std::vector<ParentCandidate> result;
-    for (const DataCentreName& name : order) {
-        const std::vector<Entry>& entries = m_dataCentres[name].entries;
+    for (const DataCentreName& name : foreignOrder(own)) {
+        const std::vector<Entry>& entries = m_dataCentres.at(name).entries;
         auto [begin, end] = filledLevel(level > 1 ? level - 1 : 1, entries.size(), m_options);
-        const Entry* chosen = &entries[begin];
-        for (size_t i = begin + 1; i < end; ++i)
-            if (weight(m_selfHash, entries[i].hash) > weight(m_selfHash, chosen->hash))
-                chosen = &entries[i];
-        result.push_back({ chosen->host, name, false });
+        for (ParentCandidate& candidate : best(entries, begin, end, hashOf(own.host), 1))
+            result.push_back(std::move(candidate));
     }
-    m_foreign = std::move(order);
     return result;
 }
 
-bool TreeIndex::refresh()
+std::vector<ParentCandidate> TreeIndex::best(
+    const std::vector<Entry>& entries, size_t begin, size_t end, uint64_t childHash, size_t limit) const
 {
-    const auto candidates = [&](const std::vector<Entry>& entries, size_t begin, size_t end, size_t limit) {
-        std::vector<std::pair<uint64_t, const Entry*>> weighted;
-        weighted.reserve(end - begin);
-        for (size_t i = begin; i < end; ++i)
-            weighted.emplace_back(~weight(m_selfHash, entries[i].hash), &entries[i]);
-        size_t kept = std::min(limit, weighted.size());
-        std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(kept), weighted.end(),
-            [](const auto& left, const auto& right) {
-                return std::tie(left.first, left.second->host) < std::tie(right.first, right.second->host);
-            });
-        std::vector<ParentCandidate> result;
-        for (size_t i = 0; i < kept; ++i) {
-            const TreeMember& member = m_members.at(weighted[i].second->host);
-            result.push_back({ member.host, member.dataCentre, member.isControl });
-        }
-        return result;
+    std::vector<std::pair<uint64_t, const Entry*>> weighted;
+    weighted.reserve(end - begin);
+    for (size_t i = begin; i < end; ++i)
+        weighted.emplace_back(~weight(childHash, entries[i].hash), &entries[i]);
+    const auto isBefore = [](const auto& left, const auto& right) {
+        return std::tie(left.first, left.second->host) < std::tie(right.first, right.second->host);
     };
+    size_t kept = std::min(limit, weighted.size());
+    std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(kept), weighted.end(), isBefore);
+    std::vector<ParentCandidate> result;
+    for (size_t i = 0; i < kept; ++i) {
+        const TreeMember& member = m_members.at(weighted[i].second->host);
+        result.push_back({ member.host, member.dataCentre, member.isControl });
+    }
+    return result;
+}
 
-    TreePosition position;
-    auto found = m_members.find(m_self);
+TreePosition TreeIndex::positionOf(const HostId& host) const
+{
+    auto found = m_members.find(host);
+    if (found != m_members.end() && found->second.isControl)
+        return {};
+    const uint64_t hash = hashOf(host);
+    std::vector<ParentCandidate> control = best(m_control, 0, m_control.size(), hash, m_options.controlCandidates);
+    if (found == m_members.end())
+        return { 1, std::move(control) };
+    const TreeMember& own = found->second;
+    const std::vector<Entry>& peers = m_dataCentres.at(own.dataCentre).entries;
+    auto rank = std::lower_bound(peers.begin(), peers.end(), Entry { hash, host }) - peers.begin();
+    const unsigned level = levelOfRank(static_cast<size_t>(rank), m_options);
+    std::vector<ParentCandidate> foreign = foreignCandidates(own, level);
+    if (level == 1)
+        return { level, joined(std::move(control), foreign, {}, m_options) };
+    auto [begin, end] = levelRange(level - 1, m_options);
+    size_t limit = m_options.primaryCandidates + m_options.secondaryCandidates;
+    return { level, joined(best(peers, begin, end, hash, limit), foreign, control, m_options) };
+}
+
+bool TreeIndex::refresh()
+{
     m_foreign.clear();
-    if (found == m_members.end() || !found->second.isControl) {
-        std::vector<ParentCandidate> control = candidates(m_control, 0, m_control.size(), m_options.controlCandidates);
-        position.level = 1;
-        if (found == m_members.end()) {
-            position.candidates = std::move(control);
-        } else {
-            const TreeMember& own = found->second;
-            const std::vector<Entry>& peers = m_dataCentres[own.dataCentre].entries;
-            auto rank = std::lower_bound(peers.begin(), peers.end(), Entry { m_selfHash, m_self }) - peers.begin();
-            position.level = levelOfRank(static_cast<size_t>(rank), m_options);
-            std::vector<ParentCandidate> foreign = foreignCandidates(own, position.level);
-            if (position.level == 1) {
-                position.candidates = joined(std::move(control), foreign, {}, m_options);
-            } else {
-                auto [begin, end] = levelRange(position.level - 1, m_options);
-                size_t limit = m_options.primaryCandidates + m_options.secondaryCandidates;
-                position.candidates = joined(candidates(peers, begin, end, limit), foreign, control, m_options);
-            }
-        }
-    }
+    auto found = m_members.find(m_self);
+    if (found != m_members.end() && !found->second.isControl)
+        m_foreign = foreignOrder(found->second);
+    TreePosition position = positionOf(m_self);
     if (position == m_position)
         return false;
     m_position = std::move(position);
--- a/dragonflylane/TreePosition.h
+++ b/dragonflylane/TreePosition.h
@@ -75,6 +75,8 @@
     /// True if the own position changed.
     bool remove(const HostId&);
     const TreePosition& position() const { return m_position; }
+    /// Position of any host under this view, in O(width of the level above it).
+    TreePosition positionOf(const HostId&) const;
     size_t size() const { return m_members.size(); }
 
 private:
@@ -94,10 +96,14 @@
     void erase(const TreeMember&);
     bool affectsPosition(const TreeMember&) const;
     bool refresh();
-    std::vector<ParentCandidate> foreignCandidates(const TreeMember& own, unsigned level);
+    /// Data centres that the host falls back to, in its order of preference.
+    std::vector<DataCentreName> foreignOrder(const TreeMember& own) const;
+    std::vector<ParentCandidate> foreignCandidates(const TreeMember& own, unsigned level) const;
+    /// The hosts with the highest weights for a child among the ranks [begin, end).
+    std::vector<ParentCandidate> best(
+        const std::vector<Entry>&, size_t begin, size_t end, uint64_t childHash, size_t limit) const;
 
     HostId m_self;
-    uint64_t m_selfHash;
     TreeOptions m_options;
     std::map<HostId, TreeMember> m_members;
     std::map<DataCentreName, DataCentre> m_dataCentres;
