--- /dev/null
+++ b/tests/RelayTest.cpp
@@ -0,0 +1,688 @@
+#include "bench/RelaySimulation.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace dragonflylane {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    const RelayOptions defaults {};
+
+    Digest digestOf(uint64_t revision)
+    {
+        return RelaySimulation::digestOf(Revision(revision));
+    }
+
+    /// One daemon whose parent is played by the test.
+    class Daemon {
+    public:
+        explicit Daemon(RelayMechanisms mechanisms = {})
+            : m_relay(options(mechanisms), m_now)
+        {
+            m_relay.setCandidates({ { parent, {}, true } }, 1, m_now);
+            wait(defaults.backoffBase);
+            m_relay.connected(parent, m_now);
+            for (RelayOutput& output : m_relay.takeOutputs())
+                if (auto* send = std::get_if<RelaySend>(&output))
+                    if (auto* attach = std::get_if<RelayAttach>(&send->message))
+                        m_session = attach->session;
+        }
+
+        /// Message of the parent with the given echo and proof age, in milliseconds.
+        RelayParentHeartbeat heartbeat(uint64_t echo, uint64_t proofAge, uint64_t revision, uint64_t term) const
+        {
+            RelayParentHeartbeat message;
+            message.session = m_session;
+            message.echo = echo;
+            message.proofAge = proofAge;
+            message.term = Term(term);
+            message.held = HeldState { Revision(revision), digestOf(revision) };
+            return message;
+        }
+
+        RelayParentHeartbeat withPayload(RelayParentHeartbeat message, uint64_t revision) const
+        {
+            message.payload
+                = RelayPayload { RelayPayload::Kind::Snapshot, "x", { Revision(revision), digestOf(revision) } };
+            return message;
+        }
+
+        void receive(const RelayMessage& message) { m_relay.receive(parent, message, m_now); }
+
+        void wait(Duration duration)
+        {
+            m_now += duration;
+            m_relay.tick(m_now);
+        }
+
+        std::vector<RelayEvent> events(RelayEvent::Kind kind)
+        {
+            std::vector<RelayEvent> result;
+            for (RelayOutput& output : m_relay.takeOutputs())
+                if (auto* event = std::get_if<RelayEvent>(&output))
+                    if (event->kind == kind)
+                        result.push_back(*event);
+            return result;
+        }
+
+        Relay& relay() { return m_relay; }
+        TimePoint now() const { return m_now; }
+
+        const HostId parent { "parent" };
+
+    private:
+        static RelayOptions options(RelayMechanisms mechanisms)
+        {
+            RelayOptions options;
+            options.self = HostId("daemon");
+            options.mechanisms = mechanisms;
+            options.payloadFor = [](Revision, Digest) { return RelayPayload {}; };
+            options.accept = [](const RelayPayload& payload) { return AcceptResult { {}, payload.to }; };
+            return options;
+        }
+
+        TimePoint m_now { seconds(100) };
+        Relay m_relay;
+        uint32_t m_session { 0 };
+    };
+
+    /// Longest time from a fault to the new parent's first answer if the first `silentCandidates` candidates do not
+    /// answer either. Backoff doubles with each failure.
+    Duration reparentBound(Duration detection, unsigned silentCandidates)
+    {
+        Duration bound = detection + defaults.backoffBase;
+        for (unsigned failure = 1; failure <= silentCandidates; ++failure)
+            bound += defaults.attemptTimeout + defaults.backoffBase * (1U << failure);
+        return bound + milliseconds(20);
+    }
+
+    /// A silent parent is detected by the missing answers to its children's heartbeats.
+    Duration silenceDetection()
+    {
+        return defaults.parentSilenceLimit;
+    }
+
+    /// A daemon on the given level that has children, and level 1 if none has.
+    size_t relayOnLevel(RelaySimulation& simulation, unsigned level)
+    {
+        for (size_t host = simulation.firstDaemon(); host < simulation.size(); ++host)
+            if (simulation.position(host).level == level && simulation.relay(host).childCount() > 1)
+                return host;
+        return simulation.firstDaemon();
+    }
+
+    std::vector<size_t> childrenOf(RelaySimulation& simulation, size_t parent)
+    {
+        std::vector<size_t> result;
+        for (size_t host = simulation.firstDaemon(); host < simulation.size(); ++host)
+            if (simulation.parentOf(host) == parent)
+                result.push_back(host);
+        return result;
+    }
+
+    void expectNoViolations(const RelaySimulation& simulation)
+    {
+        EXPECT_TRUE(simulation.violations().empty()) << simulation.violations().front();
+    }
+
+    void settle(RelaySimulation& simulation)
+    {
+        simulation.publish();
+        simulation.run(seconds(5));
+        ASSERT_TRUE(simulation.allHoldPublished());
+        ASSERT_TRUE(simulation.allProven(seconds(1)));
+    }
+
+} // namespace
+
+// Guards against changes that wait for a timer on the way, and against proofs that age with each level.
+TEST(RelayTest, ChangeReachesAHundredDaemonsInOneDelayPerHop)
+{
+    RelaySimulation simulation({ .daemons = 100, .dataCentres = 2 });
+    settle(simulation);
+    unsigned hops = 0;
+    for (size_t host = 1; host < simulation.size(); ++host) {
+        ASSERT_TRUE(simulation.depth(host));
+        hops = std::max(hops, *simulation.depth(host));
+        EXPECT_TRUE(simulation.relay(host).hasFloor());
+    }
+    EXPECT_EQ(hops, 3U);
+    for (int change = 0; change < 10; ++change) {
+        simulation.publish();
+        auto time = simulation.runUntil([&] { return simulation.allHoldPublished(); }, seconds(1));
+        ASSERT_TRUE(time);
+        EXPECT_EQ(*time, milliseconds(1) * hops);
+        simulation.run(milliseconds(700));
+        EXPECT_TRUE(simulation.allProven(milliseconds(1000)));
+    }
+    expectNoViolations(simulation);
+}
+
+// Guards against heartbeats that grow: 80 B/s per daemon for both directions with framing.
+TEST(RelayTest, QuietTreeStaysWithinItsBytes)
+{
+    RelaySimulation simulation({ .daemons = 100, .dataCentres = 2 });
+    settle(simulation);
+    const auto sent = [&] {
+        uint64_t total = 0;
+        for (size_t host = 0; host < simulation.size(); ++host)
+            total += simulation.bytesSent(host);
+        return total;
+    };
+    uint64_t before = sent();
+    simulation.run(seconds(20));
+    EXPECT_LT((sent() - before) / 20.0 / 100, 80);
+}
+
+/// How a relay fails.
+enum class Failure {
+    Pause,
+    Kill,
+    SilentKill,
+    Partition,
+};
+
+class RelayFailureTest : public testing::TestWithParam<std::tuple<Failure, unsigned>> { };
+
+// Guards against children that stay with a dead parent, and against a failure that spreads: the daemons below the
+// children must not become stale, or the whole subtree would move at once.
+TEST_P(RelayFailureTest, ChildrenFindANewParentInTime)
+{
+    auto [failure, level] = GetParam();
+    RelaySimulation simulation({ .daemons = 300, .dataCentres = 2 });
+    settle(simulation);
+    const size_t failed = relayOnLevel(simulation, level);
+    ASSERT_EQ(simulation.position(failed).level, level);
+    std::vector<size_t> children = childrenOf(simulation, failed);
+    uint64_t movedBefore = simulation.totals().parentsSelected;
+    if (failure == Failure::Pause)
+        simulation.pause(failed);
+    else if (failure == Failure::Partition)
+        simulation.setIsland({ failed }, 1);
+    else
+        simulation.kill(failed, failure == Failure::SilentKill);
+
+    Duration detection = failure == Failure::Kill ? milliseconds(1) : silenceDetection();
+    Duration bound = reparentBound(detection, 0);
+    const auto haveMoved = [&] {
+        return std::all_of(children.begin(), children.end(),
+            [&](size_t child) { return simulation.parentOf(child) && *simulation.parentOf(child) != failed; });
+    };
+    auto time = simulation.runUntil(haveMoved, seconds(10));
+    ASSERT_TRUE(time);
+    EXPECT_LE(*time, bound);
+    Duration oldest {};
+    for (int i = 0; i < 50; ++i) {
+        simulation.run(milliseconds(100));
+        for (size_t host = 1; host < simulation.size(); ++host)
+            if (host != failed)
+                oldest = std::max(oldest, simulation.now() - *simulation.relay(host).provenAt());
+    }
+    EXPECT_LE(oldest, defaults.freshnessLimit);
+    EXPECT_LE(simulation.totals().parentsSelected - movedBefore, children.size() + 1);
+    expectNoViolations(simulation);
+}
+
+INSTANTIATE_TEST_SUITE_P(AnyDepth, RelayFailureTest,
+    testing::Combine(testing::Values(Failure::Pause, Failure::Kill, Failure::SilentKill, Failure::Partition),
+        testing::Values(1U, 2U, 3U)));
+
+// Guards against a subtree that trusts a control host which answers but no longer reaches the leader.
+TEST(RelayTest, ControlHostBehindASilentPartitionLosesItsSubtree)
+{
+    RelaySimulation simulation({ .daemons = 300, .dataCentres = 4, .controlHosts = 3 });
+    settle(simulation);
+    size_t cut = simulation.relay(1).childCount() > 0 ? 1 : 2;
+    ASSERT_GT(simulation.relay(cut).childCount(), 0U);
+    simulation.setCutFromLeader(cut, true);
+    simulation.publish();
+    // Proofs are at most one interval old when the partition begins; the heads move first and refresh those below.
+    auto time = simulation.runUntil([&] { return simulation.allHoldPublished(); }, seconds(10));
+    ASSERT_TRUE(time);
+    EXPECT_LE(*time, reparentBound(defaults.freshnessLimit, 0));
+    EXPECT_EQ(simulation.relay(cut).childCount(), 0U);
+    simulation.run(seconds(1));
+    EXPECT_TRUE(simulation.allProven(seconds(1)));
+    expectNoViolations(simulation);
+}
+
+// Guards against a burst of messages from before a pause: they are old, whatever their age field says.
+TEST(RelayTest, OldMessagesProveNothing)
+{
+    Daemon daemon;
+    daemon.receive(daemon.withPayload(daemon.heartbeat(0, 10, 1, 1), 1));
+    TimePoint proof = *daemon.relay().provenAt();
+    daemon.wait(milliseconds(900));
+    for (int i = 0; i < 5; ++i)
+        daemon.receive(daemon.heartbeat(0, 10, 1, 1));
+    EXPECT_EQ(*daemon.relay().provenAt(), proof);
+}
+
+TEST(RelayTest, OldMessagesSeemToProveWithoutTheEchoRule)
+{
+    Daemon daemon({ .echoes = false });
+    daemon.receive(daemon.withPayload(daemon.heartbeat(0, 10, 1, 1), 1));
+    daemon.wait(milliseconds(900));
+    daemon.receive(daemon.heartbeat(0, 10, 1, 1));
+    EXPECT_EQ(*daemon.relay().provenAt(), daemon.now() - milliseconds(10));
+}
+
+// Guards against the false claim that follows: a relay on the far side of a silent partition proves its child current
+// while a newer revision is published.
+TEST(RelayTest, DelayedMessagesViolateTheRuleOnlyWithoutEchoes)
+{
+    for (bool echoes : { true, false }) {
+        RelaySimulation simulation(
+            { .daemons = 60, .dataCentres = 2, .seed = 3, .adjust = [&](size_t, RelayOptions& options) {
+                 options.mechanisms.echoes = echoes;
+             } });
+        settle(simulation);
+        for (int round = 0; round < 20; ++round) {
+            size_t relay = relayOnLevel(simulation, 1 + round % 2);
+            simulation.setIsland({ relay }, 1);
+            simulation.publish();
+            simulation.run(milliseconds(1000));
+            simulation.setIsland({ relay }, 0);
+            simulation.run(milliseconds(1370));
+        }
+        EXPECT_EQ(simulation.violations().empty(), echoes);
+    }
+}
+
+// Guards against a proof for a state that the daemon does not have.
+TEST(RelayTest, ProofNeedsTheStatedRevisionAndDigest)
+{
+    Daemon daemon;
+    daemon.receive(daemon.heartbeat(0, 10, 5, 1));
+    EXPECT_FALSE(daemon.relay().provenAt());
+    daemon.receive(daemon.withPayload(daemon.heartbeat(0, 10, 5, 1), 4));
+    EXPECT_FALSE(daemon.relay().provenAt());
+    RelayParentHeartbeat other = daemon.heartbeat(0, 10, 4, 1);
+    other.held->digest = digestOf(3);
+    daemon.receive(other);
+    EXPECT_FALSE(daemon.relay().provenAt());
+    daemon.receive(daemon.heartbeat(0, 10, 4, 1));
+    EXPECT_TRUE(daemon.relay().provenAt());
+}
+
+// Guards against echoes that were never sent and against sessions of an earlier connection.
+TEST(RelayTest, ForeignEchoesAndSessionsAreRefused)
+{
+    Daemon daemon;
+    RelayParentHeartbeat old = daemon.withPayload(daemon.heartbeat(0, 10, 1, 1), 1);
+    ++old.session;
+    daemon.receive(old);
+    EXPECT_EQ(daemon.relay().counters().staleSession, 1U);
+    daemon.receive(daemon.heartbeat(1000, 10, 1, 1));
+    EXPECT_EQ(daemon.relay().counters().invalidEcho, 1U);
+    EXPECT_FALSE(daemon.relay().provenAt());
+    EXPECT_FALSE(daemon.relay().parent());
+}
+
+// Guards against a replaced leader whose configuration is still taken.
+TEST(RelayTest, LowerTermIsRefusedAndCounted)
+{
+    for (bool termCheck : { true, false }) {
+        Daemon daemon({ .termCheck = termCheck });
+        daemon.receive(daemon.withPayload(daemon.heartbeat(0, 10, 1, 5), 1));
+        daemon.receive(daemon.withPayload(daemon.heartbeat(0, 0, 2, 4), 2));
+        EXPECT_EQ(daemon.relay().held().revision, Revision(termCheck ? 1 : 2));
+        EXPECT_EQ(daemon.relay().counters().staleTerm, termCheck ? 1U : 0U);
+        EXPECT_EQ(daemon.events(RelayEvent::Kind::MessageRefused).size(), termCheck ? 1U : 0U);
+        // The same parent is believed again once it states the newer term.
+        daemon.receive(daemon.withPayload(daemon.heartbeat(0, 0, 3, 5), 3));
+        EXPECT_EQ(daemon.relay().held().revision, Revision(3));
+    }
+}
+
+// Guards against a rollback by a payload that arrives late.
+TEST(RelayTest, OlderPayloadIsRefused)
+{
+    Daemon daemon;
+    daemon.receive(daemon.withPayload(daemon.heartbeat(0, 10, 3, 1), 3));
+    daemon.receive(daemon.withPayload(daemon.heartbeat(0, 10, 2, 1), 2));
+    EXPECT_EQ(daemon.relay().held().revision, Revision(3));
+    EXPECT_EQ(daemon.relay().counters().staleRevision, 1U);
+}
+
+// Guards against a daemon that serves after a restart what is older than what it served before: the only relay it
+// reaches missed the last change.
+TEST(RelayTest, RestartedDaemonHasNoFloorBehindAStaleRelay)
+{
+    for (bool floor : { true, false }) {
+        RelaySimulation simulation({ .daemons = 40, .dataCentres = 2, .adjust = [&](size_t, RelayOptions& options) {
+                                        options.mechanisms.floor = floor;
+                                    } });
+        settle(simulation);
+        size_t relay = simulation.size() - 2;
+        size_t daemon = simulation.size() - 1;
+        simulation.setIsland({ relay }, 1);
+        simulation.publish();
+        simulation.run(seconds(1));
+        ASSERT_EQ(simulation.relay(daemon).held().revision, Revision(2));
+        simulation.setIsland({ daemon }, 1);
+        simulation.setCandidates(daemon, { relay });
+        simulation.restart(daemon);
+        simulation.run(seconds(5));
+        EXPECT_EQ(simulation.relay(daemon).held().revision, Revision(1)) << "data is served without a proof";
+        EXPECT_EQ(simulation.relay(daemon).hasFloor(), !floor);
+        EXPECT_EQ(simulation.violations().empty(), floor);
+        simulation.setIsland({ relay, daemon }, 0);
+        simulation.run(seconds(10));
+        EXPECT_TRUE(simulation.relay(daemon).hasFloor());
+        EXPECT_EQ(simulation.relay(daemon).held().revision, Revision(2));
+    }
+}
+
+// Guards against a floor from a proof that predates the restart, and against one while all control hosts are out.
+TEST(RelayTest, NoFloorWhileAllControlHostsAreOut)
+{
+    RelaySimulation simulation({ .daemons = 60, .dataCentres = 2, .controlHosts = 3 });
+    settle(simulation);
+    for (size_t host = 0; host < 3; ++host)
+        simulation.kill(host, true);
+    simulation.run(seconds(3));
+    size_t restarted = simulation.size() - 1;
+    size_t other = simulation.size() - 2;
+    simulation.restart(restarted);
+    simulation.run(seconds(20));
+    EXPECT_FALSE(simulation.relay(restarted).hasFloor());
+    EXPECT_TRUE(simulation.relay(other).hasFloor()) << "those that did not restart continue";
+    EXPECT_EQ(simulation.relay(restarted).held().revision, Revision(1)) << "relays serve data without a proof";
+    for (size_t host = 0; host < 3; ++host)
+        simulation.restart(host);
+    auto time = simulation.runUntil([&] { return simulation.relay(restarted).hasFloor(); }, seconds(30));
+    ASSERT_TRUE(time);
+    expectNoViolations(simulation);
+}
+
+// Guards against a floor before the question asked after the restart is answered.
+TEST(RelayTest, FloorComesWithTheFirstAnswer)
+{
+    Daemon daemon;
+    // Asked 50 ms after the start; a proof of 60 ms age is from before it.
+    daemon.receive(daemon.withPayload(daemon.heartbeat(0, 60, 1, 1), 1));
+    EXPECT_TRUE(daemon.relay().provenAt());
+    EXPECT_FALSE(daemon.relay().hasFloor());
+    daemon.receive(daemon.heartbeat(0, 10, 1, 1));
+    EXPECT_TRUE(daemon.relay().hasFloor());
+}
+
+// Guards against a daemon that keeps a damaged state, or passes it on unnoticed.
+TEST(RelayTest, EqualRevisionWithAnotherDigestIsReplacedBySnapshot)
+{
+    RelaySimulation simulation({ .daemons = 100, .dataCentres = 2 });
+    settle(simulation);
+    size_t damaged = relayOnLevel(simulation, 2);
+    simulation.corrupt(damaged);
+    simulation.run(seconds(5));
+    for (size_t host = 1; host < simulation.size(); ++host)
+        EXPECT_EQ(simulation.relay(host).held().digest, digestOf(1)) << host;
+    EXPECT_GE(simulation.relay(damaged).counters().digestMismatch, 1U);
+    EXPECT_GE(simulation.relay(damaged).counters().snapshotRequests, 1U);
+    bool isReported = std::any_of(simulation.events().begin(), simulation.events().end(), [&](const auto& entry) {
+        return entry.host == damaged && entry.event.kind == RelayEvent::Kind::DigestMismatch;
+    });
+    EXPECT_TRUE(isReported);
+    EXPECT_TRUE(simulation.allProven(seconds(1)));
+}
+
+// Guards against a bad revision that stops distribution, is sent again and again, or makes daemons change parents.
+TEST(RelayTest, RefusedRevisionIsReportedAndTheNextOneTaken)
+{
+    RelaySimulation simulation({ .daemons = 50, .dataCentres = 2 });
+    settle(simulation);
+    RelayCounters before = simulation.totals();
+    simulation.refuse(Revision(2));
+    simulation.publish();
+    simulation.run(seconds(1));
+    // Heads refuse it, so that it goes no further.
+    RelayCounters refused = simulation.totals();
+    EXPECT_EQ(refused.revisionsRefused - before.revisionsRefused, 4U);
+    AckSummary acks = simulation.relay(0).acks();
+    EXPECT_EQ(acks.lowest, Revision(1));
+    ASSERT_EQ(acks.refusals.size(), 4U);
+    EXPECT_EQ(acks.refusals[0].revision, Revision(2));
+    EXPECT_EQ(acks.refusals[0].code, ResultCode::InvalidConfiguration);
+    simulation.publish();
+    simulation.run(seconds(1));
+    EXPECT_TRUE(simulation.allHoldPublished());
+    EXPECT_TRUE(simulation.relay(0).acks().refusals.empty());
+    EXPECT_TRUE(simulation.allProven(seconds(1)));
+    EXPECT_EQ(simulation.totals().parentsSelected, before.parentsSelected);
+    expectNoViolations(simulation);
+}
+
+// Guards against restarts that overload the relays with snapshots.
+TEST(RelayTest, HerdRestartRespectsTheSnapshotLimit)
+{
+    for (bool limited : { true, false }) {
+        RelaySimulation simulation({ .daemons = 200, .dataCentres = 2, .adjust = [&](size_t, RelayOptions& options) {
+                                        options.mechanisms.snapshotLimit = limited;
+                                    } });
+        settle(simulation);
+        for (size_t host = 1; host < simulation.size(); host += 3)
+            simulation.restart(host);
+        const auto isDone = [&] { return simulation.allHoldPublished() && simulation.allProven(seconds(1)); };
+        auto time = simulation.runUntil(isDone, seconds(30));
+        ASSERT_TRUE(time);
+        EXPECT_LE(*time, seconds(6));
+        if (limited)
+            EXPECT_LE(simulation.mostSnapshotsInFlight(), defaults.maxSnapshotsInFlight);
+        else
+            EXPECT_GT(simulation.mostSnapshotsInFlight(), defaults.maxSnapshotsInFlight);
+        expectNoViolations(simulation);
+    }
+}
+
+// Guards against daemons that hammer hosts which refuse them.
+TEST(RelayTest, BackoffLimitsAttemptsDuringAnOutage)
+{
+    uint64_t attempts[2];
+    for (bool backoff : { true, false }) {
+        RelaySimulation simulation({ .daemons = 20, .dataCentres = 1, .adjust = [&](size_t, RelayOptions& options) {
+                                        options.mechanisms.backoff = backoff;
+                                    } });
+        settle(simulation);
+        uint64_t before = simulation.totals().attempts;
+        simulation.kill(0, false);
+        simulation.run(seconds(20));
+        attempts[backoff] = simulation.totals().attempts - before;
+    }
+    std::printf("attempts in 20 s: %lu with backoff, %lu without\n", attempts[true], attempts[false]);
+    EXPECT_LT(attempts[true], 20U * 25);
+    EXPECT_GT(attempts[false], 10 * attempts[true]);
+}
+
+// Guards against a ring of daemons that keep each other fresh.
+TEST(RelayTest, LoopProvesNothingAndIsLeft)
+{
+    RelaySimulation simulation({ .daemons = 30, .dataCentres = 1 });
+    settle(simulation);
+    const std::vector<size_t> ring { 28, 29, 30 };
+    simulation.setCandidates(28, { 29, 0 });
+    simulation.setCandidates(29, { 30, 0 });
+    simulation.setCandidates(30, { 28, 0 });
+    const auto isLoop = [&] { return !simulation.depth(28) && simulation.parentOf(28) && simulation.parentOf(29); };
+    ASSERT_TRUE(simulation.runUntil(isLoop, seconds(2)));
+    TimePoint formed = simulation.now();
+    simulation.publish();
+    const auto isLeft = [&] {
+        bool claims = std::any_of(ring.begin(), ring.end(),
+            [&](size_t host) { return !simulation.depth(host) && *simulation.relay(host).provenAt() > formed; });
+        EXPECT_FALSE(claims);
+        return std::all_of(ring.begin(), ring.end(), [&](size_t host) { return simulation.depth(host).has_value(); });
+    };
+    auto time = simulation.runUntil(isLeft, seconds(10));
+    ASSERT_TRUE(time);
+    Duration grace = defaults.freshnessGracePerLevel * (simulation.position(28).level - 1);
+    EXPECT_LE(*time, reparentBound(defaults.freshnessLimit + grace, 0));
+    simulation.run(seconds(1));
+    EXPECT_TRUE(simulation.allHoldPublished());
+    expectNoViolations(simulation);
+}
+
+// Guards against a payload for each of many quick changes.
+TEST(RelayTest, QuickChangesAreMerged)
+{
+    RelaySimulation simulation({ .daemons = 100, .dataCentres = 2, .latency = milliseconds(10) });
+    settle(simulation);
+    uint64_t before = simulation.totals().deltasSent;
+    for (int change = 0; change < 100; ++change) {
+        simulation.publish();
+        simulation.run(milliseconds(1));
+    }
+    auto time = simulation.runUntil([&] { return simulation.allHoldPublished(); }, seconds(1));
+    ASSERT_TRUE(time);
+    // One payload in flight: the round trip of 20 ms allows six of them in 100 ms.
+    EXPECT_LE(simulation.totals().deltasSent - before, 100U * 7);
+    expectNoViolations(simulation);
+}
+
+// Guards against wrong totals at the source, unnamed stragglers, and one upward message for each daemon and change.
+TEST(RelayTest, AcknowledgementsAreAggregated)
+{
+    RelaySimulation simulation({ .daemons = 100, .dataCentres = 2 });
+    settle(simulation);
+    simulation.run(seconds(1));
+    EXPECT_EQ(simulation.relay(0).acks(), (AckSummary { Revision(1), 101, {}, {} }));
+    size_t leaf = simulation.size() - 1;
+    while (simulation.relay(leaf).childCount() > 0 || simulation.position(leaf).level < 3)
+        --leaf;
+    simulation.pause(leaf);
+    uint64_t received = simulation.bytesReceived(0);
+    simulation.publish();
+    simulation.run(milliseconds(1500));
+    AckSummary acks = simulation.relay(0).acks();
+    EXPECT_EQ(acks.lowest, Revision(1));
+    ASSERT_EQ(acks.stragglers.size(), 1U);
+    EXPECT_EQ(acks.stragglers[0], (Straggler { simulation.id(leaf), Revision(1) }));
+    // Four heads: questions of 1.5 s, a state and a few summaries each.
+    EXPECT_LT(simulation.bytesReceived(0) - received, 4U * 400);
+    simulation.resume(leaf);
+    simulation.run(seconds(3));
+    EXPECT_EQ(simulation.relay(0).acks(), (AckSummary { Revision(2), 101, {}, {} }));
+}
+
+// Guards against children that are cut off by an orderly shutdown.
+TEST(RelayTest, OrderlyLeaveMovesChildrenFirst)
+{
+    RelaySimulation simulation({ .daemons = 100, .dataCentres = 2 });
+    settle(simulation);
+    size_t leaving = relayOnLevel(simulation, 2);
+    std::vector<size_t> children = childrenOf(simulation, leaving);
+    simulation.relay(leaving).leave(simulation.now());
+    simulation.run(Duration {});
+    auto time = simulation.runUntil([&] { return simulation.relay(leaving).hasLeft(); }, seconds(10));
+    ASSERT_TRUE(time);
+    EXPECT_LE(*time, seconds(1));
+    for (size_t child : children) {
+        EXPECT_TRUE(simulation.depth(child));
+        EXPECT_NE(simulation.parentOf(child), leaving);
+    }
+    bool wasCut = std::any_of(simulation.events().begin(), simulation.events().end(), [](const auto& entry) {
+        return entry.event.kind == RelayEvent::Kind::ParentLost && entry.event.code != ResultCode::Ok;
+    });
+    EXPECT_FALSE(wasCut);
+    EXPECT_TRUE(simulation.allProven(seconds(1)));
+}
+
+// Guards against a relay that takes more children than it may, or children that give up when refused.
+TEST(RelayTest, FullRelayRefusesAndTheChildGoesElsewhere)
+{
+    RelaySimulation simulation({ .daemons = 60, .dataCentres = 2, .adjust = [](size_t host, RelayOptions& options) {
+                                    options.maxChildren = host == 0 ? 64 : 5;
+                                } });
+    simulation.publish();
+    auto time = simulation.runUntil([&] { return simulation.allHoldPublished(); }, seconds(20));
+    ASSERT_TRUE(time);
+    for (size_t host = 1; host < simulation.size(); ++host)
+        EXPECT_LE(simulation.relay(host).childCount(), 5U);
+    EXPECT_GT(simulation.totals().childrenRefused, 0U);
+}
+
+// Guards against a process that, after a pause, blames its neighbours and moves, or trusts what was queued.
+TEST(RelayTest, ResumedDaemonKeepsItsParentAndProvesAnew)
+{
+    RelaySimulation simulation({ .daemons = 60, .dataCentres = 2 });
+    settle(simulation);
+    size_t paused = simulation.size() - 1;
+    std::optional<size_t> parent = simulation.parentOf(paused);
+    TimePoint pausedAt = simulation.now();
+    simulation.pause(paused);
+    simulation.run(milliseconds(2200));
+    simulation.publish();
+    simulation.resume(paused);
+    EXPECT_LE(*simulation.relay(paused).provenAt(), pausedAt);
+    EXPECT_EQ(simulation.relay(paused).counters().pauses, 1U);
+    simulation.run(milliseconds(100));
+    EXPECT_EQ(simulation.parentOf(paused), parent);
+    EXPECT_GT(*simulation.relay(paused).provenAt(), pausedAt);
+    expectNoViolations(simulation);
+}
+
+// Compares the relay with the naive rule under random faults (RelaySimulation checks it after every input), and then
+// requires that the tree recovers. Guards against rollbacks, false proofs, lost updates and daemons left behind.
+RC_GTEST_PROP(RelayTest, RandomFaultsKeepTheNaiveRule, (uint32_t seed))
+{
+    RelaySimulation simulation(
+        { .daemons = 40, .dataCentres = 3, .regions = 2, .controlHosts = 3, .seed = seed, .jitter = milliseconds(20) });
+    simulation.publish();
+    simulation.run(seconds(2));
+    std::mt19937_64 random(seed);
+    const auto below = [&](uint64_t limit) { return std::uniform_int_distribution<uint64_t>(0, limit - 1)(random); };
+    uint64_t term = 1;
+    for (int step = 0; step < 60; ++step) {
+        size_t host = below(simulation.size());
+        switch (below(9)) {
+        case 0:
+            simulation.pause(host);
+            break;
+        case 1:
+            simulation.resume(host);
+            break;
+        case 2:
+            simulation.restart(host);
+            break;
+        case 3:
+            simulation.setIsland({ host, below(simulation.size()) }, static_cast<int>(below(2)));
+            break;
+        case 4:
+            simulation.cutParent(host);
+            break;
+        case 5:
+            simulation.setQuorum(below(4) != 0);
+            break;
+        case 6:
+            simulation.setTerm(Term(++term));
+            break;
+        case 7:
+            simulation.setCutFromLeader(1 + below(2), below(2) == 0);
+            break;
+        default:
+            simulation.publish();
+        }
+        simulation.run(milliseconds(below(700)));
+    }
+    std::vector<size_t> all;
+    for (size_t host = 0; host < simulation.size(); ++host) {
+        simulation.resume(host);
+        all.push_back(host);
+    }
+    simulation.setIsland(all, 0);
+    simulation.setQuorum(true);
+    simulation.setCutFromLeader(1, false);
+    simulation.setCutFromLeader(2, false);
+    simulation.publish();
+    const auto isDone = [&] { return simulation.allHoldPublished() && simulation.allProven(seconds(1)); };
+    auto time = simulation.runUntil(isDone, seconds(20));
+    RC_ASSERT(simulation.violations() == std::vector<std::string>());
+    RC_ASSERT(time.has_value());
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/tests/TreePositionTest.cpp
@@ -0,0 +1,174 @@
+#include "dragonflylane/TreePosition.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <set>
+
+namespace dragonflylane {
+
+namespace {
+
+    TreeMember member(size_t number, size_t dataCentres, size_t controlHosts)
+    {
+        size_t dataCentre = number % dataCentres;
+        return { HostId("host" + std::to_string(number)), DataCentreName("dc" + std::to_string(dataCentre)),
+            RegionName("region" + std::to_string(dataCentre % 2)), number < controlHosts };
+    }
+
+    std::vector<TreeMember> fleet(size_t size, size_t dataCentres, size_t controlHosts)
+    {
+        std::vector<TreeMember> members;
+        for (size_t i = 0; i < size; ++i)
+            members.push_back(member(i, dataCentres, controlHosts));
+        return members;
+    }
+
+    TreeIndex indexOf(const std::vector<TreeMember>& members)
+    {
+        TreeIndex index(HostId("none"));
+        for (const TreeMember& each : members)
+            index.update(each);
+        return index;
+    }
+
+} // namespace
+
+// Guards against an incremental position that drifts from the one computed from scratch, or a change that is not
+// reported.
+RC_GTEST_PROP(TreePositionTest, IndexAgreesWithReference, ())
+{
+    const HostId self("host5");
+    const auto dataCentres = *rc::gen::inRange<size_t>(1, 6);
+    TreeOptions options { .headsPerDataCentre = 1, .fanOut = 2 };
+    TreeIndex index(self, options);
+    std::map<HostId, TreeMember> naive;
+    const auto steps = *rc::gen::container<std::vector<std::pair<uint8_t, uint8_t>>>(
+        rc::gen::arbitrary<std::pair<uint8_t, uint8_t>>());
+    for (auto [number, action] : steps) {
+        TreeMember changed = member(number % 40, dataCentres, action % 7);
+        TreePosition before = index.position();
+        bool reported = false;
+        if (action % 3 == 0) {
+            naive.erase(changed.host);
+            reported = index.remove(changed.host);
+        } else {
+            naive[changed.host] = changed;
+            reported = index.update(changed);
+        }
+        std::vector<TreeMember> members;
+        for (const auto& [host, each] : naive)
+            members.push_back(each);
+        RC_ASSERT(index.position() == treePosition(members, self, options));
+        RC_ASSERT(reported == (before != index.position()));
+        RC_ASSERT(index.positionOf(changed.host) == treePosition(members, changed.host, options));
+    }
+}
+
+// Guards against levels of the wrong width and against parents that are not exactly one level above, which would allow
+// loops between members with the same view.
+TEST(TreePositionTest, LevelsWidenByTheFanOutAndParentsAreOneLevelAbove)
+{
+    std::vector<TreeMember> members = fleet(5700, 20, 3);
+    TreeIndex index = indexOf(members);
+    std::map<HostId, unsigned> levels;
+    std::map<std::pair<DataCentreName, unsigned>, size_t> widths;
+    for (const TreeMember& each : members) {
+        levels[each.host] = index.positionOf(each.host).level;
+        ++widths[{ each.dataCentre, levels[each.host] }];
+    }
+    const DataCentreName dataCentre("dc7");
+    EXPECT_EQ((widths[{ dataCentre, 1 }]), 2U);
+    EXPECT_EQ((widths[{ dataCentre, 2 }]), 16U);
+    EXPECT_EQ((widths[{ dataCentre, 3 }]), 128U);
+    EXPECT_EQ((widths[{ dataCentre, 4 }]), 139U);
+    for (const TreeMember& each : members) {
+        TreePosition position = index.positionOf(each.host);
+        for (const ParentCandidate& candidate : position.candidates) {
+            if (position.level > 1) {
+                EXPECT_LT(levels[candidate.host], position.level);
+            }
+            if (candidate.dataCentre == each.dataCentre && !candidate.isControl) {
+                EXPECT_EQ(levels[candidate.host], position.level - 1);
+            }
+        }
+    }
+}
+
+// Guards against a daemon that cannot leave a failed data centre, or has no way to the source when all relays are gone.
+TEST(TreePositionTest, CandidatesIncludeOtherDataCentresAndEndWithControlHosts)
+{
+    std::vector<TreeMember> members = fleet(900, 4, 3);
+    TreeIndex index = indexOf(members);
+    for (const TreeMember& each : members) {
+        if (each.isControl)
+            continue;
+        TreePosition position = index.positionOf(each.host);
+        const auto& candidates = position.candidates;
+        ASSERT_GE(candidates.size(), 5U);
+        EXPECT_TRUE(candidates.back().isControl);
+        EXPECT_NE(candidates[2].dataCentre, each.dataCentre);
+        EXPECT_NE(candidates[3].dataCentre, each.dataCentre);
+        EXPECT_NE(candidates[2].dataCentre, candidates[3].dataCentre);
+        if (position.level > 1) {
+            EXPECT_EQ(candidates[0].dataCentre, each.dataCentre);
+            EXPECT_EQ(candidates[1].dataCentre, each.dataCentre);
+        } else {
+            EXPECT_TRUE(candidates[0].isControl);
+        }
+        std::set<HostId> hosts;
+        for (const ParentCandidate& candidate : candidates)
+            EXPECT_TRUE(hosts.insert(candidate.host).second);
+    }
+}
+
+// Guards against a membership change that moves a large part of the tree. A departure moves its children, and one
+// member of each lower level up, each with the children that prefer it: about 2 * fanOut for each level.
+TEST(TreePositionTest, OneDepartureMovesFewOthers)
+{
+    std::vector<TreeMember> members = fleet(5700, 20, 3);
+    TreeIndex index = indexOf(members);
+    std::map<HostId, HostId> parents;
+    for (const TreeMember& each : members)
+        if (!each.isControl)
+            parents[each.host] = index.positionOf(each.host).candidates.front().host;
+    size_t most = 0;
+    size_t total = 0;
+    constexpr size_t trials = 300;
+    for (size_t trial = 0; trial < trials; ++trial) {
+        const TreeMember& gone = members[100 + trial * 17];
+        index.remove(gone.host);
+        size_t moved = 0;
+        for (const TreeMember& each : members)
+            if (!each.isControl && each.dataCentre == gone.dataCentre && each.host != gone.host)
+                moved += index.positionOf(each.host).candidates.front().host != parents[each.host];
+        index.update(gone);
+        most = std::max(most, moved);
+        total += moved;
+    }
+    RecordProperty("moved_mean_per_departure", std::to_string(static_cast<double>(total) / trials));
+    RecordProperty("moved_most_per_departure", std::to_string(most));
+    std::printf("moved per departure: mean %.2f, most %zu\n", static_cast<double>(total) / trials, most);
+    // Of 284 others in the data centre.
+    EXPECT_LE(total, 10 * trials);
+    EXPECT_LE(most, 60U);
+}
+
+// Guards against first choices so uneven that `maxChildren` (32) refuses many children in a healthy fleet.
+TEST(TreePositionTest, FirstChoicesAreSpread)
+{
+    std::vector<TreeMember> members = fleet(5700, 20, 3);
+    TreeIndex index = indexOf(members);
+    std::map<HostId, size_t> children;
+    for (const TreeMember& each : members)
+        if (!each.isControl)
+            ++children[index.positionOf(each.host).candidates.front().host];
+    size_t most = 0;
+    for (const TreeMember& each : members)
+        if (!each.isControl)
+            most = std::max(most, children[each.host]);
+    std::printf("most first choices of one relay: %zu\n", most);
+    EXPECT_LE(most, 32U);
+}
+
+} // namespace dragonflylane
