Test selection, retries and crash quarantine; fix two faults in selection

Cause: the tests of the selector showed that an old load report still decided the choice after 20 s (14 of 1,000 choices instead of about 250), since any rest of a decaying value exceeds zero, and that both samples could be the same upstream (22 of 1,000 choices went to a full one). Ruled out: a shorter half-life, which only moves the first fault. After: reports end after eight half-lives and the second sample differs from the first; 9 selector, 8 retry and 6 quarantine tests pass, with each mechanism also switched off. Conclusion: in 20 simulated fleets the crashing request is quarantined after exactly two deaths and none of 20 popular requests beside it is.

--- a/dragonflylane/UpstreamSelector.cpp
+++ b/dragonflylane/UpstreamSelector.cpp
@@ -14,6 +14,9 @@
     // Picks by index until one is usable; then the tier is scanned. Bounds the cost of choose().
     constexpr int maxSamples = 8;
 
+    // A report older than this many half-lives is ignored. At low load any rest of it would decide the comparison.
+    constexpr int maxReportHalfLives = 8;
+
     struct RankedCandidate {
         uint64_t hash { 0 };
         size_t index { 0 };
@@ -224,7 +227,8 @@
 {
     double load = entry.outstanding;
     double capacity = entry.candidate.slots;
-    if (m_options.useReports && entry.reportedAt) {
+    if (m_options.useReports && entry.reportedAt
+        && now - *entry.reportedAt < maxReportHalfLives * m_options.reportHalfLife) {
         double age = static_cast<double>((now - *entry.reportedAt).count());
         double share = std::exp2(-age / static_cast<double>(m_options.reportHalfLife.count()));
         load += entry.foreignLoad * share;
@@ -242,7 +246,8 @@
 }
 
 // An upstream in slow start is passed over at random, which gives it its part of the traffic at any load.
-std::optional<size_t> UpstreamSelector::sample(size_t tier, std::span<const HostId> tried, TimePoint now)
+std::optional<size_t> UpstreamSelector::sample(
+    size_t tier, std::span<const HostId> tried, std::optional<size_t> other, TimePoint now)
 {
     const std::vector<size_t>& members = m_tiers[tier];
     if (members.empty())
@@ -250,12 +255,15 @@
     for (int i = 0; i < maxSamples; ++i) {
         size_t index = members[randomBelow(members.size())];
         const Entry& entry = m_entries[index];
-        if (!isUsable(entry, tried, now))
+        if (index == other || !isUsable(entry, tried, now))
             continue;
         double share = weight(entry, now);
         if (share >= 1 || random() < share)
             return index;
     }
+    // Only the first sample must succeed; scanning for the second would let a slow starter pass as the only other one.
+    if (other)
+        return std::nullopt;
     size_t start = randomBelow(members.size());
     for (size_t i = 0; i < members.size(); ++i) {
         size_t index = members[(start + i) % members.size()];
@@ -267,12 +275,12 @@
 
 std::optional<size_t> UpstreamSelector::chooseInTier(size_t tier, std::span<const HostId> tried, TimePoint now)
 {
-    std::optional<size_t> first = sample(tier, tried, now);
-    if (!first || !m_options.twoChoices || m_tiers[tier].size() < 2)
+    std::optional<size_t> first = sample(tier, tried, std::nullopt, now);
+    if (!first || !m_options.twoChoices)
+        return first;
+    std::optional<size_t> second = sample(tier, tried, first, now);
+    if (!second)
         return first;
-    std::optional<size_t> second = sample(tier, tried, now);
-    if (second == first)
-        second = sample(tier, tried, now);
     return loadPerSlot(m_entries[*second], now) < loadPerSlot(m_entries[*first], now) ? second : first;
 }
 
--- a/dragonflylane/UpstreamSelector.h
+++ b/dragonflylane/UpstreamSelector.h
@@ -127,7 +127,9 @@
     double weight(const Entry&, TimePoint now) const;
     double loadPerSlot(const Entry&, TimePoint now) const;
     bool isUsable(const Entry&, std::span<const HostId> tried, TimePoint now) const;
-    std::optional<size_t> sample(size_t tier, std::span<const HostId> tried, TimePoint now);
+    /// A random usable upstream of the tier other than the given one.
+    std::optional<size_t> sample(
+        size_t tier, std::span<const HostId> tried, std::optional<size_t> other, TimePoint now);
     std::optional<size_t> chooseInTier(size_t tier, std::span<const HostId> tried, TimePoint now);
     std::optional<size_t> lastResort(std::span<const HostId> tried, TimePoint now) const;
     size_t ejectedCount(TimePoint now) const;
--- /dev/null
+++ b/tests/CrashQuarantineTest.cpp
@@ -0,0 +1,243 @@
+#include "dragonflylane/CrashQuarantine.h"
+
+#include "dragonflylane/CrashWire.h"
+#include "dragonflylane/Fingerprint.h"
+#include "dragonflylane/OwnerAdmission.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <random>
+#include <rapidcheck/gtest.h>
+
+namespace dragonflylane {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::minutes;
+    using std::chrono::seconds;
+
+    const TimePoint start { seconds(1000) };
+    const Fingerprint culprit { 1 };
+    const Fingerprint innocent { 2 };
+
+    CrashReport report(const char* upstream, uint64_t incarnation, std::vector<Fingerprint> fingerprints)
+    {
+        return { { UpstreamId(upstream), Incarnation(incarnation) }, std::move(fingerprints) };
+    }
+
+    /// One owner daemon with its upstream, in a fleet whose broadcasts arrive after a delay.
+    struct Owner {
+        CrashQuarantine quarantine;
+        OwnerAdmission admission;
+        std::map<uint64_t, Fingerprint> running;
+        uint64_t incarnation { 1 };
+    };
+
+    struct FleetResult {
+        int deaths { 0 };
+        int quarantinedInnocents { 0 };
+        bool isCulpritQuarantined { false };
+    };
+
+    /// Ten owners run 20 popular innocent requests; one request crashes each upstream that runs it and is resent every
+    /// 50 ms, from the second second to the tenth. Each step is 1 ms.
+    FleetResult runFleet(uint64_t seed, CrashQuarantineOptions options, bool limitSuspects)
+    {
+        constexpr int owners = 10;
+        constexpr uint64_t innocents = 20;
+        constexpr int broadcastDelay = 5;
+        std::mt19937_64 random(seed);
+        std::vector<Owner> fleet;
+        for (int i = 0; i < owners; ++i)
+            fleet.push_back({ CrashQuarantine(options), OwnerAdmission({ .limitSuspects = limitSuspects }), {} });
+        std::vector<std::pair<int, CrashNotice>> broadcasts;
+        FleetResult result;
+        uint64_t id = 0;
+        for (int step = 0; step < 10'000; ++step) {
+            TimePoint now = start + milliseconds(step);
+            std::erase_if(broadcasts, [&](const auto& broadcast) {
+                if (broadcast.first > step)
+                    return false;
+                for (Owner& owner : fleet) {
+                    owner.quarantine.receive(broadcast.second, now);
+                    for (const auto& [call, fingerprint] : owner.running)
+                        owner.admission.setSuspect(
+                            call, owner.quarantine.stateOf(fingerprint, now) != CrashState::Unsuspected, now);
+                }
+                return true;
+            });
+            // The caller resends only after it has seen the last attempt fail, so one copy is under way at a time.
+            int target = step >= 1000 && step % 50 == 0 ? static_cast<int>(random() % owners) : -1;
+            for (int i = 0; i < owners; ++i) {
+                Owner& owner = fleet[static_cast<size_t>(i)];
+                bool sendCulprit = target == i;
+                Fingerprint fingerprint = sendCulprit ? culprit : Fingerprint(innocent.value() + random() % innocents);
+                CrashState state = owner.quarantine.stateOf(fingerprint, now);
+                if (state == CrashState::Quarantined)
+                    continue;
+                CallTicket ticket { ++id, false, state == CrashState::Suspect, now + seconds(1) };
+                if (owner.admission.offer(ticket, now).action == AdmitAction::Admit)
+                    owner.running[id] = fingerprint;
+                bool dies = std::any_of(owner.running.begin(), owner.running.end(),
+                    [](const auto& call) { return call.second == culprit; });
+                if (dies) {
+                    ++result.deaths;
+                    std::vector<Fingerprint> inFlight;
+                    for (const auto& [call, running] : owner.running)
+                        inFlight.push_back(running);
+                    UpstreamId upstream("u" + std::to_string(i));
+                    for (CrashNotice& notice :
+                        owner.quarantine.upstreamDied(upstream, Incarnation(owner.incarnation++), inFlight, now))
+                        broadcasts.emplace_back(step + broadcastDelay, notice);
+                    owner.running.clear();
+                    owner.admission = OwnerAdmission({ .limitSuspects = limitSuspects });
+                    continue;
+                }
+                if (owner.running.size() < 6)
+                    continue;
+                auto [call, done] = *owner.running.begin();
+                owner.running.erase(call);
+                owner.admission.finished(call, CallOutcome::Success, now);
+                if (auto clear = owner.quarantine.completed(done, now))
+                    broadcasts.emplace_back(step + broadcastDelay, *clear);
+            }
+        }
+        TimePoint end = start + seconds(10);
+        result.isCulpritQuarantined = true;
+        for (const Owner& owner : fleet) {
+            result.isCulpritQuarantined &= owner.quarantine.stateOf(culprit, end) == CrashState::Quarantined;
+            for (uint64_t i = 0; i < innocents; ++i) {
+                Fingerprint fingerprint(innocent.value() + i);
+                result.quarantinedInnocents
+                    += owner.quarantine.stateOf(fingerprint, end) == CrashState::Quarantined ? 1 : 0;
+            }
+        }
+        return result;
+    }
+
+} // namespace
+
+// Guards against a crashing request that goes on killing upstreams, and against refusing the requests beside it.
+TEST(CrashQuarantineTest, QuarantinesTheCulpritAfterTwoDeathsAndNoInnocents)
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        FleetResult result = runFleet(seed, {}, true);
+        EXPECT_EQ(result.deaths, 2) << seed;
+        EXPECT_TRUE(result.isCulpritQuarantined) << seed;
+        EXPECT_EQ(result.quarantinedInnocents, 0) << seed;
+    }
+    EXPECT_GT(runFleet(1, { .quarantineEnabled = false }, true).deaths, 50);
+    int quarantined = 0;
+    for (uint64_t seed = 1; seed <= 20; ++seed)
+        quarantined += runFleet(seed, { .clearsEnabled = false }, false).quarantinedInnocents;
+    EXPECT_GT(quarantined, 0);
+}
+
+// Guards against daemons that disagree because broadcasts arrived in another order or twice.
+RC_GTEST_PROP(CrashQuarantineTest, OrderOfNoticesDoesNotMatter, (uint64_t seed))
+{
+    std::mt19937_64 random(seed);
+    std::vector<CrashNotice> notices;
+    for (int i = 0; i < 30; ++i) {
+        CrashDeath death { UpstreamId("u" + std::to_string(random() % 4)), Incarnation(random() % 2) };
+        Fingerprint fingerprint(random() % 6);
+        if (random() % 3 == 0)
+            notices.emplace_back(CrashClear { fingerprint, { death }, random() % 2 == 0 });
+        else
+            notices.emplace_back(CrashReport { death, { fingerprint, Fingerprint(random() % 6) } });
+    }
+    CrashQuarantine first;
+    for (const CrashNotice& notice : notices)
+        first.receive(notice, start);
+    notices.insert(notices.end(), notices.begin(), notices.begin() + 10);
+    std::shuffle(notices.begin(), notices.end(), random);
+    CrashQuarantine second;
+    for (const CrashNotice& notice : notices)
+        second.receive(notice, start);
+    for (uint64_t fingerprint = 0; fingerprint < 6; ++fingerprint)
+        RC_ASSERT(first.stateOf(Fingerprint(fingerprint), start) == second.stateOf(Fingerprint(fingerprint), start));
+}
+
+// Guards against a quarantine that never ends, that an operator cannot end at all daemons, and deaths counted twice.
+TEST(CrashQuarantineTest, ExpiresAndIsReleased)
+{
+    CrashQuarantine first;
+    CrashQuarantine second;
+    for (CrashQuarantine* quarantine : { &first, &second }) {
+        quarantine->receive(report("a", 1, { culprit }), start);
+        quarantine->receive(report("a", 1, { culprit }), start);
+        EXPECT_EQ(quarantine->stateOf(culprit, start), CrashState::Suspect);
+        quarantine->receive(report("a", 2, { culprit }), start + minutes(1));
+        EXPECT_EQ(quarantine->stateOf(culprit, start + minutes(1)), CrashState::Quarantined);
+    }
+    ASSERT_EQ(first.list(start + minutes(1)).size(), 1U);
+    EXPECT_EQ(first.list(start + minutes(1))[0].deaths.size(), 2U);
+    EXPECT_EQ(first.stateOf(culprit, start + minutes(11)), CrashState::Unsuspected);
+    EXPECT_EQ(first.nextWakeup(), start + minutes(11));
+    first.tick(start + minutes(11));
+    EXPECT_EQ(first.size(), 0U);
+
+    std::optional<CrashNotice> clear = second.release(culprit, start + minutes(2));
+    ASSERT_TRUE(clear);
+    EXPECT_TRUE(second.list(start + minutes(2)).empty());
+    CrashQuarantine third;
+    third.receive(*clear, start + minutes(2));
+    third.receive(report("a", 1, { culprit }), start + minutes(2));
+    third.receive(report("a", 2, { culprit }), start + minutes(2));
+    EXPECT_EQ(third.stateOf(culprit, start + minutes(2)), CrashState::Unsuspected);
+    third.receive(report("b", 1, { culprit }), start + minutes(2));
+    EXPECT_EQ(third.stateOf(culprit, start + minutes(2)), CrashState::Suspect);
+}
+
+// Guards against a table that grows without bound or that drops a quarantined request for a flood of suspects.
+TEST(CrashQuarantineTest, TableIsBoundedAndKeepsQuarantined)
+{
+    CrashQuarantine quarantine({ .maxFingerprints = 16, .maxPerReport = 8 });
+    quarantine.receive(report("a", 1, { culprit }), start);
+    quarantine.receive(report("a", 2, { culprit }), start);
+    std::vector<Fingerprint> flood;
+    for (uint64_t i = 100; i < 200; ++i)
+        flood.emplace_back(i);
+    std::vector<CrashNotice> notices = quarantine.upstreamDied(UpstreamId("b"), Incarnation(1), flood, start);
+    EXPECT_EQ(notices.size(), 13U);
+    EXPECT_EQ(quarantine.size(), 16U);
+    EXPECT_EQ(quarantine.dropped(), 85U);
+    EXPECT_EQ(quarantine.stateOf(culprit, start), CrashState::Quarantined);
+}
+
+// Guards against different requests with one fingerprint because a byte moved from one part to the next.
+TEST(CrashQuarantineTest, FingerprintSeparatesItsParts)
+{
+    ServiceName orders("orders");
+    Fingerprint base = requestFingerprint(orders, "POST", "/a", "b");
+    EXPECT_EQ(base, requestFingerprint(orders, "POST", "/a", "b"));
+    EXPECT_NE(base, requestFingerprint(orders, "POST", "/ab", ""));
+    EXPECT_NE(base, requestFingerprint(orders, "POST/", "a", "b"));
+    EXPECT_NE(base, requestFingerprint(ServiceName("loans"), "POST", "/a", "b"));
+}
+
+// Guards against notices that change on the wire and against damaged datagrams that are accepted or crash the daemon.
+RC_GTEST_PROP(CrashQuarantineTest, WireFormatRoundTripsAndRefusesDamage, (uint64_t seed))
+{
+    std::mt19937_64 random(seed);
+    CrashReport original = report("upstream", random(), {});
+    for (uint64_t i = random() % 64; i > 0; --i)
+        original.fingerprints.emplace_back(random());
+    CrashClear clear { Fingerprint(random()), { original.death }, random() % 2 == 0 };
+    for (const CrashNotice& notice : { CrashNotice(original), CrashNotice(clear) }) {
+        std::string bytes = encode(notice);
+        CrashNotice decoded;
+        RC_ASSERT(!decode(bytes, decoded));
+        RC_ASSERT(decoded == notice);
+        RC_ASSERT(decode(bytes + "x", decoded) == ResultCode::MalformedFrame);
+        RC_ASSERT(decode(bytes.substr(0, random() % bytes.size()), decoded) == ResultCode::MalformedFrame);
+        bytes[random() % bytes.size()] ^= static_cast<char>(1 + random() % 255);
+        decode(bytes, decoded);
+    }
+    original.fingerprints.resize(300);
+    CrashNotice decoded;
+    RC_ASSERT(decode(encode(original), decoded) == ResultCode::MalformedFrame);
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/tests/RetryPolicyTest.cpp
@@ -0,0 +1,202 @@
+#include "dragonflylane/RetryPolicy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <gtest/gtest.h>
+#include <random>
+#include <rapidcheck/gtest.h>
+#include <vector>
+
+namespace dragonflylane {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    const TimePoint start { seconds(1000) };
+
+    RetryPolicyOptions withoutBudget()
+    {
+        RetryPolicyOptions options;
+        options.budget.isEnabled = false;
+        return options;
+    }
+
+    /// Attempts that calls to a service with no live upstream make in ten seconds at 1,000 calls/s.
+    int attemptsAtDeadService(RetryPolicyOptions options)
+    {
+        RetryPolicy policy(options, start);
+        int attempts = 0;
+        for (int call = 0; call < 10'000; ++call) {
+            TimePoint now = start + milliseconds(call);
+            AttemptResult result { ResultCode::UpstreamLost, true, 0, seconds(1) };
+            do {
+                ++attempts;
+                ++result.attempts;
+            } while (policy.decide(result, now).isRetry);
+        }
+        return attempts;
+    }
+
+    /// Attempts at the last of several hops for one call whose attempts all fail. Each hop has its own policy.
+    int attemptsAtLastHop(int hops, bool carryAttempts)
+    {
+        std::vector<RetryPolicy> policies(static_cast<size_t>(hops), RetryPolicy(withoutBudget(), start));
+        int atLastHop = 0;
+        std::function<void(int, uint32_t)> call = [&](int hop, uint32_t carried) {
+            if (hop == hops) {
+                ++atLastHop;
+                return;
+            }
+            AttemptResult result { ResultCode::UpstreamLost, true, carryAttempts ? carried : 0, seconds(1) };
+            do {
+                ++result.attempts;
+                call(hop + 1, result.attempts - 1);
+            } while (policies[static_cast<size_t>(hop)].decide(result, start).isRetry);
+        };
+        call(0, 0);
+        return atLastHop;
+    }
+
+} // namespace
+
+// Guards against retries that multiply the load of a service that is down: 3 a second and the initial floor at most.
+TEST(RetryPolicyTest, RetriesOfADeadServiceAreBounded)
+{
+    EXPECT_LE(attemptsAtDeadService({}), 10'000 + 3 * 10 + 3);
+    EXPECT_EQ(attemptsAtDeadService(withoutBudget()), 30'000);
+}
+
+// Guards against retries at each hop of a call chain that multiply with those of the hops before (3^7 = 2,187).
+TEST(RetryPolicyTest, CarriedAttemptsBoundRetriesAcrossHops)
+{
+    EXPECT_LE(attemptsAtLastHop(7, true), 36);
+    EXPECT_LE(attemptsAtLastHop(11, true), 78);
+    EXPECT_EQ(attemptsAtLastHop(7, false), 2187);
+}
+
+// Guards against a second run of an order (I6) and against "not run" for a call that may have run (I5), for any
+// sequence of result codes.
+RC_GTEST_PROP(RetryPolicyTest, OutcomesAreNeverUnderstated, (uint64_t seed))
+{
+    std::mt19937_64 random(seed);
+    RetryPolicyOptions options = withoutBudget();
+    options.maxAttempts = 6;
+    RetryPolicy policy(options, start);
+    auto codes = allResultCodes();
+    for (int i = 0; i < 50; ++i) {
+        AttemptResult result { ResultCode::Ok, random() % 2 == 0, 0, milliseconds(random() % 200) };
+        bool mayHaveRun = false;
+        RetryDecision decision;
+        do {
+            do {
+                result.code = codes[random() % codes.size()].code;
+            } while (result.code > ResultCode::MalformedAnswer);
+            ++result.attempts;
+            mayHaveRun |= runState(result.code) == RunState::Unknown;
+            decision = policy.decide(result, start);
+            if (decision.isRetry) {
+                RC_ASSERT(result.isIdempotent || !mayHaveRun);
+                RC_ASSERT(decision.delay <= result.remaining);
+                RC_ASSERT(result.attempts < 6U);
+            }
+            result.earlierUnknown = decision.code;
+        } while (decision.isRetry);
+        if (mayHaveRun)
+            RC_ASSERT(runState(decision.code) != RunState::NotRun);
+        if (result.code == ResultCode::Ok)
+            RC_ASSERT(decision.code == ResultCode::Ok);
+    }
+}
+
+// Guards against a test above that passes because unknown outcomes are never retried at all.
+TEST(RetryPolicyTest, UnprotectedOrdersWouldRunTwice)
+{
+    AttemptResult order { ResultCode::OwnerLost, false, 1, seconds(1) };
+    EXPECT_FALSE(RetryPolicy({}, start).decide(order, start).isRetry);
+    RetryPolicyOptions options;
+    options.protectNonIdempotent = false;
+    EXPECT_TRUE(RetryPolicy(options, start).decide(order, start).isRetry);
+    order.code = ResultCode::UpstreamDraining;
+    RetryDecision decision = RetryPolicy({}, start).decide(order, start);
+    EXPECT_TRUE(decision.isRetry);
+    EXPECT_EQ(decision.delay, Duration::zero());
+}
+
+// Guards against a service with ten calls a minute that has earned no tokens and cannot retry, and against a floor that
+// accumulates over an idle hour.
+TEST(RetryPolicyTest, FloorAllowsRetriesRightAfterAStart)
+{
+    RetryBudget budget({}, start);
+    TimePoint later = start + std::chrono::hours(1);
+    for (TimePoint now : { start, later }) {
+        for (int i = 0; i < 3; ++i)
+            EXPECT_TRUE(budget.tryWithdraw(now));
+        EXPECT_FALSE(budget.tryWithdraw(now));
+    }
+    for (int i = 0; i < 100; ++i)
+        budget.recordSuccess();
+    EXPECT_NEAR(budget.available(later), 10, 1e-6);
+}
+
+// Guards against a retry whose answer would come after the deadline.
+TEST(RetryPolicyTest, NoRetryWithoutTime)
+{
+    RetryPolicy policy({}, start);
+    AttemptResult result { ResultCode::QueueFull, true, 1, Duration(1000) };
+    RetryDecision decision = policy.decide(result, start);
+    EXPECT_FALSE(decision.isRetry);
+    EXPECT_EQ(decision.code, ResultCode::QueueFull);
+}
+
+// Guards against hedges of orders, early hedges that double the load, and hedges beyond the budget.
+TEST(RetryPolicyTest, HedgesLateAndWithinTheBudget)
+{
+    RetryPolicy policy({}, start);
+    EXPECT_FALSE(policy.hedgeDelay(true, seconds(1)));
+    std::mt19937_64 random(7);
+    for (int i = 0; i < 1000; ++i)
+        policy.recordSuccess(std::chrono::microseconds(1000 + random() % 9000));
+    std::optional<Duration> delay = policy.hedgeDelay(true, seconds(1));
+    ASSERT_TRUE(delay);
+    EXPECT_GT(*delay, milliseconds(9));
+    EXPECT_LT(*delay, milliseconds(11));
+    EXPECT_FALSE(policy.hedgeDelay(false, seconds(1)));
+    EXPECT_FALSE(policy.hedgeDelay(true, milliseconds(12)));
+    int hedges = 0;
+    while (policy.tryHedge(start))
+        ++hedges;
+    // A thousand tenths of a token add up to slightly less than 100.
+    EXPECT_GE(hedges, 99 + 3);
+    EXPECT_LE(hedges, 100 + 3);
+
+    RetryPolicyOptions off;
+    off.hedgingEnabled = false;
+    RetryPolicy without(off, start);
+    for (int i = 0; i < 1000; ++i)
+        without.recordSuccess(milliseconds(1));
+    EXPECT_FALSE(without.hedgeDelay(true, seconds(1)));
+    EXPECT_FALSE(without.tryHedge(start));
+}
+
+// Guards against a quantile that is off by more than a bucket, compared with sorting all samples.
+RC_GTEST_PROP(RetryPolicyTest, SketchMatchesSortedSamples, (uint64_t seed))
+{
+    std::mt19937_64 random(seed);
+    std::lognormal_distribution<double> distribution(15, 1.5);
+    LatencySketch sketch;
+    std::vector<Duration> samples;
+    for (uint64_t i = 0; i < 50 + seed % 2000; ++i) {
+        samples.emplace_back(1000 + static_cast<int64_t>(distribution(random)));
+        sketch.record(samples.back());
+    }
+    std::sort(samples.begin(), samples.end());
+    auto rank = static_cast<size_t>(std::ceil(0.95 * static_cast<double>(samples.size())));
+    double ratio = static_cast<double>(sketch.quantile(0.95)->count()) / static_cast<double>(samples[rank - 1].count());
+    RC_ASSERT(ratio >= 0.9999);
+    RC_ASSERT(ratio <= 1.092);
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/tests/UpstreamSelectorTest.cpp
@@ -0,0 +1,284 @@
+#include "dragonflylane/UpstreamSelector.h"
+
+#include <algorithm>
+#include <deque>
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck/gtest.h>
+#include <set>
+#include <string>
+
+namespace dragonflylane {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    const TimePoint start { seconds(1000) };
+
+    UpstreamCandidate candidate(int number, const std::string& dataCentre, const std::string& region = "r1")
+    {
+        std::string name = dataCentre + "-" + std::to_string(number);
+        return { UpstreamId(name), HostId("host-" + name), DataCentreName(dataCentre), RegionName(region), 12, true,
+            start - seconds(100) };
+    }
+
+    std::vector<UpstreamCandidate> candidates(int count, const std::string& dataCentre)
+    {
+        std::vector<UpstreamCandidate> result;
+        for (int i = 0; i < count; ++i)
+            result.push_back(candidate(i, dataCentre));
+        return result;
+    }
+
+    UpstreamSelectorOptions optionsFor(uint64_t seed = 1)
+    {
+        UpstreamSelectorOptions options;
+        options.self = HostId("entry");
+        options.dataCentre = DataCentreName("a");
+        options.region = RegionName("r1");
+        options.seed = seed;
+        return options;
+    }
+
+    /// Highest number of outstanding requests at any upstream over a run with a constant number in flight, next to the
+    /// one that choosing the least loaded upstream gives.
+    struct Imbalance {
+        uint32_t chosen { 0 };
+        uint32_t best { 0 };
+    };
+
+    Imbalance runImbalance(const UpstreamSelectorOptions& options, int upstreams, size_t inFlight)
+    {
+        UpstreamSelector selector(options);
+        selector.rebuild(candidates(upstreams, "a"), start);
+        std::deque<Choice> open;
+        std::vector<uint32_t> exhaustive(static_cast<size_t>(upstreams));
+        std::deque<size_t> exhaustiveOpen;
+        Imbalance result;
+        for (int i = 0; i < 3000; ++i) {
+            if (open.size() == inFlight) {
+                selector.finished(open.front(), SelectionOutcome::Success, std::nullopt, start);
+                open.pop_front();
+                --exhaustive[exhaustiveOpen.front()];
+                exhaustiveOpen.pop_front();
+            }
+            open.push_back(*selector.choose({}, start));
+            auto least = std::min_element(exhaustive.begin(), exhaustive.end());
+            ++*least;
+            exhaustiveOpen.push_back(static_cast<size_t>(least - exhaustive.begin()));
+            result.chosen = std::max(result.chosen, selector.outstanding(open.back().upstream));
+            result.best = std::max(result.best, *least);
+        }
+        return result;
+    }
+
+    /// Choices that go to the upstream, of a number of choices that each end at once.
+    int countChoices(UpstreamSelector& selector, const UpstreamId& id, int choices, TimePoint now)
+    {
+        int count = 0;
+        for (int i = 0; i < choices; ++i) {
+            Choice choice = *selector.choose({}, now);
+            count += choice.upstream == id ? 1 : 0;
+            selector.finished(choice, SelectionOutcome::Success, std::nullopt, now);
+        }
+        return count;
+    }
+
+} // namespace
+
+// Guards against a choice that loads single upstreams: at most 1.5 times the exhaustive best choice plus two.
+RC_GTEST_PROP(UpstreamSelectorTest, LoadIsCloseToTheExhaustiveBestChoice, (uint64_t seed))
+{
+    int upstreams = 2 + static_cast<int>(seed % 19);
+    size_t inFlight = 1 + seed / 19 % 9 * static_cast<size_t>(upstreams);
+    Imbalance result = runImbalance(optionsFor(seed), upstreams, inFlight);
+    RC_ASSERT(result.chosen <= result.best * 3 / 2 + 2);
+}
+
+// Guards against a test above that any random choice would pass.
+TEST(UpstreamSelectorTest, OneRandomChoiceIsFarFromTheBest)
+{
+    UpstreamSelectorOptions options = optionsFor();
+    options.twoChoices = false;
+    Imbalance result = runImbalance(options, 20, 80);
+    EXPECT_GT(result.chosen, result.best * 3 / 2 + 2);
+}
+
+// Guards against an upstream that is full of other entry daemons' requests and still gets an even share of ours.
+TEST(UpstreamSelectorTest, ReportsCorrectTheChoiceAndAge)
+{
+    for (bool useReports : { true, false }) {
+        UpstreamSelectorOptions options = optionsFor();
+        options.useReports = useReports;
+        UpstreamSelector selector(options);
+        std::vector<UpstreamCandidate> upstreams = candidates(4, "a");
+        selector.rebuild(upstreams, start);
+        std::optional<Choice> choice;
+        do {
+            choice = selector.choose({}, start);
+            LoadReport report { choice->upstream == upstreams[0].id ? 12U : 1U, 0, 12, milliseconds(10) };
+            selector.finished(*choice, SelectionOutcome::Success, report, start);
+        } while (choice->upstream != upstreams[0].id);
+        int fresh = countChoices(selector, upstreams[0].id, 1000, start + milliseconds(10));
+        if (useReports)
+            EXPECT_EQ(fresh, 0);
+        else
+            EXPECT_GT(fresh, 150);
+        EXPECT_GT(countChoices(selector, upstreams[0].id, 1000, start + seconds(20)), 100);
+    }
+}
+
+// Guards against calls that leave the data centre without need, and against a near queue beside idle far slots.
+TEST(UpstreamSelectorTest, NearestDataCentreFirstAndSpillBeforeTheQueue)
+{
+    for (bool preferNear : { true, false }) {
+        UpstreamSelectorOptions options = optionsFor();
+        options.preferNear = preferNear;
+        UpstreamSelector selector(options);
+        std::vector<UpstreamCandidate> upstreams = candidates(3, "a");
+        for (int i = 0; i < 3; ++i)
+            upstreams.push_back(candidate(i, "b"));
+        selector.rebuild(upstreams, start);
+        int far = 0;
+        for (int i = 0; i < 18; ++i)
+            far += selector.choose({}, start)->owner.value().starts_with("host-b") ? 1 : 0;
+        if (!preferNear) {
+            EXPECT_GT(far, 0);
+            continue;
+        }
+        EXPECT_EQ(far, 0);
+        for (int i = 0; i < 34; ++i)
+            selector.choose({}, start);
+        for (const UpstreamCandidate& upstream : upstreams)
+            EXPECT_LE(selector.outstanding(upstream.id), 12U) << upstream.id.value();
+    }
+}
+
+// Guards against a cold upstream that gets its full share at once.
+TEST(UpstreamSelectorTest, SlowStartRaisesTheShareOverTenSeconds)
+{
+    for (bool enabled : { true, false }) {
+        UpstreamSelectorOptions options = optionsFor();
+        options.slowStartEnabled = enabled;
+        UpstreamSelector selector(options);
+        std::vector<UpstreamCandidate> upstreams = candidates(4, "a");
+        upstreams[0].readySince = start;
+        selector.rebuild(upstreams, start);
+        int early = countChoices(selector, upstreams[0].id, 4000, start + milliseconds(500));
+        if (!enabled) {
+            EXPECT_GT(early, 800);
+            continue;
+        }
+        EXPECT_GT(early, 20);
+        EXPECT_LT(early, 300);
+        int middle = countChoices(selector, upstreams[0].id, 4000, start + seconds(5));
+        EXPECT_GT(middle, 400);
+        EXPECT_LT(middle, 800);
+        EXPECT_GT(countChoices(selector, upstreams[0].id, 4000, start + seconds(10)), 850);
+    }
+}
+
+// Guards against a retry at a host that was tried already.
+RC_GTEST_PROP(UpstreamSelectorTest, NeverChoosesAHostThatWasTried, (uint64_t seed))
+{
+    UpstreamSelector selector(optionsFor(seed));
+    std::vector<UpstreamCandidate> upstreams = candidates(1 + static_cast<int>(seed % 6), "a");
+    upstreams.push_back(candidate(0, "b"));
+    selector.rebuild(upstreams, start);
+    std::vector<HostId> tried;
+    while (std::optional<Choice> choice = selector.choose(tried, start)) {
+        RC_ASSERT(std::find(tried.begin(), tried.end(), choice->owner) == tried.end());
+        tried.push_back(choice->owner);
+    }
+    RC_ASSERT(tried.size() == upstreams.size());
+}
+
+// Guards against a subset that depends on the order of the picture, is too large, sits in one data centre, or changes
+// as a whole when one upstream leaves.
+TEST(UpstreamSelectorTest, SubsetIsBoundedStableAndSpread)
+{
+    std::vector<UpstreamCandidate> upstreams;
+    for (int dataCentre = 0; dataCentre < 8; ++dataCentre) {
+        for (int i = 0; i < 30; ++i)
+            upstreams.push_back(candidate(i, std::string(1, static_cast<char>('a' + dataCentre))));
+    }
+    UpstreamSelector selector(optionsFor());
+    selector.rebuild(upstreams, start);
+    std::vector<UpstreamId> subset = selector.subset();
+    ASSERT_EQ(subset.size(), 20U);
+    std::map<char, int> perDataCentre;
+    for (const UpstreamId& id : subset)
+        ++perDataCentre[id.value()[0]];
+    EXPECT_EQ(perDataCentre['a'], 10);
+    EXPECT_EQ(perDataCentre.size(), 8U);
+
+    std::reverse(upstreams.begin(), upstreams.end());
+    std::erase_if(upstreams, [&](const UpstreamCandidate& upstream) { return upstream.id == subset[3]; });
+    selector.rebuild(upstreams, start);
+    std::vector<UpstreamId> after = selector.subset();
+    std::set<UpstreamId> kept(subset.begin(), subset.end());
+    EXPECT_EQ(std::count_if(after.begin(), after.end(), [&](const UpstreamId& id) { return kept.contains(id); }), 19);
+
+    UpstreamSelectorOptions other = optionsFor();
+    other.self = HostId("other");
+    UpstreamSelector otherSelector(other);
+    otherSelector.rebuild(upstreams, start);
+    EXPECT_NE(otherSelector.subset(), after);
+}
+
+// Guards against a dead upstream that keeps getting its share, and against ejecting all upstreams at once.
+TEST(UpstreamSelectorTest, EjectsOutliersUpToABoundedShare)
+{
+    for (bool eject : { true, false }) {
+        UpstreamSelectorOptions options = optionsFor();
+        options.ejectOutliers = eject;
+        UpstreamSelector selector(options);
+        std::vector<UpstreamCandidate> upstreams = candidates(6, "a");
+        selector.rebuild(upstreams, start);
+        int failures = 0;
+        for (int i = 0; i < 1000; ++i) {
+            Choice choice = *selector.choose({}, start + milliseconds(i));
+            bool isDead = choice.upstream == upstreams[0].id;
+            failures += isDead ? 1 : 0;
+            selector.finished(choice, isDead ? SelectionOutcome::Timeout : SelectionOutcome::Success, std::nullopt,
+                start + milliseconds(i));
+        }
+        if (!eject) {
+            EXPECT_GT(failures, 100);
+            continue;
+        }
+        EXPECT_EQ(failures, 5);
+        EXPECT_TRUE(selector.isEjected(upstreams[0].id, start + seconds(1)));
+        EXPECT_FALSE(selector.isEjected(upstreams[0].id, start + seconds(10)));
+        TimePoint later = start + seconds(10);
+        for (int i = 0; i < 1000; ++i)
+            selector.finished(*selector.choose({}, later), SelectionOutcome::Failure, std::nullopt, later);
+        auto ejected = std::count_if(upstreams.begin(), upstreams.end(),
+            [&](const UpstreamCandidate& upstream) { return selector.isEjected(upstream.id, later); });
+        EXPECT_EQ(ejected, 2);
+    }
+}
+
+// Guards against calls to a draining upstream until the picture learns of the drain (I7), and against counts of an
+// earlier life of an upstream that reach its next one.
+TEST(UpstreamSelectorTest, UnavailableUpstreamIsAvoidedAndStaleChoicesAreIgnored)
+{
+    UpstreamSelector selector(optionsFor());
+    std::vector<UpstreamCandidate> upstreams = candidates(2, "a");
+    selector.rebuild(upstreams, start);
+    Choice choice = *selector.choose({}, start);
+    selector.finished(choice, SelectionOutcome::Unavailable, std::nullopt, start);
+    selector.rebuild(upstreams, start);
+    EXPECT_EQ(countChoices(selector, choice.upstream, 100, start + seconds(1)), 0);
+
+    selector.rebuild({}, start);
+    EXPECT_FALSE(selector.choose({}, start));
+    selector.rebuild(upstreams, start);
+    Choice next = *selector.choose({}, start);
+    selector.finished(choice, SelectionOutcome::Success, std::nullopt, start);
+    EXPECT_EQ(selector.outstanding(next.upstream), 1U);
+}
+
+} // namespace dragonflylane
