Carry data centres in the keeper view and scope idempotency keys by target

Cause: keepers are chosen over different data centres, but the view named hosts only, so two daemons with different membership views would choose different keepers for one key and could both grant it. Ruled out: taking the data centre from the membership (differs by view). Before: KeeperView could not be derived from the configuration alone. Conclusion: the choice of keepers is a function of the configuration.

--- a/bench/ConfigBenchMain.cpp
+++ b/bench/ConfigBenchMain.cpp
@@ -61,7 +61,7 @@
             items.push_back(DrainItem { UpstreamId(numbered("upstream-", i)) });
         KeeperViewItem keepers { Epoch(1), {} };
         for (int i = 0; i < keeperCount; ++i)
-            keepers.hosts.emplace_back(numbered("host-", i));
+            keepers.hosts.push_back({ HostId(numbered("host-", i)), DataCentreName("dc") });
         items.push_back(std::move(keepers));
         return { Revision(1), std::move(items) };
     }
--- a/dragonflylane/ClaimMessages.h
+++ b/dragonflylane/ClaimMessages.h
@@ -24,8 +24,9 @@
     bool operator==(const ClaimId&) const = default;
 };
 
-/// The key that records are stored under: an idempotency key is valid within its service.
-std::string claimKey(const ServiceName&, const IdempotencyKey&);
+/// The key that records are stored under: an idempotency key is valid for one method and target. Not for one service,
+/// because a plan may change a split between a request and its resend.
+std::string claimKey(std::string_view method, std::string_view target, const IdempotencyKey&);
 
 /// Coordinator to keeper.
 struct ClaimRequest {
--- a/dragonflylane/ConfigItem.cpp
+++ b/dragonflylane/ConfigItem.cpp
@@ -61,8 +61,10 @@
         {
             appendNumber(out, item.epoch.value());
             appendNumber(out, item.hosts.size());
-            for (const HostId& host : item.hosts)
-                appendText(out, host.value());
+            for (const KeeperHost& keeper : item.hosts) {
+                appendText(out, keeper.host.value());
+                appendText(out, keeper.dataCentre.value());
+            }
         }
     };
 
@@ -208,9 +210,11 @@
             if (item.hosts.size() > ItemLimits::keeperHosts)
                 return refuse(ResultCode::InvalidValue, "keeper view has too many hosts", detail);
             std::set<HostId> seen;
-            for (const HostId& host : item.hosts) {
+            for (const auto& [host, dataCentre] : item.hosts) {
                 if (std::error_code error = checkName("host", host.value()))
                     return error;
+                if (std::error_code error = checkName("data centre", dataCentre.value()))
+                    return error;
                 if (!seen.insert(host).second)
                     return refuse(
                         ResultCode::InvalidValue, "keeper view names host " + host.value() + " twice", detail);
--- a/dragonflylane/ConfigItem.h
+++ b/dragonflylane/ConfigItem.h
@@ -3,7 +3,7 @@
 // The items of which a configuration consists. An item has a kind, a name that is unique within the kind, and a
 // value. Items are plain values; ConfigState::validate() checks them together.
 
-#include "dragonflylane/Ids.h"
+#include "dragonflylane/KeeperHost.h"
 
 #include <chrono>
 #include <compare>
@@ -85,7 +85,7 @@
 /// The hosts that store duplicate records. Written by the control leader only.
 struct KeeperViewItem {
     Epoch epoch;
-    std::vector<HostId> hosts;
+    std::vector<KeeperHost> hosts;
 
     bool operator==(const KeeperViewItem&) const = default;
 };
--- a/dragonflylane/ConfigThrift.h
+++ b/dragonflylane/ConfigThrift.h
@@ -11,6 +11,8 @@
 
 void appendItem(const ConfigItem&, wire::ConfigItems*);
 bool readItems(const wire::ConfigItems&, std::vector<ConfigItem>*);
+std::vector<wire::ConfigKeeperHost> toWire(const std::vector<KeeperHost>&);
+std::vector<KeeperHost> fromWire(const std::vector<wire::ConfigKeeperHost>&);
 wire::ConfigItemKey toWire(const ItemKey&);
 bool readKey(const wire::ConfigItemKey&, ItemKey*);
 wire::ConfigDelta toWire(const ConfigDelta&);
--- a/dragonflylane/ConfigWire.cpp
+++ b/dragonflylane/ConfigWire.cpp
@@ -69,8 +69,7 @@
         {
             wire::ConfigKeeperView view;
             view.epoch = static_cast<int64_t>(item.epoch.value());
-            for (const HostId& host : item.hosts)
-                view.hosts.push_back(host.value());
+            view.hosts = toWire(item.hosts);
             out->__set_keeperView(view);
         }
     };
@@ -142,13 +141,33 @@
     if (wireItems.__isset.keeperView) {
         KeeperViewItem view;
         view.epoch = Epoch(static_cast<uint64_t>(wireItems.keeperView.epoch));
-        for (const std::string& host : wireItems.keeperView.hosts)
-            view.hosts.emplace_back(host);
+        view.hosts = fromWire(wireItems.keeperView.hosts);
         items->push_back(std::move(view));
     }
     return true;
 }
 
+std::vector<wire::ConfigKeeperHost> toWire(const std::vector<KeeperHost>& keepers)
+{
+    std::vector<wire::ConfigKeeperHost> converted;
+    converted.reserve(keepers.size());
+    for (const KeeperHost& keeper : keepers) {
+        wire::ConfigKeeperHost& host = converted.emplace_back();
+        host.host = keeper.host.value();
+        host.dataCentre = keeper.dataCentre.value();
+    }
+    return converted;
+}
+
+std::vector<KeeperHost> fromWire(const std::vector<wire::ConfigKeeperHost>& keepers)
+{
+    std::vector<KeeperHost> converted;
+    converted.reserve(keepers.size());
+    for (const wire::ConfigKeeperHost& keeper : keepers)
+        converted.push_back({ HostId(keeper.host), DataCentreName(keeper.dataCentre) });
+    return converted;
+}
+
 wire::ConfigItemKey toWire(const ItemKey& key)
 {
     wire::ConfigItemKey result;
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -169,7 +169,7 @@
     void claim(const CallPtr& call)
     {
         const HttpRequest& request = call->exchange->request();
-        std::string key = claimKey(ServiceName(request.method + " " + request.target), call->headers.key);
+        std::string key = claimKey(request.method, request.target, call->headers.key);
         m_parts.claims.claim(call->id, std::move(key), [this, call](const ClaimTask::Outcome& outcome) {
             if (call->isFinished)
                 return;
--- a/dragonflylane/KeeperSelection.h
+++ b/dragonflylane/KeeperSelection.h
@@ -2,21 +2,13 @@
 
 // Which hosts keep the duplicate record of a key: a pure function of the key and the keeper view, equal at all daemons.
 
-#include "dragonflylane/Ids.h"
+#include "dragonflylane/KeeperHost.h"
 
 #include <string_view>
 #include <vector>
 
 namespace dragonflylane {
 
-/// A host that stores duplicate records.
-struct KeeperHost {
-    HostId host;
-    DataCentreName dataCentre;
-
-    bool operator==(const KeeperHost&) const = default;
-};
-
 /// The hosts that store duplicate records in one epoch. Epochs grow by one with each change.
 struct KeeperView {
     Epoch epoch;
--- a/dragonflylane/PlanBook.h
+++ b/dragonflylane/PlanBook.h
@@ -38,7 +38,7 @@
 /// Replaces the keeper view. The epoch must be higher than the held one; the held view again has no effect.
 struct SetKeepersCommand {
     Epoch epoch;
-    std::vector<HostId> hosts;
+    std::vector<KeeperHost> hosts;
 
     bool operator==(const SetKeepersCommand&) const = default;
 };
--- a/dragonflylane/PlanJson.cpp
+++ b/dragonflylane/PlanJson.cpp
@@ -302,8 +302,8 @@
         json::object operator()(const KeeperViewItem& item) const
         {
             json::array hosts;
-            for (const HostId& host : item.hosts)
-                hosts.emplace_back(host.value());
+            for (const KeeperHost& keeper : item.hosts)
+                hosts.emplace_back(keeper.host.value());
             return { { "setKeepers",
                 json::object { { "epoch", item.epoch.value() }, { "hosts", std::move(hosts) } } } };
         }
--- a/dragonflylane/PlanWire.cpp
+++ b/dragonflylane/PlanWire.cpp
@@ -69,8 +69,7 @@
         {
             wire::PlanSetKeepers keepers;
             keepers.epoch = static_cast<int64_t>(command.epoch.value());
-            for (const HostId& host : command.hosts)
-                keepers.hosts.push_back(host.value());
+            keepers.hosts = toWire(command.hosts);
             out->__set_setKeepers(keepers);
         }
     };
@@ -155,8 +154,7 @@
     if (isSet.setKeepers) {
         SetKeepersCommand keepers;
         keepers.epoch = Epoch(static_cast<uint64_t>(wireCommand.setKeepers.epoch));
-        for (const std::string& host : wireCommand.setKeepers.hosts)
-            keepers.hosts.emplace_back(host);
+        keepers.hosts = fromWire(wireCommand.setKeepers.hosts);
         *command = std::move(keepers);
     }
     return {};
--- a/gen-cpp/config_types.cpp
+++ b/gen-cpp/config_types.cpp
@@ -582,6 +582,118 @@
 }
 
 
+ConfigKeeperHost::~ConfigKeeperHost() noexcept {
+}
+
+
+void ConfigKeeperHost::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void ConfigKeeperHost::__set_dataCentre(const std::string& val) {
+  this->dataCentre = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigKeeperHost& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigKeeperHost::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigKeeperHost::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigKeeperHost");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->dataCentre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigKeeperHost &a, ConfigKeeperHost &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.dataCentre, b.dataCentre);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigKeeperHost::ConfigKeeperHost(const ConfigKeeperHost& other20) {
+  host = other20.host;
+  dataCentre = other20.dataCentre;
+  __isset = other20.__isset;
+}
+ConfigKeeperHost& ConfigKeeperHost::operator=(const ConfigKeeperHost& other21) {
+  host = other21.host;
+  dataCentre = other21.dataCentre;
+  __isset = other21.__isset;
+  return *this;
+}
+void ConfigKeeperHost::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigKeeperHost(";
+  out << "host=" << to_string(host);
+  out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << ")";
+}
+
+
 ConfigKeeperView::~ConfigKeeperView() noexcept {
 }
 
@@ -590,7 +702,7 @@
   this->epoch = val;
 }
 
-void ConfigKeeperView::__set_hosts(const std::vector<std::string> & val) {
+void ConfigKeeperView::__set_hosts(const std::vector<ConfigKeeperHost> & val) {
   this->hosts = val;
 }
 std::ostream& operator<<(std::ostream& out, const ConfigKeeperView& obj)
@@ -633,14 +745,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->hosts.clear();
-            uint32_t _size20;
-            ::apache::thrift::protocol::TType _etype23;
-            xfer += iprot->readListBegin(_etype23, _size20);
-            this->hosts.resize(_size20);
-            uint32_t _i24;
-            for (_i24 = 0; _i24 < _size20; ++_i24)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->hosts.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += iprot->readString(this->hosts[_i24]);
+              xfer += this->hosts[_i26].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -672,11 +784,11 @@
 
   xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->hosts.size()));
-    std::vector<std::string> ::const_iterator _iter25;
-    for (_iter25 = this->hosts.begin(); _iter25 != this->hosts.end(); ++_iter25)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->hosts.size()));
+    std::vector<ConfigKeeperHost> ::const_iterator _iter27;
+    for (_iter27 = this->hosts.begin(); _iter27 != this->hosts.end(); ++_iter27)
     {
-      xfer += oprot->writeString((*_iter25));
+      xfer += (*_iter27).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -694,15 +806,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigKeeperView::ConfigKeeperView(const ConfigKeeperView& other26) {
-  epoch = other26.epoch;
-  hosts = other26.hosts;
-  __isset = other26.__isset;
+ConfigKeeperView::ConfigKeeperView(const ConfigKeeperView& other28) {
+  epoch = other28.epoch;
+  hosts = other28.hosts;
+  __isset = other28.__isset;
 }
-ConfigKeeperView& ConfigKeeperView::operator=(const ConfigKeeperView& other27) {
-  epoch = other27.epoch;
-  hosts = other27.hosts;
-  __isset = other27.__isset;
+ConfigKeeperView& ConfigKeeperView::operator=(const ConfigKeeperView& other29) {
+  epoch = other29.epoch;
+  hosts = other29.hosts;
+  __isset = other29.__isset;
   return *this;
 }
 void ConfigKeeperView::printTo(std::ostream& out) const {
@@ -774,14 +886,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->services.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->services.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += this->services[_i32].read(iprot);
+              xfer += this->services[_i34].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -794,14 +906,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size33;
-            ::apache::thrift::protocol::TType _etype36;
-            xfer += iprot->readListBegin(_etype36, _size33);
-            this->routes.resize(_size33);
-            uint32_t _i37;
-            for (_i37 = 0; _i37 < _size33; ++_i37)
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->routes.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
             {
-              xfer += this->routes[_i37].read(iprot);
+              xfer += this->routes[_i39].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -814,14 +926,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->callRules.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->callRules.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->callRules.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
             {
-              xfer += this->callRules[_i42].read(iprot);
+              xfer += this->callRules[_i44].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -834,14 +946,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->drains.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->drains.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size45;
+            ::apache::thrift::protocol::TType _etype48;
+            xfer += iprot->readListBegin(_etype48, _size45);
+            this->drains.resize(_size45);
+            uint32_t _i49;
+            for (_i49 = 0; _i49 < _size45; ++_i49)
             {
-              xfer += iprot->readString(this->drains[_i47]);
+              xfer += iprot->readString(this->drains[_i49]);
             }
             xfer += iprot->readListEnd();
           }
@@ -879,10 +991,10 @@
     xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 1);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-      std::vector<ConfigService> ::const_iterator _iter48;
-      for (_iter48 = this->services.begin(); _iter48 != this->services.end(); ++_iter48)
+      std::vector<ConfigService> ::const_iterator _iter50;
+      for (_iter50 = this->services.begin(); _iter50 != this->services.end(); ++_iter50)
       {
-        xfer += (*_iter48).write(oprot);
+        xfer += (*_iter50).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -892,10 +1004,10 @@
     xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-      std::vector<ConfigRoute> ::const_iterator _iter49;
-      for (_iter49 = this->routes.begin(); _iter49 != this->routes.end(); ++_iter49)
+      std::vector<ConfigRoute> ::const_iterator _iter51;
+      for (_iter51 = this->routes.begin(); _iter51 != this->routes.end(); ++_iter51)
       {
-        xfer += (*_iter49).write(oprot);
+        xfer += (*_iter51).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -905,10 +1017,10 @@
     xfer += oprot->writeFieldBegin("callRules", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->callRules.size()));
-      std::vector<ConfigCallRule> ::const_iterator _iter50;
-      for (_iter50 = this->callRules.begin(); _iter50 != this->callRules.end(); ++_iter50)
+      std::vector<ConfigCallRule> ::const_iterator _iter52;
+      for (_iter52 = this->callRules.begin(); _iter52 != this->callRules.end(); ++_iter52)
       {
-        xfer += (*_iter50).write(oprot);
+        xfer += (*_iter52).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -918,10 +1030,10 @@
     xfer += oprot->writeFieldBegin("drains", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->drains.size()));
-      std::vector<std::string> ::const_iterator _iter51;
-      for (_iter51 = this->drains.begin(); _iter51 != this->drains.end(); ++_iter51)
+      std::vector<std::string> ::const_iterator _iter53;
+      for (_iter53 = this->drains.begin(); _iter53 != this->drains.end(); ++_iter53)
       {
-        xfer += oprot->writeString((*_iter51));
+        xfer += oprot->writeString((*_iter53));
       }
       xfer += oprot->writeListEnd();
     }
@@ -947,21 +1059,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigItems::ConfigItems(const ConfigItems& other52) {
-  services = other52.services;
-  routes = other52.routes;
-  callRules = other52.callRules;
-  drains = other52.drains;
-  keeperView = other52.keeperView;
-  __isset = other52.__isset;
-}
-ConfigItems& ConfigItems::operator=(const ConfigItems& other53) {
-  services = other53.services;
-  routes = other53.routes;
-  callRules = other53.callRules;
-  drains = other53.drains;
-  keeperView = other53.keeperView;
-  __isset = other53.__isset;
+ConfigItems::ConfigItems(const ConfigItems& other54) {
+  services = other54.services;
+  routes = other54.routes;
+  callRules = other54.callRules;
+  drains = other54.drains;
+  keeperView = other54.keeperView;
+  __isset = other54.__isset;
+}
+ConfigItems& ConfigItems::operator=(const ConfigItems& other55) {
+  services = other55.services;
+  routes = other55.routes;
+  callRules = other55.callRules;
+  drains = other55.drains;
+  keeperView = other55.keeperView;
+  __isset = other55.__isset;
   return *this;
 }
 void ConfigItems::printTo(std::ostream& out) const {
@@ -1068,15 +1180,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigItemKey::ConfigItemKey(const ConfigItemKey& other54) {
-  kind = other54.kind;
-  name = other54.name;
-  __isset = other54.__isset;
+ConfigItemKey::ConfigItemKey(const ConfigItemKey& other56) {
+  kind = other56.kind;
+  name = other56.name;
+  __isset = other56.__isset;
 }
-ConfigItemKey& ConfigItemKey::operator=(const ConfigItemKey& other55) {
-  kind = other55.kind;
-  name = other55.name;
-  __isset = other55.__isset;
+ConfigItemKey& ConfigItemKey::operator=(const ConfigItemKey& other57) {
+  kind = other57.kind;
+  name = other57.name;
+  __isset = other57.__isset;
   return *this;
 }
 void ConfigItemKey::printTo(std::ostream& out) const {
@@ -1188,14 +1300,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->removals.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->removals.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += this->removals[_i60].read(iprot);
+              xfer += this->removals[_i62].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1245,10 +1357,10 @@
     xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-      std::vector<ConfigItemKey> ::const_iterator _iter61;
-      for (_iter61 = this->removals.begin(); _iter61 != this->removals.end(); ++_iter61)
+      std::vector<ConfigItemKey> ::const_iterator _iter63;
+      for (_iter63 = this->removals.begin(); _iter63 != this->removals.end(); ++_iter63)
       {
-        xfer += (*_iter61).write(oprot);
+        xfer += (*_iter63).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1270,23 +1382,23 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigDelta::ConfigDelta(const ConfigDelta& other62) {
-  fromRevision = other62.fromRevision;
-  fromDigest = other62.fromDigest;
-  toRevision = other62.toRevision;
-  toDigest = other62.toDigest;
-  upserts = other62.upserts;
-  removals = other62.removals;
-  __isset = other62.__isset;
-}
-ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other63) {
-  fromRevision = other63.fromRevision;
-  fromDigest = other63.fromDigest;
-  toRevision = other63.toRevision;
-  toDigest = other63.toDigest;
-  upserts = other63.upserts;
-  removals = other63.removals;
-  __isset = other63.__isset;
+ConfigDelta::ConfigDelta(const ConfigDelta& other64) {
+  fromRevision = other64.fromRevision;
+  fromDigest = other64.fromDigest;
+  toRevision = other64.toRevision;
+  toDigest = other64.toDigest;
+  upserts = other64.upserts;
+  removals = other64.removals;
+  __isset = other64.__isset;
+}
+ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other65) {
+  fromRevision = other65.fromRevision;
+  fromDigest = other65.fromDigest;
+  toRevision = other65.toRevision;
+  toDigest = other65.toDigest;
+  upserts = other65.upserts;
+  removals = other65.removals;
+  __isset = other65.__isset;
   return *this;
 }
 void ConfigDelta::printTo(std::ostream& out) const {
@@ -1411,17 +1523,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigSnapshot::ConfigSnapshot(const ConfigSnapshot& other64) {
-  revision = other64.revision;
-  digest = other64.digest;
-  items = other64.items;
-  __isset = other64.__isset;
+ConfigSnapshot::ConfigSnapshot(const ConfigSnapshot& other66) {
+  revision = other66.revision;
+  digest = other66.digest;
+  items = other66.items;
+  __isset = other66.__isset;
 }
-ConfigSnapshot& ConfigSnapshot::operator=(const ConfigSnapshot& other65) {
-  revision = other65.revision;
-  digest = other65.digest;
-  items = other65.items;
-  __isset = other65.__isset;
+ConfigSnapshot& ConfigSnapshot::operator=(const ConfigSnapshot& other67) {
+  revision = other67.revision;
+  digest = other67.digest;
+  items = other67.items;
+  __isset = other67.__isset;
   return *this;
 }
 void ConfigSnapshot::printTo(std::ostream& out) const {
@@ -1581,21 +1693,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPayload::ConfigPayload(const ConfigPayload& other66) {
-  kind = other66.kind;
-  revision = other66.revision;
-  digest = other66.digest;
-  delta = other66.delta;
-  snapshot = other66.snapshot;
-  __isset = other66.__isset;
-}
-ConfigPayload& ConfigPayload::operator=(const ConfigPayload& other67) {
-  kind = other67.kind;
-  revision = other67.revision;
-  digest = other67.digest;
-  delta = other67.delta;
-  snapshot = other67.snapshot;
-  __isset = other67.__isset;
+ConfigPayload::ConfigPayload(const ConfigPayload& other68) {
+  kind = other68.kind;
+  revision = other68.revision;
+  digest = other68.digest;
+  delta = other68.delta;
+  snapshot = other68.snapshot;
+  __isset = other68.__isset;
+}
+ConfigPayload& ConfigPayload::operator=(const ConfigPayload& other69) {
+  kind = other69.kind;
+  revision = other69.revision;
+  digest = other69.digest;
+  delta = other69.delta;
+  snapshot = other69.snapshot;
+  __isset = other69.__isset;
   return *this;
 }
 void ConfigPayload::printTo(std::ostream& out) const {
--- a/gen-cpp/config_types.h
+++ b/gen-cpp/config_types.h
@@ -29,6 +29,8 @@
 
 class ConfigCallRule;
 
+class ConfigKeeperHost;
+
 class ConfigKeeperView;
 
 class ConfigItems;
@@ -267,6 +269,56 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigCallRule& obj);
 
+typedef struct _ConfigKeeperHost__isset {
+  _ConfigKeeperHost__isset() : host(false), dataCentre(false) {}
+  bool host :1;
+  bool dataCentre :1;
+} _ConfigKeeperHost__isset;
+
+class ConfigKeeperHost : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigKeeperHost(const ConfigKeeperHost&);
+  ConfigKeeperHost& operator=(const ConfigKeeperHost&);
+  ConfigKeeperHost() noexcept
+                   : host(),
+                     dataCentre() {
+  }
+
+  virtual ~ConfigKeeperHost() noexcept;
+  std::string host;
+  std::string dataCentre;
+
+  _ConfigKeeperHost__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_dataCentre(const std::string& val);
+
+  bool operator == (const ConfigKeeperHost & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(dataCentre == rhs.dataCentre))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigKeeperHost &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigKeeperHost & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigKeeperHost &a, ConfigKeeperHost &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigKeeperHost& obj);
+
 typedef struct _ConfigKeeperView__isset {
   _ConfigKeeperView__isset() : epoch(false), hosts(false) {}
   bool epoch :1;
@@ -284,13 +336,13 @@
 
   virtual ~ConfigKeeperView() noexcept;
   int64_t epoch;
-  std::vector<std::string>  hosts;
+  std::vector<ConfigKeeperHost>  hosts;
 
   _ConfigKeeperView__isset __isset;
 
   void __set_epoch(const int64_t val);
 
-  void __set_hosts(const std::vector<std::string> & val);
+  void __set_hosts(const std::vector<ConfigKeeperHost> & val);
 
   bool operator == (const ConfigKeeperView & rhs) const
   {
--- a/gen-cpp/plan_types.cpp
+++ b/gen-cpp/plan_types.cpp
@@ -424,7 +424,7 @@
   this->epoch = val;
 }
 
-void PlanSetKeepers::__set_hosts(const std::vector<std::string> & val) {
+void PlanSetKeepers::__set_hosts(const std::vector< ::dragonflylane::wire::ConfigKeeperHost> & val) {
   this->hosts = val;
 }
 std::ostream& operator<<(std::ostream& out, const PlanSetKeepers& obj)
@@ -474,7 +474,7 @@
             uint32_t _i16;
             for (_i16 = 0; _i16 < _size12; ++_i16)
             {
-              xfer += iprot->readString(this->hosts[_i16]);
+              xfer += this->hosts[_i16].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -506,11 +506,11 @@
 
   xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->hosts.size()));
-    std::vector<std::string> ::const_iterator _iter17;
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->hosts.size()));
+    std::vector< ::dragonflylane::wire::ConfigKeeperHost> ::const_iterator _iter17;
     for (_iter17 = this->hosts.begin(); _iter17 != this->hosts.end(); ++_iter17)
     {
-      xfer += oprot->writeString((*_iter17));
+      xfer += (*_iter17).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
--- a/gen-cpp/plan_types.h
+++ b/gen-cpp/plan_types.h
@@ -220,13 +220,13 @@
 
   virtual ~PlanSetKeepers() noexcept;
   int64_t epoch;
-  std::vector<std::string>  hosts;
+  std::vector< ::dragonflylane::wire::ConfigKeeperHost>  hosts;
 
   _PlanSetKeepers__isset __isset;
 
   void __set_epoch(const int64_t val);
 
-  void __set_hosts(const std::vector<std::string> & val);
+  void __set_hosts(const std::vector< ::dragonflylane::wire::ConfigKeeperHost> & val);
 
   bool operator == (const PlanSetKeepers & rhs) const
   {
--- a/tests/PlanBookTest.cpp
+++ b/tests/PlanBookTest.cpp
@@ -36,7 +36,7 @@
     {
         SetKeepersCommand command { Epoch(epoch), {} };
         for (const std::string& host : hosts)
-            command.hosts.emplace_back(host);
+            command.hosts.push_back({ HostId(host), DataCentreName("dc") });
         return PlanBook::encode(command);
     }
 
--- a/wire/config.thrift
+++ b/wire/config.thrift
@@ -25,9 +25,14 @@
   2: string callee
 }
 
+struct ConfigKeeperHost {
+  1: string host
+  2: string dataCentre
+}
+
 struct ConfigKeeperView {
   1: i64 epoch
-  2: list<string> hosts
+  2: list<ConfigKeeperHost> hosts
 }
 
 // Items grouped by kind, which is shorter than a tag for each item.
--- a/wire/plan.thrift
+++ b/wire/plan.thrift
@@ -23,7 +23,7 @@
 
 struct PlanSetKeepers {
   1: i64 epoch
-  2: list<string> hosts
+  2: list<config.ConfigKeeperHost> hosts
 }
 
 // Exactly one field is set.
