Wire the daemon, the operators' API and the command-line tool

Cause: the thin path needs one program a host and a tool. Ruled out: an API on control hosts only (operators would have to know the leader; any daemon passes plans on), and a plan id chosen by the server (a resend after a lost answer would store a second plan).

--- /dev/null
+++ b/dragonflylane/ApiTask.cpp
@@ -0,0 +1,433 @@
+#include "dragonflylane/ApiTask.h"
+
+#include "dragonflylane/ApiRequest.h"
+#include "dragonflylane/ClaimTask.h"
+#include "dragonflylane/CrashTask.h"
+#include "dragonflylane/Event.h"
+#include "dragonflylane/HttpExchange.h"
+#include "dragonflylane/Journal.h"
+#include "dragonflylane/LogTask.h"
+#include "dragonflylane/MembershipTask.h"
+#include "dragonflylane/MeshSecret.h"
+#include "dragonflylane/Metrics.h"
+#include "dragonflylane/OwnerTask.h"
+#include "dragonflylane/PictureTask.h"
+#include "dragonflylane/PlanJson.h"
+#include "dragonflylane/PlanReview.h"
+#include "dragonflylane/RelayTask.h"
+#include "dragonflylane/StatusJson.h"
+
+#include <boost/json.hpp>
+#include <charconv>
+
+namespace dragonflylane {
+
+namespace json = boost::json;
+
+namespace {
+
+    // Requests of other daemons carry the operator whom the first daemon authenticated.
+    constexpr const char* operatorHeader = "Dragonflylane-Operator";
+    constexpr const char* planHeader = "Dragonflylane-Plan";
+    // Daemons asked for their journals at a time.
+    constexpr size_t maxHostsToAsk = 64;
+    // Longer than an election, so that a command outlasts a change of leader.
+    constexpr std::chrono::seconds leaderTimeout { 6 };
+
+    std::string makePlanId()
+    {
+        std::string id = "p-";
+        std::string nonce = MeshSecret::makeNonce();
+        constexpr size_t idBytes = 6;
+        for (size_t i = 0; i < idBytes; ++i) {
+            char hex[3];
+            std::snprintf(hex, sizeof(hex), "%02x", static_cast<unsigned char>(nonce[i]));
+            id += hex;
+        }
+        return id;
+    }
+
+    bool parseNumber(std::string_view text, uint64_t& value)
+    {
+        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        return error == std::errc() && end == text.data() + text.size();
+    }
+
+    std::optional<UpstreamPhase> parsePhase(std::string_view text)
+    {
+        for (auto phase :
+            { UpstreamPhase::Cold, UpstreamPhase::Ready, UpstreamPhase::Draining, UpstreamPhase::Stopped }) {
+            if (name(phase) == text)
+                return phase;
+        }
+        return std::nullopt;
+    }
+
+    // Returns false for a document that is not an announcement.
+    bool parseAnnouncement(const std::string& body, Announcement& announcement)
+    {
+        boost::system::error_code error;
+        json::value document = json::parse(body, error);
+        if (error || !document.is_object())
+            return false;
+        const json::object& object = document.as_object();
+        auto text = [&](const char* key) -> std::string {
+            const json::value* value = object.if_contains(key);
+            return value && value->is_string() ? std::string(value->as_string()) : std::string();
+        };
+        auto address = Endpoint::parse(text("address"));
+        auto phase = parsePhase(text("state"));
+        const json::value* slots = object.if_contains("slots");
+        constexpr int64_t maxSlots = 100'000;
+        bool hasSlots = slots && slots->is_int64() && slots->as_int64() > 0 && slots->as_int64() <= maxSlots;
+        if (!address || !address->isSet() || !phase || !hasSlots)
+            return false;
+        announcement = { .id = UpstreamId(text("id")),
+            .service = ServiceName(text("service")),
+            .address = *address,
+            .slots = static_cast<uint32_t>(slots->as_int64()),
+            .phase = *phase,
+            .instance = text("instance") };
+        return isValidName(announcement.id.value()) && isValidName(announcement.service.value());
+    }
+
+    FleetView fleetView(const ApiParts& parts)
+    {
+        FleetView fleet { .daemons = parts.membership.view().presentCount() };
+        const Picture& picture = *parts.pictures.picture();
+        for (ServiceIndex i = 0; i < picture.serviceCount(); ++i) {
+            const auto& upstreams = picture.service(i).upstreams;
+            fleet.upstreams.insert(fleet.upstreams.end(), upstreams.begin(), upstreams.end());
+        }
+        return fleet;
+    }
+
+} // namespace
+
+ApiTask::ApiTask(boost::asio::io_context& context, ApiParts parts, Operators operators)
+    : m_context(context)
+    , m_parts(parts)
+    , m_operators(std::move(operators))
+    , m_peers(context, parts.hub, [this](const HostId&, HttpRequest http, Respond respond) {
+        ApiRequest request { .http = std::move(http), .isForwarded = true, .respond = std::move(respond) };
+        request.path = splitApiPath(request.http.target);
+        request.operatorName = OperatorName(std::string(request.http.header(operatorHeader)));
+        dispatch(std::move(request));
+    })
+{
+}
+
+void ApiTask::start()
+{
+    m_peers.start();
+}
+
+void ApiTask::handle(const std::shared_ptr<HttpExchange>& exchange)
+{
+    ApiRequest request { .http = exchange->request() };
+    request.respond = [exchange](HttpResponse response) { exchange->respond(std::move(response)); };
+    request.path = splitApiPath(request.http.target);
+    if (!authenticate(request)) {
+        m_parts.metrics.add("api_unknown_operator");
+        return request.respondError(ResultCode::UnknownOperator);
+    }
+    dispatch(std::move(request));
+}
+
+bool ApiTask::authenticate(ApiRequest& request) const
+{
+    auto found = m_operators.authenticate(request.http.header("Authorization"));
+    if (found)
+        request.operatorName = *found;
+    return found.has_value();
+}
+
+void ApiTask::dispatch(ApiRequest request)
+{
+    struct Route {
+        std::string_view method;
+        std::string_view first;
+        size_t segments;
+        void (ApiTask::*handler)(const ApiRequest&);
+    };
+    static constexpr Route routes[] = {
+        { "POST", "announce", 1, &ApiTask::announce },
+        { "POST", "plans", 1, &ApiTask::createPlan },
+        { "POST", "plans", 3, &ApiTask::confirmPlan },
+        { "GET", "plans", 2, &ApiTask::showPlan },
+        { "GET", "history", 1, &ApiTask::showHistory },
+        { "GET", "status", 1, &ApiTask::showStatus },
+        { "GET", "revisions", 2, &ApiTask::showRevision },
+        { "GET", "acks", 1, &ApiTask::showAcks },
+        { "GET", "picture", 1, &ApiTask::showPicture },
+        { "GET", "members", 1, &ApiTask::showMembers },
+        { "GET", "metrics", 1, &ApiTask::showMetrics },
+        { "GET", "journal", 1, &ApiTask::showJournal },
+        { "GET", "explain", 1, &ApiTask::explain },
+        { "POST", "quarantine", 3, &ApiTask::releaseQuarantine },
+    };
+    for (const Route& route : routes) {
+        bool isMatch = route.method == request.http.method && route.segments == request.path.size()
+            && request.path.front() == route.first;
+        if (isMatch)
+            return (this->*route.handler)(request);
+    }
+    request.respondError(ResultCode::NotFound, request.http.method + " " + request.http.target);
+}
+
+// ---- plans ----
+
+bool ApiTask::isLeader() const
+{
+    return m_parts.log && m_parts.log->replica().role() == LogRole::Leader;
+}
+
+std::vector<HostId> ApiTask::controlHosts() const
+{
+    std::vector<HostId> hosts;
+    for (const auto& [host, endpoint] : m_parts.settings.voters)
+        hosts.push_back(host);
+    return hosts;
+}
+
+// The leader if it is known, then the other control hosts, which know it.
+std::vector<HostId> ApiTask::leaderCandidates() const
+{
+    std::vector<HostId> hosts = controlHosts();
+    std::erase(hosts, m_parts.settings.hostId);
+    HostId leader = m_parts.log ? m_parts.log->replica().leader().host : HostId();
+    auto it = std::find(hosts.begin(), hosts.end(), leader);
+    if (it != hosts.end())
+        std::rotate(hosts.begin(), it, it + 1);
+    return hosts;
+}
+
+void ApiTask::forwardToLeader(const ApiRequest& request)
+{
+    // A control host that is not the leader passes a request on once more, but only to the leader.
+    bool mayForward = !request.isForwarded || (m_parts.log && request.http.header("Dragonflylane-Forwards") == "1");
+    if (!mayForward)
+        return request.respondError(ResultCode::NotLeader);
+    askLeader(request, leaderCandidates());
+}
+
+void ApiTask::askLeader(const ApiRequest& request, std::vector<HostId> hosts)
+{
+    if (hosts.empty())
+        return request.respondError(ResultCode::QuorumLost);
+    HostId host = hosts.front();
+    hosts.erase(hosts.begin());
+    HttpRequest http { .method = request.http.method, .target = request.http.target, .body = request.http.body };
+    http.headers = { { operatorHeader, request.operatorName.value() },
+        { planHeader, std::string(request.http.header(planHeader)) },
+        { "Dragonflylane-Forwards", request.isForwarded ? "2" : "1" } };
+    m_peers.ask(host, http, leaderTimeout, [this, request, hosts](std::optional<HttpResponse> response) {
+        bool isNotLeader = response && response->body.find("\"not_leader\"") != std::string::npos;
+        // Plans are keyed by id, so asking the next host after a lost answer cannot apply anything twice.
+        if (!response || isNotLeader)
+            return askLeader(request, hosts);
+        request.respond(std::move(*response));
+    });
+}
+
+void ApiTask::createPlan(const ApiRequest& request)
+{
+    if (!isLeader()) {
+        ApiRequest withId = request;
+        if (request.http.header(planHeader).empty())
+            withId.http.headers.push_back({ planHeader, makePlanId() });
+        return forwardToLeader(withId);
+    }
+    PlanRequest plan;
+    std::string detail;
+    if (auto error = parsePlanRequest(request.http.body, &plan, &detail))
+        return request.respondError(resultCode(error), detail);
+    std::string id(request.http.header(planHeader));
+    if (id.empty())
+        id = makePlanId();
+    if (!isValidName(id))
+        return request.respondError(ResultCode::InvalidName, "plan id");
+    ProposeCommand command { PlanId(id), std::move(plan), request.operatorName };
+    m_parts.log->submit(command, [this, request, id](std::error_code error, const ApplyOutcome& outcome) {
+        answerPlan(request, id, error, outcome);
+    });
+}
+
+void ApiTask::answerPlan(
+    const ApiRequest& request, const std::string& planId, std::error_code error, const ApplyOutcome& outcome)
+{
+    if (error)
+        return request.respondError(resultCode(error), "plan " + planId);
+    m_parts.journal.record({ .event = "plan_proposed",
+        .subjects = { planId, request.operatorName.value() },
+        .cause = request.operatorName.value(),
+        .code = outcome.code,
+        .detail = outcome.detail });
+    if (outcome.code != ResultCode::Ok)
+        return request.respondError(outcome.code, outcome.detail);
+    const PlanRecord* record = m_parts.log->book().find(PlanId(planId));
+    if (!record)
+        return request.respondError(ResultCode::PlanNotFound);
+    Plan plan;
+    PlanReview review(m_parts.log->book().state());
+    std::string detail;
+    // A resend after the confirmation finds the changes already in the state, which is not a fault.
+    if (review.review(record->changes, &plan, &detail))
+        return request.respondJson(renderPlanRecord(*record));
+    review.describe(&plan, fleetView(m_parts));
+    request.respondJson(renderPlan(PlanId(planId), plan));
+}
+
+void ApiTask::confirmPlan(const ApiRequest& request)
+{
+    if (request.path[2] != "confirm")
+        return request.respondError(ResultCode::NotFound, request.http.target);
+    if (!isLeader())
+        return forwardToLeader(request);
+    ConfirmCommand command { PlanId(request.path[1]), request.operatorName };
+    m_parts.log->submit(command, [this, request](std::error_code error, const ApplyOutcome& outcome) {
+        if (error)
+            return request.respondError(resultCode(error), "plan " + request.path[1]);
+        m_parts.journal.record({ .event = "plan_confirmed",
+            .subjects = { request.path[1], request.operatorName.value() },
+            .cause = request.operatorName.value(),
+            .code = outcome.code,
+            .detail = "revision " + std::to_string(outcome.revision.value()) });
+        request.respondJson(renderOutcome(outcome), outcome.code == ResultCode::Ok ? 200 : 409);
+    });
+}
+
+void ApiTask::showPlan(const ApiRequest& request)
+{
+    if (!isLeader())
+        return forwardToLeader(request);
+    const PlanRecord* record = m_parts.log->book().find(PlanId(request.path[1]));
+    if (!record)
+        return request.respondError(ResultCode::PlanNotFound);
+    request.respondJson(renderPlanRecord(*record));
+}
+
+void ApiTask::showHistory(const ApiRequest& request)
+{
+    if (!isLeader())
+        return forwardToLeader(request);
+    constexpr size_t maxPlansShown = 100;
+    json::array plans;
+    for (const PlanRecord* record : m_parts.log->book().plans()) {
+        if (plans.size() >= maxPlansShown)
+            break;
+        plans.push_back(json::parse(renderPlanRecord(*record)));
+    }
+    request.respondJson(json::serialize(json::object { { "plans", std::move(plans) } }) + "\n");
+}
+
+// ---- state of the daemon and of the mesh ----
+
+void ApiTask::announce(const ApiRequest& request)
+{
+    Announcement announcement;
+    if (request.isForwarded || !parseAnnouncement(request.http.body, announcement))
+        return request.respondError(ResultCode::InvalidValue, "announcement");
+    m_parts.owner.announce(announcement);
+    request.respondJson("{}\n");
+}
+
+void ApiTask::showStatus(const ApiRequest& request)
+{
+    request.respondJson(renderStatus(m_parts));
+}
+
+void ApiTask::showAcks(const ApiRequest& request)
+{
+    request.respondJson(renderAcks(m_parts.relay.relay().acks()));
+}
+
+void ApiTask::showPicture(const ApiRequest& request)
+{
+    request.respondJson(renderPicture(m_parts));
+}
+
+void ApiTask::showMembers(const ApiRequest& request)
+{
+    request.respondJson(renderMembers(m_parts));
+}
+
+void ApiTask::showMetrics(const ApiRequest& request)
+{
+    exportMetrics();
+    request.respond({ .headers = { { "Content-Type", "text/plain" } }, .body = m_parts.metrics.render() });
+}
+
+void ApiTask::exportMetrics()
+{
+    m_parts.membership.exportMetrics();
+    m_parts.relay.exportMetrics();
+    m_parts.claims.exportMetrics();
+    if (m_parts.log)
+        m_parts.log->exportMetrics();
+}
+
+void ApiTask::showRevision(const ApiRequest& request)
+{
+    uint64_t revision = 0;
+    if (!parseNumber(request.path[1], revision))
+        return request.respondError(ResultCode::InvalidValue, "revision");
+    std::vector<HostId> others = controlHosts();
+    std::erase(others, m_parts.settings.hostId);
+    HttpRequest http { .method = "GET", .target = "/v1/acks" };
+    m_peers.askAll(others, http, [this, request, revision](std::map<HostId, HttpResponse> acks) {
+        if (m_parts.log)
+            acks[m_parts.settings.hostId] = { .body = renderAcks(m_parts.relay.relay().acks()) };
+        request.respondJson(renderConvergence(Revision(revision), acks, m_parts.membership.view().presentCount()));
+    });
+}
+
+void ApiTask::showJournal(const ApiRequest& request)
+{
+    request.respondJson(renderJournal(m_parts.journal.find(request.query("id"))));
+}
+
+// The daemons most likely to know come first: the one whose id the subject starts with, then the control hosts.
+std::vector<HostId> ApiTask::hostsToAsk(const std::string& id) const
+{
+    std::vector<HostId> hosts;
+    std::vector<HostId> rest;
+    for (const auto& [host, record] : m_parts.membership.view().members()) {
+        if (!record.isPresent() || host == m_parts.settings.hostId)
+            continue;
+        bool isLikely = id.starts_with(host.value()) || record.controlRole != ControlRole::None
+            || (record.upstream && record.upstream->id.value() == id);
+        (isLikely ? hosts : rest).push_back(host);
+    }
+    hosts.insert(hosts.end(), rest.begin(), rest.end());
+    hosts.resize(std::min(hosts.size(), maxHostsToAsk));
+    return hosts;
+}
+
+void ApiTask::explain(const ApiRequest& request)
+{
+    std::string id = request.query("id");
+    if (id.empty())
+        return request.respondError(ResultCode::InvalidValue, "id");
+    HttpRequest http { .method = "GET", .target = "/v1/journal?id=" + id };
+    m_peers.askAll(hostsToAsk(id), http, [this, request, id](std::map<HostId, HttpResponse> journals) {
+        journals[m_parts.settings.hostId] = { .body = renderJournal(m_parts.journal.find(id)) };
+        request.respondJson(mergeJournals(journals));
+    });
+}
+
+void ApiTask::releaseQuarantine(const ApiRequest& request)
+{
+    uint64_t fingerprint = 0;
+    if (request.path[2] != "release" || !parseNumber(request.path[1], fingerprint))
+        return request.respondError(ResultCode::InvalidValue, request.http.target);
+    if (!m_parts.crash.release(Fingerprint(fingerprint)))
+        return request.respondError(ResultCode::NotFound);
+    m_parts.journal.record({ .event = "quarantine_released",
+        .subjects = { "fingerprint-" + request.path[1], request.operatorName.value() },
+        .cause = request.operatorName.value() });
+    Event("quarantine_released").with("fingerprint", fingerprint).with("operator", request.operatorName);
+    request.respondJson("{}\n");
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/CommandLine.cpp
@@ -0,0 +1,300 @@
+#include "dragonflylane/CommandLine.h"
+
+#include "dragonflylane/ApiClient.h"
+#include "dragonflylane/CommandOutput.h"
+#include "dragonflylane/MeshSecret.h"
+#include "dragonflylane/ResultCode.h"
+#include "dragonflylane/Settings.h"
+
+#include <boost/json.hpp>
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <sstream>
+#include <thread>
+
+namespace dragonflylane {
+
+namespace json = boost::json;
+
+namespace {
+
+    constexpr const char* usage = R"(Commands:
+  plan FILE              review the changes in FILE (JSON, - for standard input) and store them as a plan
+  confirm PLAN           put a plan into force
+  drain UPSTREAM         plan that takes an upstream out of selection; with --confirm also confirm it
+  undrain UPSTREAM       plan that puts it back
+  show PLAN              state of a plan
+  history                plans, newest first
+  status                 quorum, leader, revision, convergence, drains, quarantine
+  revision NUMBER        which daemons hold a revision
+  picture                what the daemon at --api routes by
+  members                daemons known to the daemon at --api
+  metrics                counters of the daemon at --api
+  explain ID             decisions about a request, plan, daemon or upstream
+  release FINGERPRINT    release a quarantined request
+  check-settings FILE    check a settings file
+)";
+
+    struct Arguments {
+        std::string command;
+        std::string operand;
+        std::vector<Endpoint> servers;
+        std::string token;
+        bool isJson { false };
+        bool isWatching { false };
+        bool isConfirming { false };
+    };
+
+    int fail(ResultCode code, const std::string& detail)
+    {
+        std::fprintf(stderr, "dragonflylane: %s: %s (%u %s)\n", detail.c_str(), std::string(message(code)).c_str(),
+            static_cast<unsigned>(code), std::string(name(code)).c_str());
+        return exitCode(code);
+    }
+
+    ResultCode codeOf(const json::value& document)
+    {
+        const json::object* object = document.if_object();
+        if (!object)
+            return ResultCode::Ok;
+        const json::value* error = object->if_contains("error");
+        const json::object* details = error ? error->if_object() : object;
+        const json::value* code = details ? details->if_contains("code") : nullptr;
+        return code && code->is_int64() ? static_cast<ResultCode>(code->as_int64()) : ResultCode::Ok;
+    }
+
+    // Sends a request and prints the answer as JSON or as text.
+    class Session {
+    public:
+        explicit Session(Arguments arguments)
+            : m_arguments(std::move(arguments))
+            , m_client({ .servers = m_arguments.servers, .token = m_arguments.token })
+        {
+        }
+
+        int get(const std::string& target, const std::function<std::string(const json::value&)>& render)
+        {
+            return exchange({ .method = "GET", .target = target }, render);
+        }
+
+        int exchange(const HttpRequest& request, const std::function<std::string(const json::value&)>& render)
+        {
+            HttpResponse response;
+            if (auto error = m_client.send(request, response))
+                return fail(resultCode(error), request.method + " " + request.target);
+            boost::system::error_code parseError;
+            m_document = json::parse(response.body, parseError);
+            if (parseError) {
+                std::fputs(response.body.c_str(), stdout);
+                return 0;
+            }
+            ResultCode code = codeOf(m_document);
+            if (m_arguments.isJson)
+                std::fputs(response.body.c_str(), stdout);
+            else if (code == ResultCode::Ok)
+                std::fputs(render(m_document).c_str(), stdout);
+            else
+                std::fputs(renderError(m_document).c_str(), stderr);
+            return exitCode(code);
+        }
+
+        const json::value& document() const { return m_document; }
+        const Arguments& arguments() const { return m_arguments; }
+
+    private:
+        Arguments m_arguments;
+        ApiClient m_client;
+        json::value m_document;
+    };
+
+    // The tool chooses the id, so that a resend after a lost answer cannot store a second plan.
+    std::string makePlanId()
+    {
+        std::string id = "p-";
+        for (unsigned char byte : MeshSecret::makeNonce().substr(0, 6)) {
+            char hex[3];
+            std::snprintf(hex, sizeof(hex), "%02x", byte);
+            id += hex;
+        }
+        return id;
+    }
+
+    int confirm(Session& session, const std::string& plan)
+    {
+        return session.exchange({ .method = "POST", .target = "/v1/plans/" + plan + "/confirm" }, renderConfirmation);
+    }
+
+    int propose(Session& session, const std::string& changes)
+    {
+        std::string id = makePlanId();
+        HttpRequest request { .method = "POST", .target = "/v1/plans", .headers = { { "Dragonflylane-Plan", id } } };
+        request.body = changes;
+        int code = session.exchange(request, renderPlanAnswer);
+        if (code != 0 || !session.arguments().isConfirming)
+            return code;
+        return confirm(session, id);
+    }
+
+    int plan(Session& session)
+    {
+        const std::string& path = session.arguments().operand;
+        std::stringstream text;
+        if (path == "-") {
+            text << std::cin.rdbuf();
+        } else {
+            std::ifstream stream(path);
+            text << stream.rdbuf();
+            if (!stream)
+                return fail(ResultCode::FileUnreadable, path);
+        }
+        return propose(session, text.str());
+    }
+
+    int drain(Session& session, const char* change)
+    {
+        json::object step { { change, session.arguments().operand } };
+        json::array changes;
+        changes.emplace_back(std::move(step));
+        return propose(session, json::serialize(json::object { { "changes", std::move(changes) } }));
+    }
+
+    int status(Session& session)
+    {
+        constexpr std::chrono::seconds refreshInterval { 1 };
+        for (;;) {
+            if (session.arguments().isWatching)
+                std::fputs("\033[H\033[2J", stdout);
+            int code = session.get("/v1/status", renderStatusText);
+            if (!session.arguments().isWatching)
+                return code;
+            std::fflush(stdout);
+            std::this_thread::sleep_for(refreshInterval);
+        }
+    }
+
+    int release(Session& session)
+    {
+        return session.exchange(
+            { .method = "POST", .target = "/v1/quarantine/" + session.arguments().operand + "/release" },
+            [](const json::value&) { return std::string("released\n"); });
+    }
+
+    int checkSettings(const std::string& path)
+    {
+        Settings settings;
+        SettingsError error = readSettings(path, settings);
+        if (error.code == ResultCode::Ok) {
+            std::printf("%s: correct\n", path.c_str());
+            return 0;
+        }
+        std::fprintf(stderr, "%s (%u %s)\n", error.text.c_str(), static_cast<unsigned>(error.code),
+            std::string(name(error.code)).c_str());
+        return exitCode(error.code);
+    }
+
+    struct Command {
+        bool needsOperand;
+        std::function<int(Session&)> run;
+    };
+
+    const std::map<std::string, Command>& commands()
+    {
+        static const std::map<std::string, Command> table {
+            { "plan", { true, plan } },
+            { "confirm", { true, [](Session& session) { return confirm(session, session.arguments().operand); } } },
+            { "drain", { true, [](Session& session) { return drain(session, "drainUpstream"); } } },
+            { "undrain", { true, [](Session& session) { return drain(session, "undrainUpstream"); } } },
+            { "show",
+                { true,
+                    [](Session& session) {
+                        return session.get("/v1/plans/" + session.arguments().operand, renderRecord);
+                    } } },
+            { "history", { false, [](Session& session) { return session.get("/v1/history", renderHistory); } } },
+            { "status", { false, status } },
+            { "revision",
+                { true,
+                    [](Session& session) {
+                        return session.get("/v1/revisions/" + session.arguments().operand, renderConvergenceText);
+                    } } },
+            { "picture", { false, [](Session& session) { return session.get("/v1/picture", renderPictureText); } } },
+            { "members", { false, [](Session& session) { return session.get("/v1/members", renderMembersText); } } },
+            { "metrics", { false, [](Session& session) { return session.get("/v1/metrics", renderPretty); } } },
+            { "explain",
+                { true,
+                    [](Session& session) {
+                        return session.get("/v1/explain?id=" + session.arguments().operand, renderExplanation);
+                    } } },
+            { "release", { true, release } },
+            { "check-settings", { true, [](Session& session) { return checkSettings(session.arguments().operand); } } },
+        };
+        return table;
+    }
+
+    bool parseServers(const std::string& text, std::vector<Endpoint>& servers)
+    {
+        std::istringstream stream(text);
+        for (std::string part; std::getline(stream, part, ',');) {
+            auto endpoint = Endpoint::parse(part);
+            if (!endpoint)
+                return false;
+            servers.push_back(*endpoint);
+        }
+        return !servers.empty();
+    }
+
+    bool readToken(const std::string& path, std::string& token)
+    {
+        std::ifstream stream(path);
+        return static_cast<bool>(stream >> token);
+    }
+
+    int run(const cxxopts::ParseResult& parsed)
+    {
+        Arguments arguments { .command = parsed["command"].as<std::string>(),
+            .operand = parsed["operand"].as<std::string>(),
+            .isJson = parsed.count("json") > 0,
+            .isWatching = parsed.count("watch") > 0,
+            .isConfirming = parsed.count("confirm") > 0 };
+        if (!parseServers(parsed["api"].as<std::string>(), arguments.servers))
+            return fail(ResultCode::SettingInvalid, "--api");
+        if (parsed.count("token-file") > 0 && !readToken(parsed["token-file"].as<std::string>(), arguments.token))
+            return fail(ResultCode::FileUnreadable, "--token-file");
+        auto command = commands().find(arguments.command);
+        if (command == commands().end())
+            return fail(ResultCode::SettingUnknown, "command " + arguments.command);
+        if (command->second.needsOperand && arguments.operand.empty())
+            return fail(ResultCode::SettingMissing, "operand of " + arguments.command);
+        Session session(std::move(arguments));
+        return command->second.run(session);
+    }
+
+} // namespace
+
+int runCommandLine(int argc, char** argv)
+{
+    cxxopts::Options options("dragonflylane", "Operators' tool of the dragonflylane service mesh");
+    options.add_options()(
+        "api", "API addresses, asked in order", cxxopts::value<std::string>()->default_value("127.0.0.1:7081"))(
+        "token-file", "file with the operator's token", cxxopts::value<std::string>())("json", "print JSON")(
+        "watch", "refresh status every second")("confirm", "confirm the plan of drain and undrain at once")(
+        "command", "", cxxopts::value<std::string>()->default_value(""))(
+        "operand", "", cxxopts::value<std::string>()->default_value(""))("help", "print this help");
+    options.parse_positional({ "command", "operand" });
+    options.positional_help("COMMAND [OPERAND]");
+    try {
+        auto parsed = options.parse(argc, argv);
+        if (parsed.count("help") > 0 || parsed["command"].as<std::string>().empty()) {
+            std::printf("%s\n%s", options.help().c_str(), usage);
+            return parsed.count("help") > 0 ? 0 : exitCode(ResultCode::SettingMissing);
+        }
+        return run(parsed);
+    } catch (const cxxopts::exceptions::exception& error) {
+        return fail(ResultCode::SettingUnknown, error.what());
+    }
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/Daemon.cpp
@@ -0,0 +1,454 @@
+#include "dragonflylane/Daemon.h"
+
+#include "dragonflylane/ApiTask.h"
+#include "dragonflylane/ClaimTask.h"
+#include "dragonflylane/CrashTask.h"
+#include "dragonflylane/EntryTask.h"
+#include "dragonflylane/Event.h"
+#include "dragonflylane/HttpExchange.h"
+#include "dragonflylane/HttpServer.h"
+#include "dragonflylane/Journal.h"
+#include "dragonflylane/KeeperPlanner.h"
+#include "dragonflylane/LogTask.h"
+#include "dragonflylane/MembershipTask.h"
+#include "dragonflylane/MeshSecret.h"
+#include "dragonflylane/Metrics.h"
+#include "dragonflylane/OwnerTask.h"
+#include "dragonflylane/PeerHub.h"
+#include "dragonflylane/PictureTask.h"
+#include "dragonflylane/RelayTask.h"
+#include "dragonflylane/TreePosition.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <random>
+
+namespace dragonflylane {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::chrono::milliseconds drainPollInterval { 20 };
+    // The announcement of the end spreads before the process goes, so that entry daemons stop choosing this host.
+    constexpr std::chrono::milliseconds leaveSpreadTime { 500 };
+    constexpr std::chrono::seconds keeperCheckInterval { 1 };
+
+    uint64_t randomNumber()
+    {
+        std::random_device device;
+        return (static_cast<uint64_t>(device()) << 32) | device();
+    }
+
+    std::string loadSecret(const Settings& settings, std::error_code& error)
+    {
+        std::string secret;
+        if (!settings.secretFile.empty())
+            error = MeshSecret::readFile(settings.secretFile, secret);
+        return secret;
+    }
+
+} // namespace
+
+class Daemon::Impl {
+public:
+    explicit Impl(Settings settings)
+        : m_settings(std::move(settings))
+        , m_life(randomNumber())
+        , m_journal(m_settings.hostId.value())
+        , m_secret(m_settings.meshId, loadSecret(m_settings, m_secretError))
+        , m_signals(m_context, SIGTERM, SIGINT)
+        , m_timer(m_context)
+        , m_keeperTimer(m_context)
+        , m_treeIndex(m_settings.hostId)
+        , m_hub(m_context, { .meshId = m_settings.meshId, .self = m_settings.hostId, .listen = m_settings.peer },
+              m_secret, m_metrics)
+        , m_crash(
+              {}, [this](std::string payload) { return m_membership->broadcast(std::move(payload)); }, m_metrics,
+              m_journal)
+        , m_claims(m_context, m_settings.hostId, m_life, m_hub, m_metrics)
+        , m_owner(m_context, { .self = m_settings.hostId, .maxBodyBytes = m_settings.maxBodyBytes }, m_crash, m_metrics,
+              m_journal,
+              { .announced = [this](std::optional<UpstreamRecord> record) { m_membership->setUpstream(record); },
+                  .knownIncarnation = [this](const UpstreamId& id) { return knownIncarnation(id); } })
+        , m_pictures(
+              m_context, [this](const auto& picture) { takePicture(picture); },
+              [this](const UpstreamConflict& conflict) { reportConflict(conflict); })
+    {
+        makeMembership();
+        makeLog();
+        makeRelay();
+        makeEntry();
+    }
+
+    std::error_code start(std::string& detail)
+    {
+        if (m_secretError) {
+            detail = m_settings.secretFile + ": " + m_secretError.message();
+            return m_secretError;
+        }
+        Operators operators;
+        if (!m_settings.operatorsFile.empty()) {
+            if (auto error = Operators::readFile(m_settings.operatorsFile, operators, detail))
+                return error;
+        }
+        for (const auto& [host, endpoint] : m_settings.voters)
+            m_hub.setAddress(host, endpoint);
+        makeApi(std::move(operators));
+        m_entry->start();
+        m_claims.start();
+        m_api->start();
+        if (auto error = listen(m_hub.start(), m_settings.peer, detail))
+            return error;
+        if (auto error = listen(m_membership->start(seeds()), m_settings.peer, detail))
+            return error;
+        if (m_log) {
+            if (auto error = m_log->start(m_settings.dataFolder, detail))
+                return error;
+        }
+        m_relay->start();
+        updatePosition();
+        if (auto error = listen(m_callerServer->start(), m_settings.callers, detail))
+            return error;
+        return listen(m_apiServer->start(), m_settings.api, detail);
+    }
+
+    int run()
+    {
+        Event("daemon_started")
+            .with("host", m_settings.hostId)
+            .with("callers", m_settings.callers.toString())
+            .with("peer", m_settings.peer.toString())
+            .with("api", m_settings.api.toString())
+            .with("control", static_cast<int>(m_settings.isControl()));
+        m_signals.async_wait([this](boost::system::error_code error, int signal) {
+            if (!error)
+                leave(signal);
+        });
+        if (m_log)
+            scheduleKeeperCheck();
+        m_context.run();
+        Event("daemon_stopped").with("host", m_settings.hostId).with("exit_code", m_exitCode);
+        return m_exitCode;
+    }
+
+private:
+    // ---- construction ----
+
+    void makeMembership()
+    {
+        MemberRecord self { .host = m_settings.hostId,
+            .address = m_settings.peer,
+            .dataCentre = m_settings.dataCentre,
+            .region = m_settings.region,
+            .life = LifeId(m_life),
+            .controlRole = m_settings.isControl() ? ControlRole::Voter : ControlRole::None };
+        m_membership = std::make_unique<MembershipTask>(m_context, MembershipOptions { .seed = m_life },
+            std::move(self), m_secret, m_metrics,
+            MembershipTask::Hooks {
+                .memberChanged = [this](const HostId& host, const auto& record) { memberChanged(host, record); },
+                .broadcastReceived = [this](const HostId&, std::string_view payload) { m_crash.receive(payload); } });
+    }
+
+    void makeLog()
+    {
+        if (!m_settings.isControl())
+            return;
+        LogReplicaOptions options { .self = m_settings.hostId, .seed = m_life };
+        for (const auto& [host, endpoint] : m_settings.voters)
+            options.controlHosts.push_back(host);
+        m_log = std::make_unique<LogTask>(m_context, std::move(options), m_hub, m_metrics, m_journal,
+            LogTask::Hooks { .committed = [this](const PlanBook& book, Term term) { committed(book, term); },
+                .proved = [this](std::optional<TimePoint> proof) { proved(proof); },
+                .failed = [this](std::error_code error) { storageFailed(error); } });
+    }
+
+    void makeRelay()
+    {
+        RelayOptions options { .self = m_settings.hostId, .isControl = m_settings.isControl(), .seed = m_life };
+        m_relay = std::make_unique<RelayTask>(m_context, std::move(options), m_log ? &m_log->book() : nullptr, m_hub,
+            m_metrics, m_journal, RelayTask::Hooks { .applied = [this](const ConfigState& state) { applied(state); } });
+    }
+
+    void makeEntry()
+    {
+        EntryTaskOptions options { .self = m_settings.hostId,
+            .dataCentre = m_settings.dataCentre,
+            .region = m_settings.region,
+            .life = m_life,
+            .defaultTimeout = m_settings.defaultTimeout };
+        m_entry = std::make_unique<EntryTask>(m_context, std::move(options),
+            EntryTask::Parts { m_hub, m_owner, m_claims, m_crash, m_metrics, m_journal },
+            EntryTask::Hooks { .hasFloor = [this] { return hasFloor(); },
+                .transferPeer = [this](const std::vector<HostId>& tried) { return transferPeer(tried); } });
+        HttpServerOptions serverOptions { .listen = m_settings.callers,
+            .maxConnections = m_settings.maxConnections,
+            .maxBodyBytes = m_settings.maxBodyBytes };
+        m_callerServer = std::make_unique<HttpServer>(m_context, serverOptions, m_metrics,
+            [this](std::shared_ptr<HttpExchange> exchange) { m_entry->handle(std::move(exchange)); });
+    }
+
+    void makeApi(Operators operators)
+    {
+        m_api = std::make_unique<ApiTask>(m_context,
+            ApiParts { m_settings, m_hub, m_metrics, m_journal, *m_membership, *m_relay, m_pictures, m_owner, m_claims,
+                m_crash, m_log.get() },
+            std::move(operators));
+        constexpr size_t maxApiConnections = 64;
+        HttpServerOptions options { .listen = m_settings.api, .maxConnections = maxApiConnections };
+        m_apiServer = std::make_unique<HttpServer>(m_context, options, m_metrics,
+            [this](const std::shared_ptr<HttpExchange>& exchange) { m_api->handle(exchange); });
+    }
+
+    std::vector<Endpoint> seeds() const
+    {
+        std::vector<Endpoint> seeds = m_settings.seeds;
+        for (const auto& [host, endpoint] : m_settings.voters)
+            seeds.push_back(endpoint);
+        return seeds;
+    }
+
+    static std::error_code listen(std::error_code error, const Endpoint& endpoint, std::string& detail)
+    {
+        if (error)
+            detail = endpoint.toString() + ": " + error.message();
+        return error;
+    }
+
+    // ---- events between tasks ----
+
+    void memberChanged(const HostId& host, const std::optional<MemberRecord>& record)
+    {
+        m_pictures.setMember(host, record);
+        bool isPresent = record && record->isPresent();
+        if (isPresent && host != m_settings.hostId)
+            m_hub.setAddress(host, record->address);
+        bool isMoved = isPresent ? m_treeIndex.update({ .host = host,
+                           .dataCentre = record->dataCentre,
+                           .region = record->region,
+                           .isControl = record->controlRole != ControlRole::None })
+                                 : m_treeIndex.remove(host);
+        if (isMoved)
+            updatePosition();
+        if (!isPresent)
+            Event("member_gone").with("host", host).with("state", record ? name(record->state) : "forgotten");
+    }
+
+    void updatePosition()
+    {
+        TreePosition position = m_treeIndex.position();
+        // Until the members are known, the control hosts of the settings are the only candidates.
+        if (position.candidates.empty()) {
+            for (const auto& [host, endpoint] : m_settings.voters)
+                position.candidates.push_back({ .host = host, .isControl = true });
+            position.level = 1;
+        }
+        if (m_relay && !m_settings.isControl())
+            m_relay->setPosition(position);
+    }
+
+    void committed(const PlanBook& book, Term term)
+    {
+        if (m_relay)
+            m_relay->setLocal(book.state(), term);
+        applied(book.state());
+    }
+
+    void proved(std::optional<TimePoint> proof)
+    {
+        if (m_relay)
+            m_relay->setProof(proof);
+        takeKeepers();
+    }
+
+    void applied(const ConfigState& state)
+    {
+        if (state.revision() == m_appliedRevision && state.digest() == m_appliedDigest)
+            return;
+        m_appliedRevision = state.revision();
+        m_appliedDigest = state.digest();
+        Event("revision_applied").with("revision", state.revision()).with("digest", state.digest().toString());
+        m_pictures.setState(state);
+    }
+
+    void takePicture(const std::shared_ptr<const Picture>& picture)
+    {
+        m_entry->setPicture(picture);
+        m_owner.setPlannedDrain([this](const UpstreamId& id) { return m_relay->state().isDrained(id); });
+        takeKeepers();
+    }
+
+    // Keepers may rely on the configuration only once it is proved to be current.
+    void takeKeepers()
+    {
+        if (!m_entry || !hasFloor())
+            return;
+        const KeeperViewItem* item = m_relay->state().keeperView();
+        if (!item)
+            return m_claims.setNoView();
+        if (item->epoch != m_keeperEpoch) {
+            m_keeperEpoch = item->epoch;
+            m_claims.setView({ .epoch = item->epoch, .hosts = item->hosts });
+        }
+    }
+
+    void reportConflict(const UpstreamConflict& conflict)
+    {
+        m_metrics.add("upstream_id_conflicts");
+        Event("upstream_id_conflict", EventLevel::Warning)
+            .with("upstream", conflict.id)
+            .with("used", conflict.used)
+            .with("ignored", conflict.ignored);
+    }
+
+    void storageFailed(std::error_code error)
+    {
+        Event("storage_failed", EventLevel::Error).with("reason", error);
+        m_exitCode = exitCode(ResultCode::StorageFailed);
+        m_context.stop();
+    }
+
+    bool hasFloor() const { return m_relay->relay().hasFloor(); }
+
+    HostId transferPeer(const std::vector<HostId>& tried) const
+    {
+        HostId best;
+        for (const auto& [host, record] : m_membership->view().members()) {
+            bool isTried = std::find(tried.begin(), tried.end(), host) != tried.end();
+            if (!record.isPresent() || isTried || host == m_settings.hostId)
+                continue;
+            bool isNear = record.dataCentre == m_settings.dataCentre;
+            if (best.isEmpty() || isNear)
+                best = host;
+            if (isNear)
+                break;
+        }
+        return best;
+    }
+
+    Incarnation knownIncarnation(const UpstreamId& id) const
+    {
+        Incarnation highest;
+        for (const auto& [host, record] : m_membership->view().members()) {
+            if (record.upstream && record.upstream->id == id)
+                highest = std::max(highest, record.upstream->incarnation);
+        }
+        return highest;
+    }
+
+    // ---- keeper view, at the leader ----
+
+    void scheduleKeeperCheck()
+    {
+        m_keeperTimer.expires_after(keeperCheckInterval);
+        m_keeperTimer.async_wait([this](boost::system::error_code error) {
+            if (error || m_isLeaving)
+                return;
+            checkKeepers();
+            scheduleKeeperCheck();
+        });
+    }
+
+    void checkKeepers()
+    {
+        TimePoint now = BootClock::now();
+        if (m_log->replica().role() != LogRole::Leader || !m_log->isCurrent(now))
+            return m_keeperPlanner.reset();
+        auto view = m_keeperPlanner.next(m_membership->view().members(), m_log->book().state().keeperView(), now);
+        if (!view)
+            return;
+        Event("keeper_view_proposed").with("epoch", view->epoch).with("hosts", view->hosts.size());
+        m_log->submit(SetKeepersCommand { view->epoch, view->hosts }, [](std::error_code, const ApplyOutcome&) {});
+    }
+
+    // ---- shutdown ----
+
+    void leave(int signal)
+    {
+        Event("daemon_leaving").with("signal", signal);
+        m_isLeaving = true;
+        m_leaveBegan = BootClock::now();
+        m_owner.leave();
+        m_membership->leave();
+        m_relay->leave();
+        m_callerServer->stop();
+        pollDrained();
+    }
+
+    // Callers that are connected already may still send; they are refused as not run once the announcement has spread.
+    void pollDrained()
+    {
+        Duration elapsed = BootClock::now() - m_leaveBegan;
+        if (elapsed >= leaveSpreadTime)
+            m_entry->leave();
+        bool isDone = elapsed >= leaveSpreadTime && m_entry->isIdle() && m_owner.isIdle()
+            && m_callerServer->inFlight() == 0 && m_relay->relay().hasLeft();
+        if (isDone || elapsed >= m_settings.drainTimeout)
+            return stop(isDone);
+        m_timer.expires_after(drainPollInterval);
+        m_timer.async_wait([this](boost::system::error_code) { pollDrained(); });
+    }
+
+    void stop(bool isDone)
+    {
+        Event("daemon_drained").with("complete", static_cast<int>(isDone));
+        if (m_log)
+            m_log->stop();
+        m_relay->stop();
+        m_claims.stop();
+        m_membership->stop();
+        m_context.stop();
+    }
+
+    asio::io_context m_context { 1 };
+    Settings m_settings;
+    uint64_t m_life;
+    Metrics m_metrics;
+    Journal m_journal;
+    std::error_code m_secretError;
+    MeshSecret m_secret;
+    asio::signal_set m_signals;
+    asio::steady_timer m_timer;
+    asio::steady_timer m_keeperTimer;
+    TreeIndex m_treeIndex;
+    PeerHub m_hub;
+    std::unique_ptr<MembershipTask> m_membership;
+    CrashTask m_crash;
+    ClaimTask m_claims;
+    OwnerTask m_owner;
+    PictureTask m_pictures;
+    std::unique_ptr<LogTask> m_log;
+    std::unique_ptr<RelayTask> m_relay;
+    std::unique_ptr<EntryTask> m_entry;
+    std::unique_ptr<HttpServer> m_callerServer;
+    std::unique_ptr<ApiTask> m_api;
+    std::unique_ptr<HttpServer> m_apiServer;
+    KeeperPlanner m_keeperPlanner;
+
+    Revision m_appliedRevision;
+    Digest m_appliedDigest;
+    Epoch m_keeperEpoch;
+    bool m_isLeaving { false };
+    TimePoint m_leaveBegan;
+    int m_exitCode { 0 };
+};
+
+Daemon::Daemon(Settings settings)
+    : m_impl(std::make_unique<Impl>(std::move(settings)))
+{
+}
+
+Daemon::~Daemon() = default;
+
+std::error_code Daemon::start(std::string& detail)
+{
+    return m_impl->start(detail);
+}
+
+int Daemon::run()
+{
+    return m_impl->run();
+}
+
+} // namespace dragonflylane
--- a/dragonflylane/Frame.h
+++ b/dragonflylane/Frame.h
@@ -22,8 +22,8 @@
     Log = 20,
     Relay = 21,
     Claim = 22,
-    JournalQuery = 23,
-    JournalAnswer = 24,
+    ApiRequest = 25,
+    ApiResponse = 26,
 };
 
 inline constexpr size_t frameHeaderBytes = 5;
--- /dev/null
+++ b/dragonflylane/Operators.cpp
@@ -0,0 +1,70 @@
+#include "dragonflylane/Operators.h"
+
+#include "dragonflylane/ConfigItem.h"
+#include "dragonflylane/ResultCode.h"
+
+#include <fstream>
+#include <openssl/crypto.h>
+#include <sstream>
+
+namespace dragonflylane {
+
+namespace {
+
+    constexpr size_t minTokenLength = 16;
+    constexpr std::string_view scheme = "Bearer ";
+
+    bool equalInConstantTime(std::string_view a, std::string_view b)
+    {
+        return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+    }
+
+} // namespace
+
+std::error_code Operators::readFile(const std::string& path, Operators& operators, std::string& detail)
+{
+    std::ifstream stream(path);
+    if (!stream) {
+        detail = path + ": cannot be read";
+        return ResultCode::FileUnreadable;
+    }
+    operators = {};
+    operators.m_isOpen = false;
+    size_t number = 0;
+    for (std::string line; std::getline(stream, line);) {
+        ++number;
+        if (line.empty() || line.front() == '#')
+            continue;
+        std::istringstream fields(line);
+        std::string name;
+        std::string token;
+        std::string rest;
+        bool isComplete = (fields >> name >> token) && !(fields >> rest);
+        bool isKnown = false;
+        for (const Entry& entry : operators.m_entries)
+            isKnown = isKnown || entry.name.value() == name || entry.token == token;
+        if (!isComplete || isKnown || !isValidName(name) || token.size() < minTokenLength) {
+            detail = path + ": line " + std::to_string(number) + ": not a new name and a token of 16 characters";
+            return ResultCode::SettingInvalid;
+        }
+        operators.m_entries.push_back({ OperatorName(name), token });
+    }
+    return {};
+}
+
+std::optional<OperatorName> Operators::authenticate(std::string_view authorization) const
+{
+    if (m_isOpen)
+        return OperatorName("local");
+    if (!authorization.starts_with(scheme))
+        return std::nullopt;
+    std::string_view token = authorization.substr(scheme.size());
+    std::optional<OperatorName> found;
+    for (const Entry& entry : m_entries) {
+        if (equalInConstantTime(entry.token, token))
+            found = entry.name;
+    }
+    return found;
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/PictureTask.cpp
@@ -0,0 +1,56 @@
+#include "dragonflylane/PictureTask.h"
+
+#include "dragonflylane/MemberRecord.h"
+
+#include <boost/asio/post.hpp>
+
+namespace dragonflylane {
+
+PictureTask::PictureTask(boost::asio::io_context& context, Published published, Conflict conflict)
+    : m_context(context)
+    , m_published(std::move(published))
+    , m_conflict(std::move(conflict))
+    , m_picture(m_builder.build())
+{
+}
+
+void PictureTask::setState(const ConfigState& state)
+{
+    m_builder.setState(state);
+    schedule();
+}
+
+void PictureTask::setMember(const HostId& host, const std::optional<MemberRecord>& record)
+{
+    std::optional<UpstreamEntry> entry;
+    if (record && record->isPresent() && record->upstream) {
+        const UpstreamRecord& upstream = *record->upstream;
+        entry = UpstreamEntry { .id = upstream.id,
+            .owner = host,
+            .service = upstream.service,
+            .dataCentre = record->dataCentre,
+            .incarnation = upstream.incarnation,
+            .slots = upstream.slots,
+            .phase = upstream.phase };
+    }
+    for (const UpstreamConflict& conflict : m_builder.update(host, std::move(entry)))
+        m_conflict(conflict);
+    schedule();
+}
+
+void PictureTask::schedule()
+{
+    if (m_isScheduled)
+        return;
+    m_isScheduled = true;
+    boost::asio::post(m_context, [this] {
+        m_isScheduled = false;
+        auto picture = m_builder.build();
+        if (picture == m_picture)
+            return;
+        m_picture = std::move(picture);
+        m_published(m_picture);
+    });
+}
+
+} // namespace dragonflylane
--- a/dragonflylane/Settings.cpp
+++ b/dragonflylane/Settings.cpp
@@ -1,5 +1,7 @@
 #include "dragonflylane/Settings.h"
 
+#include "dragonflylane/ConfigItem.h"
+
 #include <algorithm>
 #include <charconv>
 #include <filesystem>
@@ -12,14 +14,14 @@
 namespace {
 
     constexpr SettingInfo table[] = {
-        { "mesh", "id", "", "local", "1 to 64 of a-z A-Z 0-9 . _ -",
+        { "mesh", "id", "", "local", "1 to 64 of a-z 0-9 . _ -",
             "Name of the mesh; daemons of another mesh are refused." },
         { "mesh", "secret-file", "path", "", "file of 16 to 4096 bytes",
             "Shared secret of the mesh. Required as soon as a listener is not on loopback." },
         { "mesh", "seeds", "addresses", "", "up to 64", "Peer addresses of a few daemons, asked first when joining." },
-        { "host", "id", "", "local", "1 to 64 of a-z A-Z 0-9 . _ -", "Name of this host, unique in the mesh." },
-        { "host", "data-centre", "", "local", "1 to 64 of a-z A-Z 0-9 . _ -", "Data centre of this host." },
-        { "host", "region", "", "local", "1 to 64 of a-z A-Z 0-9 . _ -", "Region of this host." },
+        { "host", "id", "", "local", "1 to 64 of a-z 0-9 . _ -", "Name of this host, unique in the mesh." },
+        { "host", "data-centre", "", "local", "1 to 64 of a-z 0-9 . _ -", "Data centre of this host." },
+        { "host", "region", "", "local", "1 to 64 of a-z 0-9 . _ -", "Region of this host." },
         { "listen", "callers", "address", "127.0.0.1:8080", "IP:port", "Where callers send HTTP requests." },
         { "listen", "peer", "address", "127.0.0.1:7080", "IP:port",
             "Where other daemons connect (TCP) and gossip (UDP)." },
@@ -52,15 +54,6 @@
         return nullptr;
     }
 
-    bool isName(std::string_view text)
-    {
-        constexpr size_t maxNameLength = 64;
-        if (text.empty() || text.size() > maxNameLength)
-            return false;
-        return std::all_of(text.begin(), text.end(),
-            [](unsigned char c) { return std::isalnum(c) || c == '.' || c == '_' || c == '-'; });
-    }
-
     std::vector<std::string> splitList(const std::string& text)
     {
         std::vector<std::string> parts;
@@ -95,9 +88,9 @@
         std::string identifier(const char* section, const char* key)
         {
             std::string value = text(section, key);
-            if (!isName(value))
+            if (!isValidName(value))
                 fail(ResultCode::SettingInvalid, section, key,
-                    "'" + value + "' is not a name of 1 to 64 of a-z A-Z 0-9 . _ -");
+                    "'" + value + "' is not a name of 1 to 64 of a-z 0-9 . _ -");
             return value;
         }
 
@@ -167,7 +160,7 @@
         for (const std::string& part : splitList(reader.text("control", "voters"))) {
             size_t equals = part.find('=');
             auto endpoint = equals == std::string::npos ? std::nullopt : Endpoint::parse(part.substr(equals + 1));
-            if (!endpoint || !endpoint->isSet() || !isName(part.substr(0, equals)))
+            if (!endpoint || !endpoint->isSet() || !isValidName(part.substr(0, equals)))
                 return reader.fail(
                     ResultCode::SettingInvalid, "control", "voters", "'" + part + "' is not host=IP:port");
             if (!settings.voters.emplace(HostId(part.substr(0, equals)), *endpoint).second)
--- a/tool/dragonflylane.cpp
+++ b/tool/dragonflylane.cpp
@@ -1,4 +1,11 @@
-int main()
+// The operators' command-line tool.
+
+#include "dragonflylane/CommandLine.h"
+
+#include <csignal>
+
+int main(int argc, char** argv)
 {
-    return 0;
+    std::signal(SIGPIPE, SIG_IGN);
+    return dragonflylane::runCommandLine(argc, argv);
 }
