--- a/tests/LogReplicaTest.cpp
+++ b/tests/LogReplicaTest.cpp
@@ -6,6 +6,7 @@
 #include "dragonflylane/ResultCode.h"
 
 #include <algorithm>
+#include <array>
 #include <gtest/gtest.h>
 #include <memory>
 #include <rapidcheck.h>
@@ -25,8 +26,6 @@
         double loss { 0 };
         double duplication { 0 };
         milliseconds maxDelay { 1 };
-        /// Probability that a disk finishes its oldest write within a step.
-        double syncChance { 1 };
     };
 
     /// Several replicas in one process, checked against one naive list of the committed entries.
@@ -38,6 +37,10 @@
             std::deque<LogPersist> unsynced;
             std::unique_ptr<LogReplica> replica;
             uint64_t applied { 0 };
+            /// Index of the latest membership that this replica appended as a leader.
+            uint64_t lastChange { 0 };
+            /// Probability that the disk finishes its oldest write within a step.
+            double syncChance { 1 };
             Duration clockOffset {};
             bool isFrozen { false };
             int lives { 0 };
@@ -62,6 +65,8 @@
                     node.disk.snapshot.membership = members;
                 nodes.push_back(std::move(node));
             }
+            if (!bootstrap)
+                m_membership = members;
             for (size_t i = 0; i < size; ++i)
                 start(i);
         }
@@ -71,7 +76,11 @@
             Node& node = nodes[i];
             node.options.seed = m_random();
             node.applied = node.disk.snapshot.index.value();
+            node.lastChange = 0;
             node.isFrozen = false;
+            // The clock after a reboot may show a time at which the life before sent messages.
+            if (m_random() % 2 == 0)
+                node.clockOffset -= milliseconds(m_random() % 3000);
             ++node.lives;
             node.replica = std::make_unique<LogReplica>(node.options, node.disk, clock(node));
             drain(i);
@@ -184,16 +193,8 @@
         /// Host ids of the current disks equal the voters of the latest committed membership.
         bool isWhole() const
         {
-            LogMembership latest = nodes[0].disk.snapshot.membership;
-            for (const LogEntry& entry : committed) {
-                if (entry.kind == LogEntryKind::Membership)
-                    latest = entry.membership;
-            }
-            bool hasChanged = std::ranges::any_of(
-                committed, [](const LogEntry& entry) { return entry.kind == LogEntryKind::Membership; });
             return std::ranges::all_of(nodes, [&](const Node& node) {
-                bool isInitial = !hasChanged && node.lives >= 1 && node.disk.replicaId.value().ends_with("/0");
-                return isInitial || std::ranges::count(latest.voters, node.disk.replicaId, &LogMember::id) == 1;
+                return std::ranges::count(m_membership.voters, node.disk.replicaId, &LogMember::id) == 1;
             });
         }
 
@@ -239,7 +240,7 @@
                 checkLease(node);
                 if (node.isFrozen)
                     continue;
-                if (!node.unsynced.empty() && happens(faults.syncChance))
+                if (!node.unsynced.empty() && happens(node.syncChance))
                     syncOldest(i);
                 node.replica->tick(clock(node));
                 drain(i);
@@ -311,7 +312,35 @@
             }
         }
 
-        void handle(size_t i, LogPersist& persist) { nodes[i].unsynced.push_back(std::move(persist)); }
+        void handle(size_t i, LogPersist& persist)
+        {
+            Node& node = nodes[i];
+            for (const LogEntry& entry : persist.write.entries) {
+                bool isOwn = node.replica->role() == LogRole::Leader && entry.term == node.replica->term();
+                if (entry.kind != LogEntryKind::Membership || !isOwn)
+                    continue;
+                if (node.lastChange > node.replica->commitIndex().value())
+                    violate("membership changed while a change is uncommitted");
+                node.lastChange = entry.index.value();
+            }
+            if (persist.write.truncateFrom)
+                node.lastChange = 0;
+            node.unsynced.push_back(std::move(persist));
+        }
+
+        // Quorums of two memberships that differ by one voter always intersect.
+        void checkChange(const LogMembership& next)
+        {
+            std::vector<LogMember> difference;
+            auto voters = [](LogMembership membership) {
+                std::ranges::sort(membership.voters);
+                return membership.voters;
+            };
+            std::ranges::set_symmetric_difference(voters(m_membership), voters(next), std::back_inserter(difference));
+            if (!m_membership.voters.empty() && difference.size() > 1)
+                violate("membership changed by more than one voter");
+            m_membership = next;
+        }
 
         void handle(size_t i, LogApply& apply)
         {
@@ -320,6 +349,8 @@
                 violate("entry applied out of order");
             nodes[i].applied = index;
             if (index == committed.size() + 1) {
+                if (apply.entry.kind == LogEntryKind::Membership)
+                    checkChange(apply.entry.membership);
                 committed.push_back(apply.entry);
                 committedAt.push_back(now);
                 m_states.push_back(stableHash(apply.entry.payload + "@" + std::to_string(apply.entry.term.value()),
@@ -379,6 +410,8 @@
         std::vector<InFlight> m_messages;
         std::set<std::pair<size_t, size_t>> m_cut;
         std::vector<uint64_t> m_states;
+        /// Latest committed membership.
+        LogMembership m_membership;
         std::map<Term, ReplicaId> m_leaders;
     };
 
@@ -424,6 +457,16 @@
         case 7:
             cluster.heal();
             return;
+        case 8:
+        case 9:
+            // A restart so quick that messages of the life before are still in flight.
+            if (node.replica)
+                cluster.crash(i, true);
+            cluster.start(i);
+            return;
+        case 10:
+            node.syncChance = j == 0 ? 0.01 : 1.0 / static_cast<double>(j);
+            return;
         default:
             if (!node.replica)
                 cluster.start(i);
@@ -436,9 +479,8 @@
         std::mt19937_64 random(seed + 1);
         cluster.faults = { .loss = static_cast<double>(random() % 20) / 100,
             .duplication = static_cast<double>(random() % 20) / 100,
-            .maxDelay = milliseconds(1 + random() % 60),
-            .syncChance = 0.2 + static_cast<double>(random() % 80) / 100 };
-        for (int round = 0; round < 60 && cluster.violation.empty(); ++round) {
+            .maxDelay = milliseconds(std::array { 1, 20, 60, 500 }[random() % 4]) };
+        for (int round = 0; round < 80 && cluster.violation.empty(); ++round) {
             randomFault(cluster, random());
             for (size_t i = 0; i < size; ++i) {
                 if (cluster.nodes[i].replica && !cluster.nodes[i].isFrozen)
@@ -450,6 +492,7 @@
         cluster.faults = {};
         for (size_t i = 0; i < size; ++i) {
             cluster.nodes[i].isFrozen = false;
+            cluster.nodes[i].syncChance = 1;
             if (!cluster.nodes[i].replica)
                 cluster.start(i);
         }
@@ -557,6 +600,131 @@
     EXPECT_EQ(cluster.violation, "");
 }
 
+// Guards against a claim to replace a voter by a replica that does not hold the log.
+TEST(LogReplicaTest, LearnerWithoutTheLogReplacesNobody)
+{
+    Cluster cluster(3, 13);
+    size_t leader = cluster.waitForLeader();
+    size_t lost = otherThan(leader);
+    cluster.loseDisk(lost);
+    cluster.run(seconds(3));
+    cluster.stalled = cluster.nodes[lost].options.self;
+    cluster.start(lost);
+    cluster.run(seconds(3));
+    EXPECT_FALSE(cluster.isWhole());
+    EXPECT_EQ(cluster.nodes[leader].replica->membership().voters.size(), 3U);
+    cluster.stalled.reset();
+    EXPECT_TRUE(cluster.runUntil([&] { return cluster.isWhole(); }));
+    EXPECT_EQ(cluster.violation, "");
+}
+
+namespace {
+
+    const LogMember a { ReplicaId("a/1"), HostId("a") };
+    const LogMember b { ReplicaId("b/1"), HostId("b") };
+    const LogMember c { ReplicaId("c/1"), HostId("c") };
+    constexpr TimePoint startTime { seconds(50) };
+
+    LogReplica makeReplica()
+    {
+        RecoveredLog log;
+        log.replicaId = a.id;
+        log.snapshot.membership.voters = { a, b, c };
+        return { { .self = a.host }, log, startTime };
+    }
+
+    struct Outputs {
+        std::vector<LogMessage> sent;
+        std::vector<LogPersist> writes;
+    };
+
+    Outputs take(LogReplica& replica)
+    {
+        Outputs result;
+        for (LogOutput& output : replica.takeOutputs()) {
+            if (auto* send = std::get_if<LogSend>(&output))
+                result.sent.push_back(send->message);
+            if (auto* persist = std::get_if<LogPersist>(&output))
+                result.writes.push_back(*persist);
+        }
+        return result;
+    }
+
+    LogMessage voteRequest(const LogMember& from, uint64_t term)
+    {
+        return { from, a.id, Term(term), LogVoteRequest {} };
+    }
+
+} // namespace
+
+// Guards against a vote that a crash makes the replica forget, and against two votes in one term.
+TEST(LogReplicaTest, VoteWaitsForItsSyncAndIsGivenOnce)
+{
+    LogReplica replica = makeReplica();
+    TimePoint now = startTime + seconds(1);
+    replica.receive(voteRequest(b, 5), now);
+    Outputs outputs = take(replica);
+    EXPECT_TRUE(outputs.sent.empty());
+    ASSERT_EQ(outputs.writes.size(), 1U);
+    EXPECT_EQ(outputs.writes[0].write.hardState, (LogHardState { Term(5), b.id }));
+    replica.persisted(outputs.writes[0].token, now);
+    outputs = take(replica);
+    ASSERT_EQ(outputs.sent.size(), 1U);
+    EXPECT_TRUE(std::get<LogVoteResponse>(outputs.sent[0].body).granted);
+    replica.receive(voteRequest(c, 5), now);
+    outputs = take(replica);
+    ASSERT_EQ(outputs.sent.size(), 1U);
+    EXPECT_FALSE(std::get<LogVoteResponse>(outputs.sent[0].body).granted);
+}
+
+// Guards against a candidate that counts its own vote before it is durable.
+TEST(LogReplicaTest, CandidateAsksForVotesAfterItsOwnIsSynced)
+{
+    LogReplica replica = makeReplica();
+    TimePoint now = startTime + seconds(2);
+    replica.tick(now);
+    take(replica);
+    replica.receive({ b, a.id, Term(1), LogVoteResponse { true, true } }, now);
+    EXPECT_EQ(replica.role(), LogRole::Candidate);
+    Outputs outputs = take(replica);
+    EXPECT_TRUE(outputs.sent.empty());
+    ASSERT_EQ(outputs.writes.size(), 1U);
+    replica.receive({ b, a.id, Term(1), LogVoteResponse { false, true } }, now);
+    EXPECT_EQ(replica.role(), LogRole::Candidate);
+    replica.persisted(outputs.writes[0].token, now);
+    EXPECT_EQ(replica.role(), LogRole::Leader);
+}
+
+// Guards against a vote that breaks the lease of a leader to which this replica may just have answered.
+TEST(LogReplicaTest, NoVoteIsGivenShortlyAfterAStartOrAHeartbeat)
+{
+    LogReplica replica = makeReplica();
+    replica.receive(voteRequest(b, 5), startTime + milliseconds(599));
+    EXPECT_EQ(replica.term(), Term());
+    replica.receive({ c, a.id, Term(2), LogAppendRequest {} }, startTime + milliseconds(700));
+    replica.receive(voteRequest(b, 5), startTime + milliseconds(1299));
+    EXPECT_EQ(replica.term(), Term(2));
+    replica.receive(voteRequest(b, 5), startTime + milliseconds(1301));
+    EXPECT_EQ(replica.term(), Term(5));
+}
+
+// Guards against a leader that counts its own entries before they are durable.
+TEST(LogReplicaTest, LeaderCountsItselfAfterTheSync)
+{
+    Cluster cluster(3, 47);
+    size_t leader = cluster.waitForLeader();
+    cluster.run(seconds(1));
+    cluster.nodes[leader].syncChance = 0;
+    cluster.crash(otherThan(leader));
+    size_t before = cluster.committed.size();
+    cluster.propose(leader, "not durable here");
+    cluster.run(seconds(2));
+    EXPECT_EQ(cluster.committed.size(), before);
+    cluster.nodes[leader].syncChance = 1;
+    cluster.run(seconds(2));
+    EXPECT_GT(cluster.committed.size(), before);
+}
+
 // Guards against a leader behind a silent partition that keeps its subtree on an old configuration.
 TEST(LogReplicaTest, LeaderBehindAPartitionStopsProving)
 {
@@ -647,13 +815,15 @@
     for (bool waitForSync : { true, false }) {
         Cluster cluster(3, 31, { .waitForSync = waitForSync });
         cluster.waitForLeader();
-        cluster.faults.syncChance = 0.02;
+        for (Cluster::Node& node : cluster.nodes)
+            node.syncChance = 0.02;
         EXPECT_TRUE(cluster.commitsMore());
         for (size_t i = 0; i < 3; ++i)
             cluster.crash(i, true);
-        cluster.faults.syncChance = 1;
-        for (size_t i = 0; i < 3; ++i)
+        for (size_t i = 0; i < 3; ++i) {
+            cluster.nodes[i].syncChance = 1;
             cluster.start(i);
+        }
         EXPECT_TRUE(cluster.commitsMore());
         cluster.run(seconds(2));
         EXPECT_EQ(cluster.violation.empty(), waitForSync) << cluster.violation;
