--- a/tests/LogReplicaTest.cpp
+++ b/tests/LogReplicaTest.cpp
@@ -695,6 +695,27 @@
     EXPECT_EQ(replica.role(), LogRole::Leader);
 }
 
+// Guards against a proof at the time of the answer instead of the question: the answer may have been delayed.
+TEST(LogReplicaTest, DelayedAnswerProvesTheTimeOfItsQuestion)
+{
+    LogReplica replica = makeReplica();
+    TimePoint now = startTime + seconds(2);
+    replica.tick(now);
+    replica.receive({ b, a.id, Term(1), LogVoteResponse { true, true } }, now);
+    replica.persisted(take(replica).writes.at(0).token, now);
+    replica.receive({ b, a.id, Term(1), LogVoteResponse { false, true } }, now);
+    replica.persisted(take(replica).writes.at(0).token, now);
+    ASSERT_EQ(replica.role(), LogRole::Leader);
+    LogAppendResponse answer;
+    answer.accepted = true;
+    answer.matchIndex = LogIndex(1);
+    answer.askedAt = now;
+    EXPECT_EQ(replica.quorumProvenAt(), std::nullopt);
+    replica.receive({ b, a.id, Term(1), answer }, now + milliseconds(500));
+    EXPECT_EQ(replica.quorumProvenAt(), now);
+    EXPECT_FALSE(replica.hasLease(now + milliseconds(540)));
+}
+
 // Guards against a vote that breaks the lease of a leader to which this replica may just have answered.
 TEST(LogReplicaTest, NoVoteIsGivenShortlyAfterAStartOrAHeartbeat)
 {
