Fix the lint findings of the log

Cause: clang-tidy reported vectors without reserve and a captured structured binding, which clang 14 refuses. Before: 4 findings in the log's own files. After: none of these.

--- a/dragonflylane/LogReplica.cpp
+++ b/dragonflylane/LogReplica.cpp
@@ -460,8 +460,9 @@
 
 void LogReplica::replaceLostReplica()
 {
-    for (const auto& [id, peer] : m_peers) {
-        if (contains(membership(), id) || !isCaughtUp(peer))
+    for (const auto& item : m_peers) {
+        const Peer& peer = item.second;
+        if (contains(membership(), item.first) || !isCaughtUp(peer))
             continue;
         LogMembership next = membership();
         auto sameHost = [&](const LogMember& member) { return member.host == peer.member.host; };
--- a/dragonflylane/LogWire.cpp
+++ b/dragonflylane/LogWire.cpp
@@ -52,6 +52,7 @@
     std::vector<wire::LogMember> toWire(const std::vector<LogMember>& members)
     {
         std::vector<wire::LogMember> out;
+        out.reserve(members.size());
         for (const LogMember& member : members)
             out.push_back(toWire(member));
         return out;
@@ -60,6 +61,7 @@
     std::vector<LogMember> fromWire(const std::vector<wire::LogMember>& members)
     {
         std::vector<LogMember> out;
+        out.reserve(members.size());
         for (const wire::LogMember& member : members)
             out.push_back(fromWire(member));
         return out;
@@ -211,6 +213,7 @@
         wire::LogJoinRequest request;
         request.__set_isEmpty(body.isEmpty);
         std::vector<std::string> heard;
+        heard.reserve(body.heard.size());
         for (const ReplicaId& id : body.heard)
             heard.push_back(id.value());
         request.__set_heard(heard);
