Make the configuration model pass lint

Cause: clang-tidy reported copies, reserves and a narrowing in tests and benchmark, and null pointers in defaulted comparisons. Before: 7 findings.

--- a/bench/ConfigBenchMain.cpp
+++ b/bench/ConfigBenchMain.cpp
@@ -60,6 +60,7 @@
         for (int i = 0; i < upstreams; i += drainedOneIn)
             items.push_back(DrainItem { UpstreamId(numbered("upstream-", i)) });
         KeeperViewItem keepers { Epoch(1), {} };
+        keepers.hosts.reserve(keeperCount);
         for (int i = 0; i < keeperCount; ++i)
             keepers.hosts.emplace_back(numbered("host-", i));
         items.push_back(std::move(keepers));
@@ -89,6 +90,7 @@
     double median(const std::function<void()>& step)
     {
         std::vector<double> times;
+        times.reserve(repetitions);
         for (int i = 0; i < repetitions; ++i) {
             auto start = std::chrono::steady_clock::now();
             step();
@@ -139,6 +141,7 @@
         double mergeTime = median([&] { history.payloadFor(state.revision(), state.digest()); });
 
         std::vector<UpstreamEntry> entries;
+        entries.reserve(static_cast<size_t>(upstreams));
         for (int i = 0; i < upstreams; ++i)
             entries.push_back(makeUpstream(i));
         before = allocated();
--- a/dragonflylane/ConfigItem.h
+++ b/dragonflylane/ConfigItem.h
@@ -30,7 +30,8 @@
     ItemKind kind { ItemKind::Service };
     std::string name;
 
-    auto operator<=>(const ItemKey&) const = default;
+    // clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
+    auto operator<=>(const ItemKey&) const = default; // NOLINT(modernize-use-nullptr)
     bool operator==(const ItemKey&) const = default;
 
     /// For messages: "service orders", "call_rule client>orders".
--- a/tests/ConfigStateTest.cpp
+++ b/tests/ConfigStateTest.cpp
@@ -176,7 +176,8 @@
     RC_ASSERT(
         decodePayload(std::string_view(bytes).substr(0, randomBelow(size)), &decoded) == ResultCode::MalformedFrame);
     RC_ASSERT(decodePayload(bytes + "x", &decoded) == ResultCode::MalformedFrame);
-    bytes[randomBelow(size)] ^= static_cast<char>(1U << randomBelow(8));
+    char& damaged = bytes[randomBelow(size)];
+    damaged = static_cast<char>(static_cast<unsigned char>(damaged) ^ (1U << randomBelow(8)));
     if (decodePayload(bytes, &decoded))
         return;
     ConfigHolder holder;
@@ -257,7 +258,7 @@
 TEST(ConfigHolderTest, RefusesHeadingThatDiffersFromContents)
 {
     std::vector<ConfigState> chain = shortChain();
-    for (ConfigPayload payload : { deltaPayload(chain[1], chain[2]), snapshotPayload(chain[2]) }) {
+    for (const ConfigPayload& payload : { deltaPayload(chain[1], chain[2]), snapshotPayload(chain[2]) }) {
         ConfigPayload wrongRevision = payload;
         wrongRevision.revision = Revision(9);
         expectRefused(chain[1], wrongRevision, ResultCode::BaseMismatch);
--- a/tests/PlanBookTest.cpp
+++ b/tests/PlanBookTest.cpp
@@ -304,6 +304,7 @@
 {
     PlanBook book;
     std::vector<PlanChange> changes;
+    changes.reserve(200);
     for (int i = 0; i < 200; ++i)
         changes.push_back(setService("s" + std::to_string(i)));
     book.apply(proposal("many", changes));
