Count whole plan records against the byte limit of the book

Cause: conflict lists, details and the confirming operator's name were stored but not counted; 1,024 conflicted plans with long lists held about 16 MB. Ruled out: a shorter conflict list, which would hide the difference from the operator. Before: only the changes were counted and a confirmation's operator name had no bound. Conclusion: the book's memory is bounded by its options.

--- a/bench/ConfigBenchMain.cpp
+++ b/bench/ConfigBenchMain.cpp
@@ -128,6 +128,11 @@
         std::string snapshot = encodeSnapshot(state);
         ConfigPayload payload = history.payloadFor(state.revision(), state.digest());
 
+        ConfigHistory oneStep;
+        oneStep.reset(state);
+        oneStep.append(single, next);
+        size_t payloadBytes = encodePayload(oneStep.payloadFor(state.revision(), state.digest())).size();
+
         double applyTime = median([&] {
             ConfigState copy = state;
             copy.apply(single);
@@ -176,9 +181,11 @@
                 found += picture->findRoute("/api/service-77/items/12345?page=2") != nullptr ? 1 : 0;
         });
 
-        std::printf("upstreams=%d items=%zu delta_bytes=%zu merged_500_bytes=%zu merged_items=%zu payload_500=%s"
+        std::printf("upstreams=%d items=%zu delta_bytes=%zu delta_payload_bytes=%zu merged_500_bytes=%zu "
+                    "merged_items=%zu payload_500=%s"
                     " snapshot_raw_bytes=%zu snapshot_bytes=%zu snapshot_to_delta=%.1f\n",
-            upstreams, state.items().size(), deltaBytes, mergedBytes, history.deltaSince(state.revision())->size(),
+            upstreams, state.items().size(), deltaBytes, payloadBytes, mergedBytes,
+            history.deltaSince(state.revision())->size(),
             payload.kind == ConfigPayload::Kind::Delta ? "delta" : "snapshot", raw.size(), snapshot.size(),
             static_cast<double>(snapshot.size()) / static_cast<double>(deltaBytes));
         std::printf("upstreams=%d apply_us=%.0f validate_us=%.0f encode_snapshot_us=%.0f decode_snapshot_us=%.0f"
--- a/dragonflylane/PlanBook.cpp
+++ b/dragonflylane/PlanBook.cpp
@@ -7,6 +7,16 @@
 
 namespace dragonflylane {
 
+namespace {
+
+    // The name comes from the operators file; the bound only limits the size of records.
+    bool isValidOperator(const OperatorName& name)
+    {
+        return !name.isEmpty() && name.value().size() <= ItemLimits::nameLength;
+    }
+
+} // namespace
+
 PlanBook::PlanBook(PlanBookOptions options)
     : m_options(options)
 {
@@ -38,8 +48,7 @@
 {
     if (!isValidName(command.plan.value()))
         return refusal(command.plan, ResultCode::InvalidName, "the plan id is not valid");
-    const std::string& operatorName = command.operatorName.value();
-    if (operatorName.empty() || operatorName.size() > ItemLimits::nameLength)
+    if (!isValidOperator(command.operatorName))
         return refusal(command.plan, ResultCode::InvalidName, "the operator name is empty or too long");
     if (const PlanRecord* known = find(command.plan)) {
         bool sameBase = !command.request.base || *command.request.base == known->base;
@@ -76,6 +85,8 @@
 
 ApplyOutcome PlanBook::confirm(const ConfirmCommand& command)
 {
+    if (!isValidOperator(command.operatorName))
+        return refusal(command.plan, ResultCode::InvalidName, "the operator name is empty or too long");
     auto position = m_index.find(command.plan);
     if (position == m_index.end())
         return refusal(command.plan, ResultCode::PlanNotFound, "no plan has this id");
@@ -87,28 +98,36 @@
         return outcome;
     }
     record.confirmedBy = command.operatorName;
-    if (m_options.checkBase && record.base != state().revision()) {
-        markConflict(&record);
-        return outcomeOf(record);
+    std::optional<ConfigDelta> delta = decide(&record);
+    ApplyOutcome outcome = outcomeOf(record);
+    outcome.delta = std::move(delta);
+    updateSize(&*position->second);
+    enforceLimits();
+    return outcome;
+}
+
+std::optional<ConfigDelta> PlanBook::decide(PlanRecord* record)
+{
+    if (m_options.checkBase && record->base != state().revision()) {
+        markConflict(record);
+        return std::nullopt;
     }
     // The replica may run other code than the one that reviewed the proposal, so the decision is made here.
     Plan plan;
     ConfigState next = state();
-    std::error_code error = PlanReview(state()).review(record.changes, &plan, &record.detail);
+    std::error_code error = PlanReview(state()).review(record->changes, &plan, &record->detail);
     if (!error)
         error = next.apply(plan.delta);
     if (error) {
-        record.status = PlanStatus::Refused;
-        record.code = resultCode(error);
-        record.revision = state().revision();
-        return outcomeOf(record);
+        record->status = PlanStatus::Refused;
+        record->code = resultCode(error);
+        record->revision = state().revision();
+        return std::nullopt;
     }
     m_history.append(plan.delta, std::move(next));
-    record.status = PlanStatus::Confirmed;
-    record.revision = state().revision();
-    ApplyOutcome outcome = outcomeOf(record);
-    outcome.delta = std::move(plan.delta);
-    return outcome;
+    record->status = PlanStatus::Confirmed;
+    record->revision = state().revision();
+    return std::move(plan.delta);
 }
 
 ApplyOutcome PlanBook::setKeepers(const SetKeepersCommand& command)
@@ -191,11 +210,22 @@
 
 void PlanBook::store(PlanRecord record)
 {
-    size_t bytes = encodedChangesSize(record.changes);
     PlanId id = record.id;
-    m_plans.push_back({ std::move(record), bytes });
+    m_plans.push_back({ std::move(record), 0 });
     m_index.emplace(std::move(id), std::prev(m_plans.end()));
-    m_planBytes += bytes;
+    updateSize(&m_plans.back());
+    enforceLimits();
+}
+
+void PlanBook::updateSize(Entry* entry)
+{
+    m_planBytes -= entry->bytes;
+    entry->bytes = encodedSize(entry->record);
+    m_planBytes += entry->bytes;
+}
+
+void PlanBook::enforceLimits()
+{
     while (m_plans.size() > 1 && (m_plans.size() > m_options.maxPlans || m_planBytes > m_options.maxPlanBytes))
         evict();
 }
--- a/dragonflylane/PlanBook.h
+++ b/dragonflylane/PlanBook.h
@@ -95,8 +95,8 @@
 /// Bounds of the book. They must be the same on all replicas.
 struct PlanBookOptions {
     size_t maxPlans { 1024 };
-    /// Encoded changes of all plans; 1,024 plans of the largest size would need 256 MB.
-    size_t maxPlanBytes { size_t { 8 } << 20 };
+    /// Encoded records of all plans; 1,024 plans of the largest size would need 256 MB.
+    size_t maxPlanBytes { size_t { 4 } << 20 };
     size_t maxOpenPerOperator { 64 };
     size_t maxConflictItems { 128 };
     /// Only tests switch these off, to show which invariant they protect.
@@ -144,10 +144,14 @@
     ApplyOutcome setKeepers(const SetKeepersCommand&);
     ApplyOutcome outcomeOf(const PlanRecord&) const;
     ApplyOutcome refusal(const PlanId&, ResultCode, std::string detail) const;
+    /// Confirms the plan or records why not; returns the delta if it created a revision.
+    std::optional<ConfigDelta> decide(PlanRecord*);
     void markConflict(PlanRecord*) const;
     size_t openPlans(const OperatorName&) const;
     bool isOpen(const PlanRecord&) const;
     void store(PlanRecord);
+    void updateSize(Entry*);
+    void enforceLimits();
     void evict();
 
     PlanBookOptions m_options;
--- a/dragonflylane/PlanReview.h
+++ b/dragonflylane/PlanReview.h
@@ -19,7 +19,9 @@
 /// Reviews changes against a base state.
 class PlanReview {
 public:
+    /// The state must outlive the review.
     explicit PlanReview(const ConfigState& base);
+    explicit PlanReview(ConfigState&&) = delete;
 
     /// Refusals, with a sentence in `detail`: EmptyPlan (no change, or the final state equals the base), PlanTooLarge,
     /// InvalidName, InvalidValue, ZeroWeights, UnknownItem (removes what does not exist), UnknownService (names a
--- a/dragonflylane/PlanWire.cpp
+++ b/dragonflylane/PlanWire.cpp
@@ -162,11 +162,9 @@
     return {};
 }
 
-size_t encodedChangesSize(const std::vector<PlanChange>& changes)
+size_t encodedSize(const PlanRecord& record)
 {
-    wire::PlanRecord record;
-    record.changes = changesToWire(changes);
-    return encodeThrift(record).size();
+    return encodeThrift(recordToWire(record)).size();
 }
 
 std::string encodeImage(const PlanBookImage& image)
--- a/dragonflylane/PlanWire.h
+++ b/dragonflylane/PlanWire.h
@@ -24,8 +24,8 @@
 
 std::string encodeCommand(const PlanCommand&);
 std::error_code decodeCommand(std::string_view, PlanCommand*);
-/// Bytes that the changes take in an encoded record.
-size_t encodedChangesSize(const std::vector<PlanChange>&);
+/// Bytes that the record takes in an encoded book.
+size_t encodedSize(const PlanRecord&);
 std::string encodeImage(const PlanBookImage&);
 std::error_code decodeImage(std::string_view, PlanBookImage*);
 
--- a/tests/ConfigGenerators.h
+++ b/tests/ConfigGenerators.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Random configurations for differential tests. Names come from a small set, so that items collide often.
+// Items and random configurations for tests. Names come from a small set, so that items collide often.
 
 #include "dragonflylane/ConfigState.h"
 
@@ -8,6 +8,26 @@
 
 namespace dragonflylane {
 
+inline ServiceItem service(const std::string& name, int timeout = 1000)
+{
+    return { ServiceName(name), std::chrono::milliseconds(timeout), 2 };
+}
+
+inline RouteItem route(
+    const std::string& name, const std::string& prefix, const std::string& target, uint32_t weight = 1)
+{
+    RouteItem item;
+    item.name = RouteName(name);
+    item.pathPrefix = prefix;
+    item.split = { { ServiceName(target), weight } };
+    return item;
+}
+
+inline CallRuleItem rule(const std::string& caller, const std::string& callee)
+{
+    return { ServiceName(caller), ServiceName(callee) };
+}
+
 /// A number below `limit`.
 inline uint32_t randomBelow(uint32_t limit)
 {
--- a/tests/ConfigStateTest.cpp
+++ b/tests/ConfigStateTest.cpp
@@ -10,25 +10,6 @@
 
 namespace {
 
-    ServiceItem service(const std::string& name, int timeout = 1000)
-    {
-        return { ServiceName(name), std::chrono::milliseconds(timeout), 2 };
-    }
-
-    RouteItem route(const std::string& name, const std::string& prefix, const std::string& target, uint32_t weight = 1)
-    {
-        RouteItem item;
-        item.name = RouteName(name);
-        item.pathPrefix = prefix;
-        item.split = { { ServiceName(target), weight } };
-        return item;
-    }
-
-    CallRuleItem rule(const std::string& caller, const std::string& callee)
-    {
-        return { ServiceName(caller), ServiceName(callee) };
-    }
-
     ConfigPayload deltaPayload(const ConfigState& from, const ConfigState& to)
     {
         ConfigPayload payload;
--- a/tests/PictureTest.cpp
+++ b/tests/PictureTest.cpp
@@ -9,20 +9,6 @@
 
 namespace {
 
-    ServiceItem service(const std::string& name)
-    {
-        return { ServiceName(name), std::chrono::milliseconds(1000), 2 };
-    }
-
-    RouteItem route(const std::string& name, const std::string& prefix, std::vector<SplitPart> split)
-    {
-        RouteItem item;
-        item.name = RouteName(name);
-        item.pathPrefix = prefix;
-        item.split = std::move(split);
-        return item;
-    }
-
     UpstreamEntry upstream(const std::string& id, const std::string& owner, const std::string& service,
         uint64_t incarnation = 1, UpstreamPhase phase = UpstreamPhase::Ready)
     {
@@ -218,9 +204,10 @@
 TEST(PictureTest, SelectFollowsWeights)
 {
     PictureBuilder builder;
-    builder.setState(ConfigState(Revision(1),
-        { service("a"), service("b"), service("c"),
-            route("r", "/r", { { ServiceName("c"), 3 }, { ServiceName("b"), 0 }, { ServiceName("a"), 1 } }) }));
+    RouteItem split = route("r", "/r", "c", 3);
+    split.split.push_back({ ServiceName("b"), 0 });
+    split.split.push_back({ ServiceName("a"), 1 });
+    builder.setState(ConfigState(Revision(1), { service("a"), service("b"), service("c"), split }));
     std::shared_ptr<const Picture> picture = builder.build();
     const PictureRoute* found = picture->findRoute("/r");
     ASSERT_NE(found, nullptr);
@@ -234,11 +221,10 @@
 TEST(PictureTest, OnlyListedMethodsAreIdempotent)
 {
     PictureBuilder builder;
-    RouteItem declared = route("s", "/s", { { ServiceName("a"), 1 } });
+    RouteItem declared = route("s", "/s", "a");
     declared.idempotentMethods = { "PUT" };
     declared.timeout = std::chrono::milliseconds(50);
-    builder.setState(
-        ConfigState(Revision(1), { service("a"), route("r", "/r", { { ServiceName("a"), 1 } }), declared }));
+    builder.setState(ConfigState(Revision(1), { service("a"), route("r", "/r", "a"), declared }));
     std::shared_ptr<const Picture> picture = builder.build();
     const PictureRoute* defaults = picture->findRoute("/r");
     for (const char* method : { "GET", "HEAD", "OPTIONS" })
--- a/tests/PlanBookTest.cpp
+++ b/tests/PlanBookTest.cpp
@@ -12,7 +12,7 @@
 
     PlanChange setService(const std::string& name, int timeout = 1000)
     {
-        return SetItem { ServiceItem { ServiceName(name), std::chrono::milliseconds(timeout), 2 } };
+        return SetItem { service(name, timeout) };
     }
 
     PlanChange removeService(const std::string& name)
@@ -258,6 +258,8 @@
     EXPECT_EQ(book.apply(proposal("p", { setService("a") }, {}, "")).code, ResultCode::InvalidName);
     EXPECT_EQ(book.apply(proposal("p", { setService("a") }, {}, std::string(65, 'o'))).code, ResultCode::InvalidName);
     EXPECT_EQ(book.apply(confirmation("absent")).code, ResultCode::PlanNotFound);
+    EXPECT_EQ(book.apply(confirmation("absent", "")).code, ResultCode::InvalidName);
+    EXPECT_EQ(book.apply(confirmation("absent", std::string(65, 'o'))).code, ResultCode::InvalidName);
     EXPECT_EQ(book.apply(proposal("p", {})).code, ResultCode::EmptyPlan);
     EXPECT_EQ(book.apply(confirmation("p")).code, ResultCode::EmptyPlan) << "a refused plan cannot be confirmed";
     EXPECT_EQ(book.state(), ConfigState());
@@ -294,7 +296,7 @@
         small.apply(proposal("p" + std::to_string(i), { setService("a", i + 1) }, {}, "anna" + std::to_string(i)));
     size_t bytes = 0;
     for (const PlanRecord* record : small.plans())
-        bytes += encodedChangesSize(record->changes);
+        bytes += encodedSize(*record);
     EXPECT_LE(bytes, 1000U);
     EXPECT_GT(small.plans().size(), 1U);
 }
