Test the decoder against values that the model cannot represent

Cause: removing the check of a delta's base digest left all tests passing, and the decoder's refusals of negative numbers, unknown kinds, repeated keys and contradictory headings had no test. Ruled out: dropping the base digest check as covered by the digest of the result; a base whose difference the delta replaces has the right result but shows that histories have diverged.

--- a/tests/ConfigStateTest.cpp
+++ b/tests/ConfigStateTest.cpp
@@ -1,6 +1,8 @@
 #include "dragonflylane/ConfigHolder.h"
+#include "dragonflylane/ConfigThrift.h"
 #include "dragonflylane/ConfigWire.h"
 #include "dragonflylane/ResultCode.h"
+#include "dragonflylane/ThriftCodec.h"
 #include "tests/ConfigGenerators.h"
 
 #include <gtest/gtest.h>
@@ -229,6 +231,9 @@
     expectRefused(chain[1], upToDatePayload(chain[2]), ResultCode::BaseMismatch);
     ConfigState otherBase(Revision(2), { service("a") });
     expectRefused(otherBase, deltaPayload(chain[2], chain[3]), ResultCode::DigestMismatch);
+    // Also a base whose difference the delta would replace: it shows that the histories have diverged.
+    ConfigState replacedBase(Revision(2), { service("a", 5), service("b") });
+    expectRefused(replacedBase, deltaPayload(chain[2], chain[3]), ResultCode::DigestMismatch);
 
     ConfigHolder unchecked = holderOf(chain[1], { .checkBase = false, .checkDigest = false });
     EXPECT_FALSE(unchecked.accept(deltaPayload(chain[2], chain[3])));
@@ -336,6 +341,50 @@
     EXPECT_EQ(decodeDelta(encodeDelta(delta), &decoded), ResultCode::MalformedFrame);
 }
 
+// Guards against well-formed Thrift whose values the model cannot represent: negative numbers, unknown kinds, one key
+// twice, digests of another length, and a heading that does not fit its contents.
+TEST(ConfigWireTest, RefusesValuesThatTheModelCannotRepresent)
+{
+    std::vector<ConfigState> chain = shortChain();
+    ConfigState routed(Revision(1), { service("a"), route("r", "/r", "a") });
+    auto decode = [&](const std::function<void(wire::ConfigDelta&)>& change) {
+        wire::ConfigDelta delta = toWire(ConfigState().deltaTo(routed));
+        change(delta);
+        ConfigDelta decoded;
+        return decodeDelta(encodeThrift(delta), &decoded);
+    };
+    EXPECT_FALSE(decode([](auto&) {}));
+    EXPECT_EQ(decode([](auto& d) { d.upserts.services[0].maxAttempts = -1; }), ResultCode::MalformedFrame);
+    EXPECT_EQ(decode([](auto& d) { d.upserts.services[0].timeoutMilliseconds = -1; }), ResultCode::MalformedFrame);
+    EXPECT_EQ(decode([](auto& d) { d.upserts.routes[0].timeoutMilliseconds = -1; }), ResultCode::MalformedFrame);
+    EXPECT_EQ(decode([](auto& d) { d.upserts.routes[0].split[0].weight = -1; }), ResultCode::MalformedFrame);
+    EXPECT_EQ(decode([](auto& d) { d.upserts.services.push_back(d.upserts.services[0]); }), ResultCode::MalformedFrame);
+    EXPECT_EQ(decode([](auto& d) { d.fromDigest.push_back('x'); }), ResultCode::MalformedFrame);
+    for (int32_t kind : { -1, 0, 6 }) {
+        wire::ConfigItemKey key;
+        key.kind = kind;
+        auto remove = [&](auto& d) { d.__set_removals({ key }); };
+        EXPECT_EQ(decode(remove), ResultCode::MalformedFrame) << kind;
+    }
+
+    wire::ConfigSnapshot snapshot = toWire(routed);
+    snapshot.items.services.push_back(snapshot.items.services[0]);
+    ConfigState state;
+    EXPECT_EQ(decodeSnapshot(compress(encodeThrift(snapshot)), &state), ResultCode::MalformedFrame);
+
+    auto decodeHeading = [&](const std::function<void(wire::ConfigPayload&)>& change) {
+        wire::ConfigPayload payload;
+        ConfigPayload decoded;
+        EXPECT_FALSE(decodeThrift(encodePayload(snapshotPayload(routed)), ConfigWireLimits::payloadBytes, &payload));
+        change(payload);
+        return decodePayload(encodeThrift(payload), &decoded);
+    };
+    EXPECT_FALSE(decodeHeading([](auto&) {}));
+    for (int32_t kind : { -1, 0, 1, 3 })
+        EXPECT_EQ(decodeHeading([&](auto& p) { p.kind = kind; }), ResultCode::MalformedFrame) << kind;
+    EXPECT_EQ(decodeHeading([](auto& p) { p.__isset.snapshot = false; }), ResultCode::MalformedFrame);
+}
+
 // Guards against deltas merged across a gap or between diverged histories.
 TEST(ConfigDeltaTest, AppendRefusesGapAndDivergence)
 {
--- a/tests/PlanBookTest.cpp
+++ b/tests/PlanBookTest.cpp
@@ -139,8 +139,10 @@
             std::optional<uint64_t> base;
             if (randomBelow(3) == 0)
                 base = randomBelow(static_cast<uint32_t>(naive.revision()) + 2);
-            command = proposal(id, { timeout == 0 ? removeService(name) : setService(name, timeout) },
-                base ? std::optional(Revision(*base)) : std::nullopt);
+            std::vector<PlanChange> changes { setService(name, timeout) };
+            if (timeout == 0)
+                changes = { removeService(name) };
+            command = proposal(id, changes, base ? std::optional(Revision(*base)) : std::nullopt);
             ApplyOutcome outcome = book.apply(command);
             compare(outcome, naive.propose(id, base, name, timeout), naive.revision());
             RC_ASSERT(!outcome.repeated);
@@ -301,6 +303,15 @@
     EXPECT_GT(small.plans().size(), 1U);
 }
 
+// Guards against an oversized proposal that pushes other plans out of the book.
+TEST(PlanBookTest, DoesNotStoreOversizedPlans)
+{
+    PlanBook book;
+    std::vector<PlanChange> changes(PlanLimits::changes + 1, setService("a"));
+    EXPECT_EQ(book.apply(proposal("p", changes)).code, ResultCode::PlanTooLarge);
+    EXPECT_EQ(book.find(PlanId("p")), nullptr);
+}
+
 // Guards against a conflict report that grows with the history.
 TEST(PlanBookTest, BoundsReportedConflictItems)
 {
