Make joins complete while many daemons restart, and repair soon afterwards

Cause: with 100 of 300 daemons restarted at once, joining daemons took pages from others that were joining too and lacked up to 41 records each for 15 s. Ruled out: refusing such pages outright (a mesh that starts as a whole would never join) and shorter repair periods for all (idle cost). The property test compared digests that hold transient suspicions; it now compares every record of every view with the naive map.

--- a/dragonflylane/Endpoint.h
+++ b/dragonflylane/Endpoint.h
@@ -15,7 +15,8 @@
     std::string address;
     uint16_t port { 0 };
 
-    auto operator<=>(const Endpoint&) const = default;
+    // clang-tidy 14 mistakes the zero of a rewritten comparison for a null pointer.
+    auto operator<=>(const Endpoint&) const = default; // NOLINT(modernize-use-nullptr)
     bool operator==(const Endpoint&) const = default;
 
     bool isSet() const { return port != 0; }
--- a/dragonflylane/GossipMessages.h
+++ b/dragonflylane/GossipMessages.h
@@ -68,6 +68,8 @@
     uint64_t last { 0 };
     /// Asks for some members, those of the sender's data centre first, instead of a range.
     bool contactsOnly { false };
+    /// Lets a daemon answer that has itself not joined yet.
+    bool acceptPartial { false };
 
     bool operator==(const GossipPageRequest&) const = default;
 };
--- a/dragonflylane/GossipWire.cpp
+++ b/dragonflylane/GossipWire.cpp
@@ -204,6 +204,7 @@
             request.page.first = static_cast<int64_t>(in.page->first);
             request.page.last = static_cast<int64_t>(in.page->last);
             request.page.contactsOnly = in.page->contactsOnly;
+            request.page.acceptPartial = in.page->acceptPartial;
         }
         if (in.sender)
             request.__set_sender(toWire(*in.sender));
@@ -276,7 +277,8 @@
             out.page = GossipPageRequest { .number = static_cast<uint32_t>(in.page.number),
                 .first = static_cast<uint64_t>(in.page.first),
                 .last = static_cast<uint64_t>(in.page.last),
-                .contactsOnly = in.page.contactsOnly };
+                .contactsOnly = in.page.contactsOnly,
+                .acceptPartial = in.page.acceptPartial };
         return !in.__isset.sender || readRecord(in.sender, out.sender.emplace());
     }
 
--- a/dragonflylane/Membership.cpp
+++ b/dragonflylane/Membership.cpp
@@ -34,6 +34,8 @@
     constexpr size_t maxContacts = 14;
     // Bounds the search for members of the same data centre, which is made for each joining daemon.
     constexpr size_t maxContactSearch = 2000;
+    // Requests for a range of records that only a daemon that has joined may answer.
+    constexpr unsigned completeSourceAttempts = 4;
     constexpr unsigned maxBackoffDoublings = 16;
 
     uint64_t hashOf(const HostId& host)
@@ -106,6 +108,7 @@
     , m_random(options.seed)
     , m_transferTokens(options.transferBurst)
     , m_transferTokensAt(now)
+    , m_repairPeriod(options.repairPeriod)
     , m_lastCall(now)
     , m_reprobeUntil(now)
     , m_nextBump(now)
@@ -204,6 +207,7 @@
     m_relayedProbes.clear();
     m_reprobeUntil = now + suspicionTime();
     m_nextProbe = now;
+    repairSoon(now);
     for (HostHash hash : m_present) {
         auto it = m_entries.find(hash);
         if (it->second.deadline)
@@ -780,8 +784,15 @@
     if (now < m_nextRepair)
         return;
     // Jitter keeps daemons from comparing in step.
-    m_nextRepair = now + m_options.repairPeriod * 3 / 4 + randomDuration(m_options.repairPeriod / 2);
+    Duration period = std::exchange(m_repairPeriod, std::min(m_repairPeriod * 2, m_options.repairPeriod));
+    m_nextRepair = now + period * 3 / 4 + randomDuration(period / 2);
     std::optional<HostHash> target = randomPresent();
+    // A suspect probably does not answer.
+    for (size_t i = 0; target && i < maxChoiceAttempts; ++i) {
+        if (m_entries.find(*target)->second.node->second.state == MemberState::Alive)
+            break;
+        target = randomPresent();
+    }
     if (!target)
         return;
     ++m_counters.repairs;
@@ -827,10 +838,12 @@
     if (!records.page)
         return;
     if (m_joinStage == JoinStage::Contacts && records.page->number == m_contactNumber) {
-        if (records.page->isLast)
+        if (records.page->isLast) {
             m_joinStage = JoinStage::Done;
-        else
+            repairSoon(now);
+        } else {
             startPages(now);
+        }
         return;
     }
     if (m_joinStage == JoinStage::Pages)
@@ -1039,6 +1052,13 @@
     contactLost(choice < m_lost.size() ? m_lost[choice].address : seeds[choice - m_lost.size()]);
 }
 
+// What was missed while joining or paused is repaired within seconds; the period then grows back to its normal value.
+void Membership::repairSoon(TimePoint now)
+{
+    m_repairPeriod = std::min(m_options.probePeriod, m_options.repairPeriod);
+    m_nextRepair = now + randomDuration(m_repairPeriod);
+}
+
 // The answer to the digest shows each side what the other lacks.
 void Membership::contactLost(const Endpoint& address)
 {
@@ -1149,7 +1169,11 @@
     ++m_counters.pagesRequested;
     range.number = nextNumber();
     range.due = now + m_options.pageTimeout;
-    GossipPageRequest page { .number = range.number, .first = range.first, .last = range.last };
+    // If every daemon of the mesh is joining, none has complete pages.
+    bool acceptPartial = range.attempts >= completeSourceAttempts;
+    GossipPageRequest page {
+        .number = range.number, .first = range.first, .last = range.last, .acceptPartial = acceptPartial
+    };
     send(choosePageSource(range.attempts), GossipDigestRequest { .page = page });
 }
 
@@ -1169,6 +1193,12 @@
 void Membership::answerPage(const Endpoint& to, const GossipPageRequest& request)
 {
     GossipRecords answer { .page = GossipPageEnd { .number = request.number, .isLast = true } };
+    if (!isJoined() && !request.acceptPartial) {
+        // Many daemons may join at once, and their pages would be incomplete.
+        answer.page = GossipPageEnd { .number = request.number, .next = request.first };
+        send(to, std::move(answer));
+        return;
+    }
     size_t budget = cargoBudget;
     for (auto it = m_entries.lower_bound(request.first); it != m_entries.end() && it->first <= request.last; ++it) {
         const MemberRecord& record = it->second.node->second;
@@ -1193,17 +1223,20 @@
         [&](const PageRange& item) { return item.number != 0 && item.number == page.number; });
     if (range == m_pages.end())
         return;
-    if (page.isLast || page.next <= range->first)
+    if (page.isLast) {
         m_pages.erase(range);
-    else
+    } else if (page.next <= range->first) {
+        range->number = 0;
+        range->due = now + joinBackoff(range->attempts++);
+    } else {
         *range = { .first = page.next, .last = range->last, .due = now };
+    }
     if (!m_pages.empty()) {
         requestPages(now);
         return;
     }
     m_joinStage = JoinStage::Done;
-    // What changed while the pages were fetched is repaired soon, not a whole period later.
-    m_nextRepair = now + randomDuration(m_options.probePeriod);
+    repairSoon(now);
 }
 
 Duration Membership::joinBackoff(unsigned attempts)
--- a/dragonflylane/Membership.h
+++ b/dragonflylane/Membership.h
@@ -182,6 +182,7 @@
     std::optional<HostHash> nextProbeTarget();
     void runGossip(TimePoint now);
     void runRepair(TimePoint now);
+    void repairSoon(TimePoint now);
     void runLostProbe(TimePoint now);
     bool hasLostCandidates() const;
 
@@ -278,6 +279,7 @@
     double m_transferTokens { 0 };
     TimePoint m_transferTokensAt;
 
+    Duration m_repairPeriod;
     TimePoint m_lastCall;
     // Until then a failed probe is repeated once before it counts, because of a pause.
     TimePoint m_reprobeUntil;
--- a/gen-cpp/gossip_types.cpp
+++ b/gen-cpp/gossip_types.cpp
@@ -1229,6 +1229,10 @@
 void GossipPageRequest::__set_contactsOnly(const bool val) {
   this->contactsOnly = val;
 }
+
+void GossipPageRequest::__set_acceptPartial(const bool val) {
+  this->acceptPartial = val;
+}
 std::ostream& operator<<(std::ostream& out, const GossipPageRequest& obj)
 {
   obj.printTo(out);
@@ -1289,6 +1293,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->acceptPartial);
+          this->__isset.acceptPartial = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1322,6 +1334,10 @@
   xfer += oprot->writeBool(this->contactsOnly);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("acceptPartial", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->acceptPartial);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1333,6 +1349,7 @@
   swap(a.first, b.first);
   swap(a.last, b.last);
   swap(a.contactsOnly, b.contactsOnly);
+  swap(a.acceptPartial, b.acceptPartial);
   swap(a.__isset, b.__isset);
 }
 
@@ -1341,6 +1358,7 @@
   first = other26.first;
   last = other26.last;
   contactsOnly = other26.contactsOnly;
+  acceptPartial = other26.acceptPartial;
   __isset = other26.__isset;
 }
 GossipPageRequest& GossipPageRequest::operator=(const GossipPageRequest& other27) noexcept {
@@ -1348,6 +1366,7 @@
   first = other27.first;
   last = other27.last;
   contactsOnly = other27.contactsOnly;
+  acceptPartial = other27.acceptPartial;
   __isset = other27.__isset;
   return *this;
 }
@@ -1358,6 +1377,7 @@
   out << ", " << "first=" << to_string(first);
   out << ", " << "last=" << to_string(last);
   out << ", " << "contactsOnly=" << to_string(contactsOnly);
+  out << ", " << "acceptPartial=" << to_string(acceptPartial);
   out << ")";
 }
 
--- a/gen-cpp/gossip_types.h
+++ b/gen-cpp/gossip_types.h
@@ -532,11 +532,12 @@
 std::ostream& operator<<(std::ostream& out, const GossipAcknowledgement& obj);
 
 typedef struct _GossipPageRequest__isset {
-  _GossipPageRequest__isset() : number(false), first(false), last(false), contactsOnly(false) {}
+  _GossipPageRequest__isset() : number(false), first(false), last(false), contactsOnly(false), acceptPartial(false) {}
   bool number :1;
   bool first :1;
   bool last :1;
   bool contactsOnly :1;
+  bool acceptPartial :1;
 } _GossipPageRequest__isset;
 
 class GossipPageRequest : public virtual ::apache::thrift::TBase {
@@ -548,7 +549,8 @@
                     : number(0),
                       first(0),
                       last(0),
-                      contactsOnly(0) {
+                      contactsOnly(0),
+                      acceptPartial(0) {
   }
 
   virtual ~GossipPageRequest() noexcept;
@@ -556,6 +558,7 @@
   int64_t first;
   int64_t last;
   bool contactsOnly;
+  bool acceptPartial;
 
   _GossipPageRequest__isset __isset;
 
@@ -567,6 +570,8 @@
 
   void __set_contactsOnly(const bool val);
 
+  void __set_acceptPartial(const bool val);
+
   bool operator == (const GossipPageRequest & rhs) const
   {
     if (!(number == rhs.number))
@@ -577,6 +582,8 @@
       return false;
     if (!(contactsOnly == rhs.contactsOnly))
       return false;
+    if (!(acceptPartial == rhs.acceptPartial))
+      return false;
     return true;
   }
   bool operator != (const GossipPageRequest &rhs) const {
--- a/tests/GossipWireTest.cpp
+++ b/tests/GossipWireTest.cpp
@@ -57,7 +57,7 @@
             GossipAcknowledgement { 3, { .broadcasts = { broadcast() } } },
             GossipDigestRequest { .root = number(),
                 .wanted = { 0, UINT64_MAX },
-                .page = GossipPageRequest { 4, 1, UINT64_MAX, true },
+                .page = GossipPageRequest { 4, 1, UINT64_MAX, true, true },
                 .sender = record() },
             buckets, GossipDigest { .first = 1, .last = UINT64_MAX, .entries = { entry, entry } },
             GossipRecords { .cargo = cargo, .page = GossipPageEnd { 9, UINT64_MAX, true } } };
@@ -101,7 +101,8 @@
         RC_ASSERT(decode(shorter, untouched) == ResultCode::MalformedFrame);
         RC_ASSERT(decode(bytes + "x", untouched));
         RC_ASSERT(untouched == GossipMessage(GossipPing { .number = 77 }));
-        bytes[*rc::gen::inRange<size_t>(0, bytes.size())] ^= *rc::gen::inRange(1, 256);
+        char& damaged = bytes[*rc::gen::inRange<size_t>(0, bytes.size())];
+        damaged = static_cast<char>(damaged ^ *rc::gen::inRange(1, 256));
         GossipMessage decoded;
         if (!decode(bytes, decoded))
             encode(decoded);
--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -256,8 +256,9 @@
     mesh.stop(9);
     mesh.runFor(detectionLimit + 70s);
     for (size_t i = 0; i < mesh.size(); ++i) {
-        if (mesh.isRunning(i))
+        if (mesh.isRunning(i)) {
             EXPECT_EQ(mesh.view(i, 9), nullptr);
+        }
     }
 }
 
@@ -325,7 +326,12 @@
     constexpr size_t daemons = 4;
     constexpr size_t subjects = 12;
     using Version = std::tuple<uint64_t, uint64_t, MemberState>;
-    VirtualMesh mesh({ .seed = *rc::gen::arbitrary<uint64_t>(), .loss = 0.3, .duplication = 0.3, .maxLatency = 400ms });
+    // No daemon runs behind the subjects; the long suspicion keeps them from dying before the end.
+    VirtualMesh mesh({ .seed = *rc::gen::arbitrary<uint64_t>(),
+        .loss = 0.3,
+        .duplication = 0.3,
+        .maxLatency = 400ms,
+        .membership = { .suspicionPeriods = 1000 } });
     mesh.start(daemons);
     mesh.runFor(20s);
     std::map<std::pair<size_t, HostId>, Version> held;
@@ -340,13 +346,13 @@
         last = version;
     });
 
-    // A running daemon stands behind no subject, so the reference covers the time before suspicion only.
     std::map<HostId, std::pair<Version, MemberRecord>> reference;
     auto count = *rc::gen::inRange<size_t>(1, 60);
     for (size_t i = 0; i < count; ++i) {
         size_t subject = 1000 + *rc::gen::inRange<size_t>(0, subjects);
         MemberRecord record = recordOf(subject, *rc::gen::inRange<uint64_t>(0, 6));
         record.incarnation = Incarnation(*rc::gen::inRange<uint64_t>(1, 4));
+        record.state = *rc::gen::element(MemberState::Alive, MemberState::Suspect);
         record.upstream
             = UpstreamRecord { .id = UpstreamId("u"), .slots = static_cast<uint32_t>(record.sequence.value()) };
         Version version { record.incarnation.value(), record.sequence.value(), record.state };
@@ -356,20 +362,27 @@
         size_t daemon = *rc::gen::inRange<size_t>(0, daemons);
         mesh.call(daemon,
             [&](Membership& membership, TimePoint now) { membership.receive(record.address, carry(record), now); });
+        mesh.runFor(std::chrono::milliseconds(*rc::gen::inRange(0, 300)));
     }
-    // Subjects answer no probe, so they turn suspect and dead; what counts is that content and version agree.
-    mesh.runFor(40s);
-    for (size_t daemon = 0; daemon < daemons; ++daemon) {
+    // The daemons add suspicions of their own, so the state may exceed the reference; all else is equal, and equal
+    // everywhere.
+    auto agree = [&] {
         for (const auto& [host, expected] : reference) {
-            auto it = mesh.at(daemon).members().find(host);
-            RC_ASSERT(it != mesh.at(daemon).members().end());
-            RC_ASSERT(it->second.incarnation == expected.second.incarnation);
-            RC_ASSERT(it->second.sequence == expected.second.sequence);
-            RC_ASSERT(it->second.upstream == expected.second.upstream);
-            RC_ASSERT(it->second.state == MemberState::Dead);
+            MemberRecord wanted = expected.second;
+            for (size_t daemon = 0; daemon < daemons; ++daemon) {
+                auto it = mesh.at(daemon).members().find(host);
+                if (it == mesh.at(daemon).members().end() || it->second.state < wanted.state)
+                    return false;
+                if (daemon == 0)
+                    wanted.state = it->second.state;
+                if (it->second != wanted)
+                    return false;
+            }
         }
-        RC_ASSERT(mesh.at(daemon).rootDigest() == mesh.at(0).rootDigest());
-    }
+        return true;
+    };
+    // A comparison takes four datagrams, of which all arrive with probability 0.24 at this loss.
+    RC_ASSERT(mesh.runUntil(agree, 300s));
 }
 
 } // namespace dragonflylane
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -60,6 +60,7 @@
   2: i64 first
   3: i64 last
   4: bool contactsOnly
+  5: bool acceptPartial
 }
 
 struct GossipDigestRequest {
