Strengthen tests that surviving mutants pass

Cause: of 78 mutants, those of the JSON depth limit, of upstreams that take no requests and of plans whose base has passed survived. Ruled out: nothing else was changed in the code. Before: these three mutants passed. Conclusion: still without a test that needs it: the size update after a confirmation, and Thrift's length limits, which its own check covers.

--- a/tests/PlanBookTest.cpp
+++ b/tests/PlanBookTest.cpp
@@ -278,6 +278,7 @@
     EXPECT_EQ(book.apply(proposal("other", { setService("a") }, {}, "bert")).code, ResultCode::Ok);
     EXPECT_EQ(book.apply(confirmation("p0")).code, ResultCode::Ok);
     EXPECT_EQ(book.apply(proposal("more", { setService("b") })).code, ResultCode::Ok);
+    EXPECT_EQ(book.apply(proposal("yet-more", { setService("b") })).code, ResultCode::Ok);
 }
 
 // Guards against unbounded memory, and against a flood of refused plans that makes the book forget a confirmation.
--- a/tests/PlanReviewTest.cpp
+++ b/tests/PlanReviewTest.cpp
@@ -310,7 +310,8 @@
             rule("client", "b") });
     FleetView fleet;
     fleet.daemons = 10;
-    fleet.upstreams = { { UpstreamId("a-1"), HostId("h"), ServiceName("a"), {}, {}, 1, UpstreamPhase::Ready } };
+    fleet.upstreams = { { UpstreamId("a-1"), HostId("h"), ServiceName("a"), {}, {}, 1, UpstreamPhase::Ready },
+        { UpstreamId("a-2"), HostId("i"), ServiceName("a"), {}, {}, 1, UpstreamPhase::Stopped } };
     PlanReview review(base);
     Plan plan;
     ASSERT_FALSE(review.review({ set(DrainItem { UpstreamId("a-1") }), set(DrainItem { UpstreamId("x") }),
@@ -413,7 +414,10 @@
 // Guards against documents that use up stack or memory.
 TEST(PlanJsonTest, BoundsDepthAndSize)
 {
-    EXPECT_EQ(parse(std::string(100'000, '[')), ResultCode::MalformedPlan);
+    std::string detail;
+    std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+    EXPECT_EQ(parse(R"({"changes": )" + deep + "}", nullptr, &detail), ResultCode::MalformedPlan);
+    EXPECT_NE(detail.find("not valid JSON"), std::string::npos) << "refused only after the parse: " << detail;
     EXPECT_EQ(parse(std::string(PlanLimits::bytes + 1, ' ')), ResultCode::PlanTooLarge);
     std::string changes = R"({"drainUpstream": "u"})";
     for (size_t i = 1; i < PlanLimits::changes; ++i)
