Ask other members before a suspect is declared dead

Ruled out: longer suspicion for all (slower detection), and asking the suspect (it would get a question from each member while it may be overloaded). Conclusion: the time to detect a death is unchanged.

--- a/dragonflylane/Membership.cpp
+++ b/dragonflylane/Membership.cpp
@@ -212,7 +212,7 @@
     for (HostHash hash : m_present) {
         auto it = m_entries.find(hash);
         if (it->second.deadline)
-            setDeadline(it, now + suspicionTime());
+            startSuspicion(it, now);
         // The others may have declared the member dead and forgotten it meanwhile.
         if (gap >= m_options.deadRetention) {
             it->second.isUnconfirmed = true;
@@ -277,13 +277,33 @@
 {
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
         auto it = m_entries.find(m_deadlines.begin()->second);
-        if (it->second.node->second.state == MemberState::Suspect)
-            declare(it, MemberState::Dead, now);
-        else
+        if (it->second.node->second.state != MemberState::Suspect)
             eraseMember(it);
+        else if (it->second.confirmations > 0)
+            confirmSuspicion(it, now);
+        else
+            declare(it, MemberState::Dead, now);
     }
 }
 
+void Membership::startSuspicion(Entries::iterator it, TimePoint now)
+{
+    it->second.confirmations = std::min(m_options.suspicionConfirmations, m_options.suspicionPeriods);
+    setDeadline(it, now + m_options.probePeriod * (m_options.suspicionPeriods - it->second.confirmations));
+}
+
+// Shows the suspicion to a random member, which answers with the refutation if it has one. The suspect itself is not
+// asked, since it would get as many questions as there are members while it may be overloaded.
+void Membership::confirmSuspicion(Entries::iterator it, TimePoint now)
+{
+    --it->second.confirmations;
+    setDeadline(it, now + m_options.probePeriod);
+    HostHash other = *randomPresent();
+    if (other != it->first)
+        send(m_entries.find(other)->second.node->second.address,
+            GossipRecords { .cargo = { .records = { it->second.node->second } } });
+}
+
 // Probes
 
 void Membership::runProbe(TimePoint now)
@@ -553,7 +573,7 @@
         m_present.push_back(it->first);
         if (record.state == MemberState::Suspect) {
             ++m_counters.suspicions;
-            setDeadline(it, now + suspicionTime());
+            startSuspicion(it, now);
         }
         return;
     }
@@ -860,12 +880,14 @@
         compareEntries(from, digest);
 }
 
-void Membership::handle(const Endpoint&, const GossipRecords& records, TimePoint now)
+void Membership::handle(const Endpoint& from, const GossipRecords& records, TimePoint now)
 {
     // Pages hold what only the joining daemon lacks.
     takeCargo(records.cargo, records.page ? Spread::No : Spread::Yes, now);
-    if (!records.page)
+    if (!records.page) {
+        answerOutdatedSuspicions(from, records.cargo);
         return;
+    }
     if (m_joinStage == JoinStage::Contacts && records.page->number == m_contactNumber) {
         if (records.page->isLast) {
             m_joinStage = JoinStage::Done;
@@ -879,6 +901,22 @@
         finishPage(*records.page, now);
 }
 
+void Membership::answerOutdatedSuspicions(const Endpoint& from, const GossipCargo& cargo)
+{
+    std::vector<MemberRecord> newer;
+    for (const MemberRecord& record : cargo.records) {
+        if (record.state != MemberState::Suspect && record.state != MemberState::Dead)
+            continue;
+        auto it = m_entries.find(hashOf(record.host));
+        if (it == m_entries.end() || it->second.isUnconfirmed)
+            continue;
+        if (orderOf(it->second.node->second, it->second.tieBreak) > orderOf(record, tieBreakOf(record)))
+            newer.push_back(it->second.node->second);
+    }
+    if (!newer.empty())
+        sendRecords(from, std::move(newer));
+}
+
 void Membership::compareBuckets(const Endpoint& from, const GossipDigest& digest)
 {
     std::vector<size_t> differing;
--- a/dragonflylane/Membership.h
+++ b/dragonflylane/Membership.h
@@ -98,6 +98,8 @@
         std::optional<TimePoint> deadline {};
         // Transmissions so far, while the record is in m_updates.
         std::optional<uint32_t> transmissions {};
+        // Questions to other members that remain before a suspect is declared dead.
+        unsigned confirmations { 0 };
         // Held since before a pause longer than the retention of dead records, and not heard of since. Such a record is
         // not passed on, and is dropped once another daemon turns out not to have it or a probe fails.
         bool isUnconfirmed { false };
@@ -178,6 +180,8 @@
     void removeFromDigest(HostHash, const Entry&);
 
     void runDeadlines(TimePoint now);
+    void startSuspicion(Entries::iterator, TimePoint now);
+    void confirmSuspicion(Entries::iterator, TimePoint now);
     void runProbe(TimePoint now);
     void finishFailedProbe(TimePoint now);
     void startProbe(HostHash target, bool isRepeated, TimePoint now);
@@ -205,6 +209,7 @@
     void answerPage(const Endpoint& to, const GossipPageRequest&);
     void answerContacts(const Endpoint& to, const GossipPageRequest&, const std::optional<MemberRecord>& sender);
     void answerWanted(const Endpoint& to, const std::vector<uint64_t>& wanted);
+    void answerOutdatedSuspicions(const Endpoint& from, const GossipCargo&);
     void compareBuckets(const Endpoint& from, const GossipDigest&);
     void compareEntries(const Endpoint& from, const GossipDigest&);
     void sendEntries(const Endpoint& to, const std::vector<size_t>& buckets);
--- a/dragonflylane/MembershipOptions.h
+++ b/dragonflylane/MembershipOptions.h
@@ -21,6 +21,9 @@
     size_t indirectProbes { 3 };
     /// Time for a suspect to refute, in probe periods. Suspicion and refutation each spread in under 2 s.
     unsigned suspicionPeriods { 5 };
+    /// In each of the last periods of a suspicion, one random member is asked for a refutation that was missed. At 20 %
+    /// loss, single daemons otherwise declared living members dead.
+    unsigned suspicionConfirmations { 3 };
 
     /// While there are records to spread, they are sent to `gossipFanout` random members each period.
     Duration gossipPeriod { std::chrono::milliseconds(200) };
