Align overdue heartbeats and correct four tests of the relay

Cause: four tests failed. (1) A question that arrived exactly one interval after the parent's advance was not aligned, so a level could stay 500 ms behind for good; found by the start without backoff. (2) The bound of 1 s on proofs was not derived: directly after a move one further interval is possible before alignment. (3) The partition scenario could not produce an answer that is delivered late, so it showed nothing without echoes. (4) The pause of 2.2 s exceeded what the parent tolerates after its last heartbeat (2.5 s), so the move was right. Ruled out: a longer freshness limit; repeating the question every 10 ms.

--- a/bench/RelayBenchMain.cpp
+++ b/bench/RelayBenchMain.cpp
@@ -77,7 +77,8 @@
         const double changeSeconds = changes * 0.9;
         const double sourcePerChange
             = (static_cast<double>(after.source - idle.source) - idleSource * changeSeconds) / changes;
-        const double idleProcessor = static_cast<double>((idle.processor - before.processor).count()) / idleTime.count();
+        const double idleProcessor
+            = static_cast<double>((idle.processor - before.processor).count()) / idleTime.count();
         const double processorPerChange
             = (static_cast<double>((after.processor - idle.processor).count()) - idleProcessor * changeSeconds)
             / changes / static_cast<double>(daemons);
--- a/bench/RelaySimulation.h
+++ b/bench/RelaySimulation.h
@@ -97,6 +97,8 @@
     void setIsland(const std::vector<size_t>& hosts, int island);
     /// A control host that cannot reach the leader; its children still reach it.
     void setCutFromLeader(size_t host, bool isCut) { m_hosts[host].isCutFromLeader = isCut; }
+    /// Holds back what a host sends to its children, as a full buffer does; the end of the stall delivers it.
+    void setStalled(size_t host, bool isStalled);
     /// Closes the connection to the parent at both ends.
     void cutParent(size_t host);
     /// Replaces the computed candidates of a host.
@@ -142,6 +144,7 @@
         bool diedSilently { false };
         bool isPaused { false };
         bool isCutFromLeader { false };
+        bool isStalled { false };
         int island { 0 };
         unsigned life { 0 };
         std::map<size_t, ConnectionPtr> toParents;
@@ -180,6 +183,8 @@
     void arrive(const ConnectionPtr&, int toEnd, const std::optional<std::string>& bytes);
     void closeEnd(const ConnectionPtr&, int end);
     bool canTalk(size_t left, size_t right) const { return m_hosts[left].island == m_hosts[right].island; }
+    bool isHeldBack(const Connection&, int toEnd) const;
+    void releaseHeldBack();
     void scheduleWakeup(size_t host);
     void proveControlHosts();
     void updateControl(size_t host, bool withProof);
--- a/dragonflylane/Relay.cpp
+++ b/dragonflylane/Relay.cpp
@@ -448,8 +448,12 @@
     // level adds up to one interval of age.
     if (!message.sinceProof || message.echo != session.lastTimestamp)
         return;
-    Duration since = std::min(fromWire(*message.sinceProof), m_options.heartbeatInterval);
-    session.heartbeatAt = now + m_options.heartbeatInterval - since + alignmentMargin;
+    Duration since = fromWire(*message.sinceProof);
+    Duration untilNext = m_options.heartbeatInterval - since + alignmentMargin;
+    // The advance is overdue by a moment: two heartbeats with the same period can meet in the wrong order every time.
+    if (since >= m_options.heartbeatInterval)
+        untilNext = m_options.heartbeatInterval / 10;
+    session.heartbeatAt = now + untilNext;
 }
 
 void Relay::applyPayload(Upstream& session, const RelayPayload& payload, TimePoint now)
@@ -763,7 +767,7 @@
     RelayParentHeartbeat answer = heartbeatFor(child, now);
     Duration since = now - m_provenSince;
     // A control host's proof advances all the time, so that its children need no alignment.
-    if (!m_options.isControl && since > alignmentTolerance && since < m_options.heartbeatInterval)
+    if (!m_options.isControl && since > alignmentTolerance && since < m_options.heartbeatInterval * 5 / 4)
         answer.sinceProof = floorMilliseconds(since);
     send(host, RelayLink::ToChild, std::move(answer));
 }
