--- a/dragonflylane/Relay.cpp
+++ b/dragonflylane/Relay.cpp
@@ -259,8 +259,8 @@
         return true;
     if (isFresh(*m_parent, now))
         return false;
-    // Neither is fresh, as in an outage of the source: move only towards newer proofs or data.
-    if (attempt.proof && (!m_parent->proof || *attempt.proof > *m_parent->proof))
+    // Neither is fresh, as in an outage of the source: move only towards clearly newer proofs or towards newer data.
+    if (attempt.proof && (!m_parent->proof || *attempt.proof > *m_parent->proof + m_options.heartbeatInterval))
         return true;
     return attempt.stated.revision > m_parent->stated.revision;
 }
@@ -863,7 +863,6 @@
         if (m_parent) {
             m_parent->heardAt = now;
             m_parent->freshSince = now;
-            m_parent->heartbeatAt = now;
         }
         for (auto& [host, child] : m_children)
             child.heardAt = now;
--- a/tests/RelayTest.cpp
+++ b/tests/RelayTest.cpp
@@ -91,6 +91,99 @@
         uint32_t m_session { 0 };
     };
 
+    /// One control host whose children are played by the test.
+    class Source {
+    public:
+        explicit Source(size_t maxSnapshots)
+            : m_relay(options(maxSnapshots), m_now)
+        {
+        }
+
+        RelayAttach attach(uint64_t revision) const
+        {
+            RelayAttach message;
+            message.session = 7;
+            message.held = { Revision(revision), digestOf(revision) };
+            message.summary.count = 1;
+            return message;
+        }
+
+        RelayChildHeartbeat report(uint64_t revision) const
+        {
+            RelayChildHeartbeat message;
+            message.session = 7;
+            message.held = HeldState { Revision(revision), digestOf(revision) };
+            return message;
+        }
+
+        /// The messages sent in answer.
+        std::vector<RelaySend> receive(const std::string& child, const RelayMessage& message)
+        {
+            m_relay.receive(HostId(child), message, m_now);
+            return sent();
+        }
+
+        std::vector<RelaySend> publish(uint64_t revision)
+        {
+            m_published = { Revision(revision), digestOf(revision) };
+            m_relay.setLocal(m_published.revision, m_published.digest, Term(1), m_now);
+            return sent();
+        }
+
+        std::vector<RelaySend> leave()
+        {
+            m_relay.leave(m_now);
+            return sent();
+        }
+
+        /// States that payloads were asked for.
+        std::vector<HeldState> asked;
+
+    private:
+        RelayOptions options(size_t maxSnapshots)
+        {
+            RelayOptions options;
+            options.self = HostId("source");
+            options.isControl = true;
+            options.maxSnapshotsInFlight = maxSnapshots;
+            options.payloadFor = [this](Revision revision, Digest digest) {
+                asked.push_back({ revision, digest });
+                return RelayPayload { RelayPayload::Kind::Snapshot, "x", m_published };
+            };
+            return options;
+        }
+
+        std::vector<RelaySend> sent()
+        {
+            std::vector<RelaySend> result;
+            for (RelayOutput& output : m_relay.takeOutputs())
+                if (auto* send = std::get_if<RelaySend>(&output))
+                    result.push_back(std::move(*send));
+            return result;
+        }
+
+        TimePoint m_now { seconds(100) };
+        HeldState m_published;
+        Relay m_relay;
+    };
+
+    size_t payloadsIn(const std::vector<RelaySend>& messages)
+    {
+        return static_cast<size_t>(std::count_if(messages.begin(), messages.end(), [](const RelaySend& send) {
+            auto* heartbeat = std::get_if<RelayParentHeartbeat>(&send.message);
+            return heartbeat && heartbeat->payload;
+        }));
+    }
+
+    /// The refusal among the messages; Ok if there is none.
+    ResultCode refusalIn(const std::vector<RelaySend>& messages)
+    {
+        for (const RelaySend& send : messages)
+            if (auto* refusal = std::get_if<RelayRefusal>(&send.message))
+                return refusal->code;
+        return ResultCode::Ok;
+    }
+
     /// Longest time from a fault to the new parent's first answer if the first `silentCandidates` candidates do not
     /// answer either. Backoff doubles with each failure.
     Duration reparentBound(Duration detection, unsigned silentCandidates)
@@ -243,6 +336,8 @@
     settle(simulation);
     size_t cut = simulation.relay(1).childCount() > 0 ? 1 : 2;
     ASSERT_GT(simulation.relay(cut).childCount(), 0U);
+    const size_t heads = simulation.relay(cut).childCount();
+    const uint64_t selectedBefore = simulation.totals().parentsSelected;
     simulation.setCutFromLeader(cut, true);
     simulation.publish();
     // Proofs are at most one interval old when the partition begins; the heads move first and refresh those below.
@@ -251,6 +346,8 @@
     EXPECT_LE(*time, reparentBound(defaults.freshnessLimit, 0));
     EXPECT_EQ(simulation.relay(cut).childCount(), 0U);
     simulation.run(seconds(1));
+    // Those below become fresh again before their own, later limit.
+    EXPECT_EQ(simulation.totals().parentsSelected - selectedBefore, heads);
     EXPECT_TRUE(simulation.allProven(settledAge));
     expectNoViolations(simulation);
 }
@@ -570,6 +667,8 @@
     EXPECT_EQ(acks.stragglers[0], (Straggler { simulation.id(leaf), Revision(1) }));
     // Four heads: questions of 1.5 s, a state and a few summaries each.
     EXPECT_LT(simulation.bytesReceived(0) - received, 4U * 400);
+    simulation.run(defaults.childSilenceLimit);
+    EXPECT_EQ(simulation.relay(0).acks(), (AckSummary { Revision(2), 100, {}, {} }));
     simulation.resume(leaf);
     simulation.run(seconds(3));
     EXPECT_EQ(simulation.relay(0).acks(), (AckSummary { Revision(2), 101, {}, {} }));
@@ -633,6 +732,109 @@
     expectNoViolations(simulation);
 }
 
+// Guards against a suspended machine whose daemons all blame each other.
+TEST(RelayTest, SuspensionOfAllHostsKeepsTheTree)
+{
+    RelaySimulation simulation({ .daemons = 100, .dataCentres = 2 });
+    settle(simulation);
+    RelayCounters before = simulation.totals();
+    for (size_t host = 0; host < simulation.size(); ++host)
+        simulation.pause(host);
+    simulation.run(seconds(60));
+    for (size_t host = 0; host < simulation.size(); ++host)
+        simulation.resume(host);
+    simulation.run(seconds(3));
+    EXPECT_TRUE(simulation.allProven(settledAge));
+    EXPECT_EQ(simulation.totals().attempts, before.attempts);
+    expectNoViolations(simulation);
+}
+
+// Guards against daemons that wander between parents that are all equally stale.
+TEST(RelayTest, OutageOfTheSourceDoesNotReshuffleTheTree)
+{
+    RelaySimulation simulation({ .daemons = 100, .dataCentres = 2, .controlHosts = 3 });
+    settle(simulation);
+    uint64_t before = simulation.totals().parentsSelected;
+    simulation.setQuorum(false);
+    simulation.run(seconds(60));
+    EXPECT_EQ(simulation.totals().parentsSelected, before);
+    simulation.setQuorum(true);
+    simulation.run(seconds(3));
+    EXPECT_TRUE(simulation.allProven(settledAge));
+}
+
+// Guards against a tree that stays distorted after a relay has come back.
+TEST(RelayTest, ChildrenReturnToAPreferredParent)
+{
+    RelaySimulation simulation({ .daemons = 100, .dataCentres = 2 });
+    settle(simulation);
+    size_t relay = relayOnLevel(simulation, 2);
+    std::vector<size_t> children = childrenOf(simulation, relay);
+    simulation.kill(relay, false);
+    simulation.run(seconds(5));
+    simulation.restart(relay);
+    simulation.run(2 * defaults.improvementInterval);
+    EXPECT_EQ(childrenOf(simulation, relay), children);
+    expectNoViolations(simulation);
+}
+
+// Guards against a child that ignores the hint of a relay that refused it.
+TEST(RelayTest, RetryAfterIsRespected)
+{
+    Daemon daemon;
+    RelayRefusal refusal;
+    refusal.session = daemon.heartbeat(0, 0, 1, 1).session;
+    refusal.code = ResultCode::SnapshotLimit;
+    refusal.retryAfter = 1000;
+    daemon.receive(refusal);
+    for (int i = 0; i < 99; ++i)
+        daemon.wait(milliseconds(10));
+    EXPECT_EQ(daemon.relay().counters().attempts, 1U);
+    for (int i = 0; i < 50; ++i)
+        daemon.wait(milliseconds(10));
+    EXPECT_EQ(daemon.relay().counters().attempts, 2U);
+}
+
+// Guards against a child that waits for its next heartbeat although a snapshot slot is free.
+TEST(RelayTest, WaitingChildIsServedWhenASlotIsFree)
+{
+    Source source(2);
+    for (const char* child : { "a", "b", "c" })
+        source.receive(child, source.attach(0));
+    EXPECT_EQ(payloadsIn(source.publish(1)), 2U);
+    std::vector<RelaySend> sent = source.receive("a", source.report(1));
+    ASSERT_EQ(payloadsIn(sent), 1U);
+    EXPECT_EQ(sent[0].to, HostId("c"));
+    source.receive("b", source.report(1));
+    source.receive("c", source.report(1));
+    source.publish(2);
+    EXPECT_EQ(refusalIn(source.receive("d", source.attach(0))), ResultCode::SnapshotLimit);
+}
+
+// Guards against a delta for a child that asked for a snapshot, which it could not apply.
+TEST(RelayTest, SnapshotRequestIsAnsweredForAnEmptyState)
+{
+    Source source(4);
+    source.publish(2);
+    source.receive("a", source.attach(1));
+    EXPECT_EQ(source.asked.back().revision, Revision(1));
+    RelayChildHeartbeat request = source.report(1);
+    request.wantsSnapshot = true;
+    EXPECT_EQ(payloadsIn(source.receive("a", request)), 1U);
+    EXPECT_EQ(source.asked.back(), HeldState {});
+}
+
+// Guards against a child that waits in vain at a relay that has dropped it or is about to leave.
+TEST(RelayTest, UnknownChildAndLateAttachAreRefused)
+{
+    Source source(4);
+    EXPECT_EQ(refusalIn(source.receive("a", source.report(1))), ResultCode::PeerClosed);
+    source.receive("a", source.attach(0));
+    EXPECT_EQ(refusalIn(source.receive("a", source.report(0))), ResultCode::Ok);
+    source.leave();
+    EXPECT_EQ(refusalIn(source.receive("b", source.attach(0))), ResultCode::DaemonLeaving);
+}
+
 // Compares the relay with the naive rule under random faults (RelaySimulation checks it after every input), and then
 // requires that the tree recovers. Guards against rollbacks, false proofs, lost updates and daemons left behind.
 RC_GTEST_PROP(RelayTest, RandomFaultsKeepTheNaiveRule, ())
