--- a/dragonflylane/ClaimMessages.h
+++ b/dragonflylane/ClaimMessages.h
@@ -4,11 +4,13 @@
 
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/Ids.h"
+#include "dragonflylane/KeeperSelection.h"
 #include "dragonflylane/ResultCode.h"
 
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -103,6 +105,19 @@
     bool operator==(const DuplicateRecord&) const = default;
 };
 
+/// Keys of which a keeper may lack records: those for which a majority of the keepers in this view is missing. Ends
+/// once the records that may be lacking have expired.
+struct KeeperGap {
+    KeeperView view;
+    std::vector<HostId> missing;
+    Duration remaining { 0 };
+
+    bool covers(std::string_view key) const;
+    /// True if no key can have a majority of missing keepers.
+    bool isEmpty() const;
+    bool operator==(const KeeperGap&) const = default;
+};
+
 enum class TransferPurpose : uint8_t {
     /// The requester became responsible for keys in a new epoch.
     NewEpoch,
@@ -127,9 +142,11 @@
     TransferPurpose purpose { TransferPurpose::NewEpoch };
     uint64_t transfer { 0 };
     std::string afterKey;
-    /// False if the sender itself may miss records; the transfer then does not count.
+    /// False if the sender cannot tell which records it may lack; the transfer then does not count.
     bool isComplete { false };
     bool isLast { false };
+    /// Keys of which the sender may lack records.
+    std::vector<KeeperGap> gaps;
     std::vector<DuplicateRecord> records;
 
     bool operator==(const TransferChunk&) const = default;
@@ -149,6 +166,7 @@
 inline constexpr size_t maxStoredAnswerBytes = 4096;
 inline constexpr size_t maxClaimsPerRecord = 8;
 inline constexpr size_t maxRecordsPerChunk = 64;
+inline constexpr size_t maxKeeperGaps = 8;
 
 /// How long a coordinator waits for a majority. A restarted keeper waits as long before it copies records, so that a
 /// claim that it granted before the crash has reached the other keepers or has failed by then.
--- a/dragonflylane/ClaimWire.cpp
+++ b/dragonflylane/ClaimWire.cpp
@@ -48,6 +48,23 @@
         return result;
     }
 
+    wire::KeeperGap toWire(const KeeperGap& gap)
+    {
+        wire::KeeperGap result;
+        result.__set_epoch(toSigned(gap.view.epoch.value()));
+        for (const KeeperHost& keeper : gap.view.hosts) {
+            wire::KeeperHost& host = result.hosts.emplace_back();
+            host.__set_host(keeper.host.value());
+            host.__set_dataCentre(keeper.dataCentre.value());
+        }
+        for (const HostId& host : gap.missing)
+            result.missing.push_back(host.value());
+        result.__isset.hosts = true;
+        result.__isset.missing = true;
+        result.__set_remainingNanoseconds(gap.remaining.count());
+        return result;
+    }
+
     void fill(wire::ClaimMessage& message, const ClaimRequest& request)
     {
         wire::ClaimRequest result;
@@ -114,6 +131,9 @@
         for (const DuplicateRecord& record : chunk.records)
             result.records.push_back(toWire(record));
         result.__isset.records = true;
+        for (const KeeperGap& gap : chunk.gaps)
+            result.gaps.push_back(toWire(gap));
+        result.__isset.gaps = true;
         message.__set_transferChunk(result);
     }
 
@@ -205,6 +225,17 @@
         return isKey(result.key) && readEnum(record.state, RecordState::Unknown, result.state);
     }
 
+    bool read(const wire::KeeperGap& gap, KeeperGap& result)
+    {
+        result.view.epoch = Epoch(toUnsigned(gap.epoch));
+        for (const wire::KeeperHost& keeper : gap.hosts)
+            result.view.hosts.push_back({ HostId(keeper.host), DataCentreName(keeper.dataCentre) });
+        for (const std::string& host : gap.missing)
+            result.missing.emplace_back(host);
+        result.remaining = Duration(gap.remainingNanoseconds);
+        return gap.remainingNanoseconds >= 0;
+    }
+
     bool read(wire::TransferChunk& chunk, TransferChunk& result)
     {
         result.epoch = Epoch(toUnsigned(chunk.epoch));
@@ -216,8 +247,12 @@
             if (!read(record, result.records.emplace_back()))
                 return false;
         }
+        for (const wire::KeeperGap& gap : chunk.gaps) {
+            if (!read(gap, result.gaps.emplace_back()))
+                return false;
+        }
         return readEnum(chunk.purpose, TransferPurpose::Restart, result.purpose)
-            && result.afterKey.size() <= maxClaimKeyBytes;
+            && result.afterKey.size() <= maxClaimKeyBytes && result.gaps.size() <= maxKeeperGaps;
     }
 
     /// Reads the part if it is set and counts it.
--- a/dragonflylane/DuplicateRecords.cpp
+++ b/dragonflylane/DuplicateRecords.cpp
@@ -40,12 +40,13 @@
     if (m_view && view.epoch <= m_view->epoch)
         return;
     constexpr Epoch firstEpoch { 1 };
-    bool wasComplete = m_view && m_view->contains(m_options.self) && isComplete(now);
     bool isFirstView = !m_view && m_hadNoView && view.epoch == firstEpoch;
     bool isNext = m_view && view.epoch == m_view->epoch.next();
+    std::vector<Gap> gaps = m_view ? allGaps(now) : std::vector<Gap>();
+    m_wasInPreviousEpoch = isNext && m_view->contains(m_options.self) && gaps.size() <= maxKeeperGaps;
+    m_gaps = m_wasInPreviousEpoch ? std::move(gaps) : std::vector<Gap>();
 
     m_previousView = std::exchange(m_view, view);
-    m_selfCountsInPrevious = isNext && wasComplete;
     m_waitUntil = now + m_options.retention;
     m_transfers.clear();
     if (isFirstView) {
@@ -79,7 +80,7 @@
         return;
     }
     for (auto& [host, transfer] : m_transfers) {
-        if (!transfer.isDone && transfer.nextRequestAt <= now)
+        if (transfer.isActive && transfer.nextRequestAt <= now)
             requestChunk(host, transfer, now);
     }
 }
@@ -93,7 +94,7 @@
     if (m_view && m_origin != Origin::Complete)
         consider(m_waitUntil);
     for (const auto& [host, transfer] : m_transfers) {
-        if (!transfer.isDone)
+        if (transfer.isActive)
             consider(transfer.nextRequestAt);
     }
     return wakeup;
@@ -106,40 +107,93 @@
 
 bool DuplicateRecords::isComplete(TimePoint now) const
 {
-    if (!m_view)
-        return false;
-    if (m_origin == Origin::Complete || now >= m_waitUntil)
-        return true;
-    auto done = static_cast<size_t>(std::count_if(
-        m_transfers.begin(), m_transfers.end(), [](const auto& transfer) { return transfer.second.isDone; }));
-    if (m_origin == Origin::Restart)
-        return !m_options.waitAfterRestart || (!m_transfers.empty() && done == m_transfers.size());
-    // All but one of the previous hosts, that is, two of any three.
-    size_t hosts = m_previousView->hosts.size();
-    done += m_selfCountsInPrevious ? 1 : 0;
-    return !m_options.waitInNewEpoch || (hosts > 0 && done >= std::max<size_t>(1, hosts - 1));
+    return m_view && (isWaitDisabled() || allGaps(now).empty());
+}
+
+bool DuplicateRecords::isWaitDisabled() const
+{
+    return (m_origin == Origin::Restart && !m_options.waitAfterRestart)
+        || (m_origin == Origin::NewEpoch && !m_options.waitInNewEpoch);
 }
 
 bool DuplicateRecords::isReadyFor(std::string_view key, TimePoint now) const
 {
-    if (!m_view)
-        return false;
-    std::vector<HostId> keepers = keepersOf(key, *m_view);
-    if (!contains(keepers, m_options.self))
+    if (!m_view || !contains(keepersOf(key, *m_view), m_options.self))
         return false;
-    if (isComplete(now))
+    if (isWaitDisabled())
         return true;
-    if (m_origin == Origin::Restart)
-        return hasMetMajorities(keepers, false);
-    return hasMetMajorities(keepersOf(key, *m_previousView), m_selfCountsInPrevious);
+    if (m_origin == Origin::Complete || now >= m_waitUntil)
+        return !covers(allGaps(now), key, now);
+    // The known keepers meet every majority if too few are left outside them to form one.
+    std::vector<HostId> keepers = keepersOf(key, sources());
+    auto known = std::count_if(
+        keepers.begin(), keepers.end(), [&](const HostId& host) { return knowsRecordsOf(host, key, now); });
+    return !keepers.empty() && keepers.size() - static_cast<size_t>(known) < majorityOf(keepers.size());
+}
+
+/// True if every record of the key that this host may have made or held in the source view is here.
+bool DuplicateRecords::knowsRecordsOf(const HostId& host, std::string_view key, TimePoint now) const
+{
+    if (host == m_options.self)
+        return m_origin == Origin::NewEpoch && m_wasInPreviousEpoch && !covers(m_gaps, key, now);
+    auto found = m_transfers.find(host);
+    return found != m_transfers.end() && found->second.isDone && !covers(found->second.gaps, key, now);
 }
 
-// A set of keepers meets every majority if too few are left outside it to form one.
-bool DuplicateRecords::hasMetMajorities(const std::vector<HostId>& keepers, bool selfCounts) const
+bool DuplicateRecords::covers(const std::vector<Gap>& gaps, std::string_view key, TimePoint now)
 {
-    auto known = static_cast<size_t>(std::count_if(keepers.begin(), keepers.end(),
-        [&](const HostId& host) { return host == m_options.self ? selfCounts : hasTransferFrom(host); }));
-    return !keepers.empty() && keepers.size() - known < majorityOf(keepers.size());
+    return std::any_of(
+        gaps.begin(), gaps.end(), [&](const Gap& gap) { return gap.until > now && gap.keys.covers(key); });
+}
+
+/// Adds a gap; gaps of one view are merged into one that covers at least the keys of both.
+void DuplicateRecords::mergeGap(std::vector<Gap>& gaps, const Gap& gap)
+{
+    auto same = std::find_if(
+        gaps.begin(), gaps.end(), [&gap](const Gap& other) { return other.keys.view.epoch == gap.keys.view.epoch; });
+    if (same == gaps.end()) {
+        gaps.push_back(gap);
+        return;
+    }
+    same->until = std::max(same->until, gap.until);
+    for (const HostId& host : gap.keys.missing) {
+        if (!contains(same->keys.missing, host))
+            same->keys.missing.push_back(host);
+    }
+}
+
+/// Everything that this keeper may lack: what it lacked before, what its peers lack, and the peers it lacks.
+std::vector<DuplicateRecords::Gap> DuplicateRecords::allGaps(TimePoint now) const
+{
+    std::vector<Gap> gaps;
+    auto add = [&](const Gap& gap) {
+        if (gap.until > now)
+            mergeGap(gaps, gap);
+    };
+    std::for_each(m_gaps.begin(), m_gaps.end(), add);
+    if (std::optional<Gap> gap = transferGap(now))
+        add(*gap);
+    for (const auto& [host, transfer] : m_transfers)
+        std::for_each(transfer.gaps.begin(), transfer.gaps.end(), add);
+    return gaps;
+}
+
+std::optional<DuplicateRecords::Gap> DuplicateRecords::transferGap(TimePoint now) const
+{
+    if (!m_view || m_origin == Origin::Complete || now >= m_waitUntil)
+        return std::nullopt;
+    Gap gap { { sources(), {}, {} }, m_waitUntil };
+    for (const KeeperHost& keeper : gap.keys.view.hosts) {
+        bool isSelf = keeper.host == m_options.self;
+        auto found = m_transfers.find(keeper.host);
+        bool isDone = found != m_transfers.end() && found->second.isDone;
+        bool isKnown = isSelf ? m_origin == Origin::NewEpoch && m_wasInPreviousEpoch : isDone;
+        if (!isKnown)
+            gap.keys.missing.push_back(keeper.host);
+    }
+    if (gap.keys.isEmpty())
+        return std::nullopt;
+    return gap;
 }
 
 void DuplicateRecords::handle(const HostId& from, const ClaimRequest& request, TimePoint now)
@@ -219,11 +273,19 @@
     // Having entered the epoch, this keeper grants nothing in an older one, so the records it sends are final for it.
     if (!m_view || request.epoch != m_view->epoch)
         return;
-    bool isOwnComplete = request.purpose == TransferPurpose::NewEpoch ? m_selfCountsInPrevious : isComplete(now);
+    bool isNewEpoch = request.purpose == TransferPurpose::NewEpoch;
+    std::vector<Gap> gaps = isNewEpoch ? m_gaps : allGaps(now);
+    bool canTell = isNewEpoch ? m_wasInPreviousEpoch : gaps.size() <= maxKeeperGaps;
     TransferChunk chunk;
-    if (isOwnComplete)
+    if (canTell) {
         chunk = makeChunk(from, request, now);
-    chunk.isComplete = isOwnComplete;
+        for (Gap& gap : gaps) {
+            gap.keys.remaining = gap.until - now;
+            if (gap.keys.remaining > Duration::zero())
+                chunk.gaps.push_back(std::move(gap.keys));
+        }
+    }
+    chunk.isComplete = canTell;
     chunk.epoch = request.epoch;
     chunk.purpose = request.purpose;
     chunk.transfer = request.transfer;
@@ -255,10 +317,10 @@
     if (!m_view || chunk.epoch != m_view->epoch || found == m_transfers.end())
         return;
     Transfer& transfer = found->second;
-    if (transfer.isDone || chunk.transfer != transfer.number)
+    if (!transfer.isActive || chunk.transfer != transfer.number)
         return;
     if (!chunk.isComplete) {
-        restartTransfer(transfer, now);
+        restartTransfer(transfer, now + m_options.transferRetry);
         return;
     }
     // Anything but the last chunk moves on; a duplicate of an earlier one does not.
@@ -266,16 +328,31 @@
         return;
     for (const DuplicateRecord& record : chunk.records) {
         if (!merge(record, now)) {
-            restartTransfer(transfer, now);
+            restartTransfer(transfer, now + m_options.transferRetry);
             return;
         }
     }
+    // A gap that the sender closes during the transfer may concern keys that were sent before, so all gaps count.
+    for (const KeeperGap& gap : chunk.gaps)
+        mergeGap(transfer.newGaps, { gap, now + gap.remaining });
     transfer.afterKey = chunk.afterKey;
-    transfer.isDone = chunk.isLast;
-    if (!transfer.isDone)
+    if (chunk.isLast)
+        finishTransfer(transfer, now);
+    else
         requestChunk(from, transfer, now);
 }
 
+// In a new epoch the gaps of a sender stay as they were when the epoch began. Within an epoch a sender that is itself
+// still copying closes them.
+void DuplicateRecords::finishTransfer(Transfer& transfer, TimePoint now)
+{
+    transfer.isDone = true;
+    transfer.gaps = std::move(transfer.newGaps);
+    bool mayImprove = m_origin == Origin::Restart && !transfer.gaps.empty();
+    restartTransfer(transfer, now + m_options.transferRepeat);
+    transfer.isActive = mayImprove;
+}
+
 DuplicateRecords::Records::iterator DuplicateRecords::insert(const std::string& key, TimePoint claimedAt)
 {
     auto inserted = m_records.try_emplace(key).first;
@@ -350,9 +427,7 @@
     for (const KeeperHost& source : sources.hosts) {
         if (source.host == m_options.self)
             continue;
-        Transfer& transfer = m_transfers[source.host];
-        transfer.number = m_nextTransfer++;
-        transfer.nextRequestAt = firstRequestAt;
+        restartTransfer(m_transfers[source.host], firstRequestAt);
     }
 }
 
@@ -363,17 +438,12 @@
     send(host, TransferRequest { m_view->epoch, purpose, transfer.number, transfer.afterKey });
 }
 
-void DuplicateRecords::restartTransfer(Transfer& transfer, TimePoint now)
+void DuplicateRecords::restartTransfer(Transfer& transfer, TimePoint firstRequestAt)
 {
     transfer.number = m_nextTransfer++;
     transfer.afterKey.clear();
-    transfer.nextRequestAt = now + m_options.transferRetry;
-}
-
-bool DuplicateRecords::hasTransferFrom(const HostId& host) const
-{
-    auto found = m_transfers.find(host);
-    return found != m_transfers.end() && found->second.isDone;
+    transfer.newGaps.clear();
+    transfer.nextRequestAt = firstRequestAt;
 }
 
 void DuplicateRecords::send(const HostId& to, ClaimMessage message)
--- a/dragonflylane/DuplicateRecords.h
+++ b/dragonflylane/DuplicateRecords.h
@@ -16,6 +16,9 @@
 //   * after a restart with empty memory, after records came from the key's other keepers, asked only after every claim
 //     that it granted before the crash has been decided;
 //   * otherwise once the retention time has passed.
+// Records that a keeper may lack are described as gaps, which transfers carry on to the next keepers, so that the loss
+// of a few keepers blocks only the keys for which a majority was lost, and not the next epoch as a whole.
+//
 // A call must end within the retention time of its claim. claim and finish cost O(log records + keeper hosts).
 
 #include "dragonflylane/BootClock.h"
@@ -40,6 +43,8 @@
     /// Sum of the stored answers; further answers are recorded without content.
     size_t maxAnswerBytes { 4U << 20U };
     Duration transferRetry { std::chrono::milliseconds(500) };
+    /// A peer that itself still lacks records is copied again after this time.
+    Duration transferRepeat { std::chrono::seconds(2) };
     /// Time after a restart before records are copied; twice the time in which a claim that the keeper granted before
     /// the crash is decided, which leaves room for clocks that run at different rates.
     Duration settleTime { 2 * claimTimeout };
@@ -92,12 +97,22 @@
         Restart,
     };
 
+    struct Gap {
+        KeeperGap keys;
+        TimePoint until;
+    };
+
     /// A transfer from one peer.
     struct Transfer {
         uint64_t number { 0 };
         std::string afterKey;
         TimePoint nextRequestAt;
+        /// All records have arrived once, with these gaps of the sender.
         bool isDone { false };
+        std::vector<Gap> gaps;
+        /// Gaps in the chunks of the transfer under way.
+        std::vector<Gap> newGaps;
+        bool isActive { true };
     };
 
     void handle(const HostId& from, const ClaimRequest&, TimePoint now);
@@ -114,10 +129,16 @@
     void expire(TimePoint now);
     bool isFull() const { return m_records.size() >= m_options.maxRecords; }
     void startTransfers(const KeeperView& sources, TimePoint firstRequestAt);
-    bool hasMetMajorities(const std::vector<HostId>& keepers, bool selfCounts) const;
+    bool knowsRecordsOf(const HostId&, std::string_view key, TimePoint now) const;
+    static bool covers(const std::vector<Gap>&, std::string_view key, TimePoint now);
+    static void mergeGap(std::vector<Gap>&, const Gap&);
+    std::vector<Gap> allGaps(TimePoint now) const;
+    std::optional<Gap> transferGap(TimePoint now) const;
+    const KeeperView& sources() const { return m_origin == Origin::Restart ? *m_view : *m_previousView; }
+    bool isWaitDisabled() const;
     void requestChunk(const HostId&, Transfer&, TimePoint now);
-    void restartTransfer(Transfer&, TimePoint now);
-    bool hasTransferFrom(const HostId&) const;
+    void restartTransfer(Transfer&, TimePoint firstRequestAt);
+    void finishTransfer(Transfer&, TimePoint now);
     TransferChunk makeChunk(const HostId& requester, const TransferRequest&, TimePoint now) const;
     void send(const HostId& to, ClaimMessage);
 
@@ -130,7 +151,10 @@
     std::optional<KeeperView> m_previousView;
     bool m_hadNoView { false };
     Origin m_origin { Origin::Restart };
-    bool m_selfCountsInPrevious { false };
+    /// True if this keeper took part in the previous epoch since it began or since a restart within it.
+    bool m_wasInPreviousEpoch { false };
+    /// Gaps of this keeper when the current epoch began.
+    std::vector<Gap> m_gaps;
     /// From then on every record that could be missing has expired.
     TimePoint m_waitUntil;
     /// Unique across restarts, so that a chunk sent to an earlier life is ignored.
--- a/gen-cpp/claim_types.cpp
+++ b/gen-cpp/claim_types.cpp
@@ -978,6 +978,310 @@
 }
 
 
+KeeperHost::~KeeperHost() noexcept {
+}
+
+
+void KeeperHost::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void KeeperHost::__set_dataCentre(const std::string& val) {
+  this->dataCentre = val;
+}
+std::ostream& operator<<(std::ostream& out, const KeeperHost& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t KeeperHost::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t KeeperHost::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("KeeperHost");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->dataCentre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(KeeperHost &a, KeeperHost &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.dataCentre, b.dataCentre);
+  swap(a.__isset, b.__isset);
+}
+
+KeeperHost::KeeperHost(const KeeperHost& other20) {
+  host = other20.host;
+  dataCentre = other20.dataCentre;
+  __isset = other20.__isset;
+}
+KeeperHost& KeeperHost::operator=(const KeeperHost& other21) {
+  host = other21.host;
+  dataCentre = other21.dataCentre;
+  __isset = other21.__isset;
+  return *this;
+}
+void KeeperHost::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "KeeperHost(";
+  out << "host=" << to_string(host);
+  out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << ")";
+}
+
+
+KeeperGap::~KeeperGap() noexcept {
+}
+
+
+void KeeperGap::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void KeeperGap::__set_hosts(const std::vector<KeeperHost> & val) {
+  this->hosts = val;
+}
+
+void KeeperGap::__set_missing(const std::vector<std::string> & val) {
+  this->missing = val;
+}
+
+void KeeperGap::__set_remainingNanoseconds(const int64_t val) {
+  this->remainingNanoseconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const KeeperGap& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t KeeperGap::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->hosts.clear();
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->hosts.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
+            {
+              xfer += this->hosts[_i26].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.hosts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->missing.clear();
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->missing.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
+            {
+              xfer += iprot->readString(this->missing[_i31]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.missing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->remainingNanoseconds);
+          this->__isset.remainingNanoseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t KeeperGap::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("KeeperGap");
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->hosts.size()));
+    std::vector<KeeperHost> ::const_iterator _iter32;
+    for (_iter32 = this->hosts.begin(); _iter32 != this->hosts.end(); ++_iter32)
+    {
+      xfer += (*_iter32).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("missing", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->missing.size()));
+    std::vector<std::string> ::const_iterator _iter33;
+    for (_iter33 = this->missing.begin(); _iter33 != this->missing.end(); ++_iter33)
+    {
+      xfer += oprot->writeString((*_iter33));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remainingNanoseconds", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->remainingNanoseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(KeeperGap &a, KeeperGap &b) {
+  using ::std::swap;
+  swap(a.epoch, b.epoch);
+  swap(a.hosts, b.hosts);
+  swap(a.missing, b.missing);
+  swap(a.remainingNanoseconds, b.remainingNanoseconds);
+  swap(a.__isset, b.__isset);
+}
+
+KeeperGap::KeeperGap(const KeeperGap& other34) {
+  epoch = other34.epoch;
+  hosts = other34.hosts;
+  missing = other34.missing;
+  remainingNanoseconds = other34.remainingNanoseconds;
+  __isset = other34.__isset;
+}
+KeeperGap& KeeperGap::operator=(const KeeperGap& other35) {
+  epoch = other35.epoch;
+  hosts = other35.hosts;
+  missing = other35.missing;
+  remainingNanoseconds = other35.remainingNanoseconds;
+  __isset = other35.__isset;
+  return *this;
+}
+void KeeperGap::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "KeeperGap(";
+  out << "epoch=" << to_string(epoch);
+  out << ", " << "hosts=" << to_string(hosts);
+  out << ", " << "missing=" << to_string(missing);
+  out << ", " << "remainingNanoseconds=" << to_string(remainingNanoseconds);
+  out << ")";
+}
+
+
 TransferRequest::~TransferRequest() noexcept {
 }
 
@@ -1104,19 +1408,19 @@
   swap(a.__isset, b.__isset);
 }
 
-TransferRequest::TransferRequest(const TransferRequest& other20) {
-  epoch = other20.epoch;
-  purpose = other20.purpose;
-  transfer = other20.transfer;
-  afterKey = other20.afterKey;
-  __isset = other20.__isset;
+TransferRequest::TransferRequest(const TransferRequest& other36) {
+  epoch = other36.epoch;
+  purpose = other36.purpose;
+  transfer = other36.transfer;
+  afterKey = other36.afterKey;
+  __isset = other36.__isset;
 }
-TransferRequest& TransferRequest::operator=(const TransferRequest& other21) {
-  epoch = other21.epoch;
-  purpose = other21.purpose;
-  transfer = other21.transfer;
-  afterKey = other21.afterKey;
-  __isset = other21.__isset;
+TransferRequest& TransferRequest::operator=(const TransferRequest& other37) {
+  epoch = other37.epoch;
+  purpose = other37.purpose;
+  transfer = other37.transfer;
+  afterKey = other37.afterKey;
+  __isset = other37.__isset;
   return *this;
 }
 void TransferRequest::printTo(std::ostream& out) const {
@@ -1161,6 +1465,10 @@
 void TransferChunk::__set_records(const std::vector<DuplicateRecord> & val) {
   this->records = val;
 }
+
+void TransferChunk::__set_gaps(const std::vector<KeeperGap> & val) {
+  this->gaps = val;
+}
 std::ostream& operator<<(std::ostream& out, const TransferChunk& obj)
 {
   obj.printTo(out);
@@ -1241,14 +1549,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->records.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->records.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->records[_i26].read(iprot);
+              xfer += this->records[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1257,6 +1565,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->gaps.clear();
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->gaps.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
+            {
+              xfer += this->gaps[_i47].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.gaps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1301,10 +1629,22 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<DuplicateRecord> ::const_iterator _iter27;
-    for (_iter27 = this->records.begin(); _iter27 != this->records.end(); ++_iter27)
+    std::vector<DuplicateRecord> ::const_iterator _iter48;
+    for (_iter48 = this->records.begin(); _iter48 != this->records.end(); ++_iter48)
+    {
+      xfer += (*_iter48).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gaps", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gaps.size()));
+    std::vector<KeeperGap> ::const_iterator _iter49;
+    for (_iter49 = this->gaps.begin(); _iter49 != this->gaps.end(); ++_iter49)
     {
-      xfer += (*_iter27).write(oprot);
+      xfer += (*_iter49).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1324,28 +1664,31 @@
   swap(a.isComplete, b.isComplete);
   swap(a.isLast, b.isLast);
   swap(a.records, b.records);
+  swap(a.gaps, b.gaps);
   swap(a.__isset, b.__isset);
 }
 
-TransferChunk::TransferChunk(const TransferChunk& other28) {
-  epoch = other28.epoch;
-  purpose = other28.purpose;
-  transfer = other28.transfer;
-  afterKey = other28.afterKey;
-  isComplete = other28.isComplete;
-  isLast = other28.isLast;
-  records = other28.records;
-  __isset = other28.__isset;
-}
-TransferChunk& TransferChunk::operator=(const TransferChunk& other29) {
-  epoch = other29.epoch;
-  purpose = other29.purpose;
-  transfer = other29.transfer;
-  afterKey = other29.afterKey;
-  isComplete = other29.isComplete;
-  isLast = other29.isLast;
-  records = other29.records;
-  __isset = other29.__isset;
+TransferChunk::TransferChunk(const TransferChunk& other50) {
+  epoch = other50.epoch;
+  purpose = other50.purpose;
+  transfer = other50.transfer;
+  afterKey = other50.afterKey;
+  isComplete = other50.isComplete;
+  isLast = other50.isLast;
+  records = other50.records;
+  gaps = other50.gaps;
+  __isset = other50.__isset;
+}
+TransferChunk& TransferChunk::operator=(const TransferChunk& other51) {
+  epoch = other51.epoch;
+  purpose = other51.purpose;
+  transfer = other51.transfer;
+  afterKey = other51.afterKey;
+  isComplete = other51.isComplete;
+  isLast = other51.isLast;
+  records = other51.records;
+  gaps = other51.gaps;
+  __isset = other51.__isset;
   return *this;
 }
 void TransferChunk::printTo(std::ostream& out) const {
@@ -1358,6 +1701,7 @@
   out << ", " << "isComplete=" << to_string(isComplete);
   out << ", " << "isLast=" << to_string(isLast);
   out << ", " << "records=" << to_string(records);
+  out << ", " << "gaps=" << to_string(gaps);
   out << ")";
 }
 
@@ -1553,25 +1897,25 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimMessage::ClaimMessage(const ClaimMessage& other30) {
-  request = other30.request;
-  reply = other30.reply;
-  releaseClaim = other30.releaseClaim;
-  finish = other30.finish;
-  ack = other30.ack;
-  transferRequest = other30.transferRequest;
-  transferChunk = other30.transferChunk;
-  __isset = other30.__isset;
-}
-ClaimMessage& ClaimMessage::operator=(const ClaimMessage& other31) {
-  request = other31.request;
-  reply = other31.reply;
-  releaseClaim = other31.releaseClaim;
-  finish = other31.finish;
-  ack = other31.ack;
-  transferRequest = other31.transferRequest;
-  transferChunk = other31.transferChunk;
-  __isset = other31.__isset;
+ClaimMessage::ClaimMessage(const ClaimMessage& other52) {
+  request = other52.request;
+  reply = other52.reply;
+  releaseClaim = other52.releaseClaim;
+  finish = other52.finish;
+  ack = other52.ack;
+  transferRequest = other52.transferRequest;
+  transferChunk = other52.transferChunk;
+  __isset = other52.__isset;
+}
+ClaimMessage& ClaimMessage::operator=(const ClaimMessage& other53) {
+  request = other53.request;
+  reply = other53.reply;
+  releaseClaim = other53.releaseClaim;
+  finish = other53.finish;
+  ack = other53.ack;
+  transferRequest = other53.transferRequest;
+  transferChunk = other53.transferChunk;
+  __isset = other53.__isset;
   return *this;
 }
 void ClaimMessage::printTo(std::ostream& out) const {
--- a/gen-cpp/claim_types.h
+++ b/gen-cpp/claim_types.h
@@ -35,6 +35,10 @@
 
 class DuplicateRecord;
 
+class KeeperHost;
+
+class KeeperGap;
+
 class TransferRequest;
 
 class TransferChunk;
@@ -441,6 +445,118 @@
 
 std::ostream& operator<<(std::ostream& out, const DuplicateRecord& obj);
 
+typedef struct _KeeperHost__isset {
+  _KeeperHost__isset() : host(false), dataCentre(false) {}
+  bool host :1;
+  bool dataCentre :1;
+} _KeeperHost__isset;
+
+class KeeperHost : public virtual ::apache::thrift::TBase {
+ public:
+
+  KeeperHost(const KeeperHost&);
+  KeeperHost& operator=(const KeeperHost&);
+  KeeperHost() noexcept
+             : host(),
+               dataCentre() {
+  }
+
+  virtual ~KeeperHost() noexcept;
+  std::string host;
+  std::string dataCentre;
+
+  _KeeperHost__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_dataCentre(const std::string& val);
+
+  bool operator == (const KeeperHost & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(dataCentre == rhs.dataCentre))
+      return false;
+    return true;
+  }
+  bool operator != (const KeeperHost &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const KeeperHost & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(KeeperHost &a, KeeperHost &b);
+
+std::ostream& operator<<(std::ostream& out, const KeeperHost& obj);
+
+typedef struct _KeeperGap__isset {
+  _KeeperGap__isset() : epoch(false), hosts(false), missing(false), remainingNanoseconds(false) {}
+  bool epoch :1;
+  bool hosts :1;
+  bool missing :1;
+  bool remainingNanoseconds :1;
+} _KeeperGap__isset;
+
+class KeeperGap : public virtual ::apache::thrift::TBase {
+ public:
+
+  KeeperGap(const KeeperGap&);
+  KeeperGap& operator=(const KeeperGap&);
+  KeeperGap() noexcept
+            : epoch(0),
+              remainingNanoseconds(0) {
+  }
+
+  virtual ~KeeperGap() noexcept;
+  int64_t epoch;
+  std::vector<KeeperHost>  hosts;
+  std::vector<std::string>  missing;
+  int64_t remainingNanoseconds;
+
+  _KeeperGap__isset __isset;
+
+  void __set_epoch(const int64_t val);
+
+  void __set_hosts(const std::vector<KeeperHost> & val);
+
+  void __set_missing(const std::vector<std::string> & val);
+
+  void __set_remainingNanoseconds(const int64_t val);
+
+  bool operator == (const KeeperGap & rhs) const
+  {
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(hosts == rhs.hosts))
+      return false;
+    if (!(missing == rhs.missing))
+      return false;
+    if (!(remainingNanoseconds == rhs.remainingNanoseconds))
+      return false;
+    return true;
+  }
+  bool operator != (const KeeperGap &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const KeeperGap & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(KeeperGap &a, KeeperGap &b);
+
+std::ostream& operator<<(std::ostream& out, const KeeperGap& obj);
+
 typedef struct _TransferRequest__isset {
   _TransferRequest__isset() : epoch(false), purpose(false), transfer(false), afterKey(false) {}
   bool epoch :1;
@@ -506,7 +622,7 @@
 std::ostream& operator<<(std::ostream& out, const TransferRequest& obj);
 
 typedef struct _TransferChunk__isset {
-  _TransferChunk__isset() : epoch(false), purpose(false), transfer(false), afterKey(false), isComplete(false), isLast(false), records(false) {}
+  _TransferChunk__isset() : epoch(false), purpose(false), transfer(false), afterKey(false), isComplete(false), isLast(false), records(false), gaps(false) {}
   bool epoch :1;
   bool purpose :1;
   bool transfer :1;
@@ -514,6 +630,7 @@
   bool isComplete :1;
   bool isLast :1;
   bool records :1;
+  bool gaps :1;
 } _TransferChunk__isset;
 
 class TransferChunk : public virtual ::apache::thrift::TBase {
@@ -538,6 +655,7 @@
   bool isComplete;
   bool isLast;
   std::vector<DuplicateRecord>  records;
+  std::vector<KeeperGap>  gaps;
 
   _TransferChunk__isset __isset;
 
@@ -555,6 +673,8 @@
 
   void __set_records(const std::vector<DuplicateRecord> & val);
 
+  void __set_gaps(const std::vector<KeeperGap> & val);
+
   bool operator == (const TransferChunk & rhs) const
   {
     if (!(epoch == rhs.epoch))
@@ -571,6 +691,8 @@
       return false;
     if (!(records == rhs.records))
       return false;
+    if (!(gaps == rhs.gaps))
+      return false;
     return true;
   }
   bool operator != (const TransferChunk &rhs) const {
--- a/wire/claim.thrift
+++ b/wire/claim.thrift
@@ -44,6 +44,18 @@
   5: i64 ageNanoseconds
 }
 
+struct KeeperHost {
+  1: string host
+  2: string dataCentre
+}
+
+struct KeeperGap {
+  1: i64 epoch
+  2: list<KeeperHost> hosts
+  3: list<string> missing
+  4: i64 remainingNanoseconds
+}
+
 struct TransferRequest {
   1: i64 epoch
   2: i32 purpose
@@ -59,6 +71,7 @@
   5: bool isComplete
   6: bool isLast
   7: list<DuplicateRecord> records
+  8: list<KeeperGap> gaps
 }
 
 // Exactly one field is set.
