--- a/dragonflylane/KeeperSelection.cpp
+++ b/dragonflylane/KeeperSelection.cpp
@@ -12,38 +12,38 @@
     return std::any_of(hosts.begin(), hosts.end(), [&host](const KeeperHost& keeper) { return keeper.host == host; });
 }
 
+// Three passes over the hashes are faster than sorting them all, since a claim computes this several times.
 std::vector<HostId> keepersOf(std::string_view key, const KeeperView& view)
 {
-    struct Ranked {
-        uint64_t hash;
-        const KeeperHost* keeper;
-    };
     uint64_t seed = stableHash(key);
-    std::vector<Ranked> ranked;
-    ranked.reserve(view.hosts.size());
+    std::vector<uint64_t> hashes;
+    hashes.reserve(view.hosts.size());
     for (const KeeperHost& keeper : view.hosts)
-        ranked.push_back({ stableHash(keeper.host.value(), seed), &keeper });
-    // The host id breaks ties, so the order in which the view lists its hosts does not matter.
-    std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
-        return a.hash != b.hash ? a.hash > b.hash : a.keeper->host < b.keeper->host;
-    });
+        hashes.push_back(stableHash(keeper.host.value(), seed));
 
     std::vector<const KeeperHost*> chosen;
-    auto isChosen = [&chosen](const KeeperHost* keeper) {
-        return std::find(chosen.begin(), chosen.end(), keeper) != chosen.end();
-    };
-    auto sharesDataCentre = [&chosen](const KeeperHost* keeper) {
-        return std::any_of(chosen.begin(), chosen.end(),
-            [keeper](const KeeperHost* other) { return other->dataCentre == keeper->dataCentre; });
+    chosen.reserve(keepersPerKey);
+    auto isTaken = [&chosen](const KeeperHost& keeper, bool allowShared) {
+        return std::any_of(chosen.begin(), chosen.end(), [&](const KeeperHost* other) {
+            return other == &keeper || (!allowShared && other->dataCentre == keeper.dataCentre);
+        });
     };
-    for (bool allowShared : { false, true }) {
-        for (const Ranked& candidate : ranked) {
-            if (chosen.size() == keepersPerKey)
-                break;
-            if (!isChosen(candidate.keeper) && (allowShared || !sharesDataCentre(candidate.keeper)))
-                chosen.push_back(candidate.keeper);
+    auto pickBest = [&](bool allowShared) {
+        size_t best = view.hosts.size();
+        for (size_t i = 0; i < view.hosts.size(); ++i) {
+            // The host id breaks ties, so the order in which the view lists its hosts does not matter.
+            bool isBetter = best == view.hosts.size() || hashes[i] > hashes[best]
+                || (hashes[i] == hashes[best] && view.hosts[i].host < view.hosts[best].host);
+            if (isBetter && !isTaken(view.hosts[i], allowShared))
+                best = i;
         }
-    }
+        if (best == view.hosts.size())
+            return false;
+        chosen.push_back(&view.hosts[best]);
+        return true;
+    };
+    while (chosen.size() < keepersPerKey && (pickBest(false) || pickBest(true))) { }
+
     std::vector<HostId> keepers;
     keepers.reserve(chosen.size());
     for (const KeeperHost* keeper : chosen)
--- a/tests/UpstreamSelectorTest.cpp
+++ b/tests/UpstreamSelectorTest.cpp
@@ -27,6 +27,7 @@
     std::vector<UpstreamCandidate> candidates(int count, const std::string& dataCentre)
     {
         std::vector<UpstreamCandidate> result;
+        result.reserve(static_cast<size_t>(count));
         for (int i = 0; i < count; ++i)
             result.push_back(candidate(i, dataCentre));
         return result;
