Keep restarted keepers from prolonging each other's gaps

Cause: keepers that copied from each other within an epoch passed on the gaps that they had learned, and each pass added the delay of a message. Ruled out: a fixed margin on the end of a gap, which passes can exceed. Conclusion: gaps end one message delay after the retention time.

--- a/dragonflylane/DuplicateRecords.cpp
+++ b/dragonflylane/DuplicateRecords.cpp
@@ -163,7 +163,7 @@
 }
 
 /// Everything that this keeper may lack: what it lacked before, what its peers lack, and the peers it lacks.
-std::vector<DuplicateRecords::Gap> DuplicateRecords::allGaps(TimePoint now) const
+std::vector<DuplicateRecords::Gap> DuplicateRecords::allGaps(TimePoint now, bool includePeers) const
 {
     std::vector<Gap> gaps;
     auto add = [&](const Gap& gap) {
@@ -173,6 +173,8 @@
     std::for_each(m_gaps.begin(), m_gaps.end(), add);
     if (std::optional<Gap> gap = transferGap(now))
         add(*gap);
+    if (!includePeers)
+        return gaps;
     for (const auto& [host, transfer] : m_transfers)
         std::for_each(transfer.gaps.begin(), transfer.gaps.end(), add);
     return gaps;
@@ -274,7 +276,9 @@
     if (!m_view || request.epoch != m_view->epoch)
         return;
     bool isNewEpoch = request.purpose == TransferPurpose::NewEpoch;
-    std::vector<Gap> gaps = isNewEpoch ? m_gaps : allGaps(now);
+    // A restarted keeper copies from every other keeper of a key and so learns the gaps of each from itself. Passed on
+    // by keepers that copy from each other, gaps would last longer with each message delay.
+    std::vector<Gap> gaps = isNewEpoch ? m_gaps : allGaps(now, m_origin == Origin::NewEpoch);
     bool canTell = isNewEpoch ? m_wasInPreviousEpoch : gaps.size() <= maxKeeperGaps;
     TransferChunk chunk;
     if (canTell) {
--- a/dragonflylane/DuplicateRecords.h
+++ b/dragonflylane/DuplicateRecords.h
@@ -132,7 +132,7 @@
     bool knowsRecordsOf(const HostId&, std::string_view key, TimePoint now) const;
     static bool covers(const std::vector<Gap>&, std::string_view key, TimePoint now);
     static void mergeGap(std::vector<Gap>&, const Gap&);
-    std::vector<Gap> allGaps(TimePoint now) const;
+    std::vector<Gap> allGaps(TimePoint now, bool includePeers = true) const;
     std::optional<Gap> transferGap(TimePoint now) const;
     const KeeperView& sources() const { return m_origin == Origin::Restart ? *m_view : *m_previousView; }
     bool isWaitDisabled() const;
--- a/tests/DuplicateRecordsTest.cpp
+++ b/tests/DuplicateRecordsTest.cpp
@@ -301,7 +301,8 @@
 // lose their memory, and view changes.
 TEST(DuplicateRecordsTest, NeverGrantsAKeyTwiceUnderRandomFaults)
 {
-    for (uint64_t seed = 1; seed <= 12; ++seed) {
+    // With seed 213 restarted keepers once prolonged each other's gaps for ever.
+    for (uint64_t seed : { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 213 }) {
         ChaosResult result = runChaos(seed);
         EXPECT_EQ(result.doubleGrants, 0) << seed;
         EXPECT_EQ(result.wrongAnswers, 0) << seed;
