Let a control host take the heads of all data centres

Cause: the default of 32 children is meant for relays; two heads in each of 20 data centres are 40 children when only one control host is left. Before: 8 heads would be refused. After: limit 64. Conclusion: one surviving control host can serve the tree.

--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -34,6 +34,8 @@
     // The announcement of the end spreads before the process goes, so that entry daemons stop choosing this host.
     constexpr std::chrono::milliseconds leaveSpreadTime { 500 };
     constexpr std::chrono::seconds keeperCheckInterval { 1 };
+    // Two heads in each of 20 data centres may all choose the same control host while the others are out.
+    constexpr size_t maxControlChildren = 64;
 
     uint64_t randomNumber()
     {
@@ -167,6 +169,8 @@
     void makeRelay()
     {
         RelayOptions options { .self = m_settings.hostId, .isControl = m_settings.isControl(), .seed = m_life };
+        if (options.isControl)
+            options.maxChildren = maxControlChildren;
         m_relay = std::make_unique<RelayTask>(m_context, std::move(options), m_log ? &m_log->book() : nullptr, m_hub,
             m_metrics, m_journal, RelayTask::Hooks { .applied = [this](const ConfigState& state) { applied(state); } });
     }
