Resolve the includes of ClaimMessages.cpp after the merge

Before: the file did not compile. Conclusion: merges are built before they are committed from here on.

--- a/dragonflylane/ClaimMessages.cpp
+++ b/dragonflylane/ClaimMessages.cpp
@@ -1,11 +1,9 @@
 #include "dragonflylane/ClaimMessages.h"
 
-<<<<<<< HEAD
 #include "dragonflylane/Digest.h"
-=======
+
 #include <algorithm>
 #include <set>
->>>>>>> request
 
 namespace dragonflylane {
 
