Run the whole path: wait for a leader, greet in time, warn by item

A confirm after a stop of the leader took 2,118 ms, because the API waited for the link to the stopped host. Commands during an election failed instead of waiting. A dial to a stopped daemon was accepted by its kernel and waited 2 s for a greeting. Plans warned about missing upstreams that were announced already.

--- a/dragonflylane/ApiTask.cpp
+++ b/dragonflylane/ApiTask.cpp
@@ -17,6 +17,7 @@
 #include "dragonflylane/RelayTask.h"
 #include "dragonflylane/StatusJson.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <charconv>
 
@@ -31,8 +32,13 @@
     constexpr const char* planHeader = "Dragonflylane-Plan";
     // Daemons asked for their journals at a time.
     constexpr size_t maxHostsToAsk = 64;
+    // Counts how often a request was passed on.
+    constexpr const char* forwardsHeader = "Dragonflylane-Forwards";
+    // A leader answers within milliseconds; one that is paused should not hold a command up.
+    constexpr std::chrono::milliseconds leaderTimeout { 1500 };
     // Longer than an election, so that a command outlasts a change of leader.
-    constexpr std::chrono::seconds leaderTimeout { 6 };
+    constexpr std::chrono::seconds leaderPatience { 4 };
+    constexpr std::chrono::milliseconds leaderRetryInterval { 100 };
 
     std::string makePlanId()
     {
@@ -91,13 +97,14 @@
         return isValidName(announcement.id.value()) && isValidName(announcement.service.value());
     }
 
+    // The picture lists upstreams of configured services only; a plan may add a service that upstreams announce
+    // already.
     FleetView fleetView(const ApiParts& parts)
     {
         FleetView fleet { .daemons = parts.membership.view().presentCount() };
-        const Picture& picture = *parts.pictures.picture();
-        for (ServiceIndex i = 0; i < picture.serviceCount(); ++i) {
-            const auto& upstreams = picture.service(i).upstreams;
-            fleet.upstreams.insert(fleet.upstreams.end(), upstreams.begin(), upstreams.end());
+        for (const auto& [host, record] : parts.membership.view().members()) {
+            if (auto entry = upstreamEntry(record))
+                fleet.upstreams.push_back(*entry);
         }
         return fleet;
     }
@@ -205,31 +212,46 @@
 void ApiTask::forwardToLeader(const ApiRequest& request)
 {
     // A control host that is not the leader passes a request on once more, but only to the leader.
-    bool mayForward = !request.isForwarded || (m_parts.log && request.http.header("Dragonflylane-Forwards") == "1");
+    bool mayForward = !request.isForwarded || (m_parts.log && request.http.header(forwardsHeader) == "1");
     if (!mayForward)
         return request.respondError(ResultCode::NotLeader);
-    askLeader(request, leaderCandidates());
+    Duration patience = request.isForwarded ? Duration::zero() : Duration(leaderPatience);
+    askLeader(request, leaderCandidates(), BootClock::now() + patience);
 }
 
-void ApiTask::askLeader(const ApiRequest& request, std::vector<HostId> hosts)
+void ApiTask::askLeader(const ApiRequest& request, std::vector<HostId> hosts, TimePoint deadline)
 {
     if (hosts.empty())
-        return request.respondError(ResultCode::QuorumLost);
+        return waitForLeader(request, deadline);
     HostId host = hosts.front();
     hosts.erase(hosts.begin());
     HttpRequest http { .method = request.http.method, .target = request.http.target, .body = request.http.body };
     http.headers = { { operatorHeader, request.operatorName.value() },
         { planHeader, std::string(request.http.header(planHeader)) },
-        { "Dragonflylane-Forwards", request.isForwarded ? "2" : "1" } };
-    m_peers.ask(host, http, leaderTimeout, [this, request, hosts](std::optional<HttpResponse> response) {
-        bool isNotLeader = response && response->body.find("\"not_leader\"") != std::string::npos;
+        { forwardsHeader, request.isForwarded ? "2" : "1" } };
+    m_peers.ask(host, http, leaderTimeout, [this, request, hosts, deadline](std::optional<HttpResponse> response) {
+        bool mayAskOther = !response || response->body.find("\"not_leader\"") != std::string::npos
+            || response->body.find("\"quorum_lost\"") != std::string::npos;
         // Plans are keyed by id, so asking the next host after a lost answer cannot apply anything twice.
-        if (!response || isNotLeader)
-            return askLeader(request, hosts);
+        if (mayAskOther)
+            return askLeader(request, hosts, deadline);
         request.respond(std::move(*response));
     });
 }
 
+// An election takes about a second; the operator's command waits for it instead of failing.
+void ApiTask::waitForLeader(const ApiRequest& request, TimePoint deadline)
+{
+    if (BootClock::now() >= deadline)
+        return request.respondError(ResultCode::QuorumLost);
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, leaderRetryInterval);
+    timer->async_wait([this, timer, request, deadline](boost::system::error_code) {
+        if (isLeader())
+            return dispatch(request);
+        askLeader(request, leaderCandidates(), deadline);
+    });
+}
+
 void ApiTask::createPlan(const ApiRequest& request)
 {
     if (!isLeader()) {
--- a/dragonflylane/ApiTask.h
+++ b/dragonflylane/ApiTask.h
@@ -61,7 +61,8 @@
     bool authenticate(ApiRequest&) const;
     void forwardToLeader(const ApiRequest&);
     std::vector<HostId> leaderCandidates() const;
-    void askLeader(const ApiRequest&, std::vector<HostId> hosts);
+    void askLeader(const ApiRequest&, std::vector<HostId> hosts, TimePoint deadline);
+    void waitForLeader(const ApiRequest&, TimePoint deadline);
     bool isLeader() const;
 
     void announce(const ApiRequest&);
--- a/dragonflylane/CommandOutput.cpp
+++ b/dragonflylane/CommandOutput.cpp
@@ -122,7 +122,8 @@
     lines += "routes       gained " + join(list(plan, "routesGained")) + ", lost " + join(list(plan, "routesLost"))
         + "\n";
     for (const json::value& warning : list(plan, "warnings"))
-        lines += "warning      " + field(warning, "text") + "\n";
+        lines += "warning      " + field(warning, "kind") + " " + field(warning, "name") + " " + field(warning, "text")
+            + "\n";
     lines += "affects      " + field(plan, "daemonsAffected") + " daemons, about "
         + field(plan, "estimatedControlBytes") + " control bytes\n";
     return lines + "Nothing is applied until: dragonflylane confirm " + field(plan, "plan") + "\n";
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -42,6 +42,8 @@
         case ResultCode::DaemonLeaving:
         case ResultCode::UpstreamChanged:
         case ResultCode::UpstreamUnreachable:
+        case ResultCode::OwnerUnreachable:
+        case ResultCode::OwnerLost:
             return SelectionOutcome::Unavailable;
         case ResultCode::DeadlineExceeded:
         case ResultCode::RequestQuarantined:
@@ -189,6 +191,7 @@
             return refuse(call, ResultCode::DuplicateUnknown);
         HttpResponse http = toHttpResponse(std::move(response));
         http.headers.push_back({ "Dragonflylane-Replayed", "true" });
+        http.headers.push_back({ "Dragonflylane-Request-Id", call->requestId.value() });
         m_parts.metrics.add("calls_replayed");
         respond(call, ResultCode::Ok, std::move(http));
     }
--- a/dragonflylane/PeerHub.h
+++ b/dragonflylane/PeerHub.h
@@ -45,6 +45,9 @@
     /// A link with no frame for this long is closed: a silent partition sends no reset.
     Duration peerTimeout { std::chrono::seconds(2) };
     Duration connectTimeout { std::chrono::seconds(1) };
+    /// A stopped process still accepts connections in its kernel, but never greets. Above two round trips between
+    /// regions.
+    Duration greetingTimeout { std::chrono::milliseconds(500) };
     /// A peer that reads too slowly loses its link instead of filling our memory.
     size_t maxQueuedBytes { 32 << 20 };
     size_t maxLinks { 1024 };
--- a/dragonflylane/PeerLink.cpp
+++ b/dragonflylane/PeerLink.cpp
@@ -66,7 +66,8 @@
 
 void PeerLink::tick(TimePoint now)
 {
-    if (now - m_lastReceived > m_options.peerTimeout)
+    Duration limit = m_isEstablished ? m_options.peerTimeout : m_options.greetingTimeout;
+    if (now - m_lastReceived > limit)
         return close(ResultCode::PeerTimeout);
     if (m_isEstablished && now - m_lastSent >= m_options.heartbeatInterval && m_writing.empty())
         send(FrameKind::Heartbeat, {});
--- a/dragonflylane/PictureTask.cpp
+++ b/dragonflylane/PictureTask.cpp
@@ -6,6 +6,20 @@
 
 namespace dragonflylane {
 
+std::optional<UpstreamEntry> upstreamEntry(const MemberRecord& record)
+{
+    if (!record.isPresent() || !record.upstream)
+        return std::nullopt;
+    const UpstreamRecord& upstream = *record.upstream;
+    return UpstreamEntry { .id = upstream.id,
+        .owner = record.host,
+        .service = upstream.service,
+        .dataCentre = record.dataCentre,
+        .incarnation = upstream.incarnation,
+        .slots = upstream.slots,
+        .phase = upstream.phase };
+}
+
 PictureTask::PictureTask(boost::asio::io_context& context, Published published, Conflict conflict)
     : m_context(context)
     , m_published(std::move(published))
@@ -22,17 +36,7 @@
 
 void PictureTask::setMember(const HostId& host, const std::optional<MemberRecord>& record)
 {
-    std::optional<UpstreamEntry> entry;
-    if (record && record->isPresent() && record->upstream) {
-        const UpstreamRecord& upstream = *record->upstream;
-        entry = UpstreamEntry { .id = upstream.id,
-            .owner = host,
-            .service = upstream.service,
-            .dataCentre = record->dataCentre,
-            .incarnation = upstream.incarnation,
-            .slots = upstream.slots,
-            .phase = upstream.phase };
-    }
+    std::optional<UpstreamEntry> entry = record ? upstreamEntry(*record) : std::nullopt;
     for (const UpstreamConflict& conflict : m_builder.update(host, std::move(entry)))
         m_conflict(conflict);
     schedule();
--- a/dragonflylane/PictureTask.h
+++ b/dragonflylane/PictureTask.h
@@ -15,6 +15,9 @@
 
 struct MemberRecord;
 
+/// The upstream that a member announces; nothing if it is not present or announces none.
+std::optional<UpstreamEntry> upstreamEntry(const MemberRecord&);
+
 /// Owns the builder. Changes that arrive together lead to one new picture.
 class PictureTask {
 public:
