--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -72,7 +72,8 @@
         , m_claims(m_context, m_settings.hostId, m_life, m_hub, m_metrics)
         , m_owner(m_context, { .self = m_settings.hostId, .maxBodyBytes = m_settings.maxBodyBytes }, m_crash, m_metrics,
               m_journal,
-              { .announced = [this](std::optional<UpstreamRecord> record) { m_membership->setUpstream(record); },
+              { .announced
+                  = [this](std::optional<UpstreamRecord> record) { m_membership->setUpstream(std::move(record)); },
                   .knownIncarnation = [this](const UpstreamId& id) { return knownIncarnation(id); } })
         , m_pictures(
               m_context, [this](const auto& picture) { takePicture(picture); },
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -1,10 +1,12 @@
 #include "dragonflylane/EntryTask.h"
 
+#include "dragonflylane/CallTransfers.h"
 #include "dragonflylane/ClaimTask.h"
 #include "dragonflylane/CrashTask.h"
 #include "dragonflylane/EntryCall.h"
 #include "dragonflylane/EntryService.h"
 #include "dragonflylane/Fingerprint.h"
+#include "dragonflylane/ForwardServer.h"
 #include "dragonflylane/ForwardWire.h"
 #include "dragonflylane/Journal.h"
 #include "dragonflylane/Metrics.h"
@@ -72,16 +74,22 @@
         , m_parts(parts)
         , m_hooks(std::move(hooks))
         , m_picture(std::make_shared<Picture>())
+        , m_forwardServer(m_parts.hub, m_parts.owner, m_parts.metrics)
+        , m_transfers(m_parts.hub, m_parts.metrics,
+              { .choosePeer = m_hooks.transferPeer,
+                  .finished
+                  = [this](const CallPtr& call, ResultCode code,
+                        std::optional<HttpResponse> response) { finishTransfer(call, code, std::move(response)); },
+                  .serve = [this](std::shared_ptr<HttpExchange> exchange) { handle(std::move(exchange)); } })
     {
     }
 
     void start()
     {
-        m_parts.hub.subscribe(FrameKind::ForwardRequest, [this](const PeerFrame& frame) { serveForward(frame); });
-        m_parts.hub.subscribe(FrameKind::ForwardCancel, [this](const PeerFrame& frame) { serveCancel(frame); });
         m_parts.hub.subscribe(FrameKind::ForwardResponse, [this](const PeerFrame& frame) { takeResponse(frame); });
-        m_parts.hub.subscribe(FrameKind::CallTransfer, [this](const PeerFrame& frame) { serveTransfer(frame); });
         m_parts.hub.subscribeLinkDown([this](LinkId link, const HostId&) { linkDown(link); });
+        m_forwardServer.start();
+        m_transfers.start();
     }
 
     void setPicture(std::shared_ptr<const Picture> picture)
@@ -98,7 +106,7 @@
     }
 
     void leave() { m_isLeaving = true; }
-    bool isIdle() const { return m_calls.empty() && m_servedForwards.empty(); }
+    bool isIdle() const { return m_calls.empty() && m_forwardServer.isIdle(); }
 
     void handle(std::shared_ptr<HttpExchange> exchange)
     {
@@ -126,13 +134,14 @@
             return refuse(call, ResultCode::TooManyHops);
         if (call->headers.timeout)
             call->deadline = call->exchange->received() + *call->headers.timeout;
-        if (!m_hooks.hasFloor())
-            return transfer(call);
+        if (!m_hooks.hasFloor()) {
+            watchDeadline(call);
+            return m_transfers.transfer(call, m_nextId++);
+        }
         ResultCode code = route(call);
         if (code != ResultCode::Ok)
             return refuse(call, code);
-        m_deadlines.emplace(call->deadline + m_options.answerGrace, call->id);
-        armDeadlines();
+        watchDeadline(call);
         const HttpRequest& request = call->exchange->request();
         call->fingerprint = requestFingerprint(call->serviceName, request.method, request.target, request.body);
         if (m_parts.crash.stateOf(call->fingerprint) == CrashState::Quarantined)
@@ -234,7 +243,8 @@
         uint64_t ownerCall = m_parts.owner.handle(std::move(request), [this](wire::ForwardResponse response) {
             // The owner may answer within handle(), before the attempt is complete.
             asio::post(m_context, [self = shared_from_this(), response = std::move(response)]() mutable {
-                self->finishAttempt(static_cast<uint64_t>(response.requestId), LinkId(), std::move(response));
+                auto id = static_cast<uint64_t>(response.requestId);
+                self->finishAttempt(id, LinkId(), std::move(response));
             });
         });
         if (EntryAttempt* attempt = findAttempt(*call, attemptId))
@@ -269,9 +279,9 @@
         wire::ForwardResponse response;
         if (!decodeThrift(frame.payload, response))
             return m_parts.metrics.add("forward_malformed");
+        if (m_transfers.take(frame, response))
+            return;
         auto id = static_cast<uint64_t>(response.requestId);
-        if (auto transferred = m_transfers.find(id); transferred != m_transfers.end())
-            return finishTransfer(id, frame.link, std::move(response));
         finishAttempt(id, frame.link, std::move(response));
     }
 
@@ -414,6 +424,7 @@
         for (const EntryAttempt& attempt : call->open)
             cancelAttempt(call, attempt);
         call->open.clear();
+        m_transfers.forget(*call);
         closeClaim(call);
         m_deadlines.erase({ call->deadline + m_options.answerGrace, call->id });
         m_calls.erase(call->id);
@@ -451,8 +462,9 @@
         TimePoint now = BootClock::now();
         while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
             CallPtr call = m_calls.at(m_deadlines.begin()->second);
-            bool wasSent = std::any_of(
-                call->open.begin(), call->open.end(), [](const EntryAttempt& attempt) { return attempt.isSent; });
+            bool wasSent = m_transfers.isSent(*call)
+                || std::any_of(
+                    call->open.begin(), call->open.end(), [](const EntryAttempt& attempt) { return attempt.isSent; });
             if (wasSent)
                 call->earlierUnknown = ResultCode::UpstreamTimeout;
             refuse(call, call->earlierUnknown != ResultCode::Ok ? call->earlierUnknown : ResultCode::DeadlineExceeded);
@@ -460,6 +472,12 @@
         armDeadlines();
     }
 
+    void watchDeadline(const CallPtr& call)
+    {
+        m_deadlines.emplace(call->deadline + m_options.answerGrace, call->id);
+        armDeadlines();
+    }
+
     // Deadlines are checked every few milliseconds instead of with one timer a call.
     void armDeadlines()
     {
@@ -488,8 +506,6 @@
         }
         for (uint64_t id : lost)
             finishAttempt(id, link, makeResponse(id, ResultCode::OwnerLost));
-        failTransfers(link);
-        dropServedForwards(link);
     }
 
     static EntryAttempt* findAttempt(EntryCall& call, uint64_t id)
@@ -501,119 +517,13 @@
         return nullptr;
     }
 
-    // ---- owner side of the frames ----
-
-    struct ServedForward {
-        LinkId link;
-        uint64_t ownerCall { 0 };
-    };
-
-    void serveForward(const PeerFrame& frame)
-    {
-        wire::ForwardRequest request;
-        if (!decodeThrift(frame.payload, request))
-            return m_parts.metrics.add("forward_malformed");
-        auto key = std::pair(frame.link, request.requestId);
-        m_servedForwards[key] = {};
-        uint64_t ownerCall
-            = m_parts.owner.handle(std::move(request), [this, key](const wire::ForwardResponse& response) {
-                  m_servedForwards.erase(key);
-                  m_parts.hub.send(key.first, FrameKind::ForwardResponse, encodeThrift(response));
-              });
-        if (auto it = m_servedForwards.find(key); it != m_servedForwards.end())
-            it->second = { frame.link, ownerCall };
-    }
-
-    void serveCancel(const PeerFrame& frame)
-    {
-        wire::ForwardCancel cancel;
-        if (!decodeThrift(frame.payload, cancel))
-            return m_parts.metrics.add("forward_malformed");
-        auto node = m_servedForwards.extract({ frame.link, cancel.requestId });
-        if (!node.empty())
-            m_parts.owner.cancel(node.mapped().ownerCall);
-    }
-
-    // The entry daemon is gone. Idempotent work is cancelled; an order that was handed over runs to its end.
-    void dropServedForwards(LinkId link)
-    {
-        std::erase_if(m_servedForwards, [link](const auto& item) { return item.first.first == link; });
-    }
-
-    // ---- hand-over of whole calls by a daemon without a floor ----
-
-    struct Transfer {
-        CallPtr call;
-        LinkId link;
-        HostId peer;
-    };
-
-    void transfer(const CallPtr& call)
-    {
-        HostId peer = call->headers.isTransferred ? HostId() : m_hooks.transferPeer(call->tried);
-        if (peer.isEmpty() || call->tried.size() >= maxTransferAttempts)
-            return refuse(call, ResultCode::NoFloor);
-        call->tried.push_back(peer);
-        uint64_t id = m_nextId++;
-        wire::CallTransfer message = makeTransfer(*call, id);
-        m_transfers.emplace(id, Transfer { call, LinkId(), peer });
-        m_parts.metrics.add("calls_transferred");
-        m_parts.hub.withLink(
-            peer, [self = shared_from_this(), id, message = std::move(message)](std::error_code error, LinkId link) {
-                auto it = self->m_transfers.find(id);
-                if (it == self->m_transfers.end())
-                    return;
-                it->second.link = link;
-                if (error || !self->m_parts.hub.send(link, FrameKind::CallTransfer, encodeThrift(message)))
-                    self->finishTransfer(id, link, makeResponse(id, ResultCode::OwnerUnreachable));
-            });
-        m_deadlines.emplace(call->deadline + m_options.answerGrace, call->id);
-        armDeadlines();
-    }
-
-    void finishTransfer(uint64_t id, LinkId link, wire::ForwardResponse response)
+    void finishTransfer(const CallPtr& call, ResultCode code, std::optional<HttpResponse> response)
     {
-        auto it = m_transfers.find(id);
-        if (it == m_transfers.end() || it->second.link != link)
-            return m_parts.metrics.add("answers_late");
-        CallPtr call = it->second.call;
-        m_transfers.erase(it);
         if (call->isFinished)
             return m_parts.metrics.add("answers_late");
-        auto code = static_cast<ResultCode>(response.code);
-        bool mayTryAnother
-            = code == ResultCode::NoFloor || code == ResultCode::OwnerUnreachable || code == ResultCode::DaemonLeaving;
-        if (mayTryAnother && BootClock::now() < call->deadline)
-            return transfer(call);
-        if (response.status == 0)
+        if (!response)
             return refuse(call, code);
-        respond(call, code, toHttpResponse(std::move(response)));
-    }
-
-    void failTransfers(LinkId link)
-    {
-        std::vector<uint64_t> lost;
-        for (const auto& [id, pending] : m_transfers) {
-            if (pending.link == link)
-                lost.push_back(id);
-        }
-        for (uint64_t id : lost)
-            finishTransfer(id, link, makeResponse(id, ResultCode::OwnerLost));
-    }
-
-    void serveTransfer(const PeerFrame& frame)
-    {
-        wire::CallTransfer message;
-        if (!decodeThrift(frame.payload, message))
-            return m_parts.metrics.add("forward_malformed");
-        int64_t id = message.requestId;
-        auto exchange = std::make_shared<HttpExchange>(
-            toHttpRequest(std::move(message)), BootClock::now(), [this, id, link = frame.link](HttpResponse response) {
-                wire::ForwardResponse reply = toForwardResponse(std::move(response));
-                reply.requestId = id;
-                m_parts.hub.send(link, FrameKind::ForwardResponse, encodeThrift(reply));
-            });
-        handle(std::move(exchange));
+        respond(call, code, std::move(*response));
     }
 
     // ---- helpers ----
@@ -633,8 +543,6 @@
         return RequestId(m_options.self.value() + "." + life + "." + std::to_string(id));
     }
 
-    static constexpr size_t maxTransferAttempts = 3;
-
     asio::io_context& m_context;
     const EntryTaskOptions m_options;
     Parts m_parts;
@@ -645,8 +553,8 @@
     uint64_t m_nextId { 1 };
     std::unordered_map<uint64_t, CallPtr> m_calls;
     std::unordered_map<uint64_t, CallPtr> m_attempts;
-    std::unordered_map<uint64_t, Transfer> m_transfers;
-    std::map<std::pair<LinkId, int64_t>, ServedForward> m_servedForwards;
+    ForwardServer m_forwardServer;
+    CallTransfers m_transfers;
     std::set<std::pair<TimePoint, uint64_t>> m_deadlines;
     bool m_isDeadlineArmed { false };
     bool m_isLeaving { false };
--- a/gen-cpp/claim_types.cpp
+++ b/gen-cpp/claim_types.cpp
@@ -129,11 +129,24 @@
   number = other0.number;
   __isset = other0.__isset;
 }
-ClaimId& ClaimId::operator=(const ClaimId& other1) {
-  coordinator = other1.coordinator;
+ClaimId::ClaimId(ClaimId&& other1) noexcept {
+  coordinator = std::move(other1.coordinator);
   life = other1.life;
   number = other1.number;
   __isset = other1.__isset;
+}
+ClaimId& ClaimId::operator=(const ClaimId& other2) {
+  coordinator = other2.coordinator;
+  life = other2.life;
+  number = other2.number;
+  __isset = other2.__isset;
+  return *this;
+}
+ClaimId& ClaimId::operator=(ClaimId&& other3) noexcept {
+  coordinator = std::move(other3.coordinator);
+  life = other3.life;
+  number = other3.number;
+  __isset = other3.__isset;
   return *this;
 }
 void ClaimId::printTo(std::ostream& out) const {
@@ -255,17 +268,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other2) {
-  id = other2.id;
-  epoch = other2.epoch;
-  key = other2.key;
-  __isset = other2.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other4) {
+  id = other4.id;
+  epoch = other4.epoch;
+  key = other4.key;
+  __isset = other4.__isset;
 }
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other3) {
-  id = other3.id;
-  epoch = other3.epoch;
-  key = other3.key;
-  __isset = other3.__isset;
+ClaimRequest::ClaimRequest(ClaimRequest&& other5) noexcept {
+  id = std::move(other5.id);
+  epoch = other5.epoch;
+  key = std::move(other5.key);
+  __isset = other5.__isset;
+}
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other6) {
+  id = other6.id;
+  epoch = other6.epoch;
+  key = other6.key;
+  __isset = other6.__isset;
+  return *this;
+}
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other7) noexcept {
+  id = std::move(other7.id);
+  epoch = other7.epoch;
+  key = std::move(other7.key);
+  __isset = other7.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -404,19 +430,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimReply::ClaimReply(const ClaimReply& other4) {
-  id = other4.id;
-  status = other4.status;
-  code = other4.code;
-  answer = other4.answer;
-  __isset = other4.__isset;
+ClaimReply::ClaimReply(const ClaimReply& other8) {
+  id = other8.id;
+  status = other8.status;
+  code = other8.code;
+  answer = other8.answer;
+  __isset = other8.__isset;
 }
-ClaimReply& ClaimReply::operator=(const ClaimReply& other5) {
-  id = other5.id;
-  status = other5.status;
-  code = other5.code;
-  answer = other5.answer;
-  __isset = other5.__isset;
+ClaimReply::ClaimReply(ClaimReply&& other9) noexcept {
+  id = std::move(other9.id);
+  status = other9.status;
+  code = other9.code;
+  answer = std::move(other9.answer);
+  __isset = other9.__isset;
+}
+ClaimReply& ClaimReply::operator=(const ClaimReply& other10) {
+  id = other10.id;
+  status = other10.status;
+  code = other10.code;
+  answer = other10.answer;
+  __isset = other10.__isset;
+  return *this;
+}
+ClaimReply& ClaimReply::operator=(ClaimReply&& other11) noexcept {
+  id = std::move(other11.id);
+  status = other11.status;
+  code = other11.code;
+  answer = std::move(other11.answer);
+  __isset = other11.__isset;
   return *this;
 }
 void ClaimReply::printTo(std::ostream& out) const {
@@ -522,15 +563,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRelease::ClaimRelease(const ClaimRelease& other6) {
-  id = other6.id;
-  key = other6.key;
-  __isset = other6.__isset;
+ClaimRelease::ClaimRelease(const ClaimRelease& other12) {
+  id = other12.id;
+  key = other12.key;
+  __isset = other12.__isset;
 }
-ClaimRelease& ClaimRelease::operator=(const ClaimRelease& other7) {
-  id = other7.id;
-  key = other7.key;
-  __isset = other7.__isset;
+ClaimRelease::ClaimRelease(ClaimRelease&& other13) noexcept {
+  id = std::move(other13.id);
+  key = std::move(other13.key);
+  __isset = other13.__isset;
+}
+ClaimRelease& ClaimRelease::operator=(const ClaimRelease& other14) {
+  id = other14.id;
+  key = other14.key;
+  __isset = other14.__isset;
+  return *this;
+}
+ClaimRelease& ClaimRelease::operator=(ClaimRelease&& other15) noexcept {
+  id = std::move(other15.id);
+  key = std::move(other15.key);
+  __isset = other15.__isset;
   return *this;
 }
 void ClaimRelease::printTo(std::ostream& out) const {
@@ -668,19 +720,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimFinish::ClaimFinish(const ClaimFinish& other8) {
-  id = other8.id;
-  key = other8.key;
-  hasAnswer = other8.hasAnswer;
-  answer = other8.answer;
-  __isset = other8.__isset;
+ClaimFinish::ClaimFinish(const ClaimFinish& other16) {
+  id = other16.id;
+  key = other16.key;
+  hasAnswer = other16.hasAnswer;
+  answer = other16.answer;
+  __isset = other16.__isset;
 }
-ClaimFinish& ClaimFinish::operator=(const ClaimFinish& other9) {
-  id = other9.id;
-  key = other9.key;
-  hasAnswer = other9.hasAnswer;
-  answer = other9.answer;
-  __isset = other9.__isset;
+ClaimFinish::ClaimFinish(ClaimFinish&& other17) noexcept {
+  id = std::move(other17.id);
+  key = std::move(other17.key);
+  hasAnswer = other17.hasAnswer;
+  answer = std::move(other17.answer);
+  __isset = other17.__isset;
+}
+ClaimFinish& ClaimFinish::operator=(const ClaimFinish& other18) {
+  id = other18.id;
+  key = other18.key;
+  hasAnswer = other18.hasAnswer;
+  answer = other18.answer;
+  __isset = other18.__isset;
+  return *this;
+}
+ClaimFinish& ClaimFinish::operator=(ClaimFinish&& other19) noexcept {
+  id = std::move(other19.id);
+  key = std::move(other19.key);
+  hasAnswer = other19.hasAnswer;
+  answer = std::move(other19.answer);
+  __isset = other19.__isset;
   return *this;
 }
 void ClaimFinish::printTo(std::ostream& out) const {
@@ -769,13 +836,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimAck::ClaimAck(const ClaimAck& other10) {
-  id = other10.id;
-  __isset = other10.__isset;
+ClaimAck::ClaimAck(const ClaimAck& other20) {
+  id = other20.id;
+  __isset = other20.__isset;
 }
-ClaimAck& ClaimAck::operator=(const ClaimAck& other11) {
-  id = other11.id;
-  __isset = other11.__isset;
+ClaimAck::ClaimAck(ClaimAck&& other21) noexcept {
+  id = std::move(other21.id);
+  __isset = other21.__isset;
+}
+ClaimAck& ClaimAck::operator=(const ClaimAck& other22) {
+  id = other22.id;
+  __isset = other22.__isset;
+  return *this;
+}
+ClaimAck& ClaimAck::operator=(ClaimAck&& other23) noexcept {
+  id = std::move(other23.id);
+  __isset = other23.__isset;
   return *this;
 }
 void ClaimAck::printTo(std::ostream& out) const {
@@ -857,14 +933,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claims.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->claims.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->claims.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              xfer += this->claims[_i16].read(iprot);
+              xfer += this->claims[_i28].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -917,10 +993,10 @@
   xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<ClaimId> ::const_iterator _iter17;
-    for (_iter17 = this->claims.begin(); _iter17 != this->claims.end(); ++_iter17)
+    std::vector<ClaimId> ::const_iterator _iter29;
+    for (_iter29 = this->claims.begin(); _iter29 != this->claims.end(); ++_iter29)
     {
-      xfer += (*_iter17).write(oprot);
+      xfer += (*_iter29).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -949,21 +1025,38 @@
   swap(a.__isset, b.__isset);
 }
 
-DuplicateRecord::DuplicateRecord(const DuplicateRecord& other18) {
-  key = other18.key;
-  state = other18.state;
-  claims = other18.claims;
-  answer = other18.answer;
-  ageNanoseconds = other18.ageNanoseconds;
-  __isset = other18.__isset;
+DuplicateRecord::DuplicateRecord(const DuplicateRecord& other30) {
+  key = other30.key;
+  state = other30.state;
+  claims = other30.claims;
+  answer = other30.answer;
+  ageNanoseconds = other30.ageNanoseconds;
+  __isset = other30.__isset;
+}
+DuplicateRecord::DuplicateRecord(DuplicateRecord&& other31) noexcept {
+  key = std::move(other31.key);
+  state = other31.state;
+  claims = std::move(other31.claims);
+  answer = std::move(other31.answer);
+  ageNanoseconds = other31.ageNanoseconds;
+  __isset = other31.__isset;
+}
+DuplicateRecord& DuplicateRecord::operator=(const DuplicateRecord& other32) {
+  key = other32.key;
+  state = other32.state;
+  claims = other32.claims;
+  answer = other32.answer;
+  ageNanoseconds = other32.ageNanoseconds;
+  __isset = other32.__isset;
+  return *this;
 }
-DuplicateRecord& DuplicateRecord::operator=(const DuplicateRecord& other19) {
-  key = other19.key;
-  state = other19.state;
-  claims = other19.claims;
-  answer = other19.answer;
-  ageNanoseconds = other19.ageNanoseconds;
-  __isset = other19.__isset;
+DuplicateRecord& DuplicateRecord::operator=(DuplicateRecord&& other33) noexcept {
+  key = std::move(other33.key);
+  state = other33.state;
+  claims = std::move(other33.claims);
+  answer = std::move(other33.answer);
+  ageNanoseconds = other33.ageNanoseconds;
+  __isset = other33.__isset;
   return *this;
 }
 void DuplicateRecord::printTo(std::ostream& out) const {
@@ -1070,15 +1163,26 @@
   swap(a.__isset, b.__isset);
 }
 
-KeeperHost::KeeperHost(const KeeperHost& other20) {
-  host = other20.host;
-  dataCentre = other20.dataCentre;
-  __isset = other20.__isset;
+KeeperHost::KeeperHost(const KeeperHost& other34) {
+  host = other34.host;
+  dataCentre = other34.dataCentre;
+  __isset = other34.__isset;
 }
-KeeperHost& KeeperHost::operator=(const KeeperHost& other21) {
-  host = other21.host;
-  dataCentre = other21.dataCentre;
-  __isset = other21.__isset;
+KeeperHost::KeeperHost(KeeperHost&& other35) noexcept {
+  host = std::move(other35.host);
+  dataCentre = std::move(other35.dataCentre);
+  __isset = other35.__isset;
+}
+KeeperHost& KeeperHost::operator=(const KeeperHost& other36) {
+  host = other36.host;
+  dataCentre = other36.dataCentre;
+  __isset = other36.__isset;
+  return *this;
+}
+KeeperHost& KeeperHost::operator=(KeeperHost&& other37) noexcept {
+  host = std::move(other37.host);
+  dataCentre = std::move(other37.dataCentre);
+  __isset = other37.__isset;
   return *this;
 }
 void KeeperHost::printTo(std::ostream& out) const {
@@ -1149,14 +1253,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->hosts.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->hosts.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->hosts.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->hosts[_i26].read(iprot);
+              xfer += this->hosts[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1169,14 +1273,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->missing.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _etype30;
-            xfer += iprot->readListBegin(_etype30, _size27);
-            this->missing.resize(_size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->missing.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
             {
-              xfer += iprot->readString(this->missing[_i31]);
+              xfer += iprot->readString(this->missing[_i47]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1217,10 +1321,10 @@
   xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->hosts.size()));
-    std::vector<KeeperHost> ::const_iterator _iter32;
-    for (_iter32 = this->hosts.begin(); _iter32 != this->hosts.end(); ++_iter32)
+    std::vector<KeeperHost> ::const_iterator _iter48;
+    for (_iter48 = this->hosts.begin(); _iter48 != this->hosts.end(); ++_iter48)
     {
-      xfer += (*_iter32).write(oprot);
+      xfer += (*_iter48).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1229,10 +1333,10 @@
   xfer += oprot->writeFieldBegin("missing", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->missing.size()));
-    std::vector<std::string> ::const_iterator _iter33;
-    for (_iter33 = this->missing.begin(); _iter33 != this->missing.end(); ++_iter33)
+    std::vector<std::string> ::const_iterator _iter49;
+    for (_iter49 = this->missing.begin(); _iter49 != this->missing.end(); ++_iter49)
     {
-      xfer += oprot->writeString((*_iter33));
+      xfer += oprot->writeString((*_iter49));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1256,19 +1360,34 @@
   swap(a.__isset, b.__isset);
 }
 
-KeeperGap::KeeperGap(const KeeperGap& other34) {
-  epoch = other34.epoch;
-  hosts = other34.hosts;
-  missing = other34.missing;
-  remainingNanoseconds = other34.remainingNanoseconds;
-  __isset = other34.__isset;
+KeeperGap::KeeperGap(const KeeperGap& other50) {
+  epoch = other50.epoch;
+  hosts = other50.hosts;
+  missing = other50.missing;
+  remainingNanoseconds = other50.remainingNanoseconds;
+  __isset = other50.__isset;
 }
-KeeperGap& KeeperGap::operator=(const KeeperGap& other35) {
-  epoch = other35.epoch;
-  hosts = other35.hosts;
-  missing = other35.missing;
-  remainingNanoseconds = other35.remainingNanoseconds;
-  __isset = other35.__isset;
+KeeperGap::KeeperGap(KeeperGap&& other51) noexcept {
+  epoch = other51.epoch;
+  hosts = std::move(other51.hosts);
+  missing = std::move(other51.missing);
+  remainingNanoseconds = other51.remainingNanoseconds;
+  __isset = other51.__isset;
+}
+KeeperGap& KeeperGap::operator=(const KeeperGap& other52) {
+  epoch = other52.epoch;
+  hosts = other52.hosts;
+  missing = other52.missing;
+  remainingNanoseconds = other52.remainingNanoseconds;
+  __isset = other52.__isset;
+  return *this;
+}
+KeeperGap& KeeperGap::operator=(KeeperGap&& other53) noexcept {
+  epoch = other53.epoch;
+  hosts = std::move(other53.hosts);
+  missing = std::move(other53.missing);
+  remainingNanoseconds = other53.remainingNanoseconds;
+  __isset = other53.__isset;
   return *this;
 }
 void KeeperGap::printTo(std::ostream& out) const {
@@ -1408,19 +1527,34 @@
   swap(a.__isset, b.__isset);
 }
 
-TransferRequest::TransferRequest(const TransferRequest& other36) {
-  epoch = other36.epoch;
-  purpose = other36.purpose;
-  transfer = other36.transfer;
-  afterKey = other36.afterKey;
-  __isset = other36.__isset;
+TransferRequest::TransferRequest(const TransferRequest& other54) {
+  epoch = other54.epoch;
+  purpose = other54.purpose;
+  transfer = other54.transfer;
+  afterKey = other54.afterKey;
+  __isset = other54.__isset;
+}
+TransferRequest::TransferRequest(TransferRequest&& other55) noexcept {
+  epoch = other55.epoch;
+  purpose = other55.purpose;
+  transfer = other55.transfer;
+  afterKey = std::move(other55.afterKey);
+  __isset = other55.__isset;
+}
+TransferRequest& TransferRequest::operator=(const TransferRequest& other56) {
+  epoch = other56.epoch;
+  purpose = other56.purpose;
+  transfer = other56.transfer;
+  afterKey = other56.afterKey;
+  __isset = other56.__isset;
+  return *this;
 }
-TransferRequest& TransferRequest::operator=(const TransferRequest& other37) {
-  epoch = other37.epoch;
-  purpose = other37.purpose;
-  transfer = other37.transfer;
-  afterKey = other37.afterKey;
-  __isset = other37.__isset;
+TransferRequest& TransferRequest::operator=(TransferRequest&& other57) noexcept {
+  epoch = other57.epoch;
+  purpose = other57.purpose;
+  transfer = other57.transfer;
+  afterKey = std::move(other57.afterKey);
+  __isset = other57.__isset;
   return *this;
 }
 void TransferRequest::printTo(std::ostream& out) const {
@@ -1549,14 +1683,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->records.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->records.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += this->records[_i42].read(iprot);
+              xfer += this->records[_i62].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1569,14 +1703,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->gaps.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->gaps.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->gaps.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
             {
-              xfer += this->gaps[_i47].read(iprot);
+              xfer += this->gaps[_i67].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1629,10 +1763,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<DuplicateRecord> ::const_iterator _iter48;
-    for (_iter48 = this->records.begin(); _iter48 != this->records.end(); ++_iter48)
+    std::vector<DuplicateRecord> ::const_iterator _iter68;
+    for (_iter68 = this->records.begin(); _iter68 != this->records.end(); ++_iter68)
     {
-      xfer += (*_iter48).write(oprot);
+      xfer += (*_iter68).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1641,10 +1775,10 @@
   xfer += oprot->writeFieldBegin("gaps", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->gaps.size()));
-    std::vector<KeeperGap> ::const_iterator _iter49;
-    for (_iter49 = this->gaps.begin(); _iter49 != this->gaps.end(); ++_iter49)
+    std::vector<KeeperGap> ::const_iterator _iter69;
+    for (_iter69 = this->gaps.begin(); _iter69 != this->gaps.end(); ++_iter69)
     {
-      xfer += (*_iter49).write(oprot);
+      xfer += (*_iter69).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1668,27 +1802,50 @@
   swap(a.__isset, b.__isset);
 }
 
-TransferChunk::TransferChunk(const TransferChunk& other50) {
-  epoch = other50.epoch;
-  purpose = other50.purpose;
-  transfer = other50.transfer;
-  afterKey = other50.afterKey;
-  isComplete = other50.isComplete;
-  isLast = other50.isLast;
-  records = other50.records;
-  gaps = other50.gaps;
-  __isset = other50.__isset;
+TransferChunk::TransferChunk(const TransferChunk& other70) {
+  epoch = other70.epoch;
+  purpose = other70.purpose;
+  transfer = other70.transfer;
+  afterKey = other70.afterKey;
+  isComplete = other70.isComplete;
+  isLast = other70.isLast;
+  records = other70.records;
+  gaps = other70.gaps;
+  __isset = other70.__isset;
+}
+TransferChunk::TransferChunk(TransferChunk&& other71) noexcept {
+  epoch = other71.epoch;
+  purpose = other71.purpose;
+  transfer = other71.transfer;
+  afterKey = std::move(other71.afterKey);
+  isComplete = other71.isComplete;
+  isLast = other71.isLast;
+  records = std::move(other71.records);
+  gaps = std::move(other71.gaps);
+  __isset = other71.__isset;
+}
+TransferChunk& TransferChunk::operator=(const TransferChunk& other72) {
+  epoch = other72.epoch;
+  purpose = other72.purpose;
+  transfer = other72.transfer;
+  afterKey = other72.afterKey;
+  isComplete = other72.isComplete;
+  isLast = other72.isLast;
+  records = other72.records;
+  gaps = other72.gaps;
+  __isset = other72.__isset;
+  return *this;
 }
-TransferChunk& TransferChunk::operator=(const TransferChunk& other51) {
-  epoch = other51.epoch;
-  purpose = other51.purpose;
-  transfer = other51.transfer;
-  afterKey = other51.afterKey;
-  isComplete = other51.isComplete;
-  isLast = other51.isLast;
-  records = other51.records;
-  gaps = other51.gaps;
-  __isset = other51.__isset;
+TransferChunk& TransferChunk::operator=(TransferChunk&& other73) noexcept {
+  epoch = other73.epoch;
+  purpose = other73.purpose;
+  transfer = other73.transfer;
+  afterKey = std::move(other73.afterKey);
+  isComplete = other73.isComplete;
+  isLast = other73.isLast;
+  records = std::move(other73.records);
+  gaps = std::move(other73.gaps);
+  __isset = other73.__isset;
   return *this;
 }
 void TransferChunk::printTo(std::ostream& out) const {
@@ -1897,25 +2054,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimMessage::ClaimMessage(const ClaimMessage& other52) {
-  request = other52.request;
-  reply = other52.reply;
-  releaseClaim = other52.releaseClaim;
-  finish = other52.finish;
-  ack = other52.ack;
-  transferRequest = other52.transferRequest;
-  transferChunk = other52.transferChunk;
-  __isset = other52.__isset;
+ClaimMessage::ClaimMessage(const ClaimMessage& other74) {
+  request = other74.request;
+  reply = other74.reply;
+  releaseClaim = other74.releaseClaim;
+  finish = other74.finish;
+  ack = other74.ack;
+  transferRequest = other74.transferRequest;
+  transferChunk = other74.transferChunk;
+  __isset = other74.__isset;
+}
+ClaimMessage::ClaimMessage(ClaimMessage&& other75) noexcept {
+  request = std::move(other75.request);
+  reply = std::move(other75.reply);
+  releaseClaim = std::move(other75.releaseClaim);
+  finish = std::move(other75.finish);
+  ack = std::move(other75.ack);
+  transferRequest = std::move(other75.transferRequest);
+  transferChunk = std::move(other75.transferChunk);
+  __isset = other75.__isset;
+}
+ClaimMessage& ClaimMessage::operator=(const ClaimMessage& other76) {
+  request = other76.request;
+  reply = other76.reply;
+  releaseClaim = other76.releaseClaim;
+  finish = other76.finish;
+  ack = other76.ack;
+  transferRequest = other76.transferRequest;
+  transferChunk = other76.transferChunk;
+  __isset = other76.__isset;
+  return *this;
 }
-ClaimMessage& ClaimMessage::operator=(const ClaimMessage& other53) {
-  request = other53.request;
-  reply = other53.reply;
-  releaseClaim = other53.releaseClaim;
-  finish = other53.finish;
-  ack = other53.ack;
-  transferRequest = other53.transferRequest;
-  transferChunk = other53.transferChunk;
-  __isset = other53.__isset;
+ClaimMessage& ClaimMessage::operator=(ClaimMessage&& other77) noexcept {
+  request = std::move(other77.request);
+  reply = std::move(other77.reply);
+  releaseClaim = std::move(other77.releaseClaim);
+  finish = std::move(other77.finish);
+  ack = std::move(other77.ack);
+  transferRequest = std::move(other77.transferRequest);
+  transferChunk = std::move(other77.transferChunk);
+  __isset = other77.__isset;
   return *this;
 }
 void ClaimMessage::printTo(std::ostream& out) const {
--- a/gen-cpp/claim_types.h
+++ b/gen-cpp/claim_types.h
@@ -56,7 +56,9 @@
  public:
 
   ClaimId(const ClaimId&);
+  ClaimId(ClaimId&&) noexcept;
   ClaimId& operator=(const ClaimId&);
+  ClaimId& operator=(ClaimId&&) noexcept;
   ClaimId() noexcept
           : coordinator(),
             life(0),
@@ -113,7 +115,9 @@
  public:
 
   ClaimRequest(const ClaimRequest&);
+  ClaimRequest(ClaimRequest&&) noexcept;
   ClaimRequest& operator=(const ClaimRequest&);
+  ClaimRequest& operator=(ClaimRequest&&) noexcept;
   ClaimRequest() noexcept
                : epoch(0),
                  key() {
@@ -170,7 +174,9 @@
  public:
 
   ClaimReply(const ClaimReply&);
+  ClaimReply(ClaimReply&&) noexcept;
   ClaimReply& operator=(const ClaimReply&);
+  ClaimReply& operator=(ClaimReply&&) noexcept;
   ClaimReply() noexcept
              : status(0),
                code(0),
@@ -231,7 +237,9 @@
  public:
 
   ClaimRelease(const ClaimRelease&);
+  ClaimRelease(ClaimRelease&&) noexcept;
   ClaimRelease& operator=(const ClaimRelease&);
+  ClaimRelease& operator=(ClaimRelease&&) noexcept;
   ClaimRelease() noexcept
                : key() {
   }
@@ -282,7 +290,9 @@
  public:
 
   ClaimFinish(const ClaimFinish&);
+  ClaimFinish(ClaimFinish&&) noexcept;
   ClaimFinish& operator=(const ClaimFinish&);
+  ClaimFinish& operator=(ClaimFinish&&) noexcept;
   ClaimFinish() noexcept
               : key(),
                 hasAnswer(0),
@@ -342,7 +352,9 @@
  public:
 
   ClaimAck(const ClaimAck&);
+  ClaimAck(ClaimAck&&) noexcept;
   ClaimAck& operator=(const ClaimAck&);
+  ClaimAck& operator=(ClaimAck&&) noexcept;
   ClaimAck() noexcept {
   }
 
@@ -388,7 +400,9 @@
  public:
 
   DuplicateRecord(const DuplicateRecord&);
+  DuplicateRecord(DuplicateRecord&&) noexcept;
   DuplicateRecord& operator=(const DuplicateRecord&);
+  DuplicateRecord& operator=(DuplicateRecord&&) noexcept;
   DuplicateRecord() noexcept
                   : key(),
                     state(0),
@@ -455,7 +469,9 @@
  public:
 
   KeeperHost(const KeeperHost&);
+  KeeperHost(KeeperHost&&) noexcept;
   KeeperHost& operator=(const KeeperHost&);
+  KeeperHost& operator=(KeeperHost&&) noexcept;
   KeeperHost() noexcept
              : host(),
                dataCentre() {
@@ -507,7 +523,9 @@
  public:
 
   KeeperGap(const KeeperGap&);
+  KeeperGap(KeeperGap&&) noexcept;
   KeeperGap& operator=(const KeeperGap&);
+  KeeperGap& operator=(KeeperGap&&) noexcept;
   KeeperGap() noexcept
             : epoch(0),
               remainingNanoseconds(0) {
@@ -569,7 +587,9 @@
  public:
 
   TransferRequest(const TransferRequest&);
+  TransferRequest(TransferRequest&&) noexcept;
   TransferRequest& operator=(const TransferRequest&);
+  TransferRequest& operator=(TransferRequest&&) noexcept;
   TransferRequest() noexcept
                   : epoch(0),
                     purpose(0),
@@ -637,7 +657,9 @@
  public:
 
   TransferChunk(const TransferChunk&);
+  TransferChunk(TransferChunk&&) noexcept;
   TransferChunk& operator=(const TransferChunk&);
+  TransferChunk& operator=(TransferChunk&&) noexcept;
   TransferChunk() noexcept
                 : epoch(0),
                   purpose(0),
@@ -726,7 +748,9 @@
  public:
 
   ClaimMessage(const ClaimMessage&);
+  ClaimMessage(ClaimMessage&&) noexcept;
   ClaimMessage& operator=(const ClaimMessage&);
+  ClaimMessage& operator=(ClaimMessage&&) noexcept;
   ClaimMessage() noexcept {
   }
 
--- a/gen-cpp/config_types.cpp
+++ b/gen-cpp/config_types.cpp
@@ -129,11 +129,24 @@
   maxAttempts = other0.maxAttempts;
   __isset = other0.__isset;
 }
-ConfigService& ConfigService::operator=(const ConfigService& other1) {
-  name = other1.name;
+ConfigService::ConfigService(ConfigService&& other1) noexcept {
+  name = std::move(other1.name);
   timeoutMilliseconds = other1.timeoutMilliseconds;
   maxAttempts = other1.maxAttempts;
   __isset = other1.__isset;
+}
+ConfigService& ConfigService::operator=(const ConfigService& other2) {
+  name = other2.name;
+  timeoutMilliseconds = other2.timeoutMilliseconds;
+  maxAttempts = other2.maxAttempts;
+  __isset = other2.__isset;
+  return *this;
+}
+ConfigService& ConfigService::operator=(ConfigService&& other3) noexcept {
+  name = std::move(other3.name);
+  timeoutMilliseconds = other3.timeoutMilliseconds;
+  maxAttempts = other3.maxAttempts;
+  __isset = other3.__isset;
   return *this;
 }
 void ConfigService::printTo(std::ostream& out) const {
@@ -238,15 +251,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigSplitPart::ConfigSplitPart(const ConfigSplitPart& other2) {
-  serviceName = other2.serviceName;
-  weight = other2.weight;
-  __isset = other2.__isset;
+ConfigSplitPart::ConfigSplitPart(const ConfigSplitPart& other4) {
+  serviceName = other4.serviceName;
+  weight = other4.weight;
+  __isset = other4.__isset;
 }
-ConfigSplitPart& ConfigSplitPart::operator=(const ConfigSplitPart& other3) {
-  serviceName = other3.serviceName;
-  weight = other3.weight;
-  __isset = other3.__isset;
+ConfigSplitPart::ConfigSplitPart(ConfigSplitPart&& other5) noexcept {
+  serviceName = std::move(other5.serviceName);
+  weight = other5.weight;
+  __isset = other5.__isset;
+}
+ConfigSplitPart& ConfigSplitPart::operator=(const ConfigSplitPart& other6) {
+  serviceName = other6.serviceName;
+  weight = other6.weight;
+  __isset = other6.__isset;
+  return *this;
+}
+ConfigSplitPart& ConfigSplitPart::operator=(ConfigSplitPart&& other7) noexcept {
+  serviceName = std::move(other7.serviceName);
+  weight = other7.weight;
+  __isset = other7.__isset;
   return *this;
 }
 void ConfigSplitPart::printTo(std::ostream& out) const {
@@ -329,14 +353,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->split.clear();
-            uint32_t _size4;
-            ::apache::thrift::protocol::TType _etype7;
-            xfer += iprot->readListBegin(_etype7, _size4);
-            this->split.resize(_size4);
-            uint32_t _i8;
-            for (_i8 = 0; _i8 < _size4; ++_i8)
+            uint32_t _size8;
+            ::apache::thrift::protocol::TType _etype11;
+            xfer += iprot->readListBegin(_etype11, _size8);
+            this->split.resize(_size8);
+            uint32_t _i12;
+            for (_i12 = 0; _i12 < _size8; ++_i12)
             {
-              xfer += this->split[_i8].read(iprot);
+              xfer += this->split[_i12].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -357,14 +381,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->idempotentMethods.clear();
-            uint32_t _size9;
-            ::apache::thrift::protocol::TType _etype12;
-            xfer += iprot->readListBegin(_etype12, _size9);
-            this->idempotentMethods.resize(_size9);
-            uint32_t _i13;
-            for (_i13 = 0; _i13 < _size9; ++_i13)
+            uint32_t _size13;
+            ::apache::thrift::protocol::TType _etype16;
+            xfer += iprot->readListBegin(_etype16, _size13);
+            this->idempotentMethods.resize(_size13);
+            uint32_t _i17;
+            for (_i17 = 0; _i17 < _size13; ++_i17)
             {
-              xfer += iprot->readString(this->idempotentMethods[_i13]);
+              xfer += iprot->readString(this->idempotentMethods[_i17]);
             }
             xfer += iprot->readListEnd();
           }
@@ -401,10 +425,10 @@
   xfer += oprot->writeFieldBegin("split", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->split.size()));
-    std::vector<ConfigSplitPart> ::const_iterator _iter14;
-    for (_iter14 = this->split.begin(); _iter14 != this->split.end(); ++_iter14)
+    std::vector<ConfigSplitPart> ::const_iterator _iter18;
+    for (_iter18 = this->split.begin(); _iter18 != this->split.end(); ++_iter18)
     {
-      xfer += (*_iter14).write(oprot);
+      xfer += (*_iter18).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -417,10 +441,10 @@
   xfer += oprot->writeFieldBegin("idempotentMethods", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->idempotentMethods.size()));
-    std::vector<std::string> ::const_iterator _iter15;
-    for (_iter15 = this->idempotentMethods.begin(); _iter15 != this->idempotentMethods.end(); ++_iter15)
+    std::vector<std::string> ::const_iterator _iter19;
+    for (_iter19 = this->idempotentMethods.begin(); _iter19 != this->idempotentMethods.end(); ++_iter19)
     {
-      xfer += oprot->writeString((*_iter15));
+      xfer += oprot->writeString((*_iter19));
     }
     xfer += oprot->writeListEnd();
   }
@@ -441,21 +465,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigRoute::ConfigRoute(const ConfigRoute& other16) {
-  name = other16.name;
-  pathPrefix = other16.pathPrefix;
-  split = other16.split;
-  timeoutMilliseconds = other16.timeoutMilliseconds;
-  idempotentMethods = other16.idempotentMethods;
-  __isset = other16.__isset;
-}
-ConfigRoute& ConfigRoute::operator=(const ConfigRoute& other17) {
-  name = other17.name;
-  pathPrefix = other17.pathPrefix;
-  split = other17.split;
-  timeoutMilliseconds = other17.timeoutMilliseconds;
-  idempotentMethods = other17.idempotentMethods;
-  __isset = other17.__isset;
+ConfigRoute::ConfigRoute(const ConfigRoute& other20) {
+  name = other20.name;
+  pathPrefix = other20.pathPrefix;
+  split = other20.split;
+  timeoutMilliseconds = other20.timeoutMilliseconds;
+  idempotentMethods = other20.idempotentMethods;
+  __isset = other20.__isset;
+}
+ConfigRoute::ConfigRoute(ConfigRoute&& other21) noexcept {
+  name = std::move(other21.name);
+  pathPrefix = std::move(other21.pathPrefix);
+  split = std::move(other21.split);
+  timeoutMilliseconds = other21.timeoutMilliseconds;
+  idempotentMethods = std::move(other21.idempotentMethods);
+  __isset = other21.__isset;
+}
+ConfigRoute& ConfigRoute::operator=(const ConfigRoute& other22) {
+  name = other22.name;
+  pathPrefix = other22.pathPrefix;
+  split = other22.split;
+  timeoutMilliseconds = other22.timeoutMilliseconds;
+  idempotentMethods = other22.idempotentMethods;
+  __isset = other22.__isset;
+  return *this;
+}
+ConfigRoute& ConfigRoute::operator=(ConfigRoute&& other23) noexcept {
+  name = std::move(other23.name);
+  pathPrefix = std::move(other23.pathPrefix);
+  split = std::move(other23.split);
+  timeoutMilliseconds = other23.timeoutMilliseconds;
+  idempotentMethods = std::move(other23.idempotentMethods);
+  __isset = other23.__isset;
   return *this;
 }
 void ConfigRoute::printTo(std::ostream& out) const {
@@ -562,15 +603,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigCallRule::ConfigCallRule(const ConfigCallRule& other18) {
-  caller = other18.caller;
-  callee = other18.callee;
-  __isset = other18.__isset;
+ConfigCallRule::ConfigCallRule(const ConfigCallRule& other24) {
+  caller = other24.caller;
+  callee = other24.callee;
+  __isset = other24.__isset;
 }
-ConfigCallRule& ConfigCallRule::operator=(const ConfigCallRule& other19) {
-  caller = other19.caller;
-  callee = other19.callee;
-  __isset = other19.__isset;
+ConfigCallRule::ConfigCallRule(ConfigCallRule&& other25) noexcept {
+  caller = std::move(other25.caller);
+  callee = std::move(other25.callee);
+  __isset = other25.__isset;
+}
+ConfigCallRule& ConfigCallRule::operator=(const ConfigCallRule& other26) {
+  caller = other26.caller;
+  callee = other26.callee;
+  __isset = other26.__isset;
+  return *this;
+}
+ConfigCallRule& ConfigCallRule::operator=(ConfigCallRule&& other27) noexcept {
+  caller = std::move(other27.caller);
+  callee = std::move(other27.callee);
+  __isset = other27.__isset;
   return *this;
 }
 void ConfigCallRule::printTo(std::ostream& out) const {
@@ -674,15 +726,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigKeeperHost::ConfigKeeperHost(const ConfigKeeperHost& other20) {
-  host = other20.host;
-  dataCentre = other20.dataCentre;
-  __isset = other20.__isset;
+ConfigKeeperHost::ConfigKeeperHost(const ConfigKeeperHost& other28) {
+  host = other28.host;
+  dataCentre = other28.dataCentre;
+  __isset = other28.__isset;
 }
-ConfigKeeperHost& ConfigKeeperHost::operator=(const ConfigKeeperHost& other21) {
-  host = other21.host;
-  dataCentre = other21.dataCentre;
-  __isset = other21.__isset;
+ConfigKeeperHost::ConfigKeeperHost(ConfigKeeperHost&& other29) noexcept {
+  host = std::move(other29.host);
+  dataCentre = std::move(other29.dataCentre);
+  __isset = other29.__isset;
+}
+ConfigKeeperHost& ConfigKeeperHost::operator=(const ConfigKeeperHost& other30) {
+  host = other30.host;
+  dataCentre = other30.dataCentre;
+  __isset = other30.__isset;
+  return *this;
+}
+ConfigKeeperHost& ConfigKeeperHost::operator=(ConfigKeeperHost&& other31) noexcept {
+  host = std::move(other31.host);
+  dataCentre = std::move(other31.dataCentre);
+  __isset = other31.__isset;
   return *this;
 }
 void ConfigKeeperHost::printTo(std::ostream& out) const {
@@ -745,14 +808,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->hosts.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->hosts.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->hosts.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += this->hosts[_i26].read(iprot);
+              xfer += this->hosts[_i36].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -785,10 +848,10 @@
   xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->hosts.size()));
-    std::vector<ConfigKeeperHost> ::const_iterator _iter27;
-    for (_iter27 = this->hosts.begin(); _iter27 != this->hosts.end(); ++_iter27)
+    std::vector<ConfigKeeperHost> ::const_iterator _iter37;
+    for (_iter37 = this->hosts.begin(); _iter37 != this->hosts.end(); ++_iter37)
     {
-      xfer += (*_iter27).write(oprot);
+      xfer += (*_iter37).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -806,15 +869,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigKeeperView::ConfigKeeperView(const ConfigKeeperView& other28) {
-  epoch = other28.epoch;
-  hosts = other28.hosts;
-  __isset = other28.__isset;
+ConfigKeeperView::ConfigKeeperView(const ConfigKeeperView& other38) {
+  epoch = other38.epoch;
+  hosts = other38.hosts;
+  __isset = other38.__isset;
 }
-ConfigKeeperView& ConfigKeeperView::operator=(const ConfigKeeperView& other29) {
-  epoch = other29.epoch;
-  hosts = other29.hosts;
-  __isset = other29.__isset;
+ConfigKeeperView::ConfigKeeperView(ConfigKeeperView&& other39) noexcept {
+  epoch = other39.epoch;
+  hosts = std::move(other39.hosts);
+  __isset = other39.__isset;
+}
+ConfigKeeperView& ConfigKeeperView::operator=(const ConfigKeeperView& other40) {
+  epoch = other40.epoch;
+  hosts = other40.hosts;
+  __isset = other40.__isset;
+  return *this;
+}
+ConfigKeeperView& ConfigKeeperView::operator=(ConfigKeeperView&& other41) noexcept {
+  epoch = other41.epoch;
+  hosts = std::move(other41.hosts);
+  __isset = other41.__isset;
   return *this;
 }
 void ConfigKeeperView::printTo(std::ostream& out) const {
@@ -886,14 +960,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->services.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->services.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              xfer += this->services[_i34].read(iprot);
+              xfer += this->services[_i46].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -906,14 +980,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size35;
-            ::apache::thrift::protocol::TType _etype38;
-            xfer += iprot->readListBegin(_etype38, _size35);
-            this->routes.resize(_size35);
-            uint32_t _i39;
-            for (_i39 = 0; _i39 < _size35; ++_i39)
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->routes.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
             {
-              xfer += this->routes[_i39].read(iprot);
+              xfer += this->routes[_i51].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -926,14 +1000,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->callRules.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->callRules.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->callRules.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += this->callRules[_i44].read(iprot);
+              xfer += this->callRules[_i56].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -946,14 +1020,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->drains.clear();
-            uint32_t _size45;
-            ::apache::thrift::protocol::TType _etype48;
-            xfer += iprot->readListBegin(_etype48, _size45);
-            this->drains.resize(_size45);
-            uint32_t _i49;
-            for (_i49 = 0; _i49 < _size45; ++_i49)
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->drains.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
             {
-              xfer += iprot->readString(this->drains[_i49]);
+              xfer += iprot->readString(this->drains[_i61]);
             }
             xfer += iprot->readListEnd();
           }
@@ -991,10 +1065,10 @@
     xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 1);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-      std::vector<ConfigService> ::const_iterator _iter50;
-      for (_iter50 = this->services.begin(); _iter50 != this->services.end(); ++_iter50)
+      std::vector<ConfigService> ::const_iterator _iter62;
+      for (_iter62 = this->services.begin(); _iter62 != this->services.end(); ++_iter62)
       {
-        xfer += (*_iter50).write(oprot);
+        xfer += (*_iter62).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1004,10 +1078,10 @@
     xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-      std::vector<ConfigRoute> ::const_iterator _iter51;
-      for (_iter51 = this->routes.begin(); _iter51 != this->routes.end(); ++_iter51)
+      std::vector<ConfigRoute> ::const_iterator _iter63;
+      for (_iter63 = this->routes.begin(); _iter63 != this->routes.end(); ++_iter63)
       {
-        xfer += (*_iter51).write(oprot);
+        xfer += (*_iter63).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1017,10 +1091,10 @@
     xfer += oprot->writeFieldBegin("callRules", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->callRules.size()));
-      std::vector<ConfigCallRule> ::const_iterator _iter52;
-      for (_iter52 = this->callRules.begin(); _iter52 != this->callRules.end(); ++_iter52)
+      std::vector<ConfigCallRule> ::const_iterator _iter64;
+      for (_iter64 = this->callRules.begin(); _iter64 != this->callRules.end(); ++_iter64)
       {
-        xfer += (*_iter52).write(oprot);
+        xfer += (*_iter64).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1030,10 +1104,10 @@
     xfer += oprot->writeFieldBegin("drains", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->drains.size()));
-      std::vector<std::string> ::const_iterator _iter53;
-      for (_iter53 = this->drains.begin(); _iter53 != this->drains.end(); ++_iter53)
+      std::vector<std::string> ::const_iterator _iter65;
+      for (_iter65 = this->drains.begin(); _iter65 != this->drains.end(); ++_iter65)
       {
-        xfer += oprot->writeString((*_iter53));
+        xfer += oprot->writeString((*_iter65));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1059,21 +1133,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigItems::ConfigItems(const ConfigItems& other54) {
-  services = other54.services;
-  routes = other54.routes;
-  callRules = other54.callRules;
-  drains = other54.drains;
-  keeperView = other54.keeperView;
-  __isset = other54.__isset;
-}
-ConfigItems& ConfigItems::operator=(const ConfigItems& other55) {
-  services = other55.services;
-  routes = other55.routes;
-  callRules = other55.callRules;
-  drains = other55.drains;
-  keeperView = other55.keeperView;
-  __isset = other55.__isset;
+ConfigItems::ConfigItems(const ConfigItems& other66) {
+  services = other66.services;
+  routes = other66.routes;
+  callRules = other66.callRules;
+  drains = other66.drains;
+  keeperView = other66.keeperView;
+  __isset = other66.__isset;
+}
+ConfigItems::ConfigItems(ConfigItems&& other67) noexcept {
+  services = std::move(other67.services);
+  routes = std::move(other67.routes);
+  callRules = std::move(other67.callRules);
+  drains = std::move(other67.drains);
+  keeperView = std::move(other67.keeperView);
+  __isset = other67.__isset;
+}
+ConfigItems& ConfigItems::operator=(const ConfigItems& other68) {
+  services = other68.services;
+  routes = other68.routes;
+  callRules = other68.callRules;
+  drains = other68.drains;
+  keeperView = other68.keeperView;
+  __isset = other68.__isset;
+  return *this;
+}
+ConfigItems& ConfigItems::operator=(ConfigItems&& other69) noexcept {
+  services = std::move(other69.services);
+  routes = std::move(other69.routes);
+  callRules = std::move(other69.callRules);
+  drains = std::move(other69.drains);
+  keeperView = std::move(other69.keeperView);
+  __isset = other69.__isset;
   return *this;
 }
 void ConfigItems::printTo(std::ostream& out) const {
@@ -1180,15 +1271,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigItemKey::ConfigItemKey(const ConfigItemKey& other56) {
-  kind = other56.kind;
-  name = other56.name;
-  __isset = other56.__isset;
+ConfigItemKey::ConfigItemKey(const ConfigItemKey& other70) {
+  kind = other70.kind;
+  name = other70.name;
+  __isset = other70.__isset;
+}
+ConfigItemKey::ConfigItemKey(ConfigItemKey&& other71) noexcept {
+  kind = other71.kind;
+  name = std::move(other71.name);
+  __isset = other71.__isset;
 }
-ConfigItemKey& ConfigItemKey::operator=(const ConfigItemKey& other57) {
-  kind = other57.kind;
-  name = other57.name;
-  __isset = other57.__isset;
+ConfigItemKey& ConfigItemKey::operator=(const ConfigItemKey& other72) {
+  kind = other72.kind;
+  name = other72.name;
+  __isset = other72.__isset;
+  return *this;
+}
+ConfigItemKey& ConfigItemKey::operator=(ConfigItemKey&& other73) noexcept {
+  kind = other73.kind;
+  name = std::move(other73.name);
+  __isset = other73.__isset;
   return *this;
 }
 void ConfigItemKey::printTo(std::ostream& out) const {
@@ -1300,14 +1402,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->removals.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->removals.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->removals[_i62].read(iprot);
+              xfer += this->removals[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1357,10 +1459,10 @@
     xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-      std::vector<ConfigItemKey> ::const_iterator _iter63;
-      for (_iter63 = this->removals.begin(); _iter63 != this->removals.end(); ++_iter63)
+      std::vector<ConfigItemKey> ::const_iterator _iter79;
+      for (_iter79 = this->removals.begin(); _iter79 != this->removals.end(); ++_iter79)
       {
-        xfer += (*_iter63).write(oprot);
+        xfer += (*_iter79).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1382,23 +1484,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigDelta::ConfigDelta(const ConfigDelta& other64) {
-  fromRevision = other64.fromRevision;
-  fromDigest = other64.fromDigest;
-  toRevision = other64.toRevision;
-  toDigest = other64.toDigest;
-  upserts = other64.upserts;
-  removals = other64.removals;
-  __isset = other64.__isset;
-}
-ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other65) {
-  fromRevision = other65.fromRevision;
-  fromDigest = other65.fromDigest;
-  toRevision = other65.toRevision;
-  toDigest = other65.toDigest;
-  upserts = other65.upserts;
-  removals = other65.removals;
-  __isset = other65.__isset;
+ConfigDelta::ConfigDelta(const ConfigDelta& other80) {
+  fromRevision = other80.fromRevision;
+  fromDigest = other80.fromDigest;
+  toRevision = other80.toRevision;
+  toDigest = other80.toDigest;
+  upserts = other80.upserts;
+  removals = other80.removals;
+  __isset = other80.__isset;
+}
+ConfigDelta::ConfigDelta(ConfigDelta&& other81) noexcept {
+  fromRevision = other81.fromRevision;
+  fromDigest = std::move(other81.fromDigest);
+  toRevision = other81.toRevision;
+  toDigest = std::move(other81.toDigest);
+  upserts = std::move(other81.upserts);
+  removals = std::move(other81.removals);
+  __isset = other81.__isset;
+}
+ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other82) {
+  fromRevision = other82.fromRevision;
+  fromDigest = other82.fromDigest;
+  toRevision = other82.toRevision;
+  toDigest = other82.toDigest;
+  upserts = other82.upserts;
+  removals = other82.removals;
+  __isset = other82.__isset;
+  return *this;
+}
+ConfigDelta& ConfigDelta::operator=(ConfigDelta&& other83) noexcept {
+  fromRevision = other83.fromRevision;
+  fromDigest = std::move(other83.fromDigest);
+  toRevision = other83.toRevision;
+  toDigest = std::move(other83.toDigest);
+  upserts = std::move(other83.upserts);
+  removals = std::move(other83.removals);
+  __isset = other83.__isset;
   return *this;
 }
 void ConfigDelta::printTo(std::ostream& out) const {
@@ -1523,17 +1644,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigSnapshot::ConfigSnapshot(const ConfigSnapshot& other66) {
-  revision = other66.revision;
-  digest = other66.digest;
-  items = other66.items;
-  __isset = other66.__isset;
+ConfigSnapshot::ConfigSnapshot(const ConfigSnapshot& other84) {
+  revision = other84.revision;
+  digest = other84.digest;
+  items = other84.items;
+  __isset = other84.__isset;
 }
-ConfigSnapshot& ConfigSnapshot::operator=(const ConfigSnapshot& other67) {
-  revision = other67.revision;
-  digest = other67.digest;
-  items = other67.items;
-  __isset = other67.__isset;
+ConfigSnapshot::ConfigSnapshot(ConfigSnapshot&& other85) noexcept {
+  revision = other85.revision;
+  digest = std::move(other85.digest);
+  items = std::move(other85.items);
+  __isset = other85.__isset;
+}
+ConfigSnapshot& ConfigSnapshot::operator=(const ConfigSnapshot& other86) {
+  revision = other86.revision;
+  digest = other86.digest;
+  items = other86.items;
+  __isset = other86.__isset;
+  return *this;
+}
+ConfigSnapshot& ConfigSnapshot::operator=(ConfigSnapshot&& other87) noexcept {
+  revision = other87.revision;
+  digest = std::move(other87.digest);
+  items = std::move(other87.items);
+  __isset = other87.__isset;
   return *this;
 }
 void ConfigSnapshot::printTo(std::ostream& out) const {
@@ -1693,21 +1827,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPayload::ConfigPayload(const ConfigPayload& other68) {
-  kind = other68.kind;
-  revision = other68.revision;
-  digest = other68.digest;
-  delta = other68.delta;
-  snapshot = other68.snapshot;
-  __isset = other68.__isset;
+ConfigPayload::ConfigPayload(const ConfigPayload& other88) {
+  kind = other88.kind;
+  revision = other88.revision;
+  digest = other88.digest;
+  delta = other88.delta;
+  snapshot = other88.snapshot;
+  __isset = other88.__isset;
+}
+ConfigPayload::ConfigPayload(ConfigPayload&& other89) noexcept {
+  kind = other89.kind;
+  revision = other89.revision;
+  digest = std::move(other89.digest);
+  delta = std::move(other89.delta);
+  snapshot = std::move(other89.snapshot);
+  __isset = other89.__isset;
+}
+ConfigPayload& ConfigPayload::operator=(const ConfigPayload& other90) {
+  kind = other90.kind;
+  revision = other90.revision;
+  digest = other90.digest;
+  delta = other90.delta;
+  snapshot = other90.snapshot;
+  __isset = other90.__isset;
+  return *this;
 }
-ConfigPayload& ConfigPayload::operator=(const ConfigPayload& other69) {
-  kind = other69.kind;
-  revision = other69.revision;
-  digest = other69.digest;
-  delta = other69.delta;
-  snapshot = other69.snapshot;
-  __isset = other69.__isset;
+ConfigPayload& ConfigPayload::operator=(ConfigPayload&& other91) noexcept {
+  kind = other91.kind;
+  revision = other91.revision;
+  digest = std::move(other91.digest);
+  delta = std::move(other91.delta);
+  snapshot = std::move(other91.snapshot);
+  __isset = other91.__isset;
   return *this;
 }
 void ConfigPayload::printTo(std::ostream& out) const {
--- a/gen-cpp/config_types.h
+++ b/gen-cpp/config_types.h
@@ -54,7 +54,9 @@
  public:
 
   ConfigService(const ConfigService&);
+  ConfigService(ConfigService&&) noexcept;
   ConfigService& operator=(const ConfigService&);
+  ConfigService& operator=(ConfigService&&) noexcept;
   ConfigService() noexcept
                 : name(),
                   timeoutMilliseconds(0),
@@ -110,7 +112,9 @@
  public:
 
   ConfigSplitPart(const ConfigSplitPart&);
+  ConfigSplitPart(ConfigSplitPart&&) noexcept;
   ConfigSplitPart& operator=(const ConfigSplitPart&);
+  ConfigSplitPart& operator=(ConfigSplitPart&&) noexcept;
   ConfigSplitPart() noexcept
                   : serviceName(),
                     weight(0) {
@@ -163,7 +167,9 @@
  public:
 
   ConfigRoute(const ConfigRoute&);
+  ConfigRoute(ConfigRoute&&) noexcept;
   ConfigRoute& operator=(const ConfigRoute&);
+  ConfigRoute& operator=(ConfigRoute&&) noexcept;
   ConfigRoute() noexcept
               : name(),
                 pathPrefix(),
@@ -229,7 +235,9 @@
  public:
 
   ConfigCallRule(const ConfigCallRule&);
+  ConfigCallRule(ConfigCallRule&&) noexcept;
   ConfigCallRule& operator=(const ConfigCallRule&);
+  ConfigCallRule& operator=(ConfigCallRule&&) noexcept;
   ConfigCallRule() noexcept
                  : caller(),
                    callee() {
@@ -279,7 +287,9 @@
  public:
 
   ConfigKeeperHost(const ConfigKeeperHost&);
+  ConfigKeeperHost(ConfigKeeperHost&&) noexcept;
   ConfigKeeperHost& operator=(const ConfigKeeperHost&);
+  ConfigKeeperHost& operator=(ConfigKeeperHost&&) noexcept;
   ConfigKeeperHost() noexcept
                    : host(),
                      dataCentre() {
@@ -329,7 +339,9 @@
  public:
 
   ConfigKeeperView(const ConfigKeeperView&);
+  ConfigKeeperView(ConfigKeeperView&&) noexcept;
   ConfigKeeperView& operator=(const ConfigKeeperView&);
+  ConfigKeeperView& operator=(ConfigKeeperView&&) noexcept;
   ConfigKeeperView() noexcept
                    : epoch(0) {
   }
@@ -381,7 +393,9 @@
  public:
 
   ConfigItems(const ConfigItems&);
+  ConfigItems(ConfigItems&&) noexcept;
   ConfigItems& operator=(const ConfigItems&);
+  ConfigItems& operator=(ConfigItems&&) noexcept;
   ConfigItems() noexcept {
   }
 
@@ -454,7 +468,9 @@
  public:
 
   ConfigItemKey(const ConfigItemKey&);
+  ConfigItemKey(ConfigItemKey&&) noexcept;
   ConfigItemKey& operator=(const ConfigItemKey&);
+  ConfigItemKey& operator=(ConfigItemKey&&) noexcept;
   ConfigItemKey() noexcept
                 : kind(0),
                   name() {
@@ -508,7 +524,9 @@
  public:
 
   ConfigDelta(const ConfigDelta&);
+  ConfigDelta(ConfigDelta&&) noexcept;
   ConfigDelta& operator=(const ConfigDelta&);
+  ConfigDelta& operator=(ConfigDelta&&) noexcept;
   ConfigDelta() noexcept
               : fromRevision(0),
                 fromDigest(),
@@ -583,7 +601,9 @@
  public:
 
   ConfigSnapshot(const ConfigSnapshot&);
+  ConfigSnapshot(ConfigSnapshot&&) noexcept;
   ConfigSnapshot& operator=(const ConfigSnapshot&);
+  ConfigSnapshot& operator=(ConfigSnapshot&&) noexcept;
   ConfigSnapshot() noexcept
                  : revision(0),
                    digest() {
@@ -641,7 +661,9 @@
  public:
 
   ConfigPayload(const ConfigPayload&);
+  ConfigPayload(ConfigPayload&&) noexcept;
   ConfigPayload& operator=(const ConfigPayload&);
+  ConfigPayload& operator=(ConfigPayload&&) noexcept;
   ConfigPayload() noexcept
                 : kind(0),
                   revision(0),
--- a/gen-cpp/crash_types.cpp
+++ b/gen-cpp/crash_types.cpp
@@ -111,10 +111,21 @@
   incarnation = other0.incarnation;
   __isset = other0.__isset;
 }
-CrashDeath& CrashDeath::operator=(const CrashDeath& other1) {
-  upstreamId = other1.upstreamId;
+CrashDeath::CrashDeath(CrashDeath&& other1) noexcept {
+  upstreamId = std::move(other1.upstreamId);
   incarnation = other1.incarnation;
   __isset = other1.__isset;
+}
+CrashDeath& CrashDeath::operator=(const CrashDeath& other2) {
+  upstreamId = other2.upstreamId;
+  incarnation = other2.incarnation;
+  __isset = other2.__isset;
+  return *this;
+}
+CrashDeath& CrashDeath::operator=(CrashDeath&& other3) noexcept {
+  upstreamId = std::move(other3.upstreamId);
+  incarnation = other3.incarnation;
+  __isset = other3.__isset;
   return *this;
 }
 void CrashDeath::printTo(std::ostream& out) const {
@@ -177,14 +188,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->fingerprints.clear();
-            uint32_t _size2;
-            ::apache::thrift::protocol::TType _etype5;
-            xfer += iprot->readListBegin(_etype5, _size2);
-            this->fingerprints.resize(_size2);
-            uint32_t _i6;
-            for (_i6 = 0; _i6 < _size2; ++_i6)
+            uint32_t _size4;
+            ::apache::thrift::protocol::TType _etype7;
+            xfer += iprot->readListBegin(_etype7, _size4);
+            this->fingerprints.resize(_size4);
+            uint32_t _i8;
+            for (_i8 = 0; _i8 < _size4; ++_i8)
             {
-              xfer += iprot->readI64(this->fingerprints[_i6]);
+              xfer += iprot->readI64(this->fingerprints[_i8]);
             }
             xfer += iprot->readListEnd();
           }
@@ -217,10 +228,10 @@
   xfer += oprot->writeFieldBegin("fingerprints", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->fingerprints.size()));
-    std::vector<int64_t> ::const_iterator _iter7;
-    for (_iter7 = this->fingerprints.begin(); _iter7 != this->fingerprints.end(); ++_iter7)
+    std::vector<int64_t> ::const_iterator _iter9;
+    for (_iter9 = this->fingerprints.begin(); _iter9 != this->fingerprints.end(); ++_iter9)
     {
-      xfer += oprot->writeI64((*_iter7));
+      xfer += oprot->writeI64((*_iter9));
     }
     xfer += oprot->writeListEnd();
   }
@@ -238,15 +249,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other8) {
-  death = other8.death;
-  fingerprints = other8.fingerprints;
-  __isset = other8.__isset;
+CrashReport::CrashReport(const CrashReport& other10) {
+  death = other10.death;
+  fingerprints = other10.fingerprints;
+  __isset = other10.__isset;
+}
+CrashReport::CrashReport(CrashReport&& other11) noexcept {
+  death = std::move(other11.death);
+  fingerprints = std::move(other11.fingerprints);
+  __isset = other11.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other12) {
+  death = other12.death;
+  fingerprints = other12.fingerprints;
+  __isset = other12.__isset;
+  return *this;
 }
-CrashReport& CrashReport::operator=(const CrashReport& other9) {
-  death = other9.death;
-  fingerprints = other9.fingerprints;
-  __isset = other9.__isset;
+CrashReport& CrashReport::operator=(CrashReport&& other13) noexcept {
+  death = std::move(other13.death);
+  fingerprints = std::move(other13.fingerprints);
+  __isset = other13.__isset;
   return *this;
 }
 void CrashReport::printTo(std::ostream& out) const {
@@ -313,14 +335,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deaths.clear();
-            uint32_t _size10;
-            ::apache::thrift::protocol::TType _etype13;
-            xfer += iprot->readListBegin(_etype13, _size10);
-            this->deaths.resize(_size10);
-            uint32_t _i14;
-            for (_i14 = 0; _i14 < _size10; ++_i14)
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->deaths.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
             {
-              xfer += this->deaths[_i14].read(iprot);
+              xfer += this->deaths[_i18].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -361,10 +383,10 @@
   xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
-    std::vector<CrashDeath> ::const_iterator _iter15;
-    for (_iter15 = this->deaths.begin(); _iter15 != this->deaths.end(); ++_iter15)
+    std::vector<CrashDeath> ::const_iterator _iter19;
+    for (_iter19 = this->deaths.begin(); _iter19 != this->deaths.end(); ++_iter19)
     {
-      xfer += (*_iter15).write(oprot);
+      xfer += (*_iter19).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -387,17 +409,30 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashClear::CrashClear(const CrashClear& other16) {
-  fingerprint = other16.fingerprint;
-  deaths = other16.deaths;
-  isRelease = other16.isRelease;
-  __isset = other16.__isset;
+CrashClear::CrashClear(const CrashClear& other20) {
+  fingerprint = other20.fingerprint;
+  deaths = other20.deaths;
+  isRelease = other20.isRelease;
+  __isset = other20.__isset;
 }
-CrashClear& CrashClear::operator=(const CrashClear& other17) {
-  fingerprint = other17.fingerprint;
-  deaths = other17.deaths;
-  isRelease = other17.isRelease;
-  __isset = other17.__isset;
+CrashClear::CrashClear(CrashClear&& other21) noexcept {
+  fingerprint = other21.fingerprint;
+  deaths = std::move(other21.deaths);
+  isRelease = other21.isRelease;
+  __isset = other21.__isset;
+}
+CrashClear& CrashClear::operator=(const CrashClear& other22) {
+  fingerprint = other22.fingerprint;
+  deaths = other22.deaths;
+  isRelease = other22.isRelease;
+  __isset = other22.__isset;
+  return *this;
+}
+CrashClear& CrashClear::operator=(CrashClear&& other23) noexcept {
+  fingerprint = other23.fingerprint;
+  deaths = std::move(other23.deaths);
+  isRelease = other23.isRelease;
+  __isset = other23.__isset;
   return *this;
 }
 void CrashClear::printTo(std::ostream& out) const {
@@ -506,15 +541,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashNotice::CrashNotice(const CrashNotice& other18) {
-  report = other18.report;
-  clear = other18.clear;
-  __isset = other18.__isset;
+CrashNotice::CrashNotice(const CrashNotice& other24) {
+  report = other24.report;
+  clear = other24.clear;
+  __isset = other24.__isset;
+}
+CrashNotice::CrashNotice(CrashNotice&& other25) noexcept {
+  report = std::move(other25.report);
+  clear = std::move(other25.clear);
+  __isset = other25.__isset;
+}
+CrashNotice& CrashNotice::operator=(const CrashNotice& other26) {
+  report = other26.report;
+  clear = other26.clear;
+  __isset = other26.__isset;
+  return *this;
 }
-CrashNotice& CrashNotice::operator=(const CrashNotice& other19) {
-  report = other19.report;
-  clear = other19.clear;
-  __isset = other19.__isset;
+CrashNotice& CrashNotice::operator=(CrashNotice&& other27) noexcept {
+  report = std::move(other27.report);
+  clear = std::move(other27.clear);
+  __isset = other27.__isset;
   return *this;
 }
 void CrashNotice::printTo(std::ostream& out) const {
--- a/gen-cpp/crash_types.h
+++ b/gen-cpp/crash_types.h
@@ -39,7 +39,9 @@
  public:
 
   CrashDeath(const CrashDeath&);
+  CrashDeath(CrashDeath&&) noexcept;
   CrashDeath& operator=(const CrashDeath&);
+  CrashDeath& operator=(CrashDeath&&) noexcept;
   CrashDeath() noexcept
              : upstreamId(),
                incarnation(0) {
@@ -89,7 +91,9 @@
  public:
 
   CrashReport(const CrashReport&);
+  CrashReport(CrashReport&&) noexcept;
   CrashReport& operator=(const CrashReport&);
+  CrashReport& operator=(CrashReport&&) noexcept;
   CrashReport() noexcept {
   }
 
@@ -138,7 +142,9 @@
  public:
 
   CrashClear(const CrashClear&);
+  CrashClear(CrashClear&&) noexcept;
   CrashClear& operator=(const CrashClear&);
+  CrashClear& operator=(CrashClear&&) noexcept;
   CrashClear() noexcept
              : fingerprint(0),
                isRelease(0) {
@@ -193,7 +199,9 @@
  public:
 
   CrashNotice(const CrashNotice&);
+  CrashNotice(CrashNotice&&) noexcept;
   CrashNotice& operator=(const CrashNotice&);
+  CrashNotice& operator=(CrashNotice&&) noexcept;
   CrashNotice() noexcept {
   }
 
--- a/gen-cpp/gossip_types.cpp
+++ b/gen-cpp/gossip_types.cpp
@@ -165,13 +165,30 @@
   incarnation = other0.incarnation;
   __isset = other0.__isset;
 }
-GossipUpstream& GossipUpstream::operator=(const GossipUpstream& other1) {
-  id = other1.id;
-  serviceName = other1.serviceName;
+GossipUpstream::GossipUpstream(GossipUpstream&& other1) noexcept {
+  id = std::move(other1.id);
+  serviceName = std::move(other1.serviceName);
   phase = other1.phase;
   slots = other1.slots;
   incarnation = other1.incarnation;
   __isset = other1.__isset;
+}
+GossipUpstream& GossipUpstream::operator=(const GossipUpstream& other2) {
+  id = other2.id;
+  serviceName = other2.serviceName;
+  phase = other2.phase;
+  slots = other2.slots;
+  incarnation = other2.incarnation;
+  __isset = other2.__isset;
+  return *this;
+}
+GossipUpstream& GossipUpstream::operator=(GossipUpstream&& other3) noexcept {
+  id = std::move(other3.id);
+  serviceName = std::move(other3.serviceName);
+  phase = other3.phase;
+  slots = other3.slots;
+  incarnation = other3.incarnation;
+  __isset = other3.__isset;
   return *this;
 }
 void GossipUpstream::printTo(std::ostream& out) const {
@@ -433,33 +450,62 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipMemberRecord::GossipMemberRecord(const GossipMemberRecord& other2) {
-  host = other2.host;
-  address = other2.address;
-  port = other2.port;
-  dataCentre = other2.dataCentre;
-  region = other2.region;
-  life = other2.life;
-  incarnation = other2.incarnation;
-  sequence = other2.sequence;
-  state = other2.state;
-  controlRole = other2.controlRole;
-  upstream = other2.upstream;
-  __isset = other2.__isset;
+GossipMemberRecord::GossipMemberRecord(const GossipMemberRecord& other4) {
+  host = other4.host;
+  address = other4.address;
+  port = other4.port;
+  dataCentre = other4.dataCentre;
+  region = other4.region;
+  life = other4.life;
+  incarnation = other4.incarnation;
+  sequence = other4.sequence;
+  state = other4.state;
+  controlRole = other4.controlRole;
+  upstream = other4.upstream;
+  __isset = other4.__isset;
 }
-GossipMemberRecord& GossipMemberRecord::operator=(const GossipMemberRecord& other3) {
-  host = other3.host;
-  address = other3.address;
-  port = other3.port;
-  dataCentre = other3.dataCentre;
-  region = other3.region;
-  life = other3.life;
-  incarnation = other3.incarnation;
-  sequence = other3.sequence;
-  state = other3.state;
-  controlRole = other3.controlRole;
-  upstream = other3.upstream;
-  __isset = other3.__isset;
+GossipMemberRecord::GossipMemberRecord(GossipMemberRecord&& other5) noexcept {
+  host = std::move(other5.host);
+  address = std::move(other5.address);
+  port = other5.port;
+  dataCentre = std::move(other5.dataCentre);
+  region = std::move(other5.region);
+  life = other5.life;
+  incarnation = other5.incarnation;
+  sequence = other5.sequence;
+  state = other5.state;
+  controlRole = other5.controlRole;
+  upstream = std::move(other5.upstream);
+  __isset = other5.__isset;
+}
+GossipMemberRecord& GossipMemberRecord::operator=(const GossipMemberRecord& other6) {
+  host = other6.host;
+  address = other6.address;
+  port = other6.port;
+  dataCentre = other6.dataCentre;
+  region = other6.region;
+  life = other6.life;
+  incarnation = other6.incarnation;
+  sequence = other6.sequence;
+  state = other6.state;
+  controlRole = other6.controlRole;
+  upstream = other6.upstream;
+  __isset = other6.__isset;
+  return *this;
+}
+GossipMemberRecord& GossipMemberRecord::operator=(GossipMemberRecord&& other7) noexcept {
+  host = std::move(other7.host);
+  address = std::move(other7.address);
+  port = other7.port;
+  dataCentre = std::move(other7.dataCentre);
+  region = std::move(other7.region);
+  life = other7.life;
+  incarnation = other7.incarnation;
+  sequence = other7.sequence;
+  state = other7.state;
+  controlRole = other7.controlRole;
+  upstream = std::move(other7.upstream);
+  __isset = other7.__isset;
   return *this;
 }
 void GossipMemberRecord::printTo(std::ostream& out) const {
@@ -606,19 +652,34 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipBroadcast::GossipBroadcast(const GossipBroadcast& other4) {
-  origin = other4.origin;
-  life = other4.life;
-  number = other4.number;
-  payload = other4.payload;
-  __isset = other4.__isset;
+GossipBroadcast::GossipBroadcast(const GossipBroadcast& other8) {
+  origin = other8.origin;
+  life = other8.life;
+  number = other8.number;
+  payload = other8.payload;
+  __isset = other8.__isset;
+}
+GossipBroadcast::GossipBroadcast(GossipBroadcast&& other9) noexcept {
+  origin = std::move(other9.origin);
+  life = other9.life;
+  number = other9.number;
+  payload = std::move(other9.payload);
+  __isset = other9.__isset;
+}
+GossipBroadcast& GossipBroadcast::operator=(const GossipBroadcast& other10) {
+  origin = other10.origin;
+  life = other10.life;
+  number = other10.number;
+  payload = other10.payload;
+  __isset = other10.__isset;
+  return *this;
 }
-GossipBroadcast& GossipBroadcast::operator=(const GossipBroadcast& other5) {
-  origin = other5.origin;
-  life = other5.life;
-  number = other5.number;
-  payload = other5.payload;
-  __isset = other5.__isset;
+GossipBroadcast& GossipBroadcast::operator=(GossipBroadcast&& other11) noexcept {
+  origin = std::move(other11.origin);
+  life = other11.life;
+  number = other11.number;
+  payload = std::move(other11.payload);
+  __isset = other11.__isset;
   return *this;
 }
 void GossipBroadcast::printTo(std::ostream& out) const {
@@ -677,14 +738,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size6;
-            ::apache::thrift::protocol::TType _etype9;
-            xfer += iprot->readListBegin(_etype9, _size6);
-            this->records.resize(_size6);
-            uint32_t _i10;
-            for (_i10 = 0; _i10 < _size6; ++_i10)
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->records.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
             {
-              xfer += this->records[_i10].read(iprot);
+              xfer += this->records[_i16].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -697,14 +758,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->broadcasts.clear();
-            uint32_t _size11;
-            ::apache::thrift::protocol::TType _etype14;
-            xfer += iprot->readListBegin(_etype14, _size11);
-            this->broadcasts.resize(_size11);
-            uint32_t _i15;
-            for (_i15 = 0; _i15 < _size11; ++_i15)
+            uint32_t _size17;
+            ::apache::thrift::protocol::TType _etype20;
+            xfer += iprot->readListBegin(_etype20, _size17);
+            this->broadcasts.resize(_size17);
+            uint32_t _i21;
+            for (_i21 = 0; _i21 < _size17; ++_i21)
             {
-              xfer += this->broadcasts[_i15].read(iprot);
+              xfer += this->broadcasts[_i21].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -734,10 +795,10 @@
     xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-      std::vector<GossipMemberRecord> ::const_iterator _iter16;
-      for (_iter16 = this->records.begin(); _iter16 != this->records.end(); ++_iter16)
+      std::vector<GossipMemberRecord> ::const_iterator _iter22;
+      for (_iter22 = this->records.begin(); _iter22 != this->records.end(); ++_iter22)
       {
-        xfer += (*_iter16).write(oprot);
+        xfer += (*_iter22).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -747,10 +808,10 @@
     xfer += oprot->writeFieldBegin("broadcasts", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->broadcasts.size()));
-      std::vector<GossipBroadcast> ::const_iterator _iter17;
-      for (_iter17 = this->broadcasts.begin(); _iter17 != this->broadcasts.end(); ++_iter17)
+      std::vector<GossipBroadcast> ::const_iterator _iter23;
+      for (_iter23 = this->broadcasts.begin(); _iter23 != this->broadcasts.end(); ++_iter23)
       {
-        xfer += (*_iter17).write(oprot);
+        xfer += (*_iter23).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -768,15 +829,26 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipCargo::GossipCargo(const GossipCargo& other18) {
-  records = other18.records;
-  broadcasts = other18.broadcasts;
-  __isset = other18.__isset;
+GossipCargo::GossipCargo(const GossipCargo& other24) {
+  records = other24.records;
+  broadcasts = other24.broadcasts;
+  __isset = other24.__isset;
+}
+GossipCargo::GossipCargo(GossipCargo&& other25) noexcept {
+  records = std::move(other25.records);
+  broadcasts = std::move(other25.broadcasts);
+  __isset = other25.__isset;
 }
-GossipCargo& GossipCargo::operator=(const GossipCargo& other19) {
-  records = other19.records;
-  broadcasts = other19.broadcasts;
-  __isset = other19.__isset;
+GossipCargo& GossipCargo::operator=(const GossipCargo& other26) {
+  records = other26.records;
+  broadcasts = other26.broadcasts;
+  __isset = other26.__isset;
+  return *this;
+}
+GossipCargo& GossipCargo::operator=(GossipCargo&& other27) noexcept {
+  records = std::move(other27.records);
+  broadcasts = std::move(other27.broadcasts);
+  __isset = other27.__isset;
   return *this;
 }
 void GossipCargo::printTo(std::ostream& out) const {
@@ -899,17 +971,30 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipPing::GossipPing(const GossipPing& other20) {
-  number = other20.number;
-  target = other20.target;
-  cargo = other20.cargo;
-  __isset = other20.__isset;
+GossipPing::GossipPing(const GossipPing& other28) {
+  number = other28.number;
+  target = other28.target;
+  cargo = other28.cargo;
+  __isset = other28.__isset;
 }
-GossipPing& GossipPing::operator=(const GossipPing& other21) {
-  number = other21.number;
-  target = other21.target;
-  cargo = other21.cargo;
-  __isset = other21.__isset;
+GossipPing::GossipPing(GossipPing&& other29) noexcept {
+  number = other29.number;
+  target = other29.target;
+  cargo = std::move(other29.cargo);
+  __isset = other29.__isset;
+}
+GossipPing& GossipPing::operator=(const GossipPing& other30) {
+  number = other30.number;
+  target = other30.target;
+  cargo = other30.cargo;
+  __isset = other30.__isset;
+  return *this;
+}
+GossipPing& GossipPing::operator=(GossipPing&& other31) noexcept {
+  number = other31.number;
+  target = other31.target;
+  cargo = std::move(other31.cargo);
+  __isset = other31.__isset;
   return *this;
 }
 void GossipPing::printTo(std::ostream& out) const {
@@ -1067,21 +1152,38 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipIndirectPing::GossipIndirectPing(const GossipIndirectPing& other22) {
-  number = other22.number;
-  target = other22.target;
-  address = other22.address;
-  port = other22.port;
-  cargo = other22.cargo;
-  __isset = other22.__isset;
-}
-GossipIndirectPing& GossipIndirectPing::operator=(const GossipIndirectPing& other23) {
-  number = other23.number;
-  target = other23.target;
-  address = other23.address;
-  port = other23.port;
-  cargo = other23.cargo;
-  __isset = other23.__isset;
+GossipIndirectPing::GossipIndirectPing(const GossipIndirectPing& other32) {
+  number = other32.number;
+  target = other32.target;
+  address = other32.address;
+  port = other32.port;
+  cargo = other32.cargo;
+  __isset = other32.__isset;
+}
+GossipIndirectPing::GossipIndirectPing(GossipIndirectPing&& other33) noexcept {
+  number = other33.number;
+  target = other33.target;
+  address = std::move(other33.address);
+  port = other33.port;
+  cargo = std::move(other33.cargo);
+  __isset = other33.__isset;
+}
+GossipIndirectPing& GossipIndirectPing::operator=(const GossipIndirectPing& other34) {
+  number = other34.number;
+  target = other34.target;
+  address = other34.address;
+  port = other34.port;
+  cargo = other34.cargo;
+  __isset = other34.__isset;
+  return *this;
+}
+GossipIndirectPing& GossipIndirectPing::operator=(GossipIndirectPing&& other35) noexcept {
+  number = other35.number;
+  target = other35.target;
+  address = std::move(other35.address);
+  port = other35.port;
+  cargo = std::move(other35.cargo);
+  __isset = other35.__isset;
   return *this;
 }
 void GossipIndirectPing::printTo(std::ostream& out) const {
@@ -1190,15 +1292,26 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipAcknowledgement::GossipAcknowledgement(const GossipAcknowledgement& other24) {
-  number = other24.number;
-  cargo = other24.cargo;
-  __isset = other24.__isset;
+GossipAcknowledgement::GossipAcknowledgement(const GossipAcknowledgement& other36) {
+  number = other36.number;
+  cargo = other36.cargo;
+  __isset = other36.__isset;
 }
-GossipAcknowledgement& GossipAcknowledgement::operator=(const GossipAcknowledgement& other25) {
-  number = other25.number;
-  cargo = other25.cargo;
-  __isset = other25.__isset;
+GossipAcknowledgement::GossipAcknowledgement(GossipAcknowledgement&& other37) noexcept {
+  number = other37.number;
+  cargo = std::move(other37.cargo);
+  __isset = other37.__isset;
+}
+GossipAcknowledgement& GossipAcknowledgement::operator=(const GossipAcknowledgement& other38) {
+  number = other38.number;
+  cargo = other38.cargo;
+  __isset = other38.__isset;
+  return *this;
+}
+GossipAcknowledgement& GossipAcknowledgement::operator=(GossipAcknowledgement&& other39) noexcept {
+  number = other39.number;
+  cargo = std::move(other39.cargo);
+  __isset = other39.__isset;
   return *this;
 }
 void GossipAcknowledgement::printTo(std::ostream& out) const {
@@ -1353,21 +1466,38 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipPageRequest::GossipPageRequest(const GossipPageRequest& other26) noexcept {
-  number = other26.number;
-  first = other26.first;
-  last = other26.last;
-  contactsOnly = other26.contactsOnly;
-  acceptPartial = other26.acceptPartial;
-  __isset = other26.__isset;
+GossipPageRequest::GossipPageRequest(const GossipPageRequest& other40) noexcept {
+  number = other40.number;
+  first = other40.first;
+  last = other40.last;
+  contactsOnly = other40.contactsOnly;
+  acceptPartial = other40.acceptPartial;
+  __isset = other40.__isset;
+}
+GossipPageRequest::GossipPageRequest(GossipPageRequest&& other41) noexcept {
+  number = other41.number;
+  first = other41.first;
+  last = other41.last;
+  contactsOnly = other41.contactsOnly;
+  acceptPartial = other41.acceptPartial;
+  __isset = other41.__isset;
+}
+GossipPageRequest& GossipPageRequest::operator=(const GossipPageRequest& other42) noexcept {
+  number = other42.number;
+  first = other42.first;
+  last = other42.last;
+  contactsOnly = other42.contactsOnly;
+  acceptPartial = other42.acceptPartial;
+  __isset = other42.__isset;
+  return *this;
 }
-GossipPageRequest& GossipPageRequest::operator=(const GossipPageRequest& other27) noexcept {
-  number = other27.number;
-  first = other27.first;
-  last = other27.last;
-  contactsOnly = other27.contactsOnly;
-  acceptPartial = other27.acceptPartial;
-  __isset = other27.__isset;
+GossipPageRequest& GossipPageRequest::operator=(GossipPageRequest&& other43) noexcept {
+  number = other43.number;
+  first = other43.first;
+  last = other43.last;
+  contactsOnly = other43.contactsOnly;
+  acceptPartial = other43.acceptPartial;
+  __isset = other43.__isset;
   return *this;
 }
 void GossipPageRequest::printTo(std::ostream& out) const {
@@ -1445,14 +1575,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wanted.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->wanted.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->wanted.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += iprot->readI64(this->wanted[_i32]);
+              xfer += iprot->readI64(this->wanted[_i48]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1503,10 +1633,10 @@
     xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->wanted.size()));
-      std::vector<int64_t> ::const_iterator _iter33;
-      for (_iter33 = this->wanted.begin(); _iter33 != this->wanted.end(); ++_iter33)
+      std::vector<int64_t> ::const_iterator _iter49;
+      for (_iter49 = this->wanted.begin(); _iter49 != this->wanted.end(); ++_iter49)
       {
-        xfer += oprot->writeI64((*_iter33));
+        xfer += oprot->writeI64((*_iter49));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1536,19 +1666,34 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipDigestRequest::GossipDigestRequest(const GossipDigestRequest& other34) {
-  root = other34.root;
-  wanted = other34.wanted;
-  page = other34.page;
-  sender = other34.sender;
-  __isset = other34.__isset;
+GossipDigestRequest::GossipDigestRequest(const GossipDigestRequest& other50) {
+  root = other50.root;
+  wanted = other50.wanted;
+  page = other50.page;
+  sender = other50.sender;
+  __isset = other50.__isset;
 }
-GossipDigestRequest& GossipDigestRequest::operator=(const GossipDigestRequest& other35) {
-  root = other35.root;
-  wanted = other35.wanted;
-  page = other35.page;
-  sender = other35.sender;
-  __isset = other35.__isset;
+GossipDigestRequest::GossipDigestRequest(GossipDigestRequest&& other51) noexcept {
+  root = other51.root;
+  wanted = std::move(other51.wanted);
+  page = std::move(other51.page);
+  sender = std::move(other51.sender);
+  __isset = other51.__isset;
+}
+GossipDigestRequest& GossipDigestRequest::operator=(const GossipDigestRequest& other52) {
+  root = other52.root;
+  wanted = other52.wanted;
+  page = other52.page;
+  sender = other52.sender;
+  __isset = other52.__isset;
+  return *this;
+}
+GossipDigestRequest& GossipDigestRequest::operator=(GossipDigestRequest&& other53) noexcept {
+  root = other53.root;
+  wanted = std::move(other53.wanted);
+  page = std::move(other53.page);
+  sender = std::move(other53.sender);
+  __isset = other53.__isset;
   return *this;
 }
 void GossipDigestRequest::printTo(std::ostream& out) const {
@@ -1705,21 +1850,38 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipDigestEntry::GossipDigestEntry(const GossipDigestEntry& other36) noexcept {
-  hostHash = other36.hostHash;
-  incarnation = other36.incarnation;
-  sequence = other36.sequence;
-  state = other36.state;
-  tieBreak = other36.tieBreak;
-  __isset = other36.__isset;
+GossipDigestEntry::GossipDigestEntry(const GossipDigestEntry& other54) noexcept {
+  hostHash = other54.hostHash;
+  incarnation = other54.incarnation;
+  sequence = other54.sequence;
+  state = other54.state;
+  tieBreak = other54.tieBreak;
+  __isset = other54.__isset;
+}
+GossipDigestEntry::GossipDigestEntry(GossipDigestEntry&& other55) noexcept {
+  hostHash = other55.hostHash;
+  incarnation = other55.incarnation;
+  sequence = other55.sequence;
+  state = other55.state;
+  tieBreak = other55.tieBreak;
+  __isset = other55.__isset;
+}
+GossipDigestEntry& GossipDigestEntry::operator=(const GossipDigestEntry& other56) noexcept {
+  hostHash = other56.hostHash;
+  incarnation = other56.incarnation;
+  sequence = other56.sequence;
+  state = other56.state;
+  tieBreak = other56.tieBreak;
+  __isset = other56.__isset;
+  return *this;
 }
-GossipDigestEntry& GossipDigestEntry::operator=(const GossipDigestEntry& other37) noexcept {
-  hostHash = other37.hostHash;
-  incarnation = other37.incarnation;
-  sequence = other37.sequence;
-  state = other37.state;
-  tieBreak = other37.tieBreak;
-  __isset = other37.__isset;
+GossipDigestEntry& GossipDigestEntry::operator=(GossipDigestEntry&& other57) noexcept {
+  hostHash = other57.hostHash;
+  incarnation = other57.incarnation;
+  sequence = other57.sequence;
+  state = other57.state;
+  tieBreak = other57.tieBreak;
+  __isset = other57.__isset;
   return *this;
 }
 void GossipDigestEntry::printTo(std::ostream& out) const {
@@ -1811,14 +1973,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->entries.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->entries.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += this->entries[_i42].read(iprot);
+              xfer += this->entries[_i62].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1861,10 +2023,10 @@
     xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-      std::vector<GossipDigestEntry> ::const_iterator _iter43;
-      for (_iter43 = this->entries.begin(); _iter43 != this->entries.end(); ++_iter43)
+      std::vector<GossipDigestEntry> ::const_iterator _iter63;
+      for (_iter63 = this->entries.begin(); _iter63 != this->entries.end(); ++_iter63)
       {
-        xfer += (*_iter43).write(oprot);
+        xfer += (*_iter63).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1884,19 +2046,34 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipDigest::GossipDigest(const GossipDigest& other44) {
-  buckets = other44.buckets;
-  first = other44.first;
-  last = other44.last;
-  entries = other44.entries;
-  __isset = other44.__isset;
+GossipDigest::GossipDigest(const GossipDigest& other64) {
+  buckets = other64.buckets;
+  first = other64.first;
+  last = other64.last;
+  entries = other64.entries;
+  __isset = other64.__isset;
+}
+GossipDigest::GossipDigest(GossipDigest&& other65) noexcept {
+  buckets = std::move(other65.buckets);
+  first = other65.first;
+  last = other65.last;
+  entries = std::move(other65.entries);
+  __isset = other65.__isset;
+}
+GossipDigest& GossipDigest::operator=(const GossipDigest& other66) {
+  buckets = other66.buckets;
+  first = other66.first;
+  last = other66.last;
+  entries = other66.entries;
+  __isset = other66.__isset;
+  return *this;
 }
-GossipDigest& GossipDigest::operator=(const GossipDigest& other45) {
-  buckets = other45.buckets;
-  first = other45.first;
-  last = other45.last;
-  entries = other45.entries;
-  __isset = other45.__isset;
+GossipDigest& GossipDigest::operator=(GossipDigest&& other67) noexcept {
+  buckets = std::move(other67.buckets);
+  first = other67.first;
+  last = other67.last;
+  entries = std::move(other67.entries);
+  __isset = other67.__isset;
   return *this;
 }
 void GossipDigest::printTo(std::ostream& out) const {
@@ -2019,17 +2196,30 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipPageEnd::GossipPageEnd(const GossipPageEnd& other46) noexcept {
-  number = other46.number;
-  nextHash = other46.nextHash;
-  isLast = other46.isLast;
-  __isset = other46.__isset;
+GossipPageEnd::GossipPageEnd(const GossipPageEnd& other68) noexcept {
+  number = other68.number;
+  nextHash = other68.nextHash;
+  isLast = other68.isLast;
+  __isset = other68.__isset;
+}
+GossipPageEnd::GossipPageEnd(GossipPageEnd&& other69) noexcept {
+  number = other69.number;
+  nextHash = other69.nextHash;
+  isLast = other69.isLast;
+  __isset = other69.__isset;
 }
-GossipPageEnd& GossipPageEnd::operator=(const GossipPageEnd& other47) noexcept {
-  number = other47.number;
-  nextHash = other47.nextHash;
-  isLast = other47.isLast;
-  __isset = other47.__isset;
+GossipPageEnd& GossipPageEnd::operator=(const GossipPageEnd& other70) noexcept {
+  number = other70.number;
+  nextHash = other70.nextHash;
+  isLast = other70.isLast;
+  __isset = other70.__isset;
+  return *this;
+}
+GossipPageEnd& GossipPageEnd::operator=(GossipPageEnd&& other71) noexcept {
+  number = other71.number;
+  nextHash = other71.nextHash;
+  isLast = other71.isLast;
+  __isset = other71.__isset;
   return *this;
 }
 void GossipPageEnd::printTo(std::ostream& out) const {
@@ -2138,15 +2328,26 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipRecords::GossipRecords(const GossipRecords& other48) {
-  cargo = other48.cargo;
-  page = other48.page;
-  __isset = other48.__isset;
+GossipRecords::GossipRecords(const GossipRecords& other72) {
+  cargo = other72.cargo;
+  page = other72.page;
+  __isset = other72.__isset;
+}
+GossipRecords::GossipRecords(GossipRecords&& other73) noexcept {
+  cargo = std::move(other73.cargo);
+  page = std::move(other73.page);
+  __isset = other73.__isset;
+}
+GossipRecords& GossipRecords::operator=(const GossipRecords& other74) {
+  cargo = other74.cargo;
+  page = other74.page;
+  __isset = other74.__isset;
+  return *this;
 }
-GossipRecords& GossipRecords::operator=(const GossipRecords& other49) {
-  cargo = other49.cargo;
-  page = other49.page;
-  __isset = other49.__isset;
+GossipRecords& GossipRecords::operator=(GossipRecords&& other75) noexcept {
+  cargo = std::move(other75.cargo);
+  page = std::move(other75.page);
+  __isset = other75.__isset;
   return *this;
 }
 void GossipRecords::printTo(std::ostream& out) const {
@@ -2330,23 +2531,42 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipEnvelope::GossipEnvelope(const GossipEnvelope& other50) {
-  ping = other50.ping;
-  indirectPing = other50.indirectPing;
-  acknowledgement = other50.acknowledgement;
-  digestRequest = other50.digestRequest;
-  digest = other50.digest;
-  records = other50.records;
-  __isset = other50.__isset;
+GossipEnvelope::GossipEnvelope(const GossipEnvelope& other76) {
+  ping = other76.ping;
+  indirectPing = other76.indirectPing;
+  acknowledgement = other76.acknowledgement;
+  digestRequest = other76.digestRequest;
+  digest = other76.digest;
+  records = other76.records;
+  __isset = other76.__isset;
+}
+GossipEnvelope::GossipEnvelope(GossipEnvelope&& other77) noexcept {
+  ping = std::move(other77.ping);
+  indirectPing = std::move(other77.indirectPing);
+  acknowledgement = std::move(other77.acknowledgement);
+  digestRequest = std::move(other77.digestRequest);
+  digest = std::move(other77.digest);
+  records = std::move(other77.records);
+  __isset = other77.__isset;
+}
+GossipEnvelope& GossipEnvelope::operator=(const GossipEnvelope& other78) {
+  ping = other78.ping;
+  indirectPing = other78.indirectPing;
+  acknowledgement = other78.acknowledgement;
+  digestRequest = other78.digestRequest;
+  digest = other78.digest;
+  records = other78.records;
+  __isset = other78.__isset;
+  return *this;
 }
-GossipEnvelope& GossipEnvelope::operator=(const GossipEnvelope& other51) {
-  ping = other51.ping;
-  indirectPing = other51.indirectPing;
-  acknowledgement = other51.acknowledgement;
-  digestRequest = other51.digestRequest;
-  digest = other51.digest;
-  records = other51.records;
-  __isset = other51.__isset;
+GossipEnvelope& GossipEnvelope::operator=(GossipEnvelope&& other79) noexcept {
+  ping = std::move(other79.ping);
+  indirectPing = std::move(other79.indirectPing);
+  acknowledgement = std::move(other79.acknowledgement);
+  digestRequest = std::move(other79.digestRequest);
+  digest = std::move(other79.digest);
+  records = std::move(other79.records);
+  __isset = other79.__isset;
   return *this;
 }
 void GossipEnvelope::printTo(std::ostream& out) const {
--- a/gen-cpp/gossip_types.h
+++ b/gen-cpp/gossip_types.h
@@ -62,7 +62,9 @@
  public:
 
   GossipUpstream(const GossipUpstream&);
+  GossipUpstream(GossipUpstream&&) noexcept;
   GossipUpstream& operator=(const GossipUpstream&);
+  GossipUpstream& operator=(GossipUpstream&&) noexcept;
   GossipUpstream() noexcept
                  : id(),
                    serviceName(),
@@ -139,7 +141,9 @@
  public:
 
   GossipMemberRecord(const GossipMemberRecord&);
+  GossipMemberRecord(GossipMemberRecord&&) noexcept;
   GossipMemberRecord& operator=(const GossipMemberRecord&);
+  GossipMemberRecord& operator=(GossipMemberRecord&&) noexcept;
   GossipMemberRecord() noexcept
                      : host(),
                        address(),
@@ -246,7 +250,9 @@
  public:
 
   GossipBroadcast(const GossipBroadcast&);
+  GossipBroadcast(GossipBroadcast&&) noexcept;
   GossipBroadcast& operator=(const GossipBroadcast&);
+  GossipBroadcast& operator=(GossipBroadcast&&) noexcept;
   GossipBroadcast() noexcept
                   : origin(),
                     life(0),
@@ -308,7 +314,9 @@
  public:
 
   GossipCargo(const GossipCargo&);
+  GossipCargo(GossipCargo&&) noexcept;
   GossipCargo& operator=(const GossipCargo&);
+  GossipCargo& operator=(GossipCargo&&) noexcept;
   GossipCargo() noexcept {
   }
 
@@ -361,7 +369,9 @@
  public:
 
   GossipPing(const GossipPing&);
+  GossipPing(GossipPing&&) noexcept;
   GossipPing& operator=(const GossipPing&);
+  GossipPing& operator=(GossipPing&&) noexcept;
   GossipPing() noexcept
              : number(0),
                target(0) {
@@ -421,7 +431,9 @@
  public:
 
   GossipIndirectPing(const GossipIndirectPing&);
+  GossipIndirectPing(GossipIndirectPing&&) noexcept;
   GossipIndirectPing& operator=(const GossipIndirectPing&);
+  GossipIndirectPing& operator=(GossipIndirectPing&&) noexcept;
   GossipIndirectPing() noexcept
                      : number(0),
                        target(0),
@@ -490,7 +502,9 @@
  public:
 
   GossipAcknowledgement(const GossipAcknowledgement&);
+  GossipAcknowledgement(GossipAcknowledgement&&) noexcept;
   GossipAcknowledgement& operator=(const GossipAcknowledgement&);
+  GossipAcknowledgement& operator=(GossipAcknowledgement&&) noexcept;
   GossipAcknowledgement() noexcept
                         : number(0) {
   }
@@ -544,7 +558,9 @@
  public:
 
   GossipPageRequest(const GossipPageRequest&) noexcept;
+  GossipPageRequest(GossipPageRequest&&) noexcept;
   GossipPageRequest& operator=(const GossipPageRequest&) noexcept;
+  GossipPageRequest& operator=(GossipPageRequest&&) noexcept;
   GossipPageRequest() noexcept
                     : number(0),
                       first(0),
@@ -614,7 +630,9 @@
  public:
 
   GossipDigestRequest(const GossipDigestRequest&);
+  GossipDigestRequest(GossipDigestRequest&&) noexcept;
   GossipDigestRequest& operator=(const GossipDigestRequest&);
+  GossipDigestRequest& operator=(GossipDigestRequest&&) noexcept;
   GossipDigestRequest() noexcept
                       : root(0) {
   }
@@ -684,7 +702,9 @@
  public:
 
   GossipDigestEntry(const GossipDigestEntry&) noexcept;
+  GossipDigestEntry(GossipDigestEntry&&) noexcept;
   GossipDigestEntry& operator=(const GossipDigestEntry&) noexcept;
+  GossipDigestEntry& operator=(GossipDigestEntry&&) noexcept;
   GossipDigestEntry() noexcept
                     : hostHash(0),
                       incarnation(0),
@@ -754,7 +774,9 @@
  public:
 
   GossipDigest(const GossipDigest&);
+  GossipDigest(GossipDigest&&) noexcept;
   GossipDigest& operator=(const GossipDigest&);
+  GossipDigest& operator=(GossipDigest&&) noexcept;
   GossipDigest() noexcept
                : buckets(),
                  first(0),
@@ -820,7 +842,9 @@
  public:
 
   GossipPageEnd(const GossipPageEnd&) noexcept;
+  GossipPageEnd(GossipPageEnd&&) noexcept;
   GossipPageEnd& operator=(const GossipPageEnd&) noexcept;
+  GossipPageEnd& operator=(GossipPageEnd&&) noexcept;
   GossipPageEnd() noexcept
                 : number(0),
                   nextHash(0),
@@ -876,7 +900,9 @@
  public:
 
   GossipRecords(const GossipRecords&);
+  GossipRecords(GossipRecords&&) noexcept;
   GossipRecords& operator=(const GossipRecords&);
+  GossipRecords& operator=(GossipRecords&&) noexcept;
   GossipRecords() noexcept {
   }
 
@@ -932,7 +958,9 @@
  public:
 
   GossipEnvelope(const GossipEnvelope&);
+  GossipEnvelope(GossipEnvelope&&) noexcept;
   GossipEnvelope& operator=(const GossipEnvelope&);
+  GossipEnvelope& operator=(GossipEnvelope&&) noexcept;
   GossipEnvelope() noexcept {
   }
 
--- a/gen-cpp/log_types.cpp
+++ b/gen-cpp/log_types.cpp
@@ -111,10 +111,21 @@
   host = other0.host;
   __isset = other0.__isset;
 }
-LogMember& LogMember::operator=(const LogMember& other1) {
-  id = other1.id;
-  host = other1.host;
+LogMember::LogMember(LogMember&& other1) noexcept {
+  id = std::move(other1.id);
+  host = std::move(other1.host);
   __isset = other1.__isset;
+}
+LogMember& LogMember::operator=(const LogMember& other2) {
+  id = other2.id;
+  host = other2.host;
+  __isset = other2.__isset;
+  return *this;
+}
+LogMember& LogMember::operator=(LogMember&& other3) noexcept {
+  id = std::move(other3.id);
+  host = std::move(other3.host);
+  __isset = other3.__isset;
   return *this;
 }
 void LogMember::printTo(std::ostream& out) const {
@@ -169,14 +180,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->voters.clear();
-            uint32_t _size2;
-            ::apache::thrift::protocol::TType _etype5;
-            xfer += iprot->readListBegin(_etype5, _size2);
-            this->voters.resize(_size2);
-            uint32_t _i6;
-            for (_i6 = 0; _i6 < _size2; ++_i6)
+            uint32_t _size4;
+            ::apache::thrift::protocol::TType _etype7;
+            xfer += iprot->readListBegin(_etype7, _size4);
+            this->voters.resize(_size4);
+            uint32_t _i8;
+            for (_i8 = 0; _i8 < _size4; ++_i8)
             {
-              xfer += this->voters[_i6].read(iprot);
+              xfer += this->voters[_i8].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -189,14 +200,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->learners.clear();
-            uint32_t _size7;
-            ::apache::thrift::protocol::TType _etype10;
-            xfer += iprot->readListBegin(_etype10, _size7);
-            this->learners.resize(_size7);
-            uint32_t _i11;
-            for (_i11 = 0; _i11 < _size7; ++_i11)
+            uint32_t _size9;
+            ::apache::thrift::protocol::TType _etype12;
+            xfer += iprot->readListBegin(_etype12, _size9);
+            this->learners.resize(_size9);
+            uint32_t _i13;
+            for (_i13 = 0; _i13 < _size9; ++_i13)
             {
-              xfer += this->learners[_i11].read(iprot);
+              xfer += this->learners[_i13].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -225,10 +236,10 @@
   xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->voters.size()));
-    std::vector<LogMember> ::const_iterator _iter12;
-    for (_iter12 = this->voters.begin(); _iter12 != this->voters.end(); ++_iter12)
+    std::vector<LogMember> ::const_iterator _iter14;
+    for (_iter14 = this->voters.begin(); _iter14 != this->voters.end(); ++_iter14)
     {
-      xfer += (*_iter12).write(oprot);
+      xfer += (*_iter14).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -237,10 +248,10 @@
   xfer += oprot->writeFieldBegin("learners", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->learners.size()));
-    std::vector<LogMember> ::const_iterator _iter13;
-    for (_iter13 = this->learners.begin(); _iter13 != this->learners.end(); ++_iter13)
+    std::vector<LogMember> ::const_iterator _iter15;
+    for (_iter15 = this->learners.begin(); _iter15 != this->learners.end(); ++_iter15)
     {
-      xfer += (*_iter13).write(oprot);
+      xfer += (*_iter15).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -258,15 +269,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LogMembership::LogMembership(const LogMembership& other14) {
-  voters = other14.voters;
-  learners = other14.learners;
-  __isset = other14.__isset;
+LogMembership::LogMembership(const LogMembership& other16) {
+  voters = other16.voters;
+  learners = other16.learners;
+  __isset = other16.__isset;
+}
+LogMembership::LogMembership(LogMembership&& other17) noexcept {
+  voters = std::move(other17.voters);
+  learners = std::move(other17.learners);
+  __isset = other17.__isset;
+}
+LogMembership& LogMembership::operator=(const LogMembership& other18) {
+  voters = other18.voters;
+  learners = other18.learners;
+  __isset = other18.__isset;
+  return *this;
 }
-LogMembership& LogMembership::operator=(const LogMembership& other15) {
-  voters = other15.voters;
-  learners = other15.learners;
-  __isset = other15.__isset;
+LogMembership& LogMembership::operator=(LogMembership&& other19) noexcept {
+  voters = std::move(other19.voters);
+  learners = std::move(other19.learners);
+  __isset = other19.__isset;
   return *this;
 }
 void LogMembership::printTo(std::ostream& out) const {
@@ -421,21 +443,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other16) {
-  index = other16.index;
-  term = other16.term;
-  kind = other16.kind;
-  payload = other16.payload;
-  membership = other16.membership;
-  __isset = other16.__isset;
+LogEntry::LogEntry(const LogEntry& other20) {
+  index = other20.index;
+  term = other20.term;
+  kind = other20.kind;
+  payload = other20.payload;
+  membership = other20.membership;
+  __isset = other20.__isset;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other17) {
-  index = other17.index;
-  term = other17.term;
-  kind = other17.kind;
-  payload = other17.payload;
-  membership = other17.membership;
-  __isset = other17.__isset;
+LogEntry::LogEntry(LogEntry&& other21) noexcept {
+  index = other21.index;
+  term = other21.term;
+  kind = other21.kind;
+  payload = std::move(other21.payload);
+  membership = std::move(other21.membership);
+  __isset = other21.__isset;
+}
+LogEntry& LogEntry::operator=(const LogEntry& other22) {
+  index = other22.index;
+  term = other22.term;
+  kind = other22.kind;
+  payload = other22.payload;
+  membership = other22.membership;
+  __isset = other22.__isset;
+  return *this;
+}
+LogEntry& LogEntry::operator=(LogEntry&& other23) noexcept {
+  index = other23.index;
+  term = other23.term;
+  kind = other23.kind;
+  payload = std::move(other23.payload);
+  membership = std::move(other23.membership);
+  __isset = other23.__isset;
   return *this;
 }
 void LogEntry::printTo(std::ostream& out) const {
@@ -576,19 +615,34 @@
   swap(a.__isset, b.__isset);
 }
 
-LogSnapshot::LogSnapshot(const LogSnapshot& other18) {
-  index = other18.index;
-  term = other18.term;
-  membership = other18.membership;
-  data = other18.data;
-  __isset = other18.__isset;
+LogSnapshot::LogSnapshot(const LogSnapshot& other24) {
+  index = other24.index;
+  term = other24.term;
+  membership = other24.membership;
+  data = other24.data;
+  __isset = other24.__isset;
+}
+LogSnapshot::LogSnapshot(LogSnapshot&& other25) noexcept {
+  index = other25.index;
+  term = other25.term;
+  membership = std::move(other25.membership);
+  data = std::move(other25.data);
+  __isset = other25.__isset;
+}
+LogSnapshot& LogSnapshot::operator=(const LogSnapshot& other26) {
+  index = other26.index;
+  term = other26.term;
+  membership = other26.membership;
+  data = other26.data;
+  __isset = other26.__isset;
+  return *this;
 }
-LogSnapshot& LogSnapshot::operator=(const LogSnapshot& other19) {
-  index = other19.index;
-  term = other19.term;
-  membership = other19.membership;
-  data = other19.data;
-  __isset = other19.__isset;
+LogSnapshot& LogSnapshot::operator=(LogSnapshot&& other27) noexcept {
+  index = other27.index;
+  term = other27.term;
+  membership = std::move(other27.membership);
+  data = std::move(other27.data);
+  __isset = other27.__isset;
   return *this;
 }
 void LogSnapshot::printTo(std::ostream& out) const {
@@ -711,17 +765,30 @@
   swap(a.__isset, b.__isset);
 }
 
-LogVoteRequest::LogVoteRequest(const LogVoteRequest& other20) noexcept {
-  preVote = other20.preVote;
-  lastIndex = other20.lastIndex;
-  lastTerm = other20.lastTerm;
-  __isset = other20.__isset;
+LogVoteRequest::LogVoteRequest(const LogVoteRequest& other28) noexcept {
+  preVote = other28.preVote;
+  lastIndex = other28.lastIndex;
+  lastTerm = other28.lastTerm;
+  __isset = other28.__isset;
 }
-LogVoteRequest& LogVoteRequest::operator=(const LogVoteRequest& other21) noexcept {
-  preVote = other21.preVote;
-  lastIndex = other21.lastIndex;
-  lastTerm = other21.lastTerm;
-  __isset = other21.__isset;
+LogVoteRequest::LogVoteRequest(LogVoteRequest&& other29) noexcept {
+  preVote = other29.preVote;
+  lastIndex = other29.lastIndex;
+  lastTerm = other29.lastTerm;
+  __isset = other29.__isset;
+}
+LogVoteRequest& LogVoteRequest::operator=(const LogVoteRequest& other30) noexcept {
+  preVote = other30.preVote;
+  lastIndex = other30.lastIndex;
+  lastTerm = other30.lastTerm;
+  __isset = other30.__isset;
+  return *this;
+}
+LogVoteRequest& LogVoteRequest::operator=(LogVoteRequest&& other31) noexcept {
+  preVote = other31.preVote;
+  lastIndex = other31.lastIndex;
+  lastTerm = other31.lastTerm;
+  __isset = other31.__isset;
   return *this;
 }
 void LogVoteRequest::printTo(std::ostream& out) const {
@@ -826,15 +893,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LogVoteResponse::LogVoteResponse(const LogVoteResponse& other22) noexcept {
-  preVote = other22.preVote;
-  granted = other22.granted;
-  __isset = other22.__isset;
+LogVoteResponse::LogVoteResponse(const LogVoteResponse& other32) noexcept {
+  preVote = other32.preVote;
+  granted = other32.granted;
+  __isset = other32.__isset;
 }
-LogVoteResponse& LogVoteResponse::operator=(const LogVoteResponse& other23) noexcept {
-  preVote = other23.preVote;
-  granted = other23.granted;
-  __isset = other23.__isset;
+LogVoteResponse::LogVoteResponse(LogVoteResponse&& other33) noexcept {
+  preVote = other33.preVote;
+  granted = other33.granted;
+  __isset = other33.__isset;
+}
+LogVoteResponse& LogVoteResponse::operator=(const LogVoteResponse& other34) noexcept {
+  preVote = other34.preVote;
+  granted = other34.granted;
+  __isset = other34.__isset;
+  return *this;
+}
+LogVoteResponse& LogVoteResponse::operator=(LogVoteResponse&& other35) noexcept {
+  preVote = other35.preVote;
+  granted = other35.granted;
+  __isset = other35.__isset;
   return *this;
 }
 void LogVoteResponse::printTo(std::ostream& out) const {
@@ -931,14 +1009,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->entries.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->entries.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->entries[_i28].read(iprot);
+              xfer += this->entries[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1015,10 +1093,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter29;
-    for (_iter29 = this->entries.begin(); _iter29 != this->entries.end(); ++_iter29)
+    std::vector<LogEntry> ::const_iterator _iter41;
+    for (_iter41 = this->entries.begin(); _iter41 != this->entries.end(); ++_iter41)
     {
-      xfer += (*_iter29).write(oprot);
+      xfer += (*_iter41).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1064,27 +1142,50 @@
   swap(a.__isset, b.__isset);
 }
 
-LogAppendRequest::LogAppendRequest(const LogAppendRequest& other30) {
-  previousIndex = other30.previousIndex;
-  previousTerm = other30.previousTerm;
-  entries = other30.entries;
-  commitIndex = other30.commitIndex;
-  askedAt = other30.askedAt;
-  proofAge = other30.proofAge;
-  echoLife = other30.echoLife;
-  echo = other30.echo;
-  __isset = other30.__isset;
+LogAppendRequest::LogAppendRequest(const LogAppendRequest& other42) {
+  previousIndex = other42.previousIndex;
+  previousTerm = other42.previousTerm;
+  entries = other42.entries;
+  commitIndex = other42.commitIndex;
+  askedAt = other42.askedAt;
+  proofAge = other42.proofAge;
+  echoLife = other42.echoLife;
+  echo = other42.echo;
+  __isset = other42.__isset;
+}
+LogAppendRequest::LogAppendRequest(LogAppendRequest&& other43) noexcept {
+  previousIndex = other43.previousIndex;
+  previousTerm = other43.previousTerm;
+  entries = std::move(other43.entries);
+  commitIndex = other43.commitIndex;
+  askedAt = other43.askedAt;
+  proofAge = other43.proofAge;
+  echoLife = other43.echoLife;
+  echo = other43.echo;
+  __isset = other43.__isset;
+}
+LogAppendRequest& LogAppendRequest::operator=(const LogAppendRequest& other44) {
+  previousIndex = other44.previousIndex;
+  previousTerm = other44.previousTerm;
+  entries = other44.entries;
+  commitIndex = other44.commitIndex;
+  askedAt = other44.askedAt;
+  proofAge = other44.proofAge;
+  echoLife = other44.echoLife;
+  echo = other44.echo;
+  __isset = other44.__isset;
+  return *this;
 }
-LogAppendRequest& LogAppendRequest::operator=(const LogAppendRequest& other31) {
-  previousIndex = other31.previousIndex;
-  previousTerm = other31.previousTerm;
-  entries = other31.entries;
-  commitIndex = other31.commitIndex;
-  askedAt = other31.askedAt;
-  proofAge = other31.proofAge;
-  echoLife = other31.echoLife;
-  echo = other31.echo;
-  __isset = other31.__isset;
+LogAppendRequest& LogAppendRequest::operator=(LogAppendRequest&& other45) noexcept {
+  previousIndex = other45.previousIndex;
+  previousTerm = other45.previousTerm;
+  entries = std::move(other45.entries);
+  commitIndex = other45.commitIndex;
+  askedAt = other45.askedAt;
+  proofAge = other45.proofAge;
+  echoLife = other45.echoLife;
+  echo = other45.echo;
+  __isset = other45.__isset;
   return *this;
 }
 void LogAppendRequest::printTo(std::ostream& out) const {
@@ -1279,25 +1380,46 @@
   swap(a.__isset, b.__isset);
 }
 
-LogAppendResponse::LogAppendResponse(const LogAppendResponse& other32) noexcept {
-  accepted = other32.accepted;
-  matchIndex = other32.matchIndex;
-  conflictTerm = other32.conflictTerm;
-  conflictIndex = other32.conflictIndex;
-  askedAt = other32.askedAt;
-  life = other32.life;
-  sentAt = other32.sentAt;
-  __isset = other32.__isset;
+LogAppendResponse::LogAppendResponse(const LogAppendResponse& other46) noexcept {
+  accepted = other46.accepted;
+  matchIndex = other46.matchIndex;
+  conflictTerm = other46.conflictTerm;
+  conflictIndex = other46.conflictIndex;
+  askedAt = other46.askedAt;
+  life = other46.life;
+  sentAt = other46.sentAt;
+  __isset = other46.__isset;
 }
-LogAppendResponse& LogAppendResponse::operator=(const LogAppendResponse& other33) noexcept {
-  accepted = other33.accepted;
-  matchIndex = other33.matchIndex;
-  conflictTerm = other33.conflictTerm;
-  conflictIndex = other33.conflictIndex;
-  askedAt = other33.askedAt;
-  life = other33.life;
-  sentAt = other33.sentAt;
-  __isset = other33.__isset;
+LogAppendResponse::LogAppendResponse(LogAppendResponse&& other47) noexcept {
+  accepted = other47.accepted;
+  matchIndex = other47.matchIndex;
+  conflictTerm = other47.conflictTerm;
+  conflictIndex = other47.conflictIndex;
+  askedAt = other47.askedAt;
+  life = other47.life;
+  sentAt = other47.sentAt;
+  __isset = other47.__isset;
+}
+LogAppendResponse& LogAppendResponse::operator=(const LogAppendResponse& other48) noexcept {
+  accepted = other48.accepted;
+  matchIndex = other48.matchIndex;
+  conflictTerm = other48.conflictTerm;
+  conflictIndex = other48.conflictIndex;
+  askedAt = other48.askedAt;
+  life = other48.life;
+  sentAt = other48.sentAt;
+  __isset = other48.__isset;
+  return *this;
+}
+LogAppendResponse& LogAppendResponse::operator=(LogAppendResponse&& other49) noexcept {
+  accepted = other49.accepted;
+  matchIndex = other49.matchIndex;
+  conflictTerm = other49.conflictTerm;
+  conflictIndex = other49.conflictIndex;
+  askedAt = other49.askedAt;
+  life = other49.life;
+  sentAt = other49.sentAt;
+  __isset = other49.__isset;
   return *this;
 }
 void LogAppendResponse::printTo(std::ostream& out) const {
@@ -1491,25 +1613,46 @@
   swap(a.__isset, b.__isset);
 }
 
-LogSnapshotRequest::LogSnapshotRequest(const LogSnapshotRequest& other34) {
-  index = other34.index;
-  snapshotTerm = other34.snapshotTerm;
-  membership = other34.membership;
-  offset = other34.offset;
-  totalBytes = other34.totalBytes;
-  data = other34.data;
-  askedAt = other34.askedAt;
-  __isset = other34.__isset;
+LogSnapshotRequest::LogSnapshotRequest(const LogSnapshotRequest& other50) {
+  index = other50.index;
+  snapshotTerm = other50.snapshotTerm;
+  membership = other50.membership;
+  offset = other50.offset;
+  totalBytes = other50.totalBytes;
+  data = other50.data;
+  askedAt = other50.askedAt;
+  __isset = other50.__isset;
+}
+LogSnapshotRequest::LogSnapshotRequest(LogSnapshotRequest&& other51) noexcept {
+  index = other51.index;
+  snapshotTerm = other51.snapshotTerm;
+  membership = std::move(other51.membership);
+  offset = other51.offset;
+  totalBytes = other51.totalBytes;
+  data = std::move(other51.data);
+  askedAt = other51.askedAt;
+  __isset = other51.__isset;
+}
+LogSnapshotRequest& LogSnapshotRequest::operator=(const LogSnapshotRequest& other52) {
+  index = other52.index;
+  snapshotTerm = other52.snapshotTerm;
+  membership = other52.membership;
+  offset = other52.offset;
+  totalBytes = other52.totalBytes;
+  data = other52.data;
+  askedAt = other52.askedAt;
+  __isset = other52.__isset;
+  return *this;
 }
-LogSnapshotRequest& LogSnapshotRequest::operator=(const LogSnapshotRequest& other35) {
-  index = other35.index;
-  snapshotTerm = other35.snapshotTerm;
-  membership = other35.membership;
-  offset = other35.offset;
-  totalBytes = other35.totalBytes;
-  data = other35.data;
-  askedAt = other35.askedAt;
-  __isset = other35.__isset;
+LogSnapshotRequest& LogSnapshotRequest::operator=(LogSnapshotRequest&& other53) noexcept {
+  index = other53.index;
+  snapshotTerm = other53.snapshotTerm;
+  membership = std::move(other53.membership);
+  offset = other53.offset;
+  totalBytes = other53.totalBytes;
+  data = std::move(other53.data);
+  askedAt = other53.askedAt;
+  __isset = other53.__isset;
   return *this;
 }
 void LogSnapshotRequest::printTo(std::ostream& out) const {
@@ -1669,21 +1812,38 @@
   swap(a.__isset, b.__isset);
 }
 
-LogSnapshotResponse::LogSnapshotResponse(const LogSnapshotResponse& other36) noexcept {
-  index = other36.index;
-  receivedBytes = other36.receivedBytes;
-  askedAt = other36.askedAt;
-  life = other36.life;
-  sentAt = other36.sentAt;
-  __isset = other36.__isset;
-}
-LogSnapshotResponse& LogSnapshotResponse::operator=(const LogSnapshotResponse& other37) noexcept {
-  index = other37.index;
-  receivedBytes = other37.receivedBytes;
-  askedAt = other37.askedAt;
-  life = other37.life;
-  sentAt = other37.sentAt;
-  __isset = other37.__isset;
+LogSnapshotResponse::LogSnapshotResponse(const LogSnapshotResponse& other54) noexcept {
+  index = other54.index;
+  receivedBytes = other54.receivedBytes;
+  askedAt = other54.askedAt;
+  life = other54.life;
+  sentAt = other54.sentAt;
+  __isset = other54.__isset;
+}
+LogSnapshotResponse::LogSnapshotResponse(LogSnapshotResponse&& other55) noexcept {
+  index = other55.index;
+  receivedBytes = other55.receivedBytes;
+  askedAt = other55.askedAt;
+  life = other55.life;
+  sentAt = other55.sentAt;
+  __isset = other55.__isset;
+}
+LogSnapshotResponse& LogSnapshotResponse::operator=(const LogSnapshotResponse& other56) noexcept {
+  index = other56.index;
+  receivedBytes = other56.receivedBytes;
+  askedAt = other56.askedAt;
+  life = other56.life;
+  sentAt = other56.sentAt;
+  __isset = other56.__isset;
+  return *this;
+}
+LogSnapshotResponse& LogSnapshotResponse::operator=(LogSnapshotResponse&& other57) noexcept {
+  index = other57.index;
+  receivedBytes = other57.receivedBytes;
+  askedAt = other57.askedAt;
+  life = other57.life;
+  sentAt = other57.sentAt;
+  __isset = other57.__isset;
   return *this;
 }
 void LogSnapshotResponse::printTo(std::ostream& out) const {
@@ -1749,14 +1909,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heard.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->heard.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->heard.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += iprot->readString(this->heard[_i42]);
+              xfer += iprot->readString(this->heard[_i62]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1789,10 +1949,10 @@
   xfer += oprot->writeFieldBegin("heard", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->heard.size()));
-    std::vector<std::string> ::const_iterator _iter43;
-    for (_iter43 = this->heard.begin(); _iter43 != this->heard.end(); ++_iter43)
+    std::vector<std::string> ::const_iterator _iter63;
+    for (_iter63 = this->heard.begin(); _iter63 != this->heard.end(); ++_iter63)
     {
-      xfer += oprot->writeString((*_iter43));
+      xfer += oprot->writeString((*_iter63));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1810,15 +1970,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LogJoinRequest::LogJoinRequest(const LogJoinRequest& other44) {
-  isEmpty = other44.isEmpty;
-  heard = other44.heard;
-  __isset = other44.__isset;
+LogJoinRequest::LogJoinRequest(const LogJoinRequest& other64) {
+  isEmpty = other64.isEmpty;
+  heard = other64.heard;
+  __isset = other64.__isset;
 }
-LogJoinRequest& LogJoinRequest::operator=(const LogJoinRequest& other45) {
-  isEmpty = other45.isEmpty;
-  heard = other45.heard;
-  __isset = other45.__isset;
+LogJoinRequest::LogJoinRequest(LogJoinRequest&& other65) noexcept {
+  isEmpty = other65.isEmpty;
+  heard = std::move(other65.heard);
+  __isset = other65.__isset;
+}
+LogJoinRequest& LogJoinRequest::operator=(const LogJoinRequest& other66) {
+  isEmpty = other66.isEmpty;
+  heard = other66.heard;
+  __isset = other66.__isset;
+  return *this;
+}
+LogJoinRequest& LogJoinRequest::operator=(LogJoinRequest&& other67) noexcept {
+  isEmpty = other67.isEmpty;
+  heard = std::move(other67.heard);
+  __isset = other67.__isset;
   return *this;
 }
 void LogJoinRequest::printTo(std::ostream& out) const {
@@ -2072,31 +2243,58 @@
   swap(a.__isset, b.__isset);
 }
 
-LogMessage::LogMessage(const LogMessage& other46) {
-  sender = other46.sender;
-  recipient = other46.recipient;
-  term = other46.term;
-  voteRequest = other46.voteRequest;
-  voteResponse = other46.voteResponse;
-  appendRequest = other46.appendRequest;
-  appendResponse = other46.appendResponse;
-  snapshotRequest = other46.snapshotRequest;
-  snapshotResponse = other46.snapshotResponse;
-  joinRequest = other46.joinRequest;
-  __isset = other46.__isset;
+LogMessage::LogMessage(const LogMessage& other68) {
+  sender = other68.sender;
+  recipient = other68.recipient;
+  term = other68.term;
+  voteRequest = other68.voteRequest;
+  voteResponse = other68.voteResponse;
+  appendRequest = other68.appendRequest;
+  appendResponse = other68.appendResponse;
+  snapshotRequest = other68.snapshotRequest;
+  snapshotResponse = other68.snapshotResponse;
+  joinRequest = other68.joinRequest;
+  __isset = other68.__isset;
+}
+LogMessage::LogMessage(LogMessage&& other69) noexcept {
+  sender = std::move(other69.sender);
+  recipient = std::move(other69.recipient);
+  term = other69.term;
+  voteRequest = std::move(other69.voteRequest);
+  voteResponse = std::move(other69.voteResponse);
+  appendRequest = std::move(other69.appendRequest);
+  appendResponse = std::move(other69.appendResponse);
+  snapshotRequest = std::move(other69.snapshotRequest);
+  snapshotResponse = std::move(other69.snapshotResponse);
+  joinRequest = std::move(other69.joinRequest);
+  __isset = other69.__isset;
+}
+LogMessage& LogMessage::operator=(const LogMessage& other70) {
+  sender = other70.sender;
+  recipient = other70.recipient;
+  term = other70.term;
+  voteRequest = other70.voteRequest;
+  voteResponse = other70.voteResponse;
+  appendRequest = other70.appendRequest;
+  appendResponse = other70.appendResponse;
+  snapshotRequest = other70.snapshotRequest;
+  snapshotResponse = other70.snapshotResponse;
+  joinRequest = other70.joinRequest;
+  __isset = other70.__isset;
+  return *this;
 }
-LogMessage& LogMessage::operator=(const LogMessage& other47) {
-  sender = other47.sender;
-  recipient = other47.recipient;
-  term = other47.term;
-  voteRequest = other47.voteRequest;
-  voteResponse = other47.voteResponse;
-  appendRequest = other47.appendRequest;
-  appendResponse = other47.appendResponse;
-  snapshotRequest = other47.snapshotRequest;
-  snapshotResponse = other47.snapshotResponse;
-  joinRequest = other47.joinRequest;
-  __isset = other47.__isset;
+LogMessage& LogMessage::operator=(LogMessage&& other71) noexcept {
+  sender = std::move(other71.sender);
+  recipient = std::move(other71.recipient);
+  term = other71.term;
+  voteRequest = std::move(other71.voteRequest);
+  voteResponse = std::move(other71.voteResponse);
+  appendRequest = std::move(other71.appendRequest);
+  appendResponse = std::move(other71.appendResponse);
+  snapshotRequest = std::move(other71.snapshotRequest);
+  snapshotResponse = std::move(other71.snapshotResponse);
+  joinRequest = std::move(other71.joinRequest);
+  __isset = other71.__isset;
   return *this;
 }
 void LogMessage::printTo(std::ostream& out) const {
@@ -2220,14 +2418,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->entries.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->entries.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->entries[_i52].read(iprot);
+              xfer += this->entries[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2281,10 +2479,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter53;
-    for (_iter53 = this->entries.begin(); _iter53 != this->entries.end(); ++_iter53)
+    std::vector<LogEntry> ::const_iterator _iter77;
+    for (_iter77 = this->entries.begin(); _iter77 != this->entries.end(); ++_iter77)
     {
-      xfer += (*_iter53).write(oprot);
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2306,23 +2504,42 @@
   swap(a.__isset, b.__isset);
 }
 
-LogBatch::LogBatch(const LogBatch& other54) {
-  replicaId = other54.replicaId;
-  term = other54.term;
-  votedFor = other54.votedFor;
-  truncateFrom = other54.truncateFrom;
-  snapshot = other54.snapshot;
-  entries = other54.entries;
-  __isset = other54.__isset;
+LogBatch::LogBatch(const LogBatch& other78) {
+  replicaId = other78.replicaId;
+  term = other78.term;
+  votedFor = other78.votedFor;
+  truncateFrom = other78.truncateFrom;
+  snapshot = other78.snapshot;
+  entries = other78.entries;
+  __isset = other78.__isset;
+}
+LogBatch::LogBatch(LogBatch&& other79) noexcept {
+  replicaId = std::move(other79.replicaId);
+  term = other79.term;
+  votedFor = std::move(other79.votedFor);
+  truncateFrom = other79.truncateFrom;
+  snapshot = std::move(other79.snapshot);
+  entries = std::move(other79.entries);
+  __isset = other79.__isset;
+}
+LogBatch& LogBatch::operator=(const LogBatch& other80) {
+  replicaId = other80.replicaId;
+  term = other80.term;
+  votedFor = other80.votedFor;
+  truncateFrom = other80.truncateFrom;
+  snapshot = other80.snapshot;
+  entries = other80.entries;
+  __isset = other80.__isset;
+  return *this;
 }
-LogBatch& LogBatch::operator=(const LogBatch& other55) {
-  replicaId = other55.replicaId;
-  term = other55.term;
-  votedFor = other55.votedFor;
-  truncateFrom = other55.truncateFrom;
-  snapshot = other55.snapshot;
-  entries = other55.entries;
-  __isset = other55.__isset;
+LogBatch& LogBatch::operator=(LogBatch&& other81) noexcept {
+  replicaId = std::move(other81.replicaId);
+  term = other81.term;
+  votedFor = std::move(other81.votedFor);
+  truncateFrom = other81.truncateFrom;
+  snapshot = std::move(other81.snapshot);
+  entries = std::move(other81.entries);
+  __isset = other81.__isset;
   return *this;
 }
 void LogBatch::printTo(std::ostream& out) const {
--- a/gen-cpp/log_types.h
+++ b/gen-cpp/log_types.h
@@ -57,7 +57,9 @@
  public:
 
   LogMember(const LogMember&);
+  LogMember(LogMember&&) noexcept;
   LogMember& operator=(const LogMember&);
+  LogMember& operator=(LogMember&&) noexcept;
   LogMember() noexcept
             : id(),
               host() {
@@ -107,7 +109,9 @@
  public:
 
   LogMembership(const LogMembership&);
+  LogMembership(LogMembership&&) noexcept;
   LogMembership& operator=(const LogMembership&);
+  LogMembership& operator=(LogMembership&&) noexcept;
   LogMembership() noexcept {
   }
 
@@ -158,7 +162,9 @@
  public:
 
   LogEntry(const LogEntry&);
+  LogEntry(LogEntry&&) noexcept;
   LogEntry& operator=(const LogEntry&);
+  LogEntry& operator=(LogEntry&&) noexcept;
   LogEntry() noexcept
            : index(0),
              term(0),
@@ -227,7 +233,9 @@
  public:
 
   LogSnapshot(const LogSnapshot&);
+  LogSnapshot(LogSnapshot&&) noexcept;
   LogSnapshot& operator=(const LogSnapshot&);
+  LogSnapshot& operator=(LogSnapshot&&) noexcept;
   LogSnapshot() noexcept
               : index(0),
                 term(0),
@@ -289,7 +297,9 @@
  public:
 
   LogVoteRequest(const LogVoteRequest&) noexcept;
+  LogVoteRequest(LogVoteRequest&&) noexcept;
   LogVoteRequest& operator=(const LogVoteRequest&) noexcept;
+  LogVoteRequest& operator=(LogVoteRequest&&) noexcept;
   LogVoteRequest() noexcept
                  : preVote(0),
                    lastIndex(0),
@@ -345,7 +355,9 @@
  public:
 
   LogVoteResponse(const LogVoteResponse&) noexcept;
+  LogVoteResponse(LogVoteResponse&&) noexcept;
   LogVoteResponse& operator=(const LogVoteResponse&) noexcept;
+  LogVoteResponse& operator=(LogVoteResponse&&) noexcept;
   LogVoteResponse() noexcept
                   : preVote(0),
                     granted(0) {
@@ -401,7 +413,9 @@
  public:
 
   LogAppendRequest(const LogAppendRequest&);
+  LogAppendRequest(LogAppendRequest&&) noexcept;
   LogAppendRequest& operator=(const LogAppendRequest&);
+  LogAppendRequest& operator=(LogAppendRequest&&) noexcept;
   LogAppendRequest() noexcept
                    : previousIndex(0),
                      previousTerm(0),
@@ -495,7 +509,9 @@
  public:
 
   LogAppendResponse(const LogAppendResponse&) noexcept;
+  LogAppendResponse(LogAppendResponse&&) noexcept;
   LogAppendResponse& operator=(const LogAppendResponse&) noexcept;
+  LogAppendResponse& operator=(LogAppendResponse&&) noexcept;
   LogAppendResponse() noexcept
                     : accepted(0),
                       matchIndex(0),
@@ -580,7 +596,9 @@
  public:
 
   LogSnapshotRequest(const LogSnapshotRequest&);
+  LogSnapshotRequest(LogSnapshotRequest&&) noexcept;
   LogSnapshotRequest& operator=(const LogSnapshotRequest&);
+  LogSnapshotRequest& operator=(LogSnapshotRequest&&) noexcept;
   LogSnapshotRequest() noexcept
                      : index(0),
                        snapshotTerm(0),
@@ -662,7 +680,9 @@
  public:
 
   LogSnapshotResponse(const LogSnapshotResponse&) noexcept;
+  LogSnapshotResponse(LogSnapshotResponse&&) noexcept;
   LogSnapshotResponse& operator=(const LogSnapshotResponse&) noexcept;
+  LogSnapshotResponse& operator=(LogSnapshotResponse&&) noexcept;
   LogSnapshotResponse() noexcept
                       : index(0),
                         receivedBytes(0),
@@ -730,7 +750,9 @@
  public:
 
   LogJoinRequest(const LogJoinRequest&);
+  LogJoinRequest(LogJoinRequest&&) noexcept;
   LogJoinRequest& operator=(const LogJoinRequest&);
+  LogJoinRequest& operator=(LogJoinRequest&&) noexcept;
   LogJoinRequest() noexcept
                  : isEmpty(0) {
   }
@@ -787,7 +809,9 @@
  public:
 
   LogMessage(const LogMessage&);
+  LogMessage(LogMessage&&) noexcept;
   LogMessage& operator=(const LogMessage&);
+  LogMessage& operator=(LogMessage&&) noexcept;
   LogMessage() noexcept
              : recipient(),
                term(0) {
@@ -895,7 +919,9 @@
  public:
 
   LogBatch(const LogBatch&);
+  LogBatch(LogBatch&&) noexcept;
   LogBatch& operator=(const LogBatch&);
+  LogBatch& operator=(LogBatch&&) noexcept;
   LogBatch() noexcept
            : replicaId(),
              term(0),
--- a/gen-cpp/peer_types.cpp
+++ b/gen-cpp/peer_types.cpp
@@ -129,11 +129,24 @@
   nonce = other0.nonce;
   __isset = other0.__isset;
 }
-Hello& Hello::operator=(const Hello& other1) {
-  meshId = other1.meshId;
-  hostId = other1.hostId;
-  nonce = other1.nonce;
+Hello::Hello(Hello&& other1) noexcept {
+  meshId = std::move(other1.meshId);
+  hostId = std::move(other1.hostId);
+  nonce = std::move(other1.nonce);
   __isset = other1.__isset;
+}
+Hello& Hello::operator=(const Hello& other2) {
+  meshId = other2.meshId;
+  hostId = other2.hostId;
+  nonce = other2.nonce;
+  __isset = other2.__isset;
+  return *this;
+}
+Hello& Hello::operator=(Hello&& other3) noexcept {
+  meshId = std::move(other3.meshId);
+  hostId = std::move(other3.hostId);
+  nonce = std::move(other3.nonce);
+  __isset = other3.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -221,13 +234,22 @@
   swap(a.__isset, b.__isset);
 }
 
-HelloProof::HelloProof(const HelloProof& other2) {
-  proof = other2.proof;
-  __isset = other2.__isset;
+HelloProof::HelloProof(const HelloProof& other4) {
+  proof = other4.proof;
+  __isset = other4.__isset;
 }
-HelloProof& HelloProof::operator=(const HelloProof& other3) {
-  proof = other3.proof;
-  __isset = other3.__isset;
+HelloProof::HelloProof(HelloProof&& other5) noexcept {
+  proof = std::move(other5.proof);
+  __isset = other5.__isset;
+}
+HelloProof& HelloProof::operator=(const HelloProof& other6) {
+  proof = other6.proof;
+  __isset = other6.__isset;
+  return *this;
+}
+HelloProof& HelloProof::operator=(HelloProof&& other7) noexcept {
+  proof = std::move(other7.proof);
+  __isset = other7.__isset;
   return *this;
 }
 void HelloProof::printTo(std::ostream& out) const {
@@ -330,15 +352,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Header::Header(const Header& other4) {
-  name = other4.name;
-  value = other4.value;
-  __isset = other4.__isset;
+Header::Header(const Header& other8) {
+  name = other8.name;
+  value = other8.value;
+  __isset = other8.__isset;
 }
-Header& Header::operator=(const Header& other5) {
-  name = other5.name;
-  value = other5.value;
-  __isset = other5.__isset;
+Header::Header(Header&& other9) noexcept {
+  name = std::move(other9.name);
+  value = std::move(other9.value);
+  __isset = other9.__isset;
+}
+Header& Header::operator=(const Header& other10) {
+  name = other10.name;
+  value = other10.value;
+  __isset = other10.__isset;
+  return *this;
+}
+Header& Header::operator=(Header&& other11) noexcept {
+  name = std::move(other11.name);
+  value = std::move(other11.value);
+  __isset = other11.__isset;
   return *this;
 }
 void Header::printTo(std::ostream& out) const {
@@ -549,14 +582,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size6;
-            ::apache::thrift::protocol::TType _etype9;
-            xfer += iprot->readListBegin(_etype9, _size6);
-            this->headers.resize(_size6);
-            uint32_t _i10;
-            for (_i10 = 0; _i10 < _size6; ++_i10)
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->headers.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
             {
-              xfer += this->headers[_i10].read(iprot);
+              xfer += this->headers[_i16].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -645,10 +678,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter11;
-    for (_iter11 = this->headers.begin(); _iter11 != this->headers.end(); ++_iter11)
+    std::vector<Header> ::const_iterator _iter17;
+    for (_iter17 = this->headers.begin(); _iter17 != this->headers.end(); ++_iter17)
     {
-      xfer += (*_iter11).write(oprot);
+      xfer += (*_iter17).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -683,41 +716,78 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardRequest::ForwardRequest(const ForwardRequest& other12) {
-  requestId = other12.requestId;
-  traceId = other12.traceId;
-  serviceName = other12.serviceName;
-  upstreamId = other12.upstreamId;
-  upstreamIncarnation = other12.upstreamIncarnation;
-  remainingMicroseconds = other12.remainingMicroseconds;
-  attempt = other12.attempt;
-  hops = other12.hops;
-  idempotent = other12.idempotent;
-  order = other12.order;
-  fingerprint = other12.fingerprint;
-  method = other12.method;
-  target = other12.target;
-  headers = other12.headers;
-  body = other12.body;
-  __isset = other12.__isset;
-}
-ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other13) {
-  requestId = other13.requestId;
-  traceId = other13.traceId;
-  serviceName = other13.serviceName;
-  upstreamId = other13.upstreamId;
-  upstreamIncarnation = other13.upstreamIncarnation;
-  remainingMicroseconds = other13.remainingMicroseconds;
-  attempt = other13.attempt;
-  hops = other13.hops;
-  idempotent = other13.idempotent;
-  order = other13.order;
-  fingerprint = other13.fingerprint;
-  method = other13.method;
-  target = other13.target;
-  headers = other13.headers;
-  body = other13.body;
-  __isset = other13.__isset;
+ForwardRequest::ForwardRequest(const ForwardRequest& other18) {
+  requestId = other18.requestId;
+  traceId = other18.traceId;
+  serviceName = other18.serviceName;
+  upstreamId = other18.upstreamId;
+  upstreamIncarnation = other18.upstreamIncarnation;
+  remainingMicroseconds = other18.remainingMicroseconds;
+  attempt = other18.attempt;
+  hops = other18.hops;
+  idempotent = other18.idempotent;
+  order = other18.order;
+  fingerprint = other18.fingerprint;
+  method = other18.method;
+  target = other18.target;
+  headers = other18.headers;
+  body = other18.body;
+  __isset = other18.__isset;
+}
+ForwardRequest::ForwardRequest(ForwardRequest&& other19) noexcept {
+  requestId = other19.requestId;
+  traceId = std::move(other19.traceId);
+  serviceName = std::move(other19.serviceName);
+  upstreamId = std::move(other19.upstreamId);
+  upstreamIncarnation = other19.upstreamIncarnation;
+  remainingMicroseconds = other19.remainingMicroseconds;
+  attempt = other19.attempt;
+  hops = other19.hops;
+  idempotent = other19.idempotent;
+  order = other19.order;
+  fingerprint = other19.fingerprint;
+  method = std::move(other19.method);
+  target = std::move(other19.target);
+  headers = std::move(other19.headers);
+  body = std::move(other19.body);
+  __isset = other19.__isset;
+}
+ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other20) {
+  requestId = other20.requestId;
+  traceId = other20.traceId;
+  serviceName = other20.serviceName;
+  upstreamId = other20.upstreamId;
+  upstreamIncarnation = other20.upstreamIncarnation;
+  remainingMicroseconds = other20.remainingMicroseconds;
+  attempt = other20.attempt;
+  hops = other20.hops;
+  idempotent = other20.idempotent;
+  order = other20.order;
+  fingerprint = other20.fingerprint;
+  method = other20.method;
+  target = other20.target;
+  headers = other20.headers;
+  body = other20.body;
+  __isset = other20.__isset;
+  return *this;
+}
+ForwardRequest& ForwardRequest::operator=(ForwardRequest&& other21) noexcept {
+  requestId = other21.requestId;
+  traceId = std::move(other21.traceId);
+  serviceName = std::move(other21.serviceName);
+  upstreamId = std::move(other21.upstreamId);
+  upstreamIncarnation = other21.upstreamIncarnation;
+  remainingMicroseconds = other21.remainingMicroseconds;
+  attempt = other21.attempt;
+  hops = other21.hops;
+  idempotent = other21.idempotent;
+  order = other21.order;
+  fingerprint = other21.fingerprint;
+  method = std::move(other21.method);
+  target = std::move(other21.target);
+  headers = std::move(other21.headers);
+  body = std::move(other21.body);
+  __isset = other21.__isset;
   return *this;
 }
 void ForwardRequest::printTo(std::ostream& out) const {
@@ -837,14 +907,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->headers.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->headers.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += this->headers[_i18].read(iprot);
+              xfer += this->headers[_i26].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -925,10 +995,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter19;
-    for (_iter19 = this->headers.begin(); _iter19 != this->headers.end(); ++_iter19)
+    std::vector<Header> ::const_iterator _iter27;
+    for (_iter27 = this->headers.begin(); _iter27 != this->headers.end(); ++_iter27)
     {
-      xfer += (*_iter19).write(oprot);
+      xfer += (*_iter27).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -973,29 +1043,54 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardResponse::ForwardResponse(const ForwardResponse& other20) {
-  requestId = other20.requestId;
-  code = other20.code;
-  status = other20.status;
-  headers = other20.headers;
-  body = other20.body;
-  running = other20.running;
-  queued = other20.queued;
-  limit = other20.limit;
-  serviceMicroseconds = other20.serviceMicroseconds;
-  __isset = other20.__isset;
+ForwardResponse::ForwardResponse(const ForwardResponse& other28) {
+  requestId = other28.requestId;
+  code = other28.code;
+  status = other28.status;
+  headers = other28.headers;
+  body = other28.body;
+  running = other28.running;
+  queued = other28.queued;
+  limit = other28.limit;
+  serviceMicroseconds = other28.serviceMicroseconds;
+  __isset = other28.__isset;
+}
+ForwardResponse::ForwardResponse(ForwardResponse&& other29) noexcept {
+  requestId = other29.requestId;
+  code = other29.code;
+  status = other29.status;
+  headers = std::move(other29.headers);
+  body = std::move(other29.body);
+  running = other29.running;
+  queued = other29.queued;
+  limit = other29.limit;
+  serviceMicroseconds = other29.serviceMicroseconds;
+  __isset = other29.__isset;
+}
+ForwardResponse& ForwardResponse::operator=(const ForwardResponse& other30) {
+  requestId = other30.requestId;
+  code = other30.code;
+  status = other30.status;
+  headers = other30.headers;
+  body = other30.body;
+  running = other30.running;
+  queued = other30.queued;
+  limit = other30.limit;
+  serviceMicroseconds = other30.serviceMicroseconds;
+  __isset = other30.__isset;
+  return *this;
 }
-ForwardResponse& ForwardResponse::operator=(const ForwardResponse& other21) {
-  requestId = other21.requestId;
-  code = other21.code;
-  status = other21.status;
-  headers = other21.headers;
-  body = other21.body;
-  running = other21.running;
-  queued = other21.queued;
-  limit = other21.limit;
-  serviceMicroseconds = other21.serviceMicroseconds;
-  __isset = other21.__isset;
+ForwardResponse& ForwardResponse::operator=(ForwardResponse&& other31) noexcept {
+  requestId = other31.requestId;
+  code = other31.code;
+  status = other31.status;
+  headers = std::move(other31.headers);
+  body = std::move(other31.body);
+  running = other31.running;
+  queued = other31.queued;
+  limit = other31.limit;
+  serviceMicroseconds = other31.serviceMicroseconds;
+  __isset = other31.__isset;
   return *this;
 }
 void ForwardResponse::printTo(std::ostream& out) const {
@@ -1089,13 +1184,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardCancel::ForwardCancel(const ForwardCancel& other22) noexcept {
-  requestId = other22.requestId;
-  __isset = other22.__isset;
+ForwardCancel::ForwardCancel(const ForwardCancel& other32) noexcept {
+  requestId = other32.requestId;
+  __isset = other32.__isset;
+}
+ForwardCancel::ForwardCancel(ForwardCancel&& other33) noexcept {
+  requestId = other33.requestId;
+  __isset = other33.__isset;
 }
-ForwardCancel& ForwardCancel::operator=(const ForwardCancel& other23) noexcept {
-  requestId = other23.requestId;
-  __isset = other23.__isset;
+ForwardCancel& ForwardCancel::operator=(const ForwardCancel& other34) noexcept {
+  requestId = other34.requestId;
+  __isset = other34.__isset;
+  return *this;
+}
+ForwardCancel& ForwardCancel::operator=(ForwardCancel&& other35) noexcept {
+  requestId = other35.requestId;
+  __isset = other35.__isset;
   return *this;
 }
 void ForwardCancel::printTo(std::ostream& out) const {
@@ -1209,14 +1313,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->headers.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->headers.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->headers[_i28].read(iprot);
+              xfer += this->headers[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1273,10 +1377,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter29;
-    for (_iter29 = this->headers.begin(); _iter29 != this->headers.end(); ++_iter29)
+    std::vector<Header> ::const_iterator _iter41;
+    for (_iter41 = this->headers.begin(); _iter41 != this->headers.end(); ++_iter41)
     {
-      xfer += (*_iter29).write(oprot);
+      xfer += (*_iter41).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1303,25 +1407,46 @@
   swap(a.__isset, b.__isset);
 }
 
-CallTransfer::CallTransfer(const CallTransfer& other30) {
-  requestId = other30.requestId;
-  traceId = other30.traceId;
-  remainingMicroseconds = other30.remainingMicroseconds;
-  method = other30.method;
-  target = other30.target;
-  headers = other30.headers;
-  body = other30.body;
-  __isset = other30.__isset;
+CallTransfer::CallTransfer(const CallTransfer& other42) {
+  requestId = other42.requestId;
+  traceId = other42.traceId;
+  remainingMicroseconds = other42.remainingMicroseconds;
+  method = other42.method;
+  target = other42.target;
+  headers = other42.headers;
+  body = other42.body;
+  __isset = other42.__isset;
+}
+CallTransfer::CallTransfer(CallTransfer&& other43) noexcept {
+  requestId = other43.requestId;
+  traceId = std::move(other43.traceId);
+  remainingMicroseconds = other43.remainingMicroseconds;
+  method = std::move(other43.method);
+  target = std::move(other43.target);
+  headers = std::move(other43.headers);
+  body = std::move(other43.body);
+  __isset = other43.__isset;
+}
+CallTransfer& CallTransfer::operator=(const CallTransfer& other44) {
+  requestId = other44.requestId;
+  traceId = other44.traceId;
+  remainingMicroseconds = other44.remainingMicroseconds;
+  method = other44.method;
+  target = other44.target;
+  headers = other44.headers;
+  body = other44.body;
+  __isset = other44.__isset;
+  return *this;
 }
-CallTransfer& CallTransfer::operator=(const CallTransfer& other31) {
-  requestId = other31.requestId;
-  traceId = other31.traceId;
-  remainingMicroseconds = other31.remainingMicroseconds;
-  method = other31.method;
-  target = other31.target;
-  headers = other31.headers;
-  body = other31.body;
-  __isset = other31.__isset;
+CallTransfer& CallTransfer::operator=(CallTransfer&& other45) noexcept {
+  requestId = other45.requestId;
+  traceId = std::move(other45.traceId);
+  remainingMicroseconds = other45.remainingMicroseconds;
+  method = std::move(other45.method);
+  target = std::move(other45.target);
+  headers = std::move(other45.headers);
+  body = std::move(other45.body);
+  __isset = other45.__isset;
   return *this;
 }
 void CallTransfer::printTo(std::ostream& out) const {
--- a/gen-cpp/peer_types.h
+++ b/gen-cpp/peer_types.h
@@ -46,7 +46,9 @@
  public:
 
   Hello(const Hello&);
+  Hello(Hello&&) noexcept;
   Hello& operator=(const Hello&);
+  Hello& operator=(Hello&&) noexcept;
   Hello() noexcept
         : meshId(),
           hostId(),
@@ -101,7 +103,9 @@
  public:
 
   HelloProof(const HelloProof&);
+  HelloProof(HelloProof&&) noexcept;
   HelloProof& operator=(const HelloProof&);
+  HelloProof& operator=(HelloProof&&) noexcept;
   HelloProof() noexcept
              : proof() {
   }
@@ -145,7 +149,9 @@
  public:
 
   Header(const Header&);
+  Header(Header&&) noexcept;
   Header& operator=(const Header&);
+  Header& operator=(Header&&) noexcept;
   Header() noexcept
          : name(),
            value() {
@@ -208,7 +214,9 @@
  public:
 
   ForwardRequest(const ForwardRequest&);
+  ForwardRequest(ForwardRequest&&) noexcept;
   ForwardRequest& operator=(const ForwardRequest&);
+  ForwardRequest& operator=(ForwardRequest&&) noexcept;
   ForwardRequest() noexcept
                  : requestId(0),
                    traceId(),
@@ -342,7 +350,9 @@
  public:
 
   ForwardResponse(const ForwardResponse&);
+  ForwardResponse(ForwardResponse&&) noexcept;
   ForwardResponse& operator=(const ForwardResponse&);
+  ForwardResponse& operator=(ForwardResponse&&) noexcept;
   ForwardResponse() noexcept
                   : requestId(0),
                     code(0),
@@ -432,7 +442,9 @@
  public:
 
   ForwardCancel(const ForwardCancel&) noexcept;
+  ForwardCancel(ForwardCancel&&) noexcept;
   ForwardCancel& operator=(const ForwardCancel&) noexcept;
+  ForwardCancel& operator=(ForwardCancel&&) noexcept;
   ForwardCancel() noexcept
                 : requestId(0) {
   }
@@ -481,7 +493,9 @@
  public:
 
   CallTransfer(const CallTransfer&);
+  CallTransfer(CallTransfer&&) noexcept;
   CallTransfer& operator=(const CallTransfer&);
+  CallTransfer& operator=(CallTransfer&&) noexcept;
   CallTransfer() noexcept
                : requestId(0),
                  traceId(),
--- a/gen-cpp/plan_types.cpp
+++ b/gen-cpp/plan_types.cpp
@@ -115,10 +115,21 @@
   removal = other0.removal;
   __isset = other0.__isset;
 }
-PlanChange& PlanChange::operator=(const PlanChange& other1) {
-  item = other1.item;
-  removal = other1.removal;
+PlanChange::PlanChange(PlanChange&& other1) noexcept {
+  item = std::move(other1.item);
+  removal = std::move(other1.removal);
   __isset = other1.__isset;
+}
+PlanChange& PlanChange::operator=(const PlanChange& other2) {
+  item = other2.item;
+  removal = other2.removal;
+  __isset = other2.__isset;
+  return *this;
+}
+PlanChange& PlanChange::operator=(PlanChange&& other3) noexcept {
+  item = std::move(other3.item);
+  removal = std::move(other3.removal);
+  __isset = other3.__isset;
   return *this;
 }
 void PlanChange::printTo(std::ostream& out) const {
@@ -198,14 +209,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size2;
-            ::apache::thrift::protocol::TType _etype5;
-            xfer += iprot->readListBegin(_etype5, _size2);
-            this->changes.resize(_size2);
-            uint32_t _i6;
-            for (_i6 = 0; _i6 < _size2; ++_i6)
+            uint32_t _size4;
+            ::apache::thrift::protocol::TType _etype7;
+            xfer += iprot->readListBegin(_etype7, _size4);
+            this->changes.resize(_size4);
+            uint32_t _i8;
+            for (_i8 = 0; _i8 < _size4; ++_i8)
             {
-              xfer += this->changes[_i6].read(iprot);
+              xfer += this->changes[_i8].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -251,10 +262,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<PlanChange> ::const_iterator _iter7;
-    for (_iter7 = this->changes.begin(); _iter7 != this->changes.end(); ++_iter7)
+    std::vector<PlanChange> ::const_iterator _iter9;
+    for (_iter9 = this->changes.begin(); _iter9 != this->changes.end(); ++_iter9)
     {
-      xfer += (*_iter7).write(oprot);
+      xfer += (*_iter9).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -278,19 +289,34 @@
   swap(a.__isset, b.__isset);
 }
 
-PlanPropose::PlanPropose(const PlanPropose& other8) {
-  planId = other8.planId;
-  base = other8.base;
-  changes = other8.changes;
-  operatorName = other8.operatorName;
-  __isset = other8.__isset;
+PlanPropose::PlanPropose(const PlanPropose& other10) {
+  planId = other10.planId;
+  base = other10.base;
+  changes = other10.changes;
+  operatorName = other10.operatorName;
+  __isset = other10.__isset;
+}
+PlanPropose::PlanPropose(PlanPropose&& other11) noexcept {
+  planId = std::move(other11.planId);
+  base = other11.base;
+  changes = std::move(other11.changes);
+  operatorName = std::move(other11.operatorName);
+  __isset = other11.__isset;
+}
+PlanPropose& PlanPropose::operator=(const PlanPropose& other12) {
+  planId = other12.planId;
+  base = other12.base;
+  changes = other12.changes;
+  operatorName = other12.operatorName;
+  __isset = other12.__isset;
+  return *this;
 }
-PlanPropose& PlanPropose::operator=(const PlanPropose& other9) {
-  planId = other9.planId;
-  base = other9.base;
-  changes = other9.changes;
-  operatorName = other9.operatorName;
-  __isset = other9.__isset;
+PlanPropose& PlanPropose::operator=(PlanPropose&& other13) noexcept {
+  planId = std::move(other13.planId);
+  base = other13.base;
+  changes = std::move(other13.changes);
+  operatorName = std::move(other13.operatorName);
+  __isset = other13.__isset;
   return *this;
 }
 void PlanPropose::printTo(std::ostream& out) const {
@@ -396,15 +422,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PlanConfirm::PlanConfirm(const PlanConfirm& other10) {
-  planId = other10.planId;
-  operatorName = other10.operatorName;
-  __isset = other10.__isset;
+PlanConfirm::PlanConfirm(const PlanConfirm& other14) {
+  planId = other14.planId;
+  operatorName = other14.operatorName;
+  __isset = other14.__isset;
 }
-PlanConfirm& PlanConfirm::operator=(const PlanConfirm& other11) {
-  planId = other11.planId;
-  operatorName = other11.operatorName;
-  __isset = other11.__isset;
+PlanConfirm::PlanConfirm(PlanConfirm&& other15) noexcept {
+  planId = std::move(other15.planId);
+  operatorName = std::move(other15.operatorName);
+  __isset = other15.__isset;
+}
+PlanConfirm& PlanConfirm::operator=(const PlanConfirm& other16) {
+  planId = other16.planId;
+  operatorName = other16.operatorName;
+  __isset = other16.__isset;
+  return *this;
+}
+PlanConfirm& PlanConfirm::operator=(PlanConfirm&& other17) noexcept {
+  planId = std::move(other17.planId);
+  operatorName = std::move(other17.operatorName);
+  __isset = other17.__isset;
   return *this;
 }
 void PlanConfirm::printTo(std::ostream& out) const {
@@ -467,14 +504,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->hosts.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->hosts.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->hosts.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
             {
-              xfer += this->hosts[_i16].read(iprot);
+              xfer += this->hosts[_i22].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -507,10 +544,10 @@
   xfer += oprot->writeFieldBegin("hosts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->hosts.size()));
-    std::vector< ::dragonflylane::wire::ConfigKeeperHost> ::const_iterator _iter17;
-    for (_iter17 = this->hosts.begin(); _iter17 != this->hosts.end(); ++_iter17)
+    std::vector< ::dragonflylane::wire::ConfigKeeperHost> ::const_iterator _iter23;
+    for (_iter23 = this->hosts.begin(); _iter23 != this->hosts.end(); ++_iter23)
     {
-      xfer += (*_iter17).write(oprot);
+      xfer += (*_iter23).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -528,15 +565,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PlanSetKeepers::PlanSetKeepers(const PlanSetKeepers& other18) {
-  epoch = other18.epoch;
-  hosts = other18.hosts;
-  __isset = other18.__isset;
+PlanSetKeepers::PlanSetKeepers(const PlanSetKeepers& other24) {
+  epoch = other24.epoch;
+  hosts = other24.hosts;
+  __isset = other24.__isset;
+}
+PlanSetKeepers::PlanSetKeepers(PlanSetKeepers&& other25) noexcept {
+  epoch = other25.epoch;
+  hosts = std::move(other25.hosts);
+  __isset = other25.__isset;
 }
-PlanSetKeepers& PlanSetKeepers::operator=(const PlanSetKeepers& other19) {
-  epoch = other19.epoch;
-  hosts = other19.hosts;
-  __isset = other19.__isset;
+PlanSetKeepers& PlanSetKeepers::operator=(const PlanSetKeepers& other26) {
+  epoch = other26.epoch;
+  hosts = other26.hosts;
+  __isset = other26.__isset;
+  return *this;
+}
+PlanSetKeepers& PlanSetKeepers::operator=(PlanSetKeepers&& other27) noexcept {
+  epoch = other27.epoch;
+  hosts = std::move(other27.hosts);
+  __isset = other27.__isset;
   return *this;
 }
 void PlanSetKeepers::printTo(std::ostream& out) const {
@@ -663,17 +711,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PlanCommand::PlanCommand(const PlanCommand& other20) {
-  propose = other20.propose;
-  confirm = other20.confirm;
-  setKeepers = other20.setKeepers;
-  __isset = other20.__isset;
+PlanCommand::PlanCommand(const PlanCommand& other28) {
+  propose = other28.propose;
+  confirm = other28.confirm;
+  setKeepers = other28.setKeepers;
+  __isset = other28.__isset;
+}
+PlanCommand::PlanCommand(PlanCommand&& other29) noexcept {
+  propose = std::move(other29.propose);
+  confirm = std::move(other29.confirm);
+  setKeepers = std::move(other29.setKeepers);
+  __isset = other29.__isset;
 }
-PlanCommand& PlanCommand::operator=(const PlanCommand& other21) {
-  propose = other21.propose;
-  confirm = other21.confirm;
-  setKeepers = other21.setKeepers;
-  __isset = other21.__isset;
+PlanCommand& PlanCommand::operator=(const PlanCommand& other30) {
+  propose = other30.propose;
+  confirm = other30.confirm;
+  setKeepers = other30.setKeepers;
+  __isset = other30.__isset;
+  return *this;
+}
+PlanCommand& PlanCommand::operator=(PlanCommand&& other31) noexcept {
+  propose = std::move(other31.propose);
+  confirm = std::move(other31.confirm);
+  setKeepers = std::move(other31.setKeepers);
+  __isset = other31.__isset;
   return *this;
 }
 void PlanCommand::printTo(std::ostream& out) const {
@@ -783,14 +844,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->changes.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->changes.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += this->changes[_i26].read(iprot);
+              xfer += this->changes[_i36].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -851,14 +912,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->conflictItems.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _etype30;
-            xfer += iprot->readListBegin(_etype30, _size27);
-            this->conflictItems.resize(_size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->conflictItems.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
             {
-              xfer += this->conflictItems[_i31].read(iprot);
+              xfer += this->conflictItems[_i41].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -903,10 +964,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<PlanChange> ::const_iterator _iter32;
-    for (_iter32 = this->changes.begin(); _iter32 != this->changes.end(); ++_iter32)
+    std::vector<PlanChange> ::const_iterator _iter42;
+    for (_iter42 = this->changes.begin(); _iter42 != this->changes.end(); ++_iter42)
     {
-      xfer += (*_iter32).write(oprot);
+      xfer += (*_iter42).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -940,10 +1001,10 @@
     xfer += oprot->writeFieldBegin("conflictItems", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->conflictItems.size()));
-      std::vector< ::dragonflylane::wire::ConfigItemKey> ::const_iterator _iter33;
-      for (_iter33 = this->conflictItems.begin(); _iter33 != this->conflictItems.end(); ++_iter33)
+      std::vector< ::dragonflylane::wire::ConfigItemKey> ::const_iterator _iter43;
+      for (_iter43 = this->conflictItems.begin(); _iter43 != this->conflictItems.end(); ++_iter43)
       {
-        xfer += (*_iter33).write(oprot);
+        xfer += (*_iter43).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -975,33 +1036,62 @@
   swap(a.__isset, b.__isset);
 }
 
-PlanRecord::PlanRecord(const PlanRecord& other34) {
-  planId = other34.planId;
-  base = other34.base;
-  changes = other34.changes;
-  proposedBy = other34.proposedBy;
-  confirmedBy = other34.confirmedBy;
-  status = other34.status;
-  revision = other34.revision;
-  code = other34.code;
-  detail = other34.detail;
-  conflictItems = other34.conflictItems;
-  conflictCount = other34.conflictCount;
-  __isset = other34.__isset;
-}
-PlanRecord& PlanRecord::operator=(const PlanRecord& other35) {
-  planId = other35.planId;
-  base = other35.base;
-  changes = other35.changes;
-  proposedBy = other35.proposedBy;
-  confirmedBy = other35.confirmedBy;
-  status = other35.status;
-  revision = other35.revision;
-  code = other35.code;
-  detail = other35.detail;
-  conflictItems = other35.conflictItems;
-  conflictCount = other35.conflictCount;
-  __isset = other35.__isset;
+PlanRecord::PlanRecord(const PlanRecord& other44) {
+  planId = other44.planId;
+  base = other44.base;
+  changes = other44.changes;
+  proposedBy = other44.proposedBy;
+  confirmedBy = other44.confirmedBy;
+  status = other44.status;
+  revision = other44.revision;
+  code = other44.code;
+  detail = other44.detail;
+  conflictItems = other44.conflictItems;
+  conflictCount = other44.conflictCount;
+  __isset = other44.__isset;
+}
+PlanRecord::PlanRecord(PlanRecord&& other45) noexcept {
+  planId = std::move(other45.planId);
+  base = other45.base;
+  changes = std::move(other45.changes);
+  proposedBy = std::move(other45.proposedBy);
+  confirmedBy = std::move(other45.confirmedBy);
+  status = other45.status;
+  revision = other45.revision;
+  code = other45.code;
+  detail = std::move(other45.detail);
+  conflictItems = std::move(other45.conflictItems);
+  conflictCount = other45.conflictCount;
+  __isset = other45.__isset;
+}
+PlanRecord& PlanRecord::operator=(const PlanRecord& other46) {
+  planId = other46.planId;
+  base = other46.base;
+  changes = other46.changes;
+  proposedBy = other46.proposedBy;
+  confirmedBy = other46.confirmedBy;
+  status = other46.status;
+  revision = other46.revision;
+  code = other46.code;
+  detail = other46.detail;
+  conflictItems = other46.conflictItems;
+  conflictCount = other46.conflictCount;
+  __isset = other46.__isset;
+  return *this;
+}
+PlanRecord& PlanRecord::operator=(PlanRecord&& other47) noexcept {
+  planId = std::move(other47.planId);
+  base = other47.base;
+  changes = std::move(other47.changes);
+  proposedBy = std::move(other47.proposedBy);
+  confirmedBy = std::move(other47.confirmedBy);
+  status = other47.status;
+  revision = other47.revision;
+  code = other47.code;
+  detail = std::move(other47.detail);
+  conflictItems = std::move(other47.conflictItems);
+  conflictCount = other47.conflictCount;
+  __isset = other47.__isset;
   return *this;
 }
 void PlanRecord::printTo(std::ostream& out) const {
@@ -1077,14 +1167,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deltas.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->deltas.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->deltas.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += this->deltas[_i40].read(iprot);
+              xfer += this->deltas[_i52].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1097,14 +1187,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->plans.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->plans.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->plans.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
             {
-              xfer += this->plans[_i45].read(iprot);
+              xfer += this->plans[_i57].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1137,10 +1227,10 @@
   xfer += oprot->writeFieldBegin("deltas", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deltas.size()));
-    std::vector< ::dragonflylane::wire::ConfigDelta> ::const_iterator _iter46;
-    for (_iter46 = this->deltas.begin(); _iter46 != this->deltas.end(); ++_iter46)
+    std::vector< ::dragonflylane::wire::ConfigDelta> ::const_iterator _iter58;
+    for (_iter58 = this->deltas.begin(); _iter58 != this->deltas.end(); ++_iter58)
     {
-      xfer += (*_iter46).write(oprot);
+      xfer += (*_iter58).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1149,10 +1239,10 @@
   xfer += oprot->writeFieldBegin("plans", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->plans.size()));
-    std::vector<PlanRecord> ::const_iterator _iter47;
-    for (_iter47 = this->plans.begin(); _iter47 != this->plans.end(); ++_iter47)
+    std::vector<PlanRecord> ::const_iterator _iter59;
+    for (_iter59 = this->plans.begin(); _iter59 != this->plans.end(); ++_iter59)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1171,17 +1261,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PlanBookSnapshot::PlanBookSnapshot(const PlanBookSnapshot& other48) {
-  state = other48.state;
-  deltas = other48.deltas;
-  plans = other48.plans;
-  __isset = other48.__isset;
+PlanBookSnapshot::PlanBookSnapshot(const PlanBookSnapshot& other60) {
+  state = other60.state;
+  deltas = other60.deltas;
+  plans = other60.plans;
+  __isset = other60.__isset;
+}
+PlanBookSnapshot::PlanBookSnapshot(PlanBookSnapshot&& other61) noexcept {
+  state = std::move(other61.state);
+  deltas = std::move(other61.deltas);
+  plans = std::move(other61.plans);
+  __isset = other61.__isset;
+}
+PlanBookSnapshot& PlanBookSnapshot::operator=(const PlanBookSnapshot& other62) {
+  state = other62.state;
+  deltas = other62.deltas;
+  plans = other62.plans;
+  __isset = other62.__isset;
+  return *this;
 }
-PlanBookSnapshot& PlanBookSnapshot::operator=(const PlanBookSnapshot& other49) {
-  state = other49.state;
-  deltas = other49.deltas;
-  plans = other49.plans;
-  __isset = other49.__isset;
+PlanBookSnapshot& PlanBookSnapshot::operator=(PlanBookSnapshot&& other63) noexcept {
+  state = std::move(other63.state);
+  deltas = std::move(other63.deltas);
+  plans = std::move(other63.plans);
+  __isset = other63.__isset;
   return *this;
 }
 void PlanBookSnapshot::printTo(std::ostream& out) const {
--- a/gen-cpp/plan_types.h
+++ b/gen-cpp/plan_types.h
@@ -46,7 +46,9 @@
  public:
 
   PlanChange(const PlanChange&);
+  PlanChange(PlanChange&&) noexcept;
   PlanChange& operator=(const PlanChange&);
+  PlanChange& operator=(PlanChange&&) noexcept;
   PlanChange() noexcept {
   }
 
@@ -100,7 +102,9 @@
  public:
 
   PlanPropose(const PlanPropose&);
+  PlanPropose(PlanPropose&&) noexcept;
   PlanPropose& operator=(const PlanPropose&);
+  PlanPropose& operator=(PlanPropose&&) noexcept;
   PlanPropose() noexcept
               : planId(),
                 base(0),
@@ -163,7 +167,9 @@
  public:
 
   PlanConfirm(const PlanConfirm&);
+  PlanConfirm(PlanConfirm&&) noexcept;
   PlanConfirm& operator=(const PlanConfirm&);
+  PlanConfirm& operator=(PlanConfirm&&) noexcept;
   PlanConfirm() noexcept
               : planId(),
                 operatorName() {
@@ -213,7 +219,9 @@
  public:
 
   PlanSetKeepers(const PlanSetKeepers&);
+  PlanSetKeepers(PlanSetKeepers&&) noexcept;
   PlanSetKeepers& operator=(const PlanSetKeepers&);
+  PlanSetKeepers& operator=(PlanSetKeepers&&) noexcept;
   PlanSetKeepers() noexcept
                  : epoch(0) {
   }
@@ -263,7 +271,9 @@
  public:
 
   PlanCommand(const PlanCommand&);
+  PlanCommand(PlanCommand&&) noexcept;
   PlanCommand& operator=(const PlanCommand&);
+  PlanCommand& operator=(PlanCommand&&) noexcept;
   PlanCommand() noexcept {
   }
 
@@ -331,7 +341,9 @@
  public:
 
   PlanRecord(const PlanRecord&);
+  PlanRecord(PlanRecord&&) noexcept;
   PlanRecord& operator=(const PlanRecord&);
+  PlanRecord& operator=(PlanRecord&&) noexcept;
   PlanRecord() noexcept
              : planId(),
                base(0),
@@ -438,7 +450,9 @@
  public:
 
   PlanBookSnapshot(const PlanBookSnapshot&);
+  PlanBookSnapshot(PlanBookSnapshot&&) noexcept;
   PlanBookSnapshot& operator=(const PlanBookSnapshot&);
+  PlanBookSnapshot& operator=(PlanBookSnapshot&&) noexcept;
   PlanBookSnapshot() noexcept {
   }
 
