--- a/gen-cpp/relay_types.cpp
+++ b/gen-cpp/relay_types.cpp
@@ -111,10 +111,21 @@
   revision = other0.revision;
   __isset = other0.__isset;
 }
-RelayStraggler& RelayStraggler::operator=(const RelayStraggler& other1) {
-  hostId = other1.hostId;
+RelayStraggler::RelayStraggler(RelayStraggler&& other1) noexcept {
+  hostId = std::move(other1.hostId);
   revision = other1.revision;
   __isset = other1.__isset;
+}
+RelayStraggler& RelayStraggler::operator=(const RelayStraggler& other2) {
+  hostId = other2.hostId;
+  revision = other2.revision;
+  __isset = other2.__isset;
+  return *this;
+}
+RelayStraggler& RelayStraggler::operator=(RelayStraggler&& other3) noexcept {
+  hostId = std::move(other3.hostId);
+  revision = other3.revision;
+  __isset = other3.__isset;
   return *this;
 }
 void RelayStraggler::printTo(std::ostream& out) const {
@@ -235,17 +246,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayRevisionRefusal::RelayRevisionRefusal(const RelayRevisionRefusal& other2) {
-  hostId = other2.hostId;
-  revision = other2.revision;
-  code = other2.code;
-  __isset = other2.__isset;
+RelayRevisionRefusal::RelayRevisionRefusal(const RelayRevisionRefusal& other4) {
+  hostId = other4.hostId;
+  revision = other4.revision;
+  code = other4.code;
+  __isset = other4.__isset;
 }
-RelayRevisionRefusal& RelayRevisionRefusal::operator=(const RelayRevisionRefusal& other3) {
-  hostId = other3.hostId;
-  revision = other3.revision;
-  code = other3.code;
-  __isset = other3.__isset;
+RelayRevisionRefusal::RelayRevisionRefusal(RelayRevisionRefusal&& other5) noexcept {
+  hostId = std::move(other5.hostId);
+  revision = other5.revision;
+  code = other5.code;
+  __isset = other5.__isset;
+}
+RelayRevisionRefusal& RelayRevisionRefusal::operator=(const RelayRevisionRefusal& other6) {
+  hostId = other6.hostId;
+  revision = other6.revision;
+  code = other6.code;
+  __isset = other6.__isset;
+  return *this;
+}
+RelayRevisionRefusal& RelayRevisionRefusal::operator=(RelayRevisionRefusal&& other7) noexcept {
+  hostId = std::move(other7.hostId);
+  revision = other7.revision;
+  code = other7.code;
+  __isset = other7.__isset;
   return *this;
 }
 void RelayRevisionRefusal::printTo(std::ostream& out) const {
@@ -327,14 +351,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stragglers.clear();
-            uint32_t _size4;
-            ::apache::thrift::protocol::TType _etype7;
-            xfer += iprot->readListBegin(_etype7, _size4);
-            this->stragglers.resize(_size4);
-            uint32_t _i8;
-            for (_i8 = 0; _i8 < _size4; ++_i8)
+            uint32_t _size8;
+            ::apache::thrift::protocol::TType _etype11;
+            xfer += iprot->readListBegin(_etype11, _size8);
+            this->stragglers.resize(_size8);
+            uint32_t _i12;
+            for (_i12 = 0; _i12 < _size8; ++_i12)
             {
-              xfer += this->stragglers[_i8].read(iprot);
+              xfer += this->stragglers[_i12].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -347,14 +371,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refusals.clear();
-            uint32_t _size9;
-            ::apache::thrift::protocol::TType _etype12;
-            xfer += iprot->readListBegin(_etype12, _size9);
-            this->refusals.resize(_size9);
-            uint32_t _i13;
-            for (_i13 = 0; _i13 < _size9; ++_i13)
+            uint32_t _size13;
+            ::apache::thrift::protocol::TType _etype16;
+            xfer += iprot->readListBegin(_etype16, _size13);
+            this->refusals.resize(_size13);
+            uint32_t _i17;
+            for (_i17 = 0; _i17 < _size13; ++_i17)
             {
-              xfer += this->refusals[_i13].read(iprot);
+              xfer += this->refusals[_i17].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -392,10 +416,10 @@
     xfer += oprot->writeFieldBegin("stragglers", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stragglers.size()));
-      std::vector<RelayStraggler> ::const_iterator _iter14;
-      for (_iter14 = this->stragglers.begin(); _iter14 != this->stragglers.end(); ++_iter14)
+      std::vector<RelayStraggler> ::const_iterator _iter18;
+      for (_iter18 = this->stragglers.begin(); _iter18 != this->stragglers.end(); ++_iter18)
       {
-        xfer += (*_iter14).write(oprot);
+        xfer += (*_iter18).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -405,10 +429,10 @@
     xfer += oprot->writeFieldBegin("refusals", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->refusals.size()));
-      std::vector<RelayRevisionRefusal> ::const_iterator _iter15;
-      for (_iter15 = this->refusals.begin(); _iter15 != this->refusals.end(); ++_iter15)
+      std::vector<RelayRevisionRefusal> ::const_iterator _iter19;
+      for (_iter19 = this->refusals.begin(); _iter19 != this->refusals.end(); ++_iter19)
       {
-        xfer += (*_iter15).write(oprot);
+        xfer += (*_iter19).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -428,19 +452,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayAckSummary::RelayAckSummary(const RelayAckSummary& other16) {
-  lowest = other16.lowest;
-  hosts = other16.hosts;
-  stragglers = other16.stragglers;
-  refusals = other16.refusals;
-  __isset = other16.__isset;
+RelayAckSummary::RelayAckSummary(const RelayAckSummary& other20) {
+  lowest = other20.lowest;
+  hosts = other20.hosts;
+  stragglers = other20.stragglers;
+  refusals = other20.refusals;
+  __isset = other20.__isset;
+}
+RelayAckSummary::RelayAckSummary(RelayAckSummary&& other21) noexcept {
+  lowest = other21.lowest;
+  hosts = other21.hosts;
+  stragglers = std::move(other21.stragglers);
+  refusals = std::move(other21.refusals);
+  __isset = other21.__isset;
+}
+RelayAckSummary& RelayAckSummary::operator=(const RelayAckSummary& other22) {
+  lowest = other22.lowest;
+  hosts = other22.hosts;
+  stragglers = other22.stragglers;
+  refusals = other22.refusals;
+  __isset = other22.__isset;
+  return *this;
 }
-RelayAckSummary& RelayAckSummary::operator=(const RelayAckSummary& other17) {
-  lowest = other17.lowest;
-  hosts = other17.hosts;
-  stragglers = other17.stragglers;
-  refusals = other17.refusals;
-  __isset = other17.__isset;
+RelayAckSummary& RelayAckSummary::operator=(RelayAckSummary&& other23) noexcept {
+  lowest = other23.lowest;
+  hosts = other23.hosts;
+  stragglers = std::move(other23.stragglers);
+  refusals = std::move(other23.refusals);
+  __isset = other23.__isset;
   return *this;
 }
 void RelayAckSummary::printTo(std::ostream& out) const {
@@ -614,23 +653,42 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayAttach::RelayAttach(const RelayAttach& other18) {
-  session = other18.session;
-  timestamp = other18.timestamp;
-  revision = other18.revision;
-  digest = other18.digest;
-  term = other18.term;
-  summary = other18.summary;
-  __isset = other18.__isset;
-}
-RelayAttach& RelayAttach::operator=(const RelayAttach& other19) {
-  session = other19.session;
-  timestamp = other19.timestamp;
-  revision = other19.revision;
-  digest = other19.digest;
-  term = other19.term;
-  summary = other19.summary;
-  __isset = other19.__isset;
+RelayAttach::RelayAttach(const RelayAttach& other24) {
+  session = other24.session;
+  timestamp = other24.timestamp;
+  revision = other24.revision;
+  digest = other24.digest;
+  term = other24.term;
+  summary = other24.summary;
+  __isset = other24.__isset;
+}
+RelayAttach::RelayAttach(RelayAttach&& other25) noexcept {
+  session = other25.session;
+  timestamp = other25.timestamp;
+  revision = other25.revision;
+  digest = std::move(other25.digest);
+  term = other25.term;
+  summary = std::move(other25.summary);
+  __isset = other25.__isset;
+}
+RelayAttach& RelayAttach::operator=(const RelayAttach& other26) {
+  session = other26.session;
+  timestamp = other26.timestamp;
+  revision = other26.revision;
+  digest = other26.digest;
+  term = other26.term;
+  summary = other26.summary;
+  __isset = other26.__isset;
+  return *this;
+}
+RelayAttach& RelayAttach::operator=(RelayAttach&& other27) noexcept {
+  session = other27.session;
+  timestamp = other27.timestamp;
+  revision = other27.revision;
+  digest = std::move(other27.digest);
+  term = other27.term;
+  summary = std::move(other27.summary);
+  __isset = other27.__isset;
   return *this;
 }
 void RelayAttach::printTo(std::ostream& out) const {
@@ -833,25 +891,46 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayChildHeartbeat::RelayChildHeartbeat(const RelayChildHeartbeat& other20) {
-  session = other20.session;
-  timestamp = other20.timestamp;
-  revision = other20.revision;
-  digest = other20.digest;
-  summary = other20.summary;
-  refused = other20.refused;
-  wantsSnapshot = other20.wantsSnapshot;
-  __isset = other20.__isset;
+RelayChildHeartbeat::RelayChildHeartbeat(const RelayChildHeartbeat& other28) {
+  session = other28.session;
+  timestamp = other28.timestamp;
+  revision = other28.revision;
+  digest = other28.digest;
+  summary = other28.summary;
+  refused = other28.refused;
+  wantsSnapshot = other28.wantsSnapshot;
+  __isset = other28.__isset;
 }
-RelayChildHeartbeat& RelayChildHeartbeat::operator=(const RelayChildHeartbeat& other21) {
-  session = other21.session;
-  timestamp = other21.timestamp;
-  revision = other21.revision;
-  digest = other21.digest;
-  summary = other21.summary;
-  refused = other21.refused;
-  wantsSnapshot = other21.wantsSnapshot;
-  __isset = other21.__isset;
+RelayChildHeartbeat::RelayChildHeartbeat(RelayChildHeartbeat&& other29) noexcept {
+  session = other29.session;
+  timestamp = other29.timestamp;
+  revision = other29.revision;
+  digest = std::move(other29.digest);
+  summary = std::move(other29.summary);
+  refused = std::move(other29.refused);
+  wantsSnapshot = other29.wantsSnapshot;
+  __isset = other29.__isset;
+}
+RelayChildHeartbeat& RelayChildHeartbeat::operator=(const RelayChildHeartbeat& other30) {
+  session = other30.session;
+  timestamp = other30.timestamp;
+  revision = other30.revision;
+  digest = other30.digest;
+  summary = other30.summary;
+  refused = other30.refused;
+  wantsSnapshot = other30.wantsSnapshot;
+  __isset = other30.__isset;
+  return *this;
+}
+RelayChildHeartbeat& RelayChildHeartbeat::operator=(RelayChildHeartbeat&& other31) noexcept {
+  session = other31.session;
+  timestamp = other31.timestamp;
+  revision = other31.revision;
+  digest = std::move(other31.digest);
+  summary = std::move(other31.summary);
+  refused = std::move(other31.refused);
+  wantsSnapshot = other31.wantsSnapshot;
+  __isset = other31.__isset;
   return *this;
 }
 void RelayChildHeartbeat::printTo(std::ostream& out) const {
@@ -943,13 +1022,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayDetach::RelayDetach(const RelayDetach& other22) noexcept {
-  session = other22.session;
-  __isset = other22.__isset;
+RelayDetach::RelayDetach(const RelayDetach& other32) noexcept {
+  session = other32.session;
+  __isset = other32.__isset;
 }
-RelayDetach& RelayDetach::operator=(const RelayDetach& other23) noexcept {
-  session = other23.session;
-  __isset = other23.__isset;
+RelayDetach::RelayDetach(RelayDetach&& other33) noexcept {
+  session = other33.session;
+  __isset = other33.__isset;
+}
+RelayDetach& RelayDetach::operator=(const RelayDetach& other34) noexcept {
+  session = other34.session;
+  __isset = other34.__isset;
+  return *this;
+}
+RelayDetach& RelayDetach::operator=(RelayDetach&& other35) noexcept {
+  session = other35.session;
+  __isset = other35.__isset;
   return *this;
 }
 void RelayDetach::printTo(std::ostream& out) const {
@@ -1086,19 +1174,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayPayload::RelayPayload(const RelayPayload& other24) {
-  kind = other24.kind;
-  content = other24.content;
-  revision = other24.revision;
-  digest = other24.digest;
-  __isset = other24.__isset;
+RelayPayload::RelayPayload(const RelayPayload& other36) {
+  kind = other36.kind;
+  content = other36.content;
+  revision = other36.revision;
+  digest = other36.digest;
+  __isset = other36.__isset;
+}
+RelayPayload::RelayPayload(RelayPayload&& other37) noexcept {
+  kind = other37.kind;
+  content = std::move(other37.content);
+  revision = other37.revision;
+  digest = std::move(other37.digest);
+  __isset = other37.__isset;
+}
+RelayPayload& RelayPayload::operator=(const RelayPayload& other38) {
+  kind = other38.kind;
+  content = other38.content;
+  revision = other38.revision;
+  digest = other38.digest;
+  __isset = other38.__isset;
+  return *this;
 }
-RelayPayload& RelayPayload::operator=(const RelayPayload& other25) {
-  kind = other25.kind;
-  content = other25.content;
-  revision = other25.revision;
-  digest = other25.digest;
-  __isset = other25.__isset;
+RelayPayload& RelayPayload::operator=(RelayPayload&& other39) noexcept {
+  kind = other39.kind;
+  content = std::move(other39.content);
+  revision = other39.revision;
+  digest = std::move(other39.digest);
+  __isset = other39.__isset;
   return *this;
 }
 void RelayPayload::printTo(std::ostream& out) const {
@@ -1318,27 +1421,50 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayParentHeartbeat::RelayParentHeartbeat(const RelayParentHeartbeat& other26) {
-  session = other26.session;
-  echo = other26.echo;
-  proofAge = other26.proofAge;
-  sinceProof = other26.sinceProof;
-  term = other26.term;
-  revision = other26.revision;
-  digest = other26.digest;
-  payload = other26.payload;
-  __isset = other26.__isset;
+RelayParentHeartbeat::RelayParentHeartbeat(const RelayParentHeartbeat& other40) {
+  session = other40.session;
+  echo = other40.echo;
+  proofAge = other40.proofAge;
+  sinceProof = other40.sinceProof;
+  term = other40.term;
+  revision = other40.revision;
+  digest = other40.digest;
+  payload = other40.payload;
+  __isset = other40.__isset;
+}
+RelayParentHeartbeat::RelayParentHeartbeat(RelayParentHeartbeat&& other41) noexcept {
+  session = other41.session;
+  echo = other41.echo;
+  proofAge = other41.proofAge;
+  sinceProof = other41.sinceProof;
+  term = other41.term;
+  revision = other41.revision;
+  digest = std::move(other41.digest);
+  payload = std::move(other41.payload);
+  __isset = other41.__isset;
+}
+RelayParentHeartbeat& RelayParentHeartbeat::operator=(const RelayParentHeartbeat& other42) {
+  session = other42.session;
+  echo = other42.echo;
+  proofAge = other42.proofAge;
+  sinceProof = other42.sinceProof;
+  term = other42.term;
+  revision = other42.revision;
+  digest = other42.digest;
+  payload = other42.payload;
+  __isset = other42.__isset;
+  return *this;
 }
-RelayParentHeartbeat& RelayParentHeartbeat::operator=(const RelayParentHeartbeat& other27) {
-  session = other27.session;
-  echo = other27.echo;
-  proofAge = other27.proofAge;
-  sinceProof = other27.sinceProof;
-  term = other27.term;
-  revision = other27.revision;
-  digest = other27.digest;
-  payload = other27.payload;
-  __isset = other27.__isset;
+RelayParentHeartbeat& RelayParentHeartbeat::operator=(RelayParentHeartbeat&& other43) noexcept {
+  session = other43.session;
+  echo = other43.echo;
+  proofAge = other43.proofAge;
+  sinceProof = other43.sinceProof;
+  term = other43.term;
+  revision = other43.revision;
+  digest = std::move(other43.digest);
+  payload = std::move(other43.payload);
+  __isset = other43.__isset;
   return *this;
 }
 void RelayParentHeartbeat::printTo(std::ostream& out) const {
@@ -1465,17 +1591,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayRefusal::RelayRefusal(const RelayRefusal& other28) noexcept {
-  session = other28.session;
-  code = other28.code;
-  retryAfter = other28.retryAfter;
-  __isset = other28.__isset;
+RelayRefusal::RelayRefusal(const RelayRefusal& other44) noexcept {
+  session = other44.session;
+  code = other44.code;
+  retryAfter = other44.retryAfter;
+  __isset = other44.__isset;
 }
-RelayRefusal& RelayRefusal::operator=(const RelayRefusal& other29) noexcept {
-  session = other29.session;
-  code = other29.code;
-  retryAfter = other29.retryAfter;
-  __isset = other29.__isset;
+RelayRefusal::RelayRefusal(RelayRefusal&& other45) noexcept {
+  session = other45.session;
+  code = other45.code;
+  retryAfter = other45.retryAfter;
+  __isset = other45.__isset;
+}
+RelayRefusal& RelayRefusal::operator=(const RelayRefusal& other46) noexcept {
+  session = other46.session;
+  code = other46.code;
+  retryAfter = other46.retryAfter;
+  __isset = other46.__isset;
+  return *this;
+}
+RelayRefusal& RelayRefusal::operator=(RelayRefusal&& other47) noexcept {
+  session = other47.session;
+  code = other47.code;
+  retryAfter = other47.retryAfter;
+  __isset = other47.__isset;
   return *this;
 }
 void RelayRefusal::printTo(std::ostream& out) const {
@@ -1563,13 +1702,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayLeaving::RelayLeaving(const RelayLeaving& other30) noexcept {
-  session = other30.session;
-  __isset = other30.__isset;
+RelayLeaving::RelayLeaving(const RelayLeaving& other48) noexcept {
+  session = other48.session;
+  __isset = other48.__isset;
 }
-RelayLeaving& RelayLeaving::operator=(const RelayLeaving& other31) noexcept {
-  session = other31.session;
-  __isset = other31.__isset;
+RelayLeaving::RelayLeaving(RelayLeaving&& other49) noexcept {
+  session = other49.session;
+  __isset = other49.__isset;
+}
+RelayLeaving& RelayLeaving::operator=(const RelayLeaving& other50) noexcept {
+  session = other50.session;
+  __isset = other50.__isset;
+  return *this;
+}
+RelayLeaving& RelayLeaving::operator=(RelayLeaving&& other51) noexcept {
+  session = other51.session;
+  __isset = other51.__isset;
   return *this;
 }
 void RelayLeaving::printTo(std::ostream& out) const {
@@ -1752,23 +1900,42 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayMessage::RelayMessage(const RelayMessage& other32) {
-  attach = other32.attach;
-  childHeartbeat = other32.childHeartbeat;
-  detach = other32.detach;
-  parentHeartbeat = other32.parentHeartbeat;
-  refusal = other32.refusal;
-  leaving = other32.leaving;
-  __isset = other32.__isset;
+RelayMessage::RelayMessage(const RelayMessage& other52) {
+  attach = other52.attach;
+  childHeartbeat = other52.childHeartbeat;
+  detach = other52.detach;
+  parentHeartbeat = other52.parentHeartbeat;
+  refusal = other52.refusal;
+  leaving = other52.leaving;
+  __isset = other52.__isset;
+}
+RelayMessage::RelayMessage(RelayMessage&& other53) noexcept {
+  attach = std::move(other53.attach);
+  childHeartbeat = std::move(other53.childHeartbeat);
+  detach = std::move(other53.detach);
+  parentHeartbeat = std::move(other53.parentHeartbeat);
+  refusal = std::move(other53.refusal);
+  leaving = std::move(other53.leaving);
+  __isset = other53.__isset;
+}
+RelayMessage& RelayMessage::operator=(const RelayMessage& other54) {
+  attach = other54.attach;
+  childHeartbeat = other54.childHeartbeat;
+  detach = other54.detach;
+  parentHeartbeat = other54.parentHeartbeat;
+  refusal = other54.refusal;
+  leaving = other54.leaving;
+  __isset = other54.__isset;
+  return *this;
 }
-RelayMessage& RelayMessage::operator=(const RelayMessage& other33) {
-  attach = other33.attach;
-  childHeartbeat = other33.childHeartbeat;
-  detach = other33.detach;
-  parentHeartbeat = other33.parentHeartbeat;
-  refusal = other33.refusal;
-  leaving = other33.leaving;
-  __isset = other33.__isset;
+RelayMessage& RelayMessage::operator=(RelayMessage&& other55) noexcept {
+  attach = std::move(other55.attach);
+  childHeartbeat = std::move(other55.childHeartbeat);
+  detach = std::move(other55.detach);
+  parentHeartbeat = std::move(other55.parentHeartbeat);
+  refusal = std::move(other55.refusal);
+  leaving = std::move(other55.leaving);
+  __isset = other55.__isset;
   return *this;
 }
 void RelayMessage::printTo(std::ostream& out) const {
--- a/gen-cpp/relay_types.h
+++ b/gen-cpp/relay_types.h
@@ -53,7 +53,9 @@
  public:
 
   RelayStraggler(const RelayStraggler&);
+  RelayStraggler(RelayStraggler&&) noexcept;
   RelayStraggler& operator=(const RelayStraggler&);
+  RelayStraggler& operator=(RelayStraggler&&) noexcept;
   RelayStraggler() noexcept
                  : hostId(),
                    revision(0) {
@@ -104,7 +106,9 @@
  public:
 
   RelayRevisionRefusal(const RelayRevisionRefusal&);
+  RelayRevisionRefusal(RelayRevisionRefusal&&) noexcept;
   RelayRevisionRefusal& operator=(const RelayRevisionRefusal&);
+  RelayRevisionRefusal& operator=(RelayRevisionRefusal&&) noexcept;
   RelayRevisionRefusal() noexcept
                        : hostId(),
                          revision(0),
@@ -162,7 +166,9 @@
  public:
 
   RelayAckSummary(const RelayAckSummary&);
+  RelayAckSummary(RelayAckSummary&&) noexcept;
   RelayAckSummary& operator=(const RelayAckSummary&);
+  RelayAckSummary& operator=(RelayAckSummary&&) noexcept;
   RelayAckSummary() noexcept
                   : lowest(0),
                     hosts(0) {
@@ -230,7 +236,9 @@
  public:
 
   RelayAttach(const RelayAttach&);
+  RelayAttach(RelayAttach&&) noexcept;
   RelayAttach& operator=(const RelayAttach&);
+  RelayAttach& operator=(RelayAttach&&) noexcept;
   RelayAttach() noexcept
               : session(0),
                 timestamp(0),
@@ -308,7 +316,9 @@
  public:
 
   RelayChildHeartbeat(const RelayChildHeartbeat&);
+  RelayChildHeartbeat(RelayChildHeartbeat&&) noexcept;
   RelayChildHeartbeat& operator=(const RelayChildHeartbeat&);
+  RelayChildHeartbeat& operator=(RelayChildHeartbeat&&) noexcept;
   RelayChildHeartbeat() noexcept
                       : session(0),
                         timestamp(0),
@@ -395,7 +405,9 @@
  public:
 
   RelayDetach(const RelayDetach&) noexcept;
+  RelayDetach(RelayDetach&&) noexcept;
   RelayDetach& operator=(const RelayDetach&) noexcept;
+  RelayDetach& operator=(RelayDetach&&) noexcept;
   RelayDetach() noexcept
               : session(0) {
   }
@@ -441,7 +453,9 @@
  public:
 
   RelayPayload(const RelayPayload&);
+  RelayPayload(RelayPayload&&) noexcept;
   RelayPayload& operator=(const RelayPayload&);
+  RelayPayload& operator=(RelayPayload&&) noexcept;
   RelayPayload() noexcept
                : kind(0),
                  content(),
@@ -509,7 +523,9 @@
  public:
 
   RelayParentHeartbeat(const RelayParentHeartbeat&);
+  RelayParentHeartbeat(RelayParentHeartbeat&&) noexcept;
   RelayParentHeartbeat& operator=(const RelayParentHeartbeat&);
+  RelayParentHeartbeat& operator=(RelayParentHeartbeat&&) noexcept;
   RelayParentHeartbeat() noexcept
                        : session(0),
                          echo(0),
@@ -607,7 +623,9 @@
  public:
 
   RelayRefusal(const RelayRefusal&) noexcept;
+  RelayRefusal(RelayRefusal&&) noexcept;
   RelayRefusal& operator=(const RelayRefusal&) noexcept;
+  RelayRefusal& operator=(RelayRefusal&&) noexcept;
   RelayRefusal() noexcept
                : session(0),
                  code(0),
@@ -662,7 +680,9 @@
  public:
 
   RelayLeaving(const RelayLeaving&) noexcept;
+  RelayLeaving(RelayLeaving&&) noexcept;
   RelayLeaving& operator=(const RelayLeaving&) noexcept;
+  RelayLeaving& operator=(RelayLeaving&&) noexcept;
   RelayLeaving() noexcept
                : session(0) {
   }
@@ -710,7 +730,9 @@
  public:
 
   RelayMessage(const RelayMessage&);
+  RelayMessage(RelayMessage&&) noexcept;
   RelayMessage& operator=(const RelayMessage&);
+  RelayMessage& operator=(RelayMessage&&) noexcept;
   RelayMessage() noexcept {
   }
 
--- a/tests/ConfigGenerators.h
+++ b/tests/ConfigGenerators.h
@@ -69,7 +69,9 @@
     case 4:
         return DrainItem { UpstreamId("upstream-" + std::to_string(randomBelow(6))) };
     default:
-        return KeeperViewItem { Epoch(randomBelow(9)), { HostId("host-" + std::to_string(randomBelow(4))) } };
+        return KeeperViewItem { Epoch(randomBelow(9)),
+            { { HostId("host-" + std::to_string(randomBelow(4))),
+                DataCentreName("dc-" + std::to_string(randomBelow(3))) } } };
     }
 }
 
--- a/tests/PlanReviewTest.cpp
+++ b/tests/PlanReviewTest.cpp
@@ -283,7 +283,8 @@
 // Guards against operators who write the keeper view, bad names, and plans beyond the size limits.
 TEST(PlanReviewTest, RefusesKeeperViewBadNamesAndOversizedPlans)
 {
-    ConfigState base(Revision(1), { service("a"), KeeperViewItem { Epoch(1), { HostId("h") } } });
+    ConfigState base(
+        Revision(1), { service("a"), KeeperViewItem { Epoch(1), { { HostId("h"), DataCentreName("dc") } } } });
     Plan plan;
     EXPECT_EQ(PlanReview(base).review({ set(KeeperViewItem { Epoch(2), {} }) }, &plan), ResultCode::InvalidValue);
     EXPECT_EQ(PlanReview(base).review({ remove(ItemKind::KeeperView, "") }, &plan), ResultCode::InvalidValue);
