Leave recently answered requests out of crash reports

Cause: with several copies of a crashing request in flight at once, upstreams die before the first clear has arrived, so a popular request beside two of them had two deaths and was quarantined. The limit of one suspect per upstream does not help, because at the first deaths nothing is a suspect yet. A refused connection also counted its request as in flight, though it was never sent.

Requests that were never sent are left out too; they still cause the probe of the upstream.

Ruled out: raising the number of deaths to quarantine, which costs a further upstream in every incident.

--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -112,6 +112,7 @@
 void OwnerTask::startIncarnation(const Announcement& announcement)
 {
     m_incarnation = std::max(m_incarnation, m_hooks.knownIncarnation(announcement.id)).next();
+    m_completions.clear();
     UpstreamClientOptions options { .upstream = announcement.address, .maxBodyBytes = m_options.maxBodyBytes };
     m_client = std::make_shared<UpstreamClient>(m_context, options, m_metrics);
     Event("upstream_announced")
@@ -246,8 +247,10 @@
     if (result.code == ResultCode::Ok) {
         m_metrics.observe("upstream_latency", now - call->handedOverAt);
         m_crash.completed(call->fingerprint());
+        if (call->incarnation == m_incarnation)
+            m_completions.record(call->fingerprint(), now);
     } else if (result.isConnectionLost) {
-        noteLostRequest(*call);
+        noteLostRequest(*call, runState(result.code) != RunState::NotRun);
     }
     AdmissionChanges changes = m_admission.finished(call->id, outcomeOf(result.code), now);
     answer(call, result.code, std::move(result.response));
@@ -306,13 +309,16 @@
     publish();
 }
 
-void OwnerTask::noteLostRequest(const Call& call)
+// A request that was never sent cannot have crashed the upstream; its refused connection only shows that the upstream
+// may be gone.
+void OwnerTask::noteLostRequest(const Call& call, bool wasSent)
 {
     if (call.incarnation != m_incarnation || m_isStopped)
         return;
     TimePoint now = BootClock::now();
     std::erase_if(m_lost, [&](const LostRequest& lost) { return now - lost.lostAt > m_options.crashWindow; });
-    m_lost.push_back({ call.fingerprint(), now });
+    if (wasSent)
+        m_lost.push_back({ call.fingerprint(), now });
     probeAfterLoss();
 }
 
@@ -353,6 +359,7 @@
             fingerprints.push_back(lost.fingerprint);
     }
     m_lost.clear();
+    fingerprints = m_completions.without(fingerprints, now);
     m_journal.record({ .event = "upstream_stopped",
         .subjects = { m_announcement->id.value(), m_options.self.value() },
         .cause = std::string(evidence) });
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -7,6 +7,7 @@
 #include "dragonflylane/Endpoint.h"
 #include "dragonflylane/Ids.h"
 #include "dragonflylane/OwnerAdmission.h"
+#include "dragonflylane/RecentCompletions.h"
 #include "dragonflylane/UpstreamClient.h"
 #include "dragonflylane/UpstreamPhase.h"
 #include "dragonflylane/WakeupTimer.h"
@@ -107,7 +108,7 @@
     void finish(const CallPtr&, UpstreamResult);
     void answer(const CallPtr&, ResultCode, HttpResponse);
     void apply(const AdmissionChanges&);
-    void noteLostRequest(const Call&);
+    void noteLostRequest(const Call&, bool wasSent);
     void probeAfterLoss();
     void declareDead(std::string_view evidence);
     void armTimer();
@@ -131,6 +132,7 @@
     CallId m_nextCall { 1 };
     std::unordered_map<CallId, CallPtr> m_calls;
     std::vector<LostRequest> m_lost;
+    RecentCompletions m_completions;
     bool m_isProbing { false };
     WakeupTimer m_timer;
 };
--- a/tests/CrashQuarantineTest.cpp
+++ b/tests/CrashQuarantineTest.cpp
@@ -3,8 +3,10 @@
 #include "dragonflylane/CrashWire.h"
 #include "dragonflylane/Fingerprint.h"
 #include "dragonflylane/OwnerAdmission.h"
+#include "dragonflylane/RecentCompletions.h"
 
 #include <algorithm>
+#include <cstdio>
 #include <gtest/gtest.h>
 #include <random>
 #include <rapidcheck/gtest.h>
@@ -30,6 +32,7 @@
     struct Owner {
         CrashQuarantine quarantine;
         OwnerAdmission admission;
+        RecentCompletions completions;
         std::map<uint64_t, Fingerprint> running;
         uint64_t incarnation { 1 };
     };
@@ -40,9 +43,17 @@
         bool isCulpritQuarantined { false };
     };
 
+    struct FleetOptions {
+        CrashQuarantineOptions quarantine;
+        RecentCompletionsOptions completions;
+        bool limitSuspects { true };
+        /// Copies of the crashing request that are sent at once, each to an owner of its own.
+        size_t copies { 1 };
+    };
+
     /// Ten owners run 20 popular innocent requests; one request crashes each upstream that runs it and is resent every
     /// 50 ms, from the second second to the tenth. Each step is 1 ms.
-    FleetResult runFleet(uint64_t seed, CrashQuarantineOptions options, bool limitSuspects)
+    FleetResult runFleet(uint64_t seed, const FleetOptions& options = {})
     {
         constexpr int owners = 10;
         constexpr uint64_t innocents = 20;
@@ -51,7 +62,9 @@
         std::vector<Owner> fleet;
         fleet.reserve(owners);
         for (int i = 0; i < owners; ++i)
-            fleet.push_back({ CrashQuarantine(options), OwnerAdmission({ .limitSuspects = limitSuspects }), {} });
+            fleet.push_back(
+                { CrashQuarantine(options.quarantine), OwnerAdmission({ .limitSuspects = options.limitSuspects }),
+                    RecentCompletions(options.completions), {} });
         std::vector<std::pair<int, CrashNotice>> broadcasts;
         FleetResult result;
         uint64_t id = 0;
@@ -68,11 +81,12 @@
                 }
                 return true;
             });
-            // The caller resends only after it has seen the last attempt fail, so one copy is under way at a time.
-            int target = step >= 1000 && step % 50 == 0 ? static_cast<int>(random() % owners) : -1;
+            // A caller resends only after it has seen its last attempt fail, so each has one copy under way.
+            bool isSending = step >= 1000 && step % 50 == 0;
+            int target = isSending ? static_cast<int>(random() % owners) : -1;
             for (int i = 0; i < owners; ++i) {
                 Owner& owner = fleet[static_cast<size_t>(i)];
-                bool sendCulprit = target == i;
+                bool sendCulprit = isSending && static_cast<size_t>((i - target + owners) % owners) < options.copies;
                 Fingerprint fingerprint = sendCulprit ? culprit : Fingerprint(innocent.value() + random() % innocents);
                 CrashState state = owner.quarantine.stateOf(fingerprint, now);
                 if (state == CrashState::Quarantined)
@@ -87,12 +101,14 @@
                     std::vector<Fingerprint> inFlight;
                     for (const auto& [call, running] : owner.running)
                         inFlight.push_back(running);
+                    inFlight = owner.completions.without(inFlight, now);
+                    owner.completions.clear();
                     UpstreamId upstream("u" + std::to_string(i));
                     for (CrashNotice& notice :
                         owner.quarantine.upstreamDied(upstream, Incarnation(owner.incarnation++), inFlight, now))
                         broadcasts.emplace_back(step + broadcastDelay, notice);
                     owner.running.clear();
-                    owner.admission = OwnerAdmission({ .limitSuspects = limitSuspects });
+                    owner.admission = OwnerAdmission({ .limitSuspects = options.limitSuspects });
                     continue;
                 }
                 if (owner.running.size() < 6)
@@ -100,6 +116,7 @@
                 auto [call, done] = *owner.running.begin();
                 owner.running.erase(call);
                 owner.admission.finished(call, CallOutcome::Success, now);
+                owner.completions.record(done, now);
                 if (auto clear = owner.quarantine.completed(done, now))
                     broadcasts.emplace_back(step + broadcastDelay, *clear);
             }
@@ -123,18 +140,55 @@
 TEST(CrashQuarantineTest, QuarantinesTheCulpritAfterTwoDeathsAndNoInnocents)
 {
     for (uint64_t seed = 1; seed <= 20; ++seed) {
-        FleetResult result = runFleet(seed, {}, true);
+        FleetResult result = runFleet(seed);
         EXPECT_EQ(result.deaths, 2) << seed;
         EXPECT_TRUE(result.isCulpritQuarantined) << seed;
         EXPECT_EQ(result.quarantinedInnocents, 0) << seed;
     }
-    EXPECT_GT(runFleet(1, { .quarantineEnabled = false }, true).deaths, 50);
+    EXPECT_GT(runFleet(1, { .quarantine = { .quarantineEnabled = false } }).deaths, 50);
     int quarantined = 0;
     for (uint64_t seed = 1; seed <= 20; ++seed)
-        quarantined += runFleet(seed, { .clearsEnabled = false }, false).quarantinedInnocents;
+        quarantined += runFleet(seed,
+            { .quarantine = { .clearsEnabled = false }, .completions = { .enabled = false }, .limitSuspects = false })
+                           .quarantinedInnocents;
     EXPECT_GT(quarantined, 0);
 }
 
+// Guards against a popular request that is quarantined because copies of a crashing one kill two upstreams at once.
+TEST(CrashQuarantineTest, CopiesAtOnceQuarantineNoInnocents)
+{
+    constexpr size_t copies = 4;
+    for (bool enabled : { false, true }) {
+        int deaths = 0;
+        int innocents = 0;
+        int seedsWithInnocents = 0;
+        for (uint64_t seed = 1; seed <= 20; ++seed) {
+            FleetResult result = runFleet(seed, { .completions = { .enabled = enabled }, .copies = copies });
+            deaths += result.deaths;
+            innocents += result.quarantinedInnocents;
+            seedsWithInnocents += result.quarantinedInnocents > 0 ? 1 : 0;
+            EXPECT_TRUE(result.isCulpritQuarantined) << seed;
+        }
+        std::printf("completions=%d copies=%zu seeds=20 deaths=%d quarantined_innocents=%d seeds_with_innocents=%d\n",
+            static_cast<int>(enabled), copies, deaths, innocents, seedsWithInnocents);
+        EXPECT_EQ(innocents == 0, enabled);
+    }
+}
+
+// Guards against a memory of completions that grows without bound, never ends, or outlives the process it is about.
+TEST(CrashQuarantineTest, CompletionsAreBoundedRecentAndOfOneProcess)
+{
+    RecentCompletions completions({ .window = seconds(10), .maxFingerprints = 2 });
+    std::vector<Fingerprint> all { Fingerprint(1), Fingerprint(2), Fingerprint(3) };
+    for (Fingerprint fingerprint : { all[0], all[1], all[0], all[2] })
+        completions.record(fingerprint, start);
+    EXPECT_EQ(completions.size(), 2U);
+    EXPECT_EQ(completions.without(all, start + seconds(10)), std::vector { all[1] });
+    EXPECT_EQ(completions.without(all, start + seconds(11)), all);
+    completions.clear();
+    EXPECT_EQ(completions.without(all, start), all);
+}
+
 // Guards against daemons that disagree because broadcasts arrived in another order or twice.
 RC_GTEST_PROP(CrashQuarantineTest, OrderOfNoticesDoesNotMatter, (uint64_t seed))
 {
