Fence claims by the proof of the configuration; let a majority decide races

Cause: keepers of a new view that cannot reach the old ones stop waiting after the retention time, but old keepers and an entry daemon that never hear of the new view go on granting, so one key could run on both sides. Keepers and coordinators now refuse (KeeperNotReady, not run) while their configuration was last proved current more than 60 s ago, and a keeper waits for the retention time plus that limit. Without the addition a grant made in the last seconds of the limit could be repeated 540 s later. The test KeepersWithAStaleProofRefuse shows both grants with the fence off and one with it on. The single-keeper and chaos tests wait for the longer time accordingly. Price: keyed requests stop (not run) when the source is out of reach for more than 60 s.

Cause: a coordinator gave up at the first report of a running claim, even if the other two keepers then granted. Their majority alone excludes any other, since a keeper grants no key of which it may lack a record that a majority made; a report that is merely lost had the same effect before.

--- a/bench/RequestDecisionBenchMain.cpp
+++ b/bench/RequestDecisionBenchMain.cpp
@@ -107,11 +107,12 @@
         KeeperView single { Epoch(1), { { HostId("keeper"), DataCentreName("dc0") } } };
         TimePoint now { std::chrono::seconds(1) };
         DuplicateRecords keeper({ .self = HostId("keeper"), .maxRecords = 100'000, .maxAnswerBytes = 64U << 20U }, now);
+        keeper.setProvenAt(now);
         keeper.setNoView();
         keeper.setView(single, now);
         HostId entry("entry-daemon-0001");
         auto keyOf = [](uint64_t i) {
-            return claimKey(ServiceName("orders"), IdempotencyKey("0f4c1d2e-7a3b-4c5d-8e9f-" + std::to_string(i)));
+            return claimKey("POST", "/orders", IdempotencyKey("0f4c1d2e-7a3b-4c5d-8e9f-" + std::to_string(i)));
         };
         size_t before = allocatedBytes();
         measure("claim_at_keeper", records, [&](uint64_t i) {
@@ -129,6 +130,7 @@
             perRecord);
 
         ClaimCoordinator coordinator({ .self = entry, .life = 1 });
+        coordinator.setProvenAt(now);
         coordinator.setView(view);
         measure("claim_at_coordinator", records, [&](uint64_t i) {
             coordinator.claim(i, keyOf(i), now);
--- a/dragonflylane/ClaimCoordinator.cpp
+++ b/dragonflylane/ClaimCoordinator.cpp
@@ -16,6 +16,16 @@
         m_view = view;
 }
 
+void ClaimCoordinator::setProvenAt(TimePoint provenAt)
+{
+    m_provenAt = m_provenAt ? std::max(*m_provenAt, provenAt) : provenAt;
+}
+
+bool ClaimCoordinator::isProofStale(TimePoint now) const
+{
+    return m_options.fenceStaleProof && (!m_provenAt || now - *m_provenAt > m_options.proofLimit);
+}
+
 void ClaimCoordinator::claim(uint64_t call, std::string key, TimePoint now)
 {
     if (key.empty() || key.size() > maxClaimKeyBytes) {
@@ -23,7 +33,7 @@
         return;
     }
     std::vector<HostId> keepers = keepersOf(key, m_view);
-    if (keepers.empty()) {
+    if (keepers.empty() || isProofStale(now)) {
         m_outputs.emplace_back(ClaimRefused { call, ResultCode::KeeperNotReady, {} });
         return;
     }
@@ -145,7 +155,10 @@
         call.granted.insert(from);
         break;
     case ClaimStatus::Running:
-        refuse(callId, ResultCode::DuplicateRunning, {}, now);
+        call.refusal = ResultCode::DuplicateRunning;
+        if (m_options.majorityOutweighsRunning)
+            break;
+        refuse(callId, call.refusal, {}, now);
         return;
     case ClaimStatus::Finished:
         refuse(callId, ResultCode::Ok, reply.answer, now);
@@ -154,10 +167,16 @@
         refuse(callId, ResultCode::DuplicateUnknown, {}, now);
         return;
     case ClaimStatus::Refused:
-        if (runState(reply.code) == RunState::NotRun)
+        if (runState(reply.code) == RunState::NotRun && call.refusal != ResultCode::DuplicateRunning)
             call.refusal = reply.code;
         break;
     }
+    decide(callId, now);
+}
+
+void ClaimCoordinator::decide(uint64_t callId, TimePoint now)
+{
+    Call& call = m_calls.at(callId);
     size_t needed = m_options.requireMajority ? majorityOf(call.keepers.size()) : 1;
     if (call.granted.size() >= needed) {
         call.phase = Phase::Granted;
@@ -165,8 +184,11 @@
         m_outputs.emplace_back(ClaimGranted { callId });
         return;
     }
-    // Even without a chance of a majority the last keeper is waited for, since it may know the first answer.
-    if (call.answered.size() == call.keepers.size())
+    // Even without a chance of a majority the last keeper is waited for, since it may know the first answer. Another
+    // claim that is running has no answer yet.
+    size_t unanswered = call.keepers.size() - call.answered.size();
+    bool isHopeless = call.granted.size() + unanswered < needed;
+    if (unanswered == 0 || (isHopeless && call.refusal == ResultCode::DuplicateRunning))
         refuse(callId, call.refusal, {}, now);
 }
 
--- a/dragonflylane/ClaimCoordinator.h
+++ b/dragonflylane/ClaimCoordinator.h
@@ -11,6 +11,12 @@
 // The task calls handedOver() before it sends any byte of the request to an owner. abandon() releases a claim only
 // if that has not happened; proved "not run" refusals by owners are reported with notRun(). The end of a claim is sent
 // again until the keepers have acknowledged the end or the resends are used up.
+//
+// A granted majority outweighs a report that another claim is running. Safe because that majority alone excludes any
+// other: no keeper grants a key of which it may lack a record that a majority made (DuplicateRecords), and a lost
+// report would change nothing either. So the other claim has no majority, or will not get one. Without this rule, two
+// coordinators that reached one and two keepers first would both give up. A report of an outcome still takes precedence
+// over grants that are not a majority yet, since its request did run.
 
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/ClaimMessages.h"
@@ -53,9 +59,13 @@
     /// Releases and finishes are sent again until they are acknowledged.
     Duration resendInterval { std::chrono::milliseconds(250) };
     uint32_t maxSends { 5 };
+    /// Largest age of the proof of the configuration with which claims are started.
+    Duration proofLimit { claimProofLimit };
 
-    /// Switch that lets one grant suffice, for a test.
+    // Switches that disable a mechanism for a test. Without a majority, one grant suffices.
     bool requireMajority { true };
+    bool fenceStaleProof { true };
+    bool majorityOutweighsRunning { true };
 };
 
 class ClaimCoordinator {
@@ -64,6 +74,8 @@
 
     /// Takes the keeper view of a new picture. Open claims keep the keepers that they were sent to.
     void setView(const KeeperView&);
+    /// Time at which the configuration behind the view was last proved to be current; never moves back.
+    void setProvenAt(TimePoint);
     /// Starts a claim for a call; call ids are unique among open calls.
     void claim(uint64_t call, std::string key, TimePoint now);
     /// The request is about to be handed over: the claim is no longer released unless notRun() is called.
@@ -113,6 +125,8 @@
     ClaimId idOf(const Call& call) const { return { m_options.self, m_options.life, call.number }; }
     void handleReply(const HostId& from, const ClaimReply&, TimePoint now);
     void handleAck(const HostId& from, const ClaimAck&);
+    void decide(uint64_t call, TimePoint now);
+    bool isProofStale(TimePoint now) const;
     void refuse(uint64_t call, ResultCode, std::string answer, TimePoint now);
     void close(const Call&, ClaimMessage, TimePoint now);
     void sendClosing(uint64_t number, TimePoint now);
@@ -120,6 +134,7 @@
 
     ClaimCoordinatorOptions m_options;
     KeeperView m_view;
+    std::optional<TimePoint> m_provenAt;
     uint64_t m_nextNumber { 1 };
     std::unordered_map<uint64_t, Call> m_calls;
     std::unordered_map<uint64_t, uint64_t> m_callOfNumber;
--- a/dragonflylane/ClaimMessages.h
+++ b/dragonflylane/ClaimMessages.h
@@ -173,4 +173,8 @@
 /// claim that it granted before the crash has reached the other keepers or has failed by then.
 inline constexpr Duration claimTimeout = std::chrono::milliseconds(500);
 
+/// Keepers and coordinators refuse claims while the configuration that they hold was last proved to be current longer
+/// ago than this. Clearly below the retention time, see DuplicateRecords; short outages of the source stay within it.
+inline constexpr Duration claimProofLimit = std::chrono::seconds(60);
+
 } // namespace dragonflylane
--- a/dragonflylane/DuplicateRecords.cpp
+++ b/dragonflylane/DuplicateRecords.cpp
@@ -25,7 +25,7 @@
 
 DuplicateRecords::DuplicateRecords(DuplicateRecordsOptions options, TimePoint now)
     : m_options(std::move(options))
-    , m_waitUntil(now + m_options.retention)
+    , m_waitUntil(now + m_options.retention + m_options.proofLimit)
     , m_nextTransfer(firstTransferNumber(now))
 {
 }
@@ -47,7 +47,7 @@
     m_gaps = m_wasInPreviousEpoch ? std::move(gaps) : std::vector<Gap>();
 
     m_previousView = std::exchange(m_view, view);
-    m_waitUntil = now + m_options.retention;
+    m_waitUntil = now + m_options.retention + m_options.proofLimit;
     m_transfers.clear();
     if (isFirstView) {
         m_origin = Origin::Complete;
@@ -60,6 +60,16 @@
     }
 }
 
+void DuplicateRecords::setProvenAt(TimePoint provenAt)
+{
+    m_provenAt = m_provenAt ? std::max(*m_provenAt, provenAt) : provenAt;
+}
+
+bool DuplicateRecords::isProofStale(TimePoint now) const
+{
+    return m_options.fenceStaleProof && (!m_provenAt || now - *m_provenAt > m_options.proofLimit);
+}
+
 void DuplicateRecords::receive(const HostId& from, const ClaimMessage& message, TimePoint now)
 {
     expire(now);
@@ -216,7 +226,7 @@
         return describe(request, found->second);
     if (!m_view || (m_options.fenceEpochs && request.epoch != m_view->epoch))
         return refuse(ResultCode::EpochMismatch);
-    if (!isReadyFor(request.key, now))
+    if (isProofStale(now) || !isReadyFor(request.key, now))
         return refuse(ResultCode::KeeperNotReady);
     if (!isOwn) {
         if (isFull())
--- a/dragonflylane/DuplicateRecords.h
+++ b/dragonflylane/DuplicateRecords.h
@@ -5,6 +5,7 @@
 //     DuplicateRecords records({ .self = host }, now);
 //     records.setNoView(now);              // the proved configuration has no keeper view yet
 //     records.setView(view, now);          // from each new picture
+//     records.setProvenAt(relay.provenAt());
 //     records.receive(from, message, now);
 //     for (ClaimSend& send : records.takeOutputs()) ...
 //
@@ -15,7 +16,13 @@
 //   * in a new epoch, after records came from enough of the key's previous keepers to meet every majority of them;
 //   * after a restart with empty memory, after records came from the key's other keepers, asked only after every claim
 //     that it granted before the crash has been decided;
-//   * otherwise once the retention time has passed.
+//   * otherwise once the retention time and the proof limit have passed.
+// The last rule needs a fence: the keepers of an old view that do not know of the new one would go on granting its
+// keys while the new keepers, out of their reach, stop waiting for records. So a keeper refuses claims while its
+// configuration was last proved to be current more than the proof limit ago. A view that was replaced at time t cannot
+// be proved current after t, so its keepers grant nothing later than t + proofLimit, and a keeper that has seen the new
+// view waits until those grants have expired too. The price is that an outage of the source that is longer than the
+// limit stops keyed requests (not run).
 // Records that a keeper may lack are described as gaps, which transfers carry on to the next keepers, so that the loss
 // of a few keepers blocks only the keys for which a majority was lost, and not the next epoch as a whole.
 //
@@ -38,6 +45,8 @@
 struct DuplicateRecordsOptions {
     HostId self;
     Duration retention { std::chrono::minutes(10) };
+    /// Largest age of the proof of the configuration with which claims are granted.
+    Duration proofLimit { claimProofLimit };
     /// At about 350 bytes a record (RequestDecisionBench), 32,768 records take 11.5 MB of the daemon's 32 MB.
     size_t maxRecords { 32768 };
     /// Sum of the stored answers; further answers are recorded without content.
@@ -54,6 +63,7 @@
     bool waitInNewEpoch { true };
     bool fenceEpochs { true };
     bool settleAfterRestart { true };
+    bool fenceStaleProof { true };
 };
 
 class DuplicateRecords {
@@ -64,6 +74,8 @@
     void setNoView();
     /// Takes the view of a new picture. Older and equal epochs are ignored.
     void setView(const KeeperView&, TimePoint now);
+    /// Time at which the configuration behind the view was last proved to be current; never moves back.
+    void setProvenAt(TimePoint);
 
     void receive(const HostId& from, const ClaimMessage&, TimePoint now);
     /// Expires records and repeats transfer requests.
@@ -136,6 +148,7 @@
     std::optional<Gap> transferGap(TimePoint now) const;
     const KeeperView& sources() const { return m_origin == Origin::Restart ? *m_view : *m_previousView; }
     bool isWaitDisabled() const;
+    bool isProofStale(TimePoint now) const;
     void requestChunk(const HostId&, Transfer&, TimePoint now);
     void restartTransfer(Transfer&, TimePoint firstRequestAt);
     void finishTransfer(Transfer&, TimePoint now);
@@ -149,6 +162,7 @@
 
     std::optional<KeeperView> m_view;
     std::optional<KeeperView> m_previousView;
+    std::optional<TimePoint> m_provenAt;
     bool m_hadNoView { false };
     Origin m_origin { Origin::Restart };
     /// True if this keeper took part in the previous epoch since it began or since a restart within it.
--- a/tests/DuplicateRecordsTest.cpp
+++ b/tests/DuplicateRecordsTest.cpp
@@ -4,6 +4,7 @@
 #include "dragonflylane/ClaimWire.h"
 
 #include <algorithm>
+#include <cstdio>
 #include <functional>
 #include <gtest/gtest.h>
 #include <map>
@@ -23,6 +24,7 @@
 
     const TimePoint start { seconds(1000) };
     constexpr Duration retention = seconds(60);
+    constexpr Duration proofLimit = seconds(6);
     constexpr Duration step = milliseconds(10);
 
     HostId hostId(size_t number)
@@ -63,11 +65,14 @@
             DuplicateRecordsOptions keeper = m_switches.keeper;
             keeper.self = hostId(host);
             keeper.retention = retention;
+            keeper.proofLimit = proofLimit;
             ClaimCoordinatorOptions coordinator = m_switches.coordinator;
             coordinator.self = hostId(host);
             coordinator.life = ++m_lives;
+            coordinator.proofLimit = proofLimit;
             m_hosts[host].keeper = std::make_unique<DuplicateRecords>(keeper, now);
             m_hosts[host].coordinator = std::make_unique<ClaimCoordinator>(coordinator);
+            prove(host);
         }
 
         /// The first view of a new mesh: every host has seen the configuration without one.
@@ -79,6 +84,14 @@
             }
         }
 
+        void prove(size_t host)
+        {
+            if (unproven.contains(host))
+                return;
+            m_hosts[host].keeper->setProvenAt(now);
+            m_hosts[host].coordinator->setProvenAt(now);
+        }
+
         void setView(size_t host, const KeeperView& view)
         {
             m_hosts[host].keeper->setView(view, now);
@@ -97,6 +110,8 @@
         {
             TimePoint end = now + time;
             for (; now < end; now += step) {
+                for (size_t i = 0; i < m_hosts.size(); ++i)
+                    prove(i);
                 deliver();
                 for (size_t i = 0; i < m_hosts.size(); ++i) {
                     m_hosts[i].keeper->tick(now);
@@ -115,6 +130,8 @@
         double loss { 0 };
         double duplication { 0 };
         uint64_t maxDelaySteps { 0 };
+        /// Hosts whose configuration is no longer proved to be current.
+        std::set<size_t> unproven;
         /// Drops messages for which it returns true.
         std::function<bool(const HostId& from, const HostId& to, const ClaimMessage&)> drop;
         std::function<void(size_t host, uint64_t call)> onGranted;
@@ -286,8 +303,9 @@
             while (known[host] + 1 < views.size())
                 cluster.setView(host, views[++known[host]]);
         }
-        // Gaps end the retention time after the last view or restart, plus the delay of the messages that carry them.
-        cluster.advance(retention + seconds(5));
+        // Gaps end the retention time and the proof limit after the last view or restart, plus the delay of the
+        // messages that carry them.
+        cluster.advance(retention + proofLimit + seconds(5));
         uint64_t last = cluster.claim(0, "last");
         keyOf[last] = "last";
         cluster.advance(seconds(1));
@@ -523,6 +541,87 @@
     }
 }
 
+// Guards against a second run after keepers and an entry daemon missed a new view, and its keepers, out of their reach,
+// stop waiting for their records: without the fence both sides grant the key within the retention time.
+TEST(DuplicateRecordsTest, KeepersWithAStaleProofRefuse)
+{
+    for (bool fence : { true, false }) {
+        Switches switches;
+        switches.keeper.fenceStaleProof = fence;
+        switches.coordinator.fenceStaleProof = fence;
+        Cluster cluster(8, 1, switches);
+        cluster.bootstrap(viewOf(1, { 0, 1, 2 }));
+        // Hosts 0, 1, 2 and 6 are cut off from the source and from the others.
+        cluster.unproven = { 0, 1, 2, 6 };
+        cluster.drop = [&](const HostId& from, const HostId& to, const ClaimMessage&) {
+            return cluster.unproven.contains(cluster.numberOf(from)) != cluster.unproven.contains(cluster.numberOf(to));
+        };
+        for (size_t host : { 3, 4, 5, 7 })
+            cluster.setView(host, viewOf(2, { 3, 4, 5 }));
+        cluster.advance(proofLimit - seconds(1));
+        uint64_t soon = cluster.claim(6, "soon");
+        cluster.advance(retention - proofLimit);
+        EXPECT_TRUE(cluster.granted.contains(soon));
+        uint64_t old = cluster.claim(6, "key");
+        cluster.advance(proofLimit + seconds(3));
+        uint64_t current = cluster.claim(7, "key");
+        uint64_t resent = cluster.claim(7, "soon");
+        cluster.advance(seconds(1));
+        EXPECT_TRUE(cluster.granted.contains(current));
+        // The record of this one has expired by now, which is why the new keepers wait for the proof limit too.
+        EXPECT_TRUE(cluster.granted.contains(resent));
+        EXPECT_GE(cluster.askedAt.at(resent) - cluster.askedAt.at(soon), retention);
+        EXPECT_EQ(cluster.granted.contains(old), !fence);
+        if (fence) {
+            EXPECT_EQ(cluster.refused.at(old).code, ResultCode::KeeperNotReady);
+            EXPECT_EQ(runState(cluster.refused.at(old).code), RunState::NotRun);
+        }
+    }
+}
+
+// Guards against a fence at only one of the two sides: an entry daemon that is cut off asks nobody, and a keeper that
+// is cut off refuses an entry daemon that is not.
+TEST(DuplicateRecordsTest, KeepersAndCoordinatorsFenceOnTheirOwn)
+{
+    for (bool keepersAreStale : { true, false }) {
+        Switches switches;
+        Cluster cluster(4, 1, switches);
+        cluster.bootstrap(viewOf(1, { 0, 1, 2 }));
+        cluster.unproven = keepersAreStale ? std::set<size_t> { 0, 1, 2 } : std::set<size_t> { 3 };
+        cluster.advance(proofLimit + seconds(1));
+        uint64_t call = cluster.claim(3, "key");
+        cluster.advance(seconds(1));
+        EXPECT_EQ(cluster.refused.at(call).code, ResultCode::KeeperNotReady);
+        cluster.unproven.clear();
+        cluster.advance(step);
+        uint64_t next = cluster.claim(3, "key");
+        cluster.advance(seconds(1));
+        EXPECT_TRUE(cluster.granted.contains(next));
+    }
+}
+
+// Guards against races of two entry daemons that end with neither of them running the request.
+TEST(DuplicateRecordsTest, OneOfTwoRacingEntryDaemonsRuns)
+{
+    for (bool outweighs : { false, true }) {
+        int neither = 0;
+        for (uint64_t seed = 1; seed <= 1000; ++seed) {
+            Switches switches;
+            switches.coordinator.majorityOutweighsRunning = outweighs;
+            Cluster cluster(5, seed, switches);
+            cluster.maxDelaySteps = 3;
+            cluster.bootstrap(viewOf(1, { 0, 1, 2 }));
+            cluster.claim(3, "key");
+            cluster.claim(4, "key");
+            cluster.advance(seconds(1));
+            EXPECT_LE(cluster.granted.size(), 1U) << seed;
+            neither += cluster.granted.empty() ? 1 : 0;
+        }
+        std::printf("majority_outweighs_running=%d races=1000 neither=%d\n", static_cast<int>(outweighs), neither);
+        EXPECT_EQ(neither == 0, outweighs);
+    }
+}
+
 // Guards against a release after something was handed over, and a release by another coordinator.
 TEST(DuplicateRecordsTest, ReleasesOnlyOwnClaimsThatWereNotHandedOver)
 {
@@ -596,7 +695,7 @@
     cluster.restart(0);
     cluster.setView(0, view);
     uint64_t second = cluster.claim(0, "key");
-    cluster.advance(retention);
+    cluster.advance(retention + proofLimit);
     EXPECT_EQ(cluster.refused.at(second).code, ResultCode::KeeperNotReady);
     uint64_t third = cluster.claim(0, "key");
     cluster.advance(seconds(1));
@@ -632,7 +731,7 @@
 {
     std::mt19937_64 random(seed);
     ClaimId id { hostId(random() % 100), random(), random() };
-    std::string key = claimKey(ServiceName("orders"), IdempotencyKey(std::to_string(random())));
+    std::string key = claimKey("POST", "/orders", IdempotencyKey(std::to_string(random())));
     std::string answer(random() % maxStoredAnswerBytes, '\0');
     DuplicateRecord record { key, RecordState::Finished, { id, id }, answer, Duration(random() % 1'000'000) };
     KeeperGap gap { viewOf(random(), { 0, 1, 2, 3 }), { hostId(1), hostId(2) }, Duration(random() % 1'000'000) };
