Give the claims of a daemon the proof of its configuration

The view of the proved state is taken before its proof is used, since pictures are built later than the state is applied. Built and linted; not run in a mesh.

--- a/dragonflylane/ClaimTask.cpp
+++ b/dragonflylane/ClaimTask.cpp
@@ -17,12 +17,13 @@
 
 } // namespace
 
-ClaimTask::ClaimTask(
-    boost::asio::io_context& context, const HostId& self, uint64_t life, PeerHub& hub, Metrics& metrics)
+ClaimTask::ClaimTask(boost::asio::io_context& context, const HostId& self, uint64_t life, PeerHub& hub,
+    Metrics& metrics, ProofSource proofSource)
     : m_context(context)
     , m_self(self)
     , m_hub(hub)
     , m_metrics(metrics)
+    , m_proofSource(std::move(proofSource))
     , m_records({ .self = self }, BootClock::now())
     , m_coordinator({ .self = self, .life = life })
     , m_timer(context, [this] {
@@ -59,6 +60,7 @@
 
 void ClaimTask::claim(uint64_t call, std::string key, Callback callback)
 {
+    updateProof();
     m_callbacks.emplace(call, std::move(callback));
     m_coordinator.claim(call, std::move(key), BootClock::now());
     drain();
@@ -102,6 +104,7 @@
 {
     if (m_isStopped)
         return;
+    updateProof();
     if (isForCoordinator(message))
         m_coordinator.receive(from, message, BootClock::now());
     else
@@ -109,6 +112,14 @@
     drain();
 }
 
+void ClaimTask::updateProof()
+{
+    if (std::optional<TimePoint> provenAt = m_proofSource()) {
+        m_records.setProvenAt(*provenAt);
+        m_coordinator.setProvenAt(*provenAt);
+    }
+}
+
 void ClaimTask::drain()
 {
     if (m_isStopped)
--- a/dragonflylane/ClaimTask.h
+++ b/dragonflylane/ClaimTask.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -27,8 +28,10 @@
         std::string answer;
     };
     using Callback = std::function<void(const Outcome&)>;
+    /// Time at which the configuration of this daemon was last proved to be current.
+    using ProofSource = std::function<std::optional<TimePoint>()>;
 
-    ClaimTask(boost::asio::io_context&, const HostId& self, uint64_t life, PeerHub&, Metrics&);
+    ClaimTask(boost::asio::io_context&, const HostId& self, uint64_t life, PeerHub&, Metrics&, ProofSource);
 
     void start();
     void stop();
@@ -49,12 +52,14 @@
     void deliver(const HostId& from, const ClaimMessage&);
     void drain();
     void send(const ClaimSend&);
+    void updateProof();
     void finishClaim(uint64_t call, const Outcome&);
 
     boost::asio::io_context& m_context;
     HostId m_self;
     PeerHub& m_hub;
     Metrics& m_metrics;
+    ProofSource m_proofSource;
     DuplicateRecords m_records;
     ClaimCoordinator m_coordinator;
     std::unordered_map<uint64_t, Callback> m_callbacks;
--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -69,7 +69,7 @@
         , m_crash(
               {}, [this](std::string payload) { return m_membership->broadcast(std::move(payload)); }, m_metrics,
               m_journal)
-        , m_claims(m_context, m_settings.hostId, m_life, m_hub, m_metrics)
+        , m_claims(m_context, m_settings.hostId, m_life, m_hub, m_metrics, [this] { return keeperProof(); })
         , m_owner(m_context, { .self = m_settings.hostId, .maxBodyBytes = m_settings.maxBodyBytes }, m_crash, m_metrics,
               m_journal,
               { .announced = [this](std::optional<UpstreamRecord> record) { m_membership->setUpstream(record); },
@@ -297,6 +297,15 @@
         }
     }
 
+    // The proof is about the relay's state, so the view of that state is taken first.
+    std::optional<TimePoint> keeperProof()
+    {
+        if (!m_relay)
+            return std::nullopt;
+        takeKeepers();
+        return m_relay->relay().provenAt();
+    }
+
     void reportConflict(const UpstreamConflict& conflict)
     {
         m_metrics.add("upstream_id_conflicts");
