--- a/bench/RequestDecisionBenchMain.cpp
+++ b/bench/RequestDecisionBenchMain.cpp
@@ -107,6 +107,7 @@
         KeeperView single { Epoch(1), { { HostId("keeper"), DataCentreName("dc0") } } };
         TimePoint now { std::chrono::seconds(1) };
         DuplicateRecords keeper({ .self = HostId("keeper"), .maxRecords = 100'000, .maxAnswerBytes = 64U << 20U }, now);
+        keeper.setProvenAt(now);
         keeper.setNoView();
         keeper.setView(single, now);
         HostId entry("entry-daemon-0001");
@@ -129,6 +130,7 @@
             perRecord);
 
         ClaimCoordinator coordinator({ .self = entry, .life = 1 });
+        coordinator.setProvenAt(now);
         coordinator.setView(view);
         measure("claim_at_coordinator", records, [&](uint64_t i) {
             coordinator.claim(i, keyOf(i), now);
