Format ConfigStateTest.cpp

Cause: one line does not follow .clang-format, so tools/lint stops before it lints any file. Ruled out: a difference of tool versions; only this line is reported. Before: tools/lint exits at the format check. After: the format check passes. Conclusion: no change of meaning.

--- a/tests/ConfigStateTest.cpp
+++ b/tests/ConfigStateTest.cpp
@@ -557,7 +557,8 @@
     for (const char* name : { "", "A", "-a", "a b", "a>b", "\xc3\xa4" })
         EXPECT_EQ(with(goodService, [&](auto& i) { i.name = ServiceName(name); }), ResultCode::InvalidName) << name;
     EXPECT_EQ(with(goodService, [](auto& i) { i.name = ServiceName(std::string(65, 'a')); }), ResultCode::InvalidName);
-    KeeperViewItem keepers { Epoch(1), { { HostId("a"), DataCentreName("dc") }, { HostId("a"), DataCentreName("dc") } } };
+    KeeperViewItem keepers { Epoch(1),
+        { { HostId("a"), DataCentreName("dc") }, { HostId("a"), DataCentreName("dc") } } };
     EXPECT_EQ(checkItem(keepers), ResultCode::InvalidValue);
     keepers.hosts.clear();
     for (size_t i = 0; i <= ItemLimits::keeperHosts; ++i)
