Accept announcements over loopback without an operator token

Cause: with an operators file every API request needed a token, so an upstream could announce itself only with a token that also confirms plans. Ruled out: a token for each upstream; the design has upstreams announce themselves to their own daemon over loopback. Before: POST /v1/announce without token was refused with unknown_operator. After: accepted if [listen] api is a loopback address, otherwise refused as before; all other requests are unchanged.

--- a/dragonflylane/ApiTask.cpp
+++ b/dragonflylane/ApiTask.cpp
@@ -136,6 +136,10 @@
 
 bool ApiTask::authenticate(ApiRequest& request) const
 {
+    // An upstream announces itself over loopback and has no token: with one, it could confirm plans.
+    bool isAnnouncement = request.path.size() == 1 && request.path.front() == "announce";
+    if (isAnnouncement && m_parts.settings.api.isLoopback())
+        return true;
     auto found = m_operators.authenticate(request.http.header("Authorization"));
     if (found)
         request.operatorName = *found;
--- a/dragonflylane/Endpoint.h
+++ b/dragonflylane/Endpoint.h
@@ -20,6 +20,8 @@
     bool operator==(const Endpoint&) const = default;
 
     bool isSet() const { return port != 0; }
+    /// Reachable only from the same host.
+    bool isLoopback() const { return address.starts_with("127.") || address == "::1"; }
     std::string toString() const;
 
     /// Accepts only numeric addresses, since the system never depends on name resolution.
--- a/dragonflylane/Settings.cpp
+++ b/dragonflylane/Settings.cpp
@@ -197,17 +197,12 @@
         return (std::filesystem::path(file).parent_path() / path).string();
     }
 
-    bool isLoopback(const Endpoint& endpoint)
-    {
-        return endpoint.address.starts_with("127.") || endpoint.address == "::1";
-    }
-
     // A listener that others can reach without proving that they belong to the mesh would let anyone change it.
     void checkExposure(Reader& reader, const Settings& settings)
     {
-        if (settings.secretFile.empty() && (!isLoopback(settings.peer) || !isLoopback(settings.callers)))
+        if (settings.secretFile.empty() && (!settings.peer.isLoopback() || !settings.callers.isLoopback()))
             reader.fail(ResultCode::SettingMissing, "mesh", "secret-file", "required for a listener beyond loopback");
-        if (isLoopback(settings.api))
+        if (settings.api.isLoopback())
             return;
         if (settings.secretFile.empty())
             reader.fail(ResultCode::SettingMissing, "mesh", "secret-file", "required for a listener beyond loopback");
