Add the demo: a deployment on loopback under traffic and faults

Cause: the invariants had been checked module by module, never on a running mesh. Convergence is read from the API and also from the daemons' pictures, so that neither can hide a fault of the other. Targets with /immediate are answered without service time, since its spread would hide the added latency.

--- /dev/null
+++ b/bench/DemoObserver.h
@@ -0,0 +1,67 @@
+#pragma once
+
+// Watches the pictures of all daemons while the demo runs, and reads their counters of control traffic.
+
+#include "bench/DemoMesh.h"
+
+#include <atomic>
+#include <map>
+#include <thread>
+
+namespace dragonflylane {
+
+/// Polls every daemon's picture until stop().
+class DemoObserver {
+public:
+    explicit DemoObserver(const DemoMesh& mesh)
+        : m_mesh(mesh)
+    {
+    }
+    ~DemoObserver() { stop(); }
+
+    void start();
+    void stop();
+
+    // Valid after stop().
+    size_t pictures() const { return m_pictures; }
+    /// Pictures older than one that the same host showed before (I1). A restarted daemon without any revision does
+    /// not count.
+    size_t reverted() const { return m_reverted; }
+    /// Routes to a service that the same picture lacks (I2).
+    size_t danglingRoutes() const { return m_danglingRoutes; }
+    const std::string& firstFault() const { return m_firstFault; }
+
+private:
+    void run();
+    void check(const std::string& host, const boost::json::value& picture);
+
+    const DemoMesh& m_mesh;
+    std::thread m_thread;
+    std::atomic<bool> m_isStopping { false };
+    std::map<std::string, int64_t> m_highest;
+    size_t m_pictures { 0 };
+    size_t m_reverted { 0 };
+    size_t m_danglingRoutes { 0 };
+    std::string m_firstFault;
+};
+
+/// Routes of a picture to services that it lacks.
+size_t countDanglingRoutes(const boost::json::value& picture);
+/// Upstreams of a daemon's picture whose owner is not a present member for the same daemon.
+size_t countUnknownUpstreams(const boost::json::value& picture, const boost::json::value& members);
+
+/// Control bytes of one daemon since its start.
+struct ControlBytes {
+    uint64_t sent { 0 };
+    uint64_t received { 0 };
+};
+
+/// Counters of the daemons that answered, with the time of reading.
+struct ControlSample {
+    TimePoint time;
+    std::map<std::string, ControlBytes> daemons;
+};
+
+ControlSample sampleControlBytes(const DemoMesh&);
+
+} // namespace dragonflylane
--- a/bench/UpstreamStandIn.cpp
+++ b/bench/UpstreamStandIn.cpp
@@ -34,6 +34,8 @@
     constexpr int coldSlowdown = 10;
     // Exit status that a shell reports for a process that abort() ended.
     constexpr int abortStatus = 134;
+    // A target with this text is answered without service time, so that the latency of the path can be measured.
+    constexpr const char* immediateMark = "/immediate";
     constexpr std::string_view checksumLabel = "checksum=";
 
     std::string hexDigest(std::string_view text)
@@ -193,6 +195,8 @@
             _exit(abortStatus);
         if (m_options.shedAbove && m_running + m_waiting.size() >= *m_options.shedAbove)
             return exchange->respond({ .status = 503, .headers = { { "Retry-After", "1" } }, .body = "overloaded\n" });
+        if (containsMark(request.target, immediateMark))
+            return exchange->respond({ .body = makeStandInAnswer(request.target, m_options.id) });
         enqueue(std::move(exchange));
     }
 
