Add an experiment program with open-loop load

No figure of the whole system could be measured so far: the daemon's modules had benchmarks, the processes had none. It compiles; its experiments have not been run yet.

--- /dev/null
+++ b/bench/ControlExperiments.cpp
@@ -0,0 +1,261 @@
+#include "bench/DaemonFleet.h"
+#include "bench/ExperimentSettings.h"
+#include "bench/Experiments.h"
+#include "bench/LoadGenerator.h"
+#include "bench/Report.h"
+#include "bench/RevisionWatch.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <limits>
+#include <random>
+#include <stdexcept>
+#include <thread>
+
+namespace dragonflylane {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Duration convergenceLimit = 30s;
+    constexpr std::string_view controlBytes = "control_bytes_sent_";
+
+    double seconds(Duration duration)
+    {
+        if (duration == Duration::max())
+            return std::numeric_limits<double>::infinity();
+        return std::chrono::duration<double>(duration).count();
+    }
+
+    double milliseconds(Duration duration)
+    {
+        return 1e3 * seconds(duration);
+    }
+
+    // Each number gives another value, so that every plan is a change.
+    std::string timeoutChange(size_t number)
+    {
+        constexpr size_t baseMilliseconds = 1000;
+        return R"([{"setService":{"name":"catalogue","timeoutMs":)" + std::to_string(baseMilliseconds + number) + "}}]";
+    }
+
+    Duration quantile(std::vector<Duration> values, double q)
+    {
+        LoadCount count;
+        count.latencies = std::move(values);
+        return count.quantile(q);
+    }
+
+    // ---- convergence ----
+
+    struct FleetCost {
+        double controlBytes { 0 };
+        double processorSeconds { 0 };
+        double largestResidentBytes { 0 };
+        TimePoint at;
+    };
+
+    FleetCost costOf(const DaemonFleet& fleet)
+    {
+        FleetCost cost { .at = BootClock::now() };
+        for (size_t i = 0; i < fleet.size(); ++i) {
+            ProcessUsage usage = ChildProcesses::usage(fleet.pid(i));
+            cost.controlBytes += fleet.counter(i, controlBytes);
+            cost.processorSeconds += usage.processorSeconds;
+            cost.largestResidentBytes = std::max(cost.largestResidentBytes, usage.residentBytes);
+        }
+        return cost;
+    }
+
+    double perDaemonSecond(double amount, const FleetCost& before, const FleetCost& after, const DaemonFleet& fleet)
+    {
+        return amount / (static_cast<double>(fleet.size()) * seconds(after.at - before.at));
+    }
+
+    struct ChangeTimes {
+        std::vector<Duration> medians;
+        std::vector<Duration> lasts;
+    };
+
+    ChangeTimes makeChanges(ExperimentContext& context, const DaemonFleet& fleet, RevisionWatch& watch, size_t first)
+    {
+        ChangeTimes times;
+        for (size_t i = 0; i < context.settings.count("changes"); ++i) {
+            ConfirmResult result = fleet.confirm(timeoutChange(first + i));
+            std::vector<Duration> held = watch.await(result.revision, result.answered, convergenceLimit);
+            times.medians.push_back(quantile(held, 0.5));
+            times.lasts.push_back(*std::max_element(held.begin(), held.end()));
+            std::this_thread::sleep_for(context.settings.milliseconds("change-interval-ms"));
+        }
+        return times;
+    }
+
+    // Kills a random share of the daemons that are not control hosts and starts them again at once.
+    void restartShare(const ExperimentContext& context, DaemonFleet& fleet)
+    {
+        std::vector<size_t> daemons;
+        for (size_t i = fleet.controlCount(); i < fleet.size(); ++i)
+            daemons.push_back(i);
+        std::mt19937_64 random(context.settings.seed());
+        std::shuffle(daemons.begin(), daemons.end(), random);
+        daemons.resize(
+            static_cast<size_t>(static_cast<double>(daemons.size()) * context.settings.number("killed-share")));
+        for (size_t index : daemons)
+            fleet.kill(index);
+        for (size_t index : daemons)
+            fleet.restart(index);
+    }
+
+    void addChangeFigures(ExperimentContext& context, const ChangeTimes& idle, const ChangeTimes& storm)
+    {
+        Duration idleLast = *std::max_element(idle.lasts.begin(), idle.lasts.end());
+        Duration stormLast = *std::max_element(storm.lasts.begin(), storm.lasts.end());
+        const ExperimentSettings& settings = context.settings;
+        Report& report = context.report;
+        report.add({ "idle: convergence p50 of daemons", seconds(quantile(idle.medians, 0.5)), "s", {}, {} });
+        report.add({ "idle: last daemon, p50 of changes", seconds(quantile(idle.lasts, 0.5)), "s", {}, {} });
+        report.add({ "idle: last daemon, slowest change", seconds(idleLast), "s", {},
+            FigureGoal { settings.number("goal-idle-s") } });
+        report.add({ "storm: convergence p50 of daemons", seconds(quantile(storm.medians, 0.5)), "s",
+            seconds(quantile(idle.medians, 0.5)), {} });
+        report.add({ "storm: last daemon, p50 of changes", seconds(quantile(storm.lasts, 0.5)), "s",
+            seconds(quantile(idle.lasts, 0.5)), {} });
+        report.add({ "storm: last daemon, slowest change", seconds(stormLast), "s", seconds(idleLast),
+            FigureGoal { settings.number("goal-storm-s") } });
+    }
+
+    void checkMemory(size_t processes)
+    {
+        constexpr double bytesPerDaemon = 16e6;
+        constexpr double limit = 16e9;
+        std::ifstream stream("/proc/meminfo");
+        double available = 0;
+        for (std::string key, unit; stream >> key;) {
+            double kilobytes = 0;
+            stream >> kilobytes;
+            std::getline(stream, unit);
+            if (key == "MemAvailable:")
+                available = 1024 * kilobytes;
+        }
+        double needed = bytesPerDaemon * static_cast<double>(processes);
+        if (needed > std::min(limit, available / 2))
+            throw std::runtime_error("not enough memory for " + std::to_string(processes) + " daemons");
+    }
+
+    // ---- confirmations ----
+
+    // Time from `begin` until a confirmation at another control host succeeds.
+    Duration timeWithoutConfirm(const DaemonFleet& fleet, size_t lost, TimePoint begin, size_t first)
+    {
+        constexpr Duration attemptTimeout = 300ms;
+        for (size_t i = 0; BootClock::now() - begin < convergenceLimit; ++i) {
+            size_t host = (lost + 1 + i % (fleet.controlCount() - 1)) % fleet.controlCount();
+            if (auto result = fleet.confirm(host, timeoutChange(first + i), attemptTimeout))
+                return result->answered - begin;
+            std::this_thread::sleep_for(10ms);
+        }
+        return Duration::max();
+    }
+
+    constexpr size_t plansPerRound = 10'000;
+
+    std::vector<Duration> loseLeaders(ExperimentContext& context, DaemonFleet& fleet, int signal, size_t firstPlan)
+    {
+        std::vector<Duration> times;
+        for (size_t round = 0; round < context.settings.count("rounds"); ++round) {
+            size_t leader = fleet.leader();
+            TimePoint begin = BootClock::now();
+            if (signal == SIGKILL)
+                fleet.kill(leader);
+            else
+                fleet.signal(leader, signal);
+            times.push_back(timeWithoutConfirm(fleet, leader, begin, firstPlan + round * plansPerRound));
+            if (signal == SIGKILL)
+                fleet.restart(leader);
+            else
+                fleet.signal(leader, SIGCONT);
+            // The lost host catches up before the next one is lost.
+            std::this_thread::sleep_for(5s);
+        }
+        return times;
+    }
+
+    void addLeaderFigures(
+        ExperimentContext& context, const std::string& what, const std::vector<Duration>& times, double baseline)
+    {
+        context.report.add(
+            { "no confirmation after " + what + ", p50", seconds(quantile(times, 0.5)), "s", baseline, {} });
+        context.report.add(
+            { "no confirmation after " + what + ", longest", seconds(*std::max_element(times.begin(), times.end())),
+                "s", baseline, FigureGoal { context.settings.number("goal-no-leader-s") } });
+    }
+
+} // namespace
+
+void measureConvergence(ExperimentContext& context)
+{
+    const ExperimentSettings& settings = context.settings;
+    DaemonFleet fleet(context.processes, { .program = context.program, .daemons = settings.count("daemons") });
+    checkMemory(fleet.size());
+    TimePoint begin = BootClock::now();
+    fleet.start();
+    context.report.add({ "start until all daemons know all others", seconds(BootClock::now() - begin), "s", {}, {} });
+    fleet.addService("catalogue", 1000ms);
+    std::vector<Endpoint> apis;
+    for (size_t i = 0; i < fleet.size(); ++i)
+        apis.push_back(fleet.api(i));
+    RevisionWatch watch(apis);
+    // The records of the start have spread before the idle figures are taken.
+    std::this_thread::sleep_for(15s);
+
+    FleetCost before = costOf(fleet);
+    std::this_thread::sleep_for(settings.seconds("idle-s"));
+    FleetCost idle = costOf(fleet);
+    ChangeTimes idleTimes = makeChanges(context, fleet, watch, 1);
+    FleetCost changed = costOf(fleet);
+    restartShare(context, fleet);
+    ChangeTimes stormTimes = makeChanges(context, fleet, watch, 1000);
+
+    addChangeFigures(context, idleTimes, stormTimes);
+    double idleBytes = perDaemonSecond(idle.controlBytes - before.controlBytes, before, idle, fleet);
+    double changeBytes = (changed.controlBytes - idle.controlBytes) / static_cast<double>(fleet.size())
+        - idleBytes * seconds(changed.at - idle.at);
+    context.report.add({ "control bytes per daemon and idle second", idleBytes, "B/s", {},
+        FigureGoal { settings.number("goal-idle-bytes") } });
+    context.report.add(
+        { "control bytes per daemon and change", changeBytes / settings.number("changes"), "B", {}, {} });
+    context.report.add({ "processor share per daemon, idle",
+        100 * perDaemonSecond(idle.processorSeconds - before.processorSeconds, before, idle, fleet), "%", {},
+        FigureGoal { 2.6 } });
+    context.report.add({ "processor share per daemon, with changes",
+        100 * perDaemonSecond(changed.processorSeconds - idle.processorSeconds, idle, changed, fleet), "%",
+        100 * perDaemonSecond(idle.processorSeconds - before.processorSeconds, before, idle, fleet), {} });
+    context.report.add(
+        { "largest resident memory", changed.largestResidentBytes / (1 << 20), "MiB", {}, FigureGoal { 32 } });
+}
+
+void measureConfirmLatency(ExperimentContext& context)
+{
+    DaemonFleet fleet(context.processes, { .program = context.program, .daemons = context.settings.count("daemons") });
+    fleet.start();
+    fleet.addService("catalogue", 1000ms);
+    std::vector<Duration> confirms;
+    std::vector<Duration> proposals;
+    for (size_t i = 0; i < context.settings.count("confirms"); ++i) {
+        ConfirmResult result = fleet.confirm(timeoutChange(1 + i));
+        confirms.push_back(result.confirmTime);
+        proposals.push_back(result.proposeTime);
+    }
+    for (auto [name, q] : { std::pair("p50", 0.5), std::pair("p99", 0.99) }) {
+        context.report.add({ std::string("confirm ") + name + " (baseline: propose)",
+            milliseconds(quantile(confirms, q)), "ms", milliseconds(quantile(proposals, q)), {} });
+    }
+    double baseline = seconds(quantile(confirms, 0.5) + quantile(proposals, 0.5));
+    addLeaderFigures(context, "SIGKILL", loseLeaders(context, fleet, SIGKILL, plansPerRound), baseline);
+    addLeaderFigures(context, "SIGSTOP", loseLeaders(context, fleet, SIGSTOP, 2 * plansPerRound), baseline);
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/bench/ExperimentSettings.h
@@ -0,0 +1,32 @@
+#pragma once
+
+// An experiment as read from an INI file: section [experiment] with its kind, and the numbers that this kind knows.
+// Unknown sections and keys, repeated keys and values that are no numbers are errors.
+
+#include <chrono>
+#include <map>
+#include <string>
+
+namespace dragonflylane {
+
+/// All numbers are present after a successful read: the file's or the default.
+struct ExperimentSettings {
+    std::string kind;
+    std::map<std::string, double, std::less<>> numbers;
+
+    double number(std::string_view key) const { return numbers.find(key)->second; }
+    size_t count(std::string_view key) const { return static_cast<size_t>(number(key)); }
+    std::chrono::nanoseconds milliseconds(std::string_view key) const
+    {
+        return std::chrono::duration_cast<std::chrono::nanoseconds>(
+            std::chrono::duration<double, std::milli>(number(key)));
+    }
+    std::chrono::nanoseconds seconds(std::string_view key) const { return 1000 * milliseconds(key); }
+    uint64_t seed() const { return static_cast<uint64_t>(number("seed")); }
+};
+
+/// Empty on success, otherwise what is wrong, for people.
+std::string parseExperiment(const std::string& text, const std::string& name, ExperimentSettings&);
+std::string readExperiment(const std::string& path, ExperimentSettings&);
+
+} // namespace dragonflylane
