--- a/bench/DaemonFleet.cpp
+++ b/bench/DaemonFleet.cpp
@@ -136,11 +136,17 @@
 
 void DaemonFleet::awaitReady(size_t index) const
 {
-    awaitTrue("ready daemon " + m_daemons[index].id, startLimit, [&] {
-        json::object status = ask(api(index), { .method = "GET", .target = "/v1/status" }, requestTimeout);
+    json::object status;
+    auto isReady = [&] {
+        status = ask(api(index), { .method = "GET", .target = "/v1/status" }, requestTimeout);
         return !status.empty() && status.at("relay").as_object().at("hasFloor").as_bool()
             && status.at("members").to_number<size_t>() == size();
-    });
+    };
+    try {
+        awaitTrue("ready daemon " + m_daemons[index].id, startLimit, isReady);
+    } catch (const std::runtime_error& error) {
+        throw std::runtime_error(std::string(error.what()) + ", status " + json::serialize(status));
+    }
 }
 
 void DaemonFleet::signal(size_t index, int signal)
