Enter the own host into the tree index when the daemon starts

Cause: Membership reports changes, and the own record of a daemon without an upstream never changes, so TreeIndex did not know its own host and gave level 1 with the control hosts as the only candidates. All daemons became children of the control hosts; with 200 daemons the 3 control hosts were full at 64 children each and 8 daemons never got a parent.

--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -111,6 +111,8 @@
                 return error;
         }
         m_relay->start();
+        // Membership reports changes only. Without the own record, the tree index keeps level 1 and the control hosts.
+        memberChanged(m_settings.hostId, m_membership->view().members().at(m_settings.hostId));
         updatePosition();
         if (auto error = listen(m_callerServer->start(), m_settings.callers, detail))
             return error;
