Test two pairs of faults: herd restart in an outage, operators at two leaders

Ruled out: testing the parts only (the parts were tested; the pairs show that the floor holds for a herd and that the plan book decides over two leaders). Before: no test. After: a third of 60 daemons restarts without a source: 0 of 20 claim a floor, with the floor switched off 20 of 20 do; of two operators one is confirmed and one conflicted, with and without check-quorum. Conclusion: both pairs hold in virtual time.

--- a/tests/LogReplicaTest.cpp
+++ b/tests/LogReplicaTest.cpp
@@ -3,6 +3,7 @@
 #include "dragonflylane/Digest.h"
 #include "dragonflylane/LogStore.h"
 #include "dragonflylane/LogWire.h"
+#include "dragonflylane/PlanBook.h"
 #include "dragonflylane/ResultCode.h"
 
 #include <algorithm>
@@ -778,6 +779,70 @@
     }
 }
 
+namespace {
+
+    std::string confirmation(const char* plan, const char* operatorName)
+    {
+        return PlanBook::encode(ConfirmCommand { PlanId(plan), OperatorName(operatorName) });
+    }
+
+    std::string proposal(const char* plan, const char* service)
+    {
+        ServiceItem item { .name = ServiceName(service) };
+        PlanRequest request { .base = Revision(0), .changes = { SetItem { item } } };
+        return PlanBook::encode(ProposeCommand { PlanId(plan), request, OperatorName("anna") });
+    }
+
+    // The plan book after the committed entries.
+    PlanBook bookOf(const Cluster& cluster)
+    {
+        PlanBook book;
+        for (const LogEntry& entry : cluster.committed) {
+            if (entry.kind == LogEntryKind::Command)
+                book.apply(entry.payload);
+        }
+        return book;
+    }
+
+} // namespace
+
+// Guards against two accepted plans on one base revision: one operator confirms at a leader behind a silent partition,
+// the other at the leader that the majority elects (I9).
+TEST(LogReplicaTest, TwoOperatorsConfirmWhileTheLeaderIsBehindAPartition)
+{
+    for (bool checkQuorum : { true, false }) {
+        Cluster cluster(3, 17, { .checkQuorum = checkQuorum });
+        size_t old = cluster.waitForLeader();
+        EXPECT_FALSE(cluster.propose(old, proposal("p-1", "orders")));
+        EXPECT_FALSE(cluster.propose(old, proposal("p-2", "loans")));
+        cluster.run(seconds(1));
+        cluster.cut(old);
+        // Right after the cut the old leader still takes the command, but cannot commit it.
+        EXPECT_FALSE(cluster.propose(old, confirmation("p-1", "anna")));
+        cluster.run(seconds(3));
+        size_t next = old;
+        for (size_t i = 0; i < cluster.nodes.size(); ++i) {
+            if (i != old && cluster.nodes[i].replica->role() == LogRole::Leader)
+                next = i;
+        }
+        ASSERT_NE(next, old);
+        EXPECT_FALSE(cluster.propose(next, confirmation("p-2", "berta")));
+        cluster.run(seconds(1));
+        EXPECT_EQ(bookOf(cluster).find(PlanId("p-2"))->status, PlanStatus::Confirmed);
+        cluster.heal();
+        cluster.run(seconds(3));
+        // The first operator asks again.
+        EXPECT_FALSE(cluster.propose(static_cast<size_t>(cluster.leader()), confirmation("p-1", "anna")));
+        cluster.run(seconds(1));
+        PlanBook book = bookOf(cluster);
+        EXPECT_EQ(book.state().revision(), Revision(1));
+        EXPECT_EQ(book.find(PlanId("p-1"))->status, PlanStatus::Conflicted);
+        EXPECT_EQ(book.find(PlanId("p-2"))->status, PlanStatus::Confirmed);
+        for (const Cluster::Node& node : cluster.nodes)
+            EXPECT_EQ(node.applied, cluster.committed.size());
+    }
+}
+
 // Guards against old answers, delivered in a burst after a pause, that renew a proof.
 TEST(LogReplicaTest, BurstOfOldMessagesProvesNothing)
 {
--- a/tests/RelayTest.cpp
+++ b/tests/RelayTest.cpp
@@ -504,6 +504,52 @@
     expectNoViolations(simulation);
 }
 
+namespace {
+
+    // Restarts a third of the daemons while no control host is left; returns how many of those claim a floor.
+    size_t restartThirdWithoutSource(RelaySimulation& simulation)
+    {
+        settle(simulation);
+        for (size_t host = 0; host < simulation.firstDaemon(); ++host)
+            simulation.kill(host, true);
+        simulation.run(seconds(3));
+        for (size_t host = simulation.firstDaemon(); host < simulation.size(); host += 3)
+            simulation.restart(host);
+        simulation.run(seconds(20));
+        size_t withFloor = 0;
+        for (size_t host = simulation.firstDaemon(); host < simulation.size(); host += 3)
+            withFloor += simulation.relay(host).hasFloor() ? 1 : 0;
+        return withFloor;
+    }
+
+} // namespace
+
+// Guards against restarted daemons that vouch for one another while the source is out, and against a herd that does
+// not recover once it is back (I1, I9).
+TEST(RelayTest, HerdRestartDuringASourceOutageGivesNoFloorUntilTheSourceIsBack)
+{
+    RelaySimulation simulation({ .daemons = 60, .dataCentres = 3, .controlHosts = 3 });
+    EXPECT_EQ(restartThirdWithoutSource(simulation), 0U);
+    for (size_t host = simulation.firstDaemon() + 1; host < simulation.size(); host += 3)
+        EXPECT_TRUE(simulation.relay(host).hasFloor()) << "those that did not restart continue";
+    for (size_t host = 0; host < simulation.firstDaemon(); ++host)
+        simulation.restart(host);
+    simulation.publish();
+    auto isRecovered = [&] { return simulation.allHoldPublished() && simulation.allProven(seconds(2)); };
+    EXPECT_TRUE(simulation.runUntil(isRecovered, seconds(30)));
+    expectNoViolations(simulation);
+}
+
+// Shows that the floor is what keeps the herd from serving.
+TEST(RelayTest, HerdRestartDuringASourceOutageServesWithoutTheFloor)
+{
+    RelaySimulation simulation(
+        { .daemons = 60, .dataCentres = 3, .controlHosts = 3, .adjust = [](size_t, RelayOptions& options) {
+             options.mechanisms.floor = false;
+         } });
+    EXPECT_EQ(restartThirdWithoutSource(simulation), 20U);
+}
+
 // Guards against a floor before the question asked after the restart is answered.
 TEST(RelayTest, FloorComesWithTheFirstAnswer)
 {
