Raise an upstream's incarnation after a restart of its owner daemon

Cause: after a kill and restart of the owner daemon the incarnation went 1, 2, 3, then 1, 2, because the announcement arrives before the daemon has joined and knows of its previous life. Deaths are told apart by upstream and incarnation, so the quarantine could miss one. Calls to a service whose owners all restarted got 103 for 3.4 s, because the selector went on avoiding them. A daemon without a floor handed calls to suspects. Ruled out: incarnations from the wall clock (it decides nothing), random ones (the higher one wins between two hosts). Before: as above (seen by hand). After: the incarnation starts above those of the previous life as soon as that is known, a new process clears what the selector held against the old one, calls go to members that are alive.

--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -74,7 +74,8 @@
               m_journal,
               { .announced
                   = [this](std::optional<UpstreamRecord> record) { m_membership->setUpstream(std::move(record)); },
-                  .knownIncarnation = [this](const UpstreamId& id) { return knownIncarnation(id); } })
+                  .knownIncarnation = [this](const UpstreamId& id) { return knownIncarnation(id); },
+                  .hostGeneration = [this] { return hostGeneration(); } })
         , m_pictures(
               m_context, [this](const auto& picture) { takePicture(picture); },
               [this](const UpstreamConflict& conflict) { reportConflict(conflict); })
@@ -332,7 +333,7 @@
         HostId best;
         for (const auto& [host, record] : m_membership->view().members()) {
             bool isTried = std::find(tried.begin(), tried.end(), host) != tried.end();
-            if (!record.isPresent() || isTried || host == m_settings.hostId)
+            if (record.state != MemberState::Alive || isTried || host == m_settings.hostId)
                 continue;
             bool isNear = record.dataCentre == m_settings.dataCentre;
             if (best.isEmpty() || isNear)
@@ -353,6 +354,18 @@
         return highest;
     }
 
+    // The own incarnation at the time when a record of a previous life was last seen. A refuted suspicion raises the
+    // incarnation too, but is no restart.
+    uint64_t hostGeneration()
+    {
+        uint64_t bumps = m_membership->view().counters().incarnationBumps;
+        if (bumps != m_incarnationBumps) {
+            m_incarnationBumps = bumps;
+            m_hostGeneration = m_membership->view().self().incarnation.value();
+        }
+        return m_hostGeneration;
+    }
+
     // ---- keeper view, at the leader ----
 
     void scheduleKeeperCheck()
@@ -445,6 +458,8 @@
     Revision m_appliedRevision;
     Digest m_appliedDigest;
     Epoch m_keeperEpoch;
+    uint64_t m_incarnationBumps { 0 };
+    uint64_t m_hostGeneration { 0 };
     bool m_isLeaving { false };
     TimePoint m_leaveBegan;
     int m_exitCode { 0 };
--- a/dragonflylane/KeeperPlanner.h
+++ b/dragonflylane/KeeperPlanner.h
@@ -20,7 +20,7 @@
     /// Restarts are shorter than this.
     Duration replaceAfter { std::chrono::seconds(30) };
     /// The first view waits until the members have found one another.
-    Duration settleTime { std::chrono::seconds(2) };
+    Duration settleTime { std::chrono::seconds(1) };
     /// At most one host changes in this time, so that copies of records finish between two changes.
     Duration changeInterval { std::chrono::seconds(30) };
 };
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -102,6 +102,7 @@
         declareDead("announced another instance");
     if (isOtherProcess || m_isStopped)
         startIncarnation(announcement);
+    raiseIncarnation();
     m_announcement = announcement;
     m_isStopped = announcement.phase == UpstreamPhase::Stopped;
     applyDrain();
@@ -111,7 +112,8 @@
 
 void OwnerTask::startIncarnation(const Announcement& announcement)
 {
-    m_incarnation = std::max(m_incarnation, m_hooks.knownIncarnation(announcement.id)).next();
+    Incarnation known = std::max(m_hooks.knownIncarnation(announcement.id), generationFloor());
+    m_incarnation = std::max(m_incarnation, known).next();
     m_completions.clear();
     UpstreamClientOptions options { .upstream = announcement.address, .maxBodyBytes = m_options.maxBodyBytes };
     m_client = std::make_shared<UpstreamClient>(m_context, options, m_metrics);
@@ -125,6 +127,19 @@
         .cause = announcement.instance });
 }
 
+Incarnation OwnerTask::generationFloor() const
+{
+    constexpr unsigned generationShift = 20;
+    return Incarnation(m_hooks.hostGeneration() << generationShift);
+}
+
+// Deaths are told apart by upstream and incarnation, so an incarnation of the previous life must not be used again.
+void OwnerTask::raiseIncarnation()
+{
+    if (m_incarnation <= generationFloor())
+        m_incarnation = generationFloor().next();
+}
+
 void OwnerTask::publish()
 {
     if (!m_announcement || m_isLeaving)
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -62,6 +62,9 @@
         std::function<void(std::optional<UpstreamRecord>)> announced;
         /// Incarnation that the mesh last knew for this upstream, zero if none.
         std::function<Incarnation(const UpstreamId&)> knownIncarnation;
+        /// Grows when this daemon learns that it restarted. Announcements may arrive before the daemon has joined and
+        /// knows of its previous life, so the incarnation is raised once it does.
+        std::function<uint64_t()> hostGeneration;
     };
     using Responder = std::function<void(wire::ForwardResponse)>;
     using CallId = uint64_t;
@@ -100,6 +103,8 @@
 
     bool isAnnouncedDrain() const;
     void startIncarnation(const Announcement&);
+    void raiseIncarnation();
+    Incarnation generationFloor() const;
     void publish();
     void applyDrain();
     void checkLease();
--- a/dragonflylane/UpstreamSelector.cpp
+++ b/dragonflylane/UpstreamSelector.cpp
@@ -63,6 +63,12 @@
             entry = std::move(m_entries[known->second]);
         else
             entry.number = m_nextNumber++;
+        // What the previous process of the upstream did says nothing about this one.
+        if (entry.candidate.readySince != candidate.readySince) {
+            entry.unavailableUntil.reset();
+            entry.ejectedUntil.reset();
+            entry.failures = 0;
+        }
         entry.candidate = candidate;
         entry.tier = tierOf(candidate);
         m_tiers[entry.tier].push_back(entries.size());
