--- a/dragonflylane/PeerHub.cpp
+++ b/dragonflylane/PeerHub.cpp
@@ -42,12 +42,15 @@
             m_acceptor.listen(asio::socket_base::max_listen_connections, error);
         if (error)
             return ResultCode::ListenFailed;
+        m_port = m_acceptor.local_endpoint(error).port();
         m_lastTick = BootClock::now();
         accept();
         scheduleTick();
         return {};
     }
 
+    uint16_t port() const { return m_port; }
+
     void stopListening()
     {
         boost::system::error_code ignored;
@@ -172,6 +175,8 @@
         if (!dialled.isEmpty() && link.peer() != dialled) {
             Event("peer_identity_mismatch", EventLevel::Warning).with("wanted", dialled).with("found", link.peer());
             m_metrics.add("peer_identity_mismatch");
+            // Closing an established link does not end the dial of another host.
+            failDial(dialled);
             return link.close(ResultCode::WrongProof);
         }
         // The first link stays in use while it lives, so that frames to one host keep their order.
@@ -272,6 +277,7 @@
     const MeshSecret& m_secret;
     Metrics& m_metrics;
     tcp::acceptor m_acceptor;
+    uint16_t m_port { 0 };
     asio::steady_timer m_timer;
     bool m_isStopped { false };
     TimePoint m_lastTick;
@@ -300,6 +306,10 @@
 {
     return m_impl->start();
 }
+uint16_t PeerHub::port() const
+{
+    return m_impl->port();
+}
 void PeerHub::stopListening()
 {
     m_impl->stopListening();
--- a/dragonflylane/PeerHub.h
+++ b/dragonflylane/PeerHub.h
@@ -64,6 +64,8 @@
 
     /// Opens the listener. Errors: ListenFailed.
     std::error_code start();
+    /// The bound port, which the kernel chooses if the options name port zero; zero before start().
+    uint16_t port() const;
     /// Closes the listener; links stay.
     void stopListening();
     void closeAll();
