Obtain the ports of ProcessTest together

Cause: a port was closed before the next one was asked for, so that two listeners of one daemon could be given the same port.

--- a/tests/ProcessTest.cpp
+++ b/tests/ProcessTest.cpp
@@ -35,10 +35,13 @@
         return true;
     }
 
-    // A port that the kernel chose and that is free for TCP and UDP at this moment.
-    uint16_t freePort()
+    // Ports that the kernel chose and that are free for TCP and UDP at this moment. All sockets stay open until the
+    // end, since the kernel may hand out a port again as soon as it is closed.
+    std::vector<uint16_t> freePorts(size_t count)
     {
-        for (;;) {
+        std::vector<uint16_t> ports;
+        std::vector<int> sockets;
+        while (ports.size() < count) {
             int tcp = socket(AF_INET, SOCK_STREAM, 0);
             int udp = socket(AF_INET, SOCK_DGRAM, 0);
             sockaddr_in address {};
@@ -48,11 +51,13 @@
             auto* generic = reinterpret_cast<sockaddr*>(&address);
             bool isFree = bind(tcp, generic, length) == 0 && getsockname(tcp, generic, &length) == 0
                 && bind(udp, generic, length) == 0;
-            close(tcp);
-            close(udp);
             if (isFree)
-                return ntohs(address.sin_port);
+                ports.push_back(ntohs(address.sin_port));
+            sockets.insert(sockets.end(), { tcp, udp });
         }
+        for (int descriptor : sockets)
+            close(descriptor);
+        return ports;
     }
 
     std::string loopback(uint16_t port)
@@ -99,13 +104,14 @@
         // Settings of one daemon that are empty apart from the ports, and one upstream.
         std::unique_ptr<DemoMesh> makeMesh()
         {
+            std::vector<uint16_t> ports = freePorts(4);
             write("local.ini",
-                "[listen]\ncallers = " + loopback(freePort()) + "\npeer = " + loopback(freePort())
-                    + "\napi = " + loopback(freePort()) + "\n");
+                "[listen]\ncallers = " + loopback(ports[0]) + "\npeer = " + loopback(ports[1])
+                    + "\napi = " + loopback(ports[2]) + "\n");
             write("upstreams.json",
                 R"({"upstreams": [{"id": "catalogue-1", "service": "catalogue", "host": "local", "slots": 4,
                     "serviceMs": 1, "address": ")"
-                    + loopback(freePort()) + R"("}]})");
+                    + loopback(ports[3]) + R"("}]})");
             return std::make_unique<DemoMesh>(DemoMeshOptions { .source = (m_root / "source").string(),
                                                   .programs = BINARY_DIR,
                                                   .work = (m_root / "work").string() },
@@ -129,7 +135,7 @@
             m_processes.start({ .name = "usage", .program = standIn, .arguments = { "--listen", "nowhere" } }));
         EXPECT_EQ(m_processes.wait("usage", limit), std::optional(2));
         ASSERT_FALSE(m_processes.start(
-            { .name = "killed", .program = standIn, .arguments = { "--listen", loopback(freePort()) } }));
+            { .name = "killed", .program = standIn, .arguments = { "--listen", loopback(freePorts(1).front()) } }));
         EXPECT_TRUE(m_processes.signal("killed", SIGKILL));
         EXPECT_EQ(m_processes.wait("killed", limit), std::optional(128 + SIGKILL));
         EXPECT_FALSE(m_processes.signal("killed", SIGTERM));
@@ -140,7 +146,7 @@
     {
         // A stopped process does not handle SIGTERM, so only SIGKILL ends it.
         ASSERT_FALSE(m_processes.start(
-            { .name = "stopped", .program = standIn, .arguments = { "--listen", loopback(freePort()) } }));
+            { .name = "stopped", .program = standIn, .arguments = { "--listen", loopback(freePorts(1).front()) } }));
         ASSERT_TRUE(m_processes.signal("stopped", SIGSTOP));
         EXPECT_TRUE(m_processes.isRunning("stopped"));
         m_processes.endAll(std::chrono::milliseconds(100));
