--- a/bench/ControlExperiments.cpp
+++ b/bench/ControlExperiments.cpp
@@ -80,33 +80,55 @@
         std::vector<Duration> lasts;
     };
 
+    void makeChange(const DaemonFleet& fleet, RevisionWatch& watch, size_t number, ChangeTimes& times)
+    {
+        ConfirmResult result = fleet.confirm(timeoutChange(number));
+        std::vector<Duration> held = watch.await(result.revision, result.answered, convergenceLimit);
+        times.medians.push_back(quantile(held, 0.5));
+        times.lasts.push_back(*std::max_element(held.begin(), held.end()));
+    }
+
     ChangeTimes makeChanges(ExperimentContext& context, const DaemonFleet& fleet, RevisionWatch& watch, size_t first)
     {
         ChangeTimes times;
         for (size_t i = 0; i < context.settings.count("changes"); ++i) {
-            ConfirmResult result = fleet.confirm(timeoutChange(first + i));
-            std::vector<Duration> held = watch.await(result.revision, result.answered, convergenceLimit);
-            times.medians.push_back(quantile(held, 0.5));
-            times.lasts.push_back(*std::max_element(held.begin(), held.end()));
+            makeChange(fleet, watch, first + i, times);
             std::this_thread::sleep_for(context.settings.milliseconds("change-interval-ms"));
         }
         return times;
     }
 
-    // Kills a random share of the daemons that are not control hosts and starts them again at once.
-    void restartShare(const ExperimentContext& context, DaemonFleet& fleet)
+    // A random share of the daemons that are not control hosts.
+    std::vector<size_t> chooseShare(const ExperimentContext& context, const DaemonFleet& fleet, uint64_t seed)
     {
         std::vector<size_t> daemons;
         for (size_t i = fleet.controlCount(); i < fleet.size(); ++i)
             daemons.push_back(i);
-        std::mt19937_64 random(context.settings.seed());
+        std::mt19937_64 random(seed);
         std::shuffle(daemons.begin(), daemons.end(), random);
-        daemons.resize(
-            static_cast<size_t>(static_cast<double>(daemons.size()) * context.settings.number("killed-share")));
-        for (size_t index : daemons)
-            fleet.kill(index);
-        for (size_t index : daemons)
-            fleet.restart(index);
+        double share = context.settings.number("killed-share");
+        daemons.resize(static_cast<size_t>(static_cast<double>(daemons.size()) * share));
+        return daemons;
+    }
+
+    // Each change is confirmed while the daemons that were killed just before it start again, since they rejoin within
+    // fractions of a second and a later change would meet a settled fleet.
+    ChangeTimes makeChangesInStorm(ExperimentContext& context, DaemonFleet& fleet, RevisionWatch& watch, size_t first)
+    {
+        ChangeTimes times;
+        for (size_t i = 0; i < context.settings.count("changes"); ++i) {
+            std::vector<size_t> killed = chooseShare(context, fleet, context.settings.seed() + i);
+            for (size_t index : killed)
+                fleet.kill(index);
+            std::thread restarts([&] {
+                for (size_t index : killed)
+                    fleet.restart(index);
+            });
+            makeChange(fleet, watch, first + i, times);
+            restarts.join();
+            std::this_thread::sleep_for(context.settings.milliseconds("change-interval-ms"));
+        }
+        return times;
     }
 
     void addChangeFigures(ExperimentContext& context, const ChangeTimes& idle, const ChangeTimes& storm)
@@ -216,8 +238,7 @@
     FleetCost idle = costOf(fleet);
     ChangeTimes idleTimes = makeChanges(context, fleet, watch, 1);
     FleetCost changed = costOf(fleet);
-    restartShare(context, fleet);
-    ChangeTimes stormTimes = makeChanges(context, fleet, watch, 1000);
+    ChangeTimes stormTimes = makeChangesInStorm(context, fleet, watch, 1000);
 
     addChangeFigures(context, idleTimes, stormTimes);
     double idleBytes = perDaemonSecond(idle.controlBytes - before.controlBytes, before, idle, fleet);
--- a/bench/ExperimentSettings.cpp
+++ b/bench/ExperimentSettings.cpp
@@ -17,7 +17,7 @@
         static const std::map<std::string, Numbers, std::less<>> table {
             { "added-latency",
                 { { "seed", 1 }, { "calls-per-second", 2000 }, { "round-s", 5 }, { "rounds", 4 }, { "upstreams", 2 },
-                    { "service-time-ms", 1 }, { "goal-p99-ms", 0.58 } } },
+                    { "service-time-ms", 1 }, { "constant-service-time", 0 }, { "goal-p99-ms", 0.58 } } },
             { "overload",
                 { { "seed", 1 }, { "upstreams", 3 }, { "service-time-ms", 40 }, { "deadline-ms", 500 },
                     { "order-share", 0.3 }, { "order-keys", 0 }, { "duration-s", 10 }, { "measure-from-s", 2 },
--- a/bench/ExperimentUpstream.cpp
+++ b/bench/ExperimentUpstream.cpp
@@ -98,8 +98,7 @@
     void serve(std::shared_ptr<HttpExchange> exchange)
     {
         ++m_running;
-        std::exponential_distribution<> draw(1 / std::chrono::duration<double>(m_options.meanServiceTime).count());
-        auto serviceTime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(draw(m_random)));
+        Duration serviceTime = m_options.isConstant ? m_options.meanServiceTime : drawServiceTime();
         auto timer = std::make_shared<asio::steady_timer>(m_context, serviceTime);
         timer->async_wait([this, timer, exchange = std::move(exchange)](boost::system::error_code) {
             --m_running;
@@ -111,6 +110,12 @@
         });
     }
 
+    Duration drawServiceTime()
+    {
+        std::exponential_distribution<> draw(1 / std::chrono::duration<double>(m_options.meanServiceTime).count());
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(draw(m_random)));
+    }
+
     void pollStall()
     {
         m_stallTimer.expires_after(stallPollInterval);
--- a/bench/ExperimentUpstream.h
+++ b/bench/ExperimentUpstream.h
@@ -21,6 +21,8 @@
     Endpoint daemonApi;
     uint32_t slots { 12 };
     Duration meanServiceTime { std::chrono::milliseconds(5) };
+    /// Every request takes the mean, so that hedging cannot shorten the tail.
+    bool isConstant { false };
     uint64_t seed { 1 };
     /// Answers 503 with Retry-After instead of queueing.
     bool isShedding { false };
--- a/bench/RequestExperiments.cpp
+++ b/bench/RequestExperiments.cpp
@@ -33,7 +33,7 @@
 
     // A fleet whose last daemons own one upstream each.
     struct RequestMesh {
-        RequestMesh(ExperimentContext& context, size_t entryDaemons, bool isShedding)
+        RequestMesh(ExperimentContext& context, size_t entryDaemons, ExperimentUpstreamOptions upstream = {})
             : fleet(context.processes,
                 { .program = context.program, .daemons = entryDaemons + context.settings.count("upstreams") })
             , entries(entryDaemons)
@@ -42,14 +42,13 @@
             firstOwner = fleet.size() - count;
             std::vector<Endpoint> endpoints = freeEndpoints(count);
             for (size_t i = 0; i < count; ++i) {
-                upstreams.push_back(std::make_unique<ExperimentUpstream>(
-                    ExperimentUpstreamOptions { .id = "catalogue-" + std::to_string(i),
-                        .listen = endpoints[i],
-                        .daemonApi = fleet.api(firstOwner + i),
-                        .slots = slots,
-                        .meanServiceTime = context.settings.milliseconds("service-time-ms"),
-                        .seed = context.settings.seed() * 1000 + i,
-                        .isShedding = isShedding }));
+                upstream.id = "catalogue-" + std::to_string(i);
+                upstream.listen = endpoints[i];
+                upstream.daemonApi = fleet.api(firstOwner + i);
+                upstream.slots = slots;
+                upstream.meanServiceTime = context.settings.milliseconds("service-time-ms");
+                upstream.seed = context.settings.seed() * 1000 + i;
+                upstreams.push_back(std::make_unique<ExperimentUpstream>(upstream));
             }
         }
 
@@ -174,7 +173,7 @@
 
 void measureAddedLatency(ExperimentContext& context)
 {
-    RequestMesh mesh(context, 1, false);
+    RequestMesh mesh(context, 1, { .isConstant = context.settings.number("constant-service-time") > 0 });
     mesh.start();
     LoadResult direct;
     LoadResult proxied;
@@ -209,7 +208,7 @@
 
 void measureOverload(ExperimentContext& context)
 {
-    RequestMesh mesh(context, 0, context.settings.number("shedding") > 0);
+    RequestMesh mesh(context, 0, { .isShedding = context.settings.number("shedding") > 0 });
     mesh.start();
     NaiveProxyOptions naiveOptions { .listen = freeEndpoints(1).front(),
         .upstreams = mesh.upstreamEndpoints(),
@@ -242,7 +241,7 @@
 
 void measureFailingUpstreams(ExperimentContext& context)
 {
-    RequestMesh mesh(context, 1, false);
+    RequestMesh mesh(context, 1);
     mesh.start();
     LoadOptions options { .targets = mesh.callers(),
         .callsPerSecond = context.settings.number("calls-per-second"),
