Answer the next request of a connection during shutdown

Cause: a graceful shutdown closed idle connections at once. Ruled out: closing after a grace time only (the same race, later). After: a connection stays until its next request was answered with 'Connection: close', and what is still idle closes when the drain has ended. The test of stop() now closes idle connections explicitly and a new one sends a request after stop(). Conclusion: the remaining race is that of connections idle for the whole drain.

--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -421,6 +421,7 @@
 
     void stop(bool isDone)
     {
+        m_callerServer->closeIdle();
         Event("daemon_drained").with("complete", static_cast<int>(isDone));
         if (m_log)
             m_log->stop();
--- a/dragonflylane/HttpServer.cpp
+++ b/dragonflylane/HttpServer.cpp
@@ -52,6 +52,10 @@
         m_isStopping = true;
         boost::system::error_code ignored;
         m_acceptor.close(ignored);
+    }
+
+    void closeIdle()
+    {
         std::vector<std::shared_ptr<HttpSession>> sessions;
         for (const auto& [key, weak] : m_sessions) {
             if (auto session = weak.lock())
@@ -112,6 +116,7 @@
 HttpServer::~HttpServer()
 {
     m_impl->stop();
+    m_impl->closeIdle();
 }
 std::error_code HttpServer::start()
 {
@@ -121,6 +126,11 @@
 {
     m_impl->stop();
 }
+
+void HttpServer::closeIdle()
+{
+    m_impl->closeIdle();
+}
 uint16_t HttpServer::port() const
 {
     return m_impl->port();
--- a/dragonflylane/HttpServer.h
+++ b/dragonflylane/HttpServer.h
@@ -41,8 +41,11 @@
 
     /// Errors: ListenFailed.
     std::error_code start();
-    /// Stops accepting; requests in flight are answered and then their connections close.
+    /// Stops accepting. Connections stay open until their next request has been answered: a caller that sends one just
+    /// as its idle connection is closed cannot know whether it ran.
     void stop();
+    /// Closes connections without a request in flight.
+    void closeIdle();
     /// The bound port, which the kernel chooses if the options name port zero; zero before start().
     uint16_t port() const;
     /// Exchanges that have not been answered.
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -201,14 +201,28 @@
     caller.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
     std::shared_ptr<HttpExchange> call = received.get_future().get();
     server.run([&] { server.server().stop(); });
-    EXPECT_EQ(idle.readUntilClosed(), "");
     EXPECT_FALSE(server.connect().isOpen());
+    server.run([&] { server.server().closeIdle(); });
+    EXPECT_EQ(idle.readUntilClosed(), "");
     server.run([&] { call->respond({ .body = "the answer" }); });
     std::string answer = caller.readUntilClosed();
     EXPECT_TRUE(answer.ends_with("the answer")) << answer;
     EXPECT_NE(answer.find("Connection: close"), std::string::npos);
 }
 
+// Guards against a shutdown that closes a connection just as its caller sends a request, which the caller could not
+// tell from a request that ran.
+TEST(HttpServerTest, StopStillAnswersTheNextRequestOfAnIdleConnection)
+{
+    ServerRun server({}, [](const std::shared_ptr<HttpExchange>& call) { call->respond({ .body = "the answer" }); });
+    RawSocket caller = server.connect();
+    server.run([&] { server.server().stop(); });
+    caller.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::string answer = caller.readUntilClosed();
+    EXPECT_TRUE(answer.ends_with("the answer")) << answer;
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+}
+
 // Guards against a HEAD answer that states length zero, or that carries a body and so shifts the answers after it.
 TEST(HttpServerTest, HeadAnswerStatesTheLengthWithoutBody)
 {
