Accept waiting connections before the listener closes

Cause: the new test of shutdown failed: a connection that the kernel had accepted, but the daemon had not, was reset with its request. Ruled out: a change of the test (a caller cannot tell the two apart). Before: HttpServerTest.StopStillAnswersTheNextRequestOfAnIdleConnection red. Conclusion: a request that reached the host before the signal is answered.

--- a/dragonflylane/HttpServer.cpp
+++ b/dragonflylane/HttpServer.cpp
@@ -50,6 +50,7 @@
     void stop()
     {
         m_isStopping = true;
+        acceptPending();
         boost::system::error_code ignored;
         m_acceptor.close(ignored);
     }
@@ -76,6 +77,19 @@
     }
 
 private:
+    // Connections in the kernel's queue may carry requests already; closing the listener would reset them.
+    void acceptPending()
+    {
+        boost::system::error_code error;
+        m_acceptor.non_blocking(true, error);
+        while (!error) {
+            tcp::socket socket(m_context);
+            m_acceptor.accept(socket, error);
+            if (!error)
+                adopt(std::move(socket));
+        }
+    }
+
     void accept()
     {
         m_acceptor.async_accept([self = shared_from_this()](boost::system::error_code error, tcp::socket socket) {
