Stop a demo whose processes could not listen

Cause: the ports of a deployment are fixed. Before: only the reading of the logs showed it. Conclusion: a demo judges only processes of its own.

--- a/bench/DemoMain.cpp
+++ b/bench/DemoMain.cpp
@@ -87,6 +87,11 @@
         constexpr std::chrono::seconds startLimit { 30 };
         if (!m_mesh.waitForLeader(startLimit) || !waitForMembers(startLimit))
             return false;
+        // The ports are fixed: a second demo would otherwise change the mesh of the first.
+        if (std::string ended = m_mesh.findEnded(); !ended.empty()) {
+            std::printf("%s has ended; its log is in %s\n", ended.c_str(), m_options.work.c_str());
+            return false;
+        }
         m_report.section("Changes");
         auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - began).count();
         m_report.line("daemons, upstreams, start of the mesh",
--- a/bench/DemoMesh.cpp
+++ b/bench/DemoMesh.cpp
@@ -129,6 +129,19 @@
     return {};
 }
 
+std::string DemoMesh::findEnded()
+{
+    for (const DemoDaemon& daemon : m_daemons) {
+        if (!m_processes.isRunning(daemon.name))
+            return daemon.name;
+    }
+    for (const DemoUpstream& upstream : m_upstreams) {
+        if (!m_processes.isRunning(upstream.id))
+            return upstream.id;
+    }
+    return {};
+}
+
 const DemoDaemon* DemoMesh::find(const std::string& name) const
 {
     for (const DemoDaemon& daemon : m_daemons) {
--- a/bench/DemoMesh.h
+++ b/bench/DemoMesh.h
@@ -66,6 +66,8 @@
     std::string prepare();
     std::string startAll();
     std::string startDaemon(const std::string& name);
+    /// Name of a daemon or upstream that has ended; empty if all run.
+    std::string findEnded();
     /// Waits until the API of every daemon answers and a leader is known.
     bool waitForLeader(Duration limit) const;
     /// Name of the leading control host; empty if unknown.
