--- a/bench/ChildProcesses.cpp
+++ b/bench/ChildProcesses.cpp
@@ -96,6 +96,7 @@
 pid_t ChildProcesses::start(const std::vector<std::string>& command, const std::filesystem::path& output)
 {
     std::vector<char*> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string& argument : command)
         arguments.push_back(const_cast<char*>(argument.c_str()));
     arguments.push_back(nullptr);
--- a/bench/RequestExperiments.cpp
+++ b/bench/RequestExperiments.cpp
@@ -109,9 +109,11 @@
         report.add({ prefix + " wrong content", wrong(mesh), "calls", wrong(baseline), FigureGoal { 0 } });
         report.add({ prefix + " without answer", failed(mesh), "calls", failed(baseline), {} });
         for (const auto& [code, calls] : mesh.lookups.byCode)
-            report.add({ prefix + " lookups with code " + code, static_cast<double>(calls), "calls", {}, {} });
+            report.add(
+                { fmt::format("{} lookups with code {}", prefix, code), static_cast<double>(calls), "calls", {}, {} });
         for (const auto& [code, calls] : mesh.orders.byCode)
-            report.add({ prefix + " orders with code " + code, static_cast<double>(calls), "calls", {}, {} });
+            report.add(
+                { fmt::format("{} orders with code {}", prefix, code), static_cast<double>(calls), "calls", {}, {} });
     }
 
     // ---- overload ----
--- a/bench/RevisionWatch.cpp
+++ b/bench/RevisionWatch.cpp
@@ -94,7 +94,7 @@
     TimePoint m_end;
 };
 
-RevisionWatch::RevisionWatch(std::vector<Endpoint> apis)
+RevisionWatch::RevisionWatch(const std::vector<Endpoint>& apis)
     : m_impl(std::make_unique<Impl>(apis))
 {
 }
--- a/bench/RevisionWatch.h
+++ b/bench/RevisionWatch.h
@@ -15,7 +15,7 @@
 /// Resolution: the pause. Asking costs the daemons time, so the measured times are upper bounds.
 class RevisionWatch {
 public:
-    explicit RevisionWatch(std::vector<Endpoint> apis);
+    explicit RevisionWatch(const std::vector<Endpoint>& apis);
     ~RevisionWatch();
     RevisionWatch(const RevisionWatch&) = delete;
     RevisionWatch& operator=(const RevisionWatch&) = delete;
