--- /dev/null
+++ b/fuzz/DecodersFuzz.cpp
@@ -0,0 +1,127 @@
+// libFuzzer target for every decoder of bytes from outside the process. FUZZ_TARGET names the decoder; see tools/fuzz.
+
+#include "dragonflylane/ClaimWire.h"
+#include "dragonflylane/ConfigPayload.h"
+#include "dragonflylane/ConfigState.h"
+#include "dragonflylane/ConfigWire.h"
+#include "dragonflylane/CrashWire.h"
+#include "dragonflylane/Frame.h"
+#include "dragonflylane/GossipMessages.h"
+#include "dragonflylane/GossipWire.h"
+#include "dragonflylane/LogMessages.h"
+#include "dragonflylane/LogWire.h"
+#include "dragonflylane/PlanBook.h"
+#include "dragonflylane/PlanJson.h"
+#include "dragonflylane/PlanWire.h"
+#include "dragonflylane/RelayMessages.h"
+#include "dragonflylane/RelayWire.h"
+#include "dragonflylane/Settings.h"
+#include "dragonflylane/Wire.h"
+#include "gen-cpp/peer_types.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace dragonflylane {
+
+namespace {
+
+    using Target = void (*)(std::string_view);
+
+    // An accepted message must be encoded and accepted again.
+    template <typename Message> void roundTrip(std::string_view bytes)
+    {
+        Message message;
+        if (decode(bytes, message))
+            return;
+        Message again;
+        if (decode(encode(message), again))
+            std::abort();
+    }
+
+    void fuzzFrame(std::string_view bytes)
+    {
+        FrameView frame;
+        if (!decodeFrame(bytes, maxGreetingPayloadBytes, frame) && frame.size > bytes.size())
+            std::abort();
+    }
+
+    void fuzzSettings(std::string_view bytes)
+    {
+        Settings settings;
+        if (parseSettings(std::string(bytes), "fuzz.ini", settings).code != ResultCode::Ok)
+            return;
+        if (settings.voters.empty() || settings.meshId.empty())
+            std::abort();
+    }
+
+    void fuzzConfig(std::string_view bytes)
+    {
+        ConfigPayload payload;
+        decodePayload(bytes, &payload);
+        ConfigDelta delta;
+        decodeDelta(bytes, &delta);
+        ConfigState state;
+        decodeSnapshot(bytes, &state, false);
+    }
+
+    void fuzzPlan(std::string_view bytes)
+    {
+        PlanCommand command;
+        decodeCommand(bytes, &command);
+        PlanBookImage image;
+        decodeImage(bytes, &image);
+    }
+
+    void fuzzPlanJson(std::string_view bytes)
+    {
+        PlanRequest request;
+        parsePlanRequest(bytes, &request);
+    }
+
+    void fuzzCall(std::string_view bytes)
+    {
+        wire::ForwardRequest request;
+        decodeThrift(bytes, request);
+        wire::ForwardResponse response;
+        decodeThrift(bytes, response);
+        wire::Hello hello;
+        decodeThrift(bytes, hello);
+    }
+
+    Target chosenTarget()
+    {
+        static const std::map<std::string_view, Target> targets {
+            { "settings", fuzzSettings },
+            { "frame", fuzzFrame },
+            { "log", roundTrip<LogMessage> },
+            { "gossip", roundTrip<GossipMessage> },
+            { "relay", roundTrip<RelayMessage> },
+            { "claim", roundTrip<ClaimMessage> },
+            { "crash", roundTrip<CrashNotice> },
+            { "config", fuzzConfig },
+            { "plan", fuzzPlan },
+            { "plan-json", fuzzPlanJson },
+            { "call", fuzzCall },
+        };
+        const char* name = std::getenv("FUZZ_TARGET");
+        auto found = targets.find(name ? name : "");
+        if (found != targets.end())
+            return found->second;
+        std::fputs("FUZZ_TARGET names no decoder\n", stderr);
+        std::exit(2);
+    }
+
+} // namespace
+
+} // namespace dragonflylane
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size)
+{
+    static const auto target = dragonflylane::chosenTarget();
+    target({ reinterpret_cast<const char*>(data), size });
+    return 0;
+}
