Keep plans current over revisions that change the keeper view only

Cause: the leader writes keeper views by itself. A plan proposed on revision 0 and confirmed after revision 1 (keeper view only) got plan_conflict, which hit every operator in the first seconds of a mesh. Ruled out: keeping the keeper view outside the configuration (keepers must be fenced by the same revision and proof). Before: the new test was red (conflict). After: green; a plan of another operator in between still conflicts. Conclusion: compare-and-set on what operators can change.

--- a/dragonflylane/PlanBook.cpp
+++ b/dragonflylane/PlanBook.cpp
@@ -63,7 +63,7 @@
     record.base = command.request.base.value_or(state().revision());
     record.changes = command.request.changes;
     record.proposedBy = command.operatorName;
-    if (record.base != state().revision()) {
+    if (!isCurrentBase(record.base)) {
         markConflict(&record);
     } else {
         Plan plan;
@@ -108,7 +108,7 @@
 
 std::optional<ConfigDelta> PlanBook::decide(PlanRecord* record)
 {
-    if (m_options.checkBase && record->base != state().revision()) {
+    if (m_options.checkBase && !isCurrentBase(record->base)) {
         markConflict(record);
         return std::nullopt;
     }
@@ -205,7 +205,20 @@
 // A proposal whose base has passed can no longer be confirmed, so it does not count.
 bool PlanBook::isOpen(const PlanRecord& record) const
 {
-    return record.status == PlanStatus::Proposed && record.base == state().revision();
+    return record.status == PlanStatus::Proposed && isCurrentBase(record.base);
+}
+
+// The leader changes the keeper view by itself, and plans cannot touch it. A plan therefore stays current over such
+// revisions; otherwise operators would get conflicts that no other operator has caused.
+bool PlanBook::isCurrentBase(Revision base) const
+{
+    if (base == state().revision())
+        return true;
+    std::optional<ConfigDelta> since = m_history.deltaSince(base);
+    if (base > state().revision() || !since)
+        return false;
+    std::vector<ItemKey> keys = since->keys();
+    return std::all_of(keys.begin(), keys.end(), [](const ItemKey& key) { return key == keeperViewKey(); });
 }
 
 void PlanBook::store(PlanRecord record)
--- a/dragonflylane/PlanBook.h
+++ b/dragonflylane/PlanBook.h
@@ -149,6 +149,7 @@
     void markConflict(PlanRecord*) const;
     size_t openPlans(const OperatorName&) const;
     bool isOpen(const PlanRecord&) const;
+    bool isCurrentBase(Revision) const;
     void store(PlanRecord);
     void updateSize(Entry*);
     void enforceLimits();
--- a/tests/PlanBookTest.cpp
+++ b/tests/PlanBookTest.cpp
@@ -330,6 +330,21 @@
     EXPECT_EQ(book.apply(proposal("early", { setService("a") }, Revision(9))).conflictCount, std::nullopt);
 }
 
+// Guards against conflicts that no operator has caused: the leader's own keeper views lie between proposal and
+// confirmation. A plan of another operator in between still conflicts.
+TEST(PlanBookTest, KeeperViewBetweenProposalAndConfirmationIsNoConflict)
+{
+    PlanBook book;
+    book.apply(proposal("p-1", { setService("a") }, Revision(0)));
+    book.apply(proposal("p-2", { setService("b") }, Revision(0)));
+    book.apply(keepers(1, { "h" }));
+    ApplyOutcome first = book.apply(confirmation("p-1"));
+    EXPECT_EQ(first.code, ResultCode::Ok);
+    EXPECT_EQ(first.revision, Revision(2));
+    EXPECT_EQ(book.apply(confirmation("p-2")).code, ResultCode::PlanConflict);
+    EXPECT_EQ(book.apply(proposal("p-3", { setService("c") }, Revision(0))).code, ResultCode::PlanConflict);
+}
+
 // Guards against an older keeper view that replaces a newer one, and against a resend that creates a revision.
 TEST(PlanBookTest, KeeperViewAdvancesByEpoch)
 {
