Decode all Thrift messages through one template

Ruled out: one fixed limit for all (a gossip datagram and a log batch differ by four orders of magnitude; the limits are a parameter). Conclusion: a change of the bounds is made in one place.

--- a/dragonflylane/ClaimWire.cpp
+++ b/dragonflylane/ClaimWire.cpp
@@ -1,7 +1,8 @@
 #include "dragonflylane/ClaimWire.h"
 
-#include "dragonflylane/CompactCodec.h"
+#include "dragonflylane/Frame.h"
 #include "dragonflylane/ResultCode.h"
+#include "dragonflylane/ThriftCodec.h"
 #include "gen-cpp/claim_types.h"
 
 #include <algorithm>
@@ -274,13 +275,14 @@
 {
     wire::ClaimMessage result;
     std::visit([&result](const auto& part) { fill(result, part); }, message);
-    return encodeCompact(result);
+    return encodeThrift(result);
 }
 
 std::error_code decode(std::string_view bytes, ClaimMessage& message)
 {
     wire::ClaimMessage decoded;
-    if (std::error_code error = decodeCompact(bytes, maxStringBytes, maxListItems, decoded))
+    if (std::error_code error
+        = decodeThrift(bytes, ThriftLimits { maxFramePayloadBytes, maxStringBytes, maxListItems }, decoded))
         return error;
     const auto& isset = decoded.__isset;
     int parts = 0;
--- a/dragonflylane/CrashWire.cpp
+++ b/dragonflylane/CrashWire.cpp
@@ -1,7 +1,8 @@
 #include "dragonflylane/CrashWire.h"
 
-#include "dragonflylane/CompactCodec.h"
+#include "dragonflylane/Frame.h"
 #include "dragonflylane/ResultCode.h"
+#include "dragonflylane/ThriftCodec.h"
 #include "gen-cpp/crash_types.h"
 
 #include <utility>
@@ -53,13 +54,14 @@
 {
     wire::CrashNotice result;
     std::visit([&result](const auto& part) { fill(result, part); }, notice);
-    return encodeCompact(result);
+    return encodeThrift(result);
 }
 
 std::error_code decode(std::string_view bytes, CrashNotice& notice)
 {
     wire::CrashNotice decoded;
-    if (std::error_code error = decodeCompact(bytes, maxIdBytes, maxListItems, decoded))
+    if (std::error_code error
+        = decodeThrift(bytes, ThriftLimits { maxFramePayloadBytes, maxIdBytes, maxListItems }, decoded))
         return error;
     if (decoded.__isset.report == decoded.__isset.clear)
         return ResultCode::MalformedFrame;
--- a/dragonflylane/GossipWire.cpp
+++ b/dragonflylane/GossipWire.cpp
@@ -1,29 +1,21 @@
 #include "dragonflylane/GossipWire.h"
 
 #include "dragonflylane/ResultCode.h"
+#include "dragonflylane/ThriftCodec.h"
 #include "gen-cpp/gossip_types.h"
 
-#include <memory>
-#include <thrift/TConfiguration.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 #include <utility>
 
 namespace dragonflylane {
 
 namespace {
 
-    using apache::thrift::TConfiguration;
-    using apache::thrift::protocol::TCompactProtocolT;
-    using apache::thrift::transport::TMemoryBuffer;
-    using Protocol = TCompactProtocolT<TMemoryBuffer>;
-
     // Higher numbers cannot come from counting; refusing them keeps the increment from overflowing.
     constexpr uint64_t maxCounter = uint64_t { 1 } << 62;
     // Longest text form of an IPv6 address.
     constexpr size_t maxAddressLength = 45;
     // A compact list entry has at least one byte, so no valid message holds more.
-    constexpr int32_t maxContainerSize = maxGossipMessageSize;
+    constexpr size_t maxContainerSize = maxGossipMessageSize;
 
     // Sizes of encoded fields.
     constexpr size_t fieldHeaderSize = 1;
@@ -351,29 +343,14 @@
 {
     wire::GossipEnvelope envelope;
     std::visit([&](const auto& alternative) { write(alternative, envelope); }, message);
-    auto buffer = std::make_shared<TMemoryBuffer>(static_cast<uint32_t>(maxGossipMessageSize));
-    Protocol protocol(buffer);
-    envelope.write(&protocol);
-    return buffer->getBufferAsString();
+    return encodeThrift(envelope);
 }
 
 std::error_code decode(std::string_view bytes, GossipMessage& message)
 {
-    if (bytes.size() > maxGossipMessageSize)
-        return ResultCode::FrameTooLarge;
     wire::GossipEnvelope envelope;
-    try {
-        auto configuration = std::make_shared<TConfiguration>(static_cast<int>(maxGossipMessageSize));
-        // Observed, not copied; the buffer is only read.
-        auto buffer = std::make_shared<TMemoryBuffer>(reinterpret_cast<uint8_t*>(const_cast<char*>(bytes.data())),
-            static_cast<uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE, configuration);
-        Protocol protocol(buffer, static_cast<int32_t>(maxGossipMessageSize), maxContainerSize);
-        envelope.read(&protocol);
-        if (buffer->available_read() != 0)
-            return ResultCode::MalformedFrame;
-    } catch (const std::exception&) {
-        return ResultCode::MalformedFrame;
-    }
+    if (auto error = decodeThrift(bytes, { maxGossipMessageSize, maxGossipMessageSize, maxContainerSize }, envelope))
+        return error;
     GossipMessage decoded;
     if (!readEnvelope(envelope, decoded))
         return ResultCode::MalformedFrame;
--- a/dragonflylane/LogWire.cpp
+++ b/dragonflylane/LogWire.cpp
@@ -3,11 +3,9 @@
 #include "dragonflylane/LogBatch.h"
 #include "dragonflylane/LogMessages.h"
 #include "dragonflylane/ResultCode.h"
+#include "dragonflylane/ThriftCodec.h"
 #include "gen-cpp/log_types.h"
 
-#include <memory>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 #include <type_traits>
 #include <utility>
 
@@ -16,8 +14,8 @@
 namespace {
 
     // Bounds the memory for a container that announces more elements than its message holds.
-    constexpr int32_t maxMessageElements = 8192;
-    constexpr int32_t maxBatchElements = 1 << 20;
+    constexpr size_t maxMessageElements = 8192;
+    constexpr size_t maxBatchElements = 1 << 20;
 
     int64_t toWire(uint64_t value)
     {
@@ -309,33 +307,6 @@
         return true;
     }
 
-    template <typename T> std::string write(const T& value)
-    {
-        auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
-        apache::thrift::protocol::TCompactProtocolT<apache::thrift::transport::TMemoryBuffer> protocol(buffer);
-        value.write(&protocol);
-        return buffer->getBufferAsString();
-    }
-
-    template <typename T> bool read(std::string_view bytes, int32_t maxElements, T& value)
-    {
-        using apache::thrift::TConfiguration;
-        using apache::thrift::transport::TMemoryBuffer;
-        try {
-            auto configuration = std::make_shared<TConfiguration>(static_cast<int>(bytes.size() + 1));
-            // The buffer is only read, so the cast does not allow a change.
-            auto* data = reinterpret_cast<uint8_t*>(const_cast<char*>(bytes.data()));
-            auto buffer = std::make_shared<TMemoryBuffer>(
-                data, static_cast<uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE, configuration);
-            apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(
-                buffer, static_cast<int32_t>(bytes.size()), maxElements);
-            value.read(&protocol);
-            return buffer->available_read() == 0;
-        } catch (const std::exception&) {
-            return false;
-        }
-    }
-
 } // namespace
 
 std::string encode(const LogMessage& message)
@@ -345,16 +316,14 @@
     out.__set_recipient(message.recipient.value());
     out.__set_term(toWire(message.term.value()));
     std::visit([&](const auto& body) { setBody(out, body); }, message.body);
-    return write(out);
+    return encodeThrift(out);
 }
 
 std::error_code decode(std::string_view bytes, LogMessage& message)
 {
-    if (bytes.size() > maxLogMessageBytes)
-        return ResultCode::FrameTooLarge;
     wire::LogMessage in;
-    if (!read(bytes, maxMessageElements, in))
-        return ResultCode::MalformedFrame;
+    if (auto error = decodeThrift(bytes, { maxLogMessageBytes, bytes.size(), maxMessageElements }, in))
+        return error;
     message.sender = fromWire(in.sender);
     message.recipient = ReplicaId(in.recipient);
     message.term = Term(fromWire(in.term));
@@ -375,13 +344,13 @@
     if (batch.write.snapshot)
         out.__set_snapshot(toWire(*batch.write.snapshot));
     out.__set_entries(toWire(batch.write.entries));
-    return write(out);
+    return encodeThrift(out);
 }
 
 std::error_code decode(std::string_view bytes, LogBatch& batch)
 {
     wire::LogBatch in;
-    if (bytes.size() > maxLogBatchBytes || !read(bytes, maxBatchElements, in))
+    if (decodeThrift(bytes, { maxLogBatchBytes, bytes.size(), maxBatchElements }, in))
         return ResultCode::LogDamaged;
     batch = {};
     if (in.__isset.replicaId)
--- a/dragonflylane/RelayWire.cpp
+++ b/dragonflylane/RelayWire.cpp
@@ -1,22 +1,16 @@
 #include "dragonflylane/RelayWire.h"
 
+#include "dragonflylane/ThriftCodec.h"
 #include "gen-cpp/relay_types.h"
 
 #include <algorithm>
 #include <limits>
-#include <memory>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 #include <utility>
 
 namespace dragonflylane {
 
 namespace {
 
-    using apache::thrift::TConfiguration;
-    using apache::thrift::protocol::TCompactProtocolT;
-    using apache::thrift::transport::TMemoryBuffer;
-
     constexpr size_t digestBytes = 16;
     constexpr size_t maxHostIdBytes = 255;
     /// Room for the fields around the longest payload.
@@ -293,36 +287,20 @@
 {
     wire::RelayMessage content;
     std::visit(ToWire(content), message);
-    auto buffer = std::make_shared<TMemoryBuffer>();
-    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-    content.write(&protocol);
-    return buffer->getBufferAsString();
+    return encodeThrift(content);
 }
 
 std::error_code decode(std::string_view bytes, RelayMessage& message)
 {
-    if (bytes.size() > maxMessageBytes)
-        return ResultCode::FrameTooLarge;
-    try {
-        auto limits = std::make_shared<TConfiguration>(static_cast<int>(maxMessageBytes));
-        auto* data = reinterpret_cast<uint8_t*>(const_cast<char*>(bytes.data()));
-        auto buffer = std::make_shared<TMemoryBuffer>(
-            data, static_cast<uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE, limits);
-        TCompactProtocolT<TMemoryBuffer> protocol(
-            buffer, static_cast<int32_t>(maxRelayPayloadBytes), static_cast<int32_t>(maxNamedHosts));
-        wire::RelayMessage content;
-        content.read(&protocol);
-        if (buffer->available_read() != 0)
-            return ResultCode::MalformedFrame;
-        FromWire converter;
-        RelayMessage decoded = converter.convert(content);
-        if (!converter.isValid())
-            return ResultCode::MalformedFrame;
-        message = std::move(decoded);
-        return {};
-    } catch (const std::exception&) {
+    wire::RelayMessage content;
+    if (auto error = decodeThrift(bytes, { maxMessageBytes, maxRelayPayloadBytes, maxNamedHosts }, content))
+        return error;
+    FromWire converter;
+    RelayMessage decoded = converter.convert(content);
+    if (!converter.isValid())
         return ResultCode::MalformedFrame;
-    }
+    message = std::move(decoded);
+    return {};
 }
 
 } // namespace dragonflylane
