Check in the demo that no daemon holds a part of a revision; end daemons after an exception

Cause: the demo had no line for I3. An experiment whose daemon binary was rebuilt while it ran ended with an uncaught exception and left 137 daemons. Ruled out: comparing digests only (a daemon states the digest that it was told; routes and services show what it routes by). Before: I3 unchecked; no unwinding. After: every picture is compared with the first one seen at its revision; a test shows that the comparison can fail; main() catches the exception, so the destructor ends what was started.

--- a/bench/DemoMain.cpp
+++ b/bench/DemoMain.cpp
@@ -355,6 +355,7 @@
         m_report.mustBeZero("I1", "revisions that went back", m_observer.reverted(), m_observer.firstFault());
         m_report.mustBeZero("I2", "routes to services that the picture lacks", m_observer.danglingRoutes());
         m_report.mustBeZero("I2", "upstreams whose owner is no member", m_unknownUpstreams);
+        m_report.mustBeZero("I3", "pictures that differ at the same revision", m_observer.partial());
         m_report.mustBeZero("I4", "cut answers", count([](const auto& record) { return record.isCut; }));
         m_report.mustBeZero("I4", "crossed answers", count([](const auto& record) { return record.isCrossed; }));
         m_report.mustBeZero("I5", "orders not run for their caller but in a ledger", orders.falselyNotRun);
--- a/bench/DemoObserver.cpp
+++ b/bench/DemoObserver.cpp
@@ -38,6 +38,8 @@
     ++m_pictures;
     m_danglingRoutes += countDanglingRoutes(picture);
     auto revision = picture.as_object().at("revision").to_number<int64_t>();
+    auto first = m_contents.try_emplace(revision, configuredContent(picture)).first;
+    m_partial += first->second != configuredContent(picture) ? 1 : 0;
     int64_t& highest = m_highest[host];
     if (revision != 0 && revision < highest) {
         ++m_reverted;
@@ -47,6 +49,18 @@
     highest = std::max(highest, revision);
 }
 
+std::string configuredContent(const json::value& picture)
+{
+    const json::object& object = picture.as_object();
+    std::set<std::string> names;
+    for (const json::value& service : object.at("services").as_array())
+        names.emplace(service.as_object().at("name").as_string());
+    std::string content = json::serialize(object.at("digest")) + json::serialize(object.at("routes"));
+    for (const std::string& name : names)
+        content += " " + name;
+    return content;
+}
+
 size_t countDanglingRoutes(const json::value& picture)
 {
     std::set<std::string> services;
--- a/bench/DemoObserver.h
+++ b/bench/DemoObserver.h
@@ -29,6 +29,8 @@
     size_t reverted() const { return m_reverted; }
     /// Routes to a service that the same picture lacks (I2).
     size_t danglingRoutes() const { return m_danglingRoutes; }
+    /// Pictures whose routes or services differ from those of another daemon at the same revision (I3).
+    size_t partial() const { return m_partial; }
     const std::string& firstFault() const { return m_firstFault; }
 
 private:
@@ -39,12 +41,16 @@
     std::thread m_thread;
     std::atomic<bool> m_isStopping { false };
     std::map<std::string, int64_t> m_highest;
+    std::map<int64_t, std::string> m_contents;
     size_t m_pictures { 0 };
     size_t m_reverted { 0 };
+    size_t m_partial { 0 };
     size_t m_danglingRoutes { 0 };
     std::string m_firstFault;
 };
 
+/// What a picture has from the configuration: revision digest, routes and service names, without the upstreams.
+std::string configuredContent(const boost::json::value& picture);
 /// Routes of a picture to services that it lacks.
 size_t countDanglingRoutes(const boost::json::value& picture);
 /// Upstreams of a daemon's picture whose owner is not a present member for the same daemon.
--- a/bench/ExperimentMain.cpp
+++ b/bench/ExperimentMain.cpp
@@ -13,7 +13,9 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <cxxopts.hpp>
+#include <exception>
 #include <map>
 #include <stdexcept>
 
@@ -89,5 +91,9 @@
     } catch (const cxxopts::exceptions::exception& error) {
         std::fprintf(stderr, "Experiment: %s\n", error.what());
         return dragonflylane::usageExitCode;
+    } catch (const std::exception& error) {
+        // Unwinding ends the daemons that were started; an uncaught exception would leave them.
+        std::fprintf(stderr, "Experiment: %s\n", error.what());
+        return EXIT_FAILURE;
     }
 }
--- a/tests/DemoChecksTest.cpp
+++ b/tests/DemoChecksTest.cpp
@@ -40,6 +40,24 @@
         EXPECT_EQ(counts.unknown, 2U);
     }
 
+    TEST(DemoChecksTest, TellsAPartlyAppliedConfigurationFromAWholeOne)
+    {
+        auto content = [](const char* services, const char* routes, const char* digest) {
+            boost::json::object picture { { "digest", digest } };
+            picture["services"] = boost::json::parse(services);
+            picture["routes"] = boost::json::parse(routes);
+            return configuredContent(picture);
+        };
+        const char* whole = R"([{"name": "a", "upstreams": []}, {"name": "b", "upstreams": []}])";
+        const char* otherUpstreams = R"([{"name": "a", "upstreams": [{"id": "a-1"}]}, {"name": "b", "upstreams": []}])";
+        const char* part = R"([{"name": "a", "upstreams": []}])";
+        const char* route = R"([{"name": "r", "split": [{"service": "a", "weight": 1}]}])";
+        EXPECT_EQ(content(whole, route, "1"), content(otherUpstreams, route, "1"));
+        EXPECT_NE(content(whole, route, "1"), content(part, route, "1"));
+        EXPECT_NE(content(whole, route, "1"), content(whole, "[]", "1"));
+        EXPECT_NE(content(whole, route, "1"), content(whole, route, "2"));
+    }
+
     TEST(DemoChecksTest, FindsRoutesAndUpstreamsThatThePictureLacks)
     {
         auto picture = boost::json::parse(R"({"services": [{"name": "a", "upstreams": [{"id": "a-1", "owner": "h1"},
