--- a/bench/ConfigBenchMain.cpp
+++ b/bench/ConfigBenchMain.cpp
@@ -1,4 +1,5 @@
-// Measures the configuration model at 280 services: bytes on the wire, time to apply and to build pictures, memory.
+// Measures the configuration model at 280 services: bytes on the wire, time to apply and to build routing tables,
+// memory.
 //
 //     ConfigBench
 //
@@ -6,7 +7,7 @@
 
 #include "dragonflylane/ConfigHolder.h"
 #include "dragonflylane/ConfigWire.h"
-#include "dragonflylane/PictureBuilder.h"
+#include "dragonflylane/RoutingTableBuilder.h"
 
 #include <algorithm>
 #include <chrono>
@@ -150,13 +151,13 @@
         for (int i = 0; i < upstreams; ++i)
             entries.push_back(makeUpstream(i));
         before = allocated();
-        PictureBuilder builder;
+        RoutingTableBuilder builder;
         builder.setState(state);
         builder.setUpstreams(entries);
-        std::shared_ptr<const Picture> picture = builder.build();
+        std::shared_ptr<const RoutingTable> routingTable = builder.build();
         size_t builderBytes = allocated() - before;
         double buildTime = median([&] {
-            PictureBuilder fresh;
+            RoutingTableBuilder fresh;
             fresh.setState(state);
             fresh.setUpstreams(entries);
             fresh.build();
@@ -173,12 +174,12 @@
             builder.setState(flip ? next : state);
             builder.build();
         });
-        picture = builder.build();
+        routingTable = builder.build();
         constexpr int lookups = 1000;
         uint64_t found = 0;
         double lookupTime = median([&] {
             for (int i = 0; i < lookups; ++i)
-                found += picture->findRoute("/api/service-77/items/12345?page=2") != nullptr ? 1 : 0;
+                found += routingTable->findRoute("/api/service-77/items/12345?page=2") != nullptr ? 1 : 0;
         });
 
         std::printf("upstreams=%d items=%zu delta_bytes=%zu delta_payload_bytes=%zu merged_500_bytes=%zu "
@@ -189,11 +190,12 @@
             payload.kind == ConfigPayload::Kind::Delta ? "delta" : "snapshot", raw.size(), snapshot.size(),
             static_cast<double>(snapshot.size()) / static_cast<double>(deltaBytes));
         std::printf("upstreams=%d apply_us=%.0f validate_us=%.0f encode_snapshot_us=%.0f decode_snapshot_us=%.0f"
-                    " payload_500_us=%.0f picture_full_us=%.0f picture_one_upstream_us=%.1f picture_revision_us=%.0f"
+                    " payload_500_us=%.0f routing_table_full_us=%.0f routing_table_one_upstream_us=%.1f "
+                    "routing_table_revision_us=%.0f"
                     " route_lookup_ns=%.0f\n",
             upstreams, applyTime, validateTime, encodeTime, decodeTime, mergeTime, buildTime, updateTime, revisionTime,
             lookupTime);
-        std::printf("upstreams=%d state_kb=%zu builder_with_picture_kb=%zu lookups=%llu\n", upstreams,
+        std::printf("upstreams=%d state_kb=%zu builder_with_routing_table_kb=%zu lookups=%llu\n", upstreams,
             stateBytes / 1024, builderBytes / 1024, static_cast<unsigned long long>(found));
     }
 
--- a/bench/DaemonFleet.cpp
+++ b/bench/DaemonFleet.cpp
@@ -50,10 +50,10 @@
         }
     }
 
-    size_t countReady(const json::object& picture)
+    size_t countReady(const json::object& routingTable)
     {
         size_t count = 0;
-        const json::value* services = picture.if_contains("services");
+        const json::value* services = routingTable.if_contains("services");
         if (!services)
             return 0;
         for (const json::value& service : services->as_array()) {
@@ -224,7 +224,7 @@
 void DaemonFleet::awaitUpstreams(size_t index, size_t count) const
 {
     awaitTrue("upstreams at " + m_daemons[index].id, startLimit, [&] {
-        return countReady(ask(api(index), { .method = "GET", .target = "/v1/picture" }, requestTimeout)) == count;
+        return countReady(ask(api(index), { .method = "GET", .target = "/v1/routing-table" }, requestTimeout)) == count;
     });
 }
 
--- a/bench/DaemonFleet.h
+++ b/bench/DaemonFleet.h
@@ -61,7 +61,7 @@
     ConfirmResult confirm(const std::string& changes) const;
     /// Adds a service of one name with a route of its path and allows clients to call it.
     void addService(const std::string& name, std::chrono::milliseconds timeout) const;
-    /// Waits until the daemon's picture holds this many ready upstreams of all services.
+    /// Waits until the daemon's routing table holds this many ready upstreams of all services.
     void awaitUpstreams(size_t index, size_t count) const;
     /// Sum of the counters of one daemon whose names start with the prefix.
     double counter(size_t index, std::string_view prefix) const;
--- a/bench/DemoMain.cpp
+++ b/bench/DemoMain.cpp
@@ -271,12 +271,12 @@
             waitForFloor(host);
         std::this_thread::sleep_for(steadyTime);
         for (const DemoDaemon& daemon : m_mesh.daemons()) {
-            boost::json::value picture = m_mesh.get(daemon, "/v1/picture");
+            boost::json::value routingTable = m_mesh.get(daemon, "/v1/routing-table");
             boost::json::value members = m_mesh.get(daemon, "/v1/members");
-            bool isAnswering = picture.is_object() && members.is_object();
-            auto revision = isAnswering ? picture.as_object().at("revision").to_number<uint64_t>() : 0;
+            bool isAnswering = routingTable.is_object() && members.is_object();
+            auto revision = isAnswering ? routingTable.as_object().at("revision").to_number<uint64_t>() : 0;
             m_behind += revision < m_lastRevision || !isAnswering ? 1 : 0;
-            m_unknownUpstreams += isAnswering ? countUnknownUpstreams(picture, members) : 0;
+            m_unknownUpstreams += isAnswering ? countUnknownUpstreams(routingTable, members) : 0;
         }
     }
 
@@ -351,11 +351,11 @@
         m_report.line("orders, of which unsettled for their caller",
             std::to_string(orders.orders) + ", " + std::to_string(orders.unknown));
         reportLongestGap();
-        m_report.line("pictures checked", std::to_string(m_observer.pictures()));
+        m_report.line("routing tables checked", std::to_string(m_observer.routingTables()));
         m_report.mustBeZero("I1", "revisions that went back", m_observer.reverted(), m_observer.firstFault());
-        m_report.mustBeZero("I2", "routes to services that the picture lacks", m_observer.danglingRoutes());
+        m_report.mustBeZero("I2", "routes to services that the routing table lacks", m_observer.danglingRoutes());
         m_report.mustBeZero("I2", "upstreams whose owner is no member", m_unknownUpstreams);
-        m_report.mustBeZero("I3", "pictures that differ at the same revision", m_observer.partial());
+        m_report.mustBeZero("I3", "routing tables that differ at the same revision", m_observer.partial());
         m_report.mustBeZero("I4", "cut answers", count([](const auto& record) { return record.isCut; }));
         m_report.mustBeZero("I4", "crossed answers", count([](const auto& record) { return record.isCrossed; }));
         m_report.mustBeZero("I5", "orders not run for their caller but in a ledger", orders.falselyNotRun);
--- a/bench/DemoMesh.cpp
+++ b/bench/DemoMesh.cpp
@@ -259,8 +259,8 @@
 size_t DemoMesh::countBehind(uint64_t revision) const
 {
     return static_cast<size_t>(std::count_if(m_daemons.begin(), m_daemons.end(), [&](const DemoDaemon& daemon) {
-        json::value picture = get(daemon, "/v1/picture");
-        return picture.is_object() && static_cast<uint64_t>(number(picture, "revision")) < revision;
+        json::value routingTable = get(daemon, "/v1/routing-table");
+        return routingTable.is_object() && static_cast<uint64_t>(number(routingTable, "revision")) < revision;
     }));
 }
 
--- a/bench/DemoMesh.h
+++ b/bench/DemoMesh.h
@@ -49,10 +49,10 @@
     /// daemon is present until the others have found it dead.
     Duration convergence { 0 };
     bool isConverged { false };
-    /// From the confirmation until the picture of every daemon that answers shows the revision.
+    /// From the confirmation until the routing table of every daemon that answers shows the revision.
     Duration liveConvergence { 0 };
     bool isHeldByLive { false };
-    /// Daemons that answered with an older picture after the API had reported convergence.
+    /// Daemons that answered with an older routing table after the API had reported convergence.
     size_t contradictions { 0 };
     std::string detail;
 };
--- a/bench/DemoObserver.cpp
+++ b/bench/DemoObserver.cpp
@@ -25,21 +25,21 @@
     constexpr std::chrono::milliseconds interval { 100 };
     while (!m_isStopping) {
         for (const DemoDaemon& daemon : m_mesh.daemons()) {
-            json::value picture = m_mesh.get(daemon, "/v1/picture");
-            if (picture.is_object())
-                check(daemon.name, picture);
+            json::value routingTable = m_mesh.get(daemon, "/v1/routing-table");
+            if (routingTable.is_object())
+                check(daemon.name, routingTable);
         }
         std::this_thread::sleep_for(interval);
     }
 }
 
-void DemoObserver::check(const std::string& host, const json::value& picture)
+void DemoObserver::check(const std::string& host, const json::value& routingTable)
 {
-    ++m_pictures;
-    m_danglingRoutes += countDanglingRoutes(picture);
-    auto revision = picture.as_object().at("revision").to_number<int64_t>();
-    auto first = m_contents.try_emplace(revision, configuredContent(picture)).first;
-    m_partial += first->second != configuredContent(picture) ? 1 : 0;
+    ++m_routingTables;
+    m_danglingRoutes += countDanglingRoutes(routingTable);
+    auto revision = routingTable.as_object().at("revision").to_number<int64_t>();
+    auto first = m_contents.try_emplace(revision, configuredContent(routingTable)).first;
+    m_partial += first->second != configuredContent(routingTable) ? 1 : 0;
     int64_t& highest = m_highest[host];
     if (revision != 0 && revision < highest) {
         ++m_reverted;
@@ -49,9 +49,9 @@
     highest = std::max(highest, revision);
 }
 
-std::string configuredContent(const json::value& picture)
+std::string configuredContent(const json::value& routingTable)
 {
-    const json::object& object = picture.as_object();
+    const json::object& object = routingTable.as_object();
     std::set<std::string> names;
     for (const json::value& service : object.at("services").as_array())
         names.emplace(service.as_object().at("name").as_string());
@@ -61,20 +61,20 @@
     return content;
 }
 
-size_t countDanglingRoutes(const json::value& picture)
+size_t countDanglingRoutes(const json::value& routingTable)
 {
     std::set<std::string> services;
-    for (const json::value& service : picture.as_object().at("services").as_array())
+    for (const json::value& service : routingTable.as_object().at("services").as_array())
         services.emplace(service.as_object().at("name").as_string());
     size_t count = 0;
-    for (const json::value& route : picture.as_object().at("routes").as_array()) {
+    for (const json::value& route : routingTable.as_object().at("routes").as_array()) {
         for (const json::value& part : route.as_object().at("split").as_array())
             count += services.contains(std::string(part.as_object().at("service").as_string())) ? 0 : 1;
     }
     return count;
 }
 
-size_t countUnknownUpstreams(const json::value& picture, const json::value& members)
+size_t countUnknownUpstreams(const json::value& routingTable, const json::value& members)
 {
     std::set<std::string> present;
     for (const json::value& member : members.as_object().at("members").as_array()) {
@@ -83,7 +83,7 @@
             present.emplace(object.at("host").as_string());
     }
     size_t count = 0;
-    for (const json::value& service : picture.as_object().at("services").as_array()) {
+    for (const json::value& service : routingTable.as_object().at("services").as_array()) {
         for (const json::value& upstream : service.as_object().at("upstreams").as_array())
             count += present.contains(std::string(upstream.as_object().at("owner").as_string())) ? 0 : 1;
     }
--- a/bench/DemoReport.cpp
+++ b/bench/DemoReport.cpp
@@ -54,7 +54,7 @@
 {
     char text[128];
     std::snprintf(text, sizeof(text),
-        "%.0f ms by the API, %.0f ms by pictures, revision %llu, plan conflicts before %zu",
+        "%.0f ms by the API, %.0f ms by routing tables, revision %llu, plan conflicts before %zu",
         milliseconds(change.convergence), milliseconds(change.liveConvergence),
         static_cast<unsigned long long>(change.revision), change.conflicts);
     bool isDone = change.isConfirmed && change.isConverged && change.isHeldByLive;
--- a/bench/RevisionWatch.cpp
+++ b/bench/RevisionWatch.cpp
@@ -67,7 +67,7 @@
 
     void ask(Daemon& daemon)
     {
-        daemon.client.send({ .method = "GET", .target = "/v1/picture" }, true, BootClock::now() + askTimeout,
+        daemon.client.send({ .method = "GET", .target = "/v1/routing-table" }, true, BootClock::now() + askTimeout,
             [this, &daemon](const UpstreamResult& result) { take(daemon, result); });
     }
 
--- a/bench/RevisionWatch.h
+++ b/bench/RevisionWatch.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Watches when each daemon's picture holds a revision.
+// Watches when each daemon's routing table holds a revision.
 
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/Endpoint.h"
--- a/dragonflylane/ApiTask.cpp
+++ b/dragonflylane/ApiTask.cpp
@@ -11,10 +11,10 @@
 #include "dragonflylane/MeshSecret.h"
 #include "dragonflylane/Metrics.h"
 #include "dragonflylane/OwnerTask.h"
-#include "dragonflylane/PictureTask.h"
 #include "dragonflylane/PlanJson.h"
 #include "dragonflylane/PlanReview.h"
 #include "dragonflylane/RelayTask.h"
+#include "dragonflylane/RoutingTableTask.h"
 #include "dragonflylane/StatusJson.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -97,7 +97,7 @@
         return isValidName(announcement.id.value()) && isValidName(announcement.service.value());
     }
 
-    // The picture lists upstreams of configured services only; a plan may add a service that upstreams announce
+    // The routing table lists upstreams of configured services only; a plan may add a service that upstreams announce
     // already.
     FleetView fleetView(const ApiParts& parts)
     {
@@ -170,7 +170,7 @@
         { "GET", "status", 1, &ApiTask::showStatus },
         { "GET", "revisions", 2, &ApiTask::showRevision },
         { "GET", "acks", 1, &ApiTask::showAcks },
-        { "GET", "picture", 1, &ApiTask::showPicture },
+        { "GET", "routing-table", 1, &ApiTask::showRoutingTable },
         { "GET", "members", 1, &ApiTask::showMembers },
         { "GET", "metrics", 1, &ApiTask::showMetrics },
         { "GET", "journal", 1, &ApiTask::showJournal },
@@ -368,9 +368,9 @@
     request.respondJson(renderAcks(m_parts.relay.relay().acks()));
 }
 
-void ApiTask::showPicture(const ApiRequest& request)
+void ApiTask::showRoutingTable(const ApiRequest& request)
 {
-    request.respondJson(renderPicture(m_parts));
+    request.respondJson(renderRoutingTable(m_parts));
 }
 
 void ApiTask::showMembers(const ApiRequest& request)
--- a/dragonflylane/ApiTask.h
+++ b/dragonflylane/ApiTask.h
@@ -26,7 +26,7 @@
 class MembershipTask;
 class Metrics;
 class OwnerTask;
-class PictureTask;
+class RoutingTableTask;
 class RelayTask;
 struct ApiRequest;
 struct ApplyOutcome;
@@ -39,7 +39,7 @@
     Journal& journal;
     MembershipTask& membership;
     RelayTask& relay;
-    PictureTask& pictures;
+    RoutingTableTask& routing;
     OwnerTask& owner;
     ClaimTask& claims;
     CrashTask& crash;
@@ -73,7 +73,7 @@
     void showStatus(const ApiRequest&);
     void showRevision(const ApiRequest&);
     void showAcks(const ApiRequest&);
-    void showPicture(const ApiRequest&);
+    void showRoutingTable(const ApiRequest&);
     void showMembers(const ApiRequest&);
     void showMetrics(const ApiRequest&);
     void showJournal(const ApiRequest&);
--- a/dragonflylane/ClaimCoordinator.h
+++ b/dragonflylane/ClaimCoordinator.h
@@ -72,7 +72,7 @@
 public:
     explicit ClaimCoordinator(ClaimCoordinatorOptions);
 
-    /// Takes the keeper view of a new picture. Open claims keep the keepers that they were sent to.
+    /// Takes the keeper view of a new routing table. Open claims keep the keepers that they were sent to.
     void setView(const KeeperView&);
     /// Time at which the configuration behind the view was last proved to be current; never moves back.
     void setProvenAt(TimePoint);
--- a/dragonflylane/CommandLine.cpp
+++ b/dragonflylane/CommandLine.cpp
@@ -31,7 +31,7 @@
   history                plans, newest first
   status                 quorum, leader, revision, convergence, drains, quarantine
   revision NUMBER        which daemons hold a revision
-  picture                what the daemon at --api routes by
+  routes                 what the daemon at --api routes by
   members                daemons known to the daemon at --api
   metrics                counters of the daemon at --api
   explain ID             decisions about a request, plan, daemon or upstream
@@ -220,7 +220,8 @@
                     [](Session& session) {
                         return session.get("/v1/revisions/" + session.arguments().operand, renderConvergenceText);
                     } } },
-            { "picture", { false, [](Session& session) { return session.get("/v1/picture", renderPictureText); } } },
+            { "routes",
+                { false, [](Session& session) { return session.get("/v1/routing-table", renderRoutingTableText); } } },
             { "members", { false, [](Session& session) { return session.get("/v1/members", renderMembersText); } } },
             { "metrics", { false, [](Session& session) { return session.get("/v1/metrics", renderPretty); } } },
             { "explain",
--- a/dragonflylane/CommandOutput.cpp
+++ b/dragonflylane/CommandOutput.cpp
@@ -190,16 +190,16 @@
     return lines;
 }
 
-std::string renderPictureText(const json::value& picture)
+std::string renderRoutingTableText(const json::value& routingTable)
 {
-    std::string lines = "revision " + field(picture, "revision") + " at " + field(picture, "host") + "\n";
-    for (const json::value& route : list(picture, "routes")) {
+    std::string lines = "revision " + field(routingTable, "revision") + " at " + field(routingTable, "host") + "\n";
+    for (const json::value& route : list(routingTable, "routes")) {
         lines += "route " + pad(field(route, "name"), 16) + pad(field(route, "pathPrefix"), 20) + "->";
         for (const json::value& part : list(route, "split"))
             lines += " " + field(part, "service") + ":" + field(part, "weight");
         lines += "\n";
     }
-    for (const json::value& service : list(picture, "services")) {
+    for (const json::value& service : list(routingTable, "services")) {
         lines += "service " + field(service, "name") + "\n";
         for (const json::value& upstream : list(service, "upstreams")) {
             lines += "  " + pad(field(upstream, "id"), 20) + pad(field(upstream, "phase"), 9)
--- a/dragonflylane/CommandOutput.h
+++ b/dragonflylane/CommandOutput.h
@@ -14,7 +14,7 @@
 std::string renderHistory(const boost::json::value&);
 std::string renderStatusText(const boost::json::value&);
 std::string renderConvergenceText(const boost::json::value&);
-std::string renderPictureText(const boost::json::value&);
+std::string renderRoutingTableText(const boost::json::value&);
 std::string renderMembersText(const boost::json::value&);
 std::string renderExplanation(const boost::json::value&);
 /// Any document, one "key: value" line a field.
--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -15,8 +15,8 @@
 #include "dragonflylane/Metrics.h"
 #include "dragonflylane/OwnerTask.h"
 #include "dragonflylane/PeerHub.h"
-#include "dragonflylane/PictureTask.h"
 #include "dragonflylane/RelayTask.h"
+#include "dragonflylane/RoutingTableTask.h"
 #include "dragonflylane/TreePosition.h"
 
 #include <boost/asio/io_context.hpp>
@@ -76,8 +76,8 @@
                   = [this](std::optional<UpstreamRecord> record) { m_membership->setUpstream(std::move(record)); },
                   .knownIncarnation = [this](const UpstreamId& id) { return knownIncarnation(id); },
                   .hostGeneration = [this] { return hostGeneration(); } })
-        , m_pictures(
-              m_context, [this](const auto& picture) { takePicture(picture); },
+        , m_routing(
+              m_context, [this](const auto& routingTable) { takeRoutingTable(routingTable); },
               [this](const UpstreamConflict& conflict) { reportConflict(conflict); })
     {
         makeMembership();
@@ -200,7 +200,7 @@
     void makeApi(Operators operators)
     {
         m_api = std::make_unique<ApiTask>(m_context,
-            ApiParts { m_settings, m_hub, m_metrics, m_journal, *m_membership, *m_relay, m_pictures, m_owner, m_claims,
+            ApiParts { m_settings, m_hub, m_metrics, m_journal, *m_membership, *m_relay, m_routing, m_owner, m_claims,
                 m_crash, m_log.get() },
             std::move(operators));
         constexpr size_t maxApiConnections = 64;
@@ -228,7 +228,7 @@
 
     void memberChanged(const HostId& host, const std::optional<MemberRecord>& record)
     {
-        m_pictures.setMember(host, record);
+        m_routing.setMember(host, record);
         bool isPresent = record && record->isPresent();
         if (isPresent && host != m_settings.hostId)
             m_hub.setAddress(host, record->address);
@@ -277,12 +277,12 @@
         m_appliedRevision = state.revision();
         m_appliedDigest = state.digest();
         Event("revision_applied").with("revision", state.revision()).with("digest", state.digest().toString());
-        m_pictures.setState(state);
+        m_routing.setState(state);
     }
 
-    void takePicture(const std::shared_ptr<const Picture>& picture)
+    void takeRoutingTable(const std::shared_ptr<const RoutingTable>& routingTable)
     {
-        m_entry->setPicture(picture);
+        m_entry->setRoutingTable(routingTable);
         m_owner.setPlannedDrain([this](const UpstreamId& id) { return m_relay->state().isDrained(id); });
         takeKeepers();
     }
@@ -447,7 +447,7 @@
     CrashTask m_crash;
     ClaimTask m_claims;
     OwnerTask m_owner;
-    PictureTask m_pictures;
+    RoutingTableTask m_routing;
     std::unique_ptr<LogTask> m_log;
     std::unique_ptr<RelayTask> m_relay;
     std::unique_ptr<EntryTask> m_entry;
--- a/dragonflylane/DuplicateRecords.h
+++ b/dragonflylane/DuplicateRecords.h
@@ -4,7 +4,7 @@
 //
 //     DuplicateRecords records({ .self = host }, now);
 //     records.setNoView(now);              // the proved configuration has no keeper view yet
-//     records.setView(view, now);          // from each new picture
+//     records.setView(view, now);          // from each new routingTable
 //     records.setProvenAt(relay.provenAt());
 //     records.receive(from, message, now);
 //     for (ClaimSend& send : records.takeOutputs()) ...
@@ -72,7 +72,7 @@
 
     /// The proved current configuration has no keeper view, so no record can exist. Call only with a floor.
     void setNoView();
-    /// Takes the view of a new picture. Older and equal epochs are ignored.
+    /// Takes the view of a new routing table. Older and equal epochs are ignored.
     void setView(const KeeperView&, TimePoint now);
     /// Time at which the configuration behind the view was last proved to be current; never moves back.
     void setProvenAt(TimePoint);
--- a/dragonflylane/EntryCall.h
+++ b/dragonflylane/EntryCall.h
@@ -5,7 +5,7 @@
 #include "dragonflylane/CallHeaders.h"
 #include "dragonflylane/HttpExchange.h"
 #include "dragonflylane/PeerHub.h"
-#include "dragonflylane/Picture.h"
+#include "dragonflylane/RoutingTable.h"
 #include "dragonflylane/UpstreamSelector.h"
 
 #include <memory>
@@ -32,7 +32,7 @@
     std::shared_ptr<HttpExchange> exchange;
     CallHeaders headers;
     RequestId requestId;
-    std::shared_ptr<const Picture> picture;
+    std::shared_ptr<const RoutingTable> routingTable;
     ServiceIndex service { 0 };
     ServiceName serviceName;
     TimePoint deadline;
--- a/dragonflylane/EntryService.cpp
+++ b/dragonflylane/EntryService.cpp
@@ -9,7 +9,7 @@
 {
 }
 
-void EntryService::setService(std::shared_ptr<const PictureService> service, TimePoint now)
+void EntryService::setService(std::shared_ptr<const ServiceEntry> service, TimePoint now)
 {
     if (service == m_service)
         return;
--- a/dragonflylane/EntryService.h
+++ b/dragonflylane/EntryService.h
@@ -2,8 +2,8 @@
 
 // What an entry daemon keeps for each service that it calls: the upstreams to choose from and the retry budget.
 
-#include "dragonflylane/Picture.h"
 #include "dragonflylane/RetryPolicy.h"
+#include "dragonflylane/RoutingTable.h"
 #include "dragonflylane/UpstreamSelector.h"
 
 #include <map>
@@ -23,8 +23,8 @@
 public:
     EntryService(const EntryServiceOptions&, TimePoint now);
 
-    /// Takes the service of a new picture. Does nothing if it is the same object as before.
-    void setService(std::shared_ptr<const PictureService>, TimePoint now);
+    /// Takes the service of a new routing table. Does nothing if it is the same object as before.
+    void setService(std::shared_ptr<const ServiceEntry>, TimePoint now);
 
     UpstreamSelector& selector() { return m_selector; }
     RetryPolicy& policy() { return m_policy; }
@@ -40,7 +40,7 @@
 
     UpstreamSelector m_selector;
     RetryPolicy m_policy;
-    std::shared_ptr<const PictureService> m_service;
+    std::shared_ptr<const ServiceEntry> m_service;
     std::map<UpstreamId, Seen> m_seen;
 };
 
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -73,7 +73,7 @@
         , m_options(std::move(options))
         , m_parts(parts)
         , m_hooks(std::move(hooks))
-        , m_picture(std::make_shared<Picture>())
+        , m_routingTable(std::make_shared<RoutingTable>())
         , m_forwardServer(m_parts.hub, m_parts.owner, m_parts.metrics)
         , m_transfers(m_parts.hub, m_parts.metrics,
               { .choosePeer = m_hooks.transferPeer,
@@ -92,12 +92,12 @@
         m_transfers.start();
     }
 
-    void setPicture(std::shared_ptr<const Picture> picture)
+    void setRoutingTable(std::shared_ptr<const RoutingTable> routingTable)
     {
-        m_picture = std::move(picture);
+        m_routingTable = std::move(routingTable);
         TimePoint now = BootClock::now();
-        for (ServiceIndex index = 0; index < m_picture->serviceCount(); ++index) {
-            auto service = m_picture->sharedService(index);
+        for (ServiceIndex index = 0; index < m_routingTable->serviceCount(); ++index) {
+            auto service = m_routingTable->sharedService(index);
             auto& state = m_services[service->name];
             if (!state)
                 state = std::make_unique<EntryService>(entryServiceOptions(service->name), now);
@@ -154,21 +154,21 @@
     ResultCode route(const CallPtr& call)
     {
         const HttpRequest& request = call->exchange->request();
-        call->picture = m_picture;
-        const PictureRoute* route = m_picture->findRoute(request.target);
+        call->routingTable = m_routingTable;
+        const RouteEntry* route = m_routingTable->findRoute(request.target);
         if (!route)
             return ResultCode::NoRoute;
         // A resend with the same key goes to the same part of a split.
         const std::string& seed = call->headers.key.isEmpty() ? call->requestId.value() : call->headers.key.value();
         call->service = route->select(stableHash(seed));
-        const PictureService& service = m_picture->service(call->service);
+        const ServiceEntry& service = m_routingTable->service(call->service);
         call->serviceName = service.name;
         call->isIdempotent = route->isIdempotent(request.method);
         if (!call->headers.timeout) {
-            auto timeout = m_picture->timeout(*route, call->service);
+            auto timeout = m_routingTable->timeout(*route, call->service);
             call->deadline = call->exchange->received() + (timeout.count() > 0 ? timeout : m_options.defaultTimeout);
         }
-        if (!m_picture->mayCall(call->headers.caller.value(), call->service))
+        if (!m_routingTable->mayCall(call->headers.caller.value(), call->service))
             return ResultCode::CallerNotAllowed;
         if (BootClock::now() >= call->deadline)
             return ResultCode::DeadlineExceeded;
@@ -547,7 +547,7 @@
     const EntryTaskOptions m_options;
     Parts m_parts;
     Hooks m_hooks;
-    std::shared_ptr<const Picture> m_picture;
+    std::shared_ptr<const RoutingTable> m_routingTable;
     std::unordered_map<ServiceName, std::unique_ptr<EntryService>> m_services;
 
     uint64_t m_nextId { 1 };
@@ -570,9 +570,9 @@
 {
     m_impl->start();
 }
-void EntryTask::setPicture(std::shared_ptr<const Picture> picture)
+void EntryTask::setRoutingTable(std::shared_ptr<const RoutingTable> routingTable)
 {
-    m_impl->setPicture(std::move(picture));
+    m_impl->setRoutingTable(std::move(routingTable));
 }
 void EntryTask::handle(std::shared_ptr<HttpExchange> exchange)
 {
--- a/dragonflylane/EntryTask.h
+++ b/dragonflylane/EntryTask.h
@@ -8,8 +8,8 @@
 
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/Ids.h"
-#include "dragonflylane/Picture.h"
 #include "dragonflylane/ResultCode.h"
+#include "dragonflylane/RoutingTable.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -64,7 +64,7 @@
     EntryTask& operator=(const EntryTask&) = delete;
 
     void start();
-    void setPicture(std::shared_ptr<const Picture>);
+    void setRoutingTable(std::shared_ptr<const RoutingTable>);
     void handle(std::shared_ptr<HttpExchange>);
 
     /// Refuses new calls; calls in flight go on.
--- a/dragonflylane/Picture.cpp
+++ b/dragonflylane/RoutingTable.cpp
@@ -1,4 +1,4 @@
-#include "dragonflylane/Picture.h"
+#include "dragonflylane/RoutingTable.h"
 
 #include <algorithm>
 
@@ -10,22 +10,22 @@
 
 } // namespace
 
-const UpstreamEntry* PictureService::find(const UpstreamId& id) const
+const UpstreamEntry* ServiceEntry::find(const UpstreamId& id) const
 {
     auto position = std::lower_bound(upstreams.begin(), upstreams.end(), id,
         [](const UpstreamEntry& entry, const UpstreamId& wanted) { return entry.id < wanted; });
     return position == upstreams.end() || position->id != id ? nullptr : &*position;
 }
 
-bool PictureRoute::isIdempotent(std::string_view method) const
+bool RouteEntry::isIdempotent(std::string_view method) const
 {
     return std::find(idempotentMethods.begin(), idempotentMethods.end(), method) != idempotentMethods.end();
 }
 
-ServiceIndex PictureRoute::select(uint64_t random) const
+ServiceIndex RouteEntry::select(uint64_t random) const
 {
     uint64_t position = random % totalWeight;
-    for (const PictureSplit& part : split) {
+    for (const SplitEntry& part : split) {
         if (position < part.weight)
             return part.service;
         position -= part.weight;
@@ -33,12 +33,12 @@
     return split.back().service;
 }
 
-Picture::Picture()
+RoutingTable::RoutingTable()
     : m_tables(std::make_shared<const Tables>())
 {
 }
 
-const PictureRoute* Picture::findRoute(std::string_view target) const
+const RouteEntry* RoutingTable::findRoute(std::string_view target) const
 {
     const Tables& tables = *m_tables;
     std::string_view path = target.substr(0, target.find_first_of("?#"));
@@ -61,7 +61,7 @@
     return found == tables.routeByPrefix.end() ? nullptr : &tables.routes[found->second];
 }
 
-std::optional<ServiceIndex> Picture::findService(std::string_view name) const
+std::optional<ServiceIndex> RoutingTable::findService(std::string_view name) const
 {
     auto found = m_tables->serviceByName.find(name);
     if (found == m_tables->serviceByName.end())
@@ -69,12 +69,12 @@
     return found->second;
 }
 
-std::chrono::milliseconds Picture::timeout(const PictureRoute& route, ServiceIndex index) const
+std::chrono::milliseconds RoutingTable::timeout(const RouteEntry& route, ServiceIndex index) const
 {
     return route.timeout.count() > 0 ? route.timeout : service(index).timeout;
 }
 
-bool Picture::mayCall(std::string_view caller, ServiceIndex callee) const
+bool RoutingTable::mayCall(std::string_view caller, ServiceIndex callee) const
 {
     std::optional<ServiceIndex> index = findService(caller);
     if (!index && caller == clientServiceName)
--- a/dragonflylane/Picture.h
+++ b/dragonflylane/RoutingTable.h
@@ -1,12 +1,12 @@
 #pragma once
 
 // What the request path reads: routes, services with their upstreams, and call rules, at one revision. Immutable and
-// held by std::shared_ptr<const Picture>. Routes hold indexes into the picture's own service table and services hold
-// their upstreams by value, so a route to an absent service or upstream cannot be represented. PictureBuilder makes
-// pictures.
+// held by std::shared_ptr<const RoutingTable>. Routes hold indexes into the routing table's own service table and
+// services hold their upstreams by value, so a route to an absent service or upstream cannot be represented.
+// RoutingTableBuilder makes routing tables.
 //
-//     const PictureRoute* route = picture->findRoute("/catalogue/books?page=2");
-//     const PictureService& service = picture->service(route->split[0].service);
+//     const RouteEntry* route = routingTable->findRoute("/catalogue/books?page=2");
+//     const ServiceEntry& service = routingTable->service(route->split[0].service);
 
 #include "dragonflylane/ConfigItem.h"
 #include "dragonflylane/Digest.h"
@@ -19,11 +19,11 @@
 
 namespace dragonflylane {
 
-/// Position in the service table of one picture; not valid in another picture.
+/// Position in the service table of one routing table; not valid in another routing table.
 using ServiceIndex = uint32_t;
 
 /// A service and its upstreams in order of id, without stopped ones.
-struct PictureService {
+struct ServiceEntry {
     ServiceName name;
     std::chrono::milliseconds timeout { 0 };
     uint32_t maxAttempts { 1 };
@@ -34,16 +34,16 @@
 };
 
 /// Share of a route that goes to one service.
-struct PictureSplit {
+struct SplitEntry {
     ServiceIndex service { 0 };
     uint32_t weight { 0 };
 };
 
-/// A route of the picture.
-struct PictureRoute {
+/// A route of the routing table.
+struct RouteEntry {
     RouteName name;
     std::string pathPrefix;
-    std::vector<PictureSplit> split;
+    std::vector<SplitEntry> split;
     /// Above zero.
     uint64_t totalWeight { 0 };
     /// Zero: the timeout of the selected service applies.
@@ -57,9 +57,9 @@
 };
 
 /// Immutable view of configuration and upstreams.
-class Picture {
+class RoutingTable {
 public:
-    Picture();
+    RoutingTable();
 
     Revision revision() const { return m_tables->revision; }
     const Digest& digest() const { return m_tables->digest; }
@@ -68,21 +68,21 @@
 
     /// Route with the longest path prefix that ends at a segment boundary of the path; a query is ignored. Null if
     /// none matches. O(length of the longest prefix).
-    const PictureRoute* findRoute(std::string_view target) const;
-    const std::vector<PictureRoute>& routes() const { return m_tables->routes; }
+    const RouteEntry* findRoute(std::string_view target) const;
+    const std::vector<RouteEntry>& routes() const { return m_tables->routes; }
 
     std::optional<ServiceIndex> findService(std::string_view name) const;
-    const PictureService& service(ServiceIndex index) const { return *m_services[index]; }
-    /// Shared with other pictures that have the same service.
-    std::shared_ptr<const PictureService> sharedService(ServiceIndex index) const { return m_services[index]; }
+    const ServiceEntry& service(ServiceIndex index) const { return *m_services[index]; }
+    /// Shared with other routing tables that have the same service.
+    std::shared_ptr<const ServiceEntry> sharedService(ServiceIndex index) const { return m_services[index]; }
     size_t serviceCount() const { return m_services.size(); }
-    std::chrono::milliseconds timeout(const PictureRoute&, ServiceIndex) const;
+    std::chrono::milliseconds timeout(const RouteEntry&, ServiceIndex) const;
 
     /// Whether a call rule lets the caller (a service or `client`) call the service. O(1).
     bool mayCall(std::string_view caller, ServiceIndex callee) const;
 
 private:
-    friend class PictureBuilder;
+    friend class RoutingTableBuilder;
 
     struct StringHash {
         using is_transparent = void;
@@ -95,7 +95,7 @@
         Revision revision;
         Digest digest;
         KeeperViewItem keepers;
-        std::vector<PictureRoute> routes;
+        std::vector<RouteEntry> routes;
         IndexByName routeByPrefix;
         size_t longestPrefix { 0 };
         IndexByName serviceByName;
@@ -104,7 +104,7 @@
     };
 
     std::shared_ptr<const Tables> m_tables;
-    std::vector<std::shared_ptr<const PictureService>> m_services;
+    std::vector<std::shared_ptr<const ServiceEntry>> m_services;
 };
 
 } // namespace dragonflylane
--- a/dragonflylane/PictureBuilder.cpp
+++ b/dragonflylane/RoutingTableBuilder.cpp
@@ -1,4 +1,4 @@
-#include "dragonflylane/PictureBuilder.h"
+#include "dragonflylane/RoutingTableBuilder.h"
 
 #include <algorithm>
 
@@ -10,9 +10,9 @@
 
 } // namespace
 
-PictureBuilder::PictureBuilder() = default;
+RoutingTableBuilder::RoutingTableBuilder() = default;
 
-void PictureBuilder::setState(const ConfigState& state)
+void RoutingTableBuilder::setState(const ConfigState& state)
 {
     ConfigDelta delta = m_state.deltaTo(state);
     m_stateChanged = m_stateChanged || delta.size() > 0 || m_state.revision() != state.revision();
@@ -28,7 +28,7 @@
     }
 }
 
-std::vector<UpstreamConflict> PictureBuilder::update(const HostId& owner, std::optional<UpstreamEntry> entry)
+std::vector<UpstreamConflict> RoutingTableBuilder::update(const HostId& owner, std::optional<UpstreamEntry> entry)
 {
     std::vector<UpstreamConflict> conflicts;
     if (entry)
@@ -51,7 +51,7 @@
     return conflicts;
 }
 
-std::vector<UpstreamConflict> PictureBuilder::setUpstreams(const std::vector<UpstreamEntry>& entries)
+std::vector<UpstreamConflict> RoutingTableBuilder::setUpstreams(const std::vector<UpstreamEntry>& entries)
 {
     std::set<HostId> present;
     for (const UpstreamEntry& entry : entries)
@@ -68,7 +68,7 @@
     return conflicts();
 }
 
-std::vector<UpstreamConflict> PictureBuilder::conflicts() const
+std::vector<UpstreamConflict> RoutingTableBuilder::conflicts() const
 {
     std::vector<UpstreamConflict> result;
     for (const auto& [id, claims] : m_claims)
@@ -76,39 +76,39 @@
     return result;
 }
 
-std::shared_ptr<const Picture> PictureBuilder::build()
+std::shared_ptr<const RoutingTable> RoutingTableBuilder::build()
 {
-    if (m_picture && !m_stateChanged && m_dirty.empty())
-        return m_picture;
-    auto picture = std::make_shared<Picture>();
+    if (m_routingTable && !m_stateChanged && m_dirty.empty())
+        return m_routingTable;
+    auto routingTable = std::make_shared<RoutingTable>();
     if (m_stateChanged) {
-        picture->m_tables = buildTables();
-        std::unordered_map<ServiceName, std::shared_ptr<const PictureService>> services;
+        routingTable->m_tables = buildTables();
+        std::unordered_map<ServiceName, std::shared_ptr<const ServiceEntry>> services;
         for (const ServiceItem* item : m_state.all<ServiceItem>()) {
             auto known = m_services.find(item->name);
             bool reusable = known != m_services.end() && !m_dirty.contains(item->name);
-            picture->m_services.push_back(reusable ? known->second : buildService(*item));
-            services.emplace(item->name, picture->m_services.back());
+            routingTable->m_services.push_back(reusable ? known->second : buildService(*item));
+            services.emplace(item->name, routingTable->m_services.back());
         }
         m_services = std::move(services);
     } else {
-        *picture = *m_picture;
+        *routingTable = *m_routingTable;
         for (const ServiceName& name : m_dirty) {
             const ServiceItem* item = m_state.service(name);
             if (!item)
                 continue;
-            std::shared_ptr<const PictureService> service = buildService(*item);
-            picture->m_services[*picture->findService(name.value())] = service;
+            std::shared_ptr<const ServiceEntry> service = buildService(*item);
+            routingTable->m_services[*routingTable->findService(name.value())] = service;
             m_services[name] = std::move(service);
         }
     }
     m_stateChanged = false;
     m_dirty.clear();
-    m_picture = std::move(picture);
-    return m_picture;
+    m_routingTable = std::move(routingTable);
+    return m_routingTable;
 }
 
-void PictureBuilder::withdraw(const HostId& owner)
+void RoutingTableBuilder::withdraw(const HostId& owner)
 {
     auto announced = m_announced.find(owner);
     if (announced == m_announced.end())
@@ -120,7 +120,7 @@
 }
 
 // Selects the claim in use after a change of the claims to one id.
-void PictureBuilder::resolve(const UpstreamId& id)
+void RoutingTableBuilder::resolve(const UpstreamId& id)
 {
     auto position = m_claims.find(id);
     Claims& claims = position->second;
@@ -143,9 +143,9 @@
     m_byService[claims.used.service].insert(id);
 }
 
-std::shared_ptr<const Picture::Tables> PictureBuilder::buildTables() const
+std::shared_ptr<const RoutingTable::Tables> RoutingTableBuilder::buildTables() const
 {
-    auto tables = std::make_shared<Picture::Tables>();
+    auto tables = std::make_shared<RoutingTable::Tables>();
     tables->revision = m_state.revision();
     tables->digest = m_state.digest();
     if (const KeeperViewItem* keepers = m_state.keeperView())
@@ -154,7 +154,7 @@
         tables->serviceByName.emplace(service->name.value(), static_cast<ServiceIndex>(tables->serviceByName.size()));
     const auto client = static_cast<ServiceIndex>(tables->serviceByName.size());
     for (const RouteItem* item : m_state.all<RouteItem>()) {
-        PictureRoute route { item->name, item->pathPrefix, {}, 0, item->timeout, item->idempotentMethods };
+        RouteEntry route { item->name, item->pathPrefix, {}, 0, item->timeout, item->idempotentMethods };
         for (const SplitPart& part : item->split) {
             route.split.push_back({ tables->serviceByName.at(part.service.value()), part.weight });
             route.totalWeight += part.weight;
@@ -171,9 +171,9 @@
     return tables;
 }
 
-std::shared_ptr<const PictureService> PictureBuilder::buildService(const ServiceItem& item) const
+std::shared_ptr<const ServiceEntry> RoutingTableBuilder::buildService(const ServiceItem& item) const
 {
-    auto service = std::make_shared<PictureService>();
+    auto service = std::make_shared<ServiceEntry>();
     service->name = item.name;
     service->timeout = item.timeout;
     service->maxAttempts = item.maxAttempts;
@@ -192,7 +192,7 @@
     return service;
 }
 
-void PictureBuilder::appendConflicts(const UpstreamId& id, std::vector<UpstreamConflict>* result) const
+void RoutingTableBuilder::appendConflicts(const UpstreamId& id, std::vector<UpstreamConflict>* result) const
 {
     auto claims = m_claims.find(id);
     if (claims == m_claims.end())
--- a/dragonflylane/PictureBuilder.h
+++ b/dragonflylane/RoutingTableBuilder.h
@@ -1,14 +1,15 @@
 #pragma once
 
-// Builds pictures from a configuration and announced upstreams. Keeps what it built: a picture after the change of one
-// upstream costs O(services + upstreams of the service), and shares all other services with the picture before.
+// Builds routing tables from a configuration and announced upstreams. Keeps what it built: a routing table after the
+// change of one upstream costs O(services + upstreams of the service), and shares all other services with the routing
+// table before.
 //
 //     builder.setState(state);
 //     builder.update(host, entry);
-//     std::shared_ptr<const Picture> picture = builder.build();
+//     std::shared_ptr<const RoutingTable> routingTable = builder.build();
 
 #include "dragonflylane/ConfigState.h"
-#include "dragonflylane/Picture.h"
+#include "dragonflylane/RoutingTable.h"
 
 #include <map>
 #include <set>
@@ -26,10 +27,10 @@
     bool operator==(const UpstreamConflict&) const = default;
 };
 
-/// Incremental builder of pictures. Owned by one task.
-class PictureBuilder {
+/// Incremental builder of routing tables. Owned by one task.
+class RoutingTableBuilder {
 public:
-    PictureBuilder();
+    RoutingTableBuilder();
 
     /// Takes a configuration that passes validate().
     void setState(const ConfigState&);
@@ -41,8 +42,8 @@
     /// All conflicts at present, ordered.
     std::vector<UpstreamConflict> conflicts() const;
 
-    /// The current picture; the same object as before if nothing changed.
-    std::shared_ptr<const Picture> build();
+    /// The current routing table; the same object as before if nothing changed.
+    std::shared_ptr<const RoutingTable> build();
 
 private:
     /// Announcements of one upstream id by host, and the one in use.
@@ -54,8 +55,8 @@
 
     void withdraw(const HostId& owner);
     void resolve(const UpstreamId&);
-    std::shared_ptr<const Picture::Tables> buildTables() const;
-    std::shared_ptr<const PictureService> buildService(const ServiceItem&) const;
+    std::shared_ptr<const RoutingTable::Tables> buildTables() const;
+    std::shared_ptr<const ServiceEntry> buildService(const ServiceItem&) const;
     void appendConflicts(const UpstreamId&, std::vector<UpstreamConflict>*) const;
 
     ConfigState m_state;
@@ -64,8 +65,8 @@
     std::unordered_map<ServiceName, std::set<UpstreamId>> m_byService;
     std::unordered_set<ServiceName> m_dirty;
     bool m_stateChanged { true };
-    std::unordered_map<ServiceName, std::shared_ptr<const PictureService>> m_services;
-    std::shared_ptr<const Picture> m_picture;
+    std::unordered_map<ServiceName, std::shared_ptr<const ServiceEntry>> m_services;
+    std::shared_ptr<const RoutingTable> m_routingTable;
 };
 
 } // namespace dragonflylane
--- a/dragonflylane/PictureTask.cpp
+++ b/dragonflylane/RoutingTableTask.cpp
@@ -1,4 +1,4 @@
-#include "dragonflylane/PictureTask.h"
+#include "dragonflylane/RoutingTableTask.h"
 
 #include "dragonflylane/MemberRecord.h"
 
@@ -20,21 +20,21 @@
         .phase = upstream.phase };
 }
 
-PictureTask::PictureTask(boost::asio::io_context& context, Published published, Conflict conflict)
+RoutingTableTask::RoutingTableTask(boost::asio::io_context& context, Published published, Conflict conflict)
     : m_context(context)
     , m_published(std::move(published))
     , m_conflict(std::move(conflict))
-    , m_picture(m_builder.build())
+    , m_routingTable(m_builder.build())
 {
 }
 
-void PictureTask::setState(const ConfigState& state)
+void RoutingTableTask::setState(const ConfigState& state)
 {
     m_builder.setState(state);
     schedule();
 }
 
-void PictureTask::setMember(const HostId& host, const std::optional<MemberRecord>& record)
+void RoutingTableTask::setMember(const HostId& host, const std::optional<MemberRecord>& record)
 {
     std::optional<UpstreamEntry> entry = record ? upstreamEntry(*record) : std::nullopt;
     for (const UpstreamConflict& conflict : m_builder.update(host, std::move(entry)))
@@ -42,18 +42,18 @@
     schedule();
 }
 
-void PictureTask::schedule()
+void RoutingTableTask::schedule()
 {
     if (m_isScheduled)
         return;
     m_isScheduled = true;
     boost::asio::post(m_context, [this] {
         m_isScheduled = false;
-        auto picture = m_builder.build();
-        if (picture == m_picture)
+        auto routingTable = m_builder.build();
+        if (routingTable == m_routingTable)
             return;
-        m_picture = std::move(picture);
-        m_published(m_picture);
+        m_routingTable = std::move(routingTable);
+        m_published(m_routingTable);
     });
 }
 
--- a/dragonflylane/PictureTask.h
+++ b/dragonflylane/RoutingTableTask.h
@@ -1,8 +1,8 @@
 #pragma once
 
-// Keeps the picture of this daemon current: the configuration in force and the upstreams that members announce.
+// Keeps the routing table of this daemon current: the configuration in force and the upstreams that members announce.
 
-#include "dragonflylane/PictureBuilder.h"
+#include "dragonflylane/RoutingTableBuilder.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -18,19 +18,19 @@
 /// The upstream that a member announces; nothing if it is not present or announces none.
 std::optional<UpstreamEntry> upstreamEntry(const MemberRecord&);
 
-/// Owns the builder. Changes that arrive together lead to one new picture.
-class PictureTask {
+/// Owns the builder. Changes that arrive together lead to one new routing table.
+class RoutingTableTask {
 public:
-    using Published = std::function<void(const std::shared_ptr<const Picture>&)>;
+    using Published = std::function<void(const std::shared_ptr<const RoutingTable>&)>;
     /// Reports two hosts that claim one upstream id.
     using Conflict = std::function<void(const UpstreamConflict&)>;
 
-    PictureTask(boost::asio::io_context&, Published, Conflict);
+    RoutingTableTask(boost::asio::io_context&, Published, Conflict);
 
     void setState(const ConfigState&);
     void setMember(const HostId&, const std::optional<MemberRecord>&);
 
-    const std::shared_ptr<const Picture>& picture() const { return m_picture; }
+    const std::shared_ptr<const RoutingTable>& routingTable() const { return m_routingTable; }
     std::vector<UpstreamConflict> conflicts() const { return m_builder.conflicts(); }
 
 private:
@@ -39,8 +39,8 @@
     boost::asio::io_context& m_context;
     Published m_published;
     Conflict m_conflict;
-    PictureBuilder m_builder;
-    std::shared_ptr<const Picture> m_picture;
+    RoutingTableBuilder m_builder;
+    std::shared_ptr<const RoutingTable> m_routingTable;
     bool m_isScheduled { false };
 };
 
--- a/dragonflylane/StatusJson.cpp
+++ b/dragonflylane/StatusJson.cpp
@@ -6,8 +6,8 @@
 #include "dragonflylane/LogTask.h"
 #include "dragonflylane/MembershipTask.h"
 #include "dragonflylane/OwnerTask.h"
-#include "dragonflylane/PictureTask.h"
 #include "dragonflylane/RelayTask.h"
+#include "dragonflylane/RoutingTableTask.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
@@ -86,11 +86,11 @@
             { "running", load.running }, { "queued", load.queued }, { "limit", load.limit } };
     }
 
-    json::array describeServices(const Picture& picture)
+    json::array describeServices(const RoutingTable& routingTable)
     {
         json::array services;
-        for (ServiceIndex i = 0; i < picture.serviceCount(); ++i) {
-            const PictureService& service = picture.service(i);
+        for (ServiceIndex i = 0; i < routingTable.serviceCount(); ++i) {
+            const ServiceEntry& service = routingTable.service(i);
             json::array upstreams;
             for (const UpstreamEntry& upstream : service.upstreams)
                 upstreams.emplace_back(describeUpstream(upstream));
@@ -100,14 +100,14 @@
         return services;
     }
 
-    json::array describeRoutes(const Picture& picture)
+    json::array describeRoutes(const RoutingTable& routingTable)
     {
         json::array routes;
-        for (const PictureRoute& route : picture.routes()) {
+        for (const RouteEntry& route : routingTable.routes()) {
             json::array split;
-            for (const PictureSplit& part : route.split) {
+            for (const SplitEntry& part : route.split) {
                 split.emplace_back(json::object {
-                    { "service", picture.service(part.service).name.value() }, { "weight", part.weight } });
+                    { "service", routingTable.service(part.service).name.value() }, { "weight", part.weight } });
             }
             routes.emplace_back(json::object {
                 { "name", route.name.value() }, { "pathPrefix", route.pathPrefix }, { "split", std::move(split) } });
@@ -115,11 +115,11 @@
         return routes;
     }
 
-    json::array describeDrains(const Picture& picture)
+    json::array describeDrains(const RoutingTable& routingTable)
     {
         json::array drains;
-        for (ServiceIndex i = 0; i < picture.serviceCount(); ++i) {
-            for (const UpstreamEntry& upstream : picture.service(i).upstreams) {
+        for (ServiceIndex i = 0; i < routingTable.serviceCount(); ++i) {
+            for (const UpstreamEntry& upstream : routingTable.service(i).upstreams) {
                 if (upstream.phase == UpstreamPhase::Draining)
                     drains.emplace_back(upstream.id.value());
             }
@@ -135,7 +135,7 @@
     json::object status { { "host", parts.settings.hostId.value() },
         { "dataCentre", parts.settings.dataCentre.value() }, { "revision", state.revision().value() },
         { "digest", state.digest().toString() }, { "members", parts.membership.view().presentCount() },
-        { "relay", describeRelay(parts.relay) }, { "drains", describeDrains(*parts.pictures.picture()) },
+        { "relay", describeRelay(parts.relay) }, { "drains", describeDrains(*parts.routing.routingTable()) },
         { "quarantine", describeQuarantine(parts.crash) } };
     if (parts.owner.upstream())
         status["upstream"] = describeOwner(parts.owner);
@@ -144,7 +144,7 @@
         status["acks"] = json::parse(renderAcks(parts.relay.relay().acks()));
     }
     json::array conflicts;
-    for (const UpstreamConflict& conflict : parts.pictures.conflicts()) {
+    for (const UpstreamConflict& conflict : parts.routing.conflicts()) {
         conflicts.emplace_back(json::object { { "upstream", conflict.id.value() }, { "used", conflict.used.value() },
             { "ignored", conflict.ignored.value() } });
     }
@@ -168,13 +168,13 @@
     return serialise(json::object { { "members", std::move(members) } });
 }
 
-std::string renderPicture(const ApiParts& parts)
+std::string renderRoutingTable(const ApiParts& parts)
 {
-    const Picture& picture = *parts.pictures.picture();
+    const RoutingTable& routingTable = *parts.routing.routingTable();
     return serialise(
-        json::object { { "host", parts.settings.hostId.value() }, { "revision", picture.revision().value() },
-            { "digest", picture.digest().toString() }, { "keeperEpoch", picture.keepers().epoch.value() },
-            { "services", describeServices(picture) }, { "routes", describeRoutes(picture) } });
+        json::object { { "host", parts.settings.hostId.value() }, { "revision", routingTable.revision().value() },
+            { "digest", routingTable.digest().toString() }, { "keeperEpoch", routingTable.keepers().epoch.value() },
+            { "services", describeServices(routingTable) }, { "routes", describeRoutes(routingTable) } });
 }
 
 std::string renderAcks(const AckSummary& acks)
--- a/dragonflylane/StatusJson.h
+++ b/dragonflylane/StatusJson.h
@@ -18,7 +18,7 @@
 /// One screen: quorum, leader, revision, convergence, drains, quarantine.
 std::string renderStatus(const ApiParts&);
 std::string renderMembers(const ApiParts&);
-std::string renderPicture(const ApiParts&);
+std::string renderRoutingTable(const ApiParts&);
 std::string renderAcks(const AckSummary&);
 /// Convergence of a revision from the acknowledgements that the control hosts have.
 std::string renderConvergence(Revision, const std::map<HostId, HttpResponse>& acks, size_t present);
--- a/dragonflylane/UpstreamSelector.h
+++ b/dragonflylane/UpstreamSelector.h
@@ -3,7 +3,7 @@
 // Choice of an upstream at the entry daemon; one selector per called service.
 //
 //     UpstreamSelector selector({ .self = host, .dataCentre = "kandy-a", .region = "lk-central", .seed = seed });
-//     selector.rebuild(candidates, now);                    // whenever the picture changes
+//     selector.rebuild(candidates, now);                    // whenever the routingTable changes
 //     std::optional<Choice> choice = selector.choose(triedHosts, now);
 //     selector.finished(*choice, SelectionOutcome::Success, load, now);   // exactly once for each choice
 //
@@ -25,7 +25,7 @@
 
 namespace dragonflylane {
 
-/// One upstream of the service as the picture has it.
+/// One upstream of the service as the routing table has it.
 struct UpstreamCandidate {
     UpstreamId id;
     HostId owner;
@@ -52,8 +52,8 @@
     Timeout,
     /// The owner or the upstream refused because of load.
     Refused,
-    /// The owner said that the upstream is draining, gone or replaced. It is avoided for a while, since the picture
-    /// may learn of it later.
+    /// The owner said that the upstream is draining, gone or replaced. It is avoided for a while, since the routing
+    /// table may learn of it later.
     Unavailable,
     /// The attempt says nothing about the upstream, for example after a cancel.
     Ignored,
@@ -92,7 +92,7 @@
 public:
     explicit UpstreamSelector(UpstreamSelectorOptions);
 
-    /// Takes over the candidates of a new picture. Counts and ejections of upstreams that stay are kept.
+    /// Takes over the candidates of a new routing table. Counts and ejections of upstreams that stay are kept.
     void rebuild(std::span<const UpstreamCandidate>, TimePoint now);
     /// Counts the choice as outstanding. Empty if no ready upstream is left beside the hosts already tried.
     std::optional<Choice> choose(std::span<const HostId> tried, TimePoint now);
--- a/tests/DemoChecksTest.cpp
+++ b/tests/DemoChecksTest.cpp
@@ -43,10 +43,10 @@
     TEST(DemoChecksTest, TellsAPartlyAppliedConfigurationFromAWholeOne)
     {
         auto content = [](const char* services, const char* routes, const char* digest) {
-            boost::json::object picture { { "digest", digest } };
-            picture["services"] = boost::json::parse(services);
-            picture["routes"] = boost::json::parse(routes);
-            return configuredContent(picture);
+            boost::json::object routingTable { { "digest", digest } };
+            routingTable["services"] = boost::json::parse(services);
+            routingTable["routes"] = boost::json::parse(routes);
+            return configuredContent(routingTable);
         };
         const char* whole = R"([{"name": "a", "upstreams": []}, {"name": "b", "upstreams": []}])";
         const char* otherUpstreams = R"([{"name": "a", "upstreams": [{"id": "a-1"}]}, {"name": "b", "upstreams": []}])";
@@ -58,15 +58,16 @@
         EXPECT_NE(content(whole, route, "1"), content(whole, route, "2"));
     }
 
-    TEST(DemoChecksTest, FindsRoutesAndUpstreamsThatThePictureLacks)
+    TEST(DemoChecksTest, FindsRoutesAndUpstreamsThatTheRoutingTableLacks)
     {
-        auto picture = boost::json::parse(R"({"services": [{"name": "a", "upstreams": [{"id": "a-1", "owner": "h1"},
+        auto routingTable
+            = boost::json::parse(R"({"services": [{"name": "a", "upstreams": [{"id": "a-1", "owner": "h1"},
             {"id": "a-2", "owner": "h2"}, {"id": "a-3", "owner": "h3"}]}],
             "routes": [{"split": [{"service": "a"}, {"service": "b"}]}]})");
         auto members
             = boost::json::parse(R"({"members": [{"host": "h1", "state": "alive"}, {"host": "h2", "state": "dead"}]})");
-        EXPECT_EQ(countDanglingRoutes(picture), 1U);
-        EXPECT_EQ(countUnknownUpstreams(picture, members), 2U);
+        EXPECT_EQ(countDanglingRoutes(routingTable), 1U);
+        EXPECT_EQ(countUnknownUpstreams(routingTable, members), 2U);
     }
 
 } // namespace
--- a/tests/ProcessTest.cpp
+++ b/tests/ProcessTest.cpp
@@ -73,11 +73,11 @@
 
     Held readHeld(const DemoMesh& mesh, const DemoDaemon& daemon)
     {
-        boost::json::value picture = mesh.get(daemon, "/v1/picture");
-        if (!picture.is_object())
+        boost::json::value routingTable = mesh.get(daemon, "/v1/routing-table");
+        if (!routingTable.is_object())
             return {};
-        return { picture.as_object().at("revision").to_number<uint64_t>(),
-            boost::json::serialize(picture.as_object().at("routes")) };
+        return { routingTable.as_object().at("revision").to_number<uint64_t>(),
+            boost::json::serialize(routingTable.as_object().at("routes")) };
     }
 
     class ProcessTest : public testing::Test {
--- a/tests/PictureTest.cpp
+++ b/tests/RoutingTableTest.cpp
@@ -1,4 +1,4 @@
-#include "dragonflylane/PictureBuilder.h"
+#include "dragonflylane/RoutingTableBuilder.h"
 
 #include "tests/ConfigGenerators.h"
 
@@ -60,14 +60,14 @@
         return result;
     }
 
-    void compareServices(const Picture& picture, const ConfigState& state, const Announced& announced)
+    void compareServices(const RoutingTable& routingTable, const ConfigState& state, const Announced& announced)
     {
         std::vector<const ServiceItem*> services = state.all<ServiceItem>();
-        RC_ASSERT(picture.serviceCount() == services.size());
+        RC_ASSERT(routingTable.serviceCount() == services.size());
         for (const ServiceItem* item : services) {
-            std::optional<ServiceIndex> index = picture.findService(item->name.value());
+            std::optional<ServiceIndex> index = routingTable.findService(item->name.value());
             RC_ASSERT(index.has_value());
-            const PictureService& found = picture.service(*index);
+            const ServiceEntry& found = routingTable.service(*index);
             RC_ASSERT(found.name == item->name);
             RC_ASSERT(found.timeout == item->timeout);
             RC_ASSERT(found.maxAttempts == item->maxAttempts);
@@ -76,15 +76,15 @@
                 RC_ASSERT(found.find(entry.id) == &entry);
             RC_ASSERT(found.find(UpstreamId("absent")) == nullptr);
             for (const char* caller : { "client", "service-0", "service-1", "service-2", "service-9" })
-                RC_ASSERT(picture.mayCall(caller, *index) == state.isCallAllowed(ServiceName(caller), item->name));
+                RC_ASSERT(routingTable.mayCall(caller, *index) == state.isCallAllowed(ServiceName(caller), item->name));
         }
     }
 
-    void compareRoutes(const Picture& picture, const ConfigState& state)
+    void compareRoutes(const RoutingTable& routingTable, const ConfigState& state)
     {
         for (const char* target : { "", "x", "/", "/a", "/a/", "/a/b", "/a/b/", "/a/bc", "/a/bcd", "/a/b/c/d", "/ab/c",
                  "/abc", "/b?/a/b", "/b/#/a", "/c", "//", "/a//b", "/a/b/c/d/e/f/g/h?x=/a" }) {
-            const PictureRoute* found = picture.findRoute(target);
+            const RouteEntry* found = routingTable.findRoute(target);
             const RouteItem* expected = naiveRoute(state, target);
             RC_ASSERT((found == nullptr) == (expected == nullptr));
             if (!found)
@@ -93,7 +93,7 @@
             RC_ASSERT(found->idempotentMethods == expected->idempotentMethods);
             RC_ASSERT(found->split.size() == expected->split.size());
             for (size_t i = 0; i < found->split.size(); ++i) {
-                RC_ASSERT(picture.service(found->split[i].service).name == expected->split[i].service);
+                RC_ASSERT(routingTable.service(found->split[i].service).name == expected->split[i].service);
                 RC_ASSERT(found->split[i].weight == expected->split[i].weight);
             }
         }
@@ -101,11 +101,11 @@
 
 } // namespace
 
-// Guards against an incremental picture that differs from a naive lookup in state and announcements, in any sequence
-// of revisions, announcements, conflicts and departures.
-RC_GTEST_PROP(PictureProperty, AgreesWithNaiveLookup, ())
+// Guards against an incremental routing table that differs from a naive lookup in state and announcements, in any
+// sequence of revisions, announcements, conflicts and departures.
+RC_GTEST_PROP(RoutingTableProperty, AgreesWithNaiveLookup, ())
 {
-    PictureBuilder builder;
+    RoutingTableBuilder builder;
     ConfigState state;
     Announced announced;
     for (int step = 0; step < 40; ++step) {
@@ -137,27 +137,28 @@
         }
         }
         if (randomBelow(3) == 0)
-            continue; // Several changes go into one picture.
-        std::shared_ptr<const Picture> picture = builder.build();
-        RC_ASSERT(picture->revision() == state.revision());
-        RC_ASSERT(picture->digest() == state.digest());
-        RC_ASSERT(picture->keepers() == (state.keeperView() ? *state.keeperView() : KeeperViewItem {}));
-        compareServices(*picture, state, announced);
-        compareRoutes(*picture, state);
-        RC_ASSERT(builder.build() == picture);
+            continue; // Several changes go into one routing table.
+        std::shared_ptr<const RoutingTable> routingTable = builder.build();
+        RC_ASSERT(routingTable->revision() == state.revision());
+        RC_ASSERT(routingTable->digest() == state.digest());
+        RC_ASSERT(routingTable->keepers() == (state.keeperView() ? *state.keeperView() : KeeperViewItem {}));
+        compareServices(*routingTable, state, announced);
+        compareRoutes(*routingTable, state);
+        RC_ASSERT(builder.build() == routingTable);
     }
 }
 
-// Guards against a rebuild of all services for one upstream, and against a picture that changes under its readers.
-TEST(PictureTest, UpdateSharesUnchangedServicesAndLeavesOldPicturesAlone)
+// Guards against a rebuild of all services for one upstream, and against a routing table that changes under its
+// readers.
+TEST(RoutingTableTest, UpdateSharesUnchangedServicesAndLeavesOldRoutingTablesAlone)
 {
-    PictureBuilder builder;
+    RoutingTableBuilder builder;
     builder.setState(ConfigState(Revision(1), { service("a"), service("b"), service("c") }));
     builder.update(HostId("h1"), upstream("a-1", "h1", "a"));
     builder.update(HostId("h2"), upstream("b-1", "h2", "b"));
-    std::shared_ptr<const Picture> before = builder.build();
+    std::shared_ptr<const RoutingTable> before = builder.build();
     builder.update(HostId("h1"), upstream("a-1", "h1", "a", 1, UpstreamPhase::Draining));
-    std::shared_ptr<const Picture> after = builder.build();
+    std::shared_ptr<const RoutingTable> after = builder.build();
     EXPECT_EQ(before->service(0).upstreams[0].phase, UpstreamPhase::Ready);
     EXPECT_EQ(after->service(0).upstreams[0].phase, UpstreamPhase::Draining);
     EXPECT_EQ(before->sharedService(1), after->sharedService(1));
@@ -166,16 +167,16 @@
     // Also when a new revision moves the indexes and drains one upstream.
     builder.setState(ConfigState(
         Revision(2), { service("0"), service("a"), service("b"), service("c"), DrainItem { UpstreamId("b-1") } }));
-    std::shared_ptr<const Picture> moved = builder.build();
+    std::shared_ptr<const RoutingTable> moved = builder.build();
     EXPECT_EQ(moved->sharedService(1), after->sharedService(0));
     EXPECT_EQ(moved->sharedService(3), after->sharedService(2));
     EXPECT_EQ(moved->service(2).upstreams[0].phase, UpstreamPhase::Draining);
 }
 
 // Guards against two hosts that both serve as owner of one upstream, and against daemons that choose differently.
-TEST(PictureTest, HighestIncarnationOwnsAnUpstreamIdAndConflictIsReturned)
+TEST(RoutingTableTest, HighestIncarnationOwnsAnUpstreamIdAndConflictIsReturned)
 {
-    PictureBuilder builder;
+    RoutingTableBuilder builder;
     builder.setState(ConfigState(Revision(1), { service("a"), service("b") }));
     EXPECT_TRUE(builder.update(HostId("h2"), upstream("u", "h2", "a", 5)).empty());
     std::vector<UpstreamConflict> conflict { { UpstreamId("u"), HostId("h2"), HostId("h1") } };
@@ -201,15 +202,15 @@
 }
 
 // Guards against a split that does not follow its weights, and against a service of weight zero that gets requests.
-TEST(PictureTest, SelectFollowsWeights)
+TEST(RoutingTableTest, SelectFollowsWeights)
 {
-    PictureBuilder builder;
+    RoutingTableBuilder builder;
     RouteItem split = route("r", "/r", "c", 3);
     split.split.push_back({ ServiceName("b"), 0 });
     split.split.push_back({ ServiceName("a"), 1 });
     builder.setState(ConfigState(Revision(1), { service("a"), service("b"), service("c"), split }));
-    std::shared_ptr<const Picture> picture = builder.build();
-    const PictureRoute* found = picture->findRoute("/r");
+    std::shared_ptr<const RoutingTable> routingTable = builder.build();
+    const RouteEntry* found = routingTable->findRoute("/r");
     ASSERT_NE(found, nullptr);
     std::vector<int> counts(3);
     for (uint64_t random = 0; random < 400; ++random)
@@ -218,34 +219,34 @@
 }
 
 // Guards against a retried PUT or DELETE that the operator did not declare idempotent (I6).
-TEST(PictureTest, OnlyListedMethodsAreIdempotent)
+TEST(RoutingTableTest, OnlyListedMethodsAreIdempotent)
 {
-    PictureBuilder builder;
+    RoutingTableBuilder builder;
     RouteItem declared = route("s", "/s", "a");
     declared.idempotentMethods = { "PUT" };
     declared.timeout = std::chrono::milliseconds(50);
     builder.setState(ConfigState(Revision(1), { service("a"), route("r", "/r", "a"), declared }));
-    std::shared_ptr<const Picture> picture = builder.build();
-    const PictureRoute* defaults = picture->findRoute("/r");
+    std::shared_ptr<const RoutingTable> routingTable = builder.build();
+    const RouteEntry* defaults = routingTable->findRoute("/r");
     for (const char* method : { "GET", "HEAD", "OPTIONS" })
         EXPECT_TRUE(defaults->isIdempotent(method)) << method;
     for (const char* method : { "PUT", "DELETE", "POST", "PATCH", "get", "" })
         EXPECT_FALSE(defaults->isIdempotent(method)) << method;
-    EXPECT_TRUE(picture->findRoute("/s")->isIdempotent("PUT"));
-    EXPECT_FALSE(picture->findRoute("/s")->isIdempotent("GET"));
-    EXPECT_EQ(picture->timeout(*defaults, 0), std::chrono::milliseconds(1000));
-    EXPECT_EQ(picture->timeout(*picture->findRoute("/s"), 0), std::chrono::milliseconds(50));
+    EXPECT_TRUE(routingTable->findRoute("/s")->isIdempotent("PUT"));
+    EXPECT_FALSE(routingTable->findRoute("/s")->isIdempotent("GET"));
+    EXPECT_EQ(routingTable->timeout(*defaults, 0), std::chrono::milliseconds(1000));
+    EXPECT_EQ(routingTable->timeout(*routingTable->findRoute("/s"), 0), std::chrono::milliseconds(50));
 }
 
-// Guards against a picture that answers before a configuration was held.
-TEST(PictureTest, EmptyPictureHasNoRoutes)
+// Guards against a routing table that answers before a configuration was held.
+TEST(RoutingTableTest, EmptyRoutingTableHasNoRoutes)
 {
-    std::shared_ptr<const Picture> picture = PictureBuilder().build();
-    EXPECT_EQ(picture->revision(), Revision(0));
-    EXPECT_EQ(picture->findRoute("/"), nullptr);
-    EXPECT_EQ(picture->findRoute("/a/b"), nullptr);
-    EXPECT_FALSE(picture->findService("client").has_value());
-    EXPECT_TRUE(picture->keepers().hosts.empty());
+    std::shared_ptr<const RoutingTable> routingTable = RoutingTableBuilder().build();
+    EXPECT_EQ(routingTable->revision(), Revision(0));
+    EXPECT_EQ(routingTable->findRoute("/"), nullptr);
+    EXPECT_EQ(routingTable->findRoute("/a/b"), nullptr);
+    EXPECT_FALSE(routingTable->findService("client").has_value());
+    EXPECT_TRUE(routingTable->keepers().hosts.empty());
 }
 
 } // namespace dragonflylane
--- a/tests/UpstreamSelectorTest.cpp
+++ b/tests/UpstreamSelectorTest.cpp
@@ -196,8 +196,8 @@
     RC_ASSERT(tried.size() == upstreams.size());
 }
 
-// Guards against a subset that depends on the order of the picture, is too large, sits in one data centre, or changes
-// as a whole when one upstream leaves.
+// Guards against a subset that depends on the order of the routing table, is too large, sits in one data centre, or
+// changes as a whole when one upstream leaves.
 TEST(UpstreamSelectorTest, SubsetIsBoundedStableAndSpread)
 {
     std::vector<UpstreamCandidate> upstreams;
@@ -262,8 +262,8 @@
     }
 }
 
-// Guards against calls to a draining upstream until the picture learns of the drain (I7), and against counts of an
-// earlier life of an upstream that reach its next one.
+// Guards against calls to a draining upstream until the routing table learns of the drain (I7), and against counts of
+// an earlier life of an upstream that reach its next one.
 TEST(UpstreamSelectorTest, UnavailableUpstreamIsAvoidedAndStaleChoicesAreIgnored)
 {
     UpstreamSelector selector(optionsFor());
