Serve routes only once the members are known

Ruled out: waiting a fixed time after the start. Before: 103 for up to 120 ms after the restart of killed hosts.

--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -188,7 +188,7 @@
             .defaultTimeout = m_settings.defaultTimeout };
         m_entry = std::make_unique<EntryTask>(m_context, std::move(options),
             EntryTask::Parts { m_hub, m_owner, m_claims, m_crash, m_metrics, m_journal },
-            EntryTask::Hooks { .hasFloor = [this] { return hasFloor(); },
+            EntryTask::Hooks { .hasFloor = [this] { return mayServeRoutes(); },
                 .transferPeer = [this](const std::vector<HostId>& tried) { return transferPeer(tried); } });
         HttpServerOptions serverOptions { .listen = m_settings.callers,
             .maxConnections = m_settings.maxConnections,
@@ -328,15 +328,23 @@
 
     bool hasFloor() const { return m_relay->relay().hasFloor(); }
 
+    // Before the members are known, every service seems to have no upstream.
+    bool mayServeRoutes() const { return hasFloor() && m_membership->view().isJoined(); }
+
     HostId transferPeer(const std::vector<HostId>& tried) const
     {
         HostId best;
+        for (const auto& [host, endpoint] : m_settings.voters) {
+            bool isTried = std::find(tried.begin(), tried.end(), host) != tried.end();
+            if (!isTried && host != m_settings.hostId)
+                best = host;
+        }
         for (const auto& [host, record] : m_membership->view().members()) {
             bool isTried = std::find(tried.begin(), tried.end(), host) != tried.end();
             if (record.state != MemberState::Alive || isTried || host == m_settings.hostId)
                 continue;
             bool isNear = record.dataCentre == m_settings.dataCentre;
-            if (best.isEmpty() || isNear)
+            if (best.isEmpty() || isNear || m_settings.voters.contains(best))
                 best = host;
             if (isNear)
                 break;
