Open listeners in one place

Ruled out: a base class for both servers; they share nothing else. Before: two copies. Conclusion: no behaviour changed.

--- a/dragonflylane/HttpServer.cpp
+++ b/dragonflylane/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "dragonflylane/HttpServer.h"
 
 #include "dragonflylane/HttpSession.h"
+#include "dragonflylane/Listener.h"
 #include "dragonflylane/Metrics.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -29,18 +30,8 @@
 
     std::error_code start()
     {
-        tcp::endpoint endpoint(asio::ip::make_address(m_options.listen.address), m_options.listen.port);
-        boost::system::error_code error;
-        m_acceptor.open(endpoint.protocol(), error);
-        if (!error)
-            m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-        if (!error)
-            m_acceptor.bind(endpoint, error);
-        if (!error)
-            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-        if (error)
-            return ResultCode::ListenFailed;
-        m_port = m_acceptor.local_endpoint(error).port();
+        if (auto error = openListener(m_acceptor, m_options.listen, m_port))
+            return error;
         accept();
         return {};
     }
--- a/dragonflylane/PeerHub.cpp
+++ b/dragonflylane/PeerHub.cpp
@@ -1,6 +1,7 @@
 #include "dragonflylane/PeerHub.h"
 
 #include "dragonflylane/Event.h"
+#include "dragonflylane/Listener.h"
 #include "dragonflylane/MeshSecret.h"
 #include "dragonflylane/Metrics.h"
 #include "dragonflylane/PeerLink.h"
@@ -31,18 +32,8 @@
 
     std::error_code start()
     {
-        tcp::endpoint endpoint(asio::ip::make_address(m_options.listen.address), m_options.listen.port);
-        boost::system::error_code error;
-        m_acceptor.open(endpoint.protocol(), error);
-        if (!error)
-            m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-        if (!error)
-            m_acceptor.bind(endpoint, error);
-        if (!error)
-            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-        if (error)
-            return ResultCode::ListenFailed;
-        m_port = m_acceptor.local_endpoint(error).port();
+        if (auto error = openListener(m_acceptor, m_options.listen, m_port))
+            return error;
         m_lastTick = BootClock::now();
         accept();
         scheduleTick();
