Make plan ids and compare secrets in one place each

Ruled out: merging renderers and wire conversions of the same shape, which differ in their types. Before: two copies of each. After: makePlanId() beside ApiRequest, equalInConstantTime() beside MeshSecret. Conclusion: no behaviour changed.

--- a/dragonflylane/ApiRequest.cpp
+++ b/dragonflylane/ApiRequest.cpp
@@ -1,7 +1,10 @@
 #include "dragonflylane/ApiRequest.h"
 
+#include "dragonflylane/MeshSecret.h"
+
 #include <boost/json.hpp>
 #include <charconv>
+#include <cstdio>
 
 namespace dragonflylane {
 
@@ -90,4 +93,16 @@
     return segments;
 }
 
+std::string makePlanId()
+{
+    constexpr size_t idBytes = 6;
+    std::string id = "p-";
+    for (unsigned char byte : MeshSecret::makeNonce().substr(0, idBytes)) {
+        char hex[3];
+        std::snprintf(hex, sizeof(hex), "%02x", byte);
+        id += hex;
+    }
+    return id;
+}
+
 } // namespace dragonflylane
--- a/dragonflylane/ApiRequest.h
+++ b/dragonflylane/ApiRequest.h
@@ -33,4 +33,7 @@
 /// Splits the target of a request into path segments; empty if it is not below /v1.
 std::vector<std::string> splitApiPath(std::string_view target);
 
+/// A random plan id, such as "p-7c9e20b4be94".
+std::string makePlanId();
+
 } // namespace dragonflylane
--- a/dragonflylane/ApiTask.cpp
+++ b/dragonflylane/ApiTask.cpp
@@ -8,7 +8,6 @@
 #include "dragonflylane/Journal.h"
 #include "dragonflylane/LogTask.h"
 #include "dragonflylane/MembershipTask.h"
-#include "dragonflylane/MeshSecret.h"
 #include "dragonflylane/Metrics.h"
 #include "dragonflylane/OwnerTask.h"
 #include "dragonflylane/PlanJson.h"
@@ -40,19 +39,6 @@
     constexpr std::chrono::seconds leaderPatience { 4 };
     constexpr std::chrono::milliseconds leaderRetryInterval { 100 };
 
-    std::string makePlanId()
-    {
-        std::string id = "p-";
-        std::string nonce = MeshSecret::makeNonce();
-        constexpr size_t idBytes = 6;
-        for (size_t i = 0; i < idBytes; ++i) {
-            char hex[3];
-            std::snprintf(hex, sizeof(hex), "%02x", static_cast<unsigned char>(nonce[i]));
-            id += hex;
-        }
-        return id;
-    }
-
     bool parseNumber(std::string_view text, uint64_t& value)
     {
         auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
--- a/dragonflylane/CommandLine.cpp
+++ b/dragonflylane/CommandLine.cpp
@@ -1,8 +1,8 @@
 #include "dragonflylane/CommandLine.h"
 
 #include "dragonflylane/ApiClient.h"
+#include "dragonflylane/ApiRequest.h"
 #include "dragonflylane/CommandOutput.h"
-#include "dragonflylane/MeshSecret.h"
 #include "dragonflylane/ResultCode.h"
 #include "dragonflylane/Settings.h"
 
@@ -111,18 +111,6 @@
         json::value m_document;
     };
 
-    // The tool chooses the id, so that a resend after a lost answer cannot store a second plan.
-    std::string makePlanId()
-    {
-        std::string id = "p-";
-        for (unsigned char byte : MeshSecret::makeNonce().substr(0, 6)) {
-            char hex[3];
-            std::snprintf(hex, sizeof(hex), "%02x", byte);
-            id += hex;
-        }
-        return id;
-    }
-
     int confirm(Session& session, const std::string& plan)
     {
         return session.exchange({ .method = "POST", .target = "/v1/plans/" + plan + "/confirm" }, renderConfirmation);
@@ -130,6 +118,7 @@
 
     int propose(Session& session, const std::string& changes)
     {
+        // The tool chooses the id, so that a resend after a lost answer cannot store a second plan.
         std::string id = makePlanId();
         HttpRequest request { .method = "POST", .target = "/v1/plans", .headers = { { "Dragonflylane-Plan", id } } };
         request.body = changes;
--- a/dragonflylane/MeshSecret.cpp
+++ b/dragonflylane/MeshSecret.cpp
@@ -28,13 +28,13 @@
         return out;
     }
 
-    bool equalInConstantTime(std::string_view a, std::string_view b)
-    {
-        return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
-    }
-
 } // namespace
 
+bool equalInConstantTime(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
 MeshSecret::MeshSecret(const std::string& meshId, const std::string& secret)
     : m_key(hmac(secret, meshId))
 {
--- a/dragonflylane/MeshSecret.h
+++ b/dragonflylane/MeshSecret.h
@@ -8,6 +8,9 @@
 
 namespace dragonflylane {
 
+/// Compares secrets without revealing by its duration where they differ.
+bool equalInConstantTime(std::string_view, std::string_view);
+
 /// The shared secret of a mesh. A mesh of one on loopback may have an empty one.
 class MeshSecret {
 public:
--- a/dragonflylane/Operators.cpp
+++ b/dragonflylane/Operators.cpp
@@ -1,10 +1,10 @@
 #include "dragonflylane/Operators.h"
 
 #include "dragonflylane/ConfigItem.h"
+#include "dragonflylane/MeshSecret.h"
 #include "dragonflylane/ResultCode.h"
 
 #include <fstream>
-#include <openssl/crypto.h>
 #include <sstream>
 
 namespace dragonflylane {
@@ -14,11 +14,6 @@
     constexpr size_t minTokenLength = 16;
     constexpr std::string_view scheme = "Bearer ";
 
-    bool equalInConstantTime(std::string_view a, std::string_view b)
-    {
-        return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
-    }
-
 } // namespace
 
 std::error_code Operators::readFile(const std::string& path, Operators& operators, std::string& detail)
