--- a/dragonflylane/ApiRequest.cpp
+++ b/dragonflylane/ApiRequest.cpp
@@ -75,7 +75,10 @@
         { "message", std::string(message(code)) } };
     if (!detail.empty())
         error["detail"] = detail;
-    respondJson(json::serialize(json::object { { "error", std::move(error) } }) + "\n", errorStatus(code));
+    respond({ .status = errorStatus(code),
+        .headers = { { "Content-Type", "application/json" },
+            { "Dragonflylane-Code", std::to_string(static_cast<unsigned>(code)) } },
+        .body = json::serialize(json::object { { "error", std::move(error) } }) + "\n" });
 }
 
 std::vector<std::string> splitApiPath(std::string_view target)
--- a/dragonflylane/ApiTask.cpp
+++ b/dragonflylane/ApiTask.cpp
@@ -39,6 +39,9 @@
     constexpr std::chrono::seconds leaderPatience { 4 };
     constexpr std::chrono::milliseconds leaderRetryInterval { 100 };
 
+    // Name under which the journal records orders from a trusted network.
+    constexpr const char* trustedOperator = "trusted-network";
+
     bool parseNumber(std::string_view text, uint64_t& value)
     {
         auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -55,6 +58,13 @@
         return std::nullopt;
     }
 
+    ResultCode answeredCode(const HttpResponse& response)
+    {
+        uint64_t code = 0;
+        parseNumber(response.header("Dragonflylane-Code"), code);
+        return static_cast<ResultCode>(code);
+    }
+
     // Returns false for a document that is not an announcement.
     bool parseAnnouncement(const std::string& body, Announcement& announcement)
     {
@@ -97,10 +107,12 @@
 
 } // namespace
 
-ApiTask::ApiTask(boost::asio::io_context& context, ApiParts parts, Operators operators)
+ApiTask::ApiTask(boost::asio::io_context& context, ApiParts parts, Operators operators, ForeignApi foreignApi)
     : m_context(context)
-    , m_parts(parts)
+    , m_parts(std::move(parts))
     , m_operators(std::move(operators))
+    , m_foreignApi(std::move(foreignApi))
+    , m_port(makePort())
     , m_peers(context, parts.hub, [this](const HostId&, HttpRequest http, Respond respond) {
         ApiRequest request { .http = std::move(http), .isForwarded = true, .respond = std::move(respond) };
         request.path = splitApiPath(request.http.target);
@@ -117,8 +129,10 @@
 
 void ApiTask::handle(const std::shared_ptr<HttpExchange>& exchange)
 {
-    ApiRequest request { .http = exchange->request() };
-    request.respond = [exchange](HttpResponse response) { exchange->respond(std::move(response)); };
+    auto respond = [exchange](HttpResponse response) { exchange->respond(std::move(response)); };
+    if (m_foreignApi && m_foreignApi(exchange->request(), respond, m_port))
+        return;
+    ApiRequest request { .http = exchange->request(), .respond = respond };
     request.path = splitApiPath(request.http.target);
     if (!authenticate(request)) {
         m_parts.metrics.add("api_unknown_operator");
@@ -131,8 +145,13 @@
 {
     // An upstream announces itself over loopback and has no token: with one, it could confirm plans.
     bool isAnnouncement = request.path.size() == 1 && request.path.front() == "announce";
-    if (isAnnouncement && m_parts.settings.api.isLoopback())
+    bool isReadiness = request.path.size() == 1 && request.path.front() == "ready";
+    if (isReadiness || (isAnnouncement && m_parts.settings.api.isLoopback()))
         return true;
+    if (m_parts.settings.isTrustedNetwork && m_parts.settings.operatorsFile.empty()) {
+        request.operatorName = OperatorName(trustedOperator);
+        return true;
+    }
     auto found = m_operators.authenticate(request.http.header("Authorization"));
     if (found)
         request.operatorName = *found;
@@ -152,6 +171,9 @@
         { "POST", "plans", 1, &ApiTask::createPlan },
         { "POST", "plans", 3, &ApiTask::confirmPlan },
         { "GET", "plans", 2, &ApiTask::showPlan },
+        { "POST", "replacements", 1, &ApiTask::replaceConfiguration },
+        { "GET", "document", 1, &ApiTask::showDocument },
+        { "GET", "ready", 1, &ApiTask::showReadiness },
         { "GET", "history", 1, &ApiTask::showHistory },
         { "GET", "status", 1, &ApiTask::showStatus },
         { "GET", "revisions", 2, &ApiTask::showRevision },
@@ -184,6 +206,12 @@
     std::vector<HostId> hosts;
     for (const auto& [host, endpoint] : m_parts.settings.voters)
         hosts.push_back(host);
+    if (!m_parts.settings.hasAutomaticVoters)
+        return hosts;
+    for (const auto& [host, record] : m_parts.membership.view().members()) {
+        if (record.isPresent() && record.controlRole != ControlRole::None)
+            hosts.push_back(host);
+    }
     return hosts;
 }
 
@@ -309,6 +337,72 @@
     });
 }
 
+// ---- whole documents ----
+
+MeshPort ApiTask::makePort()
+{
+    MeshPort port { .service = m_parts.settings.service, .upstream = m_parts.settings.upstream };
+    port.isReady = m_parts.isReady;
+    port.announce = [this](const Announcement& announcement) { m_parts.owner.announce(announcement); };
+    port.withdraw
+        = [this](const UpstreamId& id, uint64_t startedAt) { m_parts.owner.withdraw(id, startedAt); };
+    port.replaceConfiguration = [this](ReplaceCommand command, std::function<void(ReplaceAnswer)> answer) {
+        if (command.operatorName.isEmpty())
+            command.operatorName = OperatorName(trustedOperator);
+        ApiRequest request { .http = { .method = "POST", .target = "/v1/replacements" }, .path = { "replacements" } };
+        request.operatorName = command.operatorName;
+        request.http.body = PlanBook::encode(std::move(command));
+        request.respond = [answer = std::move(answer)](const HttpResponse& response) {
+            answer({ answeredCode(response), response.body });
+        };
+        dispatch(std::move(request));
+    };
+    port.readDocument = [this](std::function<void(DocumentAnswer)> answer) {
+        ApiRequest request { .http = { .method = "GET", .target = "/v1/document" }, .path = { "document" } };
+        request.respond = [answer = std::move(answer)](const HttpResponse& response) {
+            answer({ answeredCode(response), response.body });
+        };
+        dispatch(std::move(request));
+    };
+    return port;
+}
+
+// The body is an encoded command, since the document that it was made from may have any format.
+void ApiTask::replaceConfiguration(const ApiRequest& request)
+{
+    if (!isLeader())
+        return forwardToLeader(request);
+    PlanCommand command;
+    if (PlanBook::decode(request.http.body, &command) || !std::holds_alternative<ReplaceCommand>(command))
+        return request.respondError(ResultCode::MalformedPlan);
+    m_parts.log->submit(command, [this, request](std::error_code error, const ApplyOutcome& outcome) {
+        ResultCode code = error ? resultCode(error) : outcome.code;
+        Event("configuration_replaced")
+            .with("operator", request.operatorName)
+            .with("code", name(code))
+            .with("revision", outcome.revision)
+            .with("repeated", static_cast<int>(outcome.repeated))
+            .with("detail", outcome.detail);
+        if (code != ResultCode::Ok)
+            return request.respondError(code, outcome.detail);
+        request.respondJson("{}\n");
+    });
+}
+
+void ApiTask::showDocument(const ApiRequest& request)
+{
+    if (!m_parts.log || !m_parts.log->isCurrent(BootClock::now()))
+        return forwardToLeader(request);
+    request.respond({ .headers = { { "Content-Type", "application/json" } }, .body = m_parts.log->book().document() });
+}
+
+void ApiTask::showReadiness(const ApiRequest& request)
+{
+    constexpr unsigned statusServiceUnavailable = 503;
+    bool isReady = m_parts.isReady && m_parts.isReady();
+    request.respondJson(isReady ? "{}\n" : "{\"ready\":false}\n", isReady ? 200 : statusServiceUnavailable);
+}
+
 void ApiTask::showPlan(const ApiRequest& request)
 {
     if (!isLeader())
--- a/dragonflylane/ApiTask.h
+++ b/dragonflylane/ApiTask.h
@@ -6,6 +6,7 @@
 // gathered from the daemons that know. docs/OPERATIONS.md describes every request.
 
 #include "dragonflylane/HttpMessage.h"
+#include "dragonflylane/MeshPort.h"
 #include "dragonflylane/Operators.h"
 #include "dragonflylane/PeerApi.h"
 #include "dragonflylane/Settings.h"
@@ -44,6 +45,8 @@
     ClaimTask& claims;
     CrashTask& crash;
     LogTask* log;
+    /// Callers may be sent here.
+    std::function<bool()> isReady;
 };
 
 /// Routes API requests to their handlers.
@@ -51,7 +54,8 @@
 public:
     using Respond = std::function<void(HttpResponse)>;
 
-    ApiTask(boost::asio::io_context&, ApiParts, Operators);
+    /// The foreign API may be empty.
+    ApiTask(boost::asio::io_context&, ApiParts, Operators, ForeignApi);
 
     void start();
     void handle(const std::shared_ptr<HttpExchange>&);
@@ -64,11 +68,15 @@
     void askLeader(const ApiRequest&, std::vector<HostId> hosts, TimePoint deadline);
     void waitForLeader(const ApiRequest&, TimePoint deadline);
     bool isLeader() const;
+    MeshPort makePort();
 
     void announce(const ApiRequest&);
     void createPlan(const ApiRequest&);
     void confirmPlan(const ApiRequest&);
     void showPlan(const ApiRequest&);
+    void replaceConfiguration(const ApiRequest&);
+    void showDocument(const ApiRequest&);
+    void showReadiness(const ApiRequest&);
     void showHistory(const ApiRequest&);
     void showStatus(const ApiRequest&);
     void showRevision(const ApiRequest&);
@@ -88,6 +96,8 @@
     boost::asio::io_context& m_context;
     ApiParts m_parts;
     Operators m_operators;
+    ForeignApi m_foreignApi;
+    MeshPort m_port;
     PeerApi m_peers;
 };
 
--- a/dragonflylane/CallHeaders.cpp
+++ b/dragonflylane/CallHeaders.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdio>
 
 namespace dragonflylane {
 
@@ -27,30 +28,30 @@
 
 } // namespace
 
-std::error_code parseCallHeaders(const HttpRequest& request, CallHeaders& headers)
+std::error_code parseCallHeaders(const HttpRequest& request, const CallHeaderNames& names, CallHeaders& headers)
 {
     headers = {};
-    std::string_view caller = request.header("Dragonflylane-Caller");
+    std::string_view caller = request.header(names.caller);
     headers.caller = ServiceName(caller.empty() ? clientServiceName : std::string(caller));
-    headers.key = IdempotencyKey(std::string(request.header("Idempotency-Key")));
+    headers.key = IdempotencyKey(std::string(request.header(names.idempotencyKey)));
     if (headers.key.value().size() > maxKeyBytes)
         return ResultCode::RequestTooLarge;
-    if (std::string_view text = request.header("Dragonflylane-Deadline-Ms"); !text.empty()) {
+    if (std::string_view text = request.header(names.deadline); !text.empty()) {
         uint64_t milliseconds = 0;
         if (!parseNumber(text, maxTimeoutMilliseconds, milliseconds))
             return ResultCode::MalformedRequest;
         headers.timeout = std::chrono::milliseconds(milliseconds);
     }
-    if (std::string_view text = request.header("Dragonflylane-Hops"); !text.empty()) {
+    if (std::string_view text = request.header(names.hops); !text.empty()) {
         uint64_t hops = 0;
         if (!parseNumber(text, UINT32_MAX, hops))
             return ResultCode::MalformedRequest;
         headers.hops = static_cast<uint32_t>(hops);
     }
-    std::string_view id = request.header("Dragonflylane-Request-Id");
+    std::string_view id = request.header(names.requestId);
     if (isRequestId(id))
         headers.requestId = RequestId(std::string(id));
-    headers.isTransferred = !request.header("Dragonflylane-Transferred").empty();
+    headers.isTransferred = !request.header(transferredHeader).empty();
     return {};
 }
 
@@ -86,14 +87,20 @@
     }
 }
 
-HttpResponse makeRefusal(ResultCode code, const RequestId& id)
+HttpResponse makeRefusal(ResultCode code, const RequestId& id, const CallHeaderNames& names, Duration retryAfter)
 {
     HttpResponse response { .status = httpStatus(code) };
     bool isNotRun = runState(code) == RunState::NotRun;
-    response.headers = { { "Dragonflylane-Code", std::to_string(static_cast<unsigned>(code)) },
-        { "Dragonflylane-Run", isNotRun ? "not-run" : "unknown" }, { "Content-Type", "text/plain" } };
+    response.headers = { { names.code, std::to_string(static_cast<unsigned>(code)) },
+        { names.run, isNotRun ? "not-run" : "unknown" }, { "Content-Type", "text/plain" } };
     if (!id.isEmpty())
-        response.headers.push_back({ "Dragonflylane-Request-Id", id.value() });
+        response.headers.push_back({ names.requestId, id.value() });
+    if (retryAfter > Duration::zero()) {
+        double seconds = std::chrono::duration<double>(retryAfter).count();
+        char text[32];
+        std::snprintf(text, sizeof(text), "%.3f", seconds);
+        response.headers.push_back({ "Retry-After", text });
+    }
     response.body = std::string(message(code)) + "\n";
     return response;
 }
--- a/dragonflylane/CallHeaders.h
+++ b/dragonflylane/CallHeaders.h
@@ -13,6 +13,31 @@
 
 namespace dragonflylane {
 
+/// Names of the headers by which callers, daemons and upstreams talk about a call. An empty name is not used.
+struct CallHeaderNames {
+    // On requests.
+    /// Milliseconds that the caller will wait.
+    std::string deadline { "Dragonflylane-Deadline-Ms" };
+    std::string requestId { "Dragonflylane-Request-Id" };
+    /// Service that calls.
+    std::string caller { "Dragonflylane-Caller" };
+    std::string hops { "Dragonflylane-Hops" };
+    std::string idempotencyKey { "Idempotency-Key" };
+    /// Tells the upstream which one is meant; another one at its address refuses the request.
+    std::string expectedUpstream {};
+
+    // On answers.
+    std::string code { "Dragonflylane-Code" };
+    std::string run { "Dragonflylane-Run" };
+    /// By an upstream: the request did not run.
+    std::string notRun {};
+    /// Upstreams repeat the request id on their answers, so an answer to another request can be told.
+    bool answersRepeatRequestId { false };
+};
+
+/// Marks a call that one daemon hands over to another as a whole.
+inline constexpr const char* transferredHeader = "Dragonflylane-Transferred";
+
 /// What the headers of a request say about the call.
 struct CallHeaders {
     /// Service that calls; `client` if the header is absent.
@@ -30,10 +55,11 @@
 
 /// Reads the headers. MalformedRequest for a header of ours that does not parse, RequestTooLarge for a key over 128
 /// bytes.
-std::error_code parseCallHeaders(const HttpRequest&, CallHeaders&);
+std::error_code parseCallHeaders(const HttpRequest&, const CallHeaderNames&, CallHeaders&);
 
-/// Answer for a refusal: status, code and whether the request ran, as headers and as one sentence.
-HttpResponse makeRefusal(ResultCode, const RequestId&);
+/// Answer for a refusal: status, code and whether the request ran, as headers and as one sentence. A retry time above
+/// zero tells the caller when to come back.
+HttpResponse makeRefusal(ResultCode, const RequestId&, const CallHeaderNames& = {}, Duration retryAfter = {});
 
 /// HTTP status that fits a code.
 unsigned httpStatus(ResultCode);
--- a/dragonflylane/CallTransfers.cpp
+++ b/dragonflylane/CallTransfers.cpp
@@ -20,8 +20,9 @@
 
 } // namespace
 
-CallTransfers::CallTransfers(PeerHub& hub, Metrics& metrics, Hooks hooks)
+CallTransfers::CallTransfers(PeerHub& hub, const CallHeaderNames& names, Metrics& metrics, Hooks hooks)
     : m_hub(hub)
+    , m_names(names)
     , m_metrics(metrics)
     , m_hooks(std::move(hooks))
 {
@@ -108,12 +109,14 @@
     if (!decodeThrift(frame.payload, message))
         return m_metrics.add("forward_malformed");
     int64_t id = message.requestId;
+    CallOrigin origin { .service = ServiceName(message.callerService), .isNested = message.nested };
     auto exchange = std::make_shared<HttpExchange>(
-        toHttpRequest(std::move(message)), BootClock::now(), [this, id, link = frame.link](HttpResponse response) {
+        toHttpRequest(std::move(message), m_names), BootClock::now(), [this, id, link = frame.link](HttpResponse response) {
             wire::ForwardResponse reply = toForwardResponse(std::move(response));
             reply.requestId = id;
             m_hub.send(link, FrameKind::ForwardResponse, encodeThrift(reply));
         });
+    exchange->setOrigin(std::move(origin));
     m_hooks.serve(std::move(exchange));
 }
 
--- a/dragonflylane/CallTransfers.h
+++ b/dragonflylane/CallTransfers.h
@@ -36,7 +36,7 @@
         std::function<void(std::shared_ptr<HttpExchange>)> serve;
     };
 
-    CallTransfers(PeerHub&, Metrics&, Hooks);
+    CallTransfers(PeerHub&, const CallHeaderNames&, Metrics&, Hooks);
 
     void start();
     /// Transfers the call; ids are unique among the attempts of this daemon.
@@ -60,6 +60,7 @@
     void serve(const PeerFrame&);
 
     PeerHub& m_hub;
+    const CallHeaderNames& m_names;
     Metrics& m_metrics;
     Hooks m_hooks;
     std::unordered_map<uint64_t, Pending> m_pending;
--- a/dragonflylane/ConfigItem.cpp
+++ b/dragonflylane/ConfigItem.cpp
@@ -32,6 +32,7 @@
             appendText(out, item.name.value());
             appendNumber(out, static_cast<uint64_t>(item.timeout.count()));
             appendNumber(out, item.maxAttempts);
+            appendNumber(out, item.maxConnections);
         }
 
         void operator()(const RouteItem& item) const
@@ -47,6 +48,12 @@
             appendNumber(out, item.idempotentMethods.size());
             for (const std::string& method : item.idempotentMethods)
                 appendText(out, method);
+            appendText(out, item.host);
+            constexpr uint64_t methodDecides = 2;
+            appendNumber(out, item.isIdempotent ? uint64_t { *item.isIdempotent } : methodDecides);
+            appendNumber(out, item.maxAttempts);
+            appendNumber(out, item.priority);
+            appendNumber(out, static_cast<uint64_t>(item.targetLatency.count()));
         }
 
         void operator()(const CallRuleItem& item) const
@@ -66,6 +73,15 @@
                 appendText(out, keeper.dataCentre.value());
             }
         }
+
+        void operator()(const MeshPolicyItem& item) const
+        {
+            appendNumber(out, uint64_t { item.openCalls });
+            appendNumber(out, item.maxHeaderBytes);
+            appendNumber(out, item.maxBodyBytes);
+            appendNumber(out, static_cast<uint64_t>(item.headerTimeout.count()));
+            appendNumber(out, static_cast<uint64_t>(item.idleTimeout.count()));
+        }
     };
 
     struct KeyMaker {
@@ -74,6 +90,7 @@
         ItemKey operator()(const CallRuleItem& item) const { return callRuleKey(item.caller, item.callee); }
         ItemKey operator()(const DrainItem& item) const { return drainKey(item.upstream); }
         ItemKey operator()(const KeeperViewItem&) const { return keeperViewKey(); }
+        ItemKey operator()(const MeshPolicyItem&) const { return meshPolicyKey(); }
     };
 
     std::error_code refuse(ResultCode code, std::string text, std::string* detail)
@@ -102,6 +119,8 @@
             return true;
         if (prefix.empty() || prefix.size() > ItemLimits::pathPrefixLength || prefix.front() != '/')
             return false;
+        if (prefix.back() == '/')
+            prefix.remove_suffix(1);
         if (!std::all_of(prefix.begin(), prefix.end(), isPathCharacter))
             return false;
         for (size_t begin = 1; begin <= prefix.size();) {
@@ -114,6 +133,13 @@
         return true;
     }
 
+    bool isValidHost(std::string_view host)
+    {
+        return host.size() <= ItemLimits::hostLength && std::all_of(host.begin(), host.end(), [](char c) {
+            return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '.' || c == '_' || c == ':';
+        });
+    }
+
     bool isValidMethod(std::string_view method)
     {
         return !method.empty() && method.size() <= ItemLimits::methodLength
@@ -143,6 +169,9 @@
             if (item.maxAttempts < 1 || item.maxAttempts > ItemLimits::maxAttempts)
                 return refuse(ResultCode::InvalidValue,
                     "maxAttempts of service " + item.name.value() + " is out of range", detail);
+            if (item.maxConnections > ItemLimits::connections)
+                return refuse(ResultCode::InvalidValue,
+                    "maxConnections of service " + item.name.value() + " is out of range", detail);
             return {};
         }
 
@@ -155,6 +184,14 @@
                 return refuse(ResultCode::InvalidValue, "path prefix" + where + " is not valid", detail);
             if (item.timeout.count() < 0 || item.timeout > ItemLimits::timeout)
                 return refuse(ResultCode::InvalidValue, "timeout" + where + " is out of range", detail);
+            if (!isValidHost(item.host))
+                return refuse(ResultCode::InvalidValue, "host" + where + " is not valid", detail);
+            if (item.maxAttempts > ItemLimits::maxAttempts)
+                return refuse(ResultCode::InvalidValue, "maxAttempts" + where + " is out of range", detail);
+            if (item.priority > ItemLimits::priority)
+                return refuse(ResultCode::InvalidValue, "priority" + where + " is out of range", detail);
+            if (item.targetLatency.count() < 0 || item.targetLatency > ItemLimits::timeout)
+                return refuse(ResultCode::InvalidValue, "target latency" + where + " is out of range", detail);
             if (std::error_code error = checkMethods(item, where))
                 return error;
             return checkSplit(item, where);
@@ -221,6 +258,15 @@
             }
             return {};
         }
+
+        std::error_code operator()(const MeshPolicyItem& item) const
+        {
+            bool isValid = item.headerTimeout.count() >= 0 && item.headerTimeout <= ItemLimits::timeout
+                && item.idleTimeout.count() >= 0 && item.idleTimeout <= ItemLimits::timeout;
+            if (!isValid)
+                return refuse(ResultCode::InvalidValue, "a time of the mesh policy is out of range", detail);
+            return {};
+        }
     };
 
 } // namespace
@@ -260,6 +306,11 @@
     return { ItemKind::KeeperView, {} };
 }
 
+ItemKey meshPolicyKey()
+{
+    return { ItemKind::MeshPolicy, {} };
+}
+
 std::string_view kindName(ItemKind kind)
 {
     switch (kind) {
@@ -273,6 +324,8 @@
         return "drain";
     case ItemKind::KeeperView:
         return "keeper_view";
+    case ItemKind::MeshPolicy:
+        return "mesh_policy";
     }
     return "unknown";
 }
--- a/dragonflylane/ConfigState.cpp
+++ b/dragonflylane/ConfigState.cpp
@@ -96,18 +96,18 @@
 
     std::error_code checkRoutes(const ConfigState& state, std::string* detail)
     {
-        std::unordered_map<std::string_view, const RouteItem*> prefixes;
+        std::unordered_map<std::string, const RouteItem*> prefixes;
         for (const RouteItem* route : state.all<RouteItem>()) {
             for (const SplitPart& part : route->split) {
                 if (!state.service(part.service))
                     return refuse(ResultCode::DanglingRoute,
                         "route " + route->name.value() + " names the unknown service " + part.service.value(), detail);
             }
-            auto [other, inserted] = prefixes.try_emplace(route->pathPrefix, route);
+            auto [other, inserted] = prefixes.try_emplace(route->host + route->pathPrefix, route);
             if (!inserted)
                 return refuse(ResultCode::DuplicatePrefix,
                     "routes " + other->second->name.value() + " and " + route->name.value()
-                        + " have the same path prefix " + route->pathPrefix,
+                        + " have the same path prefix " + route->host + route->pathPrefix,
                     detail);
         }
         return {};
@@ -163,6 +163,12 @@
     return item ? std::get_if<KeeperViewItem>(item) : nullptr;
 }
 
+const MeshPolicyItem* ConfigState::meshPolicy() const
+{
+    const ConfigItem* item = find(meshPolicyKey());
+    return item ? std::get_if<MeshPolicyItem>(item) : nullptr;
+}
+
 bool ConfigState::isDrained(const UpstreamId& upstream) const
 {
     return find(drainKey(upstream)) != nullptr;
--- a/dragonflylane/ConfigState.h
+++ b/dragonflylane/ConfigState.h
@@ -46,6 +46,7 @@
     const ServiceItem* service(const ServiceName&) const;
     const RouteItem* route(const RouteName&) const;
     const KeeperViewItem* keeperView() const;
+    const MeshPolicyItem* meshPolicy() const;
     bool isDrained(const UpstreamId&) const;
     bool isCallAllowed(const ServiceName& caller, const ServiceName& callee) const;
 
--- a/dragonflylane/ConfigWire.cpp
+++ b/dragonflylane/ConfigWire.cpp
@@ -31,6 +31,7 @@
             service.name = item.name.value();
             service.timeoutMilliseconds = narrow(item.timeout);
             service.maxAttempts = static_cast<int32_t>(item.maxAttempts);
+            service.maxConnections = static_cast<int32_t>(item.maxConnections);
             out->services.push_back(std::move(service));
             out->__isset.services = true;
         }
@@ -47,6 +48,13 @@
             }
             route.timeoutMilliseconds = narrow(item.timeout);
             route.idempotentMethods = item.idempotentMethods;
+            if (!item.host.empty())
+                route.__set_host(item.host);
+            if (item.isIdempotent)
+                route.__set_idempotent(*item.isIdempotent);
+            route.maxAttempts = static_cast<int32_t>(item.maxAttempts);
+            route.priority = static_cast<int32_t>(item.priority);
+            route.targetLatencyMilliseconds = narrow(item.targetLatency);
             out->routes.push_back(std::move(route));
             out->__isset.routes = true;
         }
@@ -72,6 +80,17 @@
             view.hosts = toWire(item.hosts);
             out->__set_keeperView(view);
         }
+
+        void operator()(const MeshPolicyItem& item) const
+        {
+            wire::ConfigMeshPolicy policy;
+            policy.openCalls = item.openCalls;
+            policy.maxHeaderBytes = static_cast<int32_t>(item.maxHeaderBytes);
+            policy.maxBodyBytes = static_cast<int64_t>(item.maxBodyBytes);
+            policy.headerTimeoutMilliseconds = narrow(item.headerTimeout);
+            policy.idleTimeoutMilliseconds = narrow(item.idleTimeout);
+            out->__set_meshPolicy(policy);
+        }
     };
 
     bool readRoute(const wire::ConfigRoute& wireRoute, std::vector<ConfigItem>* items)
@@ -84,8 +103,14 @@
                 return false;
             route.split.push_back({ ServiceName(part.serviceName), static_cast<uint32_t>(part.weight) });
         }
-        if (wireRoute.timeoutMilliseconds < 0)
+        if (wireRoute.timeoutMilliseconds < 0 || wireRoute.maxAttempts < 0 || wireRoute.priority < 0)
             return false;
+        route.host = wireRoute.host;
+        if (wireRoute.__isset.idempotent)
+            route.isIdempotent = wireRoute.idempotent;
+        route.maxAttempts = static_cast<uint32_t>(wireRoute.maxAttempts);
+        route.priority = static_cast<uint32_t>(wireRoute.priority);
+        route.targetLatency = std::chrono::milliseconds(wireRoute.targetLatencyMilliseconds);
         route.timeout = std::chrono::milliseconds(wireRoute.timeoutMilliseconds);
         route.idempotentMethods = wireRoute.idempotentMethods;
         items->push_back(std::move(route));
@@ -125,10 +150,11 @@
 bool readItems(const wire::ConfigItems& wireItems, std::vector<ConfigItem>* items)
 {
     for (const wire::ConfigService& service : wireItems.services) {
-        if (service.timeoutMilliseconds < 0 || service.maxAttempts < 0)
+        if (service.timeoutMilliseconds < 0 || service.maxAttempts < 0 || service.maxConnections < 0)
             return false;
-        items->push_back(ServiceItem { ServiceName(service.name),
-            std::chrono::milliseconds(service.timeoutMilliseconds), static_cast<uint32_t>(service.maxAttempts) });
+        items->push_back(
+            ServiceItem { ServiceName(service.name), std::chrono::milliseconds(service.timeoutMilliseconds),
+                static_cast<uint32_t>(service.maxAttempts), static_cast<uint32_t>(service.maxConnections) });
     }
     for (const wire::ConfigRoute& route : wireItems.routes) {
         if (!readRoute(route, items))
@@ -144,6 +170,16 @@
         view.hosts = fromWire(wireItems.keeperView.hosts);
         items->push_back(std::move(view));
     }
+    if (wireItems.__isset.meshPolicy) {
+        const wire::ConfigMeshPolicy& policy = wireItems.meshPolicy;
+        if (policy.maxHeaderBytes < 0 || policy.maxBodyBytes < 0)
+            return false;
+        items->push_back(MeshPolicyItem { .openCalls = policy.openCalls,
+            .maxHeaderBytes = static_cast<uint32_t>(policy.maxHeaderBytes),
+            .maxBodyBytes = static_cast<uint64_t>(policy.maxBodyBytes),
+            .headerTimeout = std::chrono::milliseconds(policy.headerTimeoutMilliseconds),
+            .idleTimeout = std::chrono::milliseconds(policy.idleTimeoutMilliseconds) });
+    }
     return true;
 }
 
@@ -179,7 +215,7 @@
 bool readKey(const wire::ConfigItemKey& wireKey, ItemKey* key)
 {
     if (wireKey.kind < static_cast<int32_t>(ItemKind::Service)
-        || wireKey.kind > static_cast<int32_t>(ItemKind::KeeperView))
+        || wireKey.kind > static_cast<int32_t>(ItemKind::MeshPolicy))
         return false;
     *key = { static_cast<ItemKind>(wireKey.kind), wireKey.name };
     return true;
--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -36,6 +36,14 @@
     constexpr std::chrono::seconds keeperCheckInterval { 1 };
     // Two heads in each of 20 data centres may all choose the same control host while the others are out.
     constexpr size_t maxControlChildren = 64;
+    // A whole configuration document.
+    constexpr uint64_t maxDocumentBytes = 8 << 20;
+    // Requests that were sent before the listener closed arrive within this time.
+    constexpr std::chrono::milliseconds lastRequestTime { 100 };
+    // The process ends this long before it would be killed.
+    constexpr std::chrono::milliseconds stopTime { 300 };
+    // Part of the shared retry budget that daemons use, since they count with clocks and member lists of their own.
+    constexpr double budgetShare = 0.8;
 
     uint64_t randomNumber()
     {
@@ -55,12 +63,14 @@
 
 class Daemon::Impl {
 public:
-    explicit Impl(Settings settings)
-        : m_settings(std::move(settings))
+    explicit Impl(DaemonOptions options)
+        : m_options(std::move(options))
+        , m_settings(m_options.settings)
         , m_life(randomNumber())
         , m_journal(m_settings.hostId.value())
         , m_secret(m_settings.meshId, loadSecret(m_settings, m_secretError))
         , m_signals(m_context, SIGTERM, SIGINT)
+        , m_reloadSignal(m_context, SIGHUP)
         , m_timer(m_context)
         , m_keeperTimer(m_context)
         , m_treeIndex(m_settings.hostId)
@@ -70,8 +80,12 @@
               {}, [this](std::string payload) { return m_membership->broadcast(std::move(payload)); }, m_metrics,
               m_journal)
         , m_claims(m_context, m_settings.hostId, m_life, m_hub, m_metrics, [this] { return keeperProof(); })
-        , m_owner(m_context, { .self = m_settings.hostId, .maxBodyBytes = m_settings.maxBodyBytes }, m_crash, m_metrics,
-              m_journal,
+        , m_owner(m_context,
+              { .self = m_settings.hostId,
+                  .headerNames = m_options.headerNames,
+                  .maxBodyBytes = m_settings.maxBodyBytes,
+                  .answersMayEndWithConnection = m_options.answersMayEndWithConnection },
+              m_crash, m_metrics, m_journal,
               { .announced
                   = [this](std::optional<UpstreamRecord> record) { m_membership->setUpstream(std::move(record)); },
                   .knownIncarnation = [this](const UpstreamId& id) { return knownIncarnation(id); },
@@ -115,9 +129,15 @@
         // Membership reports changes only. Without the own record, the tree index keeps level 1 and the control hosts.
         memberChanged(m_settings.hostId, m_membership->view().members().at(m_settings.hostId));
         updatePosition();
-        if (auto error = listen(m_callerServer->start(), m_settings.callers, detail))
-            return error;
-        return listen(m_apiServer->start(), m_settings.api, detail);
+        if (m_settings.callers.isSet()) {
+            if (auto error = listen(m_callerServer->start(), m_settings.callers, detail))
+                return error;
+        }
+        for (const auto& server : m_apiServers) {
+            if (auto error = listen(server->start(), server->endpoint(), detail))
+                return error;
+        }
+        return {};
     }
 
     int run()
@@ -132,8 +152,9 @@
             if (!error)
                 leave(signal);
         });
-        if (m_log)
+        if (m_log && m_settings.hasDuplicateRecords)
             scheduleKeeperCheck();
+        awaitReload();
         m_context.run();
         Event("daemon_stopped").with("host", m_settings.hostId).with("exit_code", m_exitCode);
         return m_exitCode;
@@ -162,6 +183,10 @@
         if (!m_settings.isControl())
             return;
         LogReplicaOptions options { .self = m_settings.hostId, .seed = m_life };
+        options.automaticVoters = m_settings.hasAutomaticVoters;
+        options.targetVoters = 2 * m_settings.toleratedLosses + 1;
+        options.mayFound = m_settings.mayFound;
+        options.founderCount = m_settings.seeds.size();
         for (const auto& [host, endpoint] : m_settings.voters)
             options.controlHosts.push_back(host);
         m_log = std::make_unique<LogTask>(m_context, std::move(options), m_hub, m_metrics, m_journal,
@@ -185,7 +210,16 @@
             .dataCentre = m_settings.dataCentre,
             .region = m_settings.region,
             .life = m_life,
-            .defaultTimeout = m_settings.defaultTimeout };
+            .defaultTimeout = m_settings.defaultTimeout,
+            .headerNames = m_options.headerNames,
+            .service = m_settings.service,
+            .isHedging = m_settings.isHedging,
+            .hasDuplicateRecords = m_settings.hasDuplicateRecords };
+        if (m_settings.upstream)
+            options.upstreamAddress = m_settings.upstream->address;
+        options.retryBudget.perSuccess = m_settings.retryRatio;
+        options.retryBudget.window = m_settings.retryWindow;
+        options.retryBudget.ratio = m_settings.retryRatio * budgetShare;
         m_entry = std::make_unique<EntryTask>(m_context, std::move(options),
             EntryTask::Parts { m_hub, m_owner, m_claims, m_crash, m_metrics, m_journal },
             EntryTask::Hooks { .hasFloor = [this] { return mayServeRoutes(); },
@@ -201,12 +235,18 @@
     {
         m_api = std::make_unique<ApiTask>(m_context,
             ApiParts { m_settings, m_hub, m_metrics, m_journal, *m_membership, *m_relay, m_routing, m_owner, m_claims,
-                m_crash, m_log.get() },
-            std::move(operators));
+                m_crash, m_log.get(), [this] { return !m_isLeaving && mayServeRoutes(); } },
+            std::move(operators), m_options.foreignApi);
         constexpr size_t maxApiConnections = 64;
-        HttpServerOptions options { .listen = m_settings.api, .maxConnections = maxApiConnections };
-        m_apiServer = std::make_unique<HttpServer>(m_context, options, m_metrics,
-            [this](const std::shared_ptr<HttpExchange>& exchange) { m_api->handle(exchange); });
+        for (const Endpoint& endpoint : { m_settings.api, m_settings.readiness, m_settings.metrics }) {
+            if (!endpoint.isSet())
+                continue;
+            HttpServerOptions options { .listen = endpoint,
+                .maxConnections = maxApiConnections,
+                .maxBodyBytes = maxDocumentBytes };
+            m_apiServers.push_back(std::make_unique<HttpServer>(m_context, options, m_metrics,
+                [this](const std::shared_ptr<HttpExchange>& exchange) { m_api->handle(exchange); }));
+        }
     }
 
     std::vector<Endpoint> seeds() const
@@ -239,10 +279,55 @@
                                  : m_treeIndex.remove(host);
         if (isMoved)
             updatePosition();
+        if (m_settings.hasAutomaticVoters)
+            noteControlHost(host, isPresent && record->controlRole != ControlRole::None ? record : std::nullopt);
+        shareRetryBudget();
         if (!isPresent)
             Event("member_gone").with("host", host).with("state", record ? name(record->state) : "forgotten");
     }
 
+    void noteControlHost(const HostId& host, const std::optional<MemberRecord>& record)
+    {
+        auto known = m_controlHosts.find(host);
+        bool isSame = record ? known != m_controlHosts.end() && known->second == record->address
+                             : known == m_controlHosts.end();
+        if (isSame)
+            return;
+        if (record)
+            m_controlHosts[host] = record->address;
+        else
+            m_controlHosts.erase(host);
+        shareControlHosts();
+    }
+
+    // The seeds of the first start are the same on all hosts, so they found the log.
+    void shareControlHosts()
+    {
+        if (!m_log)
+            return;
+        std::vector<HostId> hosts;
+        std::vector<HostId> founders;
+        for (const auto& [host, address] : m_controlHosts) {
+            hosts.push_back(host);
+            if (std::find(m_settings.seeds.begin(), m_settings.seeds.end(), address) != m_settings.seeds.end())
+                founders.push_back(host);
+        }
+        m_log->setControlHosts(std::move(hosts), std::move(founders));
+    }
+
+    // All daemons that serve callers divide the slack evenly.
+    void shareRetryBudget()
+    {
+        if (m_settings.retryWindow.count() == 0 || !m_membership->view().isJoined())
+            return;
+        const auto& members = m_membership->view().members();
+        auto entries = std::count_if(members.begin(), members.end(), [](const auto& item) {
+            return item.second.isPresent() && item.second.controlRole == ControlRole::None;
+        });
+        double share = m_settings.retrySlack * budgetShare / static_cast<double>(std::max<int64_t>(entries, 1));
+        m_entry->setRetrySlack(share);
+    }
+
     void updatePosition()
     {
         TreePosition position = m_treeIndex.position();
@@ -343,6 +428,8 @@
             bool isTried = std::find(tried.begin(), tried.end(), host) != tried.end();
             if (record.state != MemberState::Alive || isTried || host == m_settings.hostId)
                 continue;
+            if (m_settings.hasAutomaticVoters && record.controlRole != ControlRole::None)
+                continue;
             bool isNear = record.dataCentre == m_settings.dataCentre;
             if (best.isEmpty() || isNear || m_settings.voters.contains(best))
                 best = host;
@@ -401,34 +488,54 @@
 
     // ---- shutdown ----
 
+    // Callers and peers notice at different times, so the daemon first only says that it leaves, then refuses calls of
+    // peers, and goes when the callers have had time to notice and nothing is in flight.
     void leave(int signal)
     {
         Event("daemon_leaving").with("signal", signal);
         m_isLeaving = true;
         m_leaveBegan = BootClock::now();
-        m_owner.leave();
-        m_membership->leave();
+        m_owner.retire();
         m_relay->leave();
-        m_callerServer->stop();
+        m_callerServer->endConnections();
         pollDrained();
     }
 
-    // Callers that are connected already may still send; they are refused as not run once the announcement has spread.
     void pollDrained()
     {
         Duration elapsed = BootClock::now() - m_leaveBegan;
         if (elapsed >= leaveSpreadTime)
-            m_entry->leave();
-        bool isDone = elapsed >= leaveSpreadTime && m_entry->isIdle() && m_owner.isIdle()
-            && m_callerServer->inFlight() == 0 && m_relay->relay().hasLeft();
-        if (isDone || elapsed >= m_settings.drainTimeout)
+            m_owner.leave();
+        bool isNoticed = elapsed >= std::max<Duration>(leaveSpreadTime, m_settings.leaveNotice);
+        bool isDone = isNoticed && m_entry->isIdle() && m_owner.isIdle() && m_callerServer->inFlight() == 0
+            && m_relay->relay().hasLeft();
+        if (isDone && !m_isClosing)
+            return closeListener();
+        if (isDone || elapsed >= m_settings.drainTimeout - stopTime)
             return stop(isDone);
-        m_timer.expires_after(drainPollInterval);
+        scheduleDrainPoll(drainPollInterval);
+    }
+
+    // Requests that crossed the close of the listener are still answered.
+    void closeListener()
+    {
+        m_isClosing = true;
+        m_membership->leave();
+        m_callerServer->stop();
+        m_callerServer->closeIdle();
+        scheduleDrainPoll(lastRequestTime);
+    }
+
+    void scheduleDrainPoll(Duration delay)
+    {
+        m_timer.expires_after(delay);
         m_timer.async_wait([this](boost::system::error_code) { pollDrained(); });
     }
 
     void stop(bool isDone)
     {
+        m_entry->leave();
+        m_membership->leave();
         m_callerServer->closeIdle();
         Event("daemon_drained").with("complete", static_cast<int>(isDone));
         if (m_log)
@@ -439,7 +546,39 @@
         m_context.stop();
     }
 
+    // ---- reload ----
+
+    void awaitReload()
+    {
+        m_reloadSignal.async_wait([this](boost::system::error_code error, int) {
+            if (error)
+                return;
+            reload();
+            awaitReload();
+        });
+    }
+
+    // Takes over what may change while the daemon runs: seeds, log level and the shared retry budget.
+    void reload()
+    {
+        Settings changed;
+        SettingsError error = m_options.readAgain ? m_options.readAgain(changed) : SettingsError {};
+        if (!m_options.readAgain || error.code != ResultCode::Ok) {
+            Event("settings_kept", EventLevel::Warning).with("code", name(error.code)).with("detail", error.text);
+            return;
+        }
+        bool hasNewSeeds = changed.seeds != m_settings.seeds;
+        m_settings.seeds = changed.seeds;
+        m_settings.retrySlack = changed.retrySlack;
+        setLogLevel(changed.logLevel);
+        if (hasNewSeeds)
+            m_membership->setSeeds(seeds());
+        shareRetryBudget();
+        Event("settings_reloaded").with("new_seeds", static_cast<int>(hasNewSeeds));
+    }
+
     asio::io_context m_context { 1 };
+    const DaemonOptions m_options;
     Settings m_settings;
     uint64_t m_life;
     Metrics m_metrics;
@@ -447,6 +586,7 @@
     std::error_code m_secretError;
     MeshSecret m_secret;
     asio::signal_set m_signals;
+    asio::signal_set m_reloadSignal;
     asio::steady_timer m_timer;
     asio::steady_timer m_keeperTimer;
     TreeIndex m_treeIndex;
@@ -461,7 +601,7 @@
     std::unique_ptr<EntryTask> m_entry;
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<ApiTask> m_api;
-    std::unique_ptr<HttpServer> m_apiServer;
+    std::vector<std::unique_ptr<HttpServer>> m_apiServers;
     KeeperPlanner m_keeperPlanner;
 
     Revision m_appliedRevision;
@@ -469,13 +609,16 @@
     Epoch m_keeperEpoch;
     uint64_t m_incarnationBumps { 0 };
     uint64_t m_hostGeneration { 0 };
+    /// Control hosts that are alive, with automatic voters.
+    std::map<HostId, Endpoint> m_controlHosts;
     bool m_isLeaving { false };
+    bool m_isClosing { false };
     TimePoint m_leaveBegan;
     int m_exitCode { 0 };
 };
 
-Daemon::Daemon(Settings settings)
-    : m_impl(std::make_unique<Impl>(std::move(settings)))
+Daemon::Daemon(DaemonOptions options)
+    : m_impl(std::make_unique<Impl>(std::move(options)))
 {
 }
 
--- a/dragonflylane/Daemon.h
+++ b/dragonflylane/Daemon.h
@@ -7,18 +7,32 @@
 //     if (auto error = daemon.start(detail)) ...
 //     return daemon.run();      // until SIGTERM or SIGINT, then until its work in flight has ended
 
+#include "dragonflylane/CallHeaders.h"
+#include "dragonflylane/MeshPort.h"
 #include "dragonflylane/Settings.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <system_error>
 
 namespace dragonflylane {
 
+/// Settings, and what the mesh's surroundings prescribe.
+struct DaemonOptions {
+    Settings settings;
+    CallHeaderNames headerNames {};
+    /// See UpstreamClientOptions::mayEndWithConnection.
+    bool answersMayEndWithConnection { false };
+    ForeignApi foreignApi {};
+    /// Reads the settings again after SIGHUP or a change of their file; empty: they are never read again.
+    std::function<SettingsError(Settings&)> readAgain {};
+};
+
 /// Proxy on every host, and control on the hosts that the settings name as voters.
 class Daemon {
 public:
-    explicit Daemon(Settings);
+    explicit Daemon(DaemonOptions);
     ~Daemon();
     Daemon(const Daemon&) = delete;
     Daemon& operator=(const Daemon&) = delete;
--- a/dragonflylane/EntryCall.h
+++ b/dragonflylane/EntryCall.h
@@ -35,12 +35,26 @@
     std::shared_ptr<const RoutingTable> routingTable;
     ServiceIndex service { 0 };
     ServiceName serviceName;
+    CallOrigin origin;
+    /// When the caller gives up, and when the call ends here: the earlier of that and the route's timeout.
+    TimePoint callerDeadline;
     TimePoint deadline;
+    /// Answers until then have their full value to the caller.
+    TimePoint target;
+    uint32_t priority { 0 };
+    /// Upstreams that may get the request.
+    uint32_t maxAttempts { 1 };
     Fingerprint fingerprint;
     bool isIdempotent { false };
     bool isClaimed { false };
 
     uint32_t attempts { 0 };
+    /// Attempts that reached an upstream, and those that an owner daemon refused.
+    uint32_t arrivals { 0 };
+    uint32_t redirects { 0 };
+    /// Code of the latest refusal and the shortest time after which an owner expects room.
+    ResultCode refusal { ResultCode::NoUpstream };
+    Duration retryAfter { 0 };
     std::vector<HostId> tried;
     std::vector<EntryAttempt> open;
     /// Code of an attempt whose outcome is unknown; Ok if there was none.
--- a/dragonflylane/EntryService.cpp
+++ b/dragonflylane/EntryService.cpp
@@ -5,7 +5,7 @@
 EntryService::EntryService(const EntryServiceOptions& options, TimePoint now)
     : m_selector(
         { .self = options.self, .dataCentre = options.dataCentre, .region = options.region, .seed = options.seed })
-    , m_policy({ .seed = options.seed }, now)
+    , m_policy({ .budget = options.retryBudget, .seed = options.seed }, now)
 {
 }
 
--- a/dragonflylane/EntryService.h
+++ b/dragonflylane/EntryService.h
@@ -16,6 +16,7 @@
     DataCentreName dataCentre;
     RegionName region;
     uint64_t seed { 1 };
+    RetryBudgetOptions retryBudget {};
 };
 
 /// Selector and retry policy of one service.
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -17,6 +17,9 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <algorithm>
+#include <cctype>
+#include <random>
 #include <set>
 #include <unordered_map>
 
@@ -56,6 +59,22 @@
         }
     }
 
+    constexpr unsigned statusServiceUnavailable = 503;
+    // Shortest time after which a refused caller is asked back.
+    constexpr std::chrono::milliseconds defaultReturnTime { 20 };
+    // Part of the time that a caller has left after which it may be asked back; later there is no time to serve it.
+    constexpr int returnShare = 4;
+    constexpr double returnJitter = 0.5;
+
+    // Host header without the port, in lower case.
+    std::string hostName(const HttpRequest& request)
+    {
+        std::string_view field = request.header("Host");
+        std::string host(field.substr(0, field.rfind(':')));
+        std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) { return std::tolower(c); });
+        return host;
+    }
+
     LoadReport loadReport(const wire::ForwardResponse& response)
     {
         return { .running = static_cast<uint32_t>(response.running),
@@ -75,7 +94,7 @@
         , m_hooks(std::move(hooks))
         , m_routingTable(std::make_shared<RoutingTable>())
         , m_forwardServer(m_parts.hub, m_parts.owner, m_parts.metrics)
-        , m_transfers(m_parts.hub, m_parts.metrics,
+        , m_transfers(m_parts.hub, m_options.headerNames, m_parts.metrics,
               { .choosePeer = m_hooks.transferPeer,
                   .finished
                   = [this](const CallPtr& call, ResultCode code,
@@ -105,6 +124,13 @@
         }
     }
 
+    void setRetrySlack(double slack)
+    {
+        m_options.retryBudget.slack = slack;
+        for (auto& [name, service] : m_services)
+            service->policy().budget().setSlack(slack);
+    }
+
     void leave() { m_isLeaving = true; }
     bool isIdle() const { return m_calls.empty() && m_forwardServer.isIdle(); }
 
@@ -115,7 +141,8 @@
         call->exchange = std::move(exchange);
         call->deadline = call->exchange->received() + m_options.defaultTimeout;
         m_calls.emplace(call->id, call);
-        std::error_code error = parseCallHeaders(call->exchange->request(), call->headers);
+        std::error_code error = parseCallHeaders(call->exchange->request(), m_options.headerNames, call->headers);
+        call->origin = originOf(*call->exchange);
         call->requestId = call->headers.requestId.isEmpty() ? makeRequestId(call->id) : call->headers.requestId;
         if (error)
             return refuse(call, resultCode(error));
@@ -134,6 +161,7 @@
             return refuse(call, ResultCode::TooManyHops);
         if (call->headers.timeout)
             call->deadline = call->exchange->received() + *call->headers.timeout;
+        call->callerDeadline = call->deadline;
         if (!m_hooks.hasFloor()) {
             watchDeadline(call);
             return m_transfers.transfer(call, m_nextId++);
@@ -146,7 +174,8 @@
         call->fingerprint = requestFingerprint(call->serviceName, request.method, request.target, request.body);
         if (m_parts.crash.stateOf(call->fingerprint) == CrashState::Quarantined)
             return refuse(call, ResultCode::RequestQuarantined);
-        if (call->isIdempotent || call->headers.key.isEmpty())
+        serviceOf(call).policy().budget().recordRequest(BootClock::now());
+        if (call->isIdempotent || call->headers.key.isEmpty() || !m_options.hasDuplicateRecords)
             return attempt(call);
         claim(call);
     }
@@ -155,7 +184,7 @@
     {
         const HttpRequest& request = call->exchange->request();
         call->routingTable = m_routingTable;
-        const RouteEntry* route = m_routingTable->findRoute(request.target);
+        const RouteEntry* route = m_routingTable->findRoute(hostName(request), request.target);
         if (!route)
             return ResultCode::NoRoute;
         // A resend with the same key goes to the same part of a split.
@@ -164,10 +193,17 @@
         const ServiceEntry& service = m_routingTable->service(call->service);
         call->serviceName = service.name;
         call->isIdempotent = route->isIdempotent(request.method);
+        TimePoint received = call->exchange->received();
         if (!call->headers.timeout) {
             auto timeout = m_routingTable->timeout(*route, call->service);
-            call->deadline = call->exchange->received() + (timeout.count() > 0 ? timeout : m_options.defaultTimeout);
+            call->deadline = received + (timeout.count() > 0 ? timeout : m_options.defaultTimeout);
+            call->callerDeadline = call->deadline;
+        } else if (route->timeout.count() > 0) {
+            call->deadline = std::min(call->deadline, received + route->timeout);
         }
+        call->target = route->targetLatency.count() > 0 ? received + route->targetLatency : call->deadline;
+        call->priority = route->priority;
+        call->maxAttempts = route->maxAttempts > 0 ? route->maxAttempts : service.maxAttempts;
         if (!m_routingTable->mayCall(call->headers.caller.value(), call->service))
             return ResultCode::CallerNotAllowed;
         if (BootClock::now() >= call->deadline)
@@ -218,21 +254,21 @@
             return giveUp(call, ResultCode::DeadlineExceeded);
         auto choice = serviceOf(call).selector().choose(call->tried, now);
         if (!choice)
-            return giveUp(call, ResultCode::NoUpstream);
+            return giveUp(call, call->refusal);
         const UpstreamEntry* upstream = serviceOf(call).find(choice->upstream);
         ++call->attempts;
         call->tried.push_back(choice->owner);
         EntryAttempt attempt { .id = m_nextId++, .choice = *choice, .startedAt = now };
         call->open.push_back(attempt);
         m_attempts.emplace(attempt.id, call);
-        wire::ForwardRequest request = makeForwardRequest(*call, attempt.id, *upstream, now);
+        wire::ForwardRequest request = makeForwardRequest(*call, m_options.headerNames, attempt.id, *upstream, now);
         if (call->isClaimed)
             m_parts.claims.handedOver(call->id);
         if (choice->owner == m_options.self)
             forwardToSelf(call, attempt.id, std::move(request));
         else
             forwardToPeer(call, attempt.id, choice->owner, std::move(request));
-        if (call->attempts == 1)
+        if (call->attempts == 1 && m_options.isHedging)
             scheduleHedge(call);
     }
 
@@ -312,8 +348,13 @@
     void decide(
         const CallPtr& call, const EntryAttempt& done, ResultCode code, wire::ForwardResponse response, TimePoint now)
     {
+        bool isArrival = runState(code) != RunState::NotRun || code == ResultCode::UpstreamRefused;
         if (runState(code) != RunState::NotRun)
             call->earlierUnknown = code;
+        if (isArrival)
+            ++call->arrivals;
+        else
+            noteRefusal(call, code, std::chrono::microseconds(response.retryAfterMicroseconds));
         if (!call->open.empty())
             return;
         if (call->isClaimed && call->earlierUnknown == ResultCode::Ok)
@@ -321,13 +362,16 @@
         // The upstream's own refusal of an order is its answer; only idempotent calls try elsewhere.
         bool isFinalShed = code == ResultCode::UpstreamShed && !call->isIdempotent;
         RetryDecision decision;
-        if (!isFinalShed) {
+        bool mayRedirect = isArrival || ++call->redirects <= m_options.maxRedirects;
+        decision.code = code;
+        if (!isFinalShed && mayRedirect) {
             decision = serviceOf(call).policy().decide({ .code = code,
                                                            .isIdempotent = call->isIdempotent,
-                                                           .attempts = call->attempts,
+                                                           .attempts = call->arrivals,
+                                                           .hasReachedUpstream = call->arrivals > 0,
                                                            .remaining = call->deadline - now,
                                                            .earlierUnknown = call->earlierUnknown,
-                                                           .maxAttempts = serviceOf(call).maxAttempts() },
+                                                           .maxAttempts = call->maxAttempts },
                 now);
         }
         if (decision.isRetry) {
@@ -339,6 +383,14 @@
         refuse(call, isFinalShed ? code : decision.code);
     }
 
+    void noteRefusal(const CallPtr& call, ResultCode code, Duration retryAfter)
+    {
+        call->refusal = code;
+        bool isShorter = call->retryAfter == Duration::zero() || retryAfter < call->retryAfter;
+        if (retryAfter > Duration::zero() && isShorter)
+            call->retryAfter = retryAfter;
+    }
+
     void retryAfter(const CallPtr& call, Duration delay)
     {
         if (delay <= Duration::zero())
@@ -387,7 +439,9 @@
             .code = code,
             .detail = "attempts " + std::to_string(call->attempts) });
         HttpResponse http = toHttpResponse(std::move(response));
-        http.headers.push_back({ "Dragonflylane-Request-Id", call->requestId.value() });
+        const std::string& idHeader = m_options.headerNames.requestId;
+        if (http.header(idHeader).empty())
+            http.headers.push_back({ idHeader, call->requestId.value() });
         respond(call, code, std::move(http));
     }
 
@@ -398,7 +452,28 @@
             .cause = call->requestId.value(),
             .code = code,
             .detail = "attempts " + std::to_string(call->attempts) });
-        respond(call, code, makeRefusal(code, call->requestId));
+        respond(call, code, makeRefusal(code, call->requestId, m_options.headerNames, returnTime(call, code)));
+    }
+
+    // When a caller whose request did not run should come back. Jitter keeps those that are refused together from
+    // returning together.
+    Duration returnTime(const CallPtr& call, ResultCode code)
+    {
+        bool mayReturn = runState(code) == RunState::NotRun && httpStatus(code) == statusServiceUnavailable;
+        Duration left = call->callerDeadline - BootClock::now();
+        if (!mayReturn || left <= Duration::zero())
+            return Duration::zero();
+        Duration base = std::max<Duration>(call->retryAfter, defaultReturnTime);
+        double jitter = std::uniform_real_distribution<double>(1, 1 + returnJitter)(m_random);
+        return std::min(std::chrono::duration_cast<Duration>(base * jitter), left / returnShare);
+    }
+
+    CallOrigin originOf(const HttpExchange& exchange) const
+    {
+        if (exchange.origin())
+            return *exchange.origin();
+        bool isNested = !m_options.upstreamAddress.empty() && exchange.peerAddress() == m_options.upstreamAddress;
+        return { .service = m_options.service, .isNested = isNested };
     }
 
     void respond(const CallPtr& call, ResultCode code, HttpResponse response)
@@ -432,7 +507,7 @@
 
     void closeClaim(const CallPtr& call)
     {
-        bool mayClaim = !call->headers.key.isEmpty() && !call->isIdempotent;
+        bool mayClaim = m_options.hasDuplicateRecords && !call->headers.key.isEmpty() && !call->isIdempotent;
         if (!mayClaim)
             return;
         if (call->isClaimed && call->earlierUnknown != ResultCode::Ok)
@@ -533,7 +608,8 @@
         return { .self = m_options.self,
             .dataCentre = m_options.dataCentre,
             .region = m_options.region,
-            .seed = m_options.life ^ stableHash(service.value()) };
+            .seed = m_options.life ^ stableHash(service.value()),
+            .retryBudget = m_options.retryBudget };
     }
 
     RequestId makeRequestId(uint64_t id) const
@@ -544,7 +620,7 @@
     }
 
     asio::io_context& m_context;
-    const EntryTaskOptions m_options;
+    EntryTaskOptions m_options;
     Parts m_parts;
     Hooks m_hooks;
     std::shared_ptr<const RoutingTable> m_routingTable;
@@ -557,6 +633,7 @@
     CallTransfers m_transfers;
     std::set<std::pair<TimePoint, uint64_t>> m_deadlines;
     bool m_isDeadlineArmed { false };
+    std::mt19937_64 m_random { m_options.life };
     bool m_isLeaving { false };
 };
 
@@ -574,6 +651,10 @@
 {
     m_impl->setRoutingTable(std::move(routingTable));
 }
+void EntryTask::setRetrySlack(double slack)
+{
+    m_impl->setRetrySlack(slack);
+}
 void EntryTask::handle(std::shared_ptr<HttpExchange> exchange)
 {
     m_impl->handle(std::move(exchange));
--- a/dragonflylane/EntryTask.h
+++ b/dragonflylane/EntryTask.h
@@ -7,8 +7,10 @@
 // matched to its attempt by (connection incarnation, request id); every call ends exactly once.
 
 #include "dragonflylane/BootClock.h"
+#include "dragonflylane/CallHeaders.h"
 #include "dragonflylane/Ids.h"
 #include "dragonflylane/ResultCode.h"
+#include "dragonflylane/RetryBudget.h"
 #include "dragonflylane/RoutingTable.h"
 
 #include <boost/asio/io_context.hpp>
@@ -37,6 +39,17 @@
     uint32_t maxHops { 16 };
     /// After its deadline a call waits this long for the owner's own answer, which says more.
     Duration answerGrace { std::chrono::milliseconds(20) };
+    CallHeaderNames headerNames {};
+    /// Service in whose name calls enter here; empty: callers name themselves.
+    ServiceName service {};
+    /// IP address from which the upstream on this host makes calls of its own.
+    std::string upstreamAddress {};
+    /// Owner daemons that may refuse one call before the caller is refused.
+    uint32_t maxRedirects { 4 };
+    bool isHedging { true };
+    bool hasDuplicateRecords { true };
+    /// Budget of retries to one service at this daemon.
+    RetryBudgetOptions retryBudget {};
 };
 
 /// Owns all calls that entered at this daemon.
@@ -65,6 +78,8 @@
 
     void start();
     void setRoutingTable(std::shared_ptr<const RoutingTable>);
+    /// This daemon's part of the slack that all daemons share for retries to one service.
+    void setRetrySlack(double);
     void handle(std::shared_ptr<HttpExchange>);
 
     /// Refuses new calls; calls in flight go on.
--- a/dragonflylane/ForwardWire.cpp
+++ b/dragonflylane/ForwardWire.cpp
@@ -32,12 +32,12 @@
         return converted;
     }
 
-    // Headers of ours that the owner daemon sets anew.
-    bool isRewritten(std::string_view name)
+    // Headers that the next daemon sets anew. Upstreams that repeat the request id get it as the caller wrote it.
+    bool isRewritten(std::string_view name, const CallHeaderNames& names)
     {
-        return equalsIgnoringCase(name, "Dragonflylane-Deadline-Ms") || equalsIgnoringCase(name, "Dragonflylane-Hops")
-            || equalsIgnoringCase(name, "Dragonflylane-Request-Id")
-            || equalsIgnoringCase(name, "Dragonflylane-Transferred");
+        bool isId = !names.answersRepeatRequestId && equalsIgnoringCase(name, names.requestId);
+        return isId || equalsIgnoringCase(name, names.deadline) || equalsIgnoringCase(name, names.hops)
+            || equalsIgnoringCase(name, names.expectedUpstream) || equalsIgnoringCase(name, transferredHeader);
     }
 
     int64_t microseconds(Duration duration)
@@ -47,8 +47,8 @@
 
 } // namespace
 
-wire::ForwardRequest makeForwardRequest(
-    const EntryCall& call, uint64_t attemptId, const UpstreamEntry& upstream, TimePoint now)
+wire::ForwardRequest makeForwardRequest(const EntryCall& call, const CallHeaderNames& names, uint64_t attemptId,
+    const UpstreamEntry& upstream, TimePoint now)
 {
     const HttpRequest& source = call.exchange->request();
     wire::ForwardRequest request;
@@ -66,7 +66,14 @@
     request.method = source.method;
     request.target = source.target;
     request.headers = toWire(source.headers);
-    std::erase_if(request.headers, [](const wire::Header& header) { return isRewritten(header.name); });
+    bool namesCaller = !call.origin.service.isEmpty();
+    std::erase_if(request.headers, [&](const wire::Header& header) {
+        return isRewritten(header.name, names) || (namesCaller && equalsIgnoringCase(header.name, names.caller));
+    });
+    request.callerService = call.origin.service.value();
+    request.priority = static_cast<int32_t>(call.priority);
+    request.nested = call.origin.isNested;
+    request.targetMicroseconds = microseconds(call.target - now);
     request.body = source.body;
     return request;
 }
@@ -98,21 +105,24 @@
     message.target = source.target;
     message.headers = toWire(source.headers);
     message.body = source.body;
+    message.callerService = call.origin.service.value();
+    message.nested = call.origin.isNested;
     return message;
 }
 
-HttpRequest toHttpRequest(wire::CallTransfer message)
+HttpRequest toHttpRequest(wire::CallTransfer message, const CallHeaderNames& names)
 {
     HttpRequest request { .method = std::move(message.method), .target = std::move(message.target) };
     for (wire::Header& header : message.headers) {
-        bool isOurs = isRewritten(header.name) && !equalsIgnoringCase(header.name, "Dragonflylane-Hops");
+        bool isOurs = isRewritten(header.name, names) && !equalsIgnoringCase(header.name, names.hops);
         if (!isOurs)
             request.headers.push_back({ std::move(header.name), std::move(header.value) });
     }
     int64_t milliseconds = std::max<int64_t>(message.remainingMicroseconds / 1000, 0);
-    request.headers.push_back({ "Dragonflylane-Deadline-Ms", std::to_string(milliseconds) });
-    request.headers.push_back({ "Dragonflylane-Request-Id", std::move(message.traceId) });
-    request.headers.push_back({ "Dragonflylane-Transferred", "1" });
+    request.headers.push_back({ names.deadline, std::to_string(milliseconds) });
+    if (request.header(names.requestId).empty())
+        request.headers.push_back({ names.requestId, std::move(message.traceId) });
+    request.headers.push_back({ transferredHeader, "1" });
     request.body = std::move(message.body);
     return request;
 }
@@ -120,7 +130,7 @@
 wire::ForwardResponse toForwardResponse(HttpResponse http)
 {
     wire::ForwardResponse response;
-    std::string_view code = http.header("Dragonflylane-Code");
+    std::string_view code = http.header(CallHeaderNames().code);
     int32_t number = 0;
     std::from_chars(code.data(), code.data() + code.size(), number);
     response.code = number;
--- a/dragonflylane/ForwardWire.h
+++ b/dragonflylane/ForwardWire.h
@@ -10,16 +10,18 @@
 
 namespace dragonflylane {
 
+struct CallHeaderNames;
 struct EntryCall;
 struct UpstreamEntry;
 
-wire::ForwardRequest makeForwardRequest(const EntryCall&, uint64_t attemptId, const UpstreamEntry&, TimePoint now);
+wire::ForwardRequest makeForwardRequest(
+    const EntryCall&, const CallHeaderNames&, uint64_t attemptId, const UpstreamEntry&, TimePoint now);
 /// An answer without content, as if the owner had given the code.
 wire::ForwardResponse makeResponse(uint64_t attemptId, ResultCode);
 HttpResponse toHttpResponse(wire::ForwardResponse);
 
 wire::CallTransfer makeTransfer(const EntryCall&, uint64_t id);
-HttpRequest toHttpRequest(wire::CallTransfer);
+HttpRequest toHttpRequest(wire::CallTransfer, const CallHeaderNames&);
 /// The code is read back from the header that a refusal carries.
 wire::ForwardResponse toForwardResponse(HttpResponse);
 
--- a/dragonflylane/HttpServer.cpp
+++ b/dragonflylane/HttpServer.cpp
@@ -36,6 +36,7 @@
         return {};
     }
 
+    const Endpoint& endpoint() const { return m_options.listen; }
     uint16_t port() const { return m_port; }
 
     void stop()
@@ -46,6 +47,15 @@
         m_acceptor.close(ignored);
     }
 
+    void endConnections() { m_isStopping = true; }
+
+    void setLimits(const HttpServerOptions& limits)
+    {
+        Endpoint listen = m_options.listen;
+        m_options = limits;
+        m_options.listen = listen;
+    }
+
     void closeIdle()
     {
         std::vector<std::shared_ptr<HttpSession>> sessions;
@@ -75,7 +85,7 @@
         m_acceptor.non_blocking(true, error);
         while (!error) {
             tcp::socket socket(m_context);
-            m_acceptor.accept(socket, error);
+            m_acceptor.accept(socket, m_peer, error);
             if (!error)
                 adopt(std::move(socket));
         }
@@ -83,13 +93,14 @@
 
     void accept()
     {
-        m_acceptor.async_accept([self = shared_from_this()](boost::system::error_code error, tcp::socket socket) {
-            if (!self->m_acceptor.is_open())
-                return;
-            if (!error)
-                self->adopt(std::move(socket));
-            self->accept();
-        });
+        m_acceptor.async_accept(
+            m_peer, [self = shared_from_this()](boost::system::error_code error, tcp::socket socket) {
+                if (!self->m_acceptor.is_open())
+                    return;
+                if (!error)
+                    self->adopt(std::move(socket));
+                self->accept();
+            });
     }
 
     void adopt(tcp::socket socket)
@@ -98,15 +109,18 @@
             m_metrics.countCall(ResultCode::TooManyConnections);
             return;
         }
-        auto session = std::make_shared<HttpSession>(std::move(socket), m_options, m_hooks);
+        auto session = std::make_shared<HttpSession>(
+            std::move(socket), m_peer.address().to_string(), m_options, m_hooks);
         m_sessions.emplace(session.get(), session);
         session->start();
     }
 
     asio::io_context& m_context;
-    const HttpServerOptions m_options;
+    HttpServerOptions m_options;
     Metrics& m_metrics;
     tcp::acceptor m_acceptor;
+    /// The other side of the connection accepted last.
+    tcp::endpoint m_peer;
     uint16_t m_port { 0 };
     HttpSession::Hooks m_hooks;
     std::unordered_map<HttpSession*, std::weak_ptr<HttpSession>> m_sessions;
@@ -132,10 +146,24 @@
     m_impl->stop();
 }
 
+void HttpServer::endConnections()
+{
+    m_impl->endConnections();
+}
+
+void HttpServer::setLimits(const HttpServerOptions& limits)
+{
+    m_impl->setLimits(limits);
+}
+
 void HttpServer::closeIdle()
 {
     m_impl->closeIdle();
 }
+const Endpoint& HttpServer::endpoint() const
+{
+    return m_impl->endpoint();
+}
 uint16_t HttpServer::port() const
 {
     return m_impl->port();
--- a/dragonflylane/HttpSession.cpp
+++ b/dragonflylane/HttpSession.cpp
@@ -12,9 +12,10 @@
 namespace {
 
     constexpr unsigned statusBadRequest = 400;
-    constexpr unsigned statusRequestTimeout = 408;
     constexpr unsigned statusContentTooLarge = 413;
     constexpr unsigned statusHeadersTooLarge = 431;
+    // Time for the caller to close its side after ours.
+    constexpr std::chrono::seconds lingerTime { 2 };
 
     bool isLengthHeader(http::field field)
     {
@@ -24,9 +25,11 @@
 
 } // namespace
 
-HttpSession::HttpSession(asio::ip::tcp::socket socket, const HttpServerOptions& options, const Hooks& hooks)
+HttpSession::HttpSession(
+    asio::ip::tcp::socket socket, std::string peerAddress, const HttpServerOptions& options, const Hooks& hooks)
     : m_stream(std::move(socket))
     , m_idleTimer(m_stream.get_executor())
+    , m_peerAddress(std::move(peerAddress))
     , m_options(options)
     , m_hooks(hooks)
 {
@@ -46,52 +49,87 @@
 }
 
 // Waits without a buffer, so that an idle connection costs little memory, and starts the request's own deadline only
-// when its first byte has arrived.
+// when its first byte has arrived. While requests are in flight, the end of the stream shows that the caller has gone.
 void HttpSession::awaitRequest()
 {
-    if (m_buffer.size() > 0)
-        return readRequest();
-    m_idleTimer.expires_after(m_options.idleTimeout);
-    m_idleTimer.async_wait([weak = weak_from_this()](beast::error_code error) {
-        auto self = weak.lock();
-        if (!error && self)
-            self->closeIfIdle();
-    });
+    bool mayRead = m_hasEnded ? !m_slots.empty() : m_slots.size() < m_options.maxPipelined;
+    if (m_isReading || m_isClosed || !mayRead)
+        return;
+    m_isReading = true;
+    if (m_buffer.size() > 0 && !m_hasEnded)
+        return readHeader();
+    if (m_slots.empty()) {
+        m_idleTimer.expires_after(m_options.idleTimeout);
+        m_idleTimer.async_wait([weak = weak_from_this()](beast::error_code error) {
+            auto self = weak.lock();
+            if (!error && self)
+                self->closeIfIdle();
+        });
+    }
     m_stream.socket().async_wait(
         asio::ip::tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
+            if (self->m_isClosed)
+                return;
             self->m_idleTimer.cancel();
-            if (error || self->m_isClosed)
-                return self->close();
-            self->readRequest();
+            if (error || (self->m_hasEnded && self->isEndOfInput()))
+                return self->callerGone();
+            if (self->m_hasEnded)
+                self->m_isReading = false;
+            else
+                self->readHeader();
         });
 }
 
-void HttpSession::readRequest()
+// Input behind the last request of a connection is left unread.
+bool HttpSession::isEndOfInput()
+{
+    char byte = 0;
+    beast::error_code error;
+    size_t bytes = m_stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error || bytes == 0;
+}
+
+void HttpSession::readHeader()
 {
     m_parser.emplace();
     m_parser->header_limit(m_options.maxHeaderBytes);
     m_parser->body_limit(m_options.maxBodyBytes);
+    m_stream.expires_after(m_options.headerTimeout);
+    http::async_read_header(
+        m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, size_t) {
+            if (self->m_isClosed)
+                return;
+            if (error)
+                return self->handleReadError(error);
+            if (self->m_parser->is_done())
+                return self->handleRequest();
+            self->readBody();
+        });
+}
+
+void HttpSession::readBody()
+{
     m_stream.expires_after(m_options.requestTimeout);
     http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, size_t) {
         if (self->m_isClosed)
             return;
         if (error)
             return self->handleReadError(error);
-        self->m_stream.expires_never();
         self->handleRequest();
     });
 }
 
 void HttpSession::handleReadError(beast::error_code error)
 {
-    if (error == http::error::end_of_stream || error == asio::error::eof || error == asio::error::connection_reset)
-        return close();
-    if (error == beast::error::timeout) {
-        // The stream is closed by its own timer, so no answer can be sent.
+    m_isReading = false;
+    if (error == beast::error::timeout)
         m_hooks.refused(ResultCode::RequestTimeout);
-        return close();
-    }
-    m_keepAlive = false;
+    // A stream that timed out is closed by its own timer, so no answer can be sent.
+    bool isOver = error == http::error::end_of_stream || error == asio::error::eof || error == beast::error::timeout
+        || error == asio::error::connection_reset || error == http::error::partial_message;
+    if (isOver)
+        return callerGone();
+    m_hasEnded = true;
     if (error == http::error::body_limit)
         return refuse(statusContentTooLarge, ResultCode::RequestTooLarge);
     if (error == http::error::header_limit)
@@ -101,20 +139,29 @@
 
 void HttpSession::handleRequest()
 {
-    m_version = m_parser->get().version();
-    m_keepAlive = m_parser->keep_alive();
-    m_isHead = m_parser->get().method() == http::verb::head;
+    m_isReading = false;
+    m_stream.expires_never();
     if (hasContradictoryLengths()) {
-        m_keepAlive = false;
+        m_hasEnded = true;
         return refuse(statusBadRequest, ResultCode::MalformedRequest);
     }
-    m_exchange = std::make_shared<HttpExchange>(
-        takeRequest(), BootClock::now(), [weak = weak_from_this()](HttpResponse response) {
-            if (auto self = weak.lock())
-                self->respond(std::move(response));
-        });
-    watchForDisconnect();
-    m_hooks.handler(m_exchange);
+    auto slot = std::make_shared<Slot>();
+    slot->version = m_parser->get().version();
+    slot->keepAlive = m_parser->keep_alive();
+    slot->isHead = m_parser->get().method() == http::verb::head;
+    m_hasEnded = !slot->keepAlive;
+    auto responder = [weak = weak_from_this(), weakSlot = std::weak_ptr<Slot>(slot)](HttpResponse answer) {
+        auto self = weak.lock();
+        auto answered = weakSlot.lock();
+        if (self && answered)
+            self->respond(*answered, std::move(answer));
+    };
+    slot->exchange = std::make_shared<HttpExchange>(takeRequest(), BootClock::now(), std::move(responder));
+    slot->exchange->setPeerAddress(m_peerAddress);
+    m_parser.reset();
+    m_slots.push_back(slot);
+    m_hooks.handler(slot->exchange);
+    awaitRequest();
 }
 
 bool HttpSession::hasContradictoryLengths() const
@@ -137,82 +184,105 @@
     return request;
 }
 
-// A caller that goes away while its request is in flight is noticed by the end of its stream. Bytes that arrive
-// instead belong to a next request and stay in the socket.
-void HttpSession::watchForDisconnect()
+// The refusal takes its place behind the answers to earlier requests of the connection.
+void HttpSession::refuse(unsigned status, ResultCode code)
 {
-    if (m_isWatching)
-        return;
-    m_isWatching = true;
-    m_stream.socket().async_wait(
-        asio::ip::tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
-            self->m_isWatching = false;
-            if (error || self->m_isClosed || !self->m_exchange)
-                return;
-            char byte = 0;
-            beast::error_code peekError;
-            size_t bytes
-                = self->m_stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, peekError);
-            bool isGone = peekError || bytes == 0;
-            if (!isGone)
-                return;
-            auto exchange = std::move(self->m_exchange);
-            self->m_exchange = nullptr;
-            self->close();
-            exchange->cancel();
-        });
+    m_hooks.refused(code);
+    m_parser.reset();
+    HttpResponse response { .status = status };
+    response.headers = { { "Dragonflylane-Code", std::to_string(static_cast<unsigned>(code)) },
+        { "Dragonflylane-Run", "not-run" }, { "Content-Type", "text/plain" } };
+    response.body = std::string(message(code)) + "\n";
+    auto slot = std::make_shared<Slot>();
+    m_slots.push_back(slot);
+    respond(*slot, std::move(response));
 }
 
-void HttpSession::respond(HttpResponse answer)
+void HttpSession::respond(Slot& slot, HttpResponse answer)
 {
-    m_exchange = nullptr;
-    if (m_isClosed)
+    slot.answer = std::move(answer);
+    writeNext();
+}
+
+void HttpSession::writeNext()
+{
+    if (m_isClosed || m_isWriting || m_slots.empty() || !m_slots.front()->answer)
         return;
+    auto slot = m_slots.front();
+    // Requests that wait behind this one are answered before the connection ends.
+    bool isLast = m_slots.size() == 1 && m_buffer.size() == 0 && !m_parser;
+    bool keepAlive = slot->keepAlive && !(isLast && m_hooks.isStopping());
+    m_hasEnded = m_hasEnded || !keepAlive;
+    m_response = makeResponse(*slot, keepAlive);
+    m_isWriting = true;
+    m_stream.expires_after(m_options.requestTimeout);
+    http::async_write(m_stream, m_response, [self = shared_from_this(), keepAlive](beast::error_code error, size_t) {
+        self->m_isWriting = false;
+        if (self->m_isClosed)
+            return;
+        self->m_slots.pop_front();
+        if (error)
+            return self->callerGone();
+        if (!keepAlive)
+            return self->closeGracefully();
+        self->writeNext();
+        self->awaitRequest();
+    });
+}
+
+HttpSession::Response HttpSession::makeResponse(Slot& slot, bool keepAlive) const
+{
+    HttpResponse& answer = *slot.answer;
     Response response;
     response.result(answer.status);
-    response.version(m_version);
+    response.version(slot.version);
     for (const HttpHeader& header : answer.headers) {
         if (!isHopByHopHeader(header.name))
             response.insert(header.name, header.value);
     }
+    response.keep_alive(keepAlive);
+    response.body() = std::move(answer.body);
+    if (!slot.isHead) {
+        response.prepare_payload();
+        return response;
+    }
     // The length that a GET would have is kept from the upstream's answer when it states one.
-    if (m_isHead && !answer.header("Content-Length").empty())
+    if (!answer.header("Content-Length").empty())
         response.set(http::field::content_length, answer.header("Content-Length"));
-    response.body() = std::move(answer.body);
-    write(std::move(response));
+    else
+        response.content_length(response.body().size());
+    response.body().clear();
+    return response;
 }
 
-void HttpSession::refuse(unsigned status, ResultCode code)
+void HttpSession::callerGone()
 {
-    m_hooks.refused(code);
-    HttpResponse response { .status = status };
-    response.headers = { { "Dragonflylane-Code", std::to_string(static_cast<unsigned>(code)) },
-        { "Dragonflylane-Run", "not-run" }, { "Content-Type", "text/plain" } };
-    response.body = std::string(message(code)) + "\n";
-    respond(std::move(response));
+    auto slots = std::move(m_slots);
+    m_slots.clear();
+    close();
+    for (const auto& slot : slots) {
+        if (slot->exchange && !slot->answer)
+            slot->exchange->cancel();
+    }
 }
 
-void HttpSession::write(Response response)
+// Closing a socket with unread input resets the connection, which may destroy the answer on its way.
+void HttpSession::closeGracefully()
 {
-    bool keepAlive = m_keepAlive && !m_hooks.isStopping();
-    response.keep_alive(keepAlive);
-    if (m_isHead) {
-        if (response.count(http::field::content_length) == 0)
-            response.content_length(response.body().size());
-        response.body().clear();
-    } else {
-        response.prepare_payload();
-    }
-    m_response = std::move(response);
-    m_isWriting = true;
-    m_stream.expires_after(m_options.requestTimeout);
-    http::async_write(m_stream, m_response, [self = shared_from_this(), keepAlive](beast::error_code error, size_t) {
-        self->m_isWriting = false;
-        self->m_parser.reset();
-        if (error || !keepAlive || self->m_isClosed)
-            return self->close();
-        self->awaitRequest();
-    });
+    beast::error_code ignored;
+    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    m_stream.expires_after(lingerTime);
+    discardInput();
+}
+
+void HttpSession::discardInput()
+{
+    m_stream.async_read_some(
+        asio::buffer(m_discarded), [self = shared_from_this()](beast::error_code error, size_t) {
+            if (error)
+                return self->callerGone();
+            self->discardInput();
+        });
 }
 
 void HttpSession::close()
@@ -220,6 +290,7 @@
     if (m_isClosed)
         return;
     m_isClosed = true;
+    m_parser.reset();
     beast::error_code ignored;
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     m_idleTimer.cancel();
--- a/dragonflylane/HttpSession.h
+++ b/dragonflylane/HttpSession.h
@@ -6,17 +6,19 @@
 #include "dragonflylane/HttpServer.h"
 #include "dragonflylane/ResultCode.h"
 
+#include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <deque>
 #include <memory>
 #include <optional>
 
 namespace dragonflylane {
 
-/// Reads requests one after another and writes the answers.
+/// Reads requests, several ahead of their answers, and writes the answers in the order of the requests.
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
 public:
     struct Hooks {
@@ -26,43 +28,59 @@
         std::function<bool()> isStopping;
     };
 
-    HttpSession(boost::asio::ip::tcp::socket, const HttpServerOptions&, const Hooks&);
+    HttpSession(boost::asio::ip::tcp::socket, std::string peerAddress, const HttpServerOptions&, const Hooks&);
 
     void start();
     /// Closes the connection if no request is in flight.
     void closeIfIdle();
-    bool isBusy() const { return m_parser.has_value() || m_exchange != nullptr || m_isWriting; }
+    bool isBusy() const { return m_parser.has_value() || !m_slots.empty(); }
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
     using Response = boost::beast::http::response<boost::beast::http::string_body>;
 
+    /// A request and its place in the order of answers.
+    struct Slot {
+        std::shared_ptr<HttpExchange> exchange;
+        std::optional<HttpResponse> answer;
+        unsigned version { 11 };
+        bool keepAlive { false };
+        bool isHead { false };
+    };
+
     void awaitRequest();
-    void readRequest();
+    bool isEndOfInput();
+    void readHeader();
+    void readBody();
     void handleReadError(boost::beast::error_code);
     void handleRequest();
     bool hasContradictoryLengths() const;
     HttpRequest takeRequest();
-    void watchForDisconnect();
-    void respond(HttpResponse);
     void refuse(unsigned status, ResultCode);
-    void write(Response);
+    void respond(Slot&, HttpResponse);
+    void writeNext();
+    Response makeResponse(Slot&, bool keepAlive) const;
+    void callerGone();
+    void closeGracefully();
+    void discardInput();
     void close();
 
     boost::beast::tcp_stream m_stream;
     boost::asio::steady_timer m_idleTimer;
+    const std::string m_peerAddress;
     const HttpServerOptions& m_options;
     const Hooks& m_hooks;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
-    std::shared_ptr<HttpExchange> m_exchange;
+    /// Requests that are not answered, oldest first.
+    std::deque<std::shared_ptr<Slot>> m_slots;
     Response m_response;
-    unsigned m_version { 11 };
-    bool m_keepAlive { false };
-    bool m_isHead { false };
+    std::array<char, 4096> m_discarded;
+    bool m_isReading { false };
+    /// No further request will be read: the caller or this side ends the connection.
+    bool m_hasEnded { false };
     bool m_isWriting { false };
     bool m_isClosed { false };
-    bool m_isWatching { false };
 };
 
 } // namespace dragonflylane
--- a/dragonflylane/Ids.h
+++ b/dragonflylane/Ids.h
@@ -20,6 +20,8 @@
 
 /// Version of the configuration. Grows by one with each confirmed plan.
 using Revision = StrongNumber<struct RevisionTag>;
+/// Number that an operator gives to a whole configuration document; grows in steps of any size.
+using DocumentVersion = StrongNumber<struct DocumentVersionTag>;
 /// Leadership term of the replicated log; the fencing token of everything derived from it.
 using Term = StrongNumber<struct TermTag>;
 using LogIndex = StrongNumber<struct LogIndexTag>;
--- a/dragonflylane/LogMessages.h
+++ b/dragonflylane/LogMessages.h
@@ -156,6 +156,8 @@
     bool isEmpty { false };
     /// Replicas from which the sender has received a join request. Used for the first start of a new log.
     std::vector<ReplicaId> heard;
+    /// The sender may take part in the first start of the log.
+    bool mayFound { false };
 
     bool operator==(const LogJoinRequest&) const = default;
 };
--- a/dragonflylane/LogReplica.cpp
+++ b/dragonflylane/LogReplica.cpp
@@ -287,6 +287,8 @@
     m_incoming.reset();
     m_leaderSince = m_now;
     m_nextHeartbeat = m_now + m_options.heartbeatInterval;
+    if (membership().voters.empty())
+        appendOwn(LogEntryKind::Membership, {}, { knownFounders(), {} });
     syncPeers();
     // Only an entry of the own term can be committed by counting replicas (Raft, section 5.4.2).
     appendOwn(LogEntryKind::Empty, {}, {});
@@ -306,7 +308,7 @@
         m_ownVoteToken = m_lastToken;
     }
     LogVoteRequest request { preVote, LogIndex(last()), lastTerm() };
-    for (const LogMember& voter : membership().voters) {
+    for (const LogMember& voter : electors()) {
         if (voter.id == m_self.id)
             continue;
         if (preVote)
@@ -322,9 +324,9 @@
 
 void LogReplica::countVotes()
 {
-    const auto& voters = membership().voters;
+    std::vector<LogMember> voters = electors();
     auto granted = std::ranges::count_if(voters, [&](const LogMember& voter) { return m_votes.contains(voter.id); });
-    if (static_cast<size_t>(granted) < quorumOf(voters.size()))
+    if (static_cast<size_t>(granted) < voteQuorum())
         return;
     if (m_role == LogRole::PreCandidate)
         campaign(false);
@@ -439,8 +441,9 @@
 {
     if (m_role != LogRole::Leader || !m_isReady || m_memberships.back().index > commit())
         return;
-    if (!promoteLearner())
-        replaceLostReplica();
+    if (promoteLearner() || (m_options.automaticVoters && growVoters()))
+        return;
+    replaceLostReplica();
 }
 
 bool LogReplica::promoteLearner()
@@ -481,6 +484,49 @@
     }
 }
 
+bool LogReplica::growVoters()
+{
+    if (changePending())
+        return false;
+    bool isShort = membership().voters.size() < m_options.targetVoters;
+    const LogMember* lost = isShort ? nullptr : silentVoter();
+    if (!isShort && !lost)
+        return false;
+    for (const auto& [id, peer] : m_peers) {
+        auto sameHost = [&](const LogMember& member) { return member.host == peer.member.host; };
+        bool isOther = !contains(membership(), id) && std::ranges::none_of(membership().voters, sameHost);
+        if (!isOther || !isCaughtUp(peer))
+            continue;
+        LogMembership next = membership();
+        if (lost)
+            removeMember(next.voters, ReplicaId(lost->id));
+        next.learners = { peer.member };
+        appendMembership(std::move(next));
+        return true;
+    }
+    return false;
+}
+
+const LogMember* LogReplica::silentVoter() const
+{
+    for (const LogMember& voter : membership().voters) {
+        auto peer = m_peers.find(voter.id);
+        if (voter.id == m_self.id || peer == m_peers.end())
+            continue;
+        if (m_now - std::max(peer->second.lastHeardAt, m_leaderSince) > m_options.replaceAfter)
+            return &voter;
+    }
+    return nullptr;
+}
+
+bool LogReplica::isFormed() const
+{
+    if (!m_options.automaticVoters || membership().voters.size() >= m_options.targetVoters)
+        return true;
+    bool isOneShort = membership().voters.size() + 1 == m_options.targetVoters;
+    return isOneShort && m_now - m_leaderSince >= m_options.formationGrace;
+}
+
 bool LogReplica::isCaughtUp(const Peer& peer) const
 {
     return peer.match >= commit() && m_now - peer.lastHeardAt <= m_options.electionTimeoutMax;
@@ -500,9 +546,53 @@
     return term() == Term() && last() == 0 && membership().voters.empty();
 }
 
+bool LogReplica::isUnfounded() const
+{
+    return last() == 0 && membership().voters.empty();
+}
+
+bool LogReplica::mayFoundNow() const
+{
+    bool isFounder = std::ranges::find(m_founders, m_self.host) != m_founders.end();
+    return m_options.automaticVoters && m_options.mayFound && isFounder && isUnfounded()
+        && knownFounders().size() >= quorumOf(m_options.founderCount);
+}
+
+std::vector<LogMember> LogReplica::knownFounders() const
+{
+    std::vector<LogMember> founders { m_self };
+    for (const HostId& host : m_founders) {
+        auto heard = m_heardFounders.find(host);
+        if (host != m_self.host && heard != m_heardFounders.end())
+            founders.push_back({ heard->second, host });
+    }
+    return founders;
+}
+
+std::vector<LogMember> LogReplica::electors() const
+{
+    return membership().voters.empty() ? knownFounders() : membership().voters;
+}
+
+size_t LogReplica::voteQuorum() const
+{
+    return quorumOf(membership().voters.empty() ? m_options.founderCount : membership().voters.size());
+}
+
+void LogReplica::setControlHosts(std::vector<HostId> hosts, std::vector<HostId> founders, TimePoint now)
+{
+    m_now = now;
+    m_options.controlHosts = std::move(hosts);
+    m_founders = std::move(founders);
+    // A replica that was just learned of should not wait for the next interval.
+    m_nextJoin = now;
+}
+
 void LogReplica::tryBootstrap()
 {
     auto& hosts = m_options.controlHosts;
+    if (m_options.automaticVoters)
+        return;
     if (!isEmptyDisk() || hosts.empty() || std::ranges::min(hosts) != m_options.self)
         return;
     LogMembership initial { { m_self }, {} };
@@ -522,7 +612,8 @@
 void LogReplica::sendJoin()
 {
     m_nextJoin = m_now + m_options.joinInterval;
-    LogJoinRequest request { isEmptyDisk(), {} };
+    bool isEmpty = m_options.automaticVoters ? isUnfounded() : isEmptyDisk();
+    LogJoinRequest request { .isEmpty = isEmpty, .heard = {}, .mayFound = m_options.mayFound };
     for (const auto& [host, id] : m_heard)
         request.heard.push_back(id);
     for (const HostId& host : m_options.controlHosts) {
@@ -548,7 +639,7 @@
         auto sameHost = [&](const LogMember& member) { return member.host == item.second.member.host; };
         bool replaces = std::ranges::any_of(membership().voters, sameHost)
             || std::ranges::any_of(membership().learners, sameHost);
-        return !contains(membership(), item.first) && (isSilentJoiner || !replaces);
+        return !contains(membership(), item.first) && (isSilentJoiner || !(replaces || m_options.automaticVoters));
     });
 }
 
@@ -579,7 +670,7 @@
         return ResultCode::NotLeader;
     if (payload.size() > m_options.maxPayloadBytes)
         return ResultCode::PlanTooLarge;
-    if (isFull())
+    if (isFull() || !isFormed())
         return ResultCode::QuorumLost;
     appendOwn(LogEntryKind::Command, std::move(payload), {});
     if (assigned)
@@ -625,6 +716,8 @@
     if (!isVoter()) {
         if (now >= m_nextJoin)
             sendJoin();
+        if (now >= m_electionDeadline && mayFoundNow())
+            campaign(false);
         return;
     }
     if (now >= m_electionDeadline)
@@ -635,7 +728,9 @@
 {
     if (m_role == LogRole::Leader)
         return m_nextHeartbeat;
-    return isVoter() ? m_electionDeadline : m_nextJoin;
+    if (isVoter())
+        return m_electionDeadline;
+    return mayFoundNow() ? std::min(m_electionDeadline, m_nextJoin) : m_nextJoin;
 }
 
 // Proofs.
@@ -731,6 +826,9 @@
 
 void LogReplica::answerPreVote(const LogMessage& message, const LogVoteRequest& request)
 {
+    // A voter that was replaced while it was away learns so from the log.
+    if (m_options.automaticVoters && m_role == LogRole::Leader && !contains(membership(), message.sender.id))
+        welcome(message.sender);
     bool granted = message.term > term() && isUpToDate(request) && !heardLeaderRecently();
     LogVoteResponse response { true, granted };
     m_outputs.emplace_back(makeSend(message.sender, granted ? message.term : term(), response));
@@ -925,9 +1023,17 @@
     m_heardEmpty.erase(joiner.host);
     if (request.isEmpty && std::ranges::find(request.heard, m_self.id) != request.heard.end())
         m_heardEmpty[joiner.host] = joiner.id;
+    m_heardFounders.erase(joiner.host);
+    if (request.isEmpty && request.mayFound)
+        m_heardFounders[joiner.host] = joiner.id;
     tryBootstrap();
-    if (m_role != LogRole::Leader || !m_options.learnerBeforeVoter || joiner.host == m_self.host)
-        return;
+    if (m_role == LogRole::Leader && m_options.learnerBeforeVoter && joiner.host != m_self.host)
+        welcome(joiner);
+}
+
+// Starts to replicate to a replica that is no member, so that it can become one as soon as it is needed.
+void LogReplica::welcome(const LogMember& joiner)
+{
     if (m_peers.contains(joiner.id) || m_peers.size() >= membership().voters.size() + maxJoiners)
         return;
     Peer& peer = m_peers[joiner.id];
--- a/dragonflylane/LogReplica.h
+++ b/dragonflylane/LogReplica.h
@@ -20,8 +20,13 @@
 // A proposal is committed when LogApply returns its index with the term that term() had when it was proposed. If the
 // index returns with another term it was not committed. After a loss of leadership it is uncertain until then.
 //
-// First start: the control host with the lowest id creates the log once all control hosts have stated, in answer to
-// its own replica id, that their disks are empty. All other replicas with empty disks start as learners.
+// First start with fixed voters: the control host with the lowest id creates the log once all control hosts have stated,
+// in answer to its own replica id, that their disks are empty. All other replicas with empty disks start as learners.
+//
+// Automatic voters: the founders (at most three hosts that all replicas know from the start) hold an ordinary election
+// among themselves. The winner needs the votes of a majority of the founders and writes those that it knows as the first
+// membership, so two majorities always share a founder and at most one log comes into being. The leader then adds
+// control hosts one at a time up to the target, and gives the place of a silent voter to a replica that has caught up.
 
 #include "dragonflylane/LogMessages.h"
 
@@ -43,6 +48,23 @@
     Duration electionTimeoutMin { std::chrono::milliseconds(600) };
     Duration electionTimeoutMax { std::chrono::milliseconds(1000) };
     Duration joinInterval { std::chrono::milliseconds(500) };
+
+    /// Voters are chosen from the control hosts that are alive instead of being all that the settings name.
+    bool automaticVoters { false };
+    /// Automatic voters: the number aimed at. Commands are refused with more than one voter less, since an entry must be
+    /// on more disks than may be lost at once.
+    size_t targetVoters { 5 };
+    /// Automatic voters: this replica may take part in the first start of the log. False after any restart, so that a
+    /// replica that lost its disk never founds a second log.
+    bool mayFound { false };
+    /// Automatic voters: hosts that may found the log, known or not; at most three.
+    size_t founderCount { 0 };
+    /// Automatic voters: a voter that is silent for this long gives its place to another host's replica.
+    Duration replaceAfter { std::chrono::milliseconds(1500) };
+    /// Automatic voters: a leader with one voter less than aimed at takes commands after this time in office, because
+    /// the missing host may not come soon.
+    Duration formationGrace { std::chrono::milliseconds(1500) };
+
     /// Seed of the election timeouts and of the life number; should differ at each start.
     uint64_t seed { 1 };
 
@@ -132,6 +154,8 @@
     std::error_code propose(std::string payload, TimePoint now, LogIndex* assigned);
     /// NotLeader; MembershipChangePending if an earlier change is not finished; NotFound; InvalidValue.
     std::error_code changeVoters(const LogMembershipChange&, TimePoint now);
+    /// Automatic voters: the control hosts known at present and those among them that may found the log.
+    void setControlHosts(std::vector<HostId> hosts, std::vector<HostId> founders, TimePoint now);
     /// The write of this token and all earlier ones are synced.
     void persisted(PersistToken, TimePoint now);
     /// State of the application after entry `index`, which must have been applied. PlanTooLarge if over the limit,
@@ -255,6 +279,15 @@
     void advanceMembership();
     bool promoteLearner();
     void replaceLostReplica();
+    bool growVoters();
+    const LogMember* silentVoter() const;
+    bool isFormed() const;
+    void welcome(const LogMember& joiner);
+    bool isUnfounded() const;
+    bool mayFoundNow() const;
+    std::vector<LogMember> knownFounders() const;
+    std::vector<LogMember> electors() const;
+    size_t voteQuorum() const;
     bool isCaughtUp(const Peer&) const;
     bool isSilent(const LogMember&) const;
     void tryBootstrap();
@@ -341,6 +374,9 @@
     std::optional<LogSnapshot> m_incoming;
     std::map<HostId, ReplicaId> m_heard;
     std::map<HostId, ReplicaId> m_heardEmpty;
+    /// Automatic voters: replicas with empty disks that may found the log, and the hosts that may.
+    std::map<HostId, ReplicaId> m_heardFounders;
+    std::vector<HostId> m_founders;
 
     /// Changes since the latest LogPersist output; m_lastToken is their token while m_writeOpen.
     LogWrite m_write;
--- a/dragonflylane/LogTask.cpp
+++ b/dragonflylane/LogTask.cpp
@@ -111,9 +111,18 @@
     drain();
 }
 
+void LogTask::setControlHosts(std::vector<HostId> hosts, std::vector<HostId> founders)
+{
+    if (!m_replica || m_isStopped)
+        return;
+    m_replica->setControlHosts(std::move(hosts), std::move(founders), BootClock::now());
+    drain();
+}
+
 bool LogTask::isCurrent(TimePoint now) const
 {
-    constexpr std::chrono::seconds followerFreshness { 2 };
+    // Half of the time within which a change must be in force everywhere.
+    constexpr std::chrono::seconds followerFreshness { 1 };
     if (m_replica->role() == LogRole::Leader)
         return m_replica->hasLease(now);
     auto proof = m_replica->provenAt();
--- a/dragonflylane/LogTask.h
+++ b/dragonflylane/LogTask.h
@@ -50,6 +50,9 @@
     /// LogReplica::propose() mean that nothing was stored; OutcomeUncertain that it may be.
     void submit(const PlanCommand&, Callback);
 
+    /// See LogReplica::setControlHosts().
+    void setControlHosts(std::vector<HostId> hosts, std::vector<HostId> founders);
+
     const PlanBook& book() const { return m_book; }
     const LogReplica& replica() const { return *m_replica; }
     /// True if answers from the plan book are current: leader with a lease, or a follower's recent proof.
--- a/dragonflylane/LogWire.cpp
+++ b/dragonflylane/LogWire.cpp
@@ -215,6 +215,7 @@
         for (const ReplicaId& id : body.heard)
             heard.push_back(id.value());
         request.__set_heard(heard);
+        request.__set_mayFound(body.mayFound);
         out.__set_joinRequest(request);
     }
 
@@ -280,6 +281,7 @@
         out.isEmpty = request.isEmpty;
         for (const std::string& id : request.heard)
             out.heard.emplace_back(id);
+        out.mayFound = request.mayFound;
         return out;
     }
 
--- a/dragonflylane/Membership.cpp
+++ b/dragonflylane/Membership.cpp
@@ -1163,6 +1163,19 @@
     m_nextJoin = now + randomDuration(m_options.joinBackoffBase);
 }
 
+void Membership::setSeeds(std::vector<Endpoint> seeds, TimePoint now)
+{
+    noteTime(now);
+    std::erase(seeds, self().address);
+    bool isFirst = m_seeds.empty() && m_present.empty();
+    if (isFirst) {
+        join(std::move(seeds), now);
+        return;
+    }
+    if (!seeds.empty())
+        m_seeds = std::move(seeds);
+}
+
 void Membership::runJoin(TimePoint now)
 {
     if (m_joinStage == JoinStage::Contacts && now >= m_nextJoin)
--- a/dragonflylane/Membership.h
+++ b/dragonflylane/Membership.h
@@ -56,6 +56,8 @@
     /// seeds is ignored. Seeds are also contacted later whenever they are not known as present members, so that meshes
     /// separated by a partition find each other again.
     void join(std::vector<Endpoint> seeds, TimePoint now);
+    /// Replaces the seeds that are contacted while they are not present members.
+    void setSeeds(std::vector<Endpoint> seeds, TimePoint now);
     /// True once all pages of records have arrived, or if there is no other seed.
     bool isJoined() const { return m_joinStage == JoinStage::Done; }
 
--- a/dragonflylane/MembershipTask.cpp
+++ b/dragonflylane/MembershipTask.cpp
@@ -48,6 +48,12 @@
     m_socket.close(ignored);
 }
 
+void MembershipTask::setSeeds(std::vector<Endpoint> seeds)
+{
+    m_membership.setSeeds(std::move(seeds), BootClock::now());
+    drain();
+}
+
 void MembershipTask::setUpstream(std::optional<UpstreamRecord> record)
 {
     m_membership.setUpstream(std::move(record), BootClock::now());
--- a/dragonflylane/MembershipTask.h
+++ b/dragonflylane/MembershipTask.h
@@ -29,6 +29,7 @@
     std::error_code start(std::vector<Endpoint> seeds);
     void stop();
 
+    void setSeeds(std::vector<Endpoint>);
     void setUpstream(std::optional<UpstreamRecord>);
     void setControlRole(ControlRole);
     bool broadcast(std::string payload);
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -45,6 +45,7 @@
         case ResultCode::Ok:
             return CallOutcome::Success;
         case ResultCode::UpstreamShed:
+        case ResultCode::UpstreamRefused:
             return CallOutcome::Shed;
         case ResultCode::UpstreamTimeout:
             return CallOutcome::Timeout;
@@ -53,20 +54,6 @@
         }
     }
 
-    HttpRequest toHttp(wire::ForwardRequest& request, Duration remaining)
-    {
-        HttpRequest http { .method = request.method, .target = request.target };
-        http.headers.reserve(request.headers.size() + 3);
-        for (wire::Header& header : request.headers)
-            http.headers.push_back({ std::move(header.name), std::move(header.value) });
-        auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
-        http.headers.push_back({ "Dragonflylane-Deadline-Ms", std::to_string(milliseconds) });
-        http.headers.push_back({ "Dragonflylane-Hops", std::to_string(request.hops) });
-        http.headers.push_back({ "Dragonflylane-Request-Id", request.traceId });
-        http.body = std::move(request.body);
-        return http;
-    }
-
 } // namespace
 
 OwnerTask::OwnerTask(asio::io_context& context, OwnerTaskOptions options, CrashTask& crash, Metrics& metrics,
@@ -92,8 +79,46 @@
     return m_announcement && m_announcement->phase == UpstreamPhase::Draining;
 }
 
+bool OwnerTask::isWithdrawn(const UpstreamId& id, uint64_t startedAt) const
+{
+    return std::any_of(m_withdrawn.begin(), m_withdrawn.end(),
+        [&](const WithdrawnProcess& process) { return process.id == id && process.startedAt == startedAt; });
+}
+
+bool OwnerTask::isOutdated(const Announcement& announcement) const
+{
+    if (isWithdrawn(announcement.id, announcement.startedAt))
+        return true;
+    if (!m_announcement)
+        return false;
+    if (announcement.startedAt != m_announcement->startedAt)
+        return announcement.startedAt < m_announcement->startedAt;
+    return announcement.id == m_announcement->id && announcement.sequence < m_announcement->sequence;
+}
+
+void OwnerTask::withdraw(const UpstreamId& id, uint64_t startedAt)
+{
+    constexpr size_t maxWithdrawn = 64;
+    bool isOurs = m_announcement && m_announcement->id == id
+        && (startedAt == 0 || startedAt == m_announcement->startedAt);
+    uint64_t process = isOurs ? m_announcement->startedAt : startedAt;
+    if (!isWithdrawn(id, process))
+        m_withdrawn.push_back({ id, process });
+    if (m_withdrawn.size() > maxWithdrawn)
+        m_withdrawn.pop_front();
+    if (!isOurs || isAnnouncedDrain())
+        return;
+    m_announcement->phase = UpstreamPhase::Draining;
+    applyDrain();
+    publish();
+}
+
 void OwnerTask::announce(const Announcement& announcement)
 {
+    if (isOutdated(announcement)) {
+        m_metrics.add("announcements_outdated");
+        return;
+    }
     m_leaseEnd = BootClock::now() + m_options.lease;
     bool isOtherProcess = !m_announcement || m_announcement->id != announcement.id
         || m_announcement->instance != announcement.instance || m_announcement->address != announcement.address
@@ -115,7 +140,10 @@
     Incarnation known = std::max(m_hooks.knownIncarnation(announcement.id), generationFloor());
     m_incarnation = std::max(m_incarnation, known).next();
     m_completions.clear();
-    UpstreamClientOptions options { .upstream = announcement.address, .maxBodyBytes = m_options.maxBodyBytes };
+    UpstreamClientOptions options { .upstream = announcement.address,
+        .maxBodyBytes = m_options.maxBodyBytes,
+        .repeatedHeader = m_options.headerNames.answersRepeatRequestId ? m_options.headerNames.requestId : "",
+        .mayEndWithConnection = m_options.answersMayEndWithConnection };
     m_client = std::make_shared<UpstreamClient>(m_context, options, m_metrics);
     Event("upstream_announced")
         .with("upstream", announcement.id)
@@ -142,7 +170,7 @@
 
 void OwnerTask::publish()
 {
-    if (!m_announcement || m_isLeaving)
+    if (!m_announcement || m_isRetired)
         return m_hooks.announced(std::nullopt);
     UpstreamPhase phase = m_isStopped ? UpstreamPhase::Stopped : m_announcement->phase;
     m_hooks.announced(UpstreamRecord { .id = m_announcement->id,
@@ -254,10 +282,41 @@
         });
 }
 
+HttpRequest OwnerTask::toHttp(wire::ForwardRequest& request, Duration remaining) const
+{
+    const CallHeaderNames& names = m_options.headerNames;
+    HttpRequest http { .method = request.method, .target = request.target };
+    http.headers.reserve(request.headers.size() + 5);
+    for (wire::Header& header : request.headers)
+        http.headers.push_back({ std::move(header.name), std::move(header.value) });
+    auto add = [&](const std::string& name, std::string value) {
+        if (!name.empty() && !value.empty())
+            http.headers.push_back({ name, std::move(value) });
+    };
+    auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
+    add(names.deadline, std::to_string(std::max<int64_t>(milliseconds, 1)));
+    add(names.hops, std::to_string(request.hops));
+    if (http.header(names.requestId).empty())
+        add(names.requestId, request.traceId);
+    add(names.caller, request.callerService);
+    add(names.expectedUpstream, request.upstreamId);
+    http.body = std::move(request.body);
+    return http;
+}
+
+bool OwnerTask::isNotRunAnswer(const HttpResponse& response) const
+{
+    constexpr unsigned statusMisdirected = 421;
+    const std::string& header = m_options.headerNames.notRun;
+    return !header.empty() && (response.status == statusMisdirected || !response.header(header).empty());
+}
+
 void OwnerTask::finish(const CallPtr& call, UpstreamResult result)
 {
     TimePoint now = BootClock::now();
-    if (result.code == ResultCode::Ok && isShedAnswer(result.response))
+    if (result.code == ResultCode::Ok && isNotRunAnswer(result.response))
+        result.code = ResultCode::UpstreamRefused;
+    else if (result.code == ResultCode::Ok && isShedAnswer(result.response))
         result.code = ResultCode::UpstreamShed;
     if (result.code == ResultCode::Ok) {
         m_metrics.observe("upstream_latency", now - call->handedOverAt);
@@ -317,8 +376,15 @@
     armTimer();
 }
 
+void OwnerTask::retire()
+{
+    m_isRetired = true;
+    publish();
+}
+
 void OwnerTask::leave()
 {
+    m_isRetired = true;
     m_isLeaving = true;
     m_admission.setLeaving();
     publish();
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -4,6 +4,7 @@
 // that upstream. No other process talks to the upstream, so this task knows whether a request was handed over.
 
 #include "dragonflylane/BootClock.h"
+#include "dragonflylane/CallHeaders.h"
 #include "dragonflylane/Endpoint.h"
 #include "dragonflylane/Ids.h"
 #include "dragonflylane/OwnerAdmission.h"
@@ -13,6 +14,7 @@
 #include "dragonflylane/WakeupTimer.h"
 
 #include <boost/asio/io_context.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -41,11 +43,19 @@
     UpstreamPhase phase { UpstreamPhase::Ready };
     /// Differs between successive processes of the upstream.
     std::string instance;
+    /// Start of the process, in milliseconds of the upstream's wall clock; zero if not stated. Of two announcements, the
+    /// one of the process that started later holds.
+    uint64_t startedAt { 0 };
+    /// Grows with each announcement of one process; zero if not stated.
+    Sequence sequence;
 };
 
 struct OwnerTaskOptions {
     HostId self;
+    CallHeaderNames headerNames {};
     uint64_t maxBodyBytes { 1 << 20 };
+    /// See UpstreamClientOptions.
+    bool answersMayEndWithConnection { false };
     /// An upstream that has not announced itself for this long is stopped.
     Duration lease { std::chrono::seconds(3) };
     /// After a lost connection the upstream gets this long to die before it is probed.
@@ -74,8 +84,11 @@
     OwnerTask(const OwnerTask&) = delete;
     OwnerTask& operator=(const OwnerTask&) = delete;
 
-    /// Takes an announcement, which renews the lease.
+    /// Takes an announcement, which renews the lease. One that arrives after a later one of the same process, or after
+    /// the announcement of a later process, changes nothing.
     void announce(const Announcement&);
+    /// The upstream has announced its end; it gets no further request, and no late announcement brings it back.
+    void withdraw(const UpstreamId&, uint64_t startedAt);
     /// Marks the upstream as drained by the configuration.
     void setPlannedDrain(const std::function<bool(const UpstreamId&)>& isDrained);
 
@@ -83,6 +96,8 @@
     CallId handle(wire::ForwardRequest, Responder);
     void cancel(CallId);
 
+    /// Tells the mesh that the upstream takes no new work; what still comes is served.
+    void retire();
     /// Refuses new work; work in flight goes on.
     void leave();
     bool isIdle() const { return m_calls.empty(); }
@@ -101,7 +116,16 @@
         TimePoint lostAt;
     };
 
+    struct WithdrawnProcess {
+        UpstreamId id;
+        uint64_t startedAt { 0 };
+    };
+
     bool isAnnouncedDrain() const;
+    bool isWithdrawn(const UpstreamId&, uint64_t startedAt) const;
+    bool isOutdated(const Announcement&) const;
+    bool isNotRunAnswer(const HttpResponse&) const;
+    HttpRequest toHttp(wire::ForwardRequest&, Duration remaining) const;
     void startIncarnation(const Announcement&);
     void raiseIncarnation();
     Incarnation generationFloor() const;
@@ -129,8 +153,11 @@
     Incarnation m_incarnation;
     bool m_isStopped { true };
     bool m_isPlannedDrain { false };
+    bool m_isRetired { false };
     bool m_isLeaving { false };
     TimePoint m_leaseEnd;
+    /// Processes that announced their end, oldest first.
+    std::deque<WithdrawnProcess> m_withdrawn;
 
     OwnerAdmission m_admission;
     std::shared_ptr<UpstreamClient> m_client;
--- a/dragonflylane/PlanBook.cpp
+++ b/dragonflylane/PlanBook.cpp
@@ -4,6 +4,7 @@
 #include "dragonflylane/PlanWire.h"
 
 #include <algorithm>
+#include <set>
 
 namespace dragonflylane {
 
@@ -41,6 +42,8 @@
         return propose(*proposal);
     if (const auto* confirmation = std::get_if<ConfirmCommand>(&command))
         return confirm(*confirmation);
+    if (const auto* replacement = std::get_if<ReplaceCommand>(&command))
+        return replace(*replacement);
     return setKeepers(std::get<SetKeepersCommand>(command));
 }
 
@@ -157,6 +160,71 @@
     return outcome;
 }
 
+DocumentVersion PlanBook::documentVersion() const
+{
+    return m_accepted.empty() ? DocumentVersion() : m_accepted.back().version;
+}
+
+ApplyOutcome PlanBook::replace(const ReplaceCommand& command)
+{
+    constexpr uint64_t secondSeed = 1;
+    Digest digest(stableHash(command.document), stableHash(command.document, secondSeed));
+    ApplyOutcome outcome;
+    outcome.status = PlanStatus::Confirmed;
+    for (auto known = m_accepted.rbegin(); known != m_accepted.rend(); ++known) {
+        if (known->version != command.version || known->digest != digest)
+            continue;
+        outcome.revision = known->revision;
+        outcome.repeated = true;
+        return outcome;
+    }
+    if (command.base != documentVersion())
+        return refusal({}, ResultCode::PlanConflict,
+            "the document builds on version " + std::to_string(command.base.value()) + " but version "
+                + std::to_string(documentVersion().value()) + " is in force");
+    if (command.version <= documentVersion())
+        return refusal({}, ResultCode::InvalidValue, "the version does not exceed the one in force");
+    ConfigState next = state();
+    std::string detail;
+    if (std::error_code error = replaceItems(command.items, &next, &detail))
+        return refusal({}, resultCode(error), detail);
+    next.setRevision(state().revision().next());
+    outcome.delta = state().deltaTo(next);
+    m_history.append(*outcome.delta, std::move(next));
+    outcome.revision = state().revision();
+    m_document = command.document;
+    m_accepted.push_back({ command.version, digest, outcome.revision });
+    if (m_accepted.size() > m_options.maxAcceptedDocuments)
+        m_accepted.pop_front();
+    return outcome;
+}
+
+// Drains and the keeper view are no part of a document and stay. Items that are equal are kept, which costs no digest.
+std::error_code PlanBook::replaceItems(
+    const std::vector<ConfigItem>& items, ConfigState* next, std::string* detail) const
+{
+    std::set<ItemKey> stated;
+    for (const ConfigItem& item : items) {
+        ItemKey key = keyOf(item);
+        if (key.kind == ItemKind::KeeperView || key.kind == ItemKind::Drain || !stated.insert(key).second) {
+            *detail = excerpt(key.toString()) + " stands twice in the document or does not belong there";
+            return ResultCode::InvalidValue;
+        }
+        const ConfigItem* held = next->find(key);
+        if (!held || *held != item)
+            next->insert(item);
+    }
+    std::vector<ItemKey> gone;
+    for (const auto& [key, item] : next->items()) {
+        bool isOurs = key.kind != ItemKind::KeeperView && key.kind != ItemKind::Drain;
+        if (isOurs && !stated.contains(key))
+            gone.push_back(key);
+    }
+    for (const ItemKey& key : gone)
+        next->remove(key);
+    return next->validate(detail);
+}
+
 ApplyOutcome PlanBook::outcomeOf(const PlanRecord& record) const
 {
     ApplyOutcome outcome;
@@ -281,6 +349,8 @@
     image.deltas = m_history.deltas();
     for (const Entry& entry : m_plans)
         image.plans.push_back(entry.record);
+    image.document = m_document;
+    image.accepted.assign(m_accepted.begin(), m_accepted.end());
     return encodeImage(image);
 }
 
@@ -299,6 +369,8 @@
             return ResultCode::MalformedFrame;
         restored.store(std::move(record));
     }
+    restored.m_document = std::move(image.document);
+    restored.m_accepted.assign(image.accepted.begin(), image.accepted.end());
     *this = std::move(restored);
     return {};
 }
--- a/dragonflylane/PlanBook.h
+++ b/dragonflylane/PlanBook.h
@@ -13,6 +13,7 @@
 #include "dragonflylane/Plan.h"
 #include "dragonflylane/ResultCode.h"
 
+#include <deque>
 #include <list>
 #include <unordered_map>
 
@@ -43,7 +44,32 @@
     bool operator==(const SetKeepersCommand&) const = default;
 };
 
-using PlanCommand = std::variant<ProposeCommand, ConfirmCommand, SetKeepersCommand>;
+/// Replaces everything that operators state (services, routes, call rules, mesh policy) by the items of one document.
+/// Compare-and-set on the version of the document in force; a resend of an accepted document, told by version and
+/// content, returns the first answer.
+struct ReplaceCommand {
+    DocumentVersion version;
+    /// Version that the document builds on; zero for the first one.
+    DocumentVersion base;
+    std::vector<ConfigItem> items;
+    /// The document as the operator wrote it; kept for reading it back.
+    std::string document;
+    OperatorName operatorName;
+
+    bool operator==(const ReplaceCommand&) const = default;
+};
+
+/// A document that was accepted at some time.
+struct AcceptedDocument {
+    DocumentVersion version;
+    Digest digest;
+    /// Revision that it created.
+    Revision revision;
+
+    bool operator==(const AcceptedDocument&) const = default;
+};
+
+using PlanCommand = std::variant<ProposeCommand, ConfirmCommand, SetKeepersCommand, ReplaceCommand>;
 
 /// Where a plan stands.
 enum class PlanStatus : uint8_t {
@@ -99,6 +125,8 @@
     size_t maxPlanBytes { size_t { 4 } << 20 };
     size_t maxOpenPerOperator { 64 };
     size_t maxConflictItems { 128 };
+    /// Accepted documents whose resends are recognised.
+    size_t maxAcceptedDocuments { 4096 };
     /// Only tests switch these off, to show which invariant they protect.
     bool checkBase { true };
     bool answerResends { true };
@@ -127,6 +155,11 @@
     /// Newest first.
     std::vector<const PlanRecord*> plans() const;
 
+    /// Version of the document in force; zero before the first one.
+    DocumentVersion documentVersion() const;
+    /// The document in force, as the operator wrote it.
+    const std::string& document() const { return m_document; }
+
     /// The whole book for a snapshot of the log. Equal books give equal bytes.
     std::string serialise() const;
     /// Replaces the book; on an error it is unchanged.
@@ -142,6 +175,8 @@
     ApplyOutcome propose(const ProposeCommand&);
     ApplyOutcome confirm(const ConfirmCommand&);
     ApplyOutcome setKeepers(const SetKeepersCommand&);
+    ApplyOutcome replace(const ReplaceCommand&);
+    std::error_code replaceItems(const std::vector<ConfigItem>&, ConfigState*, std::string* detail) const;
     ApplyOutcome outcomeOf(const PlanRecord&) const;
     ApplyOutcome refusal(const PlanId&, ResultCode, std::string detail) const;
     /// Confirms the plan or records why not; returns the delta if it created a revision.
@@ -161,6 +196,9 @@
     Entries m_plans;
     std::unordered_map<PlanId, Entries::iterator> m_index;
     size_t m_planBytes { 0 };
+    std::string m_document;
+    /// Oldest first; the last one is in force.
+    std::deque<AcceptedDocument> m_accepted;
 };
 
 } // namespace dragonflylane
--- a/dragonflylane/PlanJson.cpp
+++ b/dragonflylane/PlanJson.cpp
@@ -45,6 +45,22 @@
             return {};
         }
 
+        std::string text(const char* key, const std::string& fallback)
+        {
+            bool isGiven = m_object && m_object->contains(key);
+            return isGiven ? text(key) : (member(key), fallback);
+        }
+
+        std::optional<bool> flag(const char* key)
+        {
+            const json::value* value = member(key);
+            if (!value)
+                return std::nullopt;
+            if (!value->is_bool())
+                fail(std::string("needs true or false in '") + key + "'");
+            return value->is_bool() && value->get_bool();
+        }
+
         uint64_t number(const char* key, std::optional<uint64_t> fallback, uint64_t limit)
         {
             const json::value* value = member(key);
@@ -108,6 +124,7 @@
         item.timeout
             = milliseconds(reader.number("timeoutMs", static_cast<uint64_t>(defaults.timeout.count()), maxNumber));
         item.maxAttempts = static_cast<uint32_t>(reader.number("maxAttempts", defaults.maxAttempts, maxNumber));
+        item.maxConnections = static_cast<uint32_t>(reader.number("maxConnections", 0, maxNumber));
         return item;
     }
 
@@ -135,6 +152,22 @@
                     reader.fail("needs strings in 'idempotentMethods'");
             }
         }
+        item.host = reader.text("host", "");
+        item.isIdempotent = reader.flag("idempotent");
+        item.maxAttempts = static_cast<uint32_t>(reader.number("maxAttempts", 0, maxNumber));
+        item.priority = static_cast<uint32_t>(reader.number("priority", 0, maxNumber));
+        item.targetLatency = milliseconds(reader.number("targetLatencyMs", 0, maxNumber));
+        return item;
+    }
+
+    MeshPolicyItem readMeshPolicy(ObjectReader& reader)
+    {
+        MeshPolicyItem item;
+        item.openCalls = reader.flag("openCalls").value_or(false);
+        item.maxHeaderBytes = static_cast<uint32_t>(reader.number("maxHeaderBytes", 0, maxNumber));
+        item.maxBodyBytes = reader.number("maxBodyBytes", 0, maxNumber);
+        item.headerTimeout = milliseconds(reader.number("headerTimeoutMs", 0, maxNumber));
+        item.idleTimeout = milliseconds(reader.number("idleTimeoutMs", 0, maxNumber));
         return item;
     }
 
@@ -191,6 +224,9 @@
             { "allowCall", objectChange([](ObjectReader& reader) { return SetItem { readCallRule(reader) }; }) },
             { "denyCall",
                 objectChange([](ObjectReader& reader) { return RemoveItem { keyOf(readCallRule(reader)) }; }) },
+            { "setMeshPolicy", objectChange([](ObjectReader& reader) { return SetItem { readMeshPolicy(reader) }; }) },
+            { "removeMeshPolicy",
+                objectChange([](ObjectReader&) { return RemoveItem { meshPolicyKey() }; }) },
             { "removeService",
                 nameChange([](std::string name) { return RemoveItem { serviceKey(ServiceName(std::move(name))) }; }) },
             { "removeRoute",
@@ -275,9 +311,11 @@
     struct ChangeRenderer {
         json::object operator()(const ServiceItem& item) const
         {
-            return { { "setService",
-                json::object { { "name", item.name.value() }, { "timeoutMs", item.timeout.count() },
-                    { "maxAttempts", item.maxAttempts } } } };
+            json::object object { { "name", item.name.value() }, { "timeoutMs", item.timeout.count() },
+                { "maxAttempts", item.maxAttempts } };
+            if (item.maxConnections > 0)
+                object.emplace("maxConnections", item.maxConnections);
+            return { { "setService", std::move(object) } };
         }
 
         json::object operator()(const RouteItem& item) const
@@ -285,10 +323,20 @@
             json::array split;
             for (const SplitPart& part : item.split)
                 split.push_back(json::object { { "service", part.service.value() }, { "weight", part.weight } });
-            return { { "setRoute",
-                json::object { { "name", item.name.value() }, { "pathPrefix", item.pathPrefix },
-                    { "split", std::move(split) }, { "timeoutMs", item.timeout.count() },
-                    { "idempotentMethods", renderStrings(item.idempotentMethods) } } } };
+            json::object object { { "name", item.name.value() }, { "pathPrefix", item.pathPrefix },
+                { "split", std::move(split) }, { "timeoutMs", item.timeout.count() },
+                { "idempotentMethods", renderStrings(item.idempotentMethods) } };
+            if (!item.host.empty())
+                object.emplace("host", item.host);
+            if (item.isIdempotent)
+                object.emplace("idempotent", *item.isIdempotent);
+            if (item.maxAttempts > 0)
+                object.emplace("maxAttempts", item.maxAttempts);
+            if (item.priority > 0)
+                object.emplace("priority", item.priority);
+            if (item.targetLatency.count() > 0)
+                object.emplace("targetLatencyMs", item.targetLatency.count());
+            return { { "setRoute", std::move(object) } };
         }
 
         json::object operator()(const CallRuleItem& item) const
@@ -307,6 +355,14 @@
             return { { "setKeepers",
                 json::object { { "epoch", item.epoch.value() }, { "hosts", std::move(hosts) } } } };
         }
+
+        json::object operator()(const MeshPolicyItem& item) const
+        {
+            return { { "setMeshPolicy",
+                json::object { { "openCalls", item.openCalls }, { "maxHeaderBytes", item.maxHeaderBytes },
+                    { "maxBodyBytes", item.maxBodyBytes }, { "headerTimeoutMs", item.headerTimeout.count() },
+                    { "idleTimeoutMs", item.idleTimeout.count() } } } };
+        }
     };
 
     json::object renderRemoval(const ItemKey& key)
@@ -324,6 +380,8 @@
             return { { "denyCall",
                 json::object { { "caller", key.name.substr(0, separator) }, { "callee", callee } } } };
         }
+        case ItemKind::MeshPolicy:
+            return { { "removeMeshPolicy", json::object() } };
         case ItemKind::KeeperView:
             break;
         }
--- a/dragonflylane/PlanWire.cpp
+++ b/dragonflylane/PlanWire.cpp
@@ -72,8 +72,33 @@
             keepers.hosts = toWire(command.hosts);
             out->__set_setKeepers(keepers);
         }
+
+        void operator()(const ReplaceCommand& command) const
+        {
+            wire::PlanReplace replace;
+            replace.version = static_cast<int64_t>(command.version.value());
+            replace.base = static_cast<int64_t>(command.base.value());
+            for (const ConfigItem& item : command.items)
+                appendItem(item, &replace.items);
+            replace.document = compress(command.document);
+            replace.operatorName = command.operatorName.value();
+            out->__set_replace(replace);
+        }
     };
 
+    bool readReplace(const wire::PlanReplace& replace, PlanCommand* command)
+    {
+        ReplaceCommand result;
+        result.version = DocumentVersion(static_cast<uint64_t>(replace.version));
+        result.base = DocumentVersion(static_cast<uint64_t>(replace.base));
+        result.operatorName = OperatorName(replace.operatorName);
+        if (!readItems(replace.items, &result.items)
+            || decompress(replace.document, PlanWireLimits::documentBytes, &result.document))
+            return false;
+        *command = std::move(result);
+        return true;
+    }
+
     bool readPropose(const wire::PlanPropose& propose, PlanCommand* command)
     {
         ProposeCommand result;
@@ -144,10 +169,12 @@
     if (std::error_code error = decodeThrift(bytes, PlanWireLimits::commandBytes, &wireCommand))
         return error;
     const auto& isSet = wireCommand.__isset;
-    if (int { isSet.propose } + int { isSet.confirm } + int { isSet.setKeepers } != 1)
+    if (int { isSet.propose } + int { isSet.confirm } + int { isSet.setKeepers } + int { isSet.replace } != 1)
         return ResultCode::MalformedFrame;
     if (isSet.propose && !readPropose(wireCommand.propose, command))
         return ResultCode::MalformedFrame;
+    if (isSet.replace && !readReplace(wireCommand.replace, command))
+        return ResultCode::MalformedFrame;
     if (isSet.confirm)
         *command
             = ConfirmCommand { PlanId(wireCommand.confirm.planId), OperatorName(wireCommand.confirm.operatorName) };
@@ -173,6 +200,14 @@
         result.deltas.push_back(toWire(delta));
     for (const PlanRecord& record : image.plans)
         result.plans.push_back(recordToWire(record));
+    if (!image.document.empty())
+        result.__set_document(image.document);
+    for (const AcceptedDocument& accepted : image.accepted) {
+        wire::PlanAcceptedDocument& document = result.acceptedDocuments.emplace_back();
+        document.version = static_cast<int64_t>(accepted.version.value());
+        document.digest = digestBytes(accepted.digest);
+        document.revision = static_cast<int64_t>(accepted.revision.value());
+    }
     return compress(encodeThrift(result));
 }
 
@@ -197,6 +232,14 @@
         if (!readRecord(record, &result.plans.back()))
             return ResultCode::MalformedFrame;
     }
+    result.document = std::move(snapshot.document);
+    for (const wire::PlanAcceptedDocument& document : snapshot.acceptedDocuments) {
+        AcceptedDocument& accepted = result.accepted.emplace_back();
+        accepted.version = DocumentVersion(static_cast<uint64_t>(document.version));
+        accepted.revision = Revision(static_cast<uint64_t>(document.revision));
+        if (!readDigest(document.digest, &accepted.digest))
+            return ResultCode::MalformedFrame;
+    }
     *image = std::move(result);
     return {};
 }
--- a/dragonflylane/PlanWire.h
+++ b/dragonflylane/PlanWire.h
@@ -12,12 +12,17 @@
     /// Oldest first.
     std::vector<ConfigDelta> deltas;
     std::vector<PlanRecord> plans;
+    std::string document;
+    /// Oldest first.
+    std::vector<AcceptedDocument> accepted;
 };
 
 /// Limits on decoding.
 struct PlanWireLimits {
     /// A plan's JSON may have 256 KB; its encoding is shorter.
     static constexpr size_t commandBytes = size_t { 1 } << 20;
+    /// A whole document before its compression.
+    static constexpr size_t documentBytes = size_t { 8 } << 20;
     /// State, deltas and plans at their limits, with a reserve.
     static constexpr size_t imageBytes = size_t { 48 } << 20;
 };
--- a/dragonflylane/ResultCode.h
+++ b/dragonflylane/ResultCode.h
@@ -13,7 +13,7 @@
 enum class ResultCode : uint16_t {
     Ok = 0,
 
-    // A call was refused; no byte of it reached an upstream.
+    // A call was refused and did not run. Except for UpstreamRefused, no byte of it reached an upstream.
     NoRoute = 101,
     CallerNotAllowed = 102,
     NoUpstream = 103,
@@ -39,6 +39,8 @@
     TooManyConnections = 123,
     TooManyHops = 124,
     CallerGone = 125,
+    UpstreamRefused = 126,
+    MemoryLimit = 127,
 
     // A call may or may not have run.
     OwnerLost = 201,
--- a/dragonflylane/RetryBudget.cpp
+++ b/dragonflylane/RetryBudget.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 
 namespace dragonflylane {
 
@@ -21,6 +22,12 @@
 {
     if (!m_options.isEnabled)
         return true;
+    if (m_options.window > Duration::zero()) {
+        if (windowTokens(now) < 1)
+            return false;
+        ++currentStep(now).retries;
+        return true;
+    }
     m_floor = floorTokens(now);
     m_floorAt = std::max(m_floorAt, now);
     if (m_floor >= 1) {
@@ -34,8 +41,41 @@
     return false;
 }
 
+void RetryBudget::recordRequest(TimePoint now)
+{
+    if (m_options.window > Duration::zero())
+        ++currentStep(now).requests;
+}
+
+RetryBudget::Step& RetryBudget::currentStep(TimePoint now)
+{
+    int64_t number = now.time_since_epoch() / (m_options.window / steps);
+    Step& step = m_steps[static_cast<size_t>(number % std::ssize(m_steps))];
+    if (step.number != number)
+        step = { .number = number };
+    return step;
+}
+
+// The oldest step may lie in the window in part only: its retries count, its requests do not.
+double RetryBudget::windowTokens(TimePoint now) const
+{
+    int64_t current = now.time_since_epoch() / (m_options.window / steps);
+    double tokens = m_options.slack;
+    for (const Step& step : m_steps) {
+        bool isInWindow = step.number >= 0 && step.number <= current && step.number >= current - steps;
+        if (!isInWindow)
+            continue;
+        tokens -= step.retries;
+        if (step.number > current - steps)
+            tokens += m_options.ratio * step.requests;
+    }
+    return tokens;
+}
+
 double RetryBudget::available(TimePoint now) const
 {
+    if (m_options.window > Duration::zero())
+        return windowTokens(now);
     return floorTokens(now) + m_earned;
 }
 
--- a/dragonflylane/RetryPolicy.cpp
+++ b/dragonflylane/RetryPolicy.cpp
@@ -35,8 +35,11 @@
     RetryDecision giveUp { false, Duration::zero(), final };
 
     uint32_t maxAttempts = attempt.maxAttempts == 0 ? m_options.maxAttempts : attempt.maxAttempts;
-    if (!isRetriable(attempt.code) || !mayRunAgain(attempt) || attempt.attempts >= maxAttempts)
+    bool isExhausted = attempt.hasReachedUpstream && attempt.attempts >= maxAttempts;
+    if (!isRetriable(attempt.code) || !mayRunAgain(attempt) || isExhausted)
         return giveUp;
+    if (!attempt.hasReachedUpstream && attempt.remaining >= m_options.minRemaining)
+        return { true, Duration::zero(), attempt.earlierUnknown };
     Duration delay = backoff(attempt);
     if (attempt.remaining < delay + m_options.minRemaining)
         return giveUp;
@@ -110,6 +113,7 @@
     case ResultCode::UpstreamUnreachable:
     case ResultCode::OwnerUnreachable:
     case ResultCode::UpstreamShed:
+    case ResultCode::UpstreamRefused:
     case ResultCode::OwnerLost:
     case ResultCode::UpstreamLost:
     case ResultCode::UpstreamTimeout:
--- a/dragonflylane/RetryPolicy.h
+++ b/dragonflylane/RetryPolicy.h
@@ -25,8 +25,12 @@
 struct AttemptResult {
     ResultCode code { ResultCode::Ok };
     bool isIdempotent { false };
-    /// Attempts of this call so far, including those of earlier hops that the call carries.
+    /// Attempts of this call so far, including those of earlier hops that the call carries. Refusals by owner daemons do
+    /// not count if `hasReachedUpstream` is reported.
     uint32_t attempts { 1 };
+    /// Some attempt of this call has reached an upstream. As long as none has, another owner may be asked without limit
+    /// by attempts or budget, since no upstream gets more than one arrival.
+    bool hasReachedUpstream { true };
     /// Time left until the deadline of the call.
     Duration remaining { 0 };
     /// Code of an earlier attempt whose outcome is unknown; Ok if there was none.
@@ -74,6 +78,7 @@
     bool tryHedge(TimePoint now);
 
     const RetryBudget& budget() const { return m_budget; }
+    RetryBudget& budget() { return m_budget; }
 
 private:
     bool mayRunAgain(const AttemptResult&) const;
--- a/dragonflylane/RoutingTable.cpp
+++ b/dragonflylane/RoutingTable.cpp
@@ -19,6 +19,8 @@
 
 bool RouteEntry::isIdempotent(std::string_view method) const
 {
+    if (idempotence)
+        return *idempotence;
     return std::find(idempotentMethods.begin(), idempotentMethods.end(), method) != idempotentMethods.end();
 }
 
@@ -38,27 +40,35 @@
 {
 }
 
-const RouteEntry* RoutingTable::findRoute(std::string_view target) const
+const RouteEntry* RoutingTable::findRoute(std::string_view host, std::string_view target) const
 {
-    const Tables& tables = *m_tables;
     std::string_view path = target.substr(0, target.find_first_of("?#"));
     if (path.empty() || path.front() != '/')
         return nullptr;
-    size_t length = path.size();
-    // No prefix is longer than longestPrefix, so the search starts at the last boundary within it.
-    if (length > tables.longestPrefix) {
-        length = tables.longestPrefix;
-        if (length > 0 && path[length] != '/')
-            length = path.rfind('/', length - 1);
-    }
-    while (length > 0) {
-        auto found = tables.routeByPrefix.find(path.substr(0, length));
-        if (found != tables.routeByPrefix.end())
-            return &tables.routes[found->second];
-        length = path.rfind('/', length - 1);
+    const RouteEntry* route = host.empty() ? nullptr : findRouteOfHost(host, path);
+    return route ? route : findRouteOfHost({}, path);
+}
+
+const RouteEntry* RoutingTable::findRouteOfHost(std::string_view host, std::string_view path) const
+{
+    const Tables& tables = *m_tables;
+    std::string key(host);
+    // No prefix is longer than longestPrefix; one more character tells whether a segment ends there.
+    key += path.substr(0, tables.longestPrefix + 1);
+    std::string_view candidate(key);
+    while (candidate.size() > host.size()) {
+        size_t length = candidate.size() - host.size();
+        bool isBoundary = length == path.size() || candidate.back() == '/' || path[length] == '/';
+        if (isBoundary) {
+            auto found = tables.routeByPrefix.find(candidate);
+            if (found != tables.routeByPrefix.end())
+                return &tables.routes[found->second];
+        }
+        bool endsWithSlash = candidate.back() == '/';
+        candidate = endsWithSlash ? candidate.substr(0, candidate.size() - 1)
+                                  : candidate.substr(0, candidate.rfind('/') + 1);
     }
-    auto found = tables.routeByPrefix.find(std::string_view("/"));
-    return found == tables.routeByPrefix.end() ? nullptr : &tables.routes[found->second];
+    return nullptr;
 }
 
 std::optional<ServiceIndex> RoutingTable::findService(std::string_view name) const
@@ -76,6 +86,8 @@
 
 bool RoutingTable::mayCall(std::string_view caller, ServiceIndex callee) const
 {
+    if (m_tables->policy.openCalls)
+        return true;
     std::optional<ServiceIndex> index = findService(caller);
     if (!index && caller == clientServiceName)
         index = static_cast<ServiceIndex>(m_services.size());
--- a/dragonflylane/RoutingTable.h
+++ b/dragonflylane/RoutingTable.h
@@ -27,6 +27,7 @@
     ServiceName name;
     std::chrono::milliseconds timeout { 0 };
     uint32_t maxAttempts { 1 };
+    uint32_t maxConnections { 0 };
     std::vector<UpstreamEntry> upstreams;
 
     /// Null if the service has no such upstream. O(log upstreams).
@@ -49,6 +50,11 @@
     /// Zero: the timeout of the selected service applies.
     std::chrono::milliseconds timeout { 0 };
     std::vector<std::string> idempotentMethods;
+    /// Overrides idempotentMethods if present.
+    std::optional<bool> idempotence;
+    uint32_t maxAttempts { 0 };
+    uint32_t priority { 0 };
+    std::chrono::milliseconds targetLatency { 0 };
 
     /// Methods are compared with case, as RFC 9110 has it.
     bool isIdempotent(std::string_view method) const;
@@ -66,9 +72,10 @@
     /// Epoch 0 without hosts if there is no keeper view.
     const KeeperViewItem& keepers() const { return m_tables->keepers; }
 
-    /// Route with the longest path prefix that ends at a segment boundary of the path; a query is ignored. Null if
-    /// none matches. O(length of the longest prefix).
-    const RouteEntry* findRoute(std::string_view target) const;
+    /// Route with the longest path prefix that ends at a segment boundary of the path; a query is ignored. Routes of the
+    /// given host go before those of every host. Null if none matches. O(length of the longest prefix).
+    const RouteEntry* findRoute(std::string_view host, std::string_view target) const;
+    const RouteEntry* findRoute(std::string_view target) const { return findRoute({}, target); }
     const std::vector<RouteEntry>& routes() const { return m_tables->routes; }
 
     std::optional<ServiceIndex> findService(std::string_view name) const;
@@ -80,6 +87,8 @@
 
     /// Whether a call rule lets the caller (a service or `client`) call the service. O(1).
     bool mayCall(std::string_view caller, ServiceIndex callee) const;
+    /// Limits on callers; all zero if the configuration has none.
+    const MeshPolicyItem& policy() const { return m_tables->policy; }
 
 private:
     friend class RoutingTableBuilder;
@@ -95,7 +104,9 @@
         Revision revision;
         Digest digest;
         KeeperViewItem keepers;
+        MeshPolicyItem policy;
         std::vector<RouteEntry> routes;
+        /// By host and path prefix, joined; a host has no slash.
         IndexByName routeByPrefix;
         size_t longestPrefix { 0 };
         IndexByName serviceByName;
@@ -103,6 +114,8 @@
         std::unordered_set<uint64_t> callRules;
     };
 
+    const RouteEntry* findRouteOfHost(std::string_view host, std::string_view path) const;
+
     std::shared_ptr<const Tables> m_tables;
     std::vector<std::shared_ptr<const ServiceEntry>> m_services;
 };
--- a/dragonflylane/RoutingTableBuilder.cpp
+++ b/dragonflylane/RoutingTableBuilder.cpp
@@ -150,17 +150,26 @@
     tables->digest = m_state.digest();
     if (const KeeperViewItem* keepers = m_state.keeperView())
         tables->keepers = *keepers;
+    if (const MeshPolicyItem* policy = m_state.meshPolicy())
+        tables->policy = *policy;
     for (const ServiceItem* service : m_state.all<ServiceItem>())
         tables->serviceByName.emplace(service->name.value(), static_cast<ServiceIndex>(tables->serviceByName.size()));
     const auto client = static_cast<ServiceIndex>(tables->serviceByName.size());
     for (const RouteItem* item : m_state.all<RouteItem>()) {
-        RouteEntry route { item->name, item->pathPrefix, {}, 0, item->timeout, item->idempotentMethods };
+        RouteEntry route { .name = item->name,
+            .pathPrefix = item->pathPrefix,
+            .timeout = item->timeout,
+            .idempotentMethods = item->idempotentMethods,
+            .idempotence = item->isIdempotent,
+            .maxAttempts = item->maxAttempts,
+            .priority = item->priority,
+            .targetLatency = item->targetLatency };
         for (const SplitPart& part : item->split) {
             route.split.push_back({ tables->serviceByName.at(part.service.value()), part.weight });
             route.totalWeight += part.weight;
         }
         tables->longestPrefix = std::max(tables->longestPrefix, route.pathPrefix.size());
-        tables->routeByPrefix.emplace(route.pathPrefix, static_cast<uint32_t>(tables->routes.size()));
+        tables->routeByPrefix.emplace(item->host + route.pathPrefix, static_cast<uint32_t>(tables->routes.size()));
         tables->routes.push_back(std::move(route));
     }
     for (const CallRuleItem* rule : m_state.all<CallRuleItem>()) {
@@ -177,6 +186,7 @@
     service->name = item.name;
     service->timeout = item.timeout;
     service->maxAttempts = item.maxAttempts;
+    service->maxConnections = item.maxConnections;
     auto upstreams = m_byService.find(item.name);
     if (upstreams == m_byService.end())
         return service;
--- a/dragonflylane/Settings.cpp
+++ b/dragonflylane/Settings.cpp
@@ -19,22 +19,46 @@
         { "mesh", "secret-file", "path", "", "file of 16 to 4096 bytes",
             "Shared secret of the mesh. Required as soon as a listener is not on loopback." },
         { "mesh", "seeds", "addresses", "", "up to 64", "Peer addresses of a few daemons, asked first when joining." },
+        { "mesh", "seed-port", "port", "0", "0 to 65535", "Port that replaces the port of each seed; 0 keeps them." },
+        { "mesh", "trusted-network", "", "no", "yes, no",
+            "The network admits only this mesh: no secret and no operator tokens are needed beyond loopback." },
         { "host", "id", "", "local", "1 to 64 of a-z 0-9 . _ -", "Name of this host, unique in the mesh." },
         { "host", "data-centre", "", "local", "1 to 64 of a-z 0-9 . _ -", "Data centre of this host." },
         { "host", "region", "", "local", "1 to 64 of a-z 0-9 . _ -", "Region of this host." },
-        { "listen", "callers", "address", "127.0.0.1:8080", "IP:port", "Where callers send HTTP requests." },
+        { "host", "service", "", "", "1 to 64 of a-z 0-9 . _ -",
+            "Service on this host; calls that enter here are made in its name. Empty: callers name themselves." },
+        { "host", "upstream", "address", "", "IP:port", "Upstream beside this daemon, if it has a fixed address." },
+        { "listen", "callers", "address", "127.0.0.1:8080", "IP:port or none", "Where callers send HTTP requests." },
         { "listen", "peer", "address", "127.0.0.1:7080", "IP:port",
             "Where other daemons connect (TCP) and gossip (UDP)." },
         { "listen", "api", "address", "127.0.0.1:7081", "IP:port", "Operator API and announcements of the upstream." },
-        { "control", "voters", "host=address list", "this host", "1, 3 or 5",
-            "Founding voters of the replicated log with their peer addresses; the same on every host." },
+        { "listen", "readiness", "address", "", "IP:port", "Further listener of the API, for readiness checks." },
+        { "listen", "metrics", "address", "", "IP:port", "Further listener of the API, for collectors of metrics." },
+        { "control", "voters", "host=address list", "this host", "1, 3 or 5, or automatic",
+            "Founding voters of the replicated log with their peer addresses; the same on every host. automatic: chosen "
+            "among the control hosts that are alive." },
+        { "control", "member", "", "no", "yes, no", "With automatic voters: this host has a replica of the log." },
+        { "control", "may-found", "", "no", "yes, no",
+            "With automatic voters: the mesh starts for the first time, so this host may found the log." },
+        { "control", "tolerated-losses", "hosts", "2", "0 to 4",
+            "With automatic voters: control hosts that may be lost at once; twice as many and one are voters." },
         { "control", "data-folder", "path", "data", "", "Folder of the replicated log. Used on control hosts only." },
         { "control", "operators-file", "path", "", "lines of name token",
             "Operators and their tokens. Required as soon as the API is not on loopback." },
         { "calls", "default-timeout-ms", "ms", "2000", "1 to 600000", "Deadline of a call that states none." },
         { "calls", "max-connections", "connections", "2000", "1 to 60000", "Most callers connected at a time." },
-        { "calls", "max-body-bytes", "bytes", "1048576", "0 to 1048576", "Largest request or answer body." },
-        { "calls", "drain-timeout-s", "s", "60", "1 to 3600", "Longest wait for calls in flight at shutdown." },
+        { "calls", "max-body-bytes", "bytes", "1048576", "0 to 67108864", "Largest request or answer body." },
+        { "calls", "drain-timeout-s", "s", "60", "0.1 to 3600", "Longest wait for calls in flight at shutdown." },
+        { "calls", "leave-notice-s", "s", "0.5", "0 to 60",
+            "From the signal to stop until callers and peers have noticed; calls are served meanwhile." },
+        { "calls", "duplicate-records", "", "yes", "yes, no",
+            "Idempotency keys are recorded on keepers. no: a key has no effect." },
+        { "calls", "hedging", "", "yes", "yes, no", "A second copy of a late idempotent call is sent." },
+        { "calls", "retry-ratio", "", "0.1", "0 to 1", "Retries to a service as a share of the requests for it." },
+        { "calls", "retry-window-s", "s", "0", "0 to 600",
+            "Window in which the retries of all daemons are bounded; 0: each daemon has a budget of its own." },
+        { "calls", "retry-slack", "retries", "0", "0 to 1000000",
+            "Retries to a service that all daemons together may make in the window beyond the ratio." },
         { "log", "level", "", "info", "debug, info, warning, error", "Lowest level that is logged." },
     };
 
@@ -54,6 +78,13 @@
         return nullptr;
     }
 
+    std::string shortest(double value)
+    {
+        char text[32];
+        auto result = std::to_chars(std::begin(text), std::end(text), value);
+        return std::string(text, result.ptr);
+    }
+
     std::vector<std::string> splitList(const std::string& text)
     {
         std::vector<std::string> parts;
@@ -118,6 +149,39 @@
             return parsed;
         }
 
+        double decimal(const char* section, const char* key, double min, double max)
+        {
+            std::string value = text(section, key);
+            double parsed = 0;
+            auto [end, status] = std::from_chars(value.data(), value.data() + value.size(), parsed);
+            if (status != std::errc() || end != value.data() + value.size())
+                fail(ResultCode::SettingInvalid, section, key, "'" + value + "' is not a number");
+            else if (!(parsed >= min && parsed <= max))
+                fail(ResultCode::SettingOutOfRange, section, key,
+                    "'" + value + "' is not between " + shortest(min) + " and " + shortest(max));
+            return parsed;
+        }
+
+        std::chrono::milliseconds seconds(const char* section, const char* key, double min, double max)
+        {
+            return std::chrono::round<std::chrono::milliseconds>(
+                std::chrono::duration<double>(decimal(section, key, min, max)));
+        }
+
+        bool flag(const char* section, const char* key)
+        {
+            std::string value = text(section, key);
+            bool isYes = value == "yes" || value == "true";
+            if (!isYes && value != "no" && value != "false")
+                fail(ResultCode::SettingInvalid, section, key, "'" + value + "' is not yes or no");
+            return isYes;
+        }
+
+        Endpoint optionalEndpoint(const char* section, const char* key)
+        {
+            return text(section, key).empty() ? Endpoint() : endpoint(section, key);
+        }
+
         void fail(ResultCode code, const char* section, const char* key, const std::string& reason)
         {
             if (m_error.code != ResultCode::Ok)
@@ -157,6 +221,12 @@
             settings.voters = { { settings.hostId, settings.peer } };
             return;
         }
+        if (reader.text("control", "voters") == "automatic") {
+            settings.hasAutomaticVoters = true;
+            settings.isControlHost = reader.flag("control", "member");
+            settings.mayFound = reader.flag("control", "may-found");
+            return;
+        }
         for (const std::string& part : splitList(reader.text("control", "voters"))) {
             size_t equals = part.find('=');
             auto endpoint = equals == std::string::npos ? std::nullopt : Endpoint::parse(part.substr(equals + 1));
@@ -185,6 +255,8 @@
                 return reader.fail(
                     ResultCode::SettingInvalid, "mesh", "seeds", "'" + part + "' is not an IP address with a port");
             settings.seeds.push_back(*endpoint);
+            if (uint32_t port = reader.number("mesh", "seed-port", 0, UINT16_MAX); port > 0)
+                settings.seeds.back().port = static_cast<uint16_t>(port);
         }
         if (settings.seeds.size() > maxSeeds)
             reader.fail(ResultCode::SettingOutOfRange, "mesh", "seeds", "more than 64 seeds");
@@ -200,9 +272,14 @@
     // A listener that others can reach without proving that they belong to the mesh would let anyone change it.
     void checkExposure(Reader& reader, const Settings& settings)
     {
-        if (settings.secretFile.empty() && (!settings.peer.isLoopback() || !settings.callers.isLoopback()))
+        if (settings.isTrustedNetwork)
+            return;
+        bool hasRemoteCallers = settings.callers.isSet() && !settings.callers.isLoopback();
+        if (settings.secretFile.empty() && (!settings.peer.isLoopback() || hasRemoteCallers))
             reader.fail(ResultCode::SettingMissing, "mesh", "secret-file", "required for a listener beyond loopback");
-        if (settings.api.isLoopback())
+        bool isApiLocal = settings.api.isLoopback() && (!settings.readiness.isSet() || settings.readiness.isLoopback())
+            && (!settings.metrics.isSet() || settings.metrics.isLoopback());
+        if (isApiLocal)
             return;
         if (settings.secretFile.empty())
             reader.fail(ResultCode::SettingMissing, "mesh", "secret-file", "required for a listener beyond loopback");
@@ -218,15 +295,30 @@
         settings.hostId = HostId(reader.identifier("host", "id"));
         settings.dataCentre = DataCentreName(reader.identifier("host", "data-centre"));
         settings.region = RegionName(reader.identifier("host", "region"));
-        settings.callers = reader.endpoint("listen", "callers");
+        settings.isTrustedNetwork = reader.flag("mesh", "trusted-network");
+        if (!reader.text("host", "service").empty())
+            settings.service = ServiceName(reader.identifier("host", "service"));
+        if (!reader.text("host", "upstream").empty())
+            settings.upstream = reader.endpoint("host", "upstream");
+        if (reader.text("listen", "callers") != "none")
+            settings.callers = reader.endpoint("listen", "callers");
+        settings.readiness = reader.optionalEndpoint("listen", "readiness");
+        settings.metrics = reader.optionalEndpoint("listen", "metrics");
         settings.peer = reader.endpoint("listen", "peer");
         settings.api = reader.endpoint("listen", "api");
         settings.dataFolder = resolvePath(file, reader.text("control", "data-folder"));
         settings.operatorsFile = resolvePath(file, reader.text("control", "operators-file"));
         settings.defaultTimeout = std::chrono::milliseconds(reader.number("calls", "default-timeout-ms", 1, 600000));
         settings.maxConnections = reader.number("calls", "max-connections", 1, 60000);
-        settings.maxBodyBytes = reader.number("calls", "max-body-bytes", 0, 1048576);
-        settings.drainTimeout = std::chrono::seconds(reader.number("calls", "drain-timeout-s", 1, 3600));
+        settings.maxBodyBytes = reader.number("calls", "max-body-bytes", 0, 67108864);
+        settings.drainTimeout = reader.seconds("calls", "drain-timeout-s", 0.1, 3600);
+        settings.leaveNotice = reader.seconds("calls", "leave-notice-s", 0, 60);
+        settings.hasDuplicateRecords = reader.flag("calls", "duplicate-records");
+        settings.isHedging = reader.flag("calls", "hedging");
+        settings.retryRatio = reader.decimal("calls", "retry-ratio", 0, 1);
+        settings.retryWindow = reader.seconds("calls", "retry-window-s", 0, 600);
+        settings.retrySlack = reader.decimal("calls", "retry-slack", 0, 1000000);
+        settings.toleratedLosses = reader.number("control", "tolerated-losses", 0, 4);
         settings.logLevel = reader.text("log", "level");
         static constexpr std::string_view levels[] = { "debug", "info", "warning", "error" };
         if (std::find(std::begin(levels), std::end(levels), settings.logLevel) == std::end(levels))
--- a/dragonflylane/Settings.h
+++ b/dragonflylane/Settings.h
@@ -11,6 +11,7 @@
 #include "dragonflylane/ResultCode.h"
 
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -22,28 +23,53 @@
     std::string meshId;
     std::string secretFile;
     std::vector<Endpoint> seeds;
+    /// The network admits daemons, upstreams and operators of this mesh only, so nobody proves who they are.
+    bool isTrustedNetwork { false };
 
     HostId hostId;
     DataCentreName dataCentre;
     RegionName region;
+    /// Service of the upstream beside this daemon. If set, all calls that enter here are made in its name.
+    ServiceName service;
+    /// Address of the upstream beside this daemon, if it is known before the upstream announces itself.
+    std::optional<Endpoint> upstream;
 
+    /// Not set: no callers are served.
     Endpoint callers;
     Endpoint peer;
     Endpoint api;
+    /// Further listeners of the API, for the readiness check and for collectors of metrics. Not set: none.
+    Endpoint readiness;
+    Endpoint metrics;
 
     /// Founding voters of the replicated log, by host.
     std::map<HostId, Endpoint> voters;
+    /// The voters are chosen among the control hosts that are alive.
+    bool hasAutomaticVoters { false };
+    /// Automatic voters: this host has a replica of the log, and it may take part in the first start of the log.
+    bool isControlHost { false };
+    bool mayFound { false };
+    /// Automatic voters: hosts that may be lost at once.
+    uint32_t toleratedLosses { 0 };
     std::string dataFolder;
     std::string operatorsFile;
 
     std::chrono::milliseconds defaultTimeout;
     uint32_t maxConnections { 0 };
     uint32_t maxBodyBytes { 0 };
-    std::chrono::seconds drainTimeout;
+    std::chrono::milliseconds drainTimeout;
+    /// From the signal to stop until readiness checks must have noticed.
+    std::chrono::milliseconds leaveNotice;
+    bool hasDuplicateRecords { true };
+    bool isHedging { true };
+    /// Shared budget of retries to each service; a window of zero leaves each daemon its own budget.
+    double retryRatio { 0 };
+    std::chrono::milliseconds retryWindow;
+    double retrySlack { 0 };
 
     std::string logLevel;
 
-    bool isControl() const { return voters.contains(hostId); }
+    bool isControl() const { return isControlHost || voters.contains(hostId); }
 };
 
 /// One key as documented.
--- a/dragonflylane/UpstreamClient.cpp
+++ b/dragonflylane/UpstreamClient.cpp
@@ -21,8 +21,8 @@
 
 namespace {
 
-    // Interim answers (1xx) before the final one; more are an endless answer.
-    constexpr unsigned maxInterimAnswers = 16;
+    // Interim answers (1xx) and answers to earlier requests before the final one; more are an endless answer.
+    constexpr unsigned maxSkippedAnswers = 16;
 
     struct Connection {
         explicit Connection(asio::io_context& context)
@@ -82,6 +82,8 @@
     {
         auto call = std::make_shared<Call>();
         call->isHead = request.method == "HEAD";
+        if (!m_options.repeatedHeader.empty())
+            call->repeated = request.header(m_options.repeatedHeader);
         call->message = toBeast(std::move(request), m_options.upstream);
         call->isIdempotent = isIdempotent;
         call->deadline = deadline;
@@ -121,7 +123,10 @@
         bool isIdempotent { false };
         bool isHead { false };
         bool isReused { false };
-        unsigned interimAnswers { 0 };
+        /// Value that the answer must repeat; empty: none.
+        std::string repeated;
+        /// Interim answers and answers to other requests.
+        unsigned skippedAnswers { 0 };
     };
     using CallPtr = std::shared_ptr<Call>;
 
@@ -242,23 +247,33 @@
             });
     }
 
+    // A success without the repeated value is no answer to any request.
+    bool isOtherAnswer(const Call& call, const http::response<http::string_body>& message) const
+    {
+        if (call.repeated.empty())
+            return false;
+        auto field = message.find(m_options.repeatedHeader);
+        bool isSuccess = message.result_int() / 100 == 2;
+        return field == message.end() ? isSuccess : std::string_view(field->value()) != call.repeated;
+    }
+
     void finishRead(const CallPtr& call)
     {
         auto& message = call->parser->get();
         bool isInterim = message.result_int() / 100 == 1 && message.result() != http::status::switching_protocols;
-        if (isInterim && ++call->interimAnswers <= maxInterimAnswers)
+        if ((isInterim || isOtherAnswer(*call, message)) && ++call->skippedAnswers <= maxSkippedAnswers)
             return read(call);
         // The end of a body that lasts until the connection closes cannot be told from a crash in the middle.
         bool isDelimited = call->isHead || message.chunked() || message.has_content_length()
             || message.result() == http::status::no_content || message.result() == http::status::not_modified;
-        if (!isDelimited)
+        if (isOtherAnswer(*call, message) || (!isDelimited && !m_options.mayEndWithConnection))
             return finish(call, { .code = ResultCode::MalformedAnswer });
         UpstreamResult result;
         result.response.status = message.result_int();
         for (const auto& field : message)
             result.response.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
         result.response.body = std::move(message.body());
-        bool isReusable = call->parser->keep_alive() && call->connection->buffer.size() == 0;
+        bool isReusable = isDelimited && call->parser->keep_alive() && call->connection->buffer.size() == 0;
         if (isReusable && m_idle.size() < m_options.maxIdleConnections) {
             call->connection->stream.expires_never();
             m_idle.push_back(std::move(call->connection));
--- a/dragonflylane/UpstreamClient.h
+++ b/dragonflylane/UpstreamClient.h
@@ -29,6 +29,12 @@
     size_t spareConnections { 2 };
     size_t maxIdleConnections { 64 };
     uint64_t maxBodyBytes { 1 << 20 };
+    /// Header of a request that the upstream repeats on its answer; empty: none. An answer that repeats another value
+    /// belongs to an earlier request and is dropped.
+    std::string repeatedHeader {};
+    /// An answer without a length is complete when the upstream closes the connection in order. Off: such an answer is
+    /// refused, since some upstreams also close in order when they crash.
+    bool mayEndWithConnection { false };
 };
 
 /// What came of one hand-over to the upstream.
--- a/gen-cpp/config_types.cpp
+++ b/gen-cpp/config_types.cpp
@@ -29,6 +29,10 @@
 void ConfigService::__set_maxAttempts(const int32_t val) {
   this->maxAttempts = val;
 }
+
+void ConfigService::__set_maxConnections(const int32_t val) {
+  this->maxConnections = val;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigService& obj)
 {
   obj.printTo(out);
@@ -81,6 +85,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxConnections);
+          this->__isset.maxConnections = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -110,6 +122,10 @@
   xfer += oprot->writeI32(this->maxAttempts);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("maxConnections", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->maxConnections);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -120,6 +136,7 @@
   swap(a.name, b.name);
   swap(a.timeoutMilliseconds, b.timeoutMilliseconds);
   swap(a.maxAttempts, b.maxAttempts);
+  swap(a.maxConnections, b.maxConnections);
   swap(a.__isset, b.__isset);
 }
 
@@ -127,18 +144,21 @@
   name = other0.name;
   timeoutMilliseconds = other0.timeoutMilliseconds;
   maxAttempts = other0.maxAttempts;
+  maxConnections = other0.maxConnections;
   __isset = other0.__isset;
 }
 ConfigService::ConfigService(ConfigService&& other1) noexcept {
   name = std::move(other1.name);
   timeoutMilliseconds = other1.timeoutMilliseconds;
   maxAttempts = other1.maxAttempts;
+  maxConnections = other1.maxConnections;
   __isset = other1.__isset;
 }
 ConfigService& ConfigService::operator=(const ConfigService& other2) {
   name = other2.name;
   timeoutMilliseconds = other2.timeoutMilliseconds;
   maxAttempts = other2.maxAttempts;
+  maxConnections = other2.maxConnections;
   __isset = other2.__isset;
   return *this;
 }
@@ -146,6 +166,7 @@
   name = std::move(other3.name);
   timeoutMilliseconds = other3.timeoutMilliseconds;
   maxAttempts = other3.maxAttempts;
+  maxConnections = other3.maxConnections;
   __isset = other3.__isset;
   return *this;
 }
@@ -155,6 +176,7 @@
   out << "name=" << to_string(name);
   out << ", " << "timeoutMilliseconds=" << to_string(timeoutMilliseconds);
   out << ", " << "maxAttempts=" << to_string(maxAttempts);
+  out << ", " << "maxConnections=" << to_string(maxConnections);
   out << ")";
 }
 
@@ -305,6 +327,28 @@
 void ConfigRoute::__set_idempotentMethods(const std::vector<std::string> & val) {
   this->idempotentMethods = val;
 }
+
+void ConfigRoute::__set_host(const std::string& val) {
+  this->host = val;
+__isset.host = true;
+}
+
+void ConfigRoute::__set_idempotent(const bool val) {
+  this->idempotent = val;
+__isset.idempotent = true;
+}
+
+void ConfigRoute::__set_maxAttempts(const int32_t val) {
+  this->maxAttempts = val;
+}
+
+void ConfigRoute::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void ConfigRoute::__set_targetLatencyMilliseconds(const int32_t val) {
+  this->targetLatencyMilliseconds = val;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigRoute& obj)
 {
   obj.printTo(out);
@@ -397,6 +441,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->idempotent);
+          this->__isset.idempotent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxAttempts);
+          this->__isset.maxAttempts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->targetLatencyMilliseconds);
+          this->__isset.targetLatencyMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -450,6 +534,28 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.host) {
+    xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 6);
+    xfer += oprot->writeString(this->host);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.idempotent) {
+    xfer += oprot->writeFieldBegin("idempotent", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->idempotent);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("maxAttempts", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->maxAttempts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetLatencyMilliseconds", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->targetLatencyMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -462,6 +568,11 @@
   swap(a.split, b.split);
   swap(a.timeoutMilliseconds, b.timeoutMilliseconds);
   swap(a.idempotentMethods, b.idempotentMethods);
+  swap(a.host, b.host);
+  swap(a.idempotent, b.idempotent);
+  swap(a.maxAttempts, b.maxAttempts);
+  swap(a.priority, b.priority);
+  swap(a.targetLatencyMilliseconds, b.targetLatencyMilliseconds);
   swap(a.__isset, b.__isset);
 }
 
@@ -471,6 +582,11 @@
   split = other20.split;
   timeoutMilliseconds = other20.timeoutMilliseconds;
   idempotentMethods = other20.idempotentMethods;
+  host = other20.host;
+  idempotent = other20.idempotent;
+  maxAttempts = other20.maxAttempts;
+  priority = other20.priority;
+  targetLatencyMilliseconds = other20.targetLatencyMilliseconds;
   __isset = other20.__isset;
 }
 ConfigRoute::ConfigRoute(ConfigRoute&& other21) noexcept {
@@ -479,6 +595,11 @@
   split = std::move(other21.split);
   timeoutMilliseconds = other21.timeoutMilliseconds;
   idempotentMethods = std::move(other21.idempotentMethods);
+  host = std::move(other21.host);
+  idempotent = other21.idempotent;
+  maxAttempts = other21.maxAttempts;
+  priority = other21.priority;
+  targetLatencyMilliseconds = other21.targetLatencyMilliseconds;
   __isset = other21.__isset;
 }
 ConfigRoute& ConfigRoute::operator=(const ConfigRoute& other22) {
@@ -487,6 +608,11 @@
   split = other22.split;
   timeoutMilliseconds = other22.timeoutMilliseconds;
   idempotentMethods = other22.idempotentMethods;
+  host = other22.host;
+  idempotent = other22.idempotent;
+  maxAttempts = other22.maxAttempts;
+  priority = other22.priority;
+  targetLatencyMilliseconds = other22.targetLatencyMilliseconds;
   __isset = other22.__isset;
   return *this;
 }
@@ -496,6 +622,11 @@
   split = std::move(other23.split);
   timeoutMilliseconds = other23.timeoutMilliseconds;
   idempotentMethods = std::move(other23.idempotentMethods);
+  host = std::move(other23.host);
+  idempotent = other23.idempotent;
+  maxAttempts = other23.maxAttempts;
+  priority = other23.priority;
+  targetLatencyMilliseconds = other23.targetLatencyMilliseconds;
   __isset = other23.__isset;
   return *this;
 }
@@ -507,6 +638,11 @@
   out << ", " << "split=" << to_string(split);
   out << ", " << "timeoutMilliseconds=" << to_string(timeoutMilliseconds);
   out << ", " << "idempotentMethods=" << to_string(idempotentMethods);
+  out << ", " << "host="; (__isset.host ? (out << to_string(host)) : (out << "<null>"));
+  out << ", " << "idempotent="; (__isset.idempotent ? (out << to_string(idempotent)) : (out << "<null>"));
+  out << ", " << "maxAttempts=" << to_string(maxAttempts);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "targetLatencyMilliseconds=" << to_string(targetLatencyMilliseconds);
   out << ")";
 }
 
@@ -900,6 +1036,195 @@
 }
 
 
+ConfigMeshPolicy::~ConfigMeshPolicy() noexcept {
+}
+
+
+void ConfigMeshPolicy::__set_openCalls(const bool val) {
+  this->openCalls = val;
+}
+
+void ConfigMeshPolicy::__set_maxHeaderBytes(const int32_t val) {
+  this->maxHeaderBytes = val;
+}
+
+void ConfigMeshPolicy::__set_maxBodyBytes(const int64_t val) {
+  this->maxBodyBytes = val;
+}
+
+void ConfigMeshPolicy::__set_headerTimeoutMilliseconds(const int32_t val) {
+  this->headerTimeoutMilliseconds = val;
+}
+
+void ConfigMeshPolicy::__set_idleTimeoutMilliseconds(const int32_t val) {
+  this->idleTimeoutMilliseconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigMeshPolicy& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigMeshPolicy::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->openCalls);
+          this->__isset.openCalls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxHeaderBytes);
+          this->__isset.maxHeaderBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->maxBodyBytes);
+          this->__isset.maxBodyBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->headerTimeoutMilliseconds);
+          this->__isset.headerTimeoutMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->idleTimeoutMilliseconds);
+          this->__isset.idleTimeoutMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigMeshPolicy::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigMeshPolicy");
+
+  xfer += oprot->writeFieldBegin("openCalls", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->openCalls);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maxHeaderBytes", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->maxHeaderBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maxBodyBytes", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->maxBodyBytes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("headerTimeoutMilliseconds", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->headerTimeoutMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idleTimeoutMilliseconds", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->idleTimeoutMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigMeshPolicy &a, ConfigMeshPolicy &b) {
+  using ::std::swap;
+  swap(a.openCalls, b.openCalls);
+  swap(a.maxHeaderBytes, b.maxHeaderBytes);
+  swap(a.maxBodyBytes, b.maxBodyBytes);
+  swap(a.headerTimeoutMilliseconds, b.headerTimeoutMilliseconds);
+  swap(a.idleTimeoutMilliseconds, b.idleTimeoutMilliseconds);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigMeshPolicy::ConfigMeshPolicy(const ConfigMeshPolicy& other42) noexcept {
+  openCalls = other42.openCalls;
+  maxHeaderBytes = other42.maxHeaderBytes;
+  maxBodyBytes = other42.maxBodyBytes;
+  headerTimeoutMilliseconds = other42.headerTimeoutMilliseconds;
+  idleTimeoutMilliseconds = other42.idleTimeoutMilliseconds;
+  __isset = other42.__isset;
+}
+ConfigMeshPolicy::ConfigMeshPolicy(ConfigMeshPolicy&& other43) noexcept {
+  openCalls = other43.openCalls;
+  maxHeaderBytes = other43.maxHeaderBytes;
+  maxBodyBytes = other43.maxBodyBytes;
+  headerTimeoutMilliseconds = other43.headerTimeoutMilliseconds;
+  idleTimeoutMilliseconds = other43.idleTimeoutMilliseconds;
+  __isset = other43.__isset;
+}
+ConfigMeshPolicy& ConfigMeshPolicy::operator=(const ConfigMeshPolicy& other44) noexcept {
+  openCalls = other44.openCalls;
+  maxHeaderBytes = other44.maxHeaderBytes;
+  maxBodyBytes = other44.maxBodyBytes;
+  headerTimeoutMilliseconds = other44.headerTimeoutMilliseconds;
+  idleTimeoutMilliseconds = other44.idleTimeoutMilliseconds;
+  __isset = other44.__isset;
+  return *this;
+}
+ConfigMeshPolicy& ConfigMeshPolicy::operator=(ConfigMeshPolicy&& other45) noexcept {
+  openCalls = other45.openCalls;
+  maxHeaderBytes = other45.maxHeaderBytes;
+  maxBodyBytes = other45.maxBodyBytes;
+  headerTimeoutMilliseconds = other45.headerTimeoutMilliseconds;
+  idleTimeoutMilliseconds = other45.idleTimeoutMilliseconds;
+  __isset = other45.__isset;
+  return *this;
+}
+void ConfigMeshPolicy::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigMeshPolicy(";
+  out << "openCalls=" << to_string(openCalls);
+  out << ", " << "maxHeaderBytes=" << to_string(maxHeaderBytes);
+  out << ", " << "maxBodyBytes=" << to_string(maxBodyBytes);
+  out << ", " << "headerTimeoutMilliseconds=" << to_string(headerTimeoutMilliseconds);
+  out << ", " << "idleTimeoutMilliseconds=" << to_string(idleTimeoutMilliseconds);
+  out << ")";
+}
+
+
 ConfigItems::~ConfigItems() noexcept {
 }
 
@@ -928,6 +1253,11 @@
   this->keeperView = val;
 __isset.keeperView = true;
 }
+
+void ConfigItems::__set_meshPolicy(const ConfigMeshPolicy& val) {
+  this->meshPolicy = val;
+__isset.meshPolicy = true;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigItems& obj)
 {
   obj.printTo(out);
@@ -960,14 +1290,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->services.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->services.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->services[_i46].read(iprot);
+              xfer += this->services[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -980,14 +1310,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size47;
-            ::apache::thrift::protocol::TType _etype50;
-            xfer += iprot->readListBegin(_etype50, _size47);
-            this->routes.resize(_size47);
-            uint32_t _i51;
-            for (_i51 = 0; _i51 < _size47; ++_i51)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->routes.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += this->routes[_i51].read(iprot);
+              xfer += this->routes[_i55].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1000,14 +1330,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->callRules.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->callRules.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->callRules.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->callRules[_i56].read(iprot);
+              xfer += this->callRules[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1020,14 +1350,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->drains.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->drains.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->drains.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += iprot->readString(this->drains[_i61]);
+              xfer += iprot->readString(this->drains[_i65]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1044,6 +1374,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->meshPolicy.read(iprot);
+          this->__isset.meshPolicy = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1065,10 +1403,10 @@
     xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 1);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-      std::vector<ConfigService> ::const_iterator _iter62;
-      for (_iter62 = this->services.begin(); _iter62 != this->services.end(); ++_iter62)
+      std::vector<ConfigService> ::const_iterator _iter66;
+      for (_iter66 = this->services.begin(); _iter66 != this->services.end(); ++_iter66)
       {
-        xfer += (*_iter62).write(oprot);
+        xfer += (*_iter66).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1078,10 +1416,10 @@
     xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-      std::vector<ConfigRoute> ::const_iterator _iter63;
-      for (_iter63 = this->routes.begin(); _iter63 != this->routes.end(); ++_iter63)
+      std::vector<ConfigRoute> ::const_iterator _iter67;
+      for (_iter67 = this->routes.begin(); _iter67 != this->routes.end(); ++_iter67)
       {
-        xfer += (*_iter63).write(oprot);
+        xfer += (*_iter67).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1091,10 +1429,10 @@
     xfer += oprot->writeFieldBegin("callRules", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->callRules.size()));
-      std::vector<ConfigCallRule> ::const_iterator _iter64;
-      for (_iter64 = this->callRules.begin(); _iter64 != this->callRules.end(); ++_iter64)
+      std::vector<ConfigCallRule> ::const_iterator _iter68;
+      for (_iter68 = this->callRules.begin(); _iter68 != this->callRules.end(); ++_iter68)
       {
-        xfer += (*_iter64).write(oprot);
+        xfer += (*_iter68).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1104,10 +1442,10 @@
     xfer += oprot->writeFieldBegin("drains", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->drains.size()));
-      std::vector<std::string> ::const_iterator _iter65;
-      for (_iter65 = this->drains.begin(); _iter65 != this->drains.end(); ++_iter65)
+      std::vector<std::string> ::const_iterator _iter69;
+      for (_iter69 = this->drains.begin(); _iter69 != this->drains.end(); ++_iter69)
       {
-        xfer += oprot->writeString((*_iter65));
+        xfer += oprot->writeString((*_iter69));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1118,6 +1456,11 @@
     xfer += this->keeperView.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.meshPolicy) {
+    xfer += oprot->writeFieldBegin("meshPolicy", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->meshPolicy.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1130,41 +1473,46 @@
   swap(a.callRules, b.callRules);
   swap(a.drains, b.drains);
   swap(a.keeperView, b.keeperView);
+  swap(a.meshPolicy, b.meshPolicy);
   swap(a.__isset, b.__isset);
 }
 
-ConfigItems::ConfigItems(const ConfigItems& other66) {
-  services = other66.services;
-  routes = other66.routes;
-  callRules = other66.callRules;
-  drains = other66.drains;
-  keeperView = other66.keeperView;
-  __isset = other66.__isset;
-}
-ConfigItems::ConfigItems(ConfigItems&& other67) noexcept {
-  services = std::move(other67.services);
-  routes = std::move(other67.routes);
-  callRules = std::move(other67.callRules);
-  drains = std::move(other67.drains);
-  keeperView = std::move(other67.keeperView);
-  __isset = other67.__isset;
-}
-ConfigItems& ConfigItems::operator=(const ConfigItems& other68) {
-  services = other68.services;
-  routes = other68.routes;
-  callRules = other68.callRules;
-  drains = other68.drains;
-  keeperView = other68.keeperView;
-  __isset = other68.__isset;
+ConfigItems::ConfigItems(const ConfigItems& other70) {
+  services = other70.services;
+  routes = other70.routes;
+  callRules = other70.callRules;
+  drains = other70.drains;
+  keeperView = other70.keeperView;
+  meshPolicy = other70.meshPolicy;
+  __isset = other70.__isset;
+}
+ConfigItems::ConfigItems(ConfigItems&& other71) noexcept {
+  services = std::move(other71.services);
+  routes = std::move(other71.routes);
+  callRules = std::move(other71.callRules);
+  drains = std::move(other71.drains);
+  keeperView = std::move(other71.keeperView);
+  meshPolicy = std::move(other71.meshPolicy);
+  __isset = other71.__isset;
+}
+ConfigItems& ConfigItems::operator=(const ConfigItems& other72) {
+  services = other72.services;
+  routes = other72.routes;
+  callRules = other72.callRules;
+  drains = other72.drains;
+  keeperView = other72.keeperView;
+  meshPolicy = other72.meshPolicy;
+  __isset = other72.__isset;
   return *this;
 }
-ConfigItems& ConfigItems::operator=(ConfigItems&& other69) noexcept {
-  services = std::move(other69.services);
-  routes = std::move(other69.routes);
-  callRules = std::move(other69.callRules);
-  drains = std::move(other69.drains);
-  keeperView = std::move(other69.keeperView);
-  __isset = other69.__isset;
+ConfigItems& ConfigItems::operator=(ConfigItems&& other73) noexcept {
+  services = std::move(other73.services);
+  routes = std::move(other73.routes);
+  callRules = std::move(other73.callRules);
+  drains = std::move(other73.drains);
+  keeperView = std::move(other73.keeperView);
+  meshPolicy = std::move(other73.meshPolicy);
+  __isset = other73.__isset;
   return *this;
 }
 void ConfigItems::printTo(std::ostream& out) const {
@@ -1175,6 +1523,7 @@
   out << ", " << "callRules="; (__isset.callRules ? (out << to_string(callRules)) : (out << "<null>"));
   out << ", " << "drains="; (__isset.drains ? (out << to_string(drains)) : (out << "<null>"));
   out << ", " << "keeperView="; (__isset.keeperView ? (out << to_string(keeperView)) : (out << "<null>"));
+  out << ", " << "meshPolicy="; (__isset.meshPolicy ? (out << to_string(meshPolicy)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1271,26 +1620,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigItemKey::ConfigItemKey(const ConfigItemKey& other70) {
-  kind = other70.kind;
-  name = other70.name;
-  __isset = other70.__isset;
+ConfigItemKey::ConfigItemKey(const ConfigItemKey& other74) {
+  kind = other74.kind;
+  name = other74.name;
+  __isset = other74.__isset;
 }
-ConfigItemKey::ConfigItemKey(ConfigItemKey&& other71) noexcept {
-  kind = other71.kind;
-  name = std::move(other71.name);
-  __isset = other71.__isset;
+ConfigItemKey::ConfigItemKey(ConfigItemKey&& other75) noexcept {
+  kind = other75.kind;
+  name = std::move(other75.name);
+  __isset = other75.__isset;
 }
-ConfigItemKey& ConfigItemKey::operator=(const ConfigItemKey& other72) {
-  kind = other72.kind;
-  name = other72.name;
-  __isset = other72.__isset;
+ConfigItemKey& ConfigItemKey::operator=(const ConfigItemKey& other76) {
+  kind = other76.kind;
+  name = other76.name;
+  __isset = other76.__isset;
   return *this;
 }
-ConfigItemKey& ConfigItemKey::operator=(ConfigItemKey&& other73) noexcept {
-  kind = other73.kind;
-  name = std::move(other73.name);
-  __isset = other73.__isset;
+ConfigItemKey& ConfigItemKey::operator=(ConfigItemKey&& other77) noexcept {
+  kind = other77.kind;
+  name = std::move(other77.name);
+  __isset = other77.__isset;
   return *this;
 }
 void ConfigItemKey::printTo(std::ostream& out) const {
@@ -1402,14 +1751,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->removals.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->removals.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += this->removals[_i78].read(iprot);
+              xfer += this->removals[_i82].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1459,10 +1808,10 @@
     xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-      std::vector<ConfigItemKey> ::const_iterator _iter79;
-      for (_iter79 = this->removals.begin(); _iter79 != this->removals.end(); ++_iter79)
+      std::vector<ConfigItemKey> ::const_iterator _iter83;
+      for (_iter83 = this->removals.begin(); _iter83 != this->removals.end(); ++_iter83)
       {
-        xfer += (*_iter79).write(oprot);
+        xfer += (*_iter83).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1484,42 +1833,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigDelta::ConfigDelta(const ConfigDelta& other80) {
-  fromRevision = other80.fromRevision;
-  fromDigest = other80.fromDigest;
-  toRevision = other80.toRevision;
-  toDigest = other80.toDigest;
-  upserts = other80.upserts;
-  removals = other80.removals;
-  __isset = other80.__isset;
-}
-ConfigDelta::ConfigDelta(ConfigDelta&& other81) noexcept {
-  fromRevision = other81.fromRevision;
-  fromDigest = std::move(other81.fromDigest);
-  toRevision = other81.toRevision;
-  toDigest = std::move(other81.toDigest);
-  upserts = std::move(other81.upserts);
-  removals = std::move(other81.removals);
-  __isset = other81.__isset;
-}
-ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other82) {
-  fromRevision = other82.fromRevision;
-  fromDigest = other82.fromDigest;
-  toRevision = other82.toRevision;
-  toDigest = other82.toDigest;
-  upserts = other82.upserts;
-  removals = other82.removals;
-  __isset = other82.__isset;
+ConfigDelta::ConfigDelta(const ConfigDelta& other84) {
+  fromRevision = other84.fromRevision;
+  fromDigest = other84.fromDigest;
+  toRevision = other84.toRevision;
+  toDigest = other84.toDigest;
+  upserts = other84.upserts;
+  removals = other84.removals;
+  __isset = other84.__isset;
+}
+ConfigDelta::ConfigDelta(ConfigDelta&& other85) noexcept {
+  fromRevision = other85.fromRevision;
+  fromDigest = std::move(other85.fromDigest);
+  toRevision = other85.toRevision;
+  toDigest = std::move(other85.toDigest);
+  upserts = std::move(other85.upserts);
+  removals = std::move(other85.removals);
+  __isset = other85.__isset;
+}
+ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other86) {
+  fromRevision = other86.fromRevision;
+  fromDigest = other86.fromDigest;
+  toRevision = other86.toRevision;
+  toDigest = other86.toDigest;
+  upserts = other86.upserts;
+  removals = other86.removals;
+  __isset = other86.__isset;
   return *this;
 }
-ConfigDelta& ConfigDelta::operator=(ConfigDelta&& other83) noexcept {
-  fromRevision = other83.fromRevision;
-  fromDigest = std::move(other83.fromDigest);
-  toRevision = other83.toRevision;
-  toDigest = std::move(other83.toDigest);
-  upserts = std::move(other83.upserts);
-  removals = std::move(other83.removals);
-  __isset = other83.__isset;
+ConfigDelta& ConfigDelta::operator=(ConfigDelta&& other87) noexcept {
+  fromRevision = other87.fromRevision;
+  fromDigest = std::move(other87.fromDigest);
+  toRevision = other87.toRevision;
+  toDigest = std::move(other87.toDigest);
+  upserts = std::move(other87.upserts);
+  removals = std::move(other87.removals);
+  __isset = other87.__isset;
   return *this;
 }
 void ConfigDelta::printTo(std::ostream& out) const {
@@ -1644,30 +1993,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigSnapshot::ConfigSnapshot(const ConfigSnapshot& other84) {
-  revision = other84.revision;
-  digest = other84.digest;
-  items = other84.items;
-  __isset = other84.__isset;
+ConfigSnapshot::ConfigSnapshot(const ConfigSnapshot& other88) {
+  revision = other88.revision;
+  digest = other88.digest;
+  items = other88.items;
+  __isset = other88.__isset;
 }
-ConfigSnapshot::ConfigSnapshot(ConfigSnapshot&& other85) noexcept {
-  revision = other85.revision;
-  digest = std::move(other85.digest);
-  items = std::move(other85.items);
-  __isset = other85.__isset;
+ConfigSnapshot::ConfigSnapshot(ConfigSnapshot&& other89) noexcept {
+  revision = other89.revision;
+  digest = std::move(other89.digest);
+  items = std::move(other89.items);
+  __isset = other89.__isset;
 }
-ConfigSnapshot& ConfigSnapshot::operator=(const ConfigSnapshot& other86) {
-  revision = other86.revision;
-  digest = other86.digest;
-  items = other86.items;
-  __isset = other86.__isset;
+ConfigSnapshot& ConfigSnapshot::operator=(const ConfigSnapshot& other90) {
+  revision = other90.revision;
+  digest = other90.digest;
+  items = other90.items;
+  __isset = other90.__isset;
   return *this;
 }
-ConfigSnapshot& ConfigSnapshot::operator=(ConfigSnapshot&& other87) noexcept {
-  revision = other87.revision;
-  digest = std::move(other87.digest);
-  items = std::move(other87.items);
-  __isset = other87.__isset;
+ConfigSnapshot& ConfigSnapshot::operator=(ConfigSnapshot&& other91) noexcept {
+  revision = other91.revision;
+  digest = std::move(other91.digest);
+  items = std::move(other91.items);
+  __isset = other91.__isset;
   return *this;
 }
 void ConfigSnapshot::printTo(std::ostream& out) const {
@@ -1827,38 +2176,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPayload::ConfigPayload(const ConfigPayload& other88) {
-  kind = other88.kind;
-  revision = other88.revision;
-  digest = other88.digest;
-  delta = other88.delta;
-  snapshot = other88.snapshot;
-  __isset = other88.__isset;
-}
-ConfigPayload::ConfigPayload(ConfigPayload&& other89) noexcept {
-  kind = other89.kind;
-  revision = other89.revision;
-  digest = std::move(other89.digest);
-  delta = std::move(other89.delta);
-  snapshot = std::move(other89.snapshot);
-  __isset = other89.__isset;
-}
-ConfigPayload& ConfigPayload::operator=(const ConfigPayload& other90) {
-  kind = other90.kind;
-  revision = other90.revision;
-  digest = other90.digest;
-  delta = other90.delta;
-  snapshot = other90.snapshot;
-  __isset = other90.__isset;
+ConfigPayload::ConfigPayload(const ConfigPayload& other92) {
+  kind = other92.kind;
+  revision = other92.revision;
+  digest = other92.digest;
+  delta = other92.delta;
+  snapshot = other92.snapshot;
+  __isset = other92.__isset;
+}
+ConfigPayload::ConfigPayload(ConfigPayload&& other93) noexcept {
+  kind = other93.kind;
+  revision = other93.revision;
+  digest = std::move(other93.digest);
+  delta = std::move(other93.delta);
+  snapshot = std::move(other93.snapshot);
+  __isset = other93.__isset;
+}
+ConfigPayload& ConfigPayload::operator=(const ConfigPayload& other94) {
+  kind = other94.kind;
+  revision = other94.revision;
+  digest = other94.digest;
+  delta = other94.delta;
+  snapshot = other94.snapshot;
+  __isset = other94.__isset;
   return *this;
 }
-ConfigPayload& ConfigPayload::operator=(ConfigPayload&& other91) noexcept {
-  kind = other91.kind;
-  revision = other91.revision;
-  digest = std::move(other91.digest);
-  delta = std::move(other91.delta);
-  snapshot = std::move(other91.snapshot);
-  __isset = other91.__isset;
+ConfigPayload& ConfigPayload::operator=(ConfigPayload&& other95) noexcept {
+  kind = other95.kind;
+  revision = other95.revision;
+  digest = std::move(other95.digest);
+  delta = std::move(other95.delta);
+  snapshot = std::move(other95.snapshot);
+  __isset = other95.__isset;
   return *this;
 }
 void ConfigPayload::printTo(std::ostream& out) const {
