--- a/gen-cpp/config_types.h
+++ b/gen-cpp/config_types.h
@@ -33,6 +33,8 @@
 
 class ConfigKeeperView;
 
+class ConfigMeshPolicy;
+
 class ConfigItems;
 
 class ConfigItemKey;
@@ -44,10 +46,11 @@
 class ConfigPayload;
 
 typedef struct _ConfigService__isset {
-  _ConfigService__isset() : name(false), timeoutMilliseconds(false), maxAttempts(false) {}
+  _ConfigService__isset() : name(false), timeoutMilliseconds(false), maxAttempts(false), maxConnections(false) {}
   bool name :1;
   bool timeoutMilliseconds :1;
   bool maxAttempts :1;
+  bool maxConnections :1;
 } _ConfigService__isset;
 
 class ConfigService : public virtual ::apache::thrift::TBase {
@@ -60,13 +63,15 @@
   ConfigService() noexcept
                 : name(),
                   timeoutMilliseconds(0),
-                  maxAttempts(0) {
+                  maxAttempts(0),
+                  maxConnections(0) {
   }
 
   virtual ~ConfigService() noexcept;
   std::string name;
   int32_t timeoutMilliseconds;
   int32_t maxAttempts;
+  int32_t maxConnections;
 
   _ConfigService__isset __isset;
 
@@ -76,6 +81,8 @@
 
   void __set_maxAttempts(const int32_t val);
 
+  void __set_maxConnections(const int32_t val);
+
   bool operator == (const ConfigService & rhs) const
   {
     if (!(name == rhs.name))
@@ -84,6 +91,8 @@
       return false;
     if (!(maxAttempts == rhs.maxAttempts))
       return false;
+    if (!(maxConnections == rhs.maxConnections))
+      return false;
     return true;
   }
   bool operator != (const ConfigService &rhs) const {
@@ -155,12 +164,17 @@
 std::ostream& operator<<(std::ostream& out, const ConfigSplitPart& obj);
 
 typedef struct _ConfigRoute__isset {
-  _ConfigRoute__isset() : name(false), pathPrefix(false), split(false), timeoutMilliseconds(false), idempotentMethods(false) {}
+  _ConfigRoute__isset() : name(false), pathPrefix(false), split(false), timeoutMilliseconds(false), idempotentMethods(false), host(false), idempotent(false), maxAttempts(false), priority(false), targetLatencyMilliseconds(false) {}
   bool name :1;
   bool pathPrefix :1;
   bool split :1;
   bool timeoutMilliseconds :1;
   bool idempotentMethods :1;
+  bool host :1;
+  bool idempotent :1;
+  bool maxAttempts :1;
+  bool priority :1;
+  bool targetLatencyMilliseconds :1;
 } _ConfigRoute__isset;
 
 class ConfigRoute : public virtual ::apache::thrift::TBase {
@@ -173,7 +187,12 @@
   ConfigRoute() noexcept
               : name(),
                 pathPrefix(),
-                timeoutMilliseconds(0) {
+                timeoutMilliseconds(0),
+                host(),
+                idempotent(0),
+                maxAttempts(0),
+                priority(0),
+                targetLatencyMilliseconds(0) {
   }
 
   virtual ~ConfigRoute() noexcept;
@@ -182,6 +201,11 @@
   std::vector<ConfigSplitPart>  split;
   int32_t timeoutMilliseconds;
   std::vector<std::string>  idempotentMethods;
+  std::string host;
+  bool idempotent;
+  int32_t maxAttempts;
+  int32_t priority;
+  int32_t targetLatencyMilliseconds;
 
   _ConfigRoute__isset __isset;
 
@@ -195,6 +219,16 @@
 
   void __set_idempotentMethods(const std::vector<std::string> & val);
 
+  void __set_host(const std::string& val);
+
+  void __set_idempotent(const bool val);
+
+  void __set_maxAttempts(const int32_t val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_targetLatencyMilliseconds(const int32_t val);
+
   bool operator == (const ConfigRoute & rhs) const
   {
     if (!(name == rhs.name))
@@ -207,6 +241,20 @@
       return false;
     if (!(idempotentMethods == rhs.idempotentMethods))
       return false;
+    if (__isset.host != rhs.__isset.host)
+      return false;
+    else if (__isset.host && !(host == rhs.host))
+      return false;
+    if (__isset.idempotent != rhs.__isset.idempotent)
+      return false;
+    else if (__isset.idempotent && !(idempotent == rhs.idempotent))
+      return false;
+    if (!(maxAttempts == rhs.maxAttempts))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(targetLatencyMilliseconds == rhs.targetLatencyMilliseconds))
+      return false;
     return true;
   }
   bool operator != (const ConfigRoute &rhs) const {
@@ -380,13 +428,87 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigKeeperView& obj);
 
+typedef struct _ConfigMeshPolicy__isset {
+  _ConfigMeshPolicy__isset() : openCalls(false), maxHeaderBytes(false), maxBodyBytes(false), headerTimeoutMilliseconds(false), idleTimeoutMilliseconds(false) {}
+  bool openCalls :1;
+  bool maxHeaderBytes :1;
+  bool maxBodyBytes :1;
+  bool headerTimeoutMilliseconds :1;
+  bool idleTimeoutMilliseconds :1;
+} _ConfigMeshPolicy__isset;
+
+class ConfigMeshPolicy : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigMeshPolicy(const ConfigMeshPolicy&) noexcept;
+  ConfigMeshPolicy(ConfigMeshPolicy&&) noexcept;
+  ConfigMeshPolicy& operator=(const ConfigMeshPolicy&) noexcept;
+  ConfigMeshPolicy& operator=(ConfigMeshPolicy&&) noexcept;
+  ConfigMeshPolicy() noexcept
+                   : openCalls(0),
+                     maxHeaderBytes(0),
+                     maxBodyBytes(0),
+                     headerTimeoutMilliseconds(0),
+                     idleTimeoutMilliseconds(0) {
+  }
+
+  virtual ~ConfigMeshPolicy() noexcept;
+  bool openCalls;
+  int32_t maxHeaderBytes;
+  int64_t maxBodyBytes;
+  int32_t headerTimeoutMilliseconds;
+  int32_t idleTimeoutMilliseconds;
+
+  _ConfigMeshPolicy__isset __isset;
+
+  void __set_openCalls(const bool val);
+
+  void __set_maxHeaderBytes(const int32_t val);
+
+  void __set_maxBodyBytes(const int64_t val);
+
+  void __set_headerTimeoutMilliseconds(const int32_t val);
+
+  void __set_idleTimeoutMilliseconds(const int32_t val);
+
+  bool operator == (const ConfigMeshPolicy & rhs) const
+  {
+    if (!(openCalls == rhs.openCalls))
+      return false;
+    if (!(maxHeaderBytes == rhs.maxHeaderBytes))
+      return false;
+    if (!(maxBodyBytes == rhs.maxBodyBytes))
+      return false;
+    if (!(headerTimeoutMilliseconds == rhs.headerTimeoutMilliseconds))
+      return false;
+    if (!(idleTimeoutMilliseconds == rhs.idleTimeoutMilliseconds))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigMeshPolicy &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigMeshPolicy & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigMeshPolicy &a, ConfigMeshPolicy &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigMeshPolicy& obj);
+
 typedef struct _ConfigItems__isset {
-  _ConfigItems__isset() : services(false), routes(false), callRules(false), drains(false), keeperView(false) {}
+  _ConfigItems__isset() : services(false), routes(false), callRules(false), drains(false), keeperView(false), meshPolicy(false) {}
   bool services :1;
   bool routes :1;
   bool callRules :1;
   bool drains :1;
   bool keeperView :1;
+  bool meshPolicy :1;
 } _ConfigItems__isset;
 
 class ConfigItems : public virtual ::apache::thrift::TBase {
@@ -405,6 +527,7 @@
   std::vector<ConfigCallRule>  callRules;
   std::vector<std::string>  drains;
   ConfigKeeperView keeperView;
+  ConfigMeshPolicy meshPolicy;
 
   _ConfigItems__isset __isset;
 
@@ -418,6 +541,8 @@
 
   void __set_keeperView(const ConfigKeeperView& val);
 
+  void __set_meshPolicy(const ConfigMeshPolicy& val);
+
   bool operator == (const ConfigItems & rhs) const
   {
     if (__isset.services != rhs.__isset.services)
@@ -440,6 +565,10 @@
       return false;
     else if (__isset.keeperView && !(keeperView == rhs.keeperView))
       return false;
+    if (__isset.meshPolicy != rhs.__isset.meshPolicy)
+      return false;
+    else if (__isset.meshPolicy && !(meshPolicy == rhs.meshPolicy))
+      return false;
     return true;
   }
   bool operator != (const ConfigItems &rhs) const {
--- a/gen-cpp/log_types.cpp
+++ b/gen-cpp/log_types.cpp
@@ -1869,6 +1869,10 @@
 void LogJoinRequest::__set_heard(const std::vector<std::string> & val) {
   this->heard = val;
 }
+
+void LogJoinRequest::__set_mayFound(const bool val) {
+  this->mayFound = val;
+}
 std::ostream& operator<<(std::ostream& out, const LogJoinRequest& obj)
 {
   obj.printTo(out);
@@ -1925,6 +1929,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->mayFound);
+          this->__isset.mayFound = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1958,6 +1970,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("mayFound", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->mayFound);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1967,28 +1983,33 @@
   using ::std::swap;
   swap(a.isEmpty, b.isEmpty);
   swap(a.heard, b.heard);
+  swap(a.mayFound, b.mayFound);
   swap(a.__isset, b.__isset);
 }
 
 LogJoinRequest::LogJoinRequest(const LogJoinRequest& other64) {
   isEmpty = other64.isEmpty;
   heard = other64.heard;
+  mayFound = other64.mayFound;
   __isset = other64.__isset;
 }
 LogJoinRequest::LogJoinRequest(LogJoinRequest&& other65) noexcept {
   isEmpty = other65.isEmpty;
   heard = std::move(other65.heard);
+  mayFound = other65.mayFound;
   __isset = other65.__isset;
 }
 LogJoinRequest& LogJoinRequest::operator=(const LogJoinRequest& other66) {
   isEmpty = other66.isEmpty;
   heard = other66.heard;
+  mayFound = other66.mayFound;
   __isset = other66.__isset;
   return *this;
 }
 LogJoinRequest& LogJoinRequest::operator=(LogJoinRequest&& other67) noexcept {
   isEmpty = other67.isEmpty;
   heard = std::move(other67.heard);
+  mayFound = other67.mayFound;
   __isset = other67.__isset;
   return *this;
 }
@@ -1997,6 +2018,7 @@
   out << "LogJoinRequest(";
   out << "isEmpty=" << to_string(isEmpty);
   out << ", " << "heard=" << to_string(heard);
+  out << ", " << "mayFound=" << to_string(mayFound);
   out << ")";
 }
 
--- a/gen-cpp/log_types.h
+++ b/gen-cpp/log_types.h
@@ -741,9 +741,10 @@
 std::ostream& operator<<(std::ostream& out, const LogSnapshotResponse& obj);
 
 typedef struct _LogJoinRequest__isset {
-  _LogJoinRequest__isset() : isEmpty(false), heard(false) {}
+  _LogJoinRequest__isset() : isEmpty(false), heard(false), mayFound(false) {}
   bool isEmpty :1;
   bool heard :1;
+  bool mayFound :1;
 } _LogJoinRequest__isset;
 
 class LogJoinRequest : public virtual ::apache::thrift::TBase {
@@ -754,12 +755,14 @@
   LogJoinRequest& operator=(const LogJoinRequest&);
   LogJoinRequest& operator=(LogJoinRequest&&) noexcept;
   LogJoinRequest() noexcept
-                 : isEmpty(0) {
+                 : isEmpty(0),
+                   mayFound(0) {
   }
 
   virtual ~LogJoinRequest() noexcept;
   bool isEmpty;
   std::vector<std::string>  heard;
+  bool mayFound;
 
   _LogJoinRequest__isset __isset;
 
@@ -767,12 +770,16 @@
 
   void __set_heard(const std::vector<std::string> & val);
 
+  void __set_mayFound(const bool val);
+
   bool operator == (const LogJoinRequest & rhs) const
   {
     if (!(isEmpty == rhs.isEmpty))
       return false;
     if (!(heard == rhs.heard))
       return false;
+    if (!(mayFound == rhs.mayFound))
+      return false;
     return true;
   }
   bool operator != (const LogJoinRequest &rhs) const {
--- a/gen-cpp/peer_types.cpp
+++ b/gen-cpp/peer_types.cpp
@@ -446,6 +446,22 @@
 void ForwardRequest::__set_body(const std::string& val) {
   this->body = val;
 }
+
+void ForwardRequest::__set_callerService(const std::string& val) {
+  this->callerService = val;
+}
+
+void ForwardRequest::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void ForwardRequest::__set_nested(const bool val) {
+  this->nested = val;
+}
+
+void ForwardRequest::__set_targetMicroseconds(const int64_t val) {
+  this->targetMicroseconds = val;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj)
 {
   obj.printTo(out);
@@ -606,6 +622,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->callerService);
+          this->__isset.callerService = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->nested);
+          this->__isset.nested = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->targetMicroseconds);
+          this->__isset.targetMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -691,6 +739,22 @@
   xfer += oprot->writeBinary(this->body);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("callerService", ::apache::thrift::protocol::T_STRING, 16);
+  xfer += oprot->writeString(this->callerService);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 17);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nested", ::apache::thrift::protocol::T_BOOL, 18);
+  xfer += oprot->writeBool(this->nested);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetMicroseconds", ::apache::thrift::protocol::T_I64, 19);
+  xfer += oprot->writeI64(this->targetMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -713,6 +777,10 @@
   swap(a.target, b.target);
   swap(a.headers, b.headers);
   swap(a.body, b.body);
+  swap(a.callerService, b.callerService);
+  swap(a.priority, b.priority);
+  swap(a.nested, b.nested);
+  swap(a.targetMicroseconds, b.targetMicroseconds);
   swap(a.__isset, b.__isset);
 }
 
@@ -732,6 +800,10 @@
   target = other18.target;
   headers = other18.headers;
   body = other18.body;
+  callerService = other18.callerService;
+  priority = other18.priority;
+  nested = other18.nested;
+  targetMicroseconds = other18.targetMicroseconds;
   __isset = other18.__isset;
 }
 ForwardRequest::ForwardRequest(ForwardRequest&& other19) noexcept {
@@ -750,6 +822,10 @@
   target = std::move(other19.target);
   headers = std::move(other19.headers);
   body = std::move(other19.body);
+  callerService = std::move(other19.callerService);
+  priority = other19.priority;
+  nested = other19.nested;
+  targetMicroseconds = other19.targetMicroseconds;
   __isset = other19.__isset;
 }
 ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other20) {
@@ -768,6 +844,10 @@
   target = other20.target;
   headers = other20.headers;
   body = other20.body;
+  callerService = other20.callerService;
+  priority = other20.priority;
+  nested = other20.nested;
+  targetMicroseconds = other20.targetMicroseconds;
   __isset = other20.__isset;
   return *this;
 }
@@ -787,6 +867,10 @@
   target = std::move(other21.target);
   headers = std::move(other21.headers);
   body = std::move(other21.body);
+  callerService = std::move(other21.callerService);
+  priority = other21.priority;
+  nested = other21.nested;
+  targetMicroseconds = other21.targetMicroseconds;
   __isset = other21.__isset;
   return *this;
 }
@@ -808,6 +892,10 @@
   out << ", " << "target=" << to_string(target);
   out << ", " << "headers=" << to_string(headers);
   out << ", " << "body=" << to_string(body);
+  out << ", " << "callerService=" << to_string(callerService);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "nested=" << to_string(nested);
+  out << ", " << "targetMicroseconds=" << to_string(targetMicroseconds);
   out << ")";
 }
 
@@ -851,6 +939,10 @@
 void ForwardResponse::__set_serviceMicroseconds(const int64_t val) {
   this->serviceMicroseconds = val;
 }
+
+void ForwardResponse::__set_retryAfterMicroseconds(const int64_t val) {
+  this->retryAfterMicroseconds = val;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardResponse& obj)
 {
   obj.printTo(out);
@@ -963,6 +1055,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retryAfterMicroseconds);
+          this->__isset.retryAfterMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1024,6 +1124,10 @@
   xfer += oprot->writeI64(this->serviceMicroseconds);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("retryAfterMicroseconds", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->retryAfterMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1040,6 +1144,7 @@
   swap(a.queued, b.queued);
   swap(a.limit, b.limit);
   swap(a.serviceMicroseconds, b.serviceMicroseconds);
+  swap(a.retryAfterMicroseconds, b.retryAfterMicroseconds);
   swap(a.__isset, b.__isset);
 }
 
@@ -1053,6 +1158,7 @@
   queued = other28.queued;
   limit = other28.limit;
   serviceMicroseconds = other28.serviceMicroseconds;
+  retryAfterMicroseconds = other28.retryAfterMicroseconds;
   __isset = other28.__isset;
 }
 ForwardResponse::ForwardResponse(ForwardResponse&& other29) noexcept {
@@ -1065,6 +1171,7 @@
   queued = other29.queued;
   limit = other29.limit;
   serviceMicroseconds = other29.serviceMicroseconds;
+  retryAfterMicroseconds = other29.retryAfterMicroseconds;
   __isset = other29.__isset;
 }
 ForwardResponse& ForwardResponse::operator=(const ForwardResponse& other30) {
@@ -1077,6 +1184,7 @@
   queued = other30.queued;
   limit = other30.limit;
   serviceMicroseconds = other30.serviceMicroseconds;
+  retryAfterMicroseconds = other30.retryAfterMicroseconds;
   __isset = other30.__isset;
   return *this;
 }
@@ -1090,6 +1198,7 @@
   queued = other31.queued;
   limit = other31.limit;
   serviceMicroseconds = other31.serviceMicroseconds;
+  retryAfterMicroseconds = other31.retryAfterMicroseconds;
   __isset = other31.__isset;
   return *this;
 }
@@ -1105,6 +1214,7 @@
   out << ", " << "queued=" << to_string(queued);
   out << ", " << "limit=" << to_string(limit);
   out << ", " << "serviceMicroseconds=" << to_string(serviceMicroseconds);
+  out << ", " << "retryAfterMicroseconds=" << to_string(retryAfterMicroseconds);
   out << ")";
 }
 
@@ -1241,6 +1351,14 @@
 void CallTransfer::__set_body(const std::string& val) {
   this->body = val;
 }
+
+void CallTransfer::__set_callerService(const std::string& val) {
+  this->callerService = val;
+}
+
+void CallTransfer::__set_nested(const bool val) {
+  this->nested = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallTransfer& obj)
 {
   obj.printTo(out);
@@ -1337,6 +1455,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->callerService);
+          this->__isset.callerService = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->nested);
+          this->__isset.nested = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1390,6 +1524,14 @@
   xfer += oprot->writeBinary(this->body);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("callerService", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->callerService);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nested", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->nested);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1404,6 +1546,8 @@
   swap(a.target, b.target);
   swap(a.headers, b.headers);
   swap(a.body, b.body);
+  swap(a.callerService, b.callerService);
+  swap(a.nested, b.nested);
   swap(a.__isset, b.__isset);
 }
 
@@ -1415,6 +1559,8 @@
   target = other42.target;
   headers = other42.headers;
   body = other42.body;
+  callerService = other42.callerService;
+  nested = other42.nested;
   __isset = other42.__isset;
 }
 CallTransfer::CallTransfer(CallTransfer&& other43) noexcept {
@@ -1425,6 +1571,8 @@
   target = std::move(other43.target);
   headers = std::move(other43.headers);
   body = std::move(other43.body);
+  callerService = std::move(other43.callerService);
+  nested = other43.nested;
   __isset = other43.__isset;
 }
 CallTransfer& CallTransfer::operator=(const CallTransfer& other44) {
@@ -1435,6 +1583,8 @@
   target = other44.target;
   headers = other44.headers;
   body = other44.body;
+  callerService = other44.callerService;
+  nested = other44.nested;
   __isset = other44.__isset;
   return *this;
 }
@@ -1446,6 +1596,8 @@
   target = std::move(other45.target);
   headers = std::move(other45.headers);
   body = std::move(other45.body);
+  callerService = std::move(other45.callerService);
+  nested = other45.nested;
   __isset = other45.__isset;
   return *this;
 }
@@ -1459,6 +1611,8 @@
   out << ", " << "target=" << to_string(target);
   out << ", " << "headers=" << to_string(headers);
   out << ", " << "body=" << to_string(body);
+  out << ", " << "callerService=" << to_string(callerService);
+  out << ", " << "nested=" << to_string(nested);
   out << ")";
 }
 
--- a/gen-cpp/peer_types.h
+++ b/gen-cpp/peer_types.h
@@ -192,7 +192,7 @@
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
 typedef struct _ForwardRequest__isset {
-  _ForwardRequest__isset() : requestId(false), traceId(false), serviceName(false), upstreamId(false), upstreamIncarnation(false), remainingMicroseconds(false), attempt(false), hops(false), idempotent(false), order(false), fingerprint(false), method(false), target(false), headers(false), body(false) {}
+  _ForwardRequest__isset() : requestId(false), traceId(false), serviceName(false), upstreamId(false), upstreamIncarnation(false), remainingMicroseconds(false), attempt(false), hops(false), idempotent(false), order(false), fingerprint(false), method(false), target(false), headers(false), body(false), callerService(false), priority(false), nested(false), targetMicroseconds(false) {}
   bool requestId :1;
   bool traceId :1;
   bool serviceName :1;
@@ -208,6 +208,10 @@
   bool target :1;
   bool headers :1;
   bool body :1;
+  bool callerService :1;
+  bool priority :1;
+  bool nested :1;
+  bool targetMicroseconds :1;
 } _ForwardRequest__isset;
 
 class ForwardRequest : public virtual ::apache::thrift::TBase {
@@ -231,7 +235,11 @@
                    fingerprint(0),
                    method(),
                    target(),
-                   body() {
+                   body(),
+                   callerService(),
+                   priority(0),
+                   nested(0),
+                   targetMicroseconds(0) {
   }
 
   virtual ~ForwardRequest() noexcept;
@@ -250,6 +258,10 @@
   std::string target;
   std::vector<Header>  headers;
   std::string body;
+  std::string callerService;
+  int32_t priority;
+  bool nested;
+  int64_t targetMicroseconds;
 
   _ForwardRequest__isset __isset;
 
@@ -283,6 +295,14 @@
 
   void __set_body(const std::string& val);
 
+  void __set_callerService(const std::string& val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_nested(const bool val);
+
+  void __set_targetMicroseconds(const int64_t val);
+
   bool operator == (const ForwardRequest & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -315,6 +335,14 @@
       return false;
     if (!(body == rhs.body))
       return false;
+    if (!(callerService == rhs.callerService))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(nested == rhs.nested))
+      return false;
+    if (!(targetMicroseconds == rhs.targetMicroseconds))
+      return false;
     return true;
   }
   bool operator != (const ForwardRequest &rhs) const {
@@ -334,7 +362,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj);
 
 typedef struct _ForwardResponse__isset {
-  _ForwardResponse__isset() : requestId(false), code(false), status(false), headers(false), body(false), running(false), queued(false), limit(false), serviceMicroseconds(false) {}
+  _ForwardResponse__isset() : requestId(false), code(false), status(false), headers(false), body(false), running(false), queued(false), limit(false), serviceMicroseconds(false), retryAfterMicroseconds(false) {}
   bool requestId :1;
   bool code :1;
   bool status :1;
@@ -344,6 +372,7 @@
   bool queued :1;
   bool limit :1;
   bool serviceMicroseconds :1;
+  bool retryAfterMicroseconds :1;
 } _ForwardResponse__isset;
 
 class ForwardResponse : public virtual ::apache::thrift::TBase {
@@ -361,7 +390,8 @@
                     running(0),
                     queued(0),
                     limit(0),
-                    serviceMicroseconds(0) {
+                    serviceMicroseconds(0),
+                    retryAfterMicroseconds(0) {
   }
 
   virtual ~ForwardResponse() noexcept;
@@ -374,6 +404,7 @@
   int32_t queued;
   int32_t limit;
   int64_t serviceMicroseconds;
+  int64_t retryAfterMicroseconds;
 
   _ForwardResponse__isset __isset;
 
@@ -395,6 +426,8 @@
 
   void __set_serviceMicroseconds(const int64_t val);
 
+  void __set_retryAfterMicroseconds(const int64_t val);
+
   bool operator == (const ForwardResponse & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -415,6 +448,8 @@
       return false;
     if (!(serviceMicroseconds == rhs.serviceMicroseconds))
       return false;
+    if (!(retryAfterMicroseconds == rhs.retryAfterMicroseconds))
+      return false;
     return true;
   }
   bool operator != (const ForwardResponse &rhs) const {
@@ -479,7 +514,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardCancel& obj);
 
 typedef struct _CallTransfer__isset {
-  _CallTransfer__isset() : requestId(false), traceId(false), remainingMicroseconds(false), method(false), target(false), headers(false), body(false) {}
+  _CallTransfer__isset() : requestId(false), traceId(false), remainingMicroseconds(false), method(false), target(false), headers(false), body(false), callerService(false), nested(false) {}
   bool requestId :1;
   bool traceId :1;
   bool remainingMicroseconds :1;
@@ -487,6 +522,8 @@
   bool target :1;
   bool headers :1;
   bool body :1;
+  bool callerService :1;
+  bool nested :1;
 } _CallTransfer__isset;
 
 class CallTransfer : public virtual ::apache::thrift::TBase {
@@ -502,7 +539,9 @@
                  remainingMicroseconds(0),
                  method(),
                  target(),
-                 body() {
+                 body(),
+                 callerService(),
+                 nested(0) {
   }
 
   virtual ~CallTransfer() noexcept;
@@ -513,6 +552,8 @@
   std::string target;
   std::vector<Header>  headers;
   std::string body;
+  std::string callerService;
+  bool nested;
 
   _CallTransfer__isset __isset;
 
@@ -530,6 +571,10 @@
 
   void __set_body(const std::string& val);
 
+  void __set_callerService(const std::string& val);
+
+  void __set_nested(const bool val);
+
   bool operator == (const CallTransfer & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -546,6 +591,10 @@
       return false;
     if (!(body == rhs.body))
       return false;
+    if (!(callerService == rhs.callerService))
+      return false;
+    if (!(nested == rhs.nested))
+      return false;
     return true;
   }
   bool operator != (const CallTransfer &rhs) const {
--- a/gen-cpp/plan_types.cpp
+++ b/gen-cpp/plan_types.cpp
@@ -596,6 +596,195 @@
 }
 
 
+PlanReplace::~PlanReplace() noexcept {
+}
+
+
+void PlanReplace::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void PlanReplace::__set_base(const int64_t val) {
+  this->base = val;
+}
+
+void PlanReplace::__set_items(const  ::dragonflylane::wire::ConfigItems& val) {
+  this->items = val;
+}
+
+void PlanReplace::__set_document(const std::string& val) {
+  this->document = val;
+}
+
+void PlanReplace::__set_operatorName(const std::string& val) {
+  this->operatorName = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlanReplace& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlanReplace::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->items.read(iprot);
+          this->__isset.items = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->document);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->operatorName);
+          this->__isset.operatorName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlanReplace::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlanReplace");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->base);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_STRUCT, 3);
+  xfer += this->items.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->document);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("operatorName", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->operatorName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlanReplace &a, PlanReplace &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.base, b.base);
+  swap(a.items, b.items);
+  swap(a.document, b.document);
+  swap(a.operatorName, b.operatorName);
+  swap(a.__isset, b.__isset);
+}
+
+PlanReplace::PlanReplace(const PlanReplace& other28) {
+  version = other28.version;
+  base = other28.base;
+  items = other28.items;
+  document = other28.document;
+  operatorName = other28.operatorName;
+  __isset = other28.__isset;
+}
+PlanReplace::PlanReplace(PlanReplace&& other29) noexcept {
+  version = other29.version;
+  base = other29.base;
+  items = std::move(other29.items);
+  document = std::move(other29.document);
+  operatorName = std::move(other29.operatorName);
+  __isset = other29.__isset;
+}
+PlanReplace& PlanReplace::operator=(const PlanReplace& other30) {
+  version = other30.version;
+  base = other30.base;
+  items = other30.items;
+  document = other30.document;
+  operatorName = other30.operatorName;
+  __isset = other30.__isset;
+  return *this;
+}
+PlanReplace& PlanReplace::operator=(PlanReplace&& other31) noexcept {
+  version = other31.version;
+  base = other31.base;
+  items = std::move(other31.items);
+  document = std::move(other31.document);
+  operatorName = std::move(other31.operatorName);
+  __isset = other31.__isset;
+  return *this;
+}
+void PlanReplace::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlanReplace(";
+  out << "version=" << to_string(version);
+  out << ", " << "base=" << to_string(base);
+  out << ", " << "items=" << to_string(items);
+  out << ", " << "document=" << to_string(document);
+  out << ", " << "operatorName=" << to_string(operatorName);
+  out << ")";
+}
+
+
 PlanCommand::~PlanCommand() noexcept {
 }
 
@@ -614,6 +803,11 @@
   this->setKeepers = val;
 __isset.setKeepers = true;
 }
+
+void PlanCommand::__set_replace(const PlanReplace& val) {
+  this->replace = val;
+__isset.replace = true;
+}
 std::ostream& operator<<(std::ostream& out, const PlanCommand& obj)
 {
   obj.printTo(out);
@@ -666,6 +860,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->replace.read(iprot);
+          this->__isset.replace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -698,6 +900,11 @@
     xfer += this->setKeepers.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.replace) {
+    xfer += oprot->writeFieldBegin("replace", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->replace.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -708,33 +915,38 @@
   swap(a.propose, b.propose);
   swap(a.confirm, b.confirm);
   swap(a.setKeepers, b.setKeepers);
+  swap(a.replace, b.replace);
   swap(a.__isset, b.__isset);
 }
 
-PlanCommand::PlanCommand(const PlanCommand& other28) {
-  propose = other28.propose;
-  confirm = other28.confirm;
-  setKeepers = other28.setKeepers;
-  __isset = other28.__isset;
-}
-PlanCommand::PlanCommand(PlanCommand&& other29) noexcept {
-  propose = std::move(other29.propose);
-  confirm = std::move(other29.confirm);
-  setKeepers = std::move(other29.setKeepers);
-  __isset = other29.__isset;
-}
-PlanCommand& PlanCommand::operator=(const PlanCommand& other30) {
-  propose = other30.propose;
-  confirm = other30.confirm;
-  setKeepers = other30.setKeepers;
-  __isset = other30.__isset;
+PlanCommand::PlanCommand(const PlanCommand& other32) {
+  propose = other32.propose;
+  confirm = other32.confirm;
+  setKeepers = other32.setKeepers;
+  replace = other32.replace;
+  __isset = other32.__isset;
+}
+PlanCommand::PlanCommand(PlanCommand&& other33) noexcept {
+  propose = std::move(other33.propose);
+  confirm = std::move(other33.confirm);
+  setKeepers = std::move(other33.setKeepers);
+  replace = std::move(other33.replace);
+  __isset = other33.__isset;
+}
+PlanCommand& PlanCommand::operator=(const PlanCommand& other34) {
+  propose = other34.propose;
+  confirm = other34.confirm;
+  setKeepers = other34.setKeepers;
+  replace = other34.replace;
+  __isset = other34.__isset;
   return *this;
 }
-PlanCommand& PlanCommand::operator=(PlanCommand&& other31) noexcept {
-  propose = std::move(other31.propose);
-  confirm = std::move(other31.confirm);
-  setKeepers = std::move(other31.setKeepers);
-  __isset = other31.__isset;
+PlanCommand& PlanCommand::operator=(PlanCommand&& other35) noexcept {
+  propose = std::move(other35.propose);
+  confirm = std::move(other35.confirm);
+  setKeepers = std::move(other35.setKeepers);
+  replace = std::move(other35.replace);
+  __isset = other35.__isset;
   return *this;
 }
 void PlanCommand::printTo(std::ostream& out) const {
@@ -743,6 +955,7 @@
   out << "propose="; (__isset.propose ? (out << to_string(propose)) : (out << "<null>"));
   out << ", " << "confirm="; (__isset.confirm ? (out << to_string(confirm)) : (out << "<null>"));
   out << ", " << "setKeepers="; (__isset.setKeepers ? (out << to_string(setKeepers)) : (out << "<null>"));
+  out << ", " << "replace="; (__isset.replace ? (out << to_string(replace)) : (out << "<null>"));
   out << ")";
 }
 
@@ -844,14 +1057,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->changes.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->changes.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->changes[_i36].read(iprot);
+              xfer += this->changes[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -912,14 +1125,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->conflictItems.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->conflictItems.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->conflictItems.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += this->conflictItems[_i41].read(iprot);
+              xfer += this->conflictItems[_i45].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -964,10 +1177,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<PlanChange> ::const_iterator _iter42;
-    for (_iter42 = this->changes.begin(); _iter42 != this->changes.end(); ++_iter42)
+    std::vector<PlanChange> ::const_iterator _iter46;
+    for (_iter46 = this->changes.begin(); _iter46 != this->changes.end(); ++_iter46)
     {
-      xfer += (*_iter42).write(oprot);
+      xfer += (*_iter46).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1001,10 +1214,10 @@
     xfer += oprot->writeFieldBegin("conflictItems", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->conflictItems.size()));
-      std::vector< ::dragonflylane::wire::ConfigItemKey> ::const_iterator _iter43;
-      for (_iter43 = this->conflictItems.begin(); _iter43 != this->conflictItems.end(); ++_iter43)
+      std::vector< ::dragonflylane::wire::ConfigItemKey> ::const_iterator _iter47;
+      for (_iter47 = this->conflictItems.begin(); _iter47 != this->conflictItems.end(); ++_iter47)
       {
-        xfer += (*_iter43).write(oprot);
+        xfer += (*_iter47).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1036,62 +1249,62 @@
   swap(a.__isset, b.__isset);
 }
 
-PlanRecord::PlanRecord(const PlanRecord& other44) {
-  planId = other44.planId;
-  base = other44.base;
-  changes = other44.changes;
-  proposedBy = other44.proposedBy;
-  confirmedBy = other44.confirmedBy;
-  status = other44.status;
-  revision = other44.revision;
-  code = other44.code;
-  detail = other44.detail;
-  conflictItems = other44.conflictItems;
-  conflictCount = other44.conflictCount;
-  __isset = other44.__isset;
-}
-PlanRecord::PlanRecord(PlanRecord&& other45) noexcept {
-  planId = std::move(other45.planId);
-  base = other45.base;
-  changes = std::move(other45.changes);
-  proposedBy = std::move(other45.proposedBy);
-  confirmedBy = std::move(other45.confirmedBy);
-  status = other45.status;
-  revision = other45.revision;
-  code = other45.code;
-  detail = std::move(other45.detail);
-  conflictItems = std::move(other45.conflictItems);
-  conflictCount = other45.conflictCount;
-  __isset = other45.__isset;
-}
-PlanRecord& PlanRecord::operator=(const PlanRecord& other46) {
-  planId = other46.planId;
-  base = other46.base;
-  changes = other46.changes;
-  proposedBy = other46.proposedBy;
-  confirmedBy = other46.confirmedBy;
-  status = other46.status;
-  revision = other46.revision;
-  code = other46.code;
-  detail = other46.detail;
-  conflictItems = other46.conflictItems;
-  conflictCount = other46.conflictCount;
-  __isset = other46.__isset;
+PlanRecord::PlanRecord(const PlanRecord& other48) {
+  planId = other48.planId;
+  base = other48.base;
+  changes = other48.changes;
+  proposedBy = other48.proposedBy;
+  confirmedBy = other48.confirmedBy;
+  status = other48.status;
+  revision = other48.revision;
+  code = other48.code;
+  detail = other48.detail;
+  conflictItems = other48.conflictItems;
+  conflictCount = other48.conflictCount;
+  __isset = other48.__isset;
+}
+PlanRecord::PlanRecord(PlanRecord&& other49) noexcept {
+  planId = std::move(other49.planId);
+  base = other49.base;
+  changes = std::move(other49.changes);
+  proposedBy = std::move(other49.proposedBy);
+  confirmedBy = std::move(other49.confirmedBy);
+  status = other49.status;
+  revision = other49.revision;
+  code = other49.code;
+  detail = std::move(other49.detail);
+  conflictItems = std::move(other49.conflictItems);
+  conflictCount = other49.conflictCount;
+  __isset = other49.__isset;
+}
+PlanRecord& PlanRecord::operator=(const PlanRecord& other50) {
+  planId = other50.planId;
+  base = other50.base;
+  changes = other50.changes;
+  proposedBy = other50.proposedBy;
+  confirmedBy = other50.confirmedBy;
+  status = other50.status;
+  revision = other50.revision;
+  code = other50.code;
+  detail = other50.detail;
+  conflictItems = other50.conflictItems;
+  conflictCount = other50.conflictCount;
+  __isset = other50.__isset;
   return *this;
 }
-PlanRecord& PlanRecord::operator=(PlanRecord&& other47) noexcept {
-  planId = std::move(other47.planId);
-  base = other47.base;
-  changes = std::move(other47.changes);
-  proposedBy = std::move(other47.proposedBy);
-  confirmedBy = std::move(other47.confirmedBy);
-  status = other47.status;
-  revision = other47.revision;
-  code = other47.code;
-  detail = std::move(other47.detail);
-  conflictItems = std::move(other47.conflictItems);
-  conflictCount = other47.conflictCount;
-  __isset = other47.__isset;
+PlanRecord& PlanRecord::operator=(PlanRecord&& other51) noexcept {
+  planId = std::move(other51.planId);
+  base = other51.base;
+  changes = std::move(other51.changes);
+  proposedBy = std::move(other51.proposedBy);
+  confirmedBy = std::move(other51.confirmedBy);
+  status = other51.status;
+  revision = other51.revision;
+  code = other51.code;
+  detail = std::move(other51.detail);
+  conflictItems = std::move(other51.conflictItems);
+  conflictCount = other51.conflictCount;
+  __isset = other51.__isset;
   return *this;
 }
 void PlanRecord::printTo(std::ostream& out) const {
@@ -1112,6 +1325,151 @@
 }
 
 
+PlanAcceptedDocument::~PlanAcceptedDocument() noexcept {
+}
+
+
+void PlanAcceptedDocument::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void PlanAcceptedDocument::__set_digest(const std::string& val) {
+  this->digest = val;
+}
+
+void PlanAcceptedDocument::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlanAcceptedDocument& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlanAcceptedDocument::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlanAcceptedDocument::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlanAcceptedDocument");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlanAcceptedDocument &a, PlanAcceptedDocument &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.digest, b.digest);
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+PlanAcceptedDocument::PlanAcceptedDocument(const PlanAcceptedDocument& other52) {
+  version = other52.version;
+  digest = other52.digest;
+  revision = other52.revision;
+  __isset = other52.__isset;
+}
+PlanAcceptedDocument::PlanAcceptedDocument(PlanAcceptedDocument&& other53) noexcept {
+  version = other53.version;
+  digest = std::move(other53.digest);
+  revision = other53.revision;
+  __isset = other53.__isset;
+}
+PlanAcceptedDocument& PlanAcceptedDocument::operator=(const PlanAcceptedDocument& other54) {
+  version = other54.version;
+  digest = other54.digest;
+  revision = other54.revision;
+  __isset = other54.__isset;
+  return *this;
+}
+PlanAcceptedDocument& PlanAcceptedDocument::operator=(PlanAcceptedDocument&& other55) noexcept {
+  version = other55.version;
+  digest = std::move(other55.digest);
+  revision = other55.revision;
+  __isset = other55.__isset;
+  return *this;
+}
+void PlanAcceptedDocument::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlanAcceptedDocument(";
+  out << "version=" << to_string(version);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
 PlanBookSnapshot::~PlanBookSnapshot() noexcept {
 }
 
@@ -1127,6 +1485,15 @@
 void PlanBookSnapshot::__set_plans(const std::vector<PlanRecord> & val) {
   this->plans = val;
 }
+
+void PlanBookSnapshot::__set_document(const std::string& val) {
+  this->document = val;
+__isset.document = true;
+}
+
+void PlanBookSnapshot::__set_acceptedDocuments(const std::vector<PlanAcceptedDocument> & val) {
+  this->acceptedDocuments = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlanBookSnapshot& obj)
 {
   obj.printTo(out);
@@ -1167,14 +1534,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deltas.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->deltas.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->deltas.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->deltas[_i52].read(iprot);
+              xfer += this->deltas[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1187,14 +1554,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->plans.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->plans.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->plans.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += this->plans[_i57].read(iprot);
+              xfer += this->plans[_i65].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1203,6 +1570,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->document);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->acceptedDocuments.clear();
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->acceptedDocuments.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
+            {
+              xfer += this->acceptedDocuments[_i70].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.acceptedDocuments = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1227,10 +1622,10 @@
   xfer += oprot->writeFieldBegin("deltas", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deltas.size()));
-    std::vector< ::dragonflylane::wire::ConfigDelta> ::const_iterator _iter58;
-    for (_iter58 = this->deltas.begin(); _iter58 != this->deltas.end(); ++_iter58)
+    std::vector< ::dragonflylane::wire::ConfigDelta> ::const_iterator _iter71;
+    for (_iter71 = this->deltas.begin(); _iter71 != this->deltas.end(); ++_iter71)
     {
-      xfer += (*_iter58).write(oprot);
+      xfer += (*_iter71).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1239,10 +1634,27 @@
   xfer += oprot->writeFieldBegin("plans", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->plans.size()));
-    std::vector<PlanRecord> ::const_iterator _iter59;
-    for (_iter59 = this->plans.begin(); _iter59 != this->plans.end(); ++_iter59)
+    std::vector<PlanRecord> ::const_iterator _iter72;
+    for (_iter72 = this->plans.begin(); _iter72 != this->plans.end(); ++_iter72)
     {
-      xfer += (*_iter59).write(oprot);
+      xfer += (*_iter72).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.document) {
+    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeBinary(this->document);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("acceptedDocuments", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acceptedDocuments.size()));
+    std::vector<PlanAcceptedDocument> ::const_iterator _iter73;
+    for (_iter73 = this->acceptedDocuments.begin(); _iter73 != this->acceptedDocuments.end(); ++_iter73)
+    {
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1258,33 +1670,43 @@
   swap(a.state, b.state);
   swap(a.deltas, b.deltas);
   swap(a.plans, b.plans);
+  swap(a.document, b.document);
+  swap(a.acceptedDocuments, b.acceptedDocuments);
   swap(a.__isset, b.__isset);
 }
 
-PlanBookSnapshot::PlanBookSnapshot(const PlanBookSnapshot& other60) {
-  state = other60.state;
-  deltas = other60.deltas;
-  plans = other60.plans;
-  __isset = other60.__isset;
-}
-PlanBookSnapshot::PlanBookSnapshot(PlanBookSnapshot&& other61) noexcept {
-  state = std::move(other61.state);
-  deltas = std::move(other61.deltas);
-  plans = std::move(other61.plans);
-  __isset = other61.__isset;
-}
-PlanBookSnapshot& PlanBookSnapshot::operator=(const PlanBookSnapshot& other62) {
-  state = other62.state;
-  deltas = other62.deltas;
-  plans = other62.plans;
-  __isset = other62.__isset;
+PlanBookSnapshot::PlanBookSnapshot(const PlanBookSnapshot& other74) {
+  state = other74.state;
+  deltas = other74.deltas;
+  plans = other74.plans;
+  document = other74.document;
+  acceptedDocuments = other74.acceptedDocuments;
+  __isset = other74.__isset;
+}
+PlanBookSnapshot::PlanBookSnapshot(PlanBookSnapshot&& other75) noexcept {
+  state = std::move(other75.state);
+  deltas = std::move(other75.deltas);
+  plans = std::move(other75.plans);
+  document = std::move(other75.document);
+  acceptedDocuments = std::move(other75.acceptedDocuments);
+  __isset = other75.__isset;
+}
+PlanBookSnapshot& PlanBookSnapshot::operator=(const PlanBookSnapshot& other76) {
+  state = other76.state;
+  deltas = other76.deltas;
+  plans = other76.plans;
+  document = other76.document;
+  acceptedDocuments = other76.acceptedDocuments;
+  __isset = other76.__isset;
   return *this;
 }
-PlanBookSnapshot& PlanBookSnapshot::operator=(PlanBookSnapshot&& other63) noexcept {
-  state = std::move(other63.state);
-  deltas = std::move(other63.deltas);
-  plans = std::move(other63.plans);
-  __isset = other63.__isset;
+PlanBookSnapshot& PlanBookSnapshot::operator=(PlanBookSnapshot&& other77) noexcept {
+  state = std::move(other77.state);
+  deltas = std::move(other77.deltas);
+  plans = std::move(other77.plans);
+  document = std::move(other77.document);
+  acceptedDocuments = std::move(other77.acceptedDocuments);
+  __isset = other77.__isset;
   return *this;
 }
 void PlanBookSnapshot::printTo(std::ostream& out) const {
@@ -1293,6 +1715,8 @@
   out << "state=" << to_string(state);
   out << ", " << "deltas=" << to_string(deltas);
   out << ", " << "plans=" << to_string(plans);
+  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
+  out << ", " << "acceptedDocuments=" << to_string(acceptedDocuments);
   out << ")";
 }
 
--- a/gen-cpp/plan_types.h
+++ b/gen-cpp/plan_types.h
@@ -30,10 +30,14 @@
 
 class PlanSetKeepers;
 
+class PlanReplace;
+
 class PlanCommand;
 
 class PlanRecord;
 
+class PlanAcceptedDocument;
+
 class PlanBookSnapshot;
 
 typedef struct _PlanChange__isset {
@@ -260,11 +264,84 @@
 
 std::ostream& operator<<(std::ostream& out, const PlanSetKeepers& obj);
 
+typedef struct _PlanReplace__isset {
+  _PlanReplace__isset() : version(false), base(false), items(false), document(false), operatorName(false) {}
+  bool version :1;
+  bool base :1;
+  bool items :1;
+  bool document :1;
+  bool operatorName :1;
+} _PlanReplace__isset;
+
+class PlanReplace : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlanReplace(const PlanReplace&);
+  PlanReplace(PlanReplace&&) noexcept;
+  PlanReplace& operator=(const PlanReplace&);
+  PlanReplace& operator=(PlanReplace&&) noexcept;
+  PlanReplace() noexcept
+              : version(0),
+                base(0),
+                document(),
+                operatorName() {
+  }
+
+  virtual ~PlanReplace() noexcept;
+  int64_t version;
+  int64_t base;
+   ::dragonflylane::wire::ConfigItems items;
+  std::string document;
+  std::string operatorName;
+
+  _PlanReplace__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_base(const int64_t val);
+
+  void __set_items(const  ::dragonflylane::wire::ConfigItems& val);
+
+  void __set_document(const std::string& val);
+
+  void __set_operatorName(const std::string& val);
+
+  bool operator == (const PlanReplace & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(base == rhs.base))
+      return false;
+    if (!(items == rhs.items))
+      return false;
+    if (!(document == rhs.document))
+      return false;
+    if (!(operatorName == rhs.operatorName))
+      return false;
+    return true;
+  }
+  bool operator != (const PlanReplace &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlanReplace & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlanReplace &a, PlanReplace &b);
+
+std::ostream& operator<<(std::ostream& out, const PlanReplace& obj);
+
 typedef struct _PlanCommand__isset {
-  _PlanCommand__isset() : propose(false), confirm(false), setKeepers(false) {}
+  _PlanCommand__isset() : propose(false), confirm(false), setKeepers(false), replace(false) {}
   bool propose :1;
   bool confirm :1;
   bool setKeepers :1;
+  bool replace :1;
 } _PlanCommand__isset;
 
 class PlanCommand : public virtual ::apache::thrift::TBase {
@@ -281,6 +358,7 @@
   PlanPropose propose;
   PlanConfirm confirm;
   PlanSetKeepers setKeepers;
+  PlanReplace replace;
 
   _PlanCommand__isset __isset;
 
@@ -290,6 +368,8 @@
 
   void __set_setKeepers(const PlanSetKeepers& val);
 
+  void __set_replace(const PlanReplace& val);
+
   bool operator == (const PlanCommand & rhs) const
   {
     if (__isset.propose != rhs.__isset.propose)
@@ -304,6 +384,10 @@
       return false;
     else if (__isset.setKeepers && !(setKeepers == rhs.setKeepers))
       return false;
+    if (__isset.replace != rhs.__isset.replace)
+      return false;
+    else if (__isset.replace && !(replace == rhs.replace))
+      return false;
     return true;
   }
   bool operator != (const PlanCommand &rhs) const {
@@ -439,11 +523,72 @@
 
 std::ostream& operator<<(std::ostream& out, const PlanRecord& obj);
 
+typedef struct _PlanAcceptedDocument__isset {
+  _PlanAcceptedDocument__isset() : version(false), digest(false), revision(false) {}
+  bool version :1;
+  bool digest :1;
+  bool revision :1;
+} _PlanAcceptedDocument__isset;
+
+class PlanAcceptedDocument : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlanAcceptedDocument(const PlanAcceptedDocument&);
+  PlanAcceptedDocument(PlanAcceptedDocument&&) noexcept;
+  PlanAcceptedDocument& operator=(const PlanAcceptedDocument&);
+  PlanAcceptedDocument& operator=(PlanAcceptedDocument&&) noexcept;
+  PlanAcceptedDocument() noexcept
+                       : version(0),
+                         digest(),
+                         revision(0) {
+  }
+
+  virtual ~PlanAcceptedDocument() noexcept;
+  int64_t version;
+  std::string digest;
+  int64_t revision;
+
+  _PlanAcceptedDocument__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_digest(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const PlanAcceptedDocument & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const PlanAcceptedDocument &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlanAcceptedDocument & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlanAcceptedDocument &a, PlanAcceptedDocument &b);
+
+std::ostream& operator<<(std::ostream& out, const PlanAcceptedDocument& obj);
+
 typedef struct _PlanBookSnapshot__isset {
-  _PlanBookSnapshot__isset() : state(false), deltas(false), plans(false) {}
+  _PlanBookSnapshot__isset() : state(false), deltas(false), plans(false), document(false), acceptedDocuments(false) {}
   bool state :1;
   bool deltas :1;
   bool plans :1;
+  bool document :1;
+  bool acceptedDocuments :1;
 } _PlanBookSnapshot__isset;
 
 class PlanBookSnapshot : public virtual ::apache::thrift::TBase {
@@ -453,13 +598,16 @@
   PlanBookSnapshot(PlanBookSnapshot&&) noexcept;
   PlanBookSnapshot& operator=(const PlanBookSnapshot&);
   PlanBookSnapshot& operator=(PlanBookSnapshot&&) noexcept;
-  PlanBookSnapshot() noexcept {
+  PlanBookSnapshot() noexcept
+                   : document() {
   }
 
   virtual ~PlanBookSnapshot() noexcept;
    ::dragonflylane::wire::ConfigSnapshot state;
   std::vector< ::dragonflylane::wire::ConfigDelta>  deltas;
   std::vector<PlanRecord>  plans;
+  std::string document;
+  std::vector<PlanAcceptedDocument>  acceptedDocuments;
 
   _PlanBookSnapshot__isset __isset;
 
@@ -469,6 +617,10 @@
 
   void __set_plans(const std::vector<PlanRecord> & val);
 
+  void __set_document(const std::string& val);
+
+  void __set_acceptedDocuments(const std::vector<PlanAcceptedDocument> & val);
+
   bool operator == (const PlanBookSnapshot & rhs) const
   {
     if (!(state == rhs.state))
@@ -477,6 +629,12 @@
       return false;
     if (!(plans == rhs.plans))
       return false;
+    if (__isset.document != rhs.__isset.document)
+      return false;
+    else if (__isset.document && !(document == rhs.document))
+      return false;
+    if (!(acceptedDocuments == rhs.acceptedDocuments))
+      return false;
     return true;
   }
   bool operator != (const PlanBookSnapshot &rhs) const {
--- a/wire/config.thrift
+++ b/wire/config.thrift
@@ -5,6 +5,7 @@
   1: string name
   2: i32 timeoutMilliseconds
   3: i32 maxAttempts
+  4: i32 maxConnections
 }
 
 struct ConfigSplitPart {
@@ -18,6 +19,11 @@
   3: list<ConfigSplitPart> split
   4: i32 timeoutMilliseconds
   5: list<string> idempotentMethods
+  6: optional string host
+  7: optional bool idempotent
+  8: i32 maxAttempts
+  9: i32 priority
+  10: i32 targetLatencyMilliseconds
 }
 
 struct ConfigCallRule {
@@ -35,6 +41,14 @@
   2: list<ConfigKeeperHost> hosts
 }
 
+struct ConfigMeshPolicy {
+  1: bool openCalls
+  2: i32 maxHeaderBytes
+  3: i64 maxBodyBytes
+  4: i32 headerTimeoutMilliseconds
+  5: i32 idleTimeoutMilliseconds
+}
+
 // Items grouped by kind, which is shorter than a tag for each item.
 struct ConfigItems {
   1: optional list<ConfigService> services
@@ -42,6 +56,7 @@
   3: optional list<ConfigCallRule> callRules
   4: optional list<string> drains
   5: optional ConfigKeeperView keeperView
+  6: optional ConfigMeshPolicy meshPolicy
 }
 
 struct ConfigItemKey {
--- a/wire/log.thrift
+++ b/wire/log.thrift
@@ -80,6 +80,7 @@
 struct LogJoinRequest {
   1: bool isEmpty
   2: list<string> heard
+  3: bool mayFound
 }
 
 // Exactly one of the optional fields is set.
--- a/wire/peer.thrift
+++ b/wire/peer.thrift
@@ -33,6 +33,10 @@
   13: string target
   14: list<Header> headers
   15: binary body
+  16: string callerService
+  17: i32 priority
+  18: bool nested
+  19: i64 targetMicroseconds
 }
 
 struct ForwardResponse {
@@ -45,6 +49,7 @@
   7: i32 queued
   8: i32 limit
   9: i64 serviceMicroseconds
+  10: i64 retryAfterMicroseconds
 }
 
 struct ForwardCancel {
@@ -60,4 +65,6 @@
   5: string target
   6: list<Header> headers
   7: binary body
+  8: string callerService
+  9: bool nested
 }
--- a/wire/plan.thrift
+++ b/wire/plan.thrift
@@ -26,11 +26,21 @@
   2: list<config.ConfigKeeperHost> hosts
 }
 
+// The document is compressed.
+struct PlanReplace {
+  1: i64 version
+  2: i64 base
+  3: config.ConfigItems items
+  4: binary document
+  5: string operatorName
+}
+
 // Exactly one field is set.
 struct PlanCommand {
   1: optional PlanPropose propose
   2: optional PlanConfirm confirm
   3: optional PlanSetKeepers setKeepers
+  4: optional PlanReplace replace
 }
 
 struct PlanRecord {
@@ -47,8 +57,16 @@
   11: optional i64 conflictCount
 }
 
+struct PlanAcceptedDocument {
+  1: i64 version
+  2: binary digest
+  3: i64 revision
+}
+
 struct PlanBookSnapshot {
   1: config.ConfigSnapshot state
   2: list<config.ConfigDelta> deltas
   3: list<PlanRecord> plans
+  4: optional binary document
+  5: list<PlanAcceptedDocument> acceptedDocuments
 }
