--- a/dragonflylane/CallTransfers.cpp
+++ b/dragonflylane/CallTransfers.cpp
@@ -109,7 +109,7 @@
     if (!decodeThrift(frame.payload, message))
         return m_metrics.add("forward_malformed");
     int64_t id = message.requestId;
-    CallOrigin origin { .service = ServiceName(message.callerService), .isNested = message.nested };
+    CallOrigin origin { .service = ServiceName(message.callerService) };
     auto exchange = std::make_shared<HttpExchange>(
         toHttpRequest(std::move(message), m_names), BootClock::now(), [this, id, link = frame.link](HttpResponse response) {
             wire::ForwardResponse reply = toForwardResponse(std::move(response));
--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -84,7 +84,8 @@
               { .self = m_settings.hostId,
                   .headerNames = m_options.headerNames,
                   .maxBodyBytes = m_settings.maxBodyBytes,
-                  .answersMayEndWithConnection = m_options.answersMayEndWithConnection },
+                  .answersMayEndWithConnection = m_options.answersMayEndWithConnection,
+                  .ranksCalls = m_settings.ranksCalls },
               m_crash, m_metrics, m_journal,
               { .announced
                   = [this](std::optional<UpstreamRecord> record) { m_membership->setUpstream(std::move(record)); },
@@ -215,8 +216,6 @@
             .service = m_settings.service,
             .isHedging = m_settings.isHedging,
             .hasDuplicateRecords = m_settings.hasDuplicateRecords };
-        if (m_settings.upstream)
-            options.upstreamAddress = m_settings.upstream->address;
         options.retryBudget.perSuccess = m_settings.retryRatio;
         options.retryBudget.window = m_settings.retryWindow;
         options.retryBudget.ratio = m_settings.retryRatio * budgetShare;
@@ -496,6 +495,7 @@
         m_isLeaving = true;
         m_leaveBegan = BootClock::now();
         m_owner.retire();
+        m_entry->leave(m_leaveBegan + m_settings.drainTimeout - stopTime);
         m_relay->leave();
         m_callerServer->endConnections();
         pollDrained();
@@ -534,7 +534,6 @@
 
     void stop(bool isDone)
     {
-        m_entry->leave();
         m_membership->leave();
         m_callerServer->closeIdle();
         Event("daemon_drained").with("complete", static_cast<int>(isDone));
--- a/dragonflylane/EntryCall.h
+++ b/dragonflylane/EntryCall.h
@@ -42,6 +42,8 @@
     /// Answers until then have their full value to the caller.
     TimePoint target;
     uint32_t priority { 0 };
+    /// Hash of the route's name; requests of one route take about the same time.
+    uint64_t routeKey { 0 };
     /// Upstreams that may get the request.
     uint32_t maxAttempts { 1 };
     Fingerprint fingerprint;
@@ -55,6 +57,10 @@
     /// Code of the latest refusal and the shortest time after which an owner expects room.
     ResultCode refusal { ResultCode::NoUpstream };
     Duration retryAfter { 0 };
+    /// The owner that stated it.
+    HostId shortestQueue;
+    /// The last try, which may wait in a queue, has been made.
+    bool isLastTry { false };
     std::vector<HostId> tried;
     std::vector<EntryAttempt> open;
     /// Code of an attempt whose outcome is unknown; Ok if there was none.
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -21,6 +21,7 @@
 #include <cctype>
 #include <random>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 
 namespace dragonflylane {
@@ -41,6 +42,7 @@
         case ResultCode::QueueFull:
         case ResultCode::WouldMissDeadline:
         case ResultCode::UpstreamShed:
+        case ResultCode::UpstreamRefused:
         case ResultCode::SuspectAlreadyRunning:
             return SelectionOutcome::Refused;
         case ResultCode::UpstreamDraining:
@@ -60,6 +62,11 @@
     }
 
     constexpr unsigned statusServiceUnavailable = 503;
+    constexpr int firstServerError = 500;
+    // An owner that is asked first may let a call wait for this part of its target time, and no less than a few
+    // milliseconds, in which another owner could hardly be asked.
+    constexpr int firstWaitShare = 20;
+    constexpr std::chrono::milliseconds shortestWait { 3 };
     // Shortest time after which a refused caller is asked back.
     constexpr std::chrono::milliseconds defaultReturnTime { 20 };
     // Part of the time that a caller has left after which it may be asked back; later there is no time to serve it.
@@ -131,7 +138,7 @@
             service->policy().budget().setSlack(slack);
     }
 
-    void leave() { m_isLeaving = true; }
+    void leave(TimePoint lastAnswer) { m_lastAnswer = lastAnswer; }
     bool isIdle() const { return m_calls.empty() && m_forwardServer.isIdle(); }
 
     void handle(std::shared_ptr<HttpExchange> exchange)
@@ -155,18 +162,20 @@
 
     void admit(const CallPtr& call)
     {
-        if (m_isLeaving)
-            return refuse(call, ResultCode::DaemonLeaving);
         if (call->headers.hops >= m_options.maxHops)
             return refuse(call, ResultCode::TooManyHops);
         if (call->headers.timeout)
             call->deadline = call->exchange->received() + *call->headers.timeout;
+        if (BootClock::now() >= m_lastAnswer)
+            return refuse(call, ResultCode::DaemonLeaving);
         call->callerDeadline = call->deadline;
         if (!m_hooks.hasFloor()) {
             watchDeadline(call);
             return m_transfers.transfer(call, m_nextId++);
         }
         ResultCode code = route(call);
+        if (code == ResultCode::Ok && call->deadline > m_lastAnswer)
+            code = ResultCode::DaemonLeaving;
         if (code != ResultCode::Ok)
             return refuse(call, code);
         watchDeadline(call);
@@ -203,6 +212,7 @@
         }
         call->target = route->targetLatency.count() > 0 ? received + route->targetLatency : call->deadline;
         call->priority = route->priority;
+        call->routeKey = stableHash(route->name.value());
         call->maxAttempts = route->maxAttempts > 0 ? route->maxAttempts : service.maxAttempts;
         if (!m_routingTable->mayCall(call->headers.caller.value(), call->service))
             return ResultCode::CallerNotAllowed;
@@ -244,6 +254,7 @@
     // ---- select -> owner admission -> forward ----
 
     EntryService& serviceOf(const CallPtr& call) { return *m_services.at(call->serviceName); }
+    EntryService& serviceOf(const EntryCall& call) const { return *m_services.at(call.serviceName); }
 
     void attempt(const CallPtr& call)
     {
@@ -252,7 +263,7 @@
         TimePoint now = BootClock::now();
         if (now >= call->deadline)
             return giveUp(call, ResultCode::DeadlineExceeded);
-        auto choice = serviceOf(call).selector().choose(call->tried, now);
+        auto choice = chooseUpstream(call, now);
         if (!choice)
             return giveUp(call, call->refusal);
         const UpstreamEntry* upstream = serviceOf(call).find(choice->upstream);
@@ -262,6 +273,7 @@
         call->open.push_back(attempt);
         m_attempts.emplace(attempt.id, call);
         wire::ForwardRequest request = makeForwardRequest(*call, m_options.headerNames, attempt.id, *upstream, now);
+        request.maxWaitMicroseconds = std::chrono::duration_cast<std::chrono::microseconds>(maxWait(*call)).count();
         if (call->isClaimed)
             m_parts.claims.handedOver(call->id);
         if (choice->owner == m_options.self)
@@ -272,6 +284,31 @@
             scheduleHedge(call);
     }
 
+    // An owner without a free slot refuses at once while others can be asked. When all that are worth asking have
+    // refused, the call waits at the one with the shortest queue.
+    std::optional<Choice> chooseUpstream(const CallPtr& call, TimePoint now)
+    {
+        UpstreamSelector& selector = serviceOf(call).selector();
+        if (call->redirects <= m_options.maxRedirects) {
+            if (auto choice = selector.choose(call->tried, now))
+                return choice;
+        }
+        if (call->shortestQueue.isEmpty() || call->isLastTry)
+            return std::nullopt;
+        call->isLastTry = true;
+        return selector.chooseOwner(call->shortestQueue, now);
+    }
+
+    // The first owners are asked whether they have room nearly at once.
+    Duration maxWait(const EntryCall& call) const
+    {
+        bool isOnlyOne = serviceOf(call).selector().size() <= 1;
+        if (call.isLastTry || isOnlyOne)
+            return Duration::zero();
+        Duration whole = call.target - call.exchange->received();
+        return std::max<Duration>(whole / firstWaitShare, shortestWait);
+    }
+
     void forwardToSelf(const CallPtr& call, uint64_t attemptId, wire::ForwardRequest request)
     {
         if (EntryAttempt* attempt = findAttempt(*call, attemptId))
@@ -337,7 +374,9 @@
         std::optional<LoadReport> report;
         if (response.limit > 0)
             report = loadReport(response);
-        serviceOf(call).selector().finished(done.choice, selectionOutcome(code), report, now);
+        bool isError = code == ResultCode::Ok && response.status >= firstServerError;
+        SelectionOutcome outcome = isError ? SelectionOutcome::Error : selectionOutcome(code);
+        serviceOf(call).selector().finished(done.choice, outcome, report, now);
         if (code == ResultCode::Ok) {
             serviceOf(call).policy().recordSuccess(now - done.startedAt);
             return answer(call, done, std::move(response));
@@ -354,7 +393,7 @@
         if (isArrival)
             ++call->arrivals;
         else
-            noteRefusal(call, code, std::chrono::microseconds(response.retryAfterMicroseconds));
+            noteRefusal(call, done.choice.owner, code, std::chrono::microseconds(response.retryAfterMicroseconds));
         if (!call->open.empty())
             return;
         if (call->isClaimed && call->earlierUnknown == ResultCode::Ok)
@@ -362,7 +401,9 @@
         // The upstream's own refusal of an order is its answer; only idempotent calls try elsewhere.
         bool isFinalShed = code == ResultCode::UpstreamShed && !call->isIdempotent;
         RetryDecision decision;
-        bool mayRedirect = isArrival || ++call->redirects <= m_options.maxRedirects;
+        if (!isArrival)
+            ++call->redirects;
+        bool mayRedirect = isArrival || !call->isLastTry;
         decision.code = code;
         if (!isFinalShed && mayRedirect) {
             decision = serviceOf(call).policy().decide({ .code = code,
@@ -383,12 +424,12 @@
         refuse(call, isFinalShed ? code : decision.code);
     }
 
-    void noteRefusal(const CallPtr& call, ResultCode code, Duration retryAfter)
+    void noteRefusal(const CallPtr& call, const HostId& owner, ResultCode code, Duration retryAfter)
     {
         call->refusal = code;
         bool isShorter = call->retryAfter == Duration::zero() || retryAfter < call->retryAfter;
         if (retryAfter > Duration::zero() && isShorter)
-            call->retryAfter = retryAfter;
+            std::tie(call->retryAfter, call->shortestQueue) = std::pair(retryAfter, owner);
     }
 
     void retryAfter(const CallPtr& call, Duration delay)
@@ -472,8 +513,7 @@
     {
         if (exchange.origin())
             return *exchange.origin();
-        bool isNested = !m_options.upstreamAddress.empty() && exchange.peerAddress() == m_options.upstreamAddress;
-        return { .service = m_options.service, .isNested = isNested };
+        return { .service = m_options.service };
     }
 
     void respond(const CallPtr& call, ResultCode code, HttpResponse response)
@@ -634,7 +674,7 @@
     std::set<std::pair<TimePoint, uint64_t>> m_deadlines;
     bool m_isDeadlineArmed { false };
     std::mt19937_64 m_random { m_options.life };
-    bool m_isLeaving { false };
+    TimePoint m_lastAnswer { TimePoint::max() };
 };
 
 EntryTask::EntryTask(asio::io_context& context, EntryTaskOptions options, Parts parts, Hooks hooks)
@@ -659,9 +699,9 @@
 {
     m_impl->handle(std::move(exchange));
 }
-void EntryTask::leave()
+void EntryTask::leave(TimePoint lastAnswer)
 {
-    m_impl->leave();
+    m_impl->leave(lastAnswer);
 }
 bool EntryTask::isIdle() const
 {
--- a/dragonflylane/EntryTask.h
+++ b/dragonflylane/EntryTask.h
@@ -42,10 +42,8 @@
     CallHeaderNames headerNames {};
     /// Service in whose name calls enter here; empty: callers name themselves.
     ServiceName service {};
-    /// IP address from which the upstream on this host makes calls of its own.
-    std::string upstreamAddress {};
     /// Owner daemons that may refuse one call before the caller is refused.
-    uint32_t maxRedirects { 4 };
+    uint32_t maxRedirects { 3 };
     bool isHedging { true };
     bool hasDuplicateRecords { true };
     /// Budget of retries to one service at this daemon.
@@ -82,8 +80,8 @@
     void setRetrySlack(double);
     void handle(std::shared_ptr<HttpExchange>);
 
-    /// Refuses new calls; calls in flight go on.
-    void leave();
+    /// Refuses new calls that may not end by then; calls in flight go on.
+    void leave(TimePoint lastAnswer);
     bool isIdle() const;
 
 private:
--- a/dragonflylane/ForwardWire.cpp
+++ b/dragonflylane/ForwardWire.cpp
@@ -72,7 +72,7 @@
     });
     request.callerService = call.origin.service.value();
     request.priority = static_cast<int32_t>(call.priority);
-    request.nested = call.origin.isNested;
+    request.routeKey = static_cast<int64_t>(call.routeKey);
     request.targetMicroseconds = microseconds(call.target - now);
     request.body = source.body;
     return request;
@@ -106,7 +106,6 @@
     message.headers = toWire(source.headers);
     message.body = source.body;
     message.callerService = call.origin.service.value();
-    message.nested = call.origin.isNested;
     return message;
 }
 
--- a/dragonflylane/HttpExchange.h
+++ b/dragonflylane/HttpExchange.h
@@ -15,8 +15,6 @@
 struct CallOrigin {
     /// Service on the host where the call entered the mesh; empty if callers name themselves.
     ServiceName service;
-    /// The upstream on that host makes the call as part of work in progress.
-    bool isNested { false };
 };
 
 /// Answers exactly once. The handler may keep it beyond the call; an answer after the caller has gone is dropped.
@@ -35,9 +33,6 @@
     HttpRequest& request() { return m_request; }
     TimePoint received() const { return m_received; }
 
-    /// IP address of the other side of the connection; empty for a call that another daemon handed over.
-    const std::string& peerAddress() const { return m_peerAddress; }
-    void setPeerAddress(std::string address) { m_peerAddress = std::move(address); }
     /// Origin as the daemon states it that handed the call over.
     const std::optional<CallOrigin>& origin() const { return m_origin; }
     void setOrigin(CallOrigin origin) { m_origin = std::move(origin); }
@@ -69,7 +64,6 @@
     TimePoint m_received;
     Responder m_responder;
     std::function<void()> m_cancelHook;
-    std::string m_peerAddress;
     std::optional<CallOrigin> m_origin;
 };
 
--- a/dragonflylane/HttpServer.cpp
+++ b/dragonflylane/HttpServer.cpp
@@ -85,7 +85,7 @@
         m_acceptor.non_blocking(true, error);
         while (!error) {
             tcp::socket socket(m_context);
-            m_acceptor.accept(socket, m_peer, error);
+            m_acceptor.accept(socket, error);
             if (!error)
                 adopt(std::move(socket));
         }
@@ -93,14 +93,13 @@
 
     void accept()
     {
-        m_acceptor.async_accept(
-            m_peer, [self = shared_from_this()](boost::system::error_code error, tcp::socket socket) {
-                if (!self->m_acceptor.is_open())
-                    return;
-                if (!error)
-                    self->adopt(std::move(socket));
-                self->accept();
-            });
+        m_acceptor.async_accept([self = shared_from_this()](boost::system::error_code error, tcp::socket socket) {
+            if (!self->m_acceptor.is_open())
+                return;
+            if (!error)
+                self->adopt(std::move(socket));
+            self->accept();
+        });
     }
 
     void adopt(tcp::socket socket)
@@ -109,8 +108,7 @@
             m_metrics.countCall(ResultCode::TooManyConnections);
             return;
         }
-        auto session = std::make_shared<HttpSession>(
-            std::move(socket), m_peer.address().to_string(), m_options, m_hooks);
+        auto session = std::make_shared<HttpSession>(std::move(socket), m_options, m_hooks);
         m_sessions.emplace(session.get(), session);
         session->start();
     }
@@ -119,8 +117,6 @@
     HttpServerOptions m_options;
     Metrics& m_metrics;
     tcp::acceptor m_acceptor;
-    /// The other side of the connection accepted last.
-    tcp::endpoint m_peer;
     uint16_t m_port { 0 };
     HttpSession::Hooks m_hooks;
     std::unordered_map<HttpSession*, std::weak_ptr<HttpSession>> m_sessions;
--- a/dragonflylane/HttpSession.cpp
+++ b/dragonflylane/HttpSession.cpp
@@ -25,11 +25,9 @@
 
 } // namespace
 
-HttpSession::HttpSession(
-    asio::ip::tcp::socket socket, std::string peerAddress, const HttpServerOptions& options, const Hooks& hooks)
+HttpSession::HttpSession(asio::ip::tcp::socket socket, const HttpServerOptions& options, const Hooks& hooks)
     : m_stream(std::move(socket))
     , m_idleTimer(m_stream.get_executor())
-    , m_peerAddress(std::move(peerAddress))
     , m_options(options)
     , m_hooks(hooks)
 {
@@ -52,6 +50,8 @@
 // when its first byte has arrived. While requests are in flight, the end of the stream shows that the caller has gone.
 void HttpSession::awaitRequest()
 {
+    // While this side ends its connections, a request that is in flight is the last one of its connection.
+    m_hasEnded = m_hasEnded || (m_hooks.isStopping() && !m_slots.empty());
     bool mayRead = m_hasEnded ? !m_slots.empty() : m_slots.size() < m_options.maxPipelined;
     if (m_isReading || m_isClosed || !mayRead)
         return;
@@ -71,22 +71,26 @@
             if (self->m_isClosed)
                 return;
             self->m_idleTimer.cancel();
-            if (error || (self->m_hasEnded && self->isEndOfInput()))
+            if (error)
                 return self->callerGone();
             if (self->m_hasEnded)
-                self->m_isReading = false;
-            else
-                self->readHeader();
+                return self->checkEndOfInput();
+            self->readHeader();
         });
 }
 
-// Input behind the last request of a connection is left unread.
-bool HttpSession::isEndOfInput()
+// Input behind the last request of a connection is left unread, so once there is some, the end cannot be seen.
+void HttpSession::checkEndOfInput()
 {
+    m_isReading = false;
     char byte = 0;
     beast::error_code error;
     size_t bytes = m_stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-    return error || bytes == 0;
+    // The wait may also end when earlier input has just been read.
+    if (error == asio::error::would_block)
+        return awaitRequest();
+    if (error || bytes == 0)
+        callerGone();
 }
 
 void HttpSession::readHeader()
@@ -141,6 +145,10 @@
 {
     m_isReading = false;
     m_stream.expires_never();
+    if (m_hasEnded) {
+        m_parser.reset();
+        return;
+    }
     if (hasContradictoryLengths()) {
         m_hasEnded = true;
         return refuse(statusBadRequest, ResultCode::MalformedRequest);
@@ -150,14 +158,13 @@
     slot->keepAlive = m_parser->keep_alive();
     slot->isHead = m_parser->get().method() == http::verb::head;
     m_hasEnded = !slot->keepAlive;
-    auto responder = [weak = weak_from_this(), weakSlot = std::weak_ptr<Slot>(slot)](HttpResponse answer) {
-        auto self = weak.lock();
-        auto answered = weakSlot.lock();
-        if (self && answered)
+    // Keeps the session while the request is in flight: no read may be pending then. The exchange drops the responder
+    // when it is answered or cancelled.
+    auto responder = [self = shared_from_this(), weakSlot = std::weak_ptr<Slot>(slot)](HttpResponse answer) {
+        if (auto answered = weakSlot.lock())
             self->respond(*answered, std::move(answer));
     };
     slot->exchange = std::make_shared<HttpExchange>(takeRequest(), BootClock::now(), std::move(responder));
-    slot->exchange->setPeerAddress(m_peerAddress);
     m_parser.reset();
     m_slots.push_back(slot);
     m_hooks.handler(slot->exchange);
@@ -209,8 +216,9 @@
     if (m_isClosed || m_isWriting || m_slots.empty() || !m_slots.front()->answer)
         return;
     auto slot = m_slots.front();
-    // Requests that wait behind this one are answered before the connection ends.
-    bool isLast = m_slots.size() == 1 && m_buffer.size() == 0 && !m_parser;
+    // Requests that were read behind this one are answered before the connection ends; what has not been read counts as
+    // not sent.
+    bool isLast = m_slots.size() == 1;
     bool keepAlive = slot->keepAlive && !(isLast && m_hooks.isStopping());
     m_hasEnded = m_hasEnded || !keepAlive;
     m_response = makeResponse(*slot, keepAlive);
--- a/dragonflylane/HttpSession.h
+++ b/dragonflylane/HttpSession.h
@@ -28,7 +28,7 @@
         std::function<bool()> isStopping;
     };
 
-    HttpSession(boost::asio::ip::tcp::socket, std::string peerAddress, const HttpServerOptions&, const Hooks&);
+    HttpSession(boost::asio::ip::tcp::socket, const HttpServerOptions&, const Hooks&);
 
     void start();
     /// Closes the connection if no request is in flight.
@@ -49,7 +49,7 @@
     };
 
     void awaitRequest();
-    bool isEndOfInput();
+    void checkEndOfInput();
     void readHeader();
     void readBody();
     void handleReadError(boost::beast::error_code);
@@ -67,7 +67,6 @@
 
     boost::beast::tcp_stream m_stream;
     boost::asio::steady_timer m_idleTimer;
-    const std::string m_peerAddress;
     const HttpServerOptions& m_options;
     const Hooks& m_hooks;
     boost::beast::flat_buffer m_buffer;
--- a/dragonflylane/OwnerAdmission.h
+++ b/dragonflylane/OwnerAdmission.h
@@ -12,69 +12,13 @@
 // ticket that was admitted or queued leaves exactly once, by finished(), cancel() or a refusal. All refusals carry
 // codes that mean "not run". Costs O(queue) per call; the queue holds at most one ticket per slot.
 
-#include "dragonflylane/BootClock.h"
-#include "dragonflylane/ResultCode.h"
+#include "dragonflylane/Admission.h"
 
 #include <array>
-#include <cstdint>
-#include <optional>
 #include <unordered_map>
-#include <vector>
 
 namespace dragonflylane {
 
-/// One call that asks for a slot of the upstream.
-struct CallTicket {
-    /// Unique among the tickets that are queued or running.
-    uint64_t id { 0 };
-    /// Orders and renewals; all other calls are lookups.
-    bool isOrder { false };
-    /// The fingerprint was in flight when an upstream died (5.5).
-    bool isSuspect { false };
-    TimePoint deadline;
-};
-
-enum class AdmitAction : uint8_t {
-    Admit,
-    Queue,
-    Refuse,
-};
-
-/// Answer to an offered ticket; the code is Ok unless the ticket is refused.
-struct AdmitDecision {
-    AdmitAction action { AdmitAction::Refuse };
-    ResultCode code { ResultCode::Ok };
-};
-
-/// How a call that was handed over ended.
-enum class CallOutcome : uint8_t {
-    Success,
-    Failure,
-    Shed,
-    Timeout,
-    Cancelled,
-};
-
-struct RefusedTicket {
-    CallTicket ticket;
-    ResultCode code { ResultCode::Ok };
-};
-
-/// Queued tickets that leave the queue.
-struct AdmissionChanges {
-    std::vector<CallTicket> handOver;
-    std::vector<RefusedTicket> refused;
-};
-
-/// Attached to answers so that entry daemons can correct their choices.
-struct LoadReport {
-    uint32_t running { 0 };
-    uint32_t queued { 0 };
-    uint32_t limit { 0 };
-    /// Mean over both classes; zero before the first answer.
-    Duration serviceTime { 0 };
-};
-
 struct OwnerAdmissionOptions {
     uint32_t slots { 12 };
     /// Queue capacity as a multiple of the slots.
@@ -102,37 +46,25 @@
     bool orderByDeadline { true };
 };
 
-class OwnerAdmission {
+class OwnerAdmission final : public Admission {
 public:
     explicit OwnerAdmission(OwnerAdmissionOptions);
 
-    /// Refusals: DeadlineExceeded, WouldMissDeadline, QueueFull, SuspectAlreadyRunning, UpstreamDraining,
-    /// DaemonLeaving, NoUpstream (no slots).
-    AdmitDecision offer(const CallTicket&, TimePoint now);
-    /// A call that was handed over has ended. Unknown ids are ignored.
-    AdmissionChanges finished(uint64_t id, CallOutcome, TimePoint now);
-    /// Removes a queued ticket; true if it was queued. A running call is cancelled at the upstream and then finished().
-    bool cancel(uint64_t id);
+    AdmitDecision offer(const CallTicket&, TimePoint now) override;
+    AdmissionChanges finished(uint64_t id, CallOutcome, TimePoint now) override;
+    bool cancel(uint64_t id) override;
     /// Updates the mark after a crash report or a clear for a ticket that is queued or running.
     AdmissionChanges setSuspect(uint64_t id, bool isSuspect, TimePoint now);
-
-    /// New number of slots, from the announcement of the upstream. Zero stops handing over.
-    AdmissionChanges setSlots(uint32_t slots, TimePoint now);
-    /// While draining, new tickets are refused; queued and running ones finish.
-    void setDraining(bool isDraining) { m_isDraining = isDraining; }
-    /// The daemon shuts down: as draining, with the code DaemonLeaving.
-    void setLeaving() { m_isLeaving = true; }
-    /// Refuses all queued tickets with this code, after the upstream died or was replaced.
-    std::vector<RefusedTicket> refuseQueued(ResultCode);
-
-    /// Expires queued tickets.
-    AdmissionChanges tick(TimePoint now);
-    /// Earliest deadline in the queue.
-    std::optional<TimePoint> nextWakeup() const;
+    AdmissionChanges setSlots(uint32_t slots, TimePoint now) override;
+    void setDraining(bool isDraining) override { m_isDraining = isDraining; }
+    bool isDraining() const override { return m_isDraining; }
+    void setLeaving() override { m_isLeaving = true; }
+    std::vector<RefusedTicket> refuseQueued(ResultCode) override;
+    AdmissionChanges tick(TimePoint now) override;
+    std::optional<TimePoint> nextWakeup() const override;
+    LoadReport load(TimePoint now) const override;
 
     bool isIdle() const { return m_running.empty() && queuedCount() == 0; }
-    bool isDraining() const { return m_isDraining; }
-    LoadReport load(TimePoint now) const;
     /// Estimate for one class; zero before its first answer.
     Duration serviceTime(bool isOrder, TimePoint now) const;
 
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -5,6 +5,8 @@
 #include "dragonflylane/Journal.h"
 #include "dragonflylane/MemberRecord.h"
 #include "dragonflylane/Metrics.h"
+#include "dragonflylane/OwnerAdmission.h"
+#include "dragonflylane/RankedAdmission.h"
 #include "gen-cpp/peer_types.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -54,6 +56,13 @@
         }
     }
 
+    std::unique_ptr<Admission> makeAdmission(const OwnerTaskOptions& options)
+    {
+        if (options.ranksCalls)
+            return std::make_unique<RankedAdmission>(RankedAdmissionOptions { .slots = 0 });
+        return std::make_unique<OwnerAdmission>(OwnerAdmissionOptions { .slots = 0 });
+    }
+
 } // namespace
 
 OwnerTask::OwnerTask(asio::io_context& context, OwnerTaskOptions options, CrashTask& crash, Metrics& metrics,
@@ -64,10 +73,10 @@
     , m_metrics(metrics)
     , m_journal(journal)
     , m_hooks(std::move(hooks))
-    , m_admission(OwnerAdmissionOptions { .slots = 0 })
+    , m_admission(makeAdmission(m_options))
     , m_timer(context, [this] {
         checkLease();
-        apply(m_admission.tick(BootClock::now()));
+        apply(m_admission->tick(BootClock::now()));
     })
 {
 }
@@ -131,7 +140,7 @@
     m_announcement = announcement;
     m_isStopped = announcement.phase == UpstreamPhase::Stopped;
     applyDrain();
-    apply(m_admission.setSlots(m_isStopped ? 0 : announcement.slots, BootClock::now()));
+    apply(m_admission->setSlots(m_isStopped ? 0 : announcement.slots, BootClock::now()));
     publish();
 }
 
@@ -191,9 +200,9 @@
 
 void OwnerTask::applyDrain()
 {
-    if (m_admission.isDraining() == isDraining())
+    if (m_admission->isDraining() == isDraining())
         return;
-    m_admission.setDraining(isDraining());
+    m_admission->setDraining(isDraining());
     Event("upstream_drain").with("upstream", m_announcement->id).with("draining", static_cast<int>(isDraining()));
     m_journal.record({ .event = isDraining() ? "upstream_draining" : "upstream_undrained",
         .subjects = { m_announcement->id.value(), m_options.self.value() },
@@ -240,14 +249,20 @@
         return call->id;
     }
     call->isSuspect = state == CrashState::Suspect;
-    CallTicket ticket {
-        .id = call->id, .isOrder = call->request.order, .isSuspect = call->isSuspect, .deadline = call->deadline
-    };
-    AdmitDecision decision = m_admission.offer(ticket, BootClock::now());
+    CallTicket ticket { .id = call->id,
+        .isOrder = call->request.order,
+        .isSuspect = call->isSuspect,
+        .deadline = call->deadline,
+        .routeKey = static_cast<uint64_t>(call->request.routeKey),
+        .priority = static_cast<uint32_t>(call->request.priority),
+        .target = BootClock::now() + std::chrono::microseconds(call->request.targetMicroseconds) };
+    if (call->request.maxWaitMicroseconds > 0)
+        ticket.maxWait = std::chrono::microseconds(call->request.maxWaitMicroseconds);
+    AdmitDecision decision = m_admission->offer(ticket, BootClock::now());
     if (decision.action == AdmitAction::Admit)
         handOver(call);
     else if (decision.action == AdmitAction::Refuse)
-        answer(call, decision.code, {});
+        answer(call, decision.code, {}, decision.expectedWait);
     else
         m_metrics.add("owner_calls_queued");
     armTimer();
@@ -262,11 +277,11 @@
     CallPtr call = it->second;
     m_calls.erase(it);
     m_metrics.add("owner_calls_cancelled");
-    if (m_admission.cancel(id))
+    if (m_admission->cancel(id))
         return;
     if (call->cancel)
         call->cancel();
-    apply(m_admission.finished(id, CallOutcome::Cancelled, BootClock::now()));
+    apply(m_admission->finished(id, CallOutcome::Cancelled, BootClock::now()));
 }
 
 void OwnerTask::handOver(const CallPtr& call)
@@ -326,12 +341,12 @@
     } else if (result.isConnectionLost) {
         noteLostRequest(*call, runState(result.code) != RunState::NotRun);
     }
-    AdmissionChanges changes = m_admission.finished(call->id, outcomeOf(result.code), now);
+    AdmissionChanges changes = m_admission->finished(call->id, outcomeOf(result.code), now);
     answer(call, result.code, std::move(result.response));
     apply(changes);
 }
 
-void OwnerTask::answer(const CallPtr& call, ResultCode code, HttpResponse response)
+void OwnerTask::answer(const CallPtr& call, ResultCode code, HttpResponse response, Duration retryAfter)
 {
     m_calls.erase(call->id);
     m_metrics.add(std::string("owner_").append(name(code)));
@@ -353,6 +368,7 @@
         reply.headers.push_back(std::move(wireHeader));
     }
     reply.body = std::move(response.body);
+    reply.retryAfterMicroseconds = std::chrono::duration_cast<std::chrono::microseconds>(retryAfter).count();
     LoadReport report = load();
     reply.running = static_cast<int32_t>(report.running);
     reply.queued = static_cast<int32_t>(report.queued);
@@ -371,7 +387,7 @@
     for (const RefusedTicket& refused : changes.refused) {
         auto it = m_calls.find(refused.ticket.id);
         if (it != m_calls.end())
-            answer(CallPtr(it->second), refused.code, {});
+            answer(CallPtr(it->second), refused.code, {}, refused.expectedWait);
     }
     armTimer();
 }
@@ -386,7 +402,7 @@
 {
     m_isRetired = true;
     m_isLeaving = true;
-    m_admission.setLeaving();
+    m_admission->setLeaving();
     publish();
 }
 
@@ -448,7 +464,7 @@
         m_crash.upstreamDied(m_announcement->id, m_incarnation, fingerprints);
     else
         Event("upstream_stopped").with("upstream", m_announcement->id).with("evidence", evidence);
-    for (const RefusedTicket& refused : m_admission.refuseQueued(ResultCode::UpstreamUnreachable)) {
+    for (const RefusedTicket& refused : m_admission->refuseQueued(ResultCode::UpstreamUnreachable)) {
         auto it = m_calls.find(refused.ticket.id);
         if (it != m_calls.end())
             answer(CallPtr(it->second), refused.code, {});
@@ -461,7 +477,7 @@
     if (!m_announcement)
         return;
     TimePoint next = m_isStopped ? TimePoint::max() : m_leaseEnd;
-    if (auto wakeup = m_admission.nextWakeup())
+    if (auto wakeup = m_admission->nextWakeup())
         next = std::min(next, *wakeup);
     if (next != TimePoint::max())
         m_timer.arm(next);
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -3,11 +3,11 @@
 // The owner daemon's part of a call: admission, hand-over to the upstream beside this daemon, and the announcement of
 // that upstream. No other process talks to the upstream, so this task knows whether a request was handed over.
 
+#include "dragonflylane/Admission.h"
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/CallHeaders.h"
 #include "dragonflylane/Endpoint.h"
 #include "dragonflylane/Ids.h"
-#include "dragonflylane/OwnerAdmission.h"
 #include "dragonflylane/RecentCompletions.h"
 #include "dragonflylane/UpstreamClient.h"
 #include "dragonflylane/UpstreamPhase.h"
@@ -56,6 +56,8 @@
     uint64_t maxBodyBytes { 1 << 20 };
     /// See UpstreamClientOptions.
     bool answersMayEndWithConnection { false };
+    /// Admission by rank instead of by shares of orders and lookups.
+    bool ranksCalls { false };
     /// An upstream that has not announced itself for this long is stopped.
     Duration lease { std::chrono::seconds(3) };
     /// After a lost connection the upstream gets this long to die before it is probed.
@@ -104,7 +106,7 @@
 
     const std::optional<Announcement>& upstream() const { return m_announcement; }
     Incarnation incarnation() const { return m_incarnation; }
-    LoadReport load() const { return m_admission.load(BootClock::now()); }
+    LoadReport load() const { return m_admission->load(BootClock::now()); }
     bool isDraining() const { return m_isPlannedDrain || isAnnouncedDrain(); }
 
 private:
@@ -135,7 +137,7 @@
     ResultCode check(const wire::ForwardRequest&) const;
     void handOver(const CallPtr&);
     void finish(const CallPtr&, UpstreamResult);
-    void answer(const CallPtr&, ResultCode, HttpResponse);
+    void answer(const CallPtr&, ResultCode, HttpResponse, Duration retryAfter = {});
     void apply(const AdmissionChanges&);
     void noteLostRequest(const Call&, bool wasSent);
     void probeAfterLoss();
@@ -159,7 +161,7 @@
     /// Processes that announced their end, oldest first.
     std::deque<WithdrawnProcess> m_withdrawn;
 
-    OwnerAdmission m_admission;
+    std::unique_ptr<Admission> m_admission;
     std::shared_ptr<UpstreamClient> m_client;
     CallId m_nextCall { 1 };
     std::unordered_map<CallId, CallPtr> m_calls;
--- /dev/null
+++ b/dragonflylane/RankedAdmission.cpp
@@ -0,0 +1,232 @@
+#include "dragonflylane/RankedAdmission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dragonflylane {
+
+namespace {
+
+    constexpr size_t maxEstimates = 1024;
+
+    double nanosecondsOf(Duration duration)
+    {
+        return static_cast<double>(duration.count());
+    }
+
+    Duration durationOf(double nanoseconds)
+    {
+        return Duration(static_cast<Duration::rep>(nanoseconds));
+    }
+
+    TimePoint targetOf(const CallTicket& ticket)
+    {
+        return ticket.target == TimePoint() ? ticket.deadline : std::min(ticket.target, ticket.deadline);
+    }
+
+} // namespace
+
+RankedAdmission::RankedAdmission(RankedAdmissionOptions options)
+    : m_options(options)
+{
+}
+
+AdmitDecision RankedAdmission::offer(const CallTicket& ticket, TimePoint now)
+{
+    auto refuse = [](ResultCode code, Duration wait = {}) { return AdmitDecision { AdmitAction::Refuse, code, wait }; };
+    if (m_isLeaving)
+        return refuse(ResultCode::DaemonLeaving);
+    if (m_isDraining)
+        return refuse(ResultCode::UpstreamDraining);
+    if (m_options.slots == 0)
+        return refuse(ResultCode::NoUpstream);
+    if (ticket.deadline <= now)
+        return refuse(ResultCode::DeadlineExceeded);
+    if (ticket.isSuspect && isSuspectBusy())
+        return refuse(ResultCode::SuspectAlreadyRunning);
+    bool isFirst = m_queue.empty() || goesBefore(ticket, m_queue.front());
+    if (isFirst && hasFreeSlot()) {
+        start(ticket, now);
+        return { AdmitAction::Admit, ResultCode::Ok };
+    }
+    Duration wait = expectedWait(ticket, now);
+    if (now + wait + serviceTime(ticket, now) > ticket.deadline)
+        return refuse(ResultCode::WouldMissDeadline, wait);
+    bool isLate = m_options.refuseLate && now + wait > latestStart(ticket, now);
+    if (isLate || wait > ticket.maxWait || m_queue.size() >= capacity())
+        return refuse(ResultCode::QueueFull, wait);
+    enqueue(ticket);
+    return { AdmitAction::Queue, ResultCode::Ok };
+}
+
+AdmissionChanges RankedAdmission::finished(uint64_t id, CallOutcome outcome, TimePoint now)
+{
+    AdmissionChanges changes;
+    auto found = m_running.find(id);
+    if (found == m_running.end())
+        return changes;
+    learn(found->second, outcome, now);
+    m_running.erase(found);
+    handOver(changes, now);
+    return changes;
+}
+
+bool RankedAdmission::cancel(uint64_t id)
+{
+    return std::erase_if(m_queue, [id](const CallTicket& ticket) { return ticket.id == id; }) > 0;
+}
+
+AdmissionChanges RankedAdmission::setSlots(uint32_t slots, TimePoint now)
+{
+    m_options.slots = slots;
+    return tick(now);
+}
+
+std::vector<RefusedTicket> RankedAdmission::refuseQueued(ResultCode code)
+{
+    std::vector<RefusedTicket> refused;
+    for (const CallTicket& ticket : m_queue)
+        refused.push_back({ ticket, code });
+    m_queue.clear();
+    return refused;
+}
+
+AdmissionChanges RankedAdmission::tick(TimePoint now)
+{
+    AdmissionChanges changes;
+    handOver(changes, now);
+    return changes;
+}
+
+std::optional<TimePoint> RankedAdmission::nextWakeup() const
+{
+    if (m_queue.empty())
+        return std::nullopt;
+    TimePoint wakeup = TimePoint::max();
+    for (const CallTicket& ticket : m_queue)
+        wakeup = std::min(wakeup, ticket.deadline);
+    return wakeup;
+}
+
+LoadReport RankedAdmission::load(TimePoint now) const
+{
+    return { .running = static_cast<uint32_t>(m_running.size()),
+        .queued = static_cast<uint32_t>(m_queue.size()),
+        .limit = m_options.slots,
+        .serviceTime = meanHold(now) };
+}
+
+Duration RankedAdmission::serviceTime(const CallTicket& ticket, TimePoint now) const
+{
+    auto found = m_estimates.find(ticket.routeKey);
+    if (found == m_estimates.end())
+        return Duration::zero();
+    double age = nanosecondsOf(std::max(Duration::zero(), now - found->second.updatedAt));
+    return durationOf(found->second.nanoseconds * std::exp2(-age / nanosecondsOf(m_options.estimateHalfLife)));
+}
+
+bool RankedAdmission::goesBefore(const CallTicket& left, const CallTicket& right) const
+{
+    if (!m_options.orderByRank)
+        return false;
+    return std::pair(left.priority, targetOf(left)) < std::pair(right.priority, targetOf(right));
+}
+
+bool RankedAdmission::isSuspectBusy() const
+{
+    bool isQueued = std::any_of(
+        m_queue.begin(), m_queue.end(), [](const CallTicket& ticket) { return ticket.isSuspect; });
+    return isQueued || std::any_of(m_running.begin(), m_running.end(), [](const auto& item) {
+        return item.second.ticket.isSuspect;
+    });
+}
+
+size_t RankedAdmission::capacity() const
+{
+    return std::max<size_t>(1, static_cast<size_t>(m_options.slots * m_options.queuePerSlot));
+}
+
+Duration RankedAdmission::meanHold(TimePoint now) const
+{
+    if (m_running.empty())
+        return Duration::zero();
+    double sum = 0;
+    for (const auto& [id, call] : m_running)
+        sum += nanosecondsOf(serviceTime(call.ticket, now));
+    return durationOf(sum / static_cast<double>(m_running.size()));
+}
+
+// With n slots busy, one call ends each mean hold time / n.
+Duration RankedAdmission::expectedWait(const CallTicket& ticket, TimePoint now) const
+{
+    auto ahead
+        = std::count_if(m_queue.begin(), m_queue.end(), [&](const CallTicket& other) { return !goesBefore(ticket, other); });
+    double interval = nanosecondsOf(meanHold(now)) / std::max(1U, m_options.slots);
+    return durationOf(interval * static_cast<double>(ahead + 1));
+}
+
+// A call that cannot meet its target even on an idle upstream is still of some use until its deadline.
+TimePoint RankedAdmission::latestStart(const CallTicket& ticket, TimePoint now) const
+{
+    Duration service = serviceTime(ticket, now);
+    bool isHopeless = now + service > targetOf(ticket);
+    return isHopeless ? now + service / 4 : targetOf(ticket) - service;
+}
+
+void RankedAdmission::enqueue(const CallTicket& ticket)
+{
+    auto position = std::upper_bound(m_queue.begin(), m_queue.end(), ticket,
+        [&](const CallTicket& a, const CallTicket& b) { return goesBefore(a, b); });
+    m_queue.insert(position, ticket);
+}
+
+void RankedAdmission::start(const CallTicket& ticket, TimePoint now)
+{
+    m_running[ticket.id] = { ticket, now };
+}
+
+void RankedAdmission::handOver(AdmissionChanges& changes, TimePoint now)
+{
+    std::vector<CallTicket> kept;
+    for (const CallTicket& ticket : m_queue) {
+        bool isExpired = ticket.deadline <= now;
+        if (!isExpired && !hasFreeSlot()) {
+            kept.push_back(ticket);
+            continue;
+        }
+        // A call that would miss its deadline would only take the slot from one that can still meet it.
+        bool isHopeless = !isExpired && now + serviceTime(ticket, now) > ticket.deadline;
+        if (isExpired || isHopeless) {
+            changes.refused.push_back({ ticket,
+                isExpired ? ResultCode::DeadlineExceeded : ResultCode::WouldMissDeadline, Duration::zero() });
+            continue;
+        }
+        start(ticket, now);
+        changes.handOver.push_back(ticket);
+    }
+    m_queue = std::move(kept);
+}
+
+void RankedAdmission::learn(const RunningCall& call, CallOutcome outcome, TimePoint now)
+{
+    // Failures and refusals come early and say nothing about the service time; a timeout is a lower bound.
+    double sample = nanosecondsOf(now - call.startedAt);
+    bool isSample = outcome == CallOutcome::Success
+        || (outcome == CallOutcome::Timeout && sample > nanosecondsOf(serviceTime(call.ticket, now)));
+    if (!isSample)
+        return;
+    // The routes of a configuration come and go; what is forgotten is learned again.
+    if (m_estimates.size() >= maxEstimates)
+        m_estimates.clear();
+    auto [position, isNew] = m_estimates.try_emplace(call.ticket.routeKey, Estimate { sample, now });
+    if (isNew)
+        return;
+    Estimate& estimate = position->second;
+    // After a pause the old value counts as little as serviceTime() reports of it.
+    double age = nanosecondsOf(now - estimate.updatedAt) / nanosecondsOf(m_options.estimateHalfLife);
+    double weight = std::max(m_options.estimateWeight, 1 - std::exp2(-age));
+    estimate.nanoseconds += weight * (sample - estimate.nanoseconds);
+    estimate.updatedAt = now;
+}
+
+} // namespace dragonflylane
--- /dev/null
+++ b/dragonflylane/RankedAdmission.h
@@ -0,0 +1,87 @@
+#pragma once
+
+// Admission by rank, for upstreams that call one another and are loaded near their limit.
+//
+// Order of service: routes by priority, then the earliest target time. Pattern: under load a parent holds its slot while
+// its own calls queue behind new work of the next service, so every service fills with parents that wait for one
+// another. Calls that running work waits for are short and have tight targets, so they go first and the chain ends.
+//
+// A ticket is queued only if it is expected to end by its target time. Under overload this keeps the queue as short as
+// the targets allow: callers who cannot be served in time learn so at once, instead of taking slots from those who can.
+// Costs O(queue) per call; the queue is bounded.
+
+#include "dragonflylane/Admission.h"
+
+#include <unordered_map>
+
+namespace dragonflylane {
+
+struct RankedAdmissionOptions {
+    uint32_t slots { 0 };
+    /// Queue capacity as a multiple of the slots.
+    double queuePerSlot { 4 };
+    /// Weight of a new sample in the service time estimates.
+    double estimateWeight { 0.1 };
+    /// Without new samples an estimate halves in this time, so that one slow period cannot refuse all calls for ever.
+    Duration estimateHalfLife { std::chrono::seconds(1) };
+
+    // Switches that disable a mechanism for a test.
+    bool orderByRank { true };
+    bool refuseLate { true };
+};
+
+class RankedAdmission final : public Admission {
+public:
+    explicit RankedAdmission(RankedAdmissionOptions);
+
+    AdmitDecision offer(const CallTicket&, TimePoint now) override;
+    AdmissionChanges finished(uint64_t id, CallOutcome, TimePoint now) override;
+    bool cancel(uint64_t id) override;
+    AdmissionChanges setSlots(uint32_t slots, TimePoint now) override;
+    void setDraining(bool isDraining) override { m_isDraining = isDraining; }
+    bool isDraining() const override { return m_isDraining; }
+    void setLeaving() override { m_isLeaving = true; }
+    std::vector<RefusedTicket> refuseQueued(ResultCode) override;
+    AdmissionChanges tick(TimePoint now) override;
+    std::optional<TimePoint> nextWakeup() const override;
+    LoadReport load(TimePoint now) const override;
+
+    /// Expected service time of such a ticket; zero before the first answer.
+    Duration serviceTime(const CallTicket&, TimePoint now) const;
+
+private:
+    struct RunningCall {
+        CallTicket ticket;
+        TimePoint startedAt;
+    };
+
+    /// Exponentially weighted mean of the service time of one route.
+    struct Estimate {
+        double nanoseconds { 0 };
+        TimePoint updatedAt;
+    };
+
+    bool goesBefore(const CallTicket&, const CallTicket&) const;
+    bool hasFreeSlot() const { return m_running.size() < m_options.slots; }
+    bool isSuspectBusy() const;
+    size_t capacity() const;
+    Duration meanHold(TimePoint now) const;
+    Duration expectedWait(const CallTicket&, TimePoint now) const;
+    /// When such a ticket must start at the latest to end in time.
+    TimePoint latestStart(const CallTicket&, TimePoint now) const;
+    void enqueue(const CallTicket&);
+    void start(const CallTicket&, TimePoint now);
+    void handOver(AdmissionChanges&, TimePoint now);
+    void learn(const RunningCall&, CallOutcome, TimePoint now);
+
+    RankedAdmissionOptions m_options;
+    /// Best first.
+    std::vector<CallTicket> m_queue;
+    std::unordered_map<uint64_t, RunningCall> m_running;
+    /// By route key.
+    std::unordered_map<uint64_t, Estimate> m_estimates;
+    bool m_isDraining { false };
+    bool m_isLeaving { false };
+};
+
+} // namespace dragonflylane
--- a/dragonflylane/Settings.cpp
+++ b/dragonflylane/Settings.cpp
@@ -54,6 +54,8 @@
         { "calls", "duplicate-records", "", "yes", "yes, no",
             "Idempotency keys are recorded on keepers. no: a key has no effect." },
         { "calls", "hedging", "", "yes", "yes, no", "A second copy of a late idempotent call is sent." },
+        { "calls", "admission", "", "shares", "shares, ranks",
+            "Order in which an upstream gets calls: orders and lookups by shares, or all by rank." },
         { "calls", "retry-ratio", "", "0.1", "0 to 1", "Retries to a service as a share of the requests for it." },
         { "calls", "retry-window-s", "s", "0", "0 to 600",
             "Window in which the retries of all daemons are bounded; 0: each daemon has a budget of its own." },
@@ -315,6 +317,10 @@
         settings.leaveNotice = reader.seconds("calls", "leave-notice-s", 0, 60);
         settings.hasDuplicateRecords = reader.flag("calls", "duplicate-records");
         settings.isHedging = reader.flag("calls", "hedging");
+        settings.ranksCalls = reader.text("calls", "admission") == "ranks";
+        if (!settings.ranksCalls && reader.text("calls", "admission") != "shares")
+            reader.fail(ResultCode::SettingInvalid, "calls", "admission",
+                "'" + reader.text("calls", "admission") + "' is not shares or ranks");
         settings.retryRatio = reader.decimal("calls", "retry-ratio", 0, 1);
         settings.retryWindow = reader.seconds("calls", "retry-window-s", 0, 600);
         settings.retrySlack = reader.decimal("calls", "retry-slack", 0, 1000000);
--- a/dragonflylane/Settings.h
+++ b/dragonflylane/Settings.h
@@ -62,6 +62,7 @@
     std::chrono::milliseconds leaveNotice;
     bool hasDuplicateRecords { true };
     bool isHedging { true };
+    bool ranksCalls { false };
     /// Shared budget of retries to each service; a window of zero leaves each daemon its own budget.
     double retryRatio { 0 };
     std::chrono::milliseconds retryWindow;
--- a/dragonflylane/UpstreamSelector.cpp
+++ b/dragonflylane/UpstreamSelector.cpp
@@ -17,6 +17,9 @@
     // A report older than this many half-lives is ignored. At low load any rest of it would decide the comparison.
     constexpr int maxReportHalfLives = 8;
 
+    // Load per slot that an upstream without any good answer seems to have.
+    constexpr double failurePenalty = 4;
+
     struct RankedCandidate {
         uint64_t hash { 0 };
         size_t index { 0 };
@@ -68,6 +71,7 @@
             entry.unavailableUntil.reset();
             entry.ejectedUntil.reset();
             entry.failures = 0;
+            entry.quality = 1;
         }
         entry.candidate = candidate;
         entry.tier = tierOf(candidate);
@@ -103,6 +107,17 @@
     return Choice { entry.candidate.id, entry.candidate.owner, entry.number };
 }
 
+std::optional<Choice> UpstreamSelector::chooseOwner(const HostId& owner, TimePoint now)
+{
+    for (Entry& entry : m_entries) {
+        if (entry.candidate.owner != owner || entry.unavailableUntil > now)
+            continue;
+        ++entry.outstanding;
+        return Choice { entry.candidate.id, entry.candidate.owner, entry.number };
+    }
+    return std::nullopt;
+}
+
 void UpstreamSelector::finished(
     const Choice& choice, SelectionOutcome outcome, const std::optional<LoadReport>& report, TimePoint now)
 {
@@ -123,9 +138,14 @@
         entry.failures = 0;
         if (entry.ejections > 0)
             --entry.ejections;
+        entry.quality += m_options.qualityWeight * (1 - entry.quality);
+        break;
+    case SelectionOutcome::Error:
+        entry.quality -= m_options.qualityWeight * entry.quality;
         break;
     case SelectionOutcome::Failure:
     case SelectionOutcome::Timeout:
+        entry.quality -= m_options.qualityWeight * entry.quality;
         ++entry.failures;
         if (entry.failures >= m_options.ejectAfter)
             eject(entry, now);
@@ -241,7 +261,9 @@
         double limit = std::min<double>(entry.reportedLimit, capacity);
         capacity -= (capacity - limit) * share;
     }
-    return load / std::max(1.0, capacity);
+    // An upstream that fails fast looks idle, so its failures count as load.
+    double failing = 1 - entry.quality;
+    return load / std::max(1.0, capacity) + failing * failing * failurePenalty;
 }
 
 bool UpstreamSelector::isUsable(const Entry& entry, std::span<const HostId> tried, TimePoint now) const
--- a/dragonflylane/UpstreamSelector.h
+++ b/dragonflylane/UpstreamSelector.h
@@ -11,9 +11,9 @@
 // Mitzenmacher 2001). choose() costs O(1) on average and at most O(subset); rebuild() costs O(candidates) for the
 // hashes and O(subset) for the rest.
 
+#include "dragonflylane/Admission.h"
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/Ids.h"
-#include "dragonflylane/OwnerAdmission.h"
 
 #include <array>
 #include <cstdint>
@@ -47,6 +47,8 @@
 
 enum class SelectionOutcome : uint8_t {
     Success,
+    /// The upstream answered that it failed; lowers the preference for it, but does not eject it.
+    Error,
     /// No answer, a broken answer, or a lost connection.
     Failure,
     Timeout,
@@ -78,6 +80,8 @@
     Duration ejection { std::chrono::seconds(5) };
     Duration maxEjection { std::chrono::seconds(60) };
     double maxEjectedShare { 0.34 };
+    /// Weight of the latest answer in the share of good answers of an upstream.
+    double qualityWeight { 0.05 };
     Duration unavailableFor { std::chrono::seconds(3) };
 
     // Switches that disable a mechanism for a test.
@@ -96,6 +100,10 @@
     void rebuild(std::span<const UpstreamCandidate>, TimePoint now);
     /// Counts the choice as outstanding. Empty if no ready upstream is left beside the hosts already tried.
     std::optional<Choice> choose(std::span<const HostId> tried, TimePoint now);
+    /// The upstream of this owner, for another try at one that was chosen before. Empty if there is none.
+    std::optional<Choice> chooseOwner(const HostId&, TimePoint now);
+    /// Ready upstreams in the subset.
+    size_t size() const { return m_entries.size(); }
     /// Ends a choice. The report is the one attached to the answer, if any.
     void finished(const Choice&, SelectionOutcome, const std::optional<LoadReport>&, TimePoint now);
 
@@ -116,6 +124,8 @@
         double foreignLoad { 0 };
         uint32_t reportedLimit { 0 };
         std::optional<TimePoint> reportedAt;
+        /// Share of late answers that were no failure, weighted towards the latest.
+        double quality { 1 };
         uint32_t failures { 0 };
         uint32_t ejections { 0 };
         std::optional<TimePoint> ejectedUntil;
--- a/gen-cpp/peer_types.cpp
+++ b/gen-cpp/peer_types.cpp
@@ -455,13 +455,17 @@
   this->priority = val;
 }
 
-void ForwardRequest::__set_nested(const bool val) {
-  this->nested = val;
+void ForwardRequest::__set_routeKey(const int64_t val) {
+  this->routeKey = val;
 }
 
 void ForwardRequest::__set_targetMicroseconds(const int64_t val) {
   this->targetMicroseconds = val;
 }
+
+void ForwardRequest::__set_maxWaitMicroseconds(const int64_t val) {
+  this->maxWaitMicroseconds = val;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj)
 {
   obj.printTo(out);
@@ -639,9 +643,9 @@
         }
         break;
       case 18:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->nested);
-          this->__isset.nested = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->routeKey);
+          this->__isset.routeKey = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -654,6 +658,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->maxWaitMicroseconds);
+          this->__isset.maxWaitMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -747,14 +759,18 @@
   xfer += oprot->writeI32(this->priority);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("nested", ::apache::thrift::protocol::T_BOOL, 18);
-  xfer += oprot->writeBool(this->nested);
+  xfer += oprot->writeFieldBegin("routeKey", ::apache::thrift::protocol::T_I64, 18);
+  xfer += oprot->writeI64(this->routeKey);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("targetMicroseconds", ::apache::thrift::protocol::T_I64, 19);
   xfer += oprot->writeI64(this->targetMicroseconds);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("maxWaitMicroseconds", ::apache::thrift::protocol::T_I64, 20);
+  xfer += oprot->writeI64(this->maxWaitMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -779,8 +795,9 @@
   swap(a.body, b.body);
   swap(a.callerService, b.callerService);
   swap(a.priority, b.priority);
-  swap(a.nested, b.nested);
+  swap(a.routeKey, b.routeKey);
   swap(a.targetMicroseconds, b.targetMicroseconds);
+  swap(a.maxWaitMicroseconds, b.maxWaitMicroseconds);
   swap(a.__isset, b.__isset);
 }
 
@@ -802,8 +819,9 @@
   body = other18.body;
   callerService = other18.callerService;
   priority = other18.priority;
-  nested = other18.nested;
+  routeKey = other18.routeKey;
   targetMicroseconds = other18.targetMicroseconds;
+  maxWaitMicroseconds = other18.maxWaitMicroseconds;
   __isset = other18.__isset;
 }
 ForwardRequest::ForwardRequest(ForwardRequest&& other19) noexcept {
@@ -824,8 +842,9 @@
   body = std::move(other19.body);
   callerService = std::move(other19.callerService);
   priority = other19.priority;
-  nested = other19.nested;
+  routeKey = other19.routeKey;
   targetMicroseconds = other19.targetMicroseconds;
+  maxWaitMicroseconds = other19.maxWaitMicroseconds;
   __isset = other19.__isset;
 }
 ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other20) {
@@ -846,8 +865,9 @@
   body = other20.body;
   callerService = other20.callerService;
   priority = other20.priority;
-  nested = other20.nested;
+  routeKey = other20.routeKey;
   targetMicroseconds = other20.targetMicroseconds;
+  maxWaitMicroseconds = other20.maxWaitMicroseconds;
   __isset = other20.__isset;
   return *this;
 }
@@ -869,8 +889,9 @@
   body = std::move(other21.body);
   callerService = std::move(other21.callerService);
   priority = other21.priority;
-  nested = other21.nested;
+  routeKey = other21.routeKey;
   targetMicroseconds = other21.targetMicroseconds;
+  maxWaitMicroseconds = other21.maxWaitMicroseconds;
   __isset = other21.__isset;
   return *this;
 }
@@ -894,8 +915,9 @@
   out << ", " << "body=" << to_string(body);
   out << ", " << "callerService=" << to_string(callerService);
   out << ", " << "priority=" << to_string(priority);
-  out << ", " << "nested=" << to_string(nested);
+  out << ", " << "routeKey=" << to_string(routeKey);
   out << ", " << "targetMicroseconds=" << to_string(targetMicroseconds);
+  out << ", " << "maxWaitMicroseconds=" << to_string(maxWaitMicroseconds);
   out << ")";
 }
 
@@ -1355,10 +1377,6 @@
 void CallTransfer::__set_callerService(const std::string& val) {
   this->callerService = val;
 }
-
-void CallTransfer::__set_nested(const bool val) {
-  this->nested = val;
-}
 std::ostream& operator<<(std::ostream& out, const CallTransfer& obj)
 {
   obj.printTo(out);
@@ -1463,14 +1481,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->nested);
-          this->__isset.nested = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1528,10 +1538,6 @@
   xfer += oprot->writeString(this->callerService);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("nested", ::apache::thrift::protocol::T_BOOL, 9);
-  xfer += oprot->writeBool(this->nested);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1547,7 +1553,6 @@
   swap(a.headers, b.headers);
   swap(a.body, b.body);
   swap(a.callerService, b.callerService);
-  swap(a.nested, b.nested);
   swap(a.__isset, b.__isset);
 }
 
@@ -1560,7 +1565,6 @@
   headers = other42.headers;
   body = other42.body;
   callerService = other42.callerService;
-  nested = other42.nested;
   __isset = other42.__isset;
 }
 CallTransfer::CallTransfer(CallTransfer&& other43) noexcept {
@@ -1572,7 +1576,6 @@
   headers = std::move(other43.headers);
   body = std::move(other43.body);
   callerService = std::move(other43.callerService);
-  nested = other43.nested;
   __isset = other43.__isset;
 }
 CallTransfer& CallTransfer::operator=(const CallTransfer& other44) {
@@ -1584,7 +1587,6 @@
   headers = other44.headers;
   body = other44.body;
   callerService = other44.callerService;
-  nested = other44.nested;
   __isset = other44.__isset;
   return *this;
 }
@@ -1597,7 +1599,6 @@
   headers = std::move(other45.headers);
   body = std::move(other45.body);
   callerService = std::move(other45.callerService);
-  nested = other45.nested;
   __isset = other45.__isset;
   return *this;
 }
@@ -1612,7 +1613,6 @@
   out << ", " << "headers=" << to_string(headers);
   out << ", " << "body=" << to_string(body);
   out << ", " << "callerService=" << to_string(callerService);
-  out << ", " << "nested=" << to_string(nested);
   out << ")";
 }
 
--- a/gen-cpp/peer_types.h
+++ b/gen-cpp/peer_types.h
@@ -192,7 +192,7 @@
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
 typedef struct _ForwardRequest__isset {
-  _ForwardRequest__isset() : requestId(false), traceId(false), serviceName(false), upstreamId(false), upstreamIncarnation(false), remainingMicroseconds(false), attempt(false), hops(false), idempotent(false), order(false), fingerprint(false), method(false), target(false), headers(false), body(false), callerService(false), priority(false), nested(false), targetMicroseconds(false) {}
+  _ForwardRequest__isset() : requestId(false), traceId(false), serviceName(false), upstreamId(false), upstreamIncarnation(false), remainingMicroseconds(false), attempt(false), hops(false), idempotent(false), order(false), fingerprint(false), method(false), target(false), headers(false), body(false), callerService(false), priority(false), routeKey(false), targetMicroseconds(false), maxWaitMicroseconds(false) {}
   bool requestId :1;
   bool traceId :1;
   bool serviceName :1;
@@ -210,8 +210,9 @@
   bool body :1;
   bool callerService :1;
   bool priority :1;
-  bool nested :1;
+  bool routeKey :1;
   bool targetMicroseconds :1;
+  bool maxWaitMicroseconds :1;
 } _ForwardRequest__isset;
 
 class ForwardRequest : public virtual ::apache::thrift::TBase {
@@ -238,8 +239,9 @@
                    body(),
                    callerService(),
                    priority(0),
-                   nested(0),
-                   targetMicroseconds(0) {
+                   routeKey(0),
+                   targetMicroseconds(0),
+                   maxWaitMicroseconds(0) {
   }
 
   virtual ~ForwardRequest() noexcept;
@@ -260,8 +262,9 @@
   std::string body;
   std::string callerService;
   int32_t priority;
-  bool nested;
+  int64_t routeKey;
   int64_t targetMicroseconds;
+  int64_t maxWaitMicroseconds;
 
   _ForwardRequest__isset __isset;
 
@@ -299,10 +302,12 @@
 
   void __set_priority(const int32_t val);
 
-  void __set_nested(const bool val);
+  void __set_routeKey(const int64_t val);
 
   void __set_targetMicroseconds(const int64_t val);
 
+  void __set_maxWaitMicroseconds(const int64_t val);
+
   bool operator == (const ForwardRequest & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -339,10 +344,12 @@
       return false;
     if (!(priority == rhs.priority))
       return false;
-    if (!(nested == rhs.nested))
+    if (!(routeKey == rhs.routeKey))
       return false;
     if (!(targetMicroseconds == rhs.targetMicroseconds))
       return false;
+    if (!(maxWaitMicroseconds == rhs.maxWaitMicroseconds))
+      return false;
     return true;
   }
   bool operator != (const ForwardRequest &rhs) const {
@@ -514,7 +521,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardCancel& obj);
 
 typedef struct _CallTransfer__isset {
-  _CallTransfer__isset() : requestId(false), traceId(false), remainingMicroseconds(false), method(false), target(false), headers(false), body(false), callerService(false), nested(false) {}
+  _CallTransfer__isset() : requestId(false), traceId(false), remainingMicroseconds(false), method(false), target(false), headers(false), body(false), callerService(false) {}
   bool requestId :1;
   bool traceId :1;
   bool remainingMicroseconds :1;
@@ -523,7 +530,6 @@
   bool headers :1;
   bool body :1;
   bool callerService :1;
-  bool nested :1;
 } _CallTransfer__isset;
 
 class CallTransfer : public virtual ::apache::thrift::TBase {
@@ -540,8 +546,7 @@
                  method(),
                  target(),
                  body(),
-                 callerService(),
-                 nested(0) {
+                 callerService() {
   }
 
   virtual ~CallTransfer() noexcept;
@@ -553,7 +558,6 @@
   std::vector<Header>  headers;
   std::string body;
   std::string callerService;
-  bool nested;
 
   _CallTransfer__isset __isset;
 
@@ -573,8 +577,6 @@
 
   void __set_callerService(const std::string& val);
 
-  void __set_nested(const bool val);
-
   bool operator == (const CallTransfer & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -593,8 +595,6 @@
       return false;
     if (!(callerService == rhs.callerService))
       return false;
-    if (!(nested == rhs.nested))
-      return false;
     return true;
   }
   bool operator != (const CallTransfer &rhs) const {
--- a/wire/peer.thrift
+++ b/wire/peer.thrift
@@ -35,8 +35,9 @@
   15: binary body
   16: string callerService
   17: i32 priority
-  18: bool nested
+  18: i64 routeKey
   19: i64 targetMicroseconds
+  20: i64 maxWaitMicroseconds
 }
 
 struct ForwardResponse {
@@ -66,5 +67,4 @@
   6: list<Header> headers
   7: binary body
   8: string callerService
-  9: bool nested
 }
