--- a/dragonflylane/HttpSession.cpp
+++ b/dragonflylane/HttpSession.cpp
@@ -98,7 +98,7 @@
     m_parser.emplace();
     m_parser->header_limit(m_options.maxHeaderBytes);
     m_parser->body_limit(m_options.maxBodyBytes);
-    m_stream.expires_after(m_options.headerTimeout);
+    m_stream.expires_after(std::min(m_options.headerTimeout, m_options.requestTimeout));
     http::async_read_header(
         m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, size_t) {
             if (self->m_isClosed)
--- /dev/null
+++ b/tests/RetryBudgetTest.cpp
@@ -0,0 +1,68 @@
+#include "dragonflylane/RetryBudget.h"
+
+#include <deque>
+#include <gtest/gtest.h>
+#include <random>
+#include <rapidcheck/gtest.h>
+#include <vector>
+
+namespace dragonflylane {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+} // namespace
+
+// Guards against daemons that together repeat more than the fleet may: in every window, the retries of all daemons stay
+// within the ratio of their requests plus the slack that they share, whatever each of them sees.
+RC_GTEST_PROP(RetryBudgetProperty, DaemonsTogetherKeepTheSharedBudget, (uint64_t seed))
+{
+    constexpr int daemons = 5;
+    constexpr double ratio = 0.2;
+    constexpr double slack = 20;
+    constexpr seconds window(10);
+    std::mt19937_64 random(seed);
+    TimePoint now { seconds(1000) };
+    std::vector<RetryBudget> budgets(
+        daemons, RetryBudget({ .window = window, .ratio = ratio, .slack = slack / daemons }, now));
+    std::deque<TimePoint> requests;
+    std::deque<TimePoint> retries;
+    double load = 1 + static_cast<double>(random() % 20);
+    for (int step = 0; step < 3000; ++step) {
+        now += milliseconds(random() % 30);
+        if (step % 500 == 0)
+            load = 1 + static_cast<double>(random() % 20);
+        RetryBudget& budget = budgets[random() % daemons];
+        if (static_cast<double>(random() % 20) < load) {
+            budget.recordRequest(now);
+            requests.push_back(now);
+        }
+        if (budget.tryWithdraw(now))
+            retries.push_back(now);
+        while (!requests.empty() && requests.front() <= now - window)
+            requests.pop_front();
+        while (!retries.empty() && retries.front() <= now - window)
+            retries.pop_front();
+        RC_ASSERT(static_cast<double>(retries.size()) <= ratio * static_cast<double>(requests.size()) + slack);
+    }
+}
+
+// Guards against a budget that refuses retries although there were hardly any.
+TEST(RetryBudgetTest, SlackAndRatioAreGranted)
+{
+    TimePoint now { seconds(1000) };
+    RetryBudget budget({ .window = seconds(10), .ratio = 0.1, .slack = 2 }, now);
+    EXPECT_TRUE(budget.tryWithdraw(now));
+    EXPECT_TRUE(budget.tryWithdraw(now));
+    EXPECT_FALSE(budget.tryWithdraw(now));
+    for (int i = 0; i < 10; ++i)
+        budget.recordRequest(now + seconds(1));
+    EXPECT_TRUE(budget.tryWithdraw(now + seconds(1)));
+    EXPECT_FALSE(budget.tryWithdraw(now + seconds(2)));
+    // The window has passed on.
+    EXPECT_TRUE(budget.tryWithdraw(now + seconds(12)));
+}
+
+} // namespace dragonflylane
