--- a/dragonflylane/ApiTask.cpp
+++ b/dragonflylane/ApiTask.cpp
@@ -38,6 +38,8 @@
     // Longer than an election, so that a command outlasts a change of leader.
     constexpr std::chrono::seconds leaderPatience { 4 };
     constexpr std::chrono::milliseconds leaderRetryInterval { 100 };
+    // Shorter than a platform's operator waits before it asks another host.
+    constexpr std::chrono::milliseconds leaderSearchTime { 700 };
 
     // Name under which the journal records orders from a trusted network.
     constexpr const char* trustedOperator = "trusted-network";
@@ -58,13 +60,6 @@
         return std::nullopt;
     }
 
-    ResultCode answeredCode(const HttpResponse& response)
-    {
-        uint64_t code = 0;
-        parseNumber(response.header("Dragonflylane-Code"), code);
-        return static_cast<ResultCode>(code);
-    }
-
     // Returns false for a document that is not an announcement.
     bool parseAnnouncement(const std::string& body, Announcement& announcement)
     {
@@ -171,7 +166,6 @@
         { "POST", "plans", 1, &ApiTask::createPlan },
         { "POST", "plans", 3, &ApiTask::confirmPlan },
         { "GET", "plans", 2, &ApiTask::showPlan },
-        { "POST", "replacements", 1, &ApiTask::replaceConfiguration },
         { "GET", "document", 1, &ApiTask::showDocument },
         { "GET", "ready", 1, &ApiTask::showReadiness },
         { "GET", "history", 1, &ApiTask::showHistory },
@@ -346,46 +340,72 @@
     port.announce = [this](const Announcement& announcement) { m_parts.owner.announce(announcement); };
     port.withdraw
         = [this](const UpstreamId& id, uint64_t startedAt) { m_parts.owner.withdraw(id, startedAt); };
-    port.replaceConfiguration = [this](ReplaceCommand command, std::function<void(ReplaceAnswer)> answer) {
+    port.replaceConfiguration = [this](ReplaceCommand command, ReplaceCallback answer) {
         if (command.operatorName.isEmpty())
             command.operatorName = OperatorName(trustedOperator);
-        ApiRequest request { .http = { .method = "POST", .target = "/v1/replacements" }, .path = { "replacements" } };
-        request.operatorName = command.operatorName;
-        request.http.body = PlanBook::encode(std::move(command));
-        request.respond = [answer = std::move(answer)](const HttpResponse& response) {
-            answer({ answeredCode(response), response.body });
-        };
-        dispatch(std::move(request));
-    };
-    port.readDocument = [this](std::function<void(DocumentAnswer)> answer) {
-        ApiRequest request { .http = { .method = "GET", .target = "/v1/document" }, .path = { "document" } };
-        request.respond = [answer = std::move(answer)](const HttpResponse& response) {
-            answer({ answeredCode(response), response.body });
-        };
-        dispatch(std::move(request));
+        auto held = std::make_shared<ReplaceCommand>(std::move(command));
+        findLeader(BootClock::now() + leaderSearchTime, [this, held, answer = std::move(answer)](const HostId& leader) {
+            if (leader == m_parts.settings.hostId)
+                return replaceConfiguration(*held, answer);
+            answer({ .code = ResultCode::NotLeader, .leader = apiAddress(leader) });
+        });
     };
+    port.readDocument
+        = [this](const DocumentCallback& answer) { readDocument(answer, BootClock::now() + leaderSearchTime); };
     return port;
 }
 
-// The body is an encoded command, since the document that it was made from may have any format.
-void ApiTask::replaceConfiguration(const ApiRequest& request)
+std::optional<Endpoint> ApiTask::apiAddress(const HostId& host) const
 {
-    if (!isLeader())
-        return forwardToLeader(request);
-    PlanCommand command;
-    if (PlanBook::decode(request.http.body, &command) || !std::holds_alternative<ReplaceCommand>(command))
-        return request.respondError(ResultCode::MalformedPlan);
-    m_parts.log->submit(command, [this, request](std::error_code error, const ApplyOutcome& outcome) {
+    const auto& members = m_parts.membership.view().members();
+    auto member = members.find(host);
+    if (member == members.end())
+        return std::nullopt;
+    return Endpoint { member->second.address.address, m_parts.settings.api.port };
+}
+
+void ApiTask::findLeader(TimePoint deadline, const std::function<void(HostId)>& found)
+{
+    TimePoint now = BootClock::now();
+    HostId leader = m_parts.log ? m_parts.log->replica().currentLeader(now) : HostId();
+    if (!leader.isEmpty() || now >= deadline || !m_parts.log)
+        return found(leader);
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, leaderRetryInterval);
+    timer->async_wait([this, timer, deadline, found](boost::system::error_code) { findLeader(deadline, found); });
+}
+
+void ApiTask::replaceConfiguration(const ReplaceCommand& command, const ReplaceCallback& answer)
+{
+    auto report = [command = PlanId(std::to_string(command.version.value())), who = command.operatorName, answer](
+                      std::error_code error, const ApplyOutcome& outcome) {
         ResultCode code = error ? resultCode(error) : outcome.code;
         Event("configuration_replaced")
-            .with("operator", request.operatorName)
+            .with("version", command)
+            .with("operator", who)
             .with("code", name(code))
             .with("revision", outcome.revision)
             .with("repeated", static_cast<int>(outcome.repeated))
             .with("detail", outcome.detail);
-        if (code != ResultCode::Ok)
-            return request.respondError(code, outcome.detail);
-        request.respondJson("{}\n");
+        answer({ .code = code, .detail = outcome.detail });
+    };
+    // A leader that may have been replaced does not know which document is in force.
+    if (!m_parts.log->isCurrent(BootClock::now()))
+        return report(ResultCode::QuorumLost, {});
+    PatchCommand patch;
+    if (auto outcome = m_parts.log->book().prepare(command, &patch))
+        return report({}, *outcome);
+    m_parts.log->submit(patch, report);
+}
+
+void ApiTask::readDocument(const DocumentCallback& answer, TimePoint deadline)
+{
+    if (m_parts.log && m_parts.log->isCurrent(BootClock::now()))
+        return answer({ .document = m_parts.log->book().document() });
+    findLeader(deadline, [this, answer](const HostId& leader) {
+        if (leader == m_parts.settings.hostId && m_parts.log->isCurrent(BootClock::now()))
+            return answer({ .document = m_parts.log->book().document() });
+        bool isOther = leader != m_parts.settings.hostId;
+        answer({ .code = ResultCode::NotLeader, .leader = isOther ? apiAddress(leader) : std::nullopt });
     });
 }
 
--- a/dragonflylane/ApiTask.h
+++ b/dragonflylane/ApiTask.h
@@ -74,7 +74,14 @@
     void createPlan(const ApiRequest&);
     void confirmPlan(const ApiRequest&);
     void showPlan(const ApiRequest&);
-    void replaceConfiguration(const ApiRequest&);
+    using ReplaceCallback = std::function<void(ReplaceAnswer)>;
+    using DocumentCallback = std::function<void(DocumentAnswer)>;
+
+    void replaceConfiguration(const ReplaceCommand&, const ReplaceCallback&);
+    void readDocument(const DocumentCallback&, TimePoint deadline);
+    /// Calls back with the leader's host, or with an empty one if none is known until the deadline.
+    void findLeader(TimePoint deadline, const std::function<void(HostId)>&);
+    std::optional<Endpoint> apiAddress(const HostId&) const;
     void showDocument(const ApiRequest&);
     void showReadiness(const ApiRequest&);
     void showHistory(const ApiRequest&);
--- a/dragonflylane/ConfigWire.cpp
+++ b/dragonflylane/ConfigWire.cpp
@@ -3,7 +3,10 @@
 #include "dragonflylane/ConfigThrift.h"
 #include "dragonflylane/ThriftCodec.h"
 
+#include <algorithm>
+#include <bit>
 #include <limits>
+#include <memory>
 #include <zstd.h>
 
 namespace dragonflylane {
@@ -15,6 +18,10 @@
     constexpr uint64_t byteMask = 0xff;
     // The library's default.
     constexpr int compressionLevel = 3;
+    // The library's least.
+    constexpr int minWindowLog = 10;
+    // 16 MB: two documents of the largest size.
+    constexpr int maxWindowLog = 24;
 
     int32_t narrow(std::chrono::milliseconds value)
     {
@@ -364,6 +371,44 @@
     return result;
 }
 
+std::string compressAgainst(std::string_view base, std::string_view bytes)
+{
+    std::unique_ptr<ZSTD_CCtx, decltype(&ZSTD_freeCCtx)> context(ZSTD_createCCtx(), &ZSTD_freeCCtx);
+    if (!context)
+        return {};
+    // The window has to reach back over the whole prefix.
+    int windowLog = std::clamp(
+        static_cast<int>(std::bit_width(base.size() + bytes.size())), minWindowLog, maxWindowLog);
+    ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel, compressionLevel);
+    ZSTD_CCtx_setParameter(context.get(), ZSTD_c_windowLog, windowLog);
+    ZSTD_CCtx_refPrefix(context.get(), base.data(), base.size());
+    std::string result(ZSTD_compressBound(bytes.size()), '\0');
+    size_t size = ZSTD_compress2(context.get(), result.data(), result.size(), bytes.data(), bytes.size());
+    result.resize(ZSTD_isError(size) ? 0 : size);
+    return result;
+}
+
+std::error_code decompressAgainst(
+    std::string_view base, std::string_view bytes, size_t maxBytes, std::string* result)
+{
+    unsigned long long size = ZSTD_getFrameContentSize(bytes.data(), bytes.size());
+    if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN)
+        return ResultCode::MalformedFrame;
+    if (size > maxBytes)
+        return ResultCode::FrameTooLarge;
+    std::unique_ptr<ZSTD_DCtx, decltype(&ZSTD_freeDCtx)> context(ZSTD_createDCtx(), &ZSTD_freeDCtx);
+    if (!context)
+        return ResultCode::StorageFailed;
+    ZSTD_DCtx_setParameter(context.get(), ZSTD_d_windowLogMax, maxWindowLog);
+    ZSTD_DCtx_refPrefix(context.get(), base.data(), base.size());
+    std::string raw(static_cast<size_t>(size), '\0');
+    size_t written = ZSTD_decompressDCtx(context.get(), raw.data(), raw.size(), bytes.data(), bytes.size());
+    if (ZSTD_isError(written) || written != raw.size())
+        return ResultCode::MalformedFrame;
+    *result = std::move(raw);
+    return {};
+}
+
 std::error_code decompress(std::string_view bytes, size_t maxBytes, std::string* result)
 {
     // compress() always states the size, so a frame without it was not made here.
--- a/dragonflylane/ConfigWire.h
+++ b/dragonflylane/ConfigWire.h
@@ -33,4 +33,10 @@
 std::string compress(std::string_view);
 std::error_code decompress(std::string_view, size_t maxBytes, std::string* result);
 
+/// zstd with another text as prefix, so that the result is about as long as the difference between the two. Empty if
+/// the library fails.
+std::string compressAgainst(std::string_view base, std::string_view bytes);
+std::error_code decompressAgainst(
+    std::string_view base, std::string_view bytes, size_t maxBytes, std::string* result);
+
 } // namespace dragonflylane
--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -42,6 +42,8 @@
     constexpr std::chrono::milliseconds lastRequestTime { 100 };
     // The process ends this long before it would be killed.
     constexpr std::chrono::milliseconds stopTime { 300 };
+    // With ranked admission, the owner tells when waiting in the near data centre is no longer worth it.
+    constexpr double queueingSpillLoad = 1.25;
     // Part of the shared retry budget that daemons use, since they count with clocks and member lists of their own.
     constexpr double budgetShare = 0.8;
 
@@ -216,6 +218,8 @@
             .service = m_settings.service,
             .isHedging = m_settings.isHedging,
             .hasDuplicateRecords = m_settings.hasDuplicateRecords };
+        if (m_settings.ranksCalls)
+            options.spillLoad = queueingSpillLoad;
         options.retryBudget.perSuccess = m_settings.retryRatio;
         options.retryBudget.window = m_settings.retryWindow;
         options.retryBudget.ratio = m_settings.retryRatio * budgetShare;
--- a/dragonflylane/EntryService.h
+++ b/dragonflylane/EntryService.h
@@ -17,6 +17,7 @@
     RegionName region;
     uint64_t seed { 1 };
     RetryBudgetOptions retryBudget {};
+    double spillLoad { UpstreamSelectorOptions().spillLoad };
 };
 
 /// Selector and retry policy of one service.
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -63,9 +63,11 @@
 
     constexpr unsigned statusServiceUnavailable = 503;
     constexpr int firstServerError = 500;
-    // An owner that is asked first may let a call wait for this part of its target time, and no less than a few
-    // milliseconds, in which another owner could hardly be asked.
-    constexpr int firstWaitShare = 20;
+    // The owner that is asked first, usually a near one, may let a call wait for this part of its target time, which
+    // keeps calls in their data centre; the next ones for this part, and no less than a few milliseconds, in which
+    // another owner could hardly be asked.
+    constexpr int nearWaitShare = 7;
+    constexpr int farWaitShare = 20;
     constexpr std::chrono::milliseconds shortestWait { 3 };
     // Shortest time after which a refused caller is asked back.
     constexpr std::chrono::milliseconds defaultReturnTime { 20 };
@@ -306,7 +308,8 @@
         if (call.isLastTry || isOnlyOne)
             return Duration::zero();
         Duration whole = call.target - call.exchange->received();
-        return std::max<Duration>(whole / firstWaitShare, shortestWait);
+        bool isNear = call.redirects == 0;
+        return std::max<Duration>(whole / (isNear ? nearWaitShare : farWaitShare), shortestWait);
     }
 
     void forwardToSelf(const CallPtr& call, uint64_t attemptId, wire::ForwardRequest request)
@@ -649,7 +652,8 @@
             .dataCentre = m_options.dataCentre,
             .region = m_options.region,
             .seed = m_options.life ^ stableHash(service.value()),
-            .retryBudget = m_options.retryBudget };
+            .retryBudget = m_options.retryBudget,
+            .spillLoad = m_options.spillLoad };
     }
 
     RequestId makeRequestId(uint64_t id) const
--- a/dragonflylane/EntryTask.h
+++ b/dragonflylane/EntryTask.h
@@ -12,6 +12,7 @@
 #include "dragonflylane/ResultCode.h"
 #include "dragonflylane/RetryBudget.h"
 #include "dragonflylane/RoutingTable.h"
+#include "dragonflylane/UpstreamSelector.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -46,6 +47,9 @@
     uint32_t maxRedirects { 3 };
     bool isHedging { true };
     bool hasDuplicateRecords { true };
+    /// Load per slot of the nearest data centre from which calls leave it. Above 1 if owners refuse what would wait too
+    /// long.
+    double spillLoad { UpstreamSelectorOptions().spillLoad };
     /// Budget of retries to one service at this daemon.
     RetryBudgetOptions retryBudget {};
 };
--- a/dragonflylane/LogReplica.cpp
+++ b/dragonflylane/LogReplica.cpp
@@ -368,6 +368,14 @@
     return m_leaderHeardAt && m_now - *m_leaderHeardAt < m_options.electionTimeoutMin;
 }
 
+HostId LogReplica::currentLeader(TimePoint now) const
+{
+    if (m_role == LogRole::Leader)
+        return m_isReady ? m_self.host : HostId();
+    bool isRecent = m_leaderHeardAt && now - *m_leaderHeardAt < m_options.electionTimeoutMin;
+    return isRecent ? m_leader.host : HostId();
+}
+
 bool LogReplica::isUpToDate(const LogVoteRequest& request) const
 {
     return std::pair(request.lastTerm, request.lastIndex.value()) >= std::pair(lastTerm(), last());
--- a/dragonflylane/LogReplica.h
+++ b/dragonflylane/LogReplica.h
@@ -174,6 +174,9 @@
     /// True while no other replica can have become leader: reads at the leader are current.
     bool hasLease(TimePoint now) const;
 
+    /// The leader that this replica follows or is; empty if it has not heard from one for an election timeout.
+    HostId currentLeader(TimePoint now) const;
+
     LogRole role() const { return m_role; }
     Term term() const { return m_hardState.term; }
     const LogMember& leader() const { return m_leader; }
--- a/dragonflylane/MeshPort.h
+++ b/dragonflylane/MeshPort.h
@@ -23,6 +23,8 @@
     /// OutcomeUncertain: the operator should send the same document again.
     ResultCode code { ResultCode::Ok };
     std::string detail;
+    /// NotLeader: API address of the host that can answer.
+    std::optional<Endpoint> leader {};
 };
 
 /// The document in force.
@@ -30,6 +32,8 @@
     /// Ok, or NotLeader and QuorumLost if this daemon cannot tell which document is the newest.
     ResultCode code { ResultCode::Ok };
     std::string document;
+    /// NotLeader: API address of the host that can answer.
+    std::optional<Endpoint> leader {};
 };
 
 /// Hooks into one daemon; valid as long as the daemon.
--- a/dragonflylane/PlanBook.cpp
+++ b/dragonflylane/PlanBook.cpp
@@ -1,5 +1,6 @@
 #include "dragonflylane/PlanBook.h"
 
+#include "dragonflylane/ConfigWire.h"
 #include "dragonflylane/PlanReview.h"
 #include "dragonflylane/PlanWire.h"
 
@@ -16,6 +17,12 @@
         return !name.isEmpty() && name.value().size() <= ItemLimits::nameLength;
     }
 
+    Digest documentDigest(std::string_view document)
+    {
+        constexpr uint64_t secondSeed = 1;
+        return { stableHash(document), stableHash(document, secondSeed) };
+    }
+
 } // namespace
 
 PlanBook::PlanBook(PlanBookOptions options)
@@ -44,6 +51,8 @@
         return confirm(*confirmation);
     if (const auto* replacement = std::get_if<ReplaceCommand>(&command))
         return replace(*replacement);
+    if (const auto* change = std::get_if<PatchCommand>(&command))
+        return patch(*change);
     return setKeepers(std::get<SetKeepersCommand>(command));
 }
 
@@ -165,35 +174,89 @@
     return m_accepted.empty() ? DocumentVersion() : m_accepted.back().version;
 }
 
-ApplyOutcome PlanBook::replace(const ReplaceCommand& command)
+std::optional<ApplyOutcome> PlanBook::decideVersion(
+    DocumentVersion version, DocumentVersion base, const Digest& digest) const
 {
-    constexpr uint64_t secondSeed = 1;
-    Digest digest(stableHash(command.document), stableHash(command.document, secondSeed));
-    ApplyOutcome outcome;
-    outcome.status = PlanStatus::Confirmed;
     for (auto known = m_accepted.rbegin(); known != m_accepted.rend(); ++known) {
-        if (known->version != command.version || known->digest != digest)
+        if (known->version != version || known->digest != digest)
             continue;
+        ApplyOutcome outcome;
+        outcome.status = PlanStatus::Confirmed;
         outcome.revision = known->revision;
         outcome.repeated = true;
         return outcome;
     }
-    if (command.base != documentVersion())
+    if (base != documentVersion())
         return refusal({}, ResultCode::PlanConflict,
-            "the document builds on version " + std::to_string(command.base.value()) + " but version "
+            "the document builds on version " + std::to_string(base.value()) + " but version "
                 + std::to_string(documentVersion().value()) + " is in force");
-    if (command.version <= documentVersion())
+    if (version <= documentVersion())
         return refusal({}, ResultCode::InvalidValue, "the version does not exceed the one in force");
+    return std::nullopt;
+}
+
+std::optional<ApplyOutcome> PlanBook::prepare(const ReplaceCommand& command, PatchCommand* patch) const
+{
+    Digest digest = documentDigest(command.document);
+    if (auto outcome = decideVersion(command.version, command.base, digest))
+        return outcome;
     ConfigState next = state();
     std::string detail;
     if (std::error_code error = replaceItems(command.items, &next, &detail))
         return refusal({}, resultCode(error), detail);
+    ConfigDelta delta = state().deltaTo(next);
+    *patch = { .version = command.version, .base = command.base, .digest = digest };
+    for (auto& [key, item] : delta.upserts)
+        patch->upserts.push_back(std::move(item));
+    patch->removals.assign(delta.removals.begin(), delta.removals.end());
+    patch->documentPatch = compressAgainst(m_document, command.document);
+    patch->operatorName = command.operatorName;
+    return std::nullopt;
+}
+
+ApplyOutcome PlanBook::patch(const PatchCommand& command)
+{
+    if (auto outcome = decideVersion(command.version, command.base, command.digest))
+        return *outcome;
+    std::string document;
+    bool isWhole
+        = !decompressAgainst(m_document, command.documentPatch, PlanWireLimits::documentBytes, &document)
+        && documentDigest(document) == command.digest;
+    if (!isWhole)
+        return refusal({}, ResultCode::MalformedPlan, "the patch does not yield the document");
+    ConfigState next = state();
+    for (const ItemKey& key : command.removals)
+        next.remove(key);
+    for (const ConfigItem& item : command.upserts)
+        next.insert(item);
+    std::string detail;
+    if (std::error_code error = next.validate(&detail))
+        return refusal({}, resultCode(error), detail);
+    return accept(command.version, command.digest, std::move(document), std::move(next));
+}
+
+ApplyOutcome PlanBook::replace(const ReplaceCommand& command)
+{
+    Digest digest = documentDigest(command.document);
+    if (auto outcome = decideVersion(command.version, command.base, digest))
+        return *outcome;
+    ConfigState next = state();
+    std::string detail;
+    if (std::error_code error = replaceItems(command.items, &next, &detail))
+        return refusal({}, resultCode(error), detail);
+    return accept(command.version, digest, command.document, std::move(next));
+}
+
+ApplyOutcome PlanBook::accept(DocumentVersion version, const Digest& digest, std::string document, ConfigState next)
+{
+    ApplyOutcome outcome;
+    outcome.status = PlanStatus::Confirmed;
     next.setRevision(state().revision().next());
     outcome.delta = state().deltaTo(next);
     m_history.append(*outcome.delta, std::move(next));
     outcome.revision = state().revision();
-    m_document = command.document;
-    m_accepted.push_back({ command.version, digest, outcome.revision });
+    m_document = std::move(document);
+    m_accepted.push_back({ version, digest, outcome.revision });
     if (m_accepted.size() > m_options.maxAcceptedDocuments)
         m_accepted.pop_front();
     return outcome;
--- a/dragonflylane/PlanBook.h
+++ b/dragonflylane/PlanBook.h
@@ -59,6 +59,21 @@
     bool operator==(const ReplaceCommand&) const = default;
 };
 
+/// A ReplaceCommand as the leader writes it to the log: only what differs from the document in force.
+struct PatchCommand {
+    DocumentVersion version;
+    DocumentVersion base;
+    /// Of the whole new document.
+    Digest digest;
+    std::vector<ConfigItem> upserts;
+    std::vector<ItemKey> removals;
+    /// See compressAgainst(); the prefix is the document of the base version.
+    std::string documentPatch;
+    OperatorName operatorName;
+
+    bool operator==(const PatchCommand&) const = default;
+};
+
 /// A document that was accepted at some time.
 struct AcceptedDocument {
     DocumentVersion version;
@@ -69,7 +84,7 @@
     bool operator==(const AcceptedDocument&) const = default;
 };
 
-using PlanCommand = std::variant<ProposeCommand, ConfirmCommand, SetKeepersCommand, ReplaceCommand>;
+using PlanCommand = std::variant<ProposeCommand, ConfirmCommand, SetKeepersCommand, ReplaceCommand, PatchCommand>;
 
 /// Where a plan stands.
 enum class PlanStatus : uint8_t {
@@ -155,6 +170,8 @@
     /// Newest first.
     std::vector<const PlanRecord*> plans() const;
 
+    /// What a replacement would do now: the outcome if it changes nothing, otherwise nothing and the patch to replicate.
+    std::optional<ApplyOutcome> prepare(const ReplaceCommand&, PatchCommand*) const;
     /// Version of the document in force; zero before the first one.
     DocumentVersion documentVersion() const;
     /// The document in force, as the operator wrote it.
@@ -176,7 +193,11 @@
     ApplyOutcome confirm(const ConfirmCommand&);
     ApplyOutcome setKeepers(const SetKeepersCommand&);
     ApplyOutcome replace(const ReplaceCommand&);
+    ApplyOutcome patch(const PatchCommand&);
+    /// The outcome of a document that is known or does not build on the one in force; nothing for one that does.
+    std::optional<ApplyOutcome> decideVersion(DocumentVersion, DocumentVersion base, const Digest&) const;
     std::error_code replaceItems(const std::vector<ConfigItem>&, ConfigState*, std::string* detail) const;
+    ApplyOutcome accept(DocumentVersion, const Digest&, std::string document, ConfigState next);
     ApplyOutcome outcomeOf(const PlanRecord&) const;
     ApplyOutcome refusal(const PlanId&, ResultCode, std::string detail) const;
     /// Confirms the plan or records why not; returns the delta if it created a revision.
--- a/dragonflylane/PlanWire.cpp
+++ b/dragonflylane/PlanWire.cpp
@@ -84,8 +84,40 @@
             replace.operatorName = command.operatorName.value();
             out->__set_replace(replace);
         }
+
+        void operator()(const PatchCommand& command) const
+        {
+            wire::PlanPatch patch;
+            patch.version = static_cast<int64_t>(command.version.value());
+            patch.base = static_cast<int64_t>(command.base.value());
+            patch.digest = digestBytes(command.digest);
+            for (const ConfigItem& item : command.upserts)
+                appendItem(item, &patch.upserts);
+            for (const ItemKey& key : command.removals)
+                patch.removals.push_back(toWire(key));
+            patch.documentPatch = command.documentPatch;
+            patch.operatorName = command.operatorName.value();
+            out->__set_patch(patch);
+        }
     };
 
+    bool readPatch(const wire::PlanPatch& patch, PlanCommand* command)
+    {
+        PatchCommand result;
+        result.version = DocumentVersion(static_cast<uint64_t>(patch.version));
+        result.base = DocumentVersion(static_cast<uint64_t>(patch.base));
+        result.documentPatch = patch.documentPatch;
+        result.operatorName = OperatorName(patch.operatorName);
+        if (!readDigest(patch.digest, &result.digest) || !readItems(patch.upserts, &result.upserts))
+            return false;
+        for (const wire::ConfigItemKey& key : patch.removals) {
+            if (!readKey(key, &result.removals.emplace_back()))
+                return false;
+        }
+        *command = std::move(result);
+        return true;
+    }
+
     bool readReplace(const wire::PlanReplace& replace, PlanCommand* command)
     {
         ReplaceCommand result;
@@ -169,10 +201,12 @@
     if (std::error_code error = decodeThrift(bytes, PlanWireLimits::commandBytes, &wireCommand))
         return error;
     const auto& isSet = wireCommand.__isset;
-    if (int { isSet.propose } + int { isSet.confirm } + int { isSet.setKeepers } + int { isSet.replace } != 1)
+    if (int { isSet.propose } + int { isSet.confirm } + int { isSet.setKeepers } + int { isSet.replace } + int { isSet.patch } != 1)
         return ResultCode::MalformedFrame;
     if (isSet.propose && !readPropose(wireCommand.propose, command))
         return ResultCode::MalformedFrame;
+    if (isSet.patch && !readPatch(wireCommand.patch, command))
+        return ResultCode::MalformedFrame;
     if (isSet.replace && !readReplace(wireCommand.replace, command))
         return ResultCode::MalformedFrame;
     if (isSet.confirm)
--- a/gen-cpp/plan_types.cpp
+++ b/gen-cpp/plan_types.cpp
@@ -785,6 +785,259 @@
 }
 
 
+PlanPatch::~PlanPatch() noexcept {
+}
+
+
+void PlanPatch::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void PlanPatch::__set_base(const int64_t val) {
+  this->base = val;
+}
+
+void PlanPatch::__set_digest(const std::string& val) {
+  this->digest = val;
+}
+
+void PlanPatch::__set_upserts(const  ::dragonflylane::wire::ConfigItems& val) {
+  this->upserts = val;
+}
+
+void PlanPatch::__set_removals(const std::vector< ::dragonflylane::wire::ConfigItemKey> & val) {
+  this->removals = val;
+}
+
+void PlanPatch::__set_documentPatch(const std::string& val) {
+  this->documentPatch = val;
+}
+
+void PlanPatch::__set_operatorName(const std::string& val) {
+  this->operatorName = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlanPatch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlanPatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->upserts.read(iprot);
+          this->__isset.upserts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removals.clear();
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->removals.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
+            {
+              xfer += this->removals[_i36].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removals = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->documentPatch);
+          this->__isset.documentPatch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->operatorName);
+          this->__isset.operatorName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlanPatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlanPatch");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->base);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("upserts", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->upserts.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
+    std::vector< ::dragonflylane::wire::ConfigItemKey> ::const_iterator _iter37;
+    for (_iter37 = this->removals.begin(); _iter37 != this->removals.end(); ++_iter37)
+    {
+      xfer += (*_iter37).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("documentPatch", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeBinary(this->documentPatch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("operatorName", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->operatorName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlanPatch &a, PlanPatch &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.base, b.base);
+  swap(a.digest, b.digest);
+  swap(a.upserts, b.upserts);
+  swap(a.removals, b.removals);
+  swap(a.documentPatch, b.documentPatch);
+  swap(a.operatorName, b.operatorName);
+  swap(a.__isset, b.__isset);
+}
+
+PlanPatch::PlanPatch(const PlanPatch& other38) {
+  version = other38.version;
+  base = other38.base;
+  digest = other38.digest;
+  upserts = other38.upserts;
+  removals = other38.removals;
+  documentPatch = other38.documentPatch;
+  operatorName = other38.operatorName;
+  __isset = other38.__isset;
+}
+PlanPatch::PlanPatch(PlanPatch&& other39) noexcept {
+  version = other39.version;
+  base = other39.base;
+  digest = std::move(other39.digest);
+  upserts = std::move(other39.upserts);
+  removals = std::move(other39.removals);
+  documentPatch = std::move(other39.documentPatch);
+  operatorName = std::move(other39.operatorName);
+  __isset = other39.__isset;
+}
+PlanPatch& PlanPatch::operator=(const PlanPatch& other40) {
+  version = other40.version;
+  base = other40.base;
+  digest = other40.digest;
+  upserts = other40.upserts;
+  removals = other40.removals;
+  documentPatch = other40.documentPatch;
+  operatorName = other40.operatorName;
+  __isset = other40.__isset;
+  return *this;
+}
+PlanPatch& PlanPatch::operator=(PlanPatch&& other41) noexcept {
+  version = other41.version;
+  base = other41.base;
+  digest = std::move(other41.digest);
+  upserts = std::move(other41.upserts);
+  removals = std::move(other41.removals);
+  documentPatch = std::move(other41.documentPatch);
+  operatorName = std::move(other41.operatorName);
+  __isset = other41.__isset;
+  return *this;
+}
+void PlanPatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlanPatch(";
+  out << "version=" << to_string(version);
+  out << ", " << "base=" << to_string(base);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "upserts=" << to_string(upserts);
+  out << ", " << "removals=" << to_string(removals);
+  out << ", " << "documentPatch=" << to_string(documentPatch);
+  out << ", " << "operatorName=" << to_string(operatorName);
+  out << ")";
+}
+
+
 PlanCommand::~PlanCommand() noexcept {
 }
 
@@ -808,6 +1061,11 @@
   this->replace = val;
 __isset.replace = true;
 }
+
+void PlanCommand::__set_patch(const PlanPatch& val) {
+  this->patch = val;
+__isset.patch = true;
+}
 std::ostream& operator<<(std::ostream& out, const PlanCommand& obj)
 {
   obj.printTo(out);
@@ -868,6 +1126,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->patch.read(iprot);
+          this->__isset.patch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -905,6 +1171,11 @@
     xfer += this->replace.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.patch) {
+    xfer += oprot->writeFieldBegin("patch", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->patch.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -916,37 +1187,42 @@
   swap(a.confirm, b.confirm);
   swap(a.setKeepers, b.setKeepers);
   swap(a.replace, b.replace);
+  swap(a.patch, b.patch);
   swap(a.__isset, b.__isset);
 }
 
-PlanCommand::PlanCommand(const PlanCommand& other32) {
-  propose = other32.propose;
-  confirm = other32.confirm;
-  setKeepers = other32.setKeepers;
-  replace = other32.replace;
-  __isset = other32.__isset;
-}
-PlanCommand::PlanCommand(PlanCommand&& other33) noexcept {
-  propose = std::move(other33.propose);
-  confirm = std::move(other33.confirm);
-  setKeepers = std::move(other33.setKeepers);
-  replace = std::move(other33.replace);
-  __isset = other33.__isset;
-}
-PlanCommand& PlanCommand::operator=(const PlanCommand& other34) {
-  propose = other34.propose;
-  confirm = other34.confirm;
-  setKeepers = other34.setKeepers;
-  replace = other34.replace;
-  __isset = other34.__isset;
+PlanCommand::PlanCommand(const PlanCommand& other42) {
+  propose = other42.propose;
+  confirm = other42.confirm;
+  setKeepers = other42.setKeepers;
+  replace = other42.replace;
+  patch = other42.patch;
+  __isset = other42.__isset;
+}
+PlanCommand::PlanCommand(PlanCommand&& other43) noexcept {
+  propose = std::move(other43.propose);
+  confirm = std::move(other43.confirm);
+  setKeepers = std::move(other43.setKeepers);
+  replace = std::move(other43.replace);
+  patch = std::move(other43.patch);
+  __isset = other43.__isset;
+}
+PlanCommand& PlanCommand::operator=(const PlanCommand& other44) {
+  propose = other44.propose;
+  confirm = other44.confirm;
+  setKeepers = other44.setKeepers;
+  replace = other44.replace;
+  patch = other44.patch;
+  __isset = other44.__isset;
   return *this;
 }
-PlanCommand& PlanCommand::operator=(PlanCommand&& other35) noexcept {
-  propose = std::move(other35.propose);
-  confirm = std::move(other35.confirm);
-  setKeepers = std::move(other35.setKeepers);
-  replace = std::move(other35.replace);
-  __isset = other35.__isset;
+PlanCommand& PlanCommand::operator=(PlanCommand&& other45) noexcept {
+  propose = std::move(other45.propose);
+  confirm = std::move(other45.confirm);
+  setKeepers = std::move(other45.setKeepers);
+  replace = std::move(other45.replace);
+  patch = std::move(other45.patch);
+  __isset = other45.__isset;
   return *this;
 }
 void PlanCommand::printTo(std::ostream& out) const {
@@ -956,6 +1232,7 @@
   out << ", " << "confirm="; (__isset.confirm ? (out << to_string(confirm)) : (out << "<null>"));
   out << ", " << "setKeepers="; (__isset.setKeepers ? (out << to_string(setKeepers)) : (out << "<null>"));
   out << ", " << "replace="; (__isset.replace ? (out << to_string(replace)) : (out << "<null>"));
+  out << ", " << "patch="; (__isset.patch ? (out << to_string(patch)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1057,14 +1334,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->changes.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->changes.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->changes[_i40].read(iprot);
+              xfer += this->changes[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1125,14 +1402,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->conflictItems.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->conflictItems.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->conflictItems.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += this->conflictItems[_i45].read(iprot);
+              xfer += this->conflictItems[_i55].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1177,10 +1454,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<PlanChange> ::const_iterator _iter46;
-    for (_iter46 = this->changes.begin(); _iter46 != this->changes.end(); ++_iter46)
+    std::vector<PlanChange> ::const_iterator _iter56;
+    for (_iter56 = this->changes.begin(); _iter56 != this->changes.end(); ++_iter56)
     {
-      xfer += (*_iter46).write(oprot);
+      xfer += (*_iter56).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1214,10 +1491,10 @@
     xfer += oprot->writeFieldBegin("conflictItems", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->conflictItems.size()));
-      std::vector< ::dragonflylane::wire::ConfigItemKey> ::const_iterator _iter47;
-      for (_iter47 = this->conflictItems.begin(); _iter47 != this->conflictItems.end(); ++_iter47)
+      std::vector< ::dragonflylane::wire::ConfigItemKey> ::const_iterator _iter57;
+      for (_iter57 = this->conflictItems.begin(); _iter57 != this->conflictItems.end(); ++_iter57)
       {
-        xfer += (*_iter47).write(oprot);
+        xfer += (*_iter57).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1249,62 +1526,62 @@
   swap(a.__isset, b.__isset);
 }
 
-PlanRecord::PlanRecord(const PlanRecord& other48) {
-  planId = other48.planId;
-  base = other48.base;
-  changes = other48.changes;
-  proposedBy = other48.proposedBy;
-  confirmedBy = other48.confirmedBy;
-  status = other48.status;
-  revision = other48.revision;
-  code = other48.code;
-  detail = other48.detail;
-  conflictItems = other48.conflictItems;
-  conflictCount = other48.conflictCount;
-  __isset = other48.__isset;
-}
-PlanRecord::PlanRecord(PlanRecord&& other49) noexcept {
-  planId = std::move(other49.planId);
-  base = other49.base;
-  changes = std::move(other49.changes);
-  proposedBy = std::move(other49.proposedBy);
-  confirmedBy = std::move(other49.confirmedBy);
-  status = other49.status;
-  revision = other49.revision;
-  code = other49.code;
-  detail = std::move(other49.detail);
-  conflictItems = std::move(other49.conflictItems);
-  conflictCount = other49.conflictCount;
-  __isset = other49.__isset;
-}
-PlanRecord& PlanRecord::operator=(const PlanRecord& other50) {
-  planId = other50.planId;
-  base = other50.base;
-  changes = other50.changes;
-  proposedBy = other50.proposedBy;
-  confirmedBy = other50.confirmedBy;
-  status = other50.status;
-  revision = other50.revision;
-  code = other50.code;
-  detail = other50.detail;
-  conflictItems = other50.conflictItems;
-  conflictCount = other50.conflictCount;
-  __isset = other50.__isset;
+PlanRecord::PlanRecord(const PlanRecord& other58) {
+  planId = other58.planId;
+  base = other58.base;
+  changes = other58.changes;
+  proposedBy = other58.proposedBy;
+  confirmedBy = other58.confirmedBy;
+  status = other58.status;
+  revision = other58.revision;
+  code = other58.code;
+  detail = other58.detail;
+  conflictItems = other58.conflictItems;
+  conflictCount = other58.conflictCount;
+  __isset = other58.__isset;
+}
+PlanRecord::PlanRecord(PlanRecord&& other59) noexcept {
+  planId = std::move(other59.planId);
+  base = other59.base;
+  changes = std::move(other59.changes);
+  proposedBy = std::move(other59.proposedBy);
+  confirmedBy = std::move(other59.confirmedBy);
+  status = other59.status;
+  revision = other59.revision;
+  code = other59.code;
+  detail = std::move(other59.detail);
+  conflictItems = std::move(other59.conflictItems);
+  conflictCount = other59.conflictCount;
+  __isset = other59.__isset;
+}
+PlanRecord& PlanRecord::operator=(const PlanRecord& other60) {
+  planId = other60.planId;
+  base = other60.base;
+  changes = other60.changes;
+  proposedBy = other60.proposedBy;
+  confirmedBy = other60.confirmedBy;
+  status = other60.status;
+  revision = other60.revision;
+  code = other60.code;
+  detail = other60.detail;
+  conflictItems = other60.conflictItems;
+  conflictCount = other60.conflictCount;
+  __isset = other60.__isset;
   return *this;
 }
-PlanRecord& PlanRecord::operator=(PlanRecord&& other51) noexcept {
-  planId = std::move(other51.planId);
-  base = other51.base;
-  changes = std::move(other51.changes);
-  proposedBy = std::move(other51.proposedBy);
-  confirmedBy = std::move(other51.confirmedBy);
-  status = other51.status;
-  revision = other51.revision;
-  code = other51.code;
-  detail = std::move(other51.detail);
-  conflictItems = std::move(other51.conflictItems);
-  conflictCount = other51.conflictCount;
-  __isset = other51.__isset;
+PlanRecord& PlanRecord::operator=(PlanRecord&& other61) noexcept {
+  planId = std::move(other61.planId);
+  base = other61.base;
+  changes = std::move(other61.changes);
+  proposedBy = std::move(other61.proposedBy);
+  confirmedBy = std::move(other61.confirmedBy);
+  status = other61.status;
+  revision = other61.revision;
+  code = other61.code;
+  detail = std::move(other61.detail);
+  conflictItems = std::move(other61.conflictItems);
+  conflictCount = other61.conflictCount;
+  __isset = other61.__isset;
   return *this;
 }
 void PlanRecord::printTo(std::ostream& out) const {
@@ -1434,30 +1711,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PlanAcceptedDocument::PlanAcceptedDocument(const PlanAcceptedDocument& other52) {
-  version = other52.version;
-  digest = other52.digest;
-  revision = other52.revision;
-  __isset = other52.__isset;
+PlanAcceptedDocument::PlanAcceptedDocument(const PlanAcceptedDocument& other62) {
+  version = other62.version;
+  digest = other62.digest;
+  revision = other62.revision;
+  __isset = other62.__isset;
 }
-PlanAcceptedDocument::PlanAcceptedDocument(PlanAcceptedDocument&& other53) noexcept {
-  version = other53.version;
-  digest = std::move(other53.digest);
-  revision = other53.revision;
-  __isset = other53.__isset;
+PlanAcceptedDocument::PlanAcceptedDocument(PlanAcceptedDocument&& other63) noexcept {
+  version = other63.version;
+  digest = std::move(other63.digest);
+  revision = other63.revision;
+  __isset = other63.__isset;
 }
-PlanAcceptedDocument& PlanAcceptedDocument::operator=(const PlanAcceptedDocument& other54) {
-  version = other54.version;
-  digest = other54.digest;
-  revision = other54.revision;
-  __isset = other54.__isset;
+PlanAcceptedDocument& PlanAcceptedDocument::operator=(const PlanAcceptedDocument& other64) {
+  version = other64.version;
+  digest = other64.digest;
+  revision = other64.revision;
+  __isset = other64.__isset;
   return *this;
 }
-PlanAcceptedDocument& PlanAcceptedDocument::operator=(PlanAcceptedDocument&& other55) noexcept {
-  version = other55.version;
-  digest = std::move(other55.digest);
-  revision = other55.revision;
-  __isset = other55.__isset;
+PlanAcceptedDocument& PlanAcceptedDocument::operator=(PlanAcceptedDocument&& other65) noexcept {
+  version = other65.version;
+  digest = std::move(other65.digest);
+  revision = other65.revision;
+  __isset = other65.__isset;
   return *this;
 }
 void PlanAcceptedDocument::printTo(std::ostream& out) const {
@@ -1534,14 +1811,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deltas.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->deltas.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->deltas.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->deltas[_i60].read(iprot);
+              xfer += this->deltas[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1554,14 +1831,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->plans.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->plans.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->plans.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
             {
-              xfer += this->plans[_i65].read(iprot);
+              xfer += this->plans[_i75].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1582,14 +1859,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->acceptedDocuments.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->acceptedDocuments.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->acceptedDocuments.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += this->acceptedDocuments[_i70].read(iprot);
+              xfer += this->acceptedDocuments[_i80].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1622,10 +1899,10 @@
   xfer += oprot->writeFieldBegin("deltas", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deltas.size()));
-    std::vector< ::dragonflylane::wire::ConfigDelta> ::const_iterator _iter71;
-    for (_iter71 = this->deltas.begin(); _iter71 != this->deltas.end(); ++_iter71)
+    std::vector< ::dragonflylane::wire::ConfigDelta> ::const_iterator _iter81;
+    for (_iter81 = this->deltas.begin(); _iter81 != this->deltas.end(); ++_iter81)
     {
-      xfer += (*_iter71).write(oprot);
+      xfer += (*_iter81).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1634,10 +1911,10 @@
   xfer += oprot->writeFieldBegin("plans", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->plans.size()));
-    std::vector<PlanRecord> ::const_iterator _iter72;
-    for (_iter72 = this->plans.begin(); _iter72 != this->plans.end(); ++_iter72)
+    std::vector<PlanRecord> ::const_iterator _iter82;
+    for (_iter82 = this->plans.begin(); _iter82 != this->plans.end(); ++_iter82)
     {
-      xfer += (*_iter72).write(oprot);
+      xfer += (*_iter82).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1651,10 +1928,10 @@
   xfer += oprot->writeFieldBegin("acceptedDocuments", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acceptedDocuments.size()));
-    std::vector<PlanAcceptedDocument> ::const_iterator _iter73;
-    for (_iter73 = this->acceptedDocuments.begin(); _iter73 != this->acceptedDocuments.end(); ++_iter73)
+    std::vector<PlanAcceptedDocument> ::const_iterator _iter83;
+    for (_iter83 = this->acceptedDocuments.begin(); _iter83 != this->acceptedDocuments.end(); ++_iter83)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter83).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1675,38 +1952,38 @@
   swap(a.__isset, b.__isset);
 }
 
-PlanBookSnapshot::PlanBookSnapshot(const PlanBookSnapshot& other74) {
-  state = other74.state;
-  deltas = other74.deltas;
-  plans = other74.plans;
-  document = other74.document;
-  acceptedDocuments = other74.acceptedDocuments;
-  __isset = other74.__isset;
-}
-PlanBookSnapshot::PlanBookSnapshot(PlanBookSnapshot&& other75) noexcept {
-  state = std::move(other75.state);
-  deltas = std::move(other75.deltas);
-  plans = std::move(other75.plans);
-  document = std::move(other75.document);
-  acceptedDocuments = std::move(other75.acceptedDocuments);
-  __isset = other75.__isset;
-}
-PlanBookSnapshot& PlanBookSnapshot::operator=(const PlanBookSnapshot& other76) {
-  state = other76.state;
-  deltas = other76.deltas;
-  plans = other76.plans;
-  document = other76.document;
-  acceptedDocuments = other76.acceptedDocuments;
-  __isset = other76.__isset;
+PlanBookSnapshot::PlanBookSnapshot(const PlanBookSnapshot& other84) {
+  state = other84.state;
+  deltas = other84.deltas;
+  plans = other84.plans;
+  document = other84.document;
+  acceptedDocuments = other84.acceptedDocuments;
+  __isset = other84.__isset;
+}
+PlanBookSnapshot::PlanBookSnapshot(PlanBookSnapshot&& other85) noexcept {
+  state = std::move(other85.state);
+  deltas = std::move(other85.deltas);
+  plans = std::move(other85.plans);
+  document = std::move(other85.document);
+  acceptedDocuments = std::move(other85.acceptedDocuments);
+  __isset = other85.__isset;
+}
+PlanBookSnapshot& PlanBookSnapshot::operator=(const PlanBookSnapshot& other86) {
+  state = other86.state;
+  deltas = other86.deltas;
+  plans = other86.plans;
+  document = other86.document;
+  acceptedDocuments = other86.acceptedDocuments;
+  __isset = other86.__isset;
   return *this;
 }
-PlanBookSnapshot& PlanBookSnapshot::operator=(PlanBookSnapshot&& other77) noexcept {
-  state = std::move(other77.state);
-  deltas = std::move(other77.deltas);
-  plans = std::move(other77.plans);
-  document = std::move(other77.document);
-  acceptedDocuments = std::move(other77.acceptedDocuments);
-  __isset = other77.__isset;
+PlanBookSnapshot& PlanBookSnapshot::operator=(PlanBookSnapshot&& other87) noexcept {
+  state = std::move(other87.state);
+  deltas = std::move(other87.deltas);
+  plans = std::move(other87.plans);
+  document = std::move(other87.document);
+  acceptedDocuments = std::move(other87.acceptedDocuments);
+  __isset = other87.__isset;
   return *this;
 }
 void PlanBookSnapshot::printTo(std::ostream& out) const {
--- a/gen-cpp/plan_types.h
+++ b/gen-cpp/plan_types.h
@@ -32,6 +32,8 @@
 
 class PlanReplace;
 
+class PlanPatch;
+
 class PlanCommand;
 
 class PlanRecord;
@@ -336,12 +338,98 @@
 
 std::ostream& operator<<(std::ostream& out, const PlanReplace& obj);
 
+typedef struct _PlanPatch__isset {
+  _PlanPatch__isset() : version(false), base(false), digest(false), upserts(false), removals(false), documentPatch(false), operatorName(false) {}
+  bool version :1;
+  bool base :1;
+  bool digest :1;
+  bool upserts :1;
+  bool removals :1;
+  bool documentPatch :1;
+  bool operatorName :1;
+} _PlanPatch__isset;
+
+class PlanPatch : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlanPatch(const PlanPatch&);
+  PlanPatch(PlanPatch&&) noexcept;
+  PlanPatch& operator=(const PlanPatch&);
+  PlanPatch& operator=(PlanPatch&&) noexcept;
+  PlanPatch() noexcept
+            : version(0),
+              base(0),
+              digest(),
+              documentPatch(),
+              operatorName() {
+  }
+
+  virtual ~PlanPatch() noexcept;
+  int64_t version;
+  int64_t base;
+  std::string digest;
+   ::dragonflylane::wire::ConfigItems upserts;
+  std::vector< ::dragonflylane::wire::ConfigItemKey>  removals;
+  std::string documentPatch;
+  std::string operatorName;
+
+  _PlanPatch__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_base(const int64_t val);
+
+  void __set_digest(const std::string& val);
+
+  void __set_upserts(const  ::dragonflylane::wire::ConfigItems& val);
+
+  void __set_removals(const std::vector< ::dragonflylane::wire::ConfigItemKey> & val);
+
+  void __set_documentPatch(const std::string& val);
+
+  void __set_operatorName(const std::string& val);
+
+  bool operator == (const PlanPatch & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(base == rhs.base))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(upserts == rhs.upserts))
+      return false;
+    if (!(removals == rhs.removals))
+      return false;
+    if (!(documentPatch == rhs.documentPatch))
+      return false;
+    if (!(operatorName == rhs.operatorName))
+      return false;
+    return true;
+  }
+  bool operator != (const PlanPatch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlanPatch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlanPatch &a, PlanPatch &b);
+
+std::ostream& operator<<(std::ostream& out, const PlanPatch& obj);
+
 typedef struct _PlanCommand__isset {
-  _PlanCommand__isset() : propose(false), confirm(false), setKeepers(false), replace(false) {}
+  _PlanCommand__isset() : propose(false), confirm(false), setKeepers(false), replace(false), patch(false) {}
   bool propose :1;
   bool confirm :1;
   bool setKeepers :1;
   bool replace :1;
+  bool patch :1;
 } _PlanCommand__isset;
 
 class PlanCommand : public virtual ::apache::thrift::TBase {
@@ -359,6 +447,7 @@
   PlanConfirm confirm;
   PlanSetKeepers setKeepers;
   PlanReplace replace;
+  PlanPatch patch;
 
   _PlanCommand__isset __isset;
 
@@ -370,6 +459,8 @@
 
   void __set_replace(const PlanReplace& val);
 
+  void __set_patch(const PlanPatch& val);
+
   bool operator == (const PlanCommand & rhs) const
   {
     if (__isset.propose != rhs.__isset.propose)
@@ -388,6 +479,10 @@
       return false;
     else if (__isset.replace && !(replace == rhs.replace))
       return false;
+    if (__isset.patch != rhs.__isset.patch)
+      return false;
+    else if (__isset.patch && !(patch == rhs.patch))
+      return false;
     return true;
   }
   bool operator != (const PlanCommand &rhs) const {
--- a/wire/plan.thrift
+++ b/wire/plan.thrift
@@ -35,12 +35,24 @@
   5: string operatorName
 }
 
+// A replacement as the difference from the document in force. The new document is compressed with that one as prefix.
+struct PlanPatch {
+  1: i64 version
+  2: i64 base
+  3: binary digest
+  4: config.ConfigItems upserts
+  5: list<config.ConfigItemKey> removals
+  6: binary documentPatch
+  7: string operatorName
+}
+
 // Exactly one field is set.
 struct PlanCommand {
   1: optional PlanPropose propose
   2: optional PlanConfirm confirm
   3: optional PlanSetKeepers setKeepers
   4: optional PlanReplace replace
+  5: optional PlanPatch patch
 }
 
 struct PlanRecord {
