--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -412,10 +412,10 @@
             decision = serviceOf(call).policy().decide({ .code = code,
                                                            .isIdempotent = call->isIdempotent,
                                                            .attempts = call->arrivals,
-                                                           .hasReachedUpstream = call->arrivals > 0,
                                                            .remaining = call->deadline - now,
                                                            .earlierUnknown = call->earlierUnknown,
-                                                           .maxAttempts = call->maxAttempts },
+                                                           .maxAttempts = call->maxAttempts,
+                                                           .hasReachedUpstream = call->arrivals > 0 },
                 now);
         }
         if (decision.isRetry) {
--- a/dragonflylane/RankedAdmission.cpp
+++ b/dragonflylane/RankedAdmission.cpp
@@ -7,7 +7,9 @@
 
 namespace {
 
-    constexpr size_t maxEstimates = 1024;
+    constexpr size_t maxRoutes = 1024;
+    // Covers about nine of ten calls of a route.
+    constexpr double marginDeviations = 2;
 
     double nanosecondsOf(Duration duration)
     {
@@ -44,6 +46,7 @@
         return refuse(ResultCode::DeadlineExceeded);
     if (ticket.isSuspect && isSuspectBusy())
         return refuse(ResultCode::SuspectAlreadyRunning);
+    noteOffer(ticket, now);
     bool isFirst = m_queue.empty() || goesBefore(ticket, m_queue.front());
     if (isFirst && hasFreeSlot()) {
         start(ticket, now);
@@ -116,13 +119,39 @@
         .serviceTime = meanHold(now) };
 }
 
+double RankedAdmission::remainingShare(const Route& route, TimePoint now) const
+{
+    double age = nanosecondsOf(std::max(Duration::zero(), now - route.updatedAt));
+    return std::exp2(-age / nanosecondsOf(m_options.estimateHalfLife));
+}
+
 Duration RankedAdmission::serviceTime(const CallTicket& ticket, TimePoint now) const
 {
-    auto found = m_estimates.find(ticket.routeKey);
-    if (found == m_estimates.end())
+    auto found = m_routes.find(ticket.routeKey);
+    if (found == m_routes.end())
         return Duration::zero();
-    double age = nanosecondsOf(std::max(Duration::zero(), now - found->second.updatedAt));
-    return durationOf(found->second.nanoseconds * std::exp2(-age / nanosecondsOf(m_options.estimateHalfLife)));
+    return durationOf(found->second.nanoseconds * remainingShare(found->second, now));
+}
+
+void RankedAdmission::noteOffer(const CallTicket& ticket, TimePoint now)
+{
+    // The routes of a configuration come and go; what is forgotten is learned again.
+    if (m_routes.size() >= maxRoutes)
+        m_routes.clear();
+    Route& route = m_routes[ticket.routeKey];
+    route.priority = ticket.priority;
+    route.span = targetOf(ticket) - now;
+    route.offeredAt = now;
+}
+
+bool RankedAdmission::hasLowerRank(const CallTicket& ticket, TimePoint now) const
+{
+    const Route& own = m_routes.at(ticket.routeKey);
+    return std::any_of(m_routes.begin(), m_routes.end(), [&](const auto& item) {
+        const Route& other = item.second;
+        bool isLower = other.priority > own.priority || (other.priority == own.priority && other.span > 2 * own.span);
+        return isLower && now - other.offeredAt < m_options.routeIdleAfter;
+    });
 }
 
 bool RankedAdmission::goesBefore(const CallTicket& left, const CallTicket& right) const
@@ -165,12 +194,17 @@
     return durationOf(interval * static_cast<double>(ahead + 1));
 }
 
-// A call that cannot meet its target even on an idle upstream is still of some use until its deadline.
 TimePoint RankedAdmission::latestStart(const CallTicket& ticket, TimePoint now) const
 {
+    const Route& route = m_routes.at(ticket.routeKey);
     Duration service = serviceTime(ticket, now);
-    bool isHopeless = now + service > targetOf(ticket);
-    return isHopeless ? now + service / 4 : targetOf(ticket) - service;
+    Duration margin = durationOf(marginDeviations * route.deviation * remainingShare(route, now));
+    TimePoint target = targetOf(ticket);
+    if (hasLowerRank(ticket, now))
+        return target + (ticket.deadline - target) / 2 - service;
+    // A call that cannot meet its target even on an idle upstream is still of some use until its deadline.
+    bool isHopeless = now + service > target;
+    return isHopeless ? now + service / 4 : target - service - margin;
 }
 
 void RankedAdmission::enqueue(const CallTicket& ticket)
@@ -215,18 +249,16 @@
         || (outcome == CallOutcome::Timeout && sample > nanosecondsOf(serviceTime(call.ticket, now)));
     if (!isSample)
         return;
-    // The routes of a configuration come and go; what is forgotten is learned again.
-    if (m_estimates.size() >= maxEstimates)
-        m_estimates.clear();
-    auto [position, isNew] = m_estimates.try_emplace(call.ticket.routeKey, Estimate { sample, now });
-    if (isNew)
+    auto found = m_routes.find(call.ticket.routeKey);
+    if (found == m_routes.end())
         return;
-    Estimate& estimate = position->second;
+    Route& route = found->second;
     // After a pause the old value counts as little as serviceTime() reports of it.
-    double age = nanosecondsOf(now - estimate.updatedAt) / nanosecondsOf(m_options.estimateHalfLife);
-    double weight = std::max(m_options.estimateWeight, 1 - std::exp2(-age));
-    estimate.nanoseconds += weight * (sample - estimate.nanoseconds);
-    estimate.updatedAt = now;
+    bool isFirst = route.nanoseconds == 0;
+    double weight = isFirst ? 1 : std::max(m_options.estimateWeight, 1 - remainingShare(route, now));
+    route.deviation += isFirst ? 0 : weight * (std::abs(sample - route.nanoseconds) - route.deviation);
+    route.nanoseconds += weight * (sample - route.nanoseconds);
+    route.updatedAt = now;
 }
 
 } // namespace dragonflylane
--- a/dragonflylane/RankedAdmission.h
+++ b/dragonflylane/RankedAdmission.h
@@ -6,8 +6,10 @@
 // its own calls queue behind new work of the next service, so every service fills with parents that wait for one
 // another. Calls that running work waits for are short and have tight targets, so they go first and the chain ends.
 //
-// A ticket is queued only if it is expected to end by its target time. Under overload this keeps the queue as short as
-// the targets allow: callers who cannot be served in time learn so at once, instead of taking slots from those who can.
+// A ticket of the lowest rank is queued only if it is expected to end by its target time, with a margin for the spread
+// of service times. Under overload this keeps the queue as short as the targets allow: callers who cannot be served in
+// time learn so at once, instead of taking slots from those who can. Higher ranks wait only for slots to turn over, and
+// may end later, since the work that waits for them has its own target.
 // Costs O(queue) per call; the queue is bounded.
 
 #include "dragonflylane/Admission.h"
@@ -25,6 +27,9 @@
     /// Without new samples an estimate halves in this time, so that one slow period cannot refuse all calls for ever.
     Duration estimateHalfLife { std::chrono::seconds(1) };
 
+    /// Routes count as in use for this long after their last call.
+    Duration routeIdleAfter { std::chrono::seconds(2) };
+
     // Switches that disable a mechanism for a test.
     bool orderByRank { true };
     bool refuseLate { true };
@@ -55,9 +60,15 @@
         TimePoint startedAt;
     };
 
-    /// Exponentially weighted mean of the service time of one route.
-    struct Estimate {
+    /// What is known of the calls of one route.
+    struct Route {
+        uint32_t priority { 0 };
+        /// Time from the offer to the target.
+        Duration span { 0 };
+        TimePoint offeredAt;
+        /// Exponentially weighted mean of the service time, and mean distance from it; zero before the first sample.
         double nanoseconds { 0 };
+        double deviation { 0 };
         TimePoint updatedAt;
     };
 
@@ -67,8 +78,11 @@
     size_t capacity() const;
     Duration meanHold(TimePoint now) const;
     Duration expectedWait(const CallTicket&, TimePoint now) const;
-    /// When such a ticket must start at the latest to end in time.
+    /// When such a ticket must start at the latest to be worth a place in the queue.
     TimePoint latestStart(const CallTicket&, TimePoint now) const;
+    void noteOffer(const CallTicket&, TimePoint now);
+    bool hasLowerRank(const CallTicket&, TimePoint now) const;
+    double remainingShare(const Route&, TimePoint now) const;
     void enqueue(const CallTicket&);
     void start(const CallTicket&, TimePoint now);
     void handOver(AdmissionChanges&, TimePoint now);
@@ -79,7 +93,7 @@
     std::vector<CallTicket> m_queue;
     std::unordered_map<uint64_t, RunningCall> m_running;
     /// By route key.
-    std::unordered_map<uint64_t, Estimate> m_estimates;
+    std::unordered_map<uint64_t, Route> m_routes;
     bool m_isDraining { false };
     bool m_isLeaving { false };
 };
--- a/dragonflylane/ResultCode.cpp
+++ b/dragonflylane/ResultCode.cpp
@@ -42,7 +42,6 @@
         { ResultCode::CallerGone, "caller_gone", "The caller closed its connection before the hand-over." },
         { ResultCode::UpstreamRefused, "upstream_refused",
             "The upstream refused the request and stated that it did not run." },
-        { ResultCode::MemoryLimit, "memory_limit", "The requests in progress use all memory set aside for them." },
         { ResultCode::OwnerLost, "owner_lost",
             "The connection to the owner daemon was lost after the request was sent." },
         { ResultCode::UpstreamLost, "upstream_lost", "The upstream closed the connection before it answered." },
--- a/dragonflylane/ResultCode.h
+++ b/dragonflylane/ResultCode.h
@@ -40,7 +40,6 @@
     TooManyHops = 124,
     CallerGone = 125,
     UpstreamRefused = 126,
-    MemoryLimit = 127,
 
     // A call may or may not have run.
     OwnerLost = 201,
--- a/dragonflylane/RetryPolicy.h
+++ b/dragonflylane/RetryPolicy.h
@@ -28,15 +28,15 @@
     /// Attempts of this call so far, including those of earlier hops that the call carries. Refusals by owner daemons do
     /// not count if `hasReachedUpstream` is reported.
     uint32_t attempts { 1 };
-    /// Some attempt of this call has reached an upstream. As long as none has, another owner may be asked without limit
-    /// by attempts or budget, since no upstream gets more than one arrival.
-    bool hasReachedUpstream { true };
     /// Time left until the deadline of the call.
     Duration remaining { 0 };
     /// Code of an earlier attempt whose outcome is unknown; Ok if there was none.
     ResultCode earlierUnknown { ResultCode::Ok };
     /// Limit of the service; zero selects the limit of the options.
     uint32_t maxAttempts { 0 };
+    /// Some attempt of this call has reached an upstream. As long as none has, another owner may be asked without limit
+    /// by attempts or budget, since no upstream gets more than one arrival.
+    bool hasReachedUpstream { true };
 };
 
 struct RetryDecision {
--- a/dragonflylane/UpstreamSelector.cpp
+++ b/dragonflylane/UpstreamSelector.cpp
@@ -17,7 +17,7 @@
     // A report older than this many half-lives is ignored. At low load any rest of it would decide the comparison.
     constexpr int maxReportHalfLives = 8;
 
-    // Load per slot that an upstream without any good answer seems to have.
+    // Added to the load per slot for each unit of quality that is lacking.
     constexpr double failurePenalty = 4;
 
     struct RankedCandidate {
@@ -138,14 +138,14 @@
         entry.failures = 0;
         if (entry.ejections > 0)
             --entry.ejections;
-        entry.quality += m_options.qualityWeight * (1 - entry.quality);
+        noteQuality(entry, true, now);
         break;
     case SelectionOutcome::Error:
-        entry.quality -= m_options.qualityWeight * entry.quality;
+        noteQuality(entry, false, now);
         break;
     case SelectionOutcome::Failure:
     case SelectionOutcome::Timeout:
-        entry.quality -= m_options.qualityWeight * entry.quality;
+        noteQuality(entry, false, now);
         ++entry.failures;
         if (entry.failures >= m_options.ejectAfter)
             eject(entry, now);
@@ -249,6 +249,20 @@
     return std::max(m_options.slowStartFloor, share);
 }
 
+// Without answers the share returns towards one, since only another try can show that the upstream has recovered.
+double UpstreamSelector::quality(const Entry& entry, TimePoint now) const
+{
+    double age = static_cast<double>(std::max(Duration::zero(), now - entry.qualityAt).count());
+    return 1 - (1 - entry.quality) * std::exp2(-age / static_cast<double>(m_options.qualityHalfLife.count()));
+}
+
+void UpstreamSelector::noteQuality(Entry& entry, bool isGood, TimePoint now)
+{
+    entry.quality = quality(entry, now);
+    entry.quality += m_options.qualityWeight * ((isGood ? 1 : 0) - entry.quality);
+    entry.qualityAt = now;
+}
+
 double UpstreamSelector::loadPerSlot(const Entry& entry, TimePoint now) const
 {
     double load = entry.outstanding;
@@ -262,8 +276,8 @@
         capacity -= (capacity - limit) * share;
     }
     // An upstream that fails fast looks idle, so its failures count as load.
-    double failing = 1 - entry.quality;
-    return load / std::max(1.0, capacity) + failing * failing * failurePenalty;
+    double lacking = m_options.avoidFailing ? std::max(0.0, m_options.goodQuality - quality(entry, now)) : 0;
+    return load / std::max(1.0, capacity) + lacking * failurePenalty;
 }
 
 bool UpstreamSelector::isUsable(const Entry& entry, std::span<const HostId> tried, TimePoint now) const
--- a/dragonflylane/UpstreamSelector.h
+++ b/dragonflylane/UpstreamSelector.h
@@ -82,6 +82,10 @@
     double maxEjectedShare { 0.34 };
     /// Weight of the latest answer in the share of good answers of an upstream.
     double qualityWeight { 0.05 };
+    /// An upstream with a lower share of good answers is avoided; a few errors are normal.
+    double goodQuality { 0.75 };
+    /// Without answers, the lack of quality halves in this time.
+    Duration qualityHalfLife { std::chrono::seconds(3) };
     Duration unavailableFor { std::chrono::seconds(3) };
 
     // Switches that disable a mechanism for a test.
@@ -90,6 +94,7 @@
     bool preferNear { true };
     bool slowStartEnabled { true };
     bool ejectOutliers { true };
+    bool avoidFailing { true };
 };
 
 class UpstreamSelector {
@@ -126,6 +131,7 @@
         std::optional<TimePoint> reportedAt;
         /// Share of late answers that were no failure, weighted towards the latest.
         double quality { 1 };
+        TimePoint qualityAt;
         uint32_t failures { 0 };
         uint32_t ejections { 0 };
         std::optional<TimePoint> ejectedUntil;
@@ -135,6 +141,8 @@
     size_t tierOf(const UpstreamCandidate&) const;
     std::vector<size_t> chooseSubset(std::span<const UpstreamCandidate>) const;
     double weight(const Entry&, TimePoint now) const;
+    double quality(const Entry&, TimePoint now) const;
+    void noteQuality(Entry&, bool isGood, TimePoint now);
     double loadPerSlot(const Entry&, TimePoint now) const;
     bool isUsable(const Entry&, std::span<const HostId> tried, TimePoint now) const;
     /// A random usable upstream of the tier other than the given one.
--- a/tests/UpstreamSelectorTest.cpp
+++ b/tests/UpstreamSelectorTest.cpp
@@ -235,6 +235,7 @@
     for (bool eject : { true, false }) {
         UpstreamSelectorOptions options = optionsFor();
         options.ejectOutliers = eject;
+        options.avoidFailing = eject;
         UpstreamSelector selector(options);
         std::vector<UpstreamCandidate> upstreams = candidates(6, "a");
         selector.rebuild(upstreams, start);
@@ -282,4 +283,37 @@
     EXPECT_EQ(selector.outstanding(next.upstream), 1U);
 }
 
+// Guards against the pattern in which an upstream that fails fast looks idle and draws the calls: 45 % errors at one of
+// three upstreams.
+TEST(UpstreamSelectorTest, UpstreamThatFailsFastDrawsNoCalls)
+{
+    auto errorShare = [](bool avoidFailing) {
+        UpstreamSelectorOptions options = optionsFor();
+        options.avoidFailing = avoidFailing;
+        UpstreamSelector selector(options);
+        std::vector<UpstreamCandidate> upstreams = candidates(3, "a");
+        selector.rebuild(upstreams, start);
+        std::mt19937_64 random(1);
+        std::multimap<TimePoint, std::pair<Choice, bool>> running;
+        int errors = 0;
+        constexpr int calls = 4000;
+        for (int i = 0; i < calls; ++i) {
+            TimePoint now = start + milliseconds(3 * i);
+            while (!running.empty() && running.begin()->first <= now) {
+                auto [choice, isError] = running.begin()->second;
+                selector.finished(
+                    choice, isError ? SelectionOutcome::Error : SelectionOutcome::Success, std::nullopt, now);
+                running.erase(running.begin());
+            }
+            Choice choice = *selector.choose({}, now);
+            bool isError = choice.upstream == upstreams[0].id && random() % 100 < 45;
+            errors += isError ? 1 : 0;
+            running.emplace(now + (isError ? milliseconds(1) : milliseconds(60)), std::pair(choice, isError));
+        }
+        return static_cast<double>(errors) / calls;
+    };
+    EXPECT_GT(errorShare(false), 0.15);
+    EXPECT_LT(errorShare(true), 0.08);
+}
+
 } // namespace dragonflylane
