--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -238,7 +238,11 @@
     {
         m_api = std::make_unique<ApiTask>(m_context,
             ApiParts { m_settings, m_hub, m_metrics, m_journal, *m_membership, *m_relay, m_routing, m_owner, m_claims,
-                m_crash, m_log.get(), [this] { return !m_isLeaving && mayServeRoutes(); } },
+                m_crash, m_log.get(),
+                [this] {
+                    noteReadiness();
+                    return m_wasReady;
+                } },
             std::move(operators), m_options.foreignApi);
         constexpr size_t maxApiConnections = 64;
         for (const Endpoint& endpoint : { m_settings.api, m_settings.readiness, m_settings.metrics }) {
@@ -285,6 +289,7 @@
         if (m_settings.hasAutomaticVoters)
             noteControlHost(host, isPresent && record->controlRole != ControlRole::None ? record : std::nullopt);
         shareRetryBudget();
+        noteReadiness();
         if (!isPresent)
             Event("member_gone").with("host", host).with("state", record ? name(record->state) : "forgotten");
     }
@@ -416,6 +421,20 @@
 
     bool hasFloor() const { return m_relay->relay().hasFloor(); }
 
+    // Logs each change, since a daemon that may not serve routes is the first thing to know about a refused call.
+    void noteReadiness()
+    {
+        bool isReady = !m_isLeaving && mayServeRoutes();
+        if (isReady == m_wasReady)
+            return;
+        m_wasReady = isReady;
+        Event(isReady ? "daemon_ready" : "daemon_not_ready")
+            .with("has_floor", static_cast<int>(hasFloor()))
+            .with("joined", static_cast<int>(m_membership->view().isJoined()))
+            .with("members", m_membership->view().presentCount())
+            .with("revision", m_appliedRevision);
+    }
+
     // Before the members are known, every service seems to have no upstream.
     bool mayServeRoutes() const { return hasFloor() && m_membership->view().isJoined(); }
 
@@ -614,6 +633,7 @@
     uint64_t m_hostGeneration { 0 };
     /// Control hosts that are alive, with automatic voters.
     std::map<HostId, Endpoint> m_controlHosts;
+    bool m_wasReady { false };
     bool m_isLeaving { false };
     bool m_isClosing { false };
     TimePoint m_leaveBegan;
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -72,7 +72,7 @@
     // Shortest time after which a refused caller is asked back.
     constexpr std::chrono::milliseconds defaultReturnTime { 20 };
     // Part of the time that a caller has left after which it may be asked back; later there is no time to serve it.
-    constexpr int returnShare = 4;
+    constexpr int returnPercent = 30;
     constexpr double returnJitter = 0.5;
 
     // Host header without the port, in lower case.
@@ -507,9 +507,11 @@
         Duration left = call->callerDeadline - BootClock::now();
         if (!mayReturn || left <= Duration::zero())
             return Duration::zero();
-        Duration base = std::max<Duration>(call->retryAfter, defaultReturnTime);
+        // A daemon that may not serve routes yet cannot tell when it will.
+        bool isUnknown = code == ResultCode::NoFloor || code == ResultCode::OwnerUnreachable;
+        Duration base = isUnknown ? left : std::max<Duration>(call->retryAfter, defaultReturnTime);
         double jitter = std::uniform_real_distribution<double>(1, 1 + returnJitter)(m_random);
-        return std::min(std::chrono::duration_cast<Duration>(base * jitter), left / returnShare);
+        return std::min(std::chrono::duration_cast<Duration>(base * jitter), left * returnPercent / 100);
     }
 
     CallOrigin originOf(const HttpExchange& exchange) const
--- a/dragonflylane/Membership.cpp
+++ b/dragonflylane/Membership.cpp
@@ -35,7 +35,7 @@
     // Bounds the search for members of the same data centre, which is made for each joining daemon.
     constexpr size_t maxContactSearch = 2000;
     // Requests for a range of records that only a daemon that has joined may answer.
-    constexpr unsigned completeSourceAttempts = 4;
+    constexpr unsigned completeSourceAttempts = 2;
     constexpr unsigned maxBackoffDoublings = 16;
 
     uint64_t hashOf(const HostId& host)
@@ -1284,12 +1284,8 @@
 void Membership::answerPage(const Endpoint& to, const GossipPageRequest& request)
 {
     GossipRecords answer { .page = GossipPageEnd { .number = request.number, .isLast = true } };
-    if (!isJoined() && !request.acceptPartial) {
-        // Many daemons may join at once, and their pages would be incomplete.
-        answer.page = GossipPageEnd { .number = request.number, .next = request.first };
-        send(to, std::move(answer));
-        return;
-    }
+    // Many daemons may join at once. What they know already helps, but their pages count as incomplete.
+    bool isComplete = isJoined() || request.acceptPartial;
     size_t budget = cargoBudget;
     for (auto it = m_entries.lower_bound(request.first); it != m_entries.end() && it->first <= request.last; ++it) {
         const MemberRecord& record = it->second.node->second;
@@ -1304,6 +1300,8 @@
         budget -= size;
         answer.cargo.records.push_back(record);
     }
+    if (!isComplete)
+        answer.page = GossipPageEnd { .number = request.number, .next = request.first };
     ++m_counters.transfersSent;
     send(to, std::move(answer));
 }
--- a/dragonflylane/MembershipOptions.h
+++ b/dragonflylane/MembershipOptions.h
@@ -46,7 +46,7 @@
     size_t maxLostMembers { 256 };
 
     /// Bounds of the full-jitter backoff of join attempts and record pages.
-    Duration joinBackoffBase { std::chrono::milliseconds(200) };
+    Duration joinBackoffBase { std::chrono::milliseconds(50) };
     Duration joinBackoffLimit { std::chrono::seconds(10) };
     Duration pageTimeout { std::chrono::milliseconds(500) };
     size_t maxPagesInFlight { 4 };
