--- a/dragonflylane/ApiTask.cpp
+++ b/dragonflylane/ApiTask.cpp
@@ -338,8 +338,7 @@
     MeshPort port { .service = m_parts.settings.service, .upstream = m_parts.settings.upstream };
     port.isReady = m_parts.isReady;
     port.announce = [this](const Announcement& announcement) { m_parts.owner.announce(announcement); };
-    port.withdraw
-        = [this](const UpstreamId& id, uint64_t startedAt) { m_parts.owner.withdraw(id, startedAt); };
+    port.withdraw = [this](const UpstreamId& id, uint64_t startedAt) { m_parts.owner.withdraw(id, startedAt); };
     port.replaceConfiguration = [this](ReplaceCommand command, ReplaceCallback answer) {
         if (command.operatorName.isEmpty())
             command.operatorName = OperatorName(trustedOperator);
--- a/dragonflylane/CallTransfers.cpp
+++ b/dragonflylane/CallTransfers.cpp
@@ -110,8 +110,8 @@
         return m_metrics.add("forward_malformed");
     int64_t id = message.requestId;
     CallOrigin origin { .service = ServiceName(message.callerService) };
-    auto exchange = std::make_shared<HttpExchange>(
-        toHttpRequest(std::move(message), m_names), BootClock::now(), [this, id, link = frame.link](HttpResponse response) {
+    auto exchange = std::make_shared<HttpExchange>(toHttpRequest(std::move(message), m_names), BootClock::now(),
+        [this, id, link = frame.link](HttpResponse response) {
             wire::ForwardResponse reply = toForwardResponse(std::move(response));
             reply.requestId = id;
             m_hub.send(link, FrameKind::ForwardResponse, encodeThrift(reply));
--- a/dragonflylane/ConfigWire.cpp
+++ b/dragonflylane/ConfigWire.cpp
@@ -377,8 +377,8 @@
     if (!context)
         return {};
     // The window has to reach back over the whole prefix.
-    int windowLog = std::clamp(
-        static_cast<int>(std::bit_width(base.size() + bytes.size())), minWindowLog, maxWindowLog);
+    int windowLog
+        = std::clamp(static_cast<int>(std::bit_width(base.size() + bytes.size())), minWindowLog, maxWindowLog);
     ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel, compressionLevel);
     ZSTD_CCtx_setParameter(context.get(), ZSTD_c_windowLog, windowLog);
     ZSTD_CCtx_refPrefix(context.get(), base.data(), base.size());
@@ -388,8 +388,7 @@
     return result;
 }
 
-std::error_code decompressAgainst(
-    std::string_view base, std::string_view bytes, size_t maxBytes, std::string* result)
+std::error_code decompressAgainst(std::string_view base, std::string_view bytes, size_t maxBytes, std::string* result)
 {
     unsigned long long size = ZSTD_getFrameContentSize(bytes.data(), bytes.size());
     if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN)
--- a/dragonflylane/ConfigWire.h
+++ b/dragonflylane/ConfigWire.h
@@ -36,7 +36,6 @@
 /// zstd with another text as prefix, so that the result is about as long as the difference between the two. Empty if
 /// the library fails.
 std::string compressAgainst(std::string_view base, std::string_view bytes);
-std::error_code decompressAgainst(
-    std::string_view base, std::string_view bytes, size_t maxBytes, std::string* result);
+std::error_code decompressAgainst(std::string_view base, std::string_view bytes, size_t maxBytes, std::string* result);
 
 } // namespace dragonflylane
--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -248,9 +248,9 @@
         for (const Endpoint& endpoint : { m_settings.api, m_settings.readiness, m_settings.metrics }) {
             if (!endpoint.isSet())
                 continue;
-            HttpServerOptions options { .listen = endpoint,
-                .maxConnections = maxApiConnections,
-                .maxBodyBytes = maxDocumentBytes };
+            HttpServerOptions options {
+                .listen = endpoint, .maxConnections = maxApiConnections, .maxBodyBytes = maxDocumentBytes
+            };
             m_apiServers.push_back(std::make_unique<HttpServer>(m_context, options, m_metrics,
                 [this](const std::shared_ptr<HttpExchange>& exchange) { m_api->handle(exchange); }));
         }
@@ -329,9 +329,8 @@
         if (m_settings.retryWindow.count() == 0 || !m_membership->view().isJoined())
             return;
         const auto& members = m_membership->view().members();
-        auto entries = std::count_if(members.begin(), members.end(), [](const auto& item) {
-            return item.second.isPresent() && item.second.controlRole == ControlRole::None;
-        });
+        auto entries = std::count_if(members.begin(), members.end(),
+            [](const auto& item) { return item.second.isPresent() && item.second.controlRole == ControlRole::None; });
         double share = m_settings.retrySlack * budgetShare / static_cast<double>(std::max<int64_t>(entries, 1));
         m_entry->setRetrySlack(share);
     }
--- a/dragonflylane/EntryService.cpp
+++ b/dragonflylane/EntryService.cpp
@@ -3,8 +3,11 @@
 namespace dragonflylane {
 
 EntryService::EntryService(const EntryServiceOptions& options, TimePoint now)
-    : m_selector(
-        { .self = options.self, .dataCentre = options.dataCentre, .region = options.region, .seed = options.seed, .spillLoad = options.spillLoad })
+    : m_selector({ .self = options.self,
+        .dataCentre = options.dataCentre,
+        .region = options.region,
+        .seed = options.seed,
+        .spillLoad = options.spillLoad })
     , m_policy({ .budget = options.retryBudget, .seed = options.seed }, now)
 {
 }
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -15,9 +15,9 @@
 #include "dragonflylane/Wire.h"
 #include "gen-cpp/peer_types.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <algorithm>
 #include <cctype>
 #include <random>
 #include <set>
--- a/dragonflylane/HttpSession.cpp
+++ b/dragonflylane/HttpSession.cpp
@@ -285,12 +285,11 @@
 
 void HttpSession::discardInput()
 {
-    m_stream.async_read_some(
-        asio::buffer(m_discarded), [self = shared_from_this()](beast::error_code error, size_t) {
-            if (error)
-                return self->callerGone();
-            self->discardInput();
-        });
+    m_stream.async_read_some(asio::buffer(m_discarded), [self = shared_from_this()](beast::error_code error, size_t) {
+        if (error)
+            return self->callerGone();
+        self->discardInput();
+    });
 }
 
 void HttpSession::close()
--- a/dragonflylane/LogReplica.h
+++ b/dragonflylane/LogReplica.h
@@ -20,12 +20,13 @@
 // A proposal is committed when LogApply returns its index with the term that term() had when it was proposed. If the
 // index returns with another term it was not committed. After a loss of leadership it is uncertain until then.
 //
-// First start with fixed voters: the control host with the lowest id creates the log once all control hosts have stated,
-// in answer to its own replica id, that their disks are empty. All other replicas with empty disks start as learners.
+// First start with fixed voters: the control host with the lowest id creates the log once all control hosts have
+// stated, in answer to its own replica id, that their disks are empty. All other replicas with empty disks start as
+// learners.
 //
 // Automatic voters: the founders (at most three hosts that all replicas know from the start) hold an ordinary election
-// among themselves. The winner needs the votes of a majority of the founders and writes those that it knows as the first
-// membership, so two majorities always share a founder and at most one log comes into being. The leader then adds
+// among themselves. The winner needs the votes of a majority of the founders and writes those that it knows as the
+// first membership, so two majorities always share a founder and at most one log comes into being. The leader then adds
 // control hosts one at a time up to the target, and gives the place of a silent voter to a replica that has caught up.
 
 #include "dragonflylane/LogMessages.h"
@@ -51,8 +52,8 @@
 
     /// Voters are chosen from the control hosts that are alive instead of being all that the settings name.
     bool automaticVoters { false };
-    /// Automatic voters: the number aimed at. Commands are refused with more than one voter less, since an entry must be
-    /// on more disks than may be lost at once.
+    /// Automatic voters: the number aimed at. Commands are refused with more than one voter less, since an entry must
+    /// be on more disks than may be lost at once.
     size_t targetVoters { 5 };
     /// Automatic voters: this replica may take part in the first start of the log. False after any restart, so that a
     /// replica that lost its disk never founds a second log.
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -108,8 +108,8 @@
 void OwnerTask::withdraw(const UpstreamId& id, uint64_t startedAt)
 {
     constexpr size_t maxWithdrawn = 64;
-    bool isOurs = m_announcement && m_announcement->id == id
-        && (startedAt == 0 || startedAt == m_announcement->startedAt);
+    bool isOurs
+        = m_announcement && m_announcement->id == id && (startedAt == 0 || startedAt == m_announcement->startedAt);
     uint64_t process = isOurs ? m_announcement->startedAt : startedAt;
     if (!isWithdrawn(id, process))
         m_withdrawn.push_back({ id, process });
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -43,8 +43,8 @@
     UpstreamPhase phase { UpstreamPhase::Ready };
     /// Differs between successive processes of the upstream.
     std::string instance;
-    /// Start of the process, in milliseconds of the upstream's wall clock; zero if not stated. Of two announcements, the
-    /// one of the process that started later holds.
+    /// Start of the process, in milliseconds of the upstream's wall clock; zero if not stated. Of two announcements,
+    /// the one of the process that started later holds.
     uint64_t startedAt { 0 };
     /// Grows with each announcement of one process; zero if not stated.
     Sequence sequence;
--- a/dragonflylane/PlanBook.cpp
+++ b/dragonflylane/PlanBook.cpp
@@ -219,8 +219,7 @@
     if (auto outcome = decideVersion(command.version, command.base, command.digest))
         return *outcome;
     std::string document;
-    bool isWhole
-        = !decompressAgainst(m_document, command.documentPatch, PlanWireLimits::documentBytes, &document)
+    bool isWhole = !decompressAgainst(m_document, command.documentPatch, PlanWireLimits::documentBytes, &document)
         && documentDigest(document) == command.digest;
     if (!isWhole)
         return refusal({}, ResultCode::MalformedPlan, "the patch does not yield the document");
--- a/dragonflylane/PlanBook.h
+++ b/dragonflylane/PlanBook.h
@@ -170,7 +170,8 @@
     /// Newest first.
     std::vector<const PlanRecord*> plans() const;
 
-    /// What a replacement would do now: the outcome if it changes nothing, otherwise nothing and the patch to replicate.
+    /// What a replacement would do now: the outcome if it changes nothing, otherwise nothing and the patch to
+    /// replicate.
     std::optional<ApplyOutcome> prepare(const ReplaceCommand&, PatchCommand*) const;
     /// Version of the document in force; zero before the first one.
     DocumentVersion documentVersion() const;
--- a/dragonflylane/PlanWire.cpp
+++ b/dragonflylane/PlanWire.cpp
@@ -201,7 +201,9 @@
     if (std::error_code error = decodeThrift(bytes, PlanWireLimits::commandBytes, &wireCommand))
         return error;
     const auto& isSet = wireCommand.__isset;
-    if (int { isSet.propose } + int { isSet.confirm } + int { isSet.setKeepers } + int { isSet.replace } + int { isSet.patch } != 1)
+    if (int { isSet.propose } + int { isSet.confirm } + int { isSet.setKeepers } + int { isSet.replace }
+            + int { isSet.patch }
+        != 1)
         return ResultCode::MalformedFrame;
     if (isSet.propose && !readPropose(wireCommand.propose, command))
         return ResultCode::MalformedFrame;
--- a/dragonflylane/RankedAdmission.cpp
+++ b/dragonflylane/RankedAdmission.cpp
@@ -163,8 +163,8 @@
 
 bool RankedAdmission::isSuspectBusy() const
 {
-    bool isQueued = std::any_of(
-        m_queue.begin(), m_queue.end(), [](const CallTicket& ticket) { return ticket.isSuspect; });
+    bool isQueued
+        = std::any_of(m_queue.begin(), m_queue.end(), [](const CallTicket& ticket) { return ticket.isSuspect; });
     return isQueued || std::any_of(m_running.begin(), m_running.end(), [](const auto& item) {
         return item.second.ticket.isSuspect;
     });
@@ -188,8 +188,8 @@
 // With n slots busy, one call ends each mean hold time / n.
 Duration RankedAdmission::expectedWait(const CallTicket& ticket, TimePoint now) const
 {
-    auto ahead
-        = std::count_if(m_queue.begin(), m_queue.end(), [&](const CallTicket& other) { return !goesBefore(ticket, other); });
+    auto ahead = std::count_if(
+        m_queue.begin(), m_queue.end(), [&](const CallTicket& other) { return !goesBefore(ticket, other); });
     double interval = nanosecondsOf(meanHold(now)) / std::max(1U, m_options.slots);
     return durationOf(interval * static_cast<double>(ahead + 1));
 }
@@ -231,8 +231,8 @@
         // A call that would miss its deadline would only take the slot from one that can still meet it.
         bool isHopeless = !isExpired && now + serviceTime(ticket, now) > ticket.deadline;
         if (isExpired || isHopeless) {
-            changes.refused.push_back({ ticket,
-                isExpired ? ResultCode::DeadlineExceeded : ResultCode::WouldMissDeadline, Duration::zero() });
+            changes.refused.push_back(
+                { ticket, isExpired ? ResultCode::DeadlineExceeded : ResultCode::WouldMissDeadline, Duration::zero() });
             continue;
         }
         start(ticket, now);
--- a/dragonflylane/RankedAdmission.h
+++ b/dragonflylane/RankedAdmission.h
@@ -2,8 +2,8 @@
 
 // Admission by rank, for upstreams that call one another and are loaded near their limit.
 //
-// Order of service: routes by priority, then the earliest target time. Pattern: under load a parent holds its slot while
-// its own calls queue behind new work of the next service, so every service fills with parents that wait for one
+// Order of service: routes by priority, then the earliest target time. Pattern: under load a parent holds its slot
+// while its own calls queue behind new work of the next service, so every service fills with parents that wait for one
 // another. Calls that running work waits for are short and have tight targets, so they go first and the chain ends.
 //
 // A ticket of the lowest rank is queued only if it is expected to end by its target time, with a margin for the spread
--- a/dragonflylane/RetryPolicy.h
+++ b/dragonflylane/RetryPolicy.h
@@ -25,8 +25,8 @@
 struct AttemptResult {
     ResultCode code { ResultCode::Ok };
     bool isIdempotent { false };
-    /// Attempts of this call so far, including those of earlier hops that the call carries. Refusals by owner daemons do
-    /// not count if `hasReachedUpstream` is reported.
+    /// Attempts of this call so far, including those of earlier hops that the call carries. Refusals by owner daemons
+    /// do not count if `hasReachedUpstream` is reported.
     uint32_t attempts { 1 };
     /// Time left until the deadline of the call.
     Duration remaining { 0 };
--- a/dragonflylane/RoutingTable.cpp
+++ b/dragonflylane/RoutingTable.cpp
@@ -65,8 +65,8 @@
                 return &tables.routes[found->second];
         }
         bool endsWithSlash = candidate.back() == '/';
-        candidate = endsWithSlash ? candidate.substr(0, candidate.size() - 1)
-                                  : candidate.substr(0, candidate.rfind('/') + 1);
+        candidate
+            = endsWithSlash ? candidate.substr(0, candidate.size() - 1) : candidate.substr(0, candidate.rfind('/') + 1);
     }
     return nullptr;
 }
--- a/dragonflylane/RoutingTable.h
+++ b/dragonflylane/RoutingTable.h
@@ -72,8 +72,8 @@
     /// Epoch 0 without hosts if there is no keeper view.
     const KeeperViewItem& keepers() const { return m_tables->keepers; }
 
-    /// Route with the longest path prefix that ends at a segment boundary of the path; a query is ignored. Routes of the
-    /// given host go before those of every host. Null if none matches. O(length of the longest prefix).
+    /// Route with the longest path prefix that ends at a segment boundary of the path; a query is ignored. Routes of
+    /// the given host go before those of every host. Null if none matches. O(length of the longest prefix).
     const RouteEntry* findRoute(std::string_view host, std::string_view target) const;
     const RouteEntry* findRoute(std::string_view target) const { return findRoute({}, target); }
     const std::vector<RouteEntry>& routes() const { return m_tables->routes; }
--- a/dragonflylane/Settings.cpp
+++ b/dragonflylane/Settings.cpp
@@ -35,7 +35,8 @@
         { "listen", "readiness", "address", "", "IP:port", "Further listener of the API, for readiness checks." },
         { "listen", "metrics", "address", "", "IP:port", "Further listener of the API, for collectors of metrics." },
         { "control", "voters", "host=address list", "this host", "1, 3 or 5, or automatic",
-            "Founding voters of the replicated log with their peer addresses; the same on every host. automatic: chosen "
+            "Founding voters of the replicated log with their peer addresses; the same on every host. automatic: "
+            "chosen "
             "among the control hosts that are alive." },
         { "control", "member", "", "no", "yes, no", "With automatic voters: this host has a replica of the log." },
         { "control", "may-found", "", "no", "yes, no",
--- a/tests/LogVotersTest.cpp
+++ b/tests/LogVotersTest.cpp
@@ -76,8 +76,8 @@
     EXPECT_EQ(cluster.violation, "");
 }
 
-// Guards against a log that loses its quorum because hosts that are gone for good stay voters: two hosts are replaced by
-// others one after the other, then two more fail at once.
+// Guards against a log that loses its quorum because hosts that are gone for good stay voters: two hosts are replaced
+// by others one after the other, then two more fail at once.
 TEST(LogVotersTest, HostsThatAreGoneGiveTheirPlacesToOthers)
 {
     Cluster cluster(7, 5, automatic(), true);
@@ -87,7 +87,8 @@
     for (auto [gone, added] : { std::pair<size_t, size_t>(0, 5), std::pair<size_t, size_t>(3, 6) }) {
         cluster.crash(gone);
         cluster.start(added);
-        auto isReplaced = [&, gone = gone, added = added] { return isVoter(cluster, added) && !isVoter(cluster, gone); };
+        auto isReplaced
+            = [&, gone = gone, added = added] { return isVoter(cluster, added) && !isVoter(cluster, gone); };
         ASSERT_TRUE(cluster.runUntil(isReplaced, seconds(4))) << gone;
         ASSERT_TRUE(cluster.runUntil([&] { return voterCount(cluster) == 5; }, seconds(1))) << gone;
     }
--- a/tests/RankedAdmissionTest.cpp
+++ b/tests/RankedAdmissionTest.cpp
@@ -19,11 +19,9 @@
 
     CallTicket ticket(uint64_t id, TimePoint now, Duration target, Duration deadline, uint32_t priority = 1)
     {
-        return { .id = id,
-            .deadline = now + deadline,
-            .routeKey = priority,
-            .priority = priority,
-            .target = now + target };
+        return {
+            .id = id, .deadline = now + deadline, .routeKey = priority, .priority = priority, .target = now + target
+        };
     }
 
     /// Service times of one kind of work; with equal ones, calls would end in clumps.
@@ -64,8 +62,8 @@
         TimePoint m_now { start };
     };
 
-    /// Two services with one upstream each. Work of the first one calls the second one and holds its slot meanwhile; the
-    /// second one also has work of its own that would fill it one and a half times.
+    /// Two services with one upstream each. Work of the first one calls the second one and holds its slot meanwhile;
+    /// the second one also has work of its own that would fill it one and a half times.
     class Chain {
     public:
         explicit Chain(bool orderByRank)
