--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -5,10 +5,12 @@
 #include "dragonflylane/CrashTask.h"
 #include "dragonflylane/EntryCall.h"
 #include "dragonflylane/EntryService.h"
+#include "dragonflylane/Event.h"
 #include "dragonflylane/Fingerprint.h"
 #include "dragonflylane/ForwardServer.h"
 #include "dragonflylane/ForwardWire.h"
 #include "dragonflylane/Journal.h"
+#include "dragonflylane/LogLimiter.h"
 #include "dragonflylane/Metrics.h"
 #include "dragonflylane/OwnerTask.h"
 #include "dragonflylane/PeerHub.h"
@@ -62,7 +64,7 @@
     }
 
     constexpr unsigned statusServiceUnavailable = 503;
-    constexpr int firstServerError = 500;
+    constexpr unsigned firstServerError = 500;
     // The owner that is asked first, usually a near one, may let a call wait for this part of its target time, which
     // keeps calls in their data centre; the next ones for this part, and no less than a few milliseconds, in which
     // another owner could hardly be asked.
@@ -75,6 +77,11 @@
     constexpr int returnPercent = 30;
     constexpr double returnJitter = 0.5;
 
+    int64_t milliseconds(Duration duration)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    }
+
     // Host header without the port, in lower case.
     std::string hostName(const HttpRequest& request)
     {
@@ -377,7 +384,7 @@
         std::optional<LoadReport> report;
         if (response.limit > 0)
             report = loadReport(response);
-        bool isError = code == ResultCode::Ok && response.status >= firstServerError;
+        bool isError = code == ResultCode::Ok && static_cast<unsigned>(response.status) >= firstServerError;
         SelectionOutcome outcome = isError ? SelectionOutcome::Error : selectionOutcome(code);
         serviceOf(call).selector().finished(done.choice, outcome, report, now);
         if (code == ResultCode::Ok) {
@@ -418,6 +425,7 @@
                                                            .hasReachedUpstream = call->arrivals > 0 },
                 now);
         }
+        logAttempt(*call, done, code, decision.isRetry, now);
         if (decision.isRetry) {
             m_parts.metrics.countRetry(code);
             return retryAfter(call, decision.delay);
@@ -427,6 +435,47 @@
         refuse(call, isFinalShed ? code : decision.code);
     }
 
+    // One attempt that brought no answer, and whether another one is made.
+    void logAttempt(const EntryCall& call, const EntryAttempt& done, ResultCode code, bool isRetry, TimePoint now)
+    {
+        auto line = m_attemptLines.admit(now);
+        if (!line)
+            return;
+        Event("call_attempt_failed")
+            .with("request", call.requestId)
+            .with("service", call.serviceName)
+            .with("owner", done.choice.owner)
+            .with("upstream", done.choice.upstream)
+            .with("code", name(code))
+            .with("took_ms", milliseconds(now - done.startedAt))
+            .with("arrivals", call.arrivals)
+            .with("redirects", call.redirects)
+            .with("again", static_cast<int>(isRetry))
+            .with("left_out", line->leftOut);
+    }
+
+    // The answer that a caller gets from the daemon itself, or a failure of the upstream that is passed on.
+    void logAnswer(const EntryCall& call, ResultCode code, unsigned status, Duration retryAfter)
+    {
+        TimePoint now = BootClock::now();
+        auto line = m_answerLines.admit(now);
+        if (!line)
+            return;
+        Event(code == ResultCode::Ok ? "call_failed_at_upstream" : "call_refused")
+            .with("request", call.requestId)
+            .with("service", call.serviceName)
+            .with("code", name(code))
+            .with("status", status)
+            .with("run", runState(code) == RunState::NotRun ? "not-run" : "unknown")
+            .with("after_ms", milliseconds(now - call.exchange->received()))
+            .with("left_ms", milliseconds(call.callerDeadline - now))
+            .with("arrivals", call.arrivals)
+            .with("redirects", call.redirects)
+            .with("retry_after_ms", milliseconds(retryAfter))
+            .with("revision", m_routingTable->revision())
+            .with("left_out", line->leftOut);
+    }
+
     void noteRefusal(const CallPtr& call, const HostId& owner, ResultCode code, Duration retryAfter)
     {
         call->refusal = code;
@@ -483,6 +532,8 @@
             .code = code,
             .detail = "attempts " + std::to_string(call->attempts) });
         HttpResponse http = toHttpResponse(std::move(response));
+        if (http.status >= firstServerError)
+            logAnswer(*call, code, http.status, Duration::zero());
         const std::string& idHeader = m_options.headerNames.requestId;
         if (http.header(idHeader).empty())
             http.headers.push_back({ idHeader, call->requestId.value() });
@@ -496,7 +547,9 @@
             .cause = call->requestId.value(),
             .code = code,
             .detail = "attempts " + std::to_string(call->attempts) });
-        respond(call, code, makeRefusal(code, call->requestId, m_options.headerNames, returnTime(call, code)));
+        Duration retryAfter = returnTime(call, code);
+        logAnswer(*call, code, httpStatus(code), retryAfter);
+        respond(call, code, makeRefusal(code, call->requestId, m_options.headerNames, retryAfter));
     }
 
     // When a caller whose request did not run should come back. Jitter keeps those that are refused together from
@@ -532,6 +585,14 @@
     void cancelCall(const CallPtr& call)
     {
         m_parts.metrics.countCall(ResultCode::CallerGone);
+        if (auto line = m_answerLines.admit(BootClock::now())) {
+            Event("call_cancelled")
+                .with("request", call->requestId)
+                .with("service", call->serviceName)
+                .with("after_ms", milliseconds(BootClock::now() - call->exchange->received()))
+                .with("open_attempts", call->open.size())
+                .with("left_out", line->leftOut);
+        }
         finish(call);
     }
 
@@ -680,6 +741,8 @@
     std::set<std::pair<TimePoint, uint64_t>> m_deadlines;
     bool m_isDeadlineArmed { false };
     std::mt19937_64 m_random { m_options.life };
+    LogLimiter m_attemptLines;
+    LogLimiter m_answerLines;
     TimePoint m_lastAnswer { TimePoint::max() };
 };
 
--- a/dragonflylane/Event.cpp
+++ b/dragonflylane/Event.cpp
@@ -1,10 +1,12 @@
 #include "dragonflylane/Event.h"
 
+#include "dragonflylane/LogSink.h"
 #include "dragonflylane/ResultCode.h"
 
 #include <cstdio>
-#include <spdlog/sinks/stdout_sinks.h>
-#include <spdlog/spdlog.h>
+#include <memory>
+#include <spdlog/logger.h>
+#include <unistd.h>
 
 namespace dragonflylane {
 
@@ -13,7 +15,7 @@
     spdlog::logger& logger()
     {
         static const auto instance = [] {
-            auto created = spdlog::stderr_logger_mt("dragonflylane");
+            auto created = std::make_shared<spdlog::logger>("dragonflylane", std::make_shared<LogSink>(STDOUT_FILENO));
             created->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
             return created;
         }();
--- a/dragonflylane/Membership.cpp
+++ b/dragonflylane/Membership.cpp
@@ -535,6 +535,8 @@
     auto node = m_members.emplace(record.host, record).first;
     auto it = m_entries.emplace(hash, Entry { .node = node, .tieBreak = tieBreak }).first;
     it->second.isUnconfirmed = now < m_outdatedUntil;
+    if (record.address != self().address)
+        endPredecessor(it, now);
     enterState(it, now);
     size_t remaining = m_probeOrder.size() - m_probePosition;
     size_t position = m_probePosition + randomBelow(remaining + 1);
@@ -563,6 +565,17 @@
     m_outputs.emplace_back(MemberChanged { record.host, record });
 }
 
+// An address belongs to one host at a time, so a host that appears there shows that the one before it has ended.
+void Membership::endPredecessor(Entries::iterator it, TimePoint now)
+{
+    auto holder = m_byAddress.find(it->second.node->second.address);
+    if (holder == m_byAddress.end() || holder->second == it->first)
+        return;
+    auto predecessor = m_entries.find(holder->second);
+    if (predecessor != m_entries.end() && predecessor->second.node->second.isPresent())
+        declare(predecessor, MemberState::Dead, now);
+}
+
 void Membership::enterState(Entries::iterator it, TimePoint now)
 {
     const MemberRecord& record = it->second.node->second;
--- a/dragonflylane/Membership.h
+++ b/dragonflylane/Membership.h
@@ -171,6 +171,7 @@
     void applyOwnRecord(const MemberRecord&, TimePoint now);
     void insertMember(const MemberRecord&, HostHash, uint32_t tieBreak, Spread, TimePoint now);
     void replaceRecord(Entries::iterator, const MemberRecord&, uint32_t tieBreak, Spread, TimePoint now);
+    void endPredecessor(Entries::iterator, TimePoint now);
     void enterState(Entries::iterator, TimePoint now);
     void leaveState(Entries::iterator);
     void eraseMember(Entries::iterator);
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -355,6 +355,7 @@
             .subjects = { call->request.traceId, call->request.upstreamId },
             .cause = call->request.traceId,
             .code = code });
+        logRefusal(*call, code, retryAfter);
     }
     wire::ForwardResponse reply;
     reply.requestId = call->request.requestId;
@@ -377,6 +378,30 @@
     call->respond(std::move(reply));
 }
 
+void OwnerTask::logRefusal(const Call& call, ResultCode code, Duration expectedWait)
+{
+    TimePoint now = BootClock::now();
+    auto line = m_refusalLines.admit(now);
+    if (!line)
+        return;
+    LoadReport report = load();
+    auto milliseconds
+        = [](Duration duration) { return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(); };
+    Event("owner_refused")
+        .with("request", call.request.traceId)
+        .with("upstream", call.request.upstreamId)
+        .with("code", name(code))
+        .with("running", report.running)
+        .with("queued", report.queued)
+        .with("slots", report.limit)
+        .with("service_ms", milliseconds(report.serviceTime))
+        .with("expected_wait_ms", milliseconds(expectedWait))
+        .with("max_wait_ms", call.request.maxWaitMicroseconds / 1000)
+        .with("left_ms", milliseconds(call.deadline - now))
+        .with("held_ms", call.handedOverAt == TimePoint() ? 0 : milliseconds(now - call.handedOverAt))
+        .with("left_out", line->leftOut);
+}
+
 void OwnerTask::apply(const AdmissionChanges& changes)
 {
     for (const CallTicket& ticket : changes.handOver) {
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -8,6 +8,7 @@
 #include "dragonflylane/CallHeaders.h"
 #include "dragonflylane/Endpoint.h"
 #include "dragonflylane/Ids.h"
+#include "dragonflylane/LogLimiter.h"
 #include "dragonflylane/RecentCompletions.h"
 #include "dragonflylane/UpstreamClient.h"
 #include "dragonflylane/UpstreamPhase.h"
@@ -138,6 +139,7 @@
     void handOver(const CallPtr&);
     void finish(const CallPtr&, UpstreamResult);
     void answer(const CallPtr&, ResultCode, HttpResponse, Duration retryAfter = {});
+    void logRefusal(const Call&, ResultCode, Duration expectedWait);
     void apply(const AdmissionChanges&);
     void noteLostRequest(const Call&, bool wasSent);
     void probeAfterLoss();
@@ -168,6 +170,7 @@
     std::vector<LostRequest> m_lost;
     RecentCompletions m_completions;
     bool m_isProbing { false };
+    LogLimiter m_refusalLines;
     WakeupTimer m_timer;
 };
 
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace dragonflylane {
 
@@ -223,6 +224,76 @@
     EXPECT_NE(answer.find("Connection: close"), std::string::npos);
 }
 
+// Guards against a connection that is dropped with a request in flight because nothing is being read from it: the
+// caller has sent more requests than are read ahead, or the server ends the connection.
+TEST(HttpServerTest, UnreadRequestsDoNotDropTheOneInFlight)
+{
+    for (bool isEnding : { false, true }) {
+        std::promise<std::shared_ptr<HttpExchange>> received;
+        std::atomic<int> calls { 0 };
+        ServerRun server({ .maxPipelined = 1 }, [&](std::shared_ptr<HttpExchange> call) {
+            if (++calls == 1)
+                return received.set_value(std::move(call));
+            call->respond({ .body = "second" });
+        });
+        if (isEnding)
+            server.run([&] { server.server().endConnections(); });
+        RawSocket caller = server.connect();
+        caller.write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+        std::shared_ptr<HttpExchange> first = received.get_future().get();
+        caller.write("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+        std::this_thread::sleep_for(milliseconds(100));
+        server.run([&] { first->respond({ .body = "first" }); });
+        first.reset();
+        std::string answers = caller.readUntil(isEnding ? "first" : "second");
+        EXPECT_NE(answers.find("first"), std::string::npos) << isEnding << answers;
+        EXPECT_EQ(answers.find("Connection: close") != std::string::npos, isEnding);
+        EXPECT_FALSE(caller.wasReset());
+    }
+}
+
+// Guards against requests that wait for the answer to the one before them although the upstreams have room.
+TEST(HttpServerTest, PipelinedRequestsRunTogetherAndAreAnsweredInOrder)
+{
+    std::vector<std::shared_ptr<HttpExchange>> calls;
+    std::promise<void> third;
+    ServerRun server({}, [&](std::shared_ptr<HttpExchange> call) {
+        calls.push_back(std::move(call));
+        if (calls.size() == 3)
+            third.set_value();
+    });
+    RawSocket caller = server.connect();
+    for (const char* target : { "/1", "/2", "/3" })
+        caller.write(std::string("GET ") + target + " HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_EQ(third.get_future().wait_for(std::chrono::seconds(10)), std::future_status::ready);
+    server.run([&] {
+        for (size_t i = calls.size(); i-- > 0;)
+            calls[i]->respond({ .body = "answer" + calls[i]->request().target });
+    });
+    std::string answers = caller.readUntil("answer/3");
+    EXPECT_LT(answers.find("answer/1"), answers.find("answer/2"));
+    EXPECT_LT(answers.find("answer/2"), answers.find("answer/3"));
+}
+
+// Guards against upstreams that go on working for a caller that has gone, on a connection that takes no further
+// request.
+TEST(HttpServerTest, DisconnectIsSeenOnTheLastRequestOfAConnection)
+{
+    std::promise<void> received;
+    std::promise<void> cancelled;
+    std::shared_ptr<HttpExchange> kept;
+    ServerRun server({}, [&](std::shared_ptr<HttpExchange> call) {
+        call->setCancelHook([&] { cancelled.set_value(); });
+        kept = std::move(call);
+        received.set_value();
+    });
+    RawSocket caller = server.connect();
+    caller.write("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    received.get_future().wait();
+    caller.close();
+    EXPECT_EQ(cancelled.get_future().wait_for(std::chrono::seconds(10)), std::future_status::ready);
+}
+
 // Guards against a HEAD answer that states length zero, or that carries a body and so shifts the answers after it.
 TEST(HttpServerTest, HeadAnswerStatesTheLengthWithoutBody)
 {
--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -79,6 +79,24 @@
     }
 }
 
+// Guards against calls to a host whose address another one has taken over: its records would count as alive until a
+// suspicion has run out.
+TEST(MembershipTest, HostThatAppearsAtAnAddressEndsTheOneBefore)
+{
+    TimePoint now { 1000s };
+    Membership membership({}, recordOf(0), now);
+    membership.receive(VirtualMesh::addressOf(1), carry(recordOf(1)), now);
+    membership.receive(VirtualMesh::addressOf(2), carry(recordOf(2)), now);
+    ASSERT_EQ(membership.presentCount(), 3u);
+    MemberRecord successor = recordOf(3);
+    successor.address = VirtualMesh::addressOf(1);
+    membership.receive(successor.address, carry(successor), now);
+    EXPECT_EQ(membership.members().at(VirtualMesh::hostOf(1)).state, MemberState::Dead);
+    EXPECT_EQ(membership.members().at(VirtualMesh::hostOf(2)).state, MemberState::Alive);
+    EXPECT_EQ(membership.members().at(VirtualMesh::hostOf(3)).state, MemberState::Alive);
+    EXPECT_EQ(membership.presentCount(), 3u);
+}
+
 // Guards against a graceful leave that others must first detect as a failure.
 TEST(MembershipTest, LeaveIsSeenWithoutSuspicion)
 {
--- a/tests/PlanBookTest.cpp
+++ b/tests/PlanBookTest.cpp
@@ -398,4 +398,98 @@
     EXPECT_EQ(book.serialise(), good);
 }
 
+namespace {
+
+    ReplaceCommand document(uint64_t version, uint64_t base, std::vector<ConfigItem> items)
+    {
+        std::string text = "version " + std::to_string(version) + ", " + std::to_string(items.size()) + " items";
+        return { .version = DocumentVersion(version),
+            .base = DocumentVersion(base),
+            .items = std::move(items),
+            .document = text + std::string(2000, 'x'),
+            .operatorName = OperatorName("anna") };
+    }
+
+    /// As the leader does: decides at once, or replicates the patch.
+    ApplyOutcome replace(PlanBook& book, const ReplaceCommand& command)
+    {
+        PatchCommand patch;
+        if (auto outcome = book.prepare(command, &patch))
+            return *outcome;
+        return book.apply(PlanBook::encode(patch));
+    }
+
+} // namespace
+
+// Guards against an operator who is told "refused" for a document that was accepted, and against two documents that are
+// accepted on the same version.
+TEST(PlanBookTest, DocumentsAreComparedAndSetOnce)
+{
+    PlanBook book;
+    ReplaceCommand first = document(3, 0, { service("a"), route("r", "/r", "a") });
+    EXPECT_EQ(replace(book, first).code, ResultCode::Ok);
+    ReplaceCommand left = document(7, 3, { service("a"), service("b"), route("r", "/r", "b") });
+    ReplaceCommand right = document(7, 3, { service("a"), service("c"), service("d"), route("r", "/r", "c") });
+    EXPECT_EQ(replace(book, left).revision, Revision(2));
+    EXPECT_EQ(replace(book, right).code, ResultCode::PlanConflict);
+    for (const ReplaceCommand& resent : { first, left }) {
+        ApplyOutcome outcome = replace(book, resent);
+        EXPECT_EQ(outcome.code, ResultCode::Ok);
+        EXPECT_TRUE(outcome.repeated);
+    }
+    EXPECT_EQ(book.document(), left.document);
+    EXPECT_EQ(book.documentVersion(), DocumentVersion(7));
+    EXPECT_FALSE(book.state().service(ServiceName("c")));
+    EXPECT_EQ(replace(book, document(7, 7, { service("a") })).code, ResultCode::InvalidValue);
+    EXPECT_EQ(replace(book, document(6, 7, { service("a") })).code, ResultCode::InvalidValue);
+    EXPECT_EQ(replace(book, document(9, 7, { route("r", "/r", "gone") })).code, ResultCode::DanglingRoute);
+    EXPECT_EQ(replace(book, document(9, 7, { service("a"), service("a") })).code, ResultCode::InvalidValue);
+    EXPECT_EQ(book.state().revision(), Revision(2));
+}
+
+// Guards against a patch that was made against another document than the one in force when it is applied, and against a
+// snapshot that forgets documents.
+TEST(PlanBookTest, LatePatchesAreRefusedAndSnapshotsKeepDocuments)
+{
+    PlanBook book;
+    PatchCommand left;
+    PatchCommand right;
+    ASSERT_FALSE(book.prepare(document(1, 0, { service("a") }), &left));
+    ASSERT_FALSE(book.prepare(document(2, 0, { service("b") }), &right));
+    EXPECT_EQ(book.apply(PlanBook::encode(left)).code, ResultCode::Ok);
+    EXPECT_EQ(book.apply(PlanBook::encode(right)).code, ResultCode::PlanConflict);
+    EXPECT_TRUE(book.apply(PlanBook::encode(left)).repeated);
+    PlanBook restored;
+    ASSERT_FALSE(restored.restore(book.serialise()));
+    EXPECT_EQ(restored.document(), book.document());
+    EXPECT_TRUE(replace(restored, document(1, 0, { service("a") })).repeated);
+    EXPECT_EQ(replace(restored, document(5, 1, { service("c") })).code, ResultCode::Ok);
+    EXPECT_EQ(restored.state().all<ServiceItem>().size(), 1U);
+}
+
+// Guards against log entries that grow with the document instead of the change.
+TEST(PlanBookTest, PatchOfASmallChangeIsSmall)
+{
+    std::vector<ConfigItem> items { service("a") };
+    std::string text;
+    for (int i = 0; i < 700; ++i) {
+        items.push_back(route("r" + std::to_string(i), "/prefix-" + std::to_string(i * 7919), "a"));
+        text += "{\"name\":\"r" + std::to_string(i) + "\",\"prefix\":\"/prefix-" + std::to_string(i * 7919) + "\"}";
+    }
+    PlanBook book;
+    ReplaceCommand command {
+        .version = DocumentVersion(1), .items = items, .document = text, .operatorName = OperatorName("anna")
+    };
+    ASSERT_EQ(replace(book, command).code, ResultCode::Ok);
+    command.version = DocumentVersion(2);
+    command.base = DocumentVersion(1);
+    std::get<RouteItem>(command.items[5]).timeout = std::chrono::milliseconds(77);
+    command.document.replace(command.document.find("r300"), 4, "R300");
+    PatchCommand patch;
+    ASSERT_FALSE(book.prepare(command, &patch));
+    EXPECT_LT(PlanBook::encode(patch).size(), 400U);
+    EXPECT_EQ(book.apply(PlanBook::encode(patch)).code, ResultCode::Ok);
+    EXPECT_EQ(book.document(), command.document);
+}
+
 } // namespace dragonflylane
--- /dev/null
+++ b/tests/PlatformTest.cpp
@@ -0,0 +1,165 @@
+// The adapter to the users' platform: what it reads, and what it answers. The messages are those of the platform's
+// pages.
+
+#include "dragonflylane/OwnerTask.h"
+#include "platform/InstanceReport.h"
+#include "platform/OperatorDocument.h"
+#include "platform/PlatformApi.h"
+
+#include <gtest/gtest.h>
+#include <map>
+
+namespace dragonflylane::platform {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    std::string replaced(std::string text, const std::string& from, const std::string& to)
+    {
+        size_t at = text.find(from);
+        EXPECT_NE(at, std::string::npos) << from;
+        return text.replace(at, from.size(), to);
+    }
+
+    const std::string documentText
+        = R"({"version":"r7","routes":[{"name":"r-n2ctnfz","host":"Hulo84.example","path_prefix":"/leny950/",)"
+          R"("kind":"safe","timeout_s":0.8,"target_latency_s":0.2,"priority":2,"traffic_split":[{"service":"huvo11a",)"
+          R"("weight":90},{"service":"lovo22d","weight":10}],"max_attempts":2},{"name":"r-s989anu",)"
+          R"("host":"jepu9.example","path_prefix":"/puka111/","kind":"unsafe","timeout_s":1,"target_latency_s":0.25,)"
+          R"("priority":1,"service":"huvo11a","max_attempts":3}],"services":[{"name":"huvo11a","health_path":"/health",)"
+          R"("max_conns":110,"protocol":"h1","tls":false},{"name":"lovo22d","health_path":"/health","max_conns":110,)"
+          R"("protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,)"
+          R"("header_timeout_s":3,"idle_timeout_s":15},"base_version":"r5"})";
+
+    const std::string reportText
+        = R"({"address":"10.128.0.9:8080","born":1760000000123,"info":{"service":"huvo11a","version":"v1",)"
+          R"("zone":"muenchen","slots":12},"status":{"state":"ready","seq":4,"cold_left_s":0}})";
+
+    std::optional<Announcement> report(const std::string& body)
+    {
+        return readInstanceReport(UpstreamId("i-7f3a91c2"), body);
+    }
+
+    /// Runs one request through the adapter and returns the answer.
+    HttpResponse serve(const std::string& method, const std::string& target, const std::string& body, MeshPort port)
+    {
+        HttpResponse answer { .status = 0 };
+        HttpRequest request { .method = method, .target = target, .body = body };
+        EXPECT_TRUE(serveApi(
+            request, [&](HttpResponse response) { answer = std::move(response); }, port));
+        return answer;
+    }
+
+} // namespace
+
+// Guards against an operator's document that means something else inside.
+TEST(PlatformTest, ReadsTheOperatorsDocument)
+{
+    std::string detail;
+    auto command = readOperatorDocument(documentText, &detail);
+    ASSERT_TRUE(command) << detail;
+    EXPECT_EQ(command->version, DocumentVersion(7));
+    EXPECT_EQ(command->base, DocumentVersion(5));
+    EXPECT_EQ(command->document, documentText);
+    ConfigState state(Revision(1), command->items);
+    EXPECT_FALSE(state.validate(&detail)) << detail;
+    const RouteItem* lookup = state.route(RouteName("r-n2ctnfz"));
+    ASSERT_TRUE(lookup);
+    EXPECT_EQ(lookup->host, "hulo84.example");
+    EXPECT_EQ(lookup->pathPrefix, "/leny950/");
+    EXPECT_EQ(lookup->isIdempotent, true);
+    EXPECT_EQ(lookup->timeout, milliseconds(800));
+    EXPECT_EQ(lookup->targetLatency, milliseconds(200));
+    EXPECT_EQ(lookup->priority, 2U);
+    ASSERT_EQ(lookup->split.size(), 2U);
+    EXPECT_EQ(lookup->split[1].weight, 10U);
+    const RouteItem* order = state.route(RouteName("r-s989anu"));
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->isIdempotent, false);
+    EXPECT_EQ(order->maxAttempts, 3U);
+    EXPECT_TRUE(state.meshPolicy() && state.meshPolicy()->openCalls);
+}
+
+// Guards against an invalid configuration that is acknowledged, and a valid one that is refused.
+TEST(PlatformTest, RefusesInvalidDocumentsOnly)
+{
+    auto isAccepted = [](const std::string& text) {
+        std::string detail;
+        auto command = readOperatorDocument(text, &detail);
+        return command && !ConfigState(Revision(1), command->items).validate();
+    };
+    EXPECT_TRUE(isAccepted(documentText));
+    const std::pair<const char*, const char*> invalid[] = { { "\"max_attempts\":2", "\"max_attempts\":0" },
+        { "\"timeout_s\":0.8", "\"timeout_s\":601" }, { "/leny950/", "leny950/" }, { "\"weight\":90", "\"weight\":-1" },
+        { "Hulo84.example", "" }, { "\"service\":\"lovo22d\"", "\"service\":\"gone\"" }, { "\"r7\"", "\"x\"" },
+        { "],\"services\"", ",\"services\"" }, { "\"kind\":\"safe\",", "" } };
+    for (const auto& [from, to] : invalid)
+        EXPECT_FALSE(isAccepted(replaced(documentText, from, to))) << to;
+    EXPECT_FALSE(isAccepted(documentText.substr(0, documentText.size() / 2)));
+    const std::pair<const char*, const char*> valid[] = { { "\"timeout_s\":0.8", "\"timeout_s\":600" },
+        { "\"weight\":10", "\"weight\":0" }, { "\"weight\":90", "\"weight\":89.5" }, { "\"r5\"", "0" },
+        { "\"max_attempts\":2", "\"max_attempts\":50" }, { "\"priority\":2", "\"priority\":0" },
+        { "\"limits\":", "\"new_field\":[1],\"limits\":" } };
+    for (const auto& [from, to] : valid)
+        EXPECT_TRUE(isAccepted(replaced(documentText, from, to))) << to;
+}
+
+// Guards against reports of other writers that name a backend to use.
+TEST(PlatformTest, TakesWholeReportsOfKnownStatesOnly)
+{
+    auto announcement = report(reportText);
+    ASSERT_TRUE(announcement);
+    EXPECT_EQ(announcement->service, ServiceName("huvo11a"));
+    EXPECT_EQ(announcement->slots, 12U);
+    EXPECT_EQ(announcement->phase, UpstreamPhase::Ready);
+    EXPECT_EQ(announcement->startedAt, 1760000000123U);
+    EXPECT_EQ(announcement->sequence, Sequence(4));
+    EXPECT_EQ(report(replaced(reportText, "\"cold_left_s\":0", "\"cold_left_s\":2.5"))->phase, UpstreamPhase::Cold);
+    EXPECT_EQ(report(replaced(reportText, "\"ready\"", "\"draining\""))->phase, UpstreamPhase::Draining);
+    const std::pair<const char*, const char*> strange[]
+        = { { "\"ready\"", "\"resting\"" }, { "\"slots\":12", "\"slots\":\"12\"" }, { "\"seq\":4,", "" },
+              { "10.128.0.9:8080", "somewhere" }, { "\"huvo11a\"", "7" }, { "{\"state\"", "[{\"state\"" } };
+    for (const auto& [from, to] : strange)
+        EXPECT_FALSE(report(replaced(reportText, from, to))) << to;
+    EXPECT_FALSE(report("\xff\xfe"));
+    EXPECT_EQ(readStartTime(R"({"born":5})"), 5U);
+    EXPECT_EQ(readStartTime(""), 0U);
+}
+
+// Guards against answers that tell the operator or a backend something else than the mesh decided.
+TEST(PlatformTest, TranslatesOutcomes)
+{
+    const std::map<ResultCode, unsigned> statuses { { ResultCode::Ok, 200 }, { ResultCode::PlanConflict, 412 },
+        { ResultCode::InvalidValue, 400 }, { ResultCode::DanglingRoute, 400 }, { ResultCode::QuorumLost, 503 },
+        { ResultCode::OutcomeUncertain, 503 } };
+    for (const auto& [code, status] : statuses) {
+        MeshPort port;
+        port.replaceConfiguration = [code = code](const ReplaceCommand&,
+                                        const std::function<void(ReplaceAnswer)>& answer) { answer({ code }); };
+        EXPECT_EQ(serve("POST", "/v1/Config.Put", documentText, port).status, status);
+    }
+    MeshPort follower;
+    follower.readDocument = [](const std::function<void(DocumentAnswer)>& answer) {
+        answer({ .code = ResultCode::NotLeader, .leader = Endpoint { "10.0.0.4", 8080 } });
+    };
+    HttpResponse redirect = serve("GET", "/v1/Config.Get", "", follower);
+    EXPECT_EQ(redirect.status, 307U);
+    EXPECT_EQ(redirect.header("Location"), "http://10.0.0.4:8080/v1/Config.Get");
+    follower.readDocument
+        = [](const std::function<void(DocumentAnswer)>& answer) { answer({ .code = ResultCode::NotLeader }); };
+    EXPECT_EQ(serve("GET", "/v1/Config.Get", "", follower).status, 503U);
+
+    int announced = 0;
+    MeshPort owner { .service = ServiceName("huvo11a"), .upstream = Endpoint { "10.128.0.9", 8080 } };
+    owner.announce = [&](const Announcement&) { ++announced; };
+    EXPECT_EQ(serve("POST", "/v1/Instances.Heartbeat/i-1", reportText, owner).status, 200U);
+    owner.service = ServiceName("other");
+    EXPECT_EQ(serve("POST", "/v1/Instances.Heartbeat/i-1", reportText, owner).status, 400U);
+    EXPECT_EQ(announced, 1);
+    HttpRequest own { .method = "GET", .target = "/v1/ready" };
+    EXPECT_FALSE(serveApi(
+        own, [](const HttpResponse&) {}, owner));
+}
+
+} // namespace dragonflylane::platform
