--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -186,6 +186,8 @@
         if (!m_settings.isControl())
             return;
         LogReplicaOptions options { .self = m_settings.hostId, .seed = m_life };
+        options.electionTimeoutMin = m_settings.electionTimeout;
+        options.electionTimeoutMax = m_settings.electionTimeout * 5 / 3;
         options.automaticVoters = m_settings.hasAutomaticVoters;
         options.targetVoters = 2 * m_settings.toleratedLosses + 1;
         options.mayFound = m_settings.mayFound;
--- a/dragonflylane/LogReplica.cpp
+++ b/dragonflylane/LogReplica.cpp
@@ -500,9 +500,10 @@
     const LogMember* lost = isShort ? nullptr : silentVoter();
     if (!isShort && !lost)
         return false;
-    for (const auto& [id, peer] : m_peers) {
+    for (const auto& item : m_peers) {
+        const Peer& peer = item.second;
         auto sameHost = [&](const LogMember& member) { return member.host == peer.member.host; };
-        bool isOther = !contains(membership(), id) && std::ranges::none_of(membership().voters, sameHost);
+        bool isOther = !contains(membership(), item.first) && std::ranges::none_of(membership().voters, sameHost);
         if (!isOther || !isCaughtUp(peer))
             continue;
         LogMembership next = membership();
--- a/dragonflylane/LogReplica.h
+++ b/dragonflylane/LogReplica.h
@@ -46,8 +46,8 @@
     /// for the first start of the log.
     std::vector<HostId> controlHosts {};
     Duration heartbeatInterval { std::chrono::milliseconds(100) };
-    Duration electionTimeoutMin { std::chrono::milliseconds(400) };
-    Duration electionTimeoutMax { std::chrono::milliseconds(700) };
+    Duration electionTimeoutMin { std::chrono::milliseconds(600) };
+    Duration electionTimeoutMax { std::chrono::milliseconds(1000) };
     Duration joinInterval { std::chrono::milliseconds(500) };
 
     /// Voters are chosen from the control hosts that are alive instead of being all that the settings name.
--- a/dragonflylane/PeerLink.cpp
+++ b/dragonflylane/PeerLink.cpp
@@ -17,6 +17,8 @@
     // Reads start small, because a daemon holds many idle links within a few MB, and grow while the buffer fills up.
     constexpr size_t minReadBytes = 2 << 10;
     constexpr size_t maxReadBytes = 64 << 10;
+    // What is being written can no longer be overtaken. A slow link of 2 Mbit/s takes 65 ms for it.
+    constexpr size_t maxWriteBytes = 16 << 10;
 
 } // namespace
 
@@ -42,14 +44,14 @@
     hello.meshId = m_options.meshId;
     hello.hostId = m_options.self.value();
     hello.nonce = m_ownNonce;
-    enqueue(encodeFrame(FrameKind::Hello, encodeThrift(hello)));
+    enqueue(FrameKind::Hello, encodeThrift(hello));
     read();
 }
 
 void PeerLink::send(FrameKind kind, std::string_view payload)
 {
     if (!m_isClosed)
-        enqueue(encodeFrame(kind, payload));
+        enqueue(kind, payload);
 }
 
 void PeerLink::close(std::error_code reason)
@@ -139,7 +141,7 @@
     m_peerNonce = hello.nonce;
     wire::HelloProof proof;
     proof.proof = m_secret.prove("hello", transcript(m_options.self.value(), m_peerNonce, m_ownNonce));
-    enqueue(encodeFrame(FrameKind::HelloProof, encodeThrift(proof)));
+    enqueue(FrameKind::HelloProof, encodeThrift(proof));
     return {};
 }
 
@@ -161,32 +163,30 @@
     return std::to_string(prover.size()) + ":" + prover + challenge + ownNonce;
 }
 
-void PeerLink::enqueue(std::string frame)
+void PeerLink::enqueue(FrameKind kind, std::string_view payload)
 {
-    m_queuedBytes += frame.size();
-    if (m_queuedBytes > m_options.maxQueuedBytes)
+    m_queue.push(kind, encodeFrame(kind, payload));
+    if (m_queue.bytes() > m_options.maxQueuedBytes)
         return close(ResultCode::PeerTimeout);
-    m_queue.push_back(std::move(frame));
     if (m_writing.empty())
         write();
 }
 
 void PeerLink::write()
 {
-    m_writing.swap(m_queue);
+    m_writing = m_queue.takeBatch(maxWriteBytes);
     std::vector<asio::const_buffer> buffers;
     buffers.reserve(m_writing.size());
     for (const std::string& frame : m_writing)
         buffers.emplace_back(frame.data(), frame.size());
     m_lastSent = BootClock::now();
-    asio::async_write(m_socket, buffers, [self = shared_from_this()](boost::system::error_code error, size_t bytes) {
-        self->m_queuedBytes -= std::min(bytes, self->m_queuedBytes);
+    asio::async_write(m_socket, buffers, [self = shared_from_this()](boost::system::error_code error, size_t) {
         self->m_writing.clear();
         if (self->m_isClosed)
             return;
         if (error)
             return self->close(ResultCode::PeerClosed);
-        if (!self->m_queue.empty())
+        if (!self->m_queue.isEmpty())
             self->write();
     });
 }
--- a/dragonflylane/PeerLink.h
+++ b/dragonflylane/PeerLink.h
@@ -8,11 +8,11 @@
 
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/Frame.h"
+#include "dragonflylane/FrameQueue.h"
 #include "dragonflylane/Ids.h"
 #include "dragonflylane/PeerHub.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -49,7 +49,7 @@
     std::error_code handle(const FrameView&);
     std::error_code handleHello(std::string_view payload);
     std::error_code handleProof(std::string_view payload);
-    void enqueue(std::string frame);
+    void enqueue(FrameKind, std::string_view payload);
     void write();
     std::string transcript(const std::string& prover, const std::string& challenge, const std::string& ownNonce) const;
 
@@ -67,9 +67,8 @@
 
     std::string m_input;
     size_t m_readBytes;
-    std::deque<std::string> m_queue;
-    std::deque<std::string> m_writing;
-    size_t m_queuedBytes { 0 };
+    FrameQueue m_queue;
+    std::vector<std::string> m_writing;
     TimePoint m_lastReceived;
     TimePoint m_lastSent;
 };
--- a/dragonflylane/Settings.cpp
+++ b/dragonflylane/Settings.cpp
@@ -43,6 +43,8 @@
             "With automatic voters: the mesh starts for the first time, so this host may found the log." },
         { "control", "tolerated-losses", "hosts", "2", "0 to 4",
             "With automatic voters: control hosts that may be lost at once; twice as many and one are voters." },
+        { "control", "election-timeout-ms", "ms", "600", "100 to 10000",
+            "Shortest time without a leader before a voter stands for election; the longest is five thirds of it." },
         { "control", "data-folder", "path", "data", "", "Folder of the replicated log. Used on control hosts only." },
         { "control", "operators-file", "path", "", "lines of name token",
             "Operators and their tokens. Required as soon as the API is not on loopback." },
@@ -325,6 +327,8 @@
         settings.retryRatio = reader.decimal("calls", "retry-ratio", 0, 1);
         settings.retryWindow = reader.seconds("calls", "retry-window-s", 0, 600);
         settings.retrySlack = reader.decimal("calls", "retry-slack", 0, 1000000);
+        settings.electionTimeout
+            = std::chrono::milliseconds(reader.number("control", "election-timeout-ms", 100, 10000));
         settings.toleratedLosses = reader.number("control", "tolerated-losses", 0, 4);
         settings.logLevel = reader.text("log", "level");
         static constexpr std::string_view levels[] = { "debug", "info", "warning", "error" };
--- a/dragonflylane/Settings.h
+++ b/dragonflylane/Settings.h
@@ -51,6 +51,8 @@
     bool mayFound { false };
     /// Automatic voters: hosts that may be lost at once.
     uint32_t toleratedLosses { 0 };
+    /// Shortest time without a leader before a voter stands for election.
+    std::chrono::milliseconds electionTimeout;
     std::string dataFolder;
     std::string operatorsFile;
 
