--- a/dragonflylane/PeerLink.cpp
+++ b/dragonflylane/PeerLink.cpp
@@ -166,7 +166,7 @@
 void PeerLink::enqueue(FrameKind kind, std::string_view payload)
 {
     m_queue.push(kind, encodeFrame(kind, payload));
-    if (m_queue.bytes() > m_options.maxQueuedBytes)
+    if (m_queue.bytes() + m_writingBytes > m_options.maxQueuedBytes)
         return close(ResultCode::PeerTimeout);
     if (m_writing.empty())
         write();
@@ -174,7 +174,9 @@
 
 void PeerLink::write()
 {
+    size_t queued = m_queue.bytes();
     m_writing = m_queue.takeBatch(maxWriteBytes);
+    m_writingBytes = queued - m_queue.bytes();
     std::vector<asio::const_buffer> buffers;
     buffers.reserve(m_writing.size());
     for (const std::string& frame : m_writing)
@@ -182,6 +184,7 @@
     m_lastSent = BootClock::now();
     asio::async_write(m_socket, buffers, [self = shared_from_this()](boost::system::error_code error, size_t) {
         self->m_writing.clear();
+        self->m_writingBytes = 0;
         if (self->m_isClosed)
             return;
         if (error)
--- a/dragonflylane/PeerLink.h
+++ b/dragonflylane/PeerLink.h
@@ -69,6 +69,7 @@
     size_t m_readBytes;
     FrameQueue m_queue;
     std::vector<std::string> m_writing;
+    size_t m_writingBytes { 0 };
     TimePoint m_lastReceived;
     TimePoint m_lastSent;
 };
