--- a/dragonflylane/LogStore.cpp
+++ b/dragonflylane/LogStore.cpp
@@ -197,8 +197,10 @@
 {
     if (m_error)
         return m_error;
-    if (!applyLogWrite(write, m_log))
+    if (!applyLogWrite(write, m_log)) {
+        m_isInconsistent = true;
         return fail(ResultCode::StorageFailed);
+    }
     bool isLarge = m_fileBytes > std::max<uint64_t>(m_options.rewriteBytes, 2 * m_rewrittenBytes);
     if (write.snapshot || isLarge) {
         auto error = rewrite();
@@ -211,6 +213,15 @@
     return {};
 }
 
+std::error_code LogStore::retry()
+{
+    if (!m_error || m_isInconsistent)
+        return m_error;
+    m_error = {};
+    auto error = rewrite();
+    return error ? fail(error) : error;
+}
+
 std::error_code LogStore::appendRecord(LogFile& file, std::string_view batch)
 {
     if (batch.size() > maxLogBatchBytes)
--- a/dragonflylane/LogStore.h
+++ b/dragonflylane/LogStore.h
@@ -62,6 +62,12 @@
     /// Writes and syncs. After any error the store refuses all further writes with the same error, since the state of
     /// the file is unknown (a second fsync may succeed without having written the pages of the first).
     std::error_code write(const LogWrite&);
+    /// After a failed write: writes the whole state, including that write, to a new file. The file before stays valid
+    /// until the new one takes its place, so this may be tried as often as needed, for example until a full disk has
+    /// room again.
+    std::error_code retry();
+    /// False after a write that did not fit to the log; no retry helps then.
+    bool mayRetry() const { return !m_isInconsistent; }
     uint64_t fileBytes() const { return m_fileBytes; }
 
 private:
@@ -81,6 +87,7 @@
     /// Size of the file after it was last rewritten.
     uint64_t m_rewrittenBytes { 0 };
     std::error_code m_error;
+    bool m_isInconsistent { false };
 };
 
 } // namespace dragonflylane
--- a/dragonflylane/LogTask.cpp
+++ b/dragonflylane/LogTask.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/post.hpp>
 #include <random>
+#include <thread>
 
 namespace dragonflylane {
 
@@ -19,6 +20,8 @@
     // An operator's command that is not applied within this time is reported as uncertain. Longer than an election.
     constexpr std::chrono::seconds submitTimeout { 4 };
 
+    constexpr std::chrono::milliseconds writeRetryInterval { 200 };
+
     std::string_view roleName(LogRole role)
     {
         switch (role) {
@@ -176,7 +179,7 @@
 {
     asio::post(m_disk, [this, token = persist.token, write = std::move(persist.write)] {
         TimePoint began = BootClock::now();
-        std::error_code error = m_store->write(write);
+        std::error_code error = writeDurably(write);
         asio::post(m_context, [this, token, error, began] {
             if (m_isStopped)
                 return;
@@ -190,6 +193,23 @@
     });
 }
 
+// Runs on the disk thread. A disk that is full or refuses writes for a while holds this replica up; the others go on
+// without it, and nothing that it has promised is lost.
+std::error_code LogTask::writeDurably(const LogWrite& write)
+{
+    std::error_code error = m_store->write(write);
+    if (!error)
+        return error;
+    asio::post(m_context, [error] { Event("log_write_failed", EventLevel::Error).with("reason", error); });
+    while (error && m_store->mayRetry() && !m_isStopped) {
+        std::this_thread::sleep_for(writeRetryInterval);
+        error = m_store->retry();
+    }
+    if (!error)
+        asio::post(m_context, [] { Event("log_write_resumed"); });
+    return error;
+}
+
 void LogTask::handle(LogApply& apply)
 {
     if (apply.entry.kind != LogEntryKind::Command)
--- a/dragonflylane/LogTask.h
+++ b/dragonflylane/LogTask.h
@@ -7,6 +7,7 @@
 #include "dragonflylane/PlanBook.h"
 #include "dragonflylane/WakeupTimer.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <functional>
@@ -74,6 +75,7 @@
     void handle(LogRestore&);
     void handle(const LogTakeSnapshot&);
     void handle(const LogRoleChange&);
+    std::error_code writeDurably(const LogWrite&);
     void finishPending(LogIndex, Term, const ApplyOutcome&);
     void failOverdue(TimePoint now);
 
@@ -89,7 +91,7 @@
     std::map<LogIndex, Pending> m_pending;
     boost::asio::thread_pool m_disk { 1 };
     WakeupTimer m_timer;
-    bool m_isStopped { false };
+    std::atomic<bool> m_isStopped { false };
     /// Outputs that arise while others are being handled are taken by the loop that is already running.
     bool m_isDraining { false };
 };
--- a/tests/LogStoreTest.cpp
+++ b/tests/LogStoreTest.cpp
@@ -332,6 +332,41 @@
     }
 }
 
+// Guards against a replica that ends because its disk is full for a while, and against a write that counts as durable
+// after the disk has room again although it was lost: whichever operation fails, the retry writes everything.
+TEST(LogStoreTest, RetryAfterAFailedWriteKeepsEverything)
+{
+    std::mt19937_64 random(1);
+    for (size_t failAt = 7;; ++failAt) {
+        Disk disk;
+        LogStore store = makeStore(disk);
+        RecoveredLog log;
+        LogStoreReport report;
+        ASSERT_FALSE(store.open(log, report));
+        disk.failAt = failAt;
+        int failures = 0;
+        for (uint64_t i = 1; i <= 3; ++i) {
+            LogWrite write;
+            write.entries.push_back(makeEntry(i, 1, "x"));
+            if (!store.write(write))
+                continue;
+            ++failures;
+            // The disk stays full for two more tries.
+            for (int tries = 0; tries < 2; ++tries) {
+                disk.failAt = disk.operations + 1;
+                EXPECT_EQ(store.retry(), ResultCode::StorageFailed);
+            }
+            EXPECT_TRUE(store.mayRetry());
+            EXPECT_FALSE(store.retry());
+        }
+        if (failures == 0)
+            break;
+        disk.losePower(random);
+        ASSERT_FALSE(reopen(disk, log, report)) << failAt;
+        EXPECT_EQ(log.entries.size(), 3U) << failAt;
+    }
+}
+
 // Guards against a replica that returns under its old id after the loss of its folder.
 TEST(LogStoreTest, NewFolderHasANewReplicaId)
 {
