--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -42,7 +42,8 @@
     }
 
     /// Runs one request through the adapter and returns the answer.
-    HttpResponse serve(const std::string& method, const std::string& target, const std::string& body, MeshPort port)
+    HttpResponse serve(
+        const std::string& method, const std::string& target, const std::string& body, const MeshPort& port)
     {
         HttpResponse answer { .status = 0 };
         HttpRequest request { .method = method, .target = target, .body = body };
