--- a/dragonflylane/ClaimWire.cpp
+++ b/dragonflylane/ClaimWire.cpp
@@ -144,14 +144,6 @@
     }
 
     // The functions below return false for values that encode() does not produce.
-    template <typename Enum> bool readEnum(int32_t number, Enum last, Enum& value)
-    {
-        if (number < 0 || number > static_cast<int32_t>(last))
-            return false;
-        value = static_cast<Enum>(number);
-        return true;
-    }
-
     bool readCode(int32_t number, ResultCode& code)
     {
         if (number < 0 || number > std::numeric_limits<uint16_t>::max())
--- a/dragonflylane/ConfigItem.cpp
+++ b/dragonflylane/ConfigItem.cpp
@@ -1,5 +1,6 @@
 #include "dragonflylane/ConfigItem.h"
 
+#include "dragonflylane/Bytes.h"
 #include "dragonflylane/ResultCode.h"
 
 #include <algorithm>
@@ -9,21 +10,6 @@
 
 namespace {
 
-    constexpr uint32_t byteBits = 8;
-    constexpr uint64_t byteMask = 0xff;
-
-    void appendNumber(std::string& out, uint64_t value)
-    {
-        for (size_t i = 0; i < sizeof(value); ++i)
-            out.push_back(static_cast<char>((value >> (byteBits * i)) & byteMask));
-    }
-
-    void appendText(std::string& out, std::string_view text)
-    {
-        appendNumber(out, text.size());
-        out.append(text);
-    }
-
     struct CanonicalWriter {
         std::string& out;
 
--- a/dragonflylane/GossipWire.cpp
+++ b/dragonflylane/GossipWire.cpp
@@ -68,14 +68,6 @@
 
     // The readers below return false for a value out of range.
 
-    template <typename Enum> bool readEnum(int32_t value, Enum last, Enum& out)
-    {
-        if (value < 0 || value > static_cast<int32_t>(last))
-            return false;
-        out = static_cast<Enum>(value);
-        return true;
-    }
-
     bool readEndpoint(const std::string& address, int32_t port, Endpoint& out)
     {
         if (port <= 0 || port > UINT16_MAX)
--- a/dragonflylane/LogStore.cpp
+++ b/dragonflylane/LogStore.cpp
@@ -1,5 +1,6 @@
 #include "dragonflylane/LogStore.h"
 
+#include "dragonflylane/Bytes.h"
 #include "dragonflylane/Digest.h"
 #include "dragonflylane/LogBatch.h"
 #include "dragonflylane/ResultCode.h"
@@ -20,12 +21,6 @@
     constexpr size_t headerBytes = 24;
     constexpr size_t recordHeaderBytes = 16;
 
-    void appendNumber(std::string& out, uint64_t value, size_t bytes)
-    {
-        for (size_t i = 0; i < bytes; ++i)
-            out += static_cast<char>(value >> (8 * i));
-    }
-
     uint64_t readNumber(std::string_view bytes)
     {
         uint64_t value = 0;
--- a/dragonflylane/Membership.cpp
+++ b/dragonflylane/Membership.cpp
@@ -1,5 +1,6 @@
 #include "dragonflylane/Membership.h"
 
+#include "dragonflylane/Bytes.h"
 #include "dragonflylane/Digest.h"
 #include "dragonflylane/GossipWire.h"
 
@@ -58,18 +59,6 @@
         return bucketFirst(bucket) | 0x00ff'ffff'ffff'ffff;
     }
 
-    void appendNumber(std::string& out, uint64_t value)
-    {
-        for (int shift = 0; shift < 64; shift += 8)
-            out.push_back(static_cast<char>(value >> shift));
-    }
-
-    void appendText(std::string& out, std::string_view text)
-    {
-        appendNumber(out, text.size());
-        out.append(text);
-    }
-
     // Hash of everything but host, incarnation, sequence and state.
     uint32_t tieBreakOf(const MemberRecord& record)
     {
--- a/dragonflylane/OwnerAdmission.cpp
+++ b/dragonflylane/OwnerAdmission.cpp
@@ -1,7 +1,6 @@
 #include "dragonflylane/OwnerAdmission.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace dragonflylane {
 
@@ -17,16 +16,11 @@
         return Duration(static_cast<Duration::rep>(nanoseconds));
     }
 
-    // Share of an old value that is left after a time without samples.
-    double remainingShare(Duration age, Duration halfLife)
-    {
-        return std::exp2(-nanosecondsOf(age) / nanosecondsOf(halfLife));
-    }
-
 } // namespace
 
 OwnerAdmission::OwnerAdmission(OwnerAdmissionOptions options)
     : m_options(options)
+    , m_estimate { .weight = options.estimateWeight, .halfLife = options.estimateHalfLife }
     , m_limit(options.slots)
 {
 }
@@ -171,11 +165,7 @@
 
 Duration OwnerAdmission::serviceTime(bool isOrder, TimePoint now) const
 {
-    const Estimate& estimate = classOf(isOrder).estimate;
-    if (!estimate.hasSample)
-        return Duration::zero();
-    Duration age = std::max(Duration::zero(), now - estimate.updatedAt);
-    return durationOf(estimate.nanoseconds * remainingShare(age, m_options.estimateHalfLife));
+    return classOf(isOrder).estimate.mean(now, m_estimate);
 }
 
 double OwnerAdmission::shareOf(bool isOrder) const
@@ -340,22 +330,7 @@
     if (outcome == CallOutcome::Success)
         raiseLimit();
 
-    // Failures and shed answers come early and say nothing about the service time; a timeout is a lower bound.
-    double sample = nanosecondsOf(now - call.startedAt);
-    Estimate& estimate = classOf(call.isOrder).estimate;
-    bool isSample = outcome == CallOutcome::Success
-        || (outcome == CallOutcome::Timeout && sample > nanosecondsOf(serviceTime(call.isOrder, now)));
-    if (!isSample)
-        return;
-    if (!estimate.hasSample) {
-        estimate = { sample, now, true };
-        return;
-    }
-    // After a pause the old value counts as little as serviceTime() reports of it.
-    double staleness = 1 - remainingShare(now - estimate.updatedAt, m_options.estimateHalfLife);
-    double weight = std::max(m_options.estimateWeight, staleness);
-    estimate.nanoseconds += weight * (sample - estimate.nanoseconds);
-    estimate.updatedAt = now;
+    classOf(call.isOrder).estimate.learn(now - call.startedAt, outcome, now, m_estimate);
 }
 
 // Calls that started before the last decrease were sent under the old limit; their shed answers are the same event.
--- a/dragonflylane/OwnerAdmission.h
+++ b/dragonflylane/OwnerAdmission.h
@@ -12,7 +12,7 @@
 // ticket that was admitted or queued leaves exactly once, by finished(), cancel() or a refusal. All refusals carry
 // codes that mean "not run". Costs O(queue) per call; the queue holds at most one ticket per slot.
 
-#include "dragonflylane/Admission.h"
+#include "dragonflylane/ServiceTimeEstimate.h"
 
 #include <array>
 #include <unordered_map>
@@ -75,13 +75,6 @@
         bool isSuspect { false };
     };
 
-    /// Exponentially weighted mean of the service time of one class.
-    struct Estimate {
-        double nanoseconds { 0 };
-        TimePoint updatedAt;
-        bool hasSample { false };
-    };
-
     /// State of lookups (index 0) or orders (index 1).
     struct CallClass {
         std::vector<CallTicket> queue;
@@ -89,7 +82,7 @@
         /// Work handed over divided by the share; the class with the lower value is served next.
         double virtualTime { 0 };
         std::optional<TimePoint> lastOfferAt;
-        Estimate estimate;
+        ServiceTimeEstimate estimate;
     };
 
     static size_t classIndex(bool isOrder) { return isOrder ? 1 : 0; }
@@ -117,6 +110,7 @@
     void raiseLimit();
 
     OwnerAdmissionOptions m_options;
+    ServiceTimeOptions m_estimate;
     double m_limit { 0 };
     std::optional<TimePoint> m_limitLoweredAt;
     std::array<CallClass, 2> m_classes;
--- a/dragonflylane/RankedAdmission.cpp
+++ b/dragonflylane/RankedAdmission.cpp
@@ -1,7 +1,6 @@
 #include "dragonflylane/RankedAdmission.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace dragonflylane {
 
@@ -30,6 +29,7 @@
 
 RankedAdmission::RankedAdmission(RankedAdmissionOptions options)
     : m_options(options)
+    , m_estimate { .weight = options.estimateWeight, .halfLife = options.estimateHalfLife }
 {
 }
 
@@ -119,18 +119,12 @@
         .serviceTime = meanHold(now) };
 }
 
-double RankedAdmission::remainingShare(const Route& route, TimePoint now) const
-{
-    double age = nanosecondsOf(std::max(Duration::zero(), now - route.updatedAt));
-    return std::exp2(-age / nanosecondsOf(m_options.estimateHalfLife));
-}
-
 Duration RankedAdmission::serviceTime(const CallTicket& ticket, TimePoint now) const
 {
     auto found = m_routes.find(ticket.routeKey);
     if (found == m_routes.end())
         return Duration::zero();
-    return durationOf(found->second.nanoseconds * remainingShare(found->second, now));
+    return found->second.serviceTime.mean(now, m_estimate);
 }
 
 void RankedAdmission::noteOffer(const CallTicket& ticket, TimePoint now)
@@ -198,7 +192,7 @@
 {
     const Route& route = m_routes.at(ticket.routeKey);
     Duration service = serviceTime(ticket, now);
-    Duration margin = durationOf(marginDeviations * route.deviation * remainingShare(route, now));
+    Duration margin = route.serviceTime.margin(marginDeviations, now, m_estimate);
     TimePoint target = targetOf(ticket);
     if (hasLowerRank(ticket, now))
         return target + (ticket.deadline - target) / 2 - service;
@@ -243,22 +237,9 @@
 
 void RankedAdmission::learn(const RunningCall& call, CallOutcome outcome, TimePoint now)
 {
-    // Failures and refusals come early and say nothing about the service time; a timeout is a lower bound.
-    double sample = nanosecondsOf(now - call.startedAt);
-    bool isSample = outcome == CallOutcome::Success
-        || (outcome == CallOutcome::Timeout && sample > nanosecondsOf(serviceTime(call.ticket, now)));
-    if (!isSample)
-        return;
     auto found = m_routes.find(call.ticket.routeKey);
-    if (found == m_routes.end())
-        return;
-    Route& route = found->second;
-    // After a pause the old value counts as little as serviceTime() reports of it.
-    bool isFirst = route.nanoseconds == 0;
-    double weight = isFirst ? 1 : std::max(m_options.estimateWeight, 1 - remainingShare(route, now));
-    route.deviation += isFirst ? 0 : weight * (std::abs(sample - route.nanoseconds) - route.deviation);
-    route.nanoseconds += weight * (sample - route.nanoseconds);
-    route.updatedAt = now;
+    if (found != m_routes.end())
+        found->second.serviceTime.learn(now - call.startedAt, outcome, now, m_estimate);
 }
 
 } // namespace dragonflylane
--- a/dragonflylane/RankedAdmission.h
+++ b/dragonflylane/RankedAdmission.h
@@ -12,7 +12,7 @@
 // may end later, since the work that waits for them has its own target.
 // Costs O(queue) per call; the queue is bounded.
 
-#include "dragonflylane/Admission.h"
+#include "dragonflylane/ServiceTimeEstimate.h"
 
 #include <unordered_map>
 
@@ -66,10 +66,7 @@
         /// Time from the offer to the target.
         Duration span { 0 };
         TimePoint offeredAt;
-        /// Exponentially weighted mean of the service time, and mean distance from it; zero before the first sample.
-        double nanoseconds { 0 };
-        double deviation { 0 };
-        TimePoint updatedAt;
+        ServiceTimeEstimate serviceTime;
     };
 
     bool goesBefore(const CallTicket&, const CallTicket&) const;
@@ -82,13 +79,13 @@
     TimePoint latestStart(const CallTicket&, TimePoint now) const;
     void noteOffer(const CallTicket&, TimePoint now);
     bool hasLowerRank(const CallTicket&, TimePoint now) const;
-    double remainingShare(const Route&, TimePoint now) const;
     void enqueue(const CallTicket&);
     void start(const CallTicket&, TimePoint now);
     void handOver(AdmissionChanges&, TimePoint now);
     void learn(const RunningCall&, CallOutcome, TimePoint now);
 
     RankedAdmissionOptions m_options;
+    ServiceTimeOptions m_estimate;
     /// Best first.
     std::vector<CallTicket> m_queue;
     std::unordered_map<uint64_t, RunningCall> m_running;
--- a/dragonflylane/ThriftCodec.h
+++ b/dragonflylane/ThriftCodec.h
@@ -65,4 +65,13 @@
     return decodeThrift(bytes, { maxBytes, bytes.size(), bytes.size() }, *result);
 }
 
+/// Enums travel as numbers from zero to `last`; returns false for any other.
+template <typename Enum> bool readEnum(int32_t number, Enum last, Enum& value)
+{
+    if (number < 0 || number > static_cast<int32_t>(last))
+        return false;
+    value = static_cast<Enum>(number);
+    return true;
+}
+
 } // namespace dragonflylane
--- a/dragonflylane/UpstreamSelector.cpp
+++ b/dragonflylane/UpstreamSelector.cpp
@@ -1,6 +1,7 @@
 #include "dragonflylane/UpstreamSelector.h"
 
 #include "dragonflylane/Digest.h"
+#include "dragonflylane/HalfLife.h"
 
 #include <algorithm>
 #include <cmath>
@@ -252,8 +253,7 @@
 // Without answers the share returns towards one, since only another try can show that the upstream has recovered.
 double UpstreamSelector::quality(const Entry& entry, TimePoint now) const
 {
-    double age = static_cast<double>(std::max(Duration::zero(), now - entry.qualityAt).count());
-    return 1 - (1 - entry.quality) * std::exp2(-age / static_cast<double>(m_options.qualityHalfLife.count()));
+    return 1 - (1 - entry.quality) * remainingShare(now - entry.qualityAt, m_options.qualityHalfLife);
 }
 
 void UpstreamSelector::noteQuality(Entry& entry, bool isGood, TimePoint now)
@@ -269,8 +269,7 @@
     double capacity = entry.candidate.slots;
     if (m_options.useReports && entry.reportedAt
         && now - *entry.reportedAt < maxReportHalfLives * m_options.reportHalfLife) {
-        double age = static_cast<double>((now - *entry.reportedAt).count());
-        double share = std::exp2(-age / static_cast<double>(m_options.reportHalfLife.count()));
+        double share = remainingShare(now - *entry.reportedAt, m_options.reportHalfLife);
         load += entry.foreignLoad * share;
         double limit = std::min<double>(entry.reportedLimit, capacity);
         capacity -= (capacity - limit) * share;
