Probe silent links instead of sending heartbeats on all of them

Cause: a daemon of the large fleet holds links to most of 200 others, nearly all at rest, and sent two heartbeats a second on each of them: about 20 kB/s of a link of 125 kB/s, and as many wakeups (CAPACITY.md had computed it). Ruled out: closing idle links (three round trips and a proof for most calls). Now a link is probed after 0.5 s of silence while a call waits on it and after 2 s at rest; any frame counts as an answer. A lost peer at rest is noticed after 3.5 s at most instead of 2 s; with a call in flight after 2 s as before.

--- a/dragonflylane/Frame.h
+++ b/dragonflylane/Frame.h
@@ -14,7 +14,10 @@
 enum class FrameKind : uint8_t {
     Hello = 1,
     HelloProof = 2,
+    /// Answers a probe.
     Heartbeat = 3,
+    /// Asks the peer for a sign of life.
+    Probe = 4,
     ForwardRequest = 10,
     ForwardResponse = 11,
     ForwardCancel = 12,
--- a/dragonflylane/FrameQueue.h
+++ b/dragonflylane/FrameQueue.h
@@ -96,6 +96,7 @@
         case FrameKind::Hello:
         case FrameKind::HelloProof:
         case FrameKind::Heartbeat:
+        case FrameKind::Probe:
         case FrameKind::Log:
         case FrameKind::Relay:
             return Lane::Control;
--- /dev/null
+++ b/dragonflylane/LinkLiveness.cpp
@@ -0,0 +1,44 @@
+#include "dragonflylane/LinkLiveness.h"
+
+namespace dragonflylane {
+
+LinkLiveness::LinkLiveness(const LinkLivenessOptions& options, TimePoint now)
+    : m_options(options)
+    , m_heardAt(now)
+{
+}
+
+void LinkLiveness::sent(FrameKind kind)
+{
+    if (kind == FrameKind::ForwardRequest || kind == FrameKind::CallTransfer)
+        ++m_callsInFlight;
+    if (kind == FrameKind::ForwardCancel && m_callsInFlight > 0)
+        --m_callsInFlight;
+}
+
+void LinkLiveness::received(FrameKind kind)
+{
+    // An answer may cross the cancel of its call, which was counted already.
+    if (kind == FrameKind::ForwardResponse && m_callsInFlight > 0)
+        --m_callsInFlight;
+}
+
+void LinkLiveness::heard(TimePoint now)
+{
+    m_heardAt = now;
+    m_isProbing = false;
+}
+
+LinkLiveness::Action LinkLiveness::check(TimePoint now)
+{
+    if (m_isProbing)
+        return now - m_probedAt > m_options.answerLimit ? Action::Close : Action::None;
+    Duration interval = hasCallInFlight() ? m_options.busyInterval : m_options.restInterval;
+    if (now - m_heardAt < interval)
+        return Action::None;
+    m_isProbing = true;
+    m_probedAt = now;
+    return Action::Probe;
+}
+
+} // namespace dragonflylane
--- a/dragonflylane/PeerHub.h
+++ b/dragonflylane/PeerHub.h
@@ -42,8 +42,11 @@
     std::string meshId;
     HostId self;
     Endpoint listen;
+    /// A link with a call in flight is probed after this long without a frame, see LinkLiveness.
     Duration heartbeatInterval { std::chrono::milliseconds(500) };
-    /// A link with no frame for this long is closed: a silent partition sends no reset.
+    /// The same for a link without one.
+    Duration restingHeartbeatInterval { std::chrono::seconds(2) };
+    /// A link with a call in flight is closed after this long without a frame: a silent partition sends no reset.
     Duration peerTimeout { std::chrono::seconds(2) };
     Duration connectTimeout { std::chrono::seconds(1) };
     /// A stopped process still accepts connections in its kernel, but never greets. Above two round trips between
--- a/dragonflylane/PeerLink.cpp
+++ b/dragonflylane/PeerLink.cpp
@@ -18,6 +18,13 @@
     constexpr size_t minReadBytes = 2 << 10;
     constexpr size_t maxReadBytes = 64 << 10;
 
+    LinkLivenessOptions livenessOptions(const PeerHubOptions& options)
+    {
+        return { .busyInterval = options.heartbeatInterval,
+            .restInterval = options.restingHeartbeatInterval,
+            .answerLimit = options.peerTimeout - options.heartbeatInterval };
+    }
+
 } // namespace
 
 PeerLink::PeerLink(asio::ip::tcp::socket socket, LinkId id, const PeerHubOptions& options, const MeshSecret& secret,
@@ -30,6 +37,7 @@
     , m_hooks(std::move(hooks))
     , m_ownNonce(MeshSecret::makeNonce())
     , m_readBytes(minReadBytes)
+    , m_liveness(livenessOptions(options), BootClock::now())
 {
 }
 
@@ -37,8 +45,7 @@
 {
     boost::system::error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    m_lastReceived = now;
-    m_lastSent = now;
+    m_liveness.heard(now);
     wire::Hello hello;
     hello.meshId = m_options.meshId;
     hello.hostId = m_options.self.value();
@@ -69,11 +76,16 @@
 
 void PeerLink::tick(TimePoint now)
 {
-    Duration limit = m_isEstablished ? m_options.peerTimeout : m_options.greetingTimeout;
-    if (now - m_lastReceived > limit)
+    if (!m_isEstablished) {
+        if (now - m_liveness.heardAt() > m_options.greetingTimeout)
+            close(ResultCode::PeerTimeout);
+        return;
+    }
+    LinkLiveness::Action action = m_liveness.check(now);
+    if (action == LinkLiveness::Action::Close)
         return close(ResultCode::PeerTimeout);
-    if (m_isEstablished && now - m_lastSent >= m_options.heartbeatInterval && m_writing.empty())
-        send(FrameKind::Heartbeat, {});
+    if (action == LinkLiveness::Action::Probe)
+        enqueue(FrameKind::Probe, {});
 }
 
 void PeerLink::read()
@@ -93,7 +105,7 @@
 
 void PeerLink::readSome(size_t bytes)
 {
-    m_lastReceived = BootClock::now();
+    m_liveness.heard(BootClock::now());
     m_readBytes = bytes == m_readBytes ? std::min(m_readBytes * 2, maxReadBytes) : minReadBytes;
     size_t offset = 0;
     while (!m_isClosed) {
@@ -123,7 +135,10 @@
         return handleProof(frame.payload);
     if (!m_isEstablished)
         return ResultCode::WrongProof;
-    if (frame.kind != FrameKind::Heartbeat)
+    m_liveness.received(frame.kind);
+    if (frame.kind == FrameKind::Probe)
+        enqueue(FrameKind::Heartbeat, {});
+    else if (frame.kind != FrameKind::Heartbeat)
         m_hooks.frame(*this, frame);
     return {};
 }
@@ -178,6 +193,7 @@
 {
     if (kind == FrameKind::ForwardResponse && payload.size() > FrameQueue::maxShortAnswerBytes)
         m_pacer.noteAnswer(payload.size());
+    m_liveness.sent(kind);
     changeQueue([&] { m_queue.push(kind, encodeFrame(kind, payload), m_pacer.smallAnswerBytes()); });
     if (m_queue.bytes() + m_writingBytes > m_options.maxQueuedBytes)
         return close(ResultCode::PeerTimeout);
@@ -219,7 +235,6 @@
     buffers.reserve(m_writing.size());
     for (const std::string& frame : m_writing)
         buffers.emplace_back(frame.data(), frame.size());
-    m_lastSent = now;
     asio::async_write(m_socket, buffers, [self = shared_from_this()](boost::system::error_code error, size_t) {
         self->m_writing.clear();
         self->m_writingBytes = 0;
--- a/dragonflylane/PeerLink.h
+++ b/dragonflylane/PeerLink.h
@@ -10,6 +10,7 @@
 #include "dragonflylane/Frame.h"
 #include "dragonflylane/FrameQueue.h"
 #include "dragonflylane/Ids.h"
+#include "dragonflylane/LinkLiveness.h"
 #include "dragonflylane/LinkPacer.h"
 #include "dragonflylane/PeerHub.h"
 
@@ -40,7 +41,7 @@
     void close(std::error_code reason);
     /// It may be the turn of this link.
     void resume();
-    /// Sends a heartbeat when nothing else was sent, and closes a link that has been silent for too long.
+    /// Probes a silent peer, and closes a link whose peer does not answer.
     void tick(TimePoint now);
 
     LinkId id() const { return m_id; }
@@ -88,8 +89,7 @@
     FrameQueue m_queue;
     std::vector<std::string> m_writing;
     size_t m_writingBytes { 0 };
-    TimePoint m_lastReceived;
-    TimePoint m_lastSent;
+    LinkLiveness m_liveness;
 };
 
 } // namespace dragonflylane
