Count transmissions of member records to other data centres apart

Ruled out: calls (they stayed near), heartbeats, the tree (4 MB, control hosts), digests. Now the members of a data centre together send about two copies of a record to each other one; which members do so is left to chance. Near transmissions follow the number of near members. UpdateQueue takes this out of Membership. The test (200 daemons, five data centres, 100 changes) fails without it.

--- a/dragonflylane/Membership.cpp
+++ b/dragonflylane/Membership.cpp
@@ -97,6 +97,7 @@
 Membership::Membership(MembershipOptions options, MemberRecord self, TimePoint now)
     : m_options(options)
     , m_random(options.seed)
+    , m_updates(options.seed)
     , m_broadcasts({ .maxQueued = options.maxBroadcasts, .maxIdentities = options.maxBroadcastIdentities })
     , m_transferTokens(options.transferBurst)
     , m_transferTokensAt(now)
@@ -208,7 +209,7 @@
         // The others may have declared the member dead and forgotten it meanwhile.
         if (gap >= m_options.deadRetention) {
             it->second.isUnconfirmed = true;
-            dropUpdate(it);
+            m_updates.erase(it->first);
         }
     }
     // Datagrams that waited in the socket are as old as the pause.
@@ -365,7 +366,7 @@
             GossipIndirectPing { .number = m_probe->number,
                 .target = static_cast<uint32_t>(m_probe->target),
                 .targetAddress = target->second.node->second.address,
-                .cargo = takeUpdates() });
+                .cargo = takeUpdates(reachOf(m_entries.find(relay)->second.node->second.address)) });
     }
     // The answers have the rest of the period, which a late tick must not shorten.
     m_nextProbe = std::max(m_nextProbe, now + m_options.probeTimeout);
@@ -405,7 +406,7 @@
     auto sender = entryAt(from);
     if (sender != m_entries.end() && sender->second.node->second.state != MemberState::Alive)
         urgent.push_back(sender->second.node->second);
-    answer.cargo = takeUpdates(std::move(urgent));
+    answer.cargo = takeUpdates(reachOf(from), std::move(urgent));
     send(from, std::move(answer));
 }
 
@@ -435,7 +436,8 @@
     if (relayed == m_relayedProbes.end())
         return;
     send(relayed->second.requester,
-        GossipAcknowledgement { .number = relayed->second.requesterNumber, .cargo = takeUpdates() });
+        GossipAcknowledgement { .number = relayed->second.requesterNumber,
+            .cargo = takeUpdates(reachOf(relayed->second.requester)) });
     m_relayedProbes.erase(relayed);
 }
 
@@ -488,7 +490,7 @@
     if (orderOf(record, tieBreak) == orderOf(known, it->second.tieBreak)) {
         if (now >= m_outdatedUntil)
             it->second.isUnconfirmed = false;
-        countTransmissions(it, m_options.duplicateWeight);
+        m_updates.countNear(hash, m_options.duplicateWeight);
     }
     if (tieBreak != it->second.tieBreak && record.life == known.life && record.incarnation == known.incarnation
         && record.sequence == known.sequence)
@@ -552,7 +554,7 @@
     if (record.state == MemberState::Alive && (before == MemberState::Suspect || before == MemberState::Dead))
         ++m_counters.recoveries;
     // An update that was queued must not go on with the transmissions of the previous record.
-    if (spread == Spread::Yes || it->second.transmissions)
+    if (spread == Spread::Yes || m_updates.contains(it->first))
         queueUpdate(it);
     m_outputs.emplace_back(MemberChanged { record.host, record });
 }
@@ -576,6 +578,7 @@
     if (record.isPresent()) {
         it->second.listIndex = m_present.size();
         m_present.push_back(it->first);
+        ++m_presentIn[record.dataCentre];
         if (record.state == MemberState::Suspect) {
             ++m_counters.suspicions;
             startSuspicion(it, now);
@@ -601,6 +604,9 @@
     if (record.state == MemberState::Left)
         return;
     std::vector<HostHash>& list = record.isPresent() ? m_present : m_dead;
+    auto dataCentre = m_presentIn.find(record.dataCentre);
+    if (record.isPresent() && dataCentre != m_presentIn.end() && --dataCentre->second == 0)
+        m_presentIn.erase(dataCentre);
     HostHash moved = list.back();
     list[it->second.listIndex] = moved;
     m_entries.find(moved)->second.listIndex = it->second.listIndex;
@@ -613,7 +619,7 @@
     if (record.state == MemberState::Dead)
         rememberLost(record.address, m_lastCall);
     leaveState(it);
-    dropUpdate(it);
+    m_updates.erase(it->first);
     ++m_counters.expirations;
     m_outputs.emplace_back(MemberChanged { record.host, std::nullopt });
     m_members.erase(it->second.node);
@@ -680,9 +686,17 @@
     if (now < m_nextGossip || !hasUpdates() || m_present.empty())
         return;
     m_nextGossip = now + m_options.gossipPeriod;
+    // What waits for members that are gone would keep the timer running.
+    if (nearCount() == m_present.size())
+        m_updates.clear(GossipReach::Far);
+    if (nearCount() == 0)
+        m_updates.clear(GossipReach::Near);
     for (size_t i = 0; i < m_options.gossipFanout && hasUpdates(); ++i) {
         bool mayBeFar = i == 0 || !m_options.prefersNearGossip;
-        sendUpdates(m_entries.find(mayBeFar ? *randomPresent() : randomNear())->second.node->second.address);
+        const Endpoint& to
+            = m_entries.find(mayBeFar ? *randomPresent() : randomNear())->second.node->second.address;
+        if (!m_broadcasts.isEmpty() || !m_updates.isEmpty(reachOf(to)))
+            sendUpdates(to);
     }
 }
 
@@ -696,11 +710,11 @@
 {
     auto it = entryAt(to);
     if (it == m_entries.end() || it->second.node->second.state == MemberState::Alive)
-        return takeUpdates();
-    return takeUpdates({ it->second.node->second });
+        return takeUpdates(reachOf(to));
+    return takeUpdates(reachOf(to), { it->second.node->second });
 }
 
-GossipCargo Membership::takeUpdates(std::vector<MemberRecord> urgent)
+GossipCargo Membership::takeUpdates(GossipReach reach, std::vector<MemberRecord> urgent)
 {
     GossipCargo cargo { .records = std::move(urgent) };
     if (!hasUpdates())
@@ -711,62 +725,64 @@
     // Neither kind may starve the other.
     bool recordsFirst = randomBelow(2) == 0;
     if (recordsFirst)
-        fillWithRecords(cargo, budget);
-    m_broadcasts.fill(cargo, budget, transmissionLimit());
+        fillWithRecords(cargo, reach, budget);
+    m_broadcasts.fill(cargo, budget, transmissionLimit(m_present.size()));
     if (!recordsFirst)
-        fillWithRecords(cargo, budget);
+        fillWithRecords(cargo, reach, budget);
     return cargo;
 }
 
-void Membership::fillWithRecords(GossipCargo& cargo, size_t& budget)
+void Membership::fillWithRecords(GossipCargo& cargo, GossipReach reach, size_t& budget)
 {
-    std::vector<std::pair<uint32_t, HostHash>> taken;
-    size_t misfits = 0;
-    for (auto update = m_updates.begin(); update != m_updates.end() && misfits < maxMisfits; ++update) {
-        const MemberRecord& record = m_entries.find(update->second)->second.node->second;
+    m_updates.take(reach, maxMisfits, [&](HostHash hash) {
+        const MemberRecord& record = m_entries.find(hash)->second.node->second;
         size_t size = encodedSizeBound(record);
-        if (size > budget) {
-            ++misfits;
-            continue;
-        }
+        if (size > budget)
+            return false;
         budget -= size;
         cargo.records.push_back(record);
-        taken.push_back(*update);
-    }
-    for (const auto& update : taken)
-        countTransmissions(m_entries.find(update.second), 1);
+        return true;
+    });
 }
 
-void Membership::countTransmissions(Entries::iterator it, uint32_t count)
+void Membership::queueUpdate(Entries::iterator it)
 {
-    if (!it->second.transmissions || count == 0)
-        return;
-    uint32_t transmissions = *it->second.transmissions + count;
-    dropUpdate(it);
-    if (transmissions >= transmissionLimit())
-        return;
-    it->second.transmissions = transmissions;
-    m_updates.emplace(transmissions, it->first);
+    m_updates.push(it->first, recordLimits());
 }
 
-void Membership::queueUpdate(Entries::iterator it)
+uint32_t Membership::transmissionLimit(size_t members) const
 {
-    dropUpdate(it);
-    it->second.transmissions = 0;
-    m_updates.emplace(0, it->first);
+    double rounds = std::log2(static_cast<double>(members + 2));
+    return static_cast<uint32_t>(std::ceil(m_options.transmissionFactor * rounds));
 }
 
-void Membership::dropUpdate(Entries::iterator it)
+TransmissionLimits Membership::recordLimits() const
 {
-    if (it->second.transmissions)
-        m_updates.erase({ *it->second.transmissions, it->first });
-    it->second.transmissions.reset();
+    if (!m_options.prefersNearGossip)
+        return { .near = transmissionLimit(m_present.size()) };
+    size_t near = nearCount();
+    size_t otherDataCentres = m_presentIn.size() - (near == 0 ? 0 : 1);
+    double copies = m_options.farCopies * static_cast<double>(otherDataCentres);
+    return { .near = near > 0 ? transmissionLimit(near) : 0,
+        .far = std::min<double>(copies / static_cast<double>(near + 1), transmissionLimit(m_present.size() - near)) };
 }
 
-uint32_t Membership::transmissionLimit() const
+size_t Membership::nearCount() const
 {
-    double rounds = std::log2(static_cast<double>(m_present.size() + 2));
-    return static_cast<uint32_t>(std::ceil(m_options.transmissionFactor * rounds));
+    if (!m_options.prefersNearGossip)
+        return m_present.size();
+    auto own = m_presentIn.find(self().dataCentre);
+    return own == m_presentIn.end() ? 0 : own->second;
+}
+
+// An address that is not known may be anywhere.
+GossipReach Membership::reachOf(const Endpoint& address)
+{
+    if (!m_options.prefersNearGossip)
+        return GossipReach::Near;
+    auto it = entryAt(address);
+    bool isNear = it != m_entries.end() && it->second.node->second.dataCentre == self().dataCentre;
+    return isNear ? GossipReach::Near : GossipReach::Far;
 }
 
 bool Membership::broadcast(std::string payload, TimePoint now)
--- a/dragonflylane/Membership.h
+++ b/dragonflylane/Membership.h
@@ -30,6 +30,7 @@
 #include "dragonflylane/MembershipCounters.h"
 #include "dragonflylane/MembershipOptions.h"
 #include "dragonflylane/MembershipOutput.h"
+#include "dragonflylane/UpdateQueue.h"
 
 #include <array>
 #include <cstddef>
@@ -99,8 +100,6 @@
         size_t listIndex { 0 };
         // When a suspect is declared dead, or a dead or left record expires.
         std::optional<TimePoint> deadline {};
-        // Transmissions so far, while the record is in m_updates.
-        std::optional<uint32_t> transmissions {};
         // Questions to other members that remain before a suspect is declared dead.
         unsigned confirmations { 0 };
         // Held since before a pause longer than the retention of dead records, and not heard of since. Such a record is
@@ -218,15 +217,16 @@
     bool mayTransfer(TimePoint now);
 
     // The urgent records are sent whether or not they are queued.
-    GossipCargo takeUpdates(std::vector<MemberRecord> urgent = {});
+    GossipCargo takeUpdates(GossipReach, std::vector<MemberRecord> urgent = {});
     GossipCargo updatesFor(const Endpoint& to);
-    void fillWithRecords(GossipCargo&, size_t& budget);
+    void fillWithRecords(GossipCargo&, GossipReach, size_t& budget);
     void queueUpdate(Entries::iterator);
-    void dropUpdate(Entries::iterator);
-    void countTransmissions(Entries::iterator, uint32_t count);
     void takeBroadcast(const GossipBroadcast&);
-    bool hasUpdates() const { return !m_updates.empty() || !m_broadcasts.isEmpty(); }
-    uint32_t transmissionLimit() const;
+    bool hasUpdates() const { return !m_updates.isEmpty() || !m_broadcasts.isEmpty(); }
+    uint32_t transmissionLimit(size_t members) const;
+    TransmissionLimits recordLimits() const;
+    GossipReach reachOf(const Endpoint&);
+    size_t nearCount() const;
 
     void send(const Endpoint& to, GossipMessage);
     void sendUpdates(const Endpoint& to);
@@ -252,6 +252,8 @@
     Entries m_entries;
     // Members other than this daemon that are alive or suspect, for uniform choice.
     std::vector<HostHash> m_present;
+    // Their number in each data centre.
+    std::map<DataCentreName, size_t> m_presentIn;
     std::map<Endpoint, HostHash> m_byAddress;
     std::set<std::pair<TimePoint, HostHash>> m_deadlines;
     // Dead members whose records are kept.
@@ -260,8 +262,7 @@
     std::array<uint32_t, gossipBucketCount> m_bucketDigests {};
     uint64_t m_rootDigest { 0 };
 
-    // Records to spread, by transmissions so far.
-    std::set<std::pair<uint32_t, HostHash>> m_updates;
+    UpdateQueue m_updates;
     BroadcastQueue m_broadcasts;
     uint64_t m_lastBroadcast { 0 };
 
--- a/dragonflylane/MembershipOptions.h
+++ b/dragonflylane/MembershipOptions.h
@@ -30,8 +30,11 @@
     size_t gossipFanout { 3 };
     /// All but one of them are of the own data centre where possible, since bytes between data centres are dear.
     bool prefersNearGossip { true };
-    /// Each record is sent this many times log2(number of members).
+    /// Each record is sent this many times log2(number of members) within the own data centre.
     unsigned transmissionFactor { 3 };
+    /// Copies of each record that the members of one data centre together send to each other one. They choose
+    /// independently, and all data centres that have the record send it on.
+    double farCopies { 2 };
     /// A queued record that arrives again counts as this many transmissions, since others spread it already.
     unsigned duplicateWeight { 1 };
 
--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -506,4 +506,36 @@
     EXPECT_LE(near.converged, 5s);
 }
 
+// Pattern: in a fleet of 200 over five data centres, upstreams are replaced all the time. Each change must reach four
+// other data centres; guards against hundreds of copies of it that cross to them, and against changes that are late.
+TEST(MembershipTest, AChangeOfAnUpstreamCrossesDataCentresAFewTimes)
+{
+    constexpr size_t daemons = 200;
+    constexpr size_t changes = 100;
+    constexpr size_t recordBytes = 150;
+    // Four copies to each of four others, from each of the five.
+    constexpr size_t copies = 4 * 4 * 5;
+    VirtualMesh mesh({ .dataCentres = 5 });
+    mesh.start(daemons);
+    convergeAll(mesh);
+    mesh.runFor(60s);
+    mesh.traffic() = {};
+    mesh.runFor(20s);
+    const uint64_t idleBytes = mesh.traffic().farBytes;
+    mesh.traffic() = {};
+    for (size_t change = 0; change < changes; ++change) {
+        mesh.call(change, [&](Membership& membership, TimePoint now) {
+            membership.setUpstream(UpstreamRecord { .id = UpstreamId("upstream-" + std::to_string(change)),
+                                       .service = ServiceName("catalogue"),
+                                       .phase = UpstreamPhase::Ready,
+                                       .slots = 10,
+                                       .incarnation = Incarnation(1) },
+                now);
+        });
+        mesh.runFor(200ms);
+    }
+    EXPECT_LE(mesh.traffic().farBytes - idleBytes, changes * copies * recordBytes);
+    EXPECT_TRUE(mesh.runUntil([&] { return mesh.isConverged(); }, 3s));
+}
+
 } // namespace dragonflylane
