--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -82,6 +82,23 @@
     EXPECT_TRUE(state.meshPolicy() && state.meshPolicy()->openCalls);
 }
 
+// Guards against downloads that are not tried again although they may be, and kinds not known yet that are.
+TEST(PlatformTest, SafeRequestsAndDownloadsMayRunAgain)
+{
+    auto isIdempotent = [](const std::string& kind) {
+        std::string detail;
+        auto command = readOperatorDocument(replaced(documentText, "\"safe\"", "\"" + kind + "\""), &detail);
+        if (!command)
+            return false;
+        ConfigState state(Revision(1), command->items);
+        return state.route(RouteName("r-n2ctnfz"))->isIdempotent.value_or(false);
+    };
+    EXPECT_TRUE(isIdempotent("safe"));
+    EXPECT_TRUE(isIdempotent("download"));
+    EXPECT_FALSE(isIdempotent("unsafe"));
+    EXPECT_FALSE(isIdempotent("stream"));
+}
+
 // Guards against an invalid configuration that is acknowledged, and a valid one that is refused.
 TEST(PlatformTest, RefusesInvalidDocumentsOnly)
 {
