--- a/dragonflylane/Frame.h
+++ b/dragonflylane/Frame.h
@@ -18,6 +18,8 @@
     Heartbeat = 3,
     /// Asks the peer for a sign of life.
     Probe = 4,
+    /// A piece of a large frame, see FrameSegments.
+    Segment = 5,
     ForwardRequest = 10,
     ForwardResponse = 11,
     ForwardCancel = 12,
--- a/dragonflylane/FrameQueue.h
+++ b/dragonflylane/FrameQueue.h
@@ -6,9 +6,10 @@
 // seems dead nor holds a change of configuration up. Then short frames of calls: requests, cancels and refusals. A
 // refusal that waits behind answers takes the time in which another owner could have served the call. Then small
 // answers (shortest job first), and last large ones and large requests. Frames of one lane keep their order, and a
-// cancel never overtakes its request.
+// cancel never overtakes its request. Large frames are cut, so that others go between their pieces.
 
 #include "dragonflylane/Frame.h"
+#include "dragonflylane/FrameSegments.h"
 
 #include <cstddef>
 #include <deque>
@@ -25,18 +26,12 @@
     /// An answer above this size is no refusal.
     static constexpr size_t maxShortAnswerBytes = 256;
 
-    /// Answers up to `smallAnswerBytes` go before larger ones.
-    void push(FrameKind kind, std::string frame, size_t smallAnswerBytes = 0)
+    /// Answers up to `smallAnswerBytes` go before larger ones. Frames above `segmentBytes` are cut; zero: none are.
+    void push(FrameKind kind, std::string frame, size_t smallAnswerBytes = 0, size_t segmentBytes = 0)
     {
-        m_bytes += frame.size();
-        Lane lane = laneOf(kind, frame.size(), smallAnswerBytes);
-        if (lane == Lane::Bulk && kind == FrameKind::ForwardRequest)
-            ++m_bulkRequests;
-        if (lane == Lane::Small)
-            m_smallBytes += frame.size();
-        if (lane == Lane::Bulk)
-            m_bulkBytes += frame.size();
-        laneQueue(lane).push_back({ kind, std::move(frame) });
+        FrameLane lane = laneOf(kind, frame.size(), smallAnswerBytes);
+        for (std::string& segment : splitFrame(lane, std::move(frame), segmentBytes))
+            pushOne(lane, kind, std::move(segment));
     }
 
     bool isEmpty() const { return m_control.empty() && m_short.empty() && m_small.empty() && m_bulk.empty(); }
@@ -77,20 +72,27 @@
 
 private:
     struct Item {
+        /// Of the whole frame.
         FrameKind kind;
         std::string bytes;
     };
-    enum class Lane : uint8_t {
-        Control,
-        Short,
-        Small,
-        Bulk,
-    };
 
     // A request without a body has about 250 bytes.
     static constexpr size_t maxShortRequestBytes = 4 << 10;
 
-    Lane laneOf(FrameKind kind, size_t bytes, size_t smallAnswerBytes) const
+    void pushOne(FrameLane lane, FrameKind kind, std::string frame)
+    {
+        m_bytes += frame.size();
+        if (lane == FrameLane::Bulk && kind == FrameKind::ForwardRequest)
+            ++m_bulkRequests;
+        if (lane == FrameLane::Small)
+            m_smallBytes += frame.size();
+        if (lane == FrameLane::Bulk)
+            m_bulkBytes += frame.size();
+        laneQueue(lane).push_back({ kind, std::move(frame) });
+    }
+
+    FrameLane laneOf(FrameKind kind, size_t bytes, size_t smallAnswerBytes) const
     {
         switch (kind) {
         case FrameKind::Hello:
@@ -99,25 +101,25 @@
         case FrameKind::Probe:
         case FrameKind::Log:
         case FrameKind::Relay:
-            return Lane::Control;
+            return FrameLane::Control;
         case FrameKind::ForwardRequest:
-            return bytes <= maxShortRequestBytes ? Lane::Short : Lane::Bulk;
+            return bytes <= maxShortRequestBytes ? FrameLane::Short : FrameLane::Bulk;
         case FrameKind::ForwardResponse:
-            return bytes <= maxShortAnswerBytes ? Lane::Short : bytes <= smallAnswerBytes ? Lane::Small : Lane::Bulk;
+            return bytes <= maxShortAnswerBytes ? FrameLane::Short : bytes <= smallAnswerBytes ? FrameLane::Small : FrameLane::Bulk;
         case FrameKind::ForwardCancel:
-            return m_bulkRequests == 0 ? Lane::Short : Lane::Bulk;
+            return m_bulkRequests == 0 ? FrameLane::Short : FrameLane::Bulk;
         default:
-            return Lane::Bulk;
+            return FrameLane::Bulk;
         }
     }
 
-    std::deque<Item>& laneQueue(Lane lane)
+    std::deque<Item>& laneQueue(FrameLane lane)
     {
-        if (lane == Lane::Control)
+        if (lane == FrameLane::Control)
             return m_control;
-        if (lane == Lane::Short)
+        if (lane == FrameLane::Short)
             return m_short;
-        return lane == Lane::Small ? m_small : m_bulk;
+        return lane == FrameLane::Small ? m_small : m_bulk;
     }
 
     void take(std::deque<Item>& lane, std::vector<std::string>& batch)
--- a/dragonflylane/LinkPacer.cpp
+++ b/dragonflylane/LinkPacer.cpp
@@ -12,6 +12,8 @@
     // What is being written can no longer be overtaken, and small writes cost processor time.
     constexpr size_t minBatchBytes = 2 << 10;
     constexpr size_t maxBatchBytes = 16 << 10;
+    // Each piece costs a write.
+    constexpr size_t minSegmentBytes = 4 << 10;
     constexpr double answerWeight = 0.02;
     constexpr Duration passedHalfLife = std::chrono::milliseconds(500);
     constexpr double leastLargeShare = 0.2;
@@ -80,4 +82,9 @@
     return std::clamp(bytes, minBatchBytes, maxBatchBytes);
 }
 
+size_t LinkPacer::segmentBytes() const
+{
+    return std::max(batchBytes(), minSegmentBytes);
+}
+
 } // namespace dragonflylane
--- a/dragonflylane/LinkPacer.h
+++ b/dragonflylane/LinkPacer.h
@@ -59,6 +59,8 @@
     Duration timeForLarge(size_t bytes, TimePoint now) const;
     /// A good size of one write.
     size_t batchBytes() const;
+    /// A frame above this size occupies the link for too long as one piece.
+    size_t segmentBytes() const;
 
 private:
     // Part of the mean size.
--- a/dragonflylane/PeerLink.cpp
+++ b/dragonflylane/PeerLink.cpp
@@ -135,6 +135,8 @@
         return handleProof(frame.payload);
     if (!m_isEstablished)
         return ResultCode::WrongProof;
+    if (frame.kind == FrameKind::Segment)
+        return handleSegment(frame.payload);
     m_liveness.received(frame.kind);
     if (frame.kind == FrameKind::Probe)
         enqueue(FrameKind::Heartbeat, {});
@@ -143,6 +145,22 @@
     return {};
 }
 
+std::error_code PeerLink::handleSegment(std::string_view payload)
+{
+    std::string whole;
+    if (auto error = m_assembly.add(payload, whole))
+        return error;
+    if (whole.empty())
+        return {};
+    FrameView frame;
+    if (auto error = decodeFrame(whole, maxFramePayloadBytes, frame))
+        return error;
+    // A segment within a segment would let a peer nest them without end.
+    if (frame.size != whole.size() || frame.kind == FrameKind::Segment)
+        return ResultCode::MalformedFrame;
+    return handle(frame);
+}
+
 std::error_code PeerLink::handleHello(std::string_view payload)
 {
     wire::Hello hello;
@@ -194,7 +212,9 @@
     if (kind == FrameKind::ForwardResponse && payload.size() > FrameQueue::maxShortAnswerBytes)
         m_pacer.noteAnswer(payload.size());
     m_liveness.sent(kind);
-    changeQueue([&] { m_queue.push(kind, encodeFrame(kind, payload), m_pacer.smallAnswerBytes()); });
+    changeQueue([&] {
+        m_queue.push(kind, encodeFrame(kind, payload), m_pacer.smallAnswerBytes(), m_pacer.segmentBytes());
+    });
     if (m_queue.bytes() + m_writingBytes > m_options.maxQueuedBytes)
         return close(ResultCode::PeerTimeout);
     writeWaiting();
--- a/dragonflylane/PeerLink.h
+++ b/dragonflylane/PeerLink.h
@@ -61,6 +61,7 @@
     void read();
     void readSome(size_t bytes);
     std::error_code handle(const FrameView&);
+    std::error_code handleSegment(std::string_view payload);
     std::error_code handleHello(std::string_view payload);
     std::error_code handleProof(std::string_view payload);
     void enqueue(FrameKind, std::string_view payload);
@@ -86,6 +87,7 @@
 
     std::string m_input;
     size_t m_readBytes;
+    FrameAssembly m_assembly;
     FrameQueue m_queue;
     std::vector<std::string> m_writing;
     size_t m_writingBytes { 0 };
