Count the target of a returning caller from its first try, and the way to the owner

Times by route showed waits at owners of 77 to 420 ms up to the target as the owner knew it, while the way there and back took 28 to 110 ms more, and a caller that came back after a refusal got a new target. Slots went to calls whose callers gained little, and those who could still be served were refused. The expected wait follows from the calls that run, not from their mean time.

--- a/dragonflylane/Admission.h
+++ b/dragonflylane/Admission.h
@@ -37,6 +37,10 @@
     TimePoint target {};
     /// The caller would rather try another upstream than wait longer than this here.
     Duration maxWait { Duration::max() };
+    /// Set by offer() of RankedAdmission: it cannot end by its target even if it starts at once.
+    bool isLate { false };
+    /// Set by offer() of RankedAdmission: it leaves the queue if it has not started by then.
+    TimePoint giveUpAt { TimePoint::max() };
     /// Time that the answer is expected to wait for the link of this host. OwnerAdmission does not use it.
     Duration answerDelay { 0 };
 };
--- a/dragonflylane/EntryCall.h
+++ b/dragonflylane/EntryCall.h
@@ -39,6 +39,8 @@
     /// When the caller gives up, and when the call ends here: the earlier of that and the route's timeout.
     TimePoint callerDeadline;
     TimePoint deadline;
+    /// When the caller's first try was received; earlier than this one if that was refused.
+    TimePoint firstReceived;
     /// Answers until then have their full value to the caller.
     TimePoint target;
     uint32_t priority { 0 };
--- a/dragonflylane/EntryService.cpp
+++ b/dragonflylane/EntryService.cpp
@@ -12,6 +12,11 @@
 {
 }
 
+void EntryService::recordTransit(Duration took, Duration held, TimePoint now)
+{
+    m_transit.learn(std::max(took - held, Duration::zero()), CallOutcome::Success, now, {});
+}
+
 void EntryService::setService(std::shared_ptr<const ServiceEntry> service, TimePoint now)
 {
     if (service == m_service)
--- a/dragonflylane/EntryService.h
+++ b/dragonflylane/EntryService.h
@@ -5,6 +5,7 @@
 
 #include "dragonflylane/RedirectGain.h"
 #include "dragonflylane/RetryPolicy.h"
+#include "dragonflylane/ServiceTimeEstimate.h"
 #include "dragonflylane/RoutingTable.h"
 #include "dragonflylane/UpstreamSelector.h"
 
@@ -33,6 +34,9 @@
     UpstreamSelector& selector() { return m_selector; }
     RetryPolicy& policy() { return m_policy; }
     RedirectGain& redirectGain() { return m_redirectGain; }
+    /// A call to another host took so long, of which its owner held it for a part; the rest is the way there and back.
+    void recordTransit(Duration took, Duration held, TimePoint now);
+    Duration transit(TimePoint now) const { return m_transit.mean(now, {}); }
     /// Never null for a choice of selector().
     const UpstreamEntry* find(const UpstreamId& id) const { return m_service->find(id); }
     uint32_t maxAttempts() const { return m_service->maxAttempts; }
@@ -46,6 +50,7 @@
     UpstreamSelector m_selector;
     RetryPolicy m_policy;
     RedirectGain m_redirectGain;
+    ServiceTimeEstimate m_transit;
     std::shared_ptr<const ServiceEntry> m_service;
     std::map<UpstreamId, Seen> m_seen;
 };
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -14,6 +14,7 @@
 #include "dragonflylane/Metrics.h"
 #include "dragonflylane/OwnerTask.h"
 #include "dragonflylane/PeerHub.h"
+#include "dragonflylane/RefusedCalls.h"
 #include "dragonflylane/Wire.h"
 #include "gen-cpp/peer_types.h"
 
@@ -77,6 +78,11 @@
     constexpr int returnPercent = 30;
     constexpr double returnJitter = 0.5;
 
+    int64_t toMicroseconds(Duration duration)
+    {
+        return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+    }
+
     // Host header without the port, in lower case.
     std::string hostName(const HttpRequest& request)
     {
@@ -185,6 +191,7 @@
         watchDeadline(call);
         const HttpRequest& request = call->exchange->request();
         call->fingerprint = requestFingerprint(call->serviceName, request.method, request.target, request.body);
+        noteReturn(call);
         if (m_parts.crash.stateOf(call->fingerprint) == CrashState::Quarantined)
             return refuse(call, ResultCode::RequestQuarantined);
         serviceOf(call).policy().budget().recordRequest(BootClock::now());
@@ -225,6 +232,17 @@
         return ResultCode::Ok;
     }
 
+    // The target counts from the first try of the caller.
+    void noteReturn(const CallPtr& call)
+    {
+        TimePoint received = call->exchange->received();
+        call->firstReceived = m_refusedCalls.takeReturn(call->fingerprint, received).value_or(received);
+        if (call->firstReceived == received)
+            return;
+        m_parts.metrics.add("calls_returned");
+        call->target -= received - call->firstReceived;
+    }
+
     // The key is scoped by method and target instead of the service, because a plan that changes a split between a
     // request and its resend must not make the resend look new.
     void claim(const CallPtr& call)
@@ -277,6 +295,8 @@
         call->open.push_back(attempt);
         m_attempts.emplace(attempt.id, call);
         wire::ForwardRequest request = makeForwardRequest(*call, m_options.headerNames, attempt.id, *upstream, now);
+        if (choice->owner != m_options.self)
+            request.targetMicroseconds -= toMicroseconds(serviceOf(call).transit(now));
         request.maxWaitMicroseconds = std::chrono::duration_cast<std::chrono::microseconds>(maxWait(*call)).count();
         if (call->isClaimed)
             m_parts.claims.handedOver(call->id);
@@ -387,6 +407,8 @@
         std::optional<LoadReport> report;
         if (response.limit > 0)
             report = loadReport(response);
+        if (link != LinkId() && code == ResultCode::Ok)
+            serviceOf(call).recordTransit(now - done.startedAt, std::chrono::microseconds(response.heldMicroseconds), now);
         bool isError = code == ResultCode::Ok && static_cast<unsigned>(response.status) >= firstServerError;
         SelectionOutcome outcome = isError ? SelectionOutcome::Error : selectionOutcome(code);
         serviceOf(call).selector().finished(done.choice, outcome, report, now);
@@ -516,6 +538,9 @@
             .detail = "attempts " + std::to_string(call->attempts) });
         Duration retryAfter = returnTime(call, code);
         m_log.refused(*call, code, retryAfter, m_routingTable->revision());
+        bool mayReturn = retryAfter > Duration::zero() && call->firstReceived != TimePoint();
+        if (mayReturn)
+            m_refusedCalls.noteRefusal(call->fingerprint, call->firstReceived, call->callerDeadline, BootClock::now());
         respond(call, code, makeRefusal(code, call->requestId, m_options.headerNames, retryAfter));
     }
 
@@ -698,6 +723,7 @@
     std::unordered_map<uint64_t, CallPtr> m_attempts;
     ForwardServer m_forwardServer;
     CallTransfers m_transfers;
+    RefusedCalls m_refusedCalls;
     std::set<std::pair<TimePoint, uint64_t>> m_deadlines;
     bool m_isDeadlineArmed { false };
     std::mt19937_64 m_random { m_options.life };
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -22,6 +22,7 @@
     wire::ForwardRequest request;
     Responder respond;
     TimePoint deadline;
+    TimePoint receivedAt { BootClock::now() };
     TimePoint handedOverAt;
     Incarnation incarnation;
     CallSource source { CallSource::ThisDaemon };
@@ -380,6 +381,8 @@
     reply.headers = toAnswerHeaders(response, m_options.headerNames, call->request.traceId);
     reply.body = std::move(response.body);
     reply.retryAfterMicroseconds = std::chrono::duration_cast<std::chrono::microseconds>(retryAfter).count();
+    reply.heldMicroseconds
+        = std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - call->receivedAt).count();
     LoadReport report = load();
     reply.running = static_cast<int32_t>(report.running);
     reply.queued = static_cast<int32_t>(report.queued);
--- a/dragonflylane/RankedAdmission.cpp
+++ b/dragonflylane/RankedAdmission.cpp
@@ -1,6 +1,7 @@
 #include "dragonflylane/RankedAdmission.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace dragonflylane {
 
@@ -12,6 +13,8 @@
     // A route of equal priority whose calls have so much more time than those of another one can better come back
     // later.
     constexpr int longerSpan = 2;
+    // For each call. A route's time to its target is that of its first tries.
+    constexpr double spanFading = 0.98;
 
     double nanosecondsOf(Duration duration)
     {
@@ -36,8 +39,9 @@
 {
 }
 
-AdmitDecision RankedAdmission::offer(const CallTicket& ticket, TimePoint now)
+AdmitDecision RankedAdmission::offer(const CallTicket& offered, TimePoint now)
 {
+    CallTicket ticket = offered;
     auto refuse = [](ResultCode code, Duration wait = {}) { return AdmitDecision { AdmitAction::Refuse, code, wait }; };
     if (m_isLeaving)
         return refuse(ResultCode::DaemonLeaving);
@@ -50,6 +54,11 @@
     if (ticket.isSuspect && isSuspectBusy())
         return refuse(ResultCode::SuspectAlreadyRunning);
     noteOffer(ticket, now);
+    // Work of higher rank that is late still has others waiting for it.
+    ticket.isLate = now + serviceTime(ticket, now) > targetOf(ticket) && !hasLowerRank(ticket, now);
+    TimePoint startBy = m_options.refuseLate ? latestStart(ticket, now) : ticket.deadline;
+    // Others may go before a late ticket for ever.
+    ticket.giveUpAt = ticket.isLate ? startBy : ticket.deadline;
     bool isFirst = m_queue.empty() || goesBefore(ticket, m_queue.front());
     bool hasRoom = isFirst && hasFreeSlot();
     if (hasRoom && ticket.answerDelay == Duration::zero()) {
@@ -59,8 +68,7 @@
     Duration wait = (hasRoom ? Duration::zero() : expectedWait(ticket, now)) + ticket.answerDelay;
     if (now + wait + serviceTime(ticket, now) > ticket.deadline)
         return refuse(ResultCode::WouldMissDeadline, wait);
-    bool isLate = m_options.refuseLate && now + wait > latestStart(ticket, now);
-    if (isLate || wait > ticket.maxWait || m_queue.size() >= capacity())
+    if (now + wait > startBy || wait > ticket.maxWait || m_queue.size() >= capacity())
         return refuse(ResultCode::QueueFull, wait);
     if (hasRoom) {
         start(ticket, now);
@@ -115,7 +123,7 @@
         return std::nullopt;
     TimePoint wakeup = TimePoint::max();
     for (const CallTicket& ticket : m_queue)
-        wakeup = std::min(wakeup, ticket.deadline);
+        wakeup = std::min({ wakeup, ticket.deadline, ticket.giveUpAt });
     return wakeup;
 }
 
@@ -142,7 +150,9 @@
         m_routes.clear();
     Route& route = m_routes[ticket.routeKey];
     route.priority = ticket.priority;
-    route.span = targetOf(ticket) - now;
+    // Callers that come back have only a part of the time left.
+    Duration faded = durationOf(nanosecondsOf(route.span) * spanFading);
+    route.span = std::max(targetOf(ticket) - now, faded);
     route.offeredAt = now;
 }
 
@@ -151,17 +161,22 @@
     const Route& own = m_routes.at(ticket.routeKey);
     return std::any_of(m_routes.begin(), m_routes.end(), [&](const auto& item) {
         const Route& other = item.second;
-        bool hasMoreTime = other.span > longerSpan * own.span;
-        bool isLower = other.priority > own.priority || (other.priority == own.priority && hasMoreTime);
-        return isLower && now - other.offeredAt < m_options.routeIdleAfter;
+        return isHigherRank(own, other) && now - other.offeredAt < m_options.routeIdleAfter;
     });
 }
 
+bool RankedAdmission::isHigherRank(const Route& route, const Route& than) const
+{
+    bool hasMoreTime = than.span > longerSpan * route.span;
+    return route.priority < than.priority || (route.priority == than.priority && hasMoreTime);
+}
+
 bool RankedAdmission::goesBefore(const CallTicket& left, const CallTicket& right) const
 {
     if (!m_options.orderByRank)
         return false;
-    return std::pair(left.priority, targetOf(left)) < std::pair(right.priority, targetOf(right));
+    return std::tuple(left.priority, left.isLate, targetOf(left))
+        < std::tuple(right.priority, right.isLate, targetOf(right));
 }
 
 bool RankedAdmission::isSuspectBusy() const
@@ -188,13 +203,22 @@
     return durationOf(sum / static_cast<double>(m_running.size()));
 }
 
-// With n slots busy, one call ends each mean hold time / n.
+// The ticket starts when as many running calls have ended as tickets go before it and itself need. A call that takes
+// longer than usual is expected to end soon.
 Duration RankedAdmission::expectedWait(const CallTicket& ticket, TimePoint now) const
 {
-    auto ahead = std::count_if(
-        m_queue.begin(), m_queue.end(), [&](const CallTicket& other) { return !goesBefore(ticket, other); });
-    double interval = nanosecondsOf(meanHold(now)) / std::max(1U, m_options.slots);
-    return durationOf(interval * static_cast<double>(ahead + 1));
+    constexpr int overdueShare = 8;
+    std::vector<Duration> ends;
+    for (const auto& [id, call] : m_running) {
+        Duration service = serviceTime(call.ticket, now);
+        ends.push_back(std::max(service - (now - call.startedAt), service / overdueShare));
+    }
+    auto ahead = static_cast<size_t>(std::count_if(
+        m_queue.begin(), m_queue.end(), [&](const CallTicket& other) { return !goesBefore(ticket, other); }));
+    if (ends.empty())
+        return Duration::zero();
+    std::sort(ends.begin(), ends.end());
+    return ends[ahead % ends.size()] + meanHold(now) * static_cast<Duration::rep>(ahead / ends.size());
 }
 
 TimePoint RankedAdmission::latestStart(const CallTicket& ticket, TimePoint now) const
@@ -206,8 +230,7 @@
     if (hasLowerRank(ticket, now))
         return target + (ticket.deadline - target) / 2 - service;
     // A call that cannot meet its target even on an idle upstream is still of some use until its deadline.
-    bool isHopeless = now + service > target;
-    return isHopeless ? now + service / 4 : target - service - margin;
+    return ticket.isLate ? now + service / 4 : target - service - margin;
 }
 
 void RankedAdmission::enqueue(const CallTicket& ticket)
@@ -227,6 +250,11 @@
     std::vector<CallTicket> kept;
     for (const CallTicket& ticket : m_queue) {
         bool isExpired = ticket.deadline <= now;
+        bool isOvertaken = !isExpired && !hasFreeSlot() && now > ticket.giveUpAt;
+        if (isOvertaken) {
+            changes.refused.push_back({ ticket, ResultCode::QueueFull, expectedWait(ticket, now) });
+            continue;
+        }
         if (!isExpired && !hasFreeSlot()) {
             kept.push_back(ticket);
             continue;
--- a/dragonflylane/RankedAdmission.h
+++ b/dragonflylane/RankedAdmission.h
@@ -2,7 +2,7 @@
 
 // Admission by rank, for upstreams that call one another and are loaded near their limit.
 //
-// Order of service: routes by priority, then the earliest target time. Pattern: under load a parent holds its slot
+// Order of service: routes by priority, then calls that can still meet their target, then the earliest target time. Pattern: under load a parent holds its slot
 // while its own calls queue behind new work of the next service, so every service fills with parents that wait for one
 // another. Calls that running work waits for are short and have tight targets, so they go first and the chain ends.
 //
@@ -10,7 +10,10 @@
 // of service times. Under overload this keeps the queue as short as the targets allow: callers who cannot be served in
 // time learn so at once, instead of taking slots from those who can. Higher ranks wait only for slots to turn over, and
 // may end later, since the work that waits for them has its own target.
-// Costs O(queue) per call; the queue is bounded.
+//
+// What waits in the queue for longer than that is refused there.
+//
+// Costs O(queue + routes) per call; both are bounded.
 
 #include "dragonflylane/ServiceTimeEstimate.h"
 
@@ -39,7 +42,7 @@
 public:
     explicit RankedAdmission(RankedAdmissionOptions);
 
-    AdmitDecision offer(const CallTicket&, TimePoint now) override;
+    AdmitDecision offer(const CallTicket& offered, TimePoint now) override;
     AdmissionChanges finished(uint64_t id, CallOutcome, TimePoint now) override;
     bool cancel(uint64_t id) override;
     AdmissionChanges setSlots(uint32_t slots, TimePoint now) override;
@@ -62,7 +65,7 @@
     /// What is known of the calls of one route.
     struct Route {
         uint32_t priority { 0 };
-        /// Time from the offer to the target.
+        /// Time from the offer to the target, of first tries.
         Duration span { 0 };
         TimePoint offeredAt;
         ServiceTimeEstimate serviceTime;
@@ -70,6 +73,7 @@
 
     bool goesBefore(const CallTicket&, const CallTicket&) const;
     bool hasFreeSlot() const { return m_running.size() < m_options.slots; }
+    bool isHigherRank(const Route&, const Route& than) const;
     bool isSuspectBusy() const;
     size_t capacity() const;
     Duration meanHold(TimePoint now) const;
--- /dev/null
+++ b/dragonflylane/RefusedCalls.cpp
@@ -0,0 +1,45 @@
+#include "dragonflylane/RefusedCalls.h"
+
+#include <algorithm>
+
+namespace dragonflylane {
+
+void RefusedCalls::noteRefusal(Fingerprint fingerprint, TimePoint firstReceived, TimePoint callerDeadline, TimePoint now)
+{
+    forgetExpired(now);
+    m_calls.emplace(fingerprint, Call { firstReceived, callerDeadline });
+    m_order.emplace_back(fingerprint, firstReceived);
+}
+
+std::optional<TimePoint> RefusedCalls::takeReturn(Fingerprint fingerprint, TimePoint now)
+{
+    auto [begin, end] = m_calls.equal_range(fingerprint);
+    // The one whose time is shortest is likely to be back first.
+    auto found = std::min_element(begin, end,
+        [](const auto& left, const auto& right) { return left.second.firstReceived < right.second.firstReceived; });
+    if (found == end)
+        return std::nullopt;
+    Call call = found->second;
+    m_calls.erase(found);
+    return call.deadline > now ? std::optional(call.firstReceived) : std::nullopt;
+}
+
+// A call leaves from the front only, so one that is refused again with little time left may stay a while longer.
+void RefusedCalls::forgetExpired(TimePoint now)
+{
+    while (!m_order.empty()) {
+        auto [fingerprint, firstReceived] = m_order.front();
+        auto [begin, end] = m_calls.equal_range(fingerprint);
+        auto found = std::find_if(
+            begin, end, [&](const auto& item) { return item.second.firstReceived == firstReceived; });
+        bool isGone = found == end;
+        bool isExpired = !isGone && found->second.deadline <= now;
+        if (!isGone && !isExpired && m_order.size() < m_options.maxCalls)
+            return;
+        if (!isGone)
+            m_calls.erase(found);
+        m_order.pop_front();
+    }
+}
+
+} // namespace dragonflylane
--- a/gen-cpp/peer_types.cpp
+++ b/gen-cpp/peer_types.cpp
@@ -965,6 +965,10 @@
 void ForwardResponse::__set_retryAfterMicroseconds(const int64_t val) {
   this->retryAfterMicroseconds = val;
 }
+
+void ForwardResponse::__set_heldMicroseconds(const int64_t val) {
+  this->heldMicroseconds = val;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardResponse& obj)
 {
   obj.printTo(out);
@@ -1085,6 +1089,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->heldMicroseconds);
+          this->__isset.heldMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1150,6 +1162,10 @@
   xfer += oprot->writeI64(this->retryAfterMicroseconds);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("heldMicroseconds", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->heldMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1167,6 +1183,7 @@
   swap(a.limit, b.limit);
   swap(a.serviceMicroseconds, b.serviceMicroseconds);
   swap(a.retryAfterMicroseconds, b.retryAfterMicroseconds);
+  swap(a.heldMicroseconds, b.heldMicroseconds);
   swap(a.__isset, b.__isset);
 }
 
@@ -1181,6 +1198,7 @@
   limit = other28.limit;
   serviceMicroseconds = other28.serviceMicroseconds;
   retryAfterMicroseconds = other28.retryAfterMicroseconds;
+  heldMicroseconds = other28.heldMicroseconds;
   __isset = other28.__isset;
 }
 ForwardResponse::ForwardResponse(ForwardResponse&& other29) noexcept {
@@ -1194,6 +1212,7 @@
   limit = other29.limit;
   serviceMicroseconds = other29.serviceMicroseconds;
   retryAfterMicroseconds = other29.retryAfterMicroseconds;
+  heldMicroseconds = other29.heldMicroseconds;
   __isset = other29.__isset;
 }
 ForwardResponse& ForwardResponse::operator=(const ForwardResponse& other30) {
@@ -1207,6 +1226,7 @@
   limit = other30.limit;
   serviceMicroseconds = other30.serviceMicroseconds;
   retryAfterMicroseconds = other30.retryAfterMicroseconds;
+  heldMicroseconds = other30.heldMicroseconds;
   __isset = other30.__isset;
   return *this;
 }
@@ -1221,6 +1241,7 @@
   limit = other31.limit;
   serviceMicroseconds = other31.serviceMicroseconds;
   retryAfterMicroseconds = other31.retryAfterMicroseconds;
+  heldMicroseconds = other31.heldMicroseconds;
   __isset = other31.__isset;
   return *this;
 }
@@ -1237,6 +1258,7 @@
   out << ", " << "limit=" << to_string(limit);
   out << ", " << "serviceMicroseconds=" << to_string(serviceMicroseconds);
   out << ", " << "retryAfterMicroseconds=" << to_string(retryAfterMicroseconds);
+  out << ", " << "heldMicroseconds=" << to_string(heldMicroseconds);
   out << ")";
 }
 
--- a/gen-cpp/peer_types.h
+++ b/gen-cpp/peer_types.h
@@ -369,7 +369,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj);
 
 typedef struct _ForwardResponse__isset {
-  _ForwardResponse__isset() : requestId(false), code(false), status(false), headers(false), body(false), running(false), queued(false), limit(false), serviceMicroseconds(false), retryAfterMicroseconds(false) {}
+  _ForwardResponse__isset() : requestId(false), code(false), status(false), headers(false), body(false), running(false), queued(false), limit(false), serviceMicroseconds(false), retryAfterMicroseconds(false), heldMicroseconds(false) {}
   bool requestId :1;
   bool code :1;
   bool status :1;
@@ -380,6 +380,7 @@
   bool limit :1;
   bool serviceMicroseconds :1;
   bool retryAfterMicroseconds :1;
+  bool heldMicroseconds :1;
 } _ForwardResponse__isset;
 
 class ForwardResponse : public virtual ::apache::thrift::TBase {
@@ -398,7 +399,8 @@
                     queued(0),
                     limit(0),
                     serviceMicroseconds(0),
-                    retryAfterMicroseconds(0) {
+                    retryAfterMicroseconds(0),
+                    heldMicroseconds(0) {
   }
 
   virtual ~ForwardResponse() noexcept;
@@ -412,6 +414,7 @@
   int32_t limit;
   int64_t serviceMicroseconds;
   int64_t retryAfterMicroseconds;
+  int64_t heldMicroseconds;
 
   _ForwardResponse__isset __isset;
 
@@ -435,6 +438,8 @@
 
   void __set_retryAfterMicroseconds(const int64_t val);
 
+  void __set_heldMicroseconds(const int64_t val);
+
   bool operator == (const ForwardResponse & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -457,6 +462,8 @@
       return false;
     if (!(retryAfterMicroseconds == rhs.retryAfterMicroseconds))
       return false;
+    if (!(heldMicroseconds == rhs.heldMicroseconds))
+      return false;
     return true;
   }
   bool operator != (const ForwardResponse &rhs) const {
--- a/tests/RankedAdmissionTest.cpp
+++ b/tests/RankedAdmissionTest.cpp
@@ -62,22 +62,37 @@
         TimePoint m_now { start };
     };
 
+    /// Calls of one kind.
+    struct Work {
+        Duration interval;
+        Duration service;
+        Duration target;
+        Duration deadline;
+    };
+
+    struct ChainLoad {
+        Work parents { milliseconds(6), milliseconds(30), milliseconds(200), milliseconds(800) };
+        Work nested { {}, milliseconds(15), milliseconds(60), milliseconds(200) };
+        Work ownWork { milliseconds(8), milliseconds(144), milliseconds(600), milliseconds(1500) };
+    };
+
     /// Two services with one upstream each. Work of the first one calls the second one and holds its slot meanwhile;
     /// the second one also has work of its own that would fill it one and a half times.
     class Chain {
     public:
-        explicit Chain(bool orderByRank)
-            : m_front({ .slots = 12, .orderByRank = orderByRank })
-            , m_back({ .slots = 12, .orderByRank = orderByRank })
+        explicit Chain(const RankedAdmissionOptions& options, ChainLoad load = {})
+            : m_load(load)
+            , m_front(options)
+            , m_back(options)
         {
         }
 
         /// Share of the calls to the first service that end by their target.
         double run(Duration length)
         {
-            for (Duration t {}; t < length; t += milliseconds(6))
+            for (Duration t {}; t < length; t += m_load.parents.interval)
                 m_timeline.at(start + t, [this] { offerParent(); });
-            for (Duration t {}; t < length; t += milliseconds(8))
+            for (Duration t {}; t < length; t += m_load.ownWork.interval)
                 m_timeline.at(start + t, [this] { offerOwnWork(); });
             m_timeline.run(start + length);
             return static_cast<double>(m_inTime) / static_cast<double>(m_parents);
@@ -89,16 +104,21 @@
         void offerParent()
         {
             ++m_parents;
-            CallTicket parent = ticket(m_nextId++, m_timeline.now(), milliseconds(200), milliseconds(800), 2);
+            CallTicket parent = newTicket(m_load.parents, 2);
             apply(m_front, m_front.offer(parent, m_timeline.now()), parent);
         }
 
         void offerOwnWork()
         {
-            CallTicket work = ticket(m_nextId++, m_timeline.now(), milliseconds(600), milliseconds(1500), 2);
+            CallTicket work = newTicket(m_load.ownWork, 2);
             apply(m_back, m_back.offer(work, m_timeline.now()), work);
         }
 
+        CallTicket newTicket(const Work& work, uint32_t priority)
+        {
+            return ticket(m_nextId++, m_timeline.now(), work.target, work.deadline, priority);
+        }
+
         void apply(RankedAdmission& admission, const AdmitDecision& decision, const CallTicket& offered)
         {
             if (decision.action == AdmitAction::Admit)
@@ -111,8 +131,8 @@
         {
             bool isParent = &admission == &m_front;
             bool isNested = m_parentOf.contains(started.id);
-            Duration work = isParent ? milliseconds(30) : isNested ? milliseconds(15) : milliseconds(144);
-            m_timeline.at(m_timeline.now() + spread(work, m_random), [this, &admission, started, isParent] {
+            const Work& work = isParent ? m_load.parents : isNested ? m_load.nested : m_load.ownWork;
+            m_timeline.at(m_timeline.now() + spread(work.service, m_random), [this, &admission, started, isParent] {
                 if (isParent)
                     return callBack(started);
                 end(admission, started);
@@ -122,7 +142,7 @@
         // The parent keeps its slot until its call ends.
         void callBack(const CallTicket& parent)
         {
-            CallTicket nested = ticket(m_nextId++, m_timeline.now(), milliseconds(60), milliseconds(200), 1);
+            CallTicket nested = newTicket(m_load.nested, 1);
             m_parentOf.emplace(nested.id, parent);
             apply(m_back, m_back.offer(nested, m_timeline.now()), nested);
         }
@@ -150,6 +170,7 @@
             end(m_front, parent);
         }
 
+        ChainLoad m_load;
         std::mt19937_64 m_random { 1 };
         Timeline m_timeline;
         RankedAdmission m_front;
@@ -206,14 +227,56 @@
         return result;
     }
 
+    /// Offers half as much again as 12 slots can serve. A refused caller comes back twice. Share of the callers that are
+    /// served within the target time of their first try.
+    double runReturns(bool isAgeKnown)
+    {
+        constexpr Duration service = milliseconds(60);
+        constexpr Duration target = milliseconds(150);
+        constexpr Duration returnTime = milliseconds(60);
+        constexpr int maxTries = 3;
+        RankedAdmission admission({ .slots = 12 });
+        Timeline timeline;
+        std::mt19937_64 random(1);
+        std::map<uint64_t, TimePoint> firstTries;
+        uint64_t callers = 0;
+        uint64_t nextId = 1;
+        uint64_t inTime = 0;
+        std::function<void(const CallTicket&)> begin = [&](const CallTicket& started) {
+            timeline.at(timeline.now() + spread(service, random), [&, started] {
+                inTime += timeline.now() <= firstTries.at(started.id) + target ? 1 : 0;
+                for (const CallTicket& next :
+                    admission.finished(started.id, CallOutcome::Success, timeline.now()).handOver)
+                    begin(next);
+            });
+        };
+        std::function<void(TimePoint, int)> offer = [&](TimePoint firstTry, int tries) {
+            CallTicket call = ticket(nextId++, timeline.now(), target, milliseconds(800));
+            if (isAgeKnown)
+                call.target = firstTry + target;
+            firstTries[call.id] = firstTry;
+            AdmitDecision decision = admission.offer(call, timeline.now());
+            if (decision.action == AdmitAction::Admit)
+                begin(call);
+            if (decision.action == AdmitAction::Refuse && tries < maxTries)
+                timeline.at(timeline.now() + returnTime, [&, firstTry, tries] { offer(firstTry, tries + 1); });
+        };
+        for (Duration t {}; t < seconds(20); t += service / 18) {
+            ++callers;
+            timeline.at(start + t, [&] { offer(timeline.now(), 1); });
+        }
+        timeline.run(start + seconds(20));
+        return static_cast<double>(inTime) / static_cast<double>(callers);
+    }
+
 } // namespace
 
 // Guards against the pattern in which parents hold their slots while their own calls queue behind new work of the next
 // service: without ranks, a service that is far from full serves hardly anything.
 TEST(RankedAdmissionTest, CallsOfRunningWorkGoBeforeNewWork)
 {
-    EXPECT_GT(Chain(true).run(seconds(20)), 0.95);
-    EXPECT_LT(Chain(false).run(seconds(20)), 0.6);
+    EXPECT_GT(Chain({ .slots = 12 }).run(seconds(20)), 0.95);
+    EXPECT_LT(Chain({ .slots = 12, .orderByRank = false }).run(seconds(20)), 0.6);
 }
 
 // Guards against the pattern in which an overloaded upstream serves every call too late: half of the calls are served
@@ -226,6 +289,39 @@
     EXPECT_LT(runOverload(false).inTime, 0.1);
 }
 
+// Pattern: at one and a half times the capacity, callers that were refused come back. Guards against slots that go to
+// callers whose target has passed while others could still be served in time: nine tenths of what is possible are.
+TEST(RankedAdmissionTest, ReturningCallersDoNotDisplaceThoseInTime)
+{
+    EXPECT_GT(runReturns(true), 0.6);
+    EXPECT_LT(runReturns(false), 0.55);
+}
+
+// Guards against a late call that others overtake again and again, and that is held until its deadline.
+TEST(RankedAdmissionTest, ALateCallThatIsOvertakenIsRefusedSoon)
+{
+    constexpr Duration service = milliseconds(100);
+    constexpr Duration target = milliseconds(300);
+    RankedAdmission admission({ .slots = 1 });
+    ASSERT_EQ(admission.offer(ticket(1, start, target, seconds(5)), start).action, AdmitAction::Admit);
+    TimePoint now = start + service;
+    admission.finished(1, CallOutcome::Success, now);
+    ASSERT_EQ(admission.offer(ticket(2, now, target, seconds(5)), now).action, AdmitAction::Admit);
+    now += milliseconds(90);
+    CallTicket late = ticket(3, now, milliseconds(-50), seconds(5));
+    ASSERT_EQ(admission.offer(late, now).action, AdmitAction::Queue);
+    ASSERT_EQ(admission.offer(ticket(4, now, target, seconds(5)), now).action, AdmitAction::Queue);
+    AdmissionChanges changes = admission.finished(2, CallOutcome::Success, now + milliseconds(10));
+    ASSERT_EQ(changes.handOver.size(), 1U);
+    EXPECT_EQ(changes.handOver[0].id, 4U);
+    ASSERT_TRUE(admission.nextWakeup());
+    EXPECT_LE(*admission.nextWakeup(), now + service / 2);
+    changes = admission.tick(*admission.nextWakeup() + milliseconds(1));
+    ASSERT_EQ(changes.refused.size(), 1U);
+    EXPECT_EQ(changes.refused[0].ticket.id, 3U);
+    EXPECT_EQ(changes.refused[0].code, ResultCode::QueueFull);
+}
+
 // Guards against a caller that waits here although another upstream may have room.
 TEST(RankedAdmissionTest, CallThatWouldRatherGoElsewhereIsRefusedWithTheExpectedWait)
 {
--- a/wire/peer.thrift
+++ b/wire/peer.thrift
@@ -51,6 +51,8 @@
   8: i32 limit
   9: i64 serviceMicroseconds
   10: i64 retryAfterMicroseconds
+  // From the arrival of the request at the owner to its answer.
+  11: i64 heldMicroseconds
 }
 
 struct ForwardCancel {
