Bound the memory of all bodies together

Requests, answers, incomplete frames and frames that wait to be sent now share one budget (body-memory-mb, 32 MB); one body may take an eighth of it. A body of known length is refused before it is read (127, not run); an answer that finds no room ends its call (210, unknown). Answers that are ready are delivered whatever the budget says.

--- a/bench/ProcessGroup.cpp
+++ b/bench/ProcessGroup.cpp
@@ -142,6 +142,12 @@
     }
 }
 
+std::optional<pid_t> ProcessGroup::pid(const std::string& name) const
+{
+    auto found = m_pids.find(name);
+    return found == m_pids.end() ? std::nullopt : std::optional(found->second);
+}
+
 bool ProcessGroup::isRunning(const std::string& name)
 {
     reap(name);
--- a/bench/ProcessGroup.h
+++ b/bench/ProcessGroup.h
@@ -49,6 +49,8 @@
     std::optional<int> wait(const std::string& name, Duration limit);
     bool isRunning(const std::string& name);
     size_t size() const { return m_pids.size(); }
+    /// Nothing if no process of this name was started.
+    std::optional<pid_t> pid(const std::string& name) const;
     /// SIGTERM to all, SIGKILL to those that are left after the limit.
     void endAll(Duration limit);
 
--- a/dragonflylane/CallHeaders.cpp
+++ b/dragonflylane/CallHeaders.cpp
@@ -79,6 +79,7 @@
     case ResultCode::UpstreamLost:
     case ResultCode::AnswerTruncated:
     case ResultCode::AnswerTooLarge:
+    case ResultCode::AnswerMemoryFull:
     case ResultCode::MalformedAnswer:
     case ResultCode::DuplicateUnknown:
         return 502;
--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "dragonflylane/Daemon.h"
 
 #include "dragonflylane/ApiTask.h"
+#include "dragonflylane/BodyBudget.h"
 #include "dragonflylane/ClaimTask.h"
 #include "dragonflylane/CrashTask.h"
 #include "dragonflylane/EntryTask.h"
@@ -75,11 +76,13 @@
         , m_timer(m_context)
         , m_keeperTimer(m_context)
         , m_treeIndex(m_settings.hostId)
+        , m_bodies(m_settings.bodyMemoryBytes)
         , m_hub(m_context,
               { .meshId = m_settings.meshId,
                   .self = m_settings.hostId,
                   .listen = m_settings.peer,
-                  .linkBytesPerSecond = m_settings.linkBytesPerSecond },
+                  .linkBytesPerSecond = m_settings.linkBytesPerSecond,
+                  .bodies = &m_bodies },
               m_secret, m_metrics)
         , m_crash(
               {}, [this](std::string payload) { return m_membership->broadcast(std::move(payload)); }, m_metrics,
@@ -90,6 +93,7 @@
                   .headerNames = m_options.headerNames,
                   .maxBodyBytes = m_settings.maxBodyBytes,
                   .answersMayEndWithConnection = m_options.answersMayEndWithConnection,
+                  .bodies = &m_bodies,
                   .ranksCalls = m_settings.ranksCalls },
               m_hub.pacer(), m_crash, m_metrics, m_journal,
               { .announced
@@ -236,7 +240,8 @@
                 .transferPeer = [this](const std::vector<HostId>& tried) { return transferPeer(tried); } });
         HttpServerOptions serverOptions { .listen = m_settings.callers,
             .maxConnections = m_settings.maxConnections,
-            .maxBodyBytes = m_settings.maxBodyBytes };
+            .maxBodyBytes = m_settings.maxBodyBytes,
+            .bodies = &m_bodies };
         m_callerServer = std::make_unique<HttpServer>(m_context, serverOptions, m_metrics,
             [this](std::shared_ptr<HttpExchange> exchange) { m_entry->handle(std::move(exchange)); });
     }
@@ -619,6 +624,7 @@
     asio::steady_timer m_timer;
     asio::steady_timer m_keeperTimer;
     TreeIndex m_treeIndex;
+    BodyBudget m_bodies;
     PeerHub m_hub;
     std::unique_ptr<MembershipTask> m_membership;
     CrashTask m_crash;
--- a/dragonflylane/EntryService.h
+++ b/dragonflylane/EntryService.h
@@ -5,8 +5,8 @@
 
 #include "dragonflylane/RedirectGain.h"
 #include "dragonflylane/RetryPolicy.h"
-#include "dragonflylane/ServiceTimeEstimate.h"
 #include "dragonflylane/RoutingTable.h"
+#include "dragonflylane/ServiceTimeEstimate.h"
 #include "dragonflylane/UpstreamSelector.h"
 
 #include <map>
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -408,7 +408,8 @@
         if (response.limit > 0)
             report = loadReport(response);
         if (link != LinkId() && code == ResultCode::Ok)
-            serviceOf(call).recordTransit(now - done.startedAt, std::chrono::microseconds(response.heldMicroseconds), now);
+            serviceOf(call).recordTransit(
+                now - done.startedAt, std::chrono::microseconds(response.heldMicroseconds), now);
         bool isError = code == ResultCode::Ok && static_cast<unsigned>(response.status) >= firstServerError;
         SelectionOutcome outcome = isError ? SelectionOutcome::Error : selectionOutcome(code);
         serviceOf(call).selector().finished(done.choice, outcome, report, now);
--- a/dragonflylane/FrameQueue.h
+++ b/dragonflylane/FrameQueue.h
@@ -105,7 +105,9 @@
         case FrameKind::ForwardRequest:
             return bytes <= maxShortRequestBytes ? FrameLane::Short : FrameLane::Bulk;
         case FrameKind::ForwardResponse:
-            return bytes <= maxShortAnswerBytes ? FrameLane::Short : bytes <= smallAnswerBytes ? FrameLane::Small : FrameLane::Bulk;
+            return bytes <= maxShortAnswerBytes ? FrameLane::Short
+                : bytes <= smallAnswerBytes     ? FrameLane::Small
+                                                : FrameLane::Bulk;
         case FrameKind::ForwardCancel:
             return m_bulkRequests == 0 ? FrameLane::Short : FrameLane::Bulk;
         default:
--- a/dragonflylane/FrameSegments.cpp
+++ b/dragonflylane/FrameSegments.cpp
@@ -29,6 +29,14 @@
     return segments;
 }
 
+size_t FrameAssembly::bytes() const
+{
+    size_t sum = 0;
+    for (const std::string& partial : m_partial)
+        sum += partial.size();
+    return sum;
+}
+
 std::error_code FrameAssembly::add(std::string_view payload, std::string& frame)
 {
     frame.clear();
--- a/dragonflylane/FrameSegments.h
+++ b/dragonflylane/FrameSegments.h
@@ -42,6 +42,8 @@
     /// Takes the payload of a Segment. With the last piece of a frame, `frame` becomes the encoded frame; otherwise it
     /// is emptied. Errors: MalformedFrame, FrameTooLarge.
     std::error_code add(std::string_view payload, std::string& frame);
+    /// Held of incomplete frames.
+    size_t bytes() const;
 
 private:
     std::array<std::string, frameLaneCount> m_partial;
--- a/dragonflylane/HttpServer.h
+++ b/dragonflylane/HttpServer.h
@@ -15,6 +15,7 @@
 
 namespace dragonflylane {
 
+class BodyBudget;
 class HttpExchange;
 class Metrics;
 
@@ -31,6 +32,8 @@
     Duration idleTimeout { std::chrono::seconds(60) };
     /// Requests of one connection that are read ahead of their answers.
     size_t maxPipelined { 8 };
+    /// Shared with all other holders of bodies; none: each body has its own limit only.
+    BodyBudget* bodies { nullptr };
 };
 
 /// Accepts connections and hands each whole request to the handler.
--- a/dragonflylane/HttpSession.cpp
+++ b/dragonflylane/HttpSession.cpp
@@ -1,5 +1,7 @@
 #include "dragonflylane/HttpSession.h"
 
+#include "dragonflylane/CallHeaders.h"
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -97,7 +99,7 @@
 {
     m_parser.emplace();
     m_parser->header_limit(m_options.maxHeaderBytes);
-    m_parser->body_limit(m_options.maxBodyBytes);
+    m_parser->body_limit(largestBody());
     m_stream.expires_after(std::min(m_options.headerTimeout, m_options.requestTimeout));
     http::async_read_header(
         m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, size_t) {
@@ -111,21 +113,49 @@
         });
 }
 
+uint64_t HttpSession::largestBody() const
+{
+    return m_options.bodies ? std::min(m_options.maxBodyBytes, m_options.bodies->largestBody())
+                            : m_options.maxBodyBytes;
+}
+
 void HttpSession::readBody()
 {
     m_stream.expires_after(m_options.requestTimeout);
-    http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, size_t) {
+    m_body = m_options.bodies ? BodyShare(*m_options.bodies) : BodyShare();
+    // A body of known length is refused before it is read.
+    uint64_t announced = m_parser->content_length().value_or(0);
+    if (!m_body.growTo(announced))
+        return refuseBody();
+    readMoreOfBody();
+}
+
+void HttpSession::readMoreOfBody()
+{
+    http::async_read_some(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, size_t) {
         if (self->m_isClosed)
             return;
         if (error)
             return self->handleReadError(error);
-        self->handleRequest();
+        if (!self->m_body.growTo(self->m_parser->get().body().size()))
+            return self->refuseBody();
+        if (self->m_parser->is_done())
+            return self->handleRequest();
+        self->readMoreOfBody();
     });
 }
 
+void HttpSession::refuseBody()
+{
+    m_isReading = false;
+    m_hasEnded = true;
+    refuse(httpStatus(ResultCode::BodyMemoryFull), ResultCode::BodyMemoryFull);
+}
+
 void HttpSession::handleReadError(beast::error_code error)
 {
     m_isReading = false;
+    m_body = BodyShare();
     if (error == beast::error::timeout)
         m_hooks.refused(ResultCode::RequestTimeout);
     // A stream that timed out is closed by its own timer, so no answer can be sent.
@@ -157,6 +187,7 @@
     slot->version = m_parser->get().version();
     slot->keepAlive = m_parser->keep_alive();
     slot->isHead = m_parser->get().method() == http::verb::head;
+    slot->body = std::exchange(m_body, BodyShare());
     m_hasEnded = !slot->keepAlive;
     // Keeps the session while the request is in flight: no read may be pending then. The exchange drops the responder
     // when it is answered or cancelled.
@@ -196,6 +227,7 @@
 {
     m_hooks.refused(code);
     m_parser.reset();
+    m_body = BodyShare();
     HttpResponse response { .status = status };
     response.headers = { { "Dragonflylane-Code", std::to_string(static_cast<unsigned>(code)) },
         { "Dragonflylane-Run", "not-run" }, { "Content-Type", "text/plain" } };
@@ -208,6 +240,10 @@
 void HttpSession::respond(Slot& slot, HttpResponse answer)
 {
     slot.answer = std::move(answer);
+    if (m_options.bodies) {
+        slot.body = BodyShare(*m_options.bodies);
+        slot.body.hold(slot.answer->body.size());
+    }
     writeNext();
 }
 
--- a/dragonflylane/HttpSession.h
+++ b/dragonflylane/HttpSession.h
@@ -2,6 +2,7 @@
 
 // One connection of a caller. Internal to HttpServer.
 
+#include "dragonflylane/BodyBudget.h"
 #include "dragonflylane/HttpExchange.h"
 #include "dragonflylane/HttpServer.h"
 #include "dragonflylane/ResultCode.h"
@@ -42,6 +43,7 @@
     /// A request and its place in the order of answers.
     struct Slot {
         std::shared_ptr<HttpExchange> exchange;
+        BodyShare body;
         std::optional<HttpResponse> answer;
         unsigned version { 11 };
         bool keepAlive { false };
@@ -52,6 +54,9 @@
     void checkEndOfInput();
     void readHeader();
     void readBody();
+    void readMoreOfBody();
+    void refuseBody();
+    uint64_t largestBody() const;
     void handleReadError(boost::beast::error_code);
     void handleRequest();
     bool hasContradictoryLengths() const;
@@ -71,6 +76,8 @@
     const Hooks& m_hooks;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
+    /// Of the request that is being read.
+    BodyShare m_body;
     /// Requests that are not answered, oldest first.
     std::deque<std::shared_ptr<Slot>> m_slots;
     Response m_response;
--- a/dragonflylane/Membership.cpp
+++ b/dragonflylane/Membership.cpp
@@ -436,8 +436,8 @@
     if (relayed == m_relayedProbes.end())
         return;
     send(relayed->second.requester,
-        GossipAcknowledgement { .number = relayed->second.requesterNumber,
-            .cargo = takeUpdates(reachOf(relayed->second.requester)) });
+        GossipAcknowledgement {
+            .number = relayed->second.requesterNumber, .cargo = takeUpdates(reachOf(relayed->second.requester)) });
     m_relayedProbes.erase(relayed);
 }
 
@@ -693,8 +693,7 @@
         m_updates.clear(GossipReach::Near);
     for (size_t i = 0; i < m_options.gossipFanout && hasUpdates(); ++i) {
         bool mayBeFar = i == 0 || !m_options.prefersNearGossip;
-        const Endpoint& to
-            = m_entries.find(mayBeFar ? *randomPresent() : randomNear())->second.node->second.address;
+        const Endpoint& to = m_entries.find(mayBeFar ? *randomPresent() : randomNear())->second.node->second.address;
         if (!m_broadcasts.isEmpty() || !m_updates.isEmpty(reachOf(to)))
             sendUpdates(to);
     }
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -156,7 +156,8 @@
     UpstreamClientOptions options { .upstream = announcement.address,
         .maxBodyBytes = m_options.maxBodyBytes,
         .repeatedHeader = m_options.headerNames.answersRepeatRequestId ? m_options.headerNames.requestId : "",
-        .mayEndWithConnection = m_options.answersMayEndWithConnection };
+        .mayEndWithConnection = m_options.answersMayEndWithConnection,
+        .bodies = m_options.bodies };
     m_client = std::make_shared<UpstreamClient>(m_context, options, m_metrics);
     Event("upstream_announced")
         .with("upstream", announcement.id)
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -31,6 +31,7 @@
     class ForwardResponse;
 }
 
+class BodyBudget;
 class CrashTask;
 class Journal;
 class Metrics;
@@ -58,6 +59,8 @@
     uint64_t maxBodyBytes { 1 << 20 };
     /// See UpstreamClientOptions.
     bool answersMayEndWithConnection { false };
+    /// See UpstreamClientOptions.
+    BodyBudget* bodies { nullptr };
     /// Admission by rank instead of by shares of orders and lookups.
     bool ranksCalls { false };
     /// An upstream that has not announced itself for this long is stopped.
--- a/dragonflylane/PeerHub.h
+++ b/dragonflylane/PeerHub.h
@@ -25,6 +25,7 @@
 
 class LinkPacer;
 class MeshSecret;
+class BodyBudget;
 class Metrics;
 
 /// Incarnation of one connection between two daemons.
@@ -57,6 +58,8 @@
     size_t maxLinks { 1024 };
     /// Rate of the network link of this host; zero: not known.
     uint64_t linkBytesPerSecond { 0 };
+    /// Shared with all other holders of bodies: frames that wait to be sent, and those that are incomplete.
+    BodyBudget* bodies { nullptr };
 };
 
 /// Owns all connections to other daemons. Not thread-safe.
--- a/dragonflylane/PeerLink.cpp
+++ b/dragonflylane/PeerLink.cpp
@@ -39,6 +39,10 @@
     , m_readBytes(minReadBytes)
     , m_liveness(livenessOptions(options), BootClock::now())
 {
+    if (options.bodies) {
+        m_assembled = BodyShare(*options.bodies);
+        m_queued = BodyShare(*options.bodies);
+    }
 }
 
 void PeerLink::start(TimePoint now)
@@ -150,6 +154,10 @@
     std::string whole;
     if (auto error = m_assembly.add(payload, whole))
         return error;
+    // The peer cannot be told to wait, and its other frames come behind this one.
+    if (!m_assembled.growTo(m_assembly.bytes()))
+        return ResultCode::FrameTooLarge;
+    m_assembled.hold(m_assembly.bytes());
     if (whole.empty())
         return {};
     FrameView frame;
@@ -203,6 +211,7 @@
     auto bytes = static_cast<std::ptrdiff_t>(m_queue.bytes());
     auto smallBytes = static_cast<std::ptrdiff_t>(m_queue.smallBytes());
     change();
+    m_queued.hold(m_queue.bytes());
     m_pacer.queueChanged(static_cast<std::ptrdiff_t>(m_queue.bytes()) - bytes,
         static_cast<std::ptrdiff_t>(m_queue.smallBytes()) - smallBytes);
 }
@@ -212,9 +221,8 @@
     if (kind == FrameKind::ForwardResponse && payload.size() > FrameQueue::maxShortAnswerBytes)
         m_pacer.noteAnswer(payload.size());
     m_liveness.sent(kind);
-    changeQueue([&] {
-        m_queue.push(kind, encodeFrame(kind, payload), m_pacer.smallAnswerBytes(), m_pacer.segmentBytes());
-    });
+    changeQueue(
+        [&] { m_queue.push(kind, encodeFrame(kind, payload), m_pacer.smallAnswerBytes(), m_pacer.segmentBytes()); });
     if (m_queue.bytes() + m_writingBytes > m_options.maxQueuedBytes)
         return close(ResultCode::PeerTimeout);
     writeWaiting();
--- a/dragonflylane/PeerLink.h
+++ b/dragonflylane/PeerLink.h
@@ -6,6 +6,7 @@
 // read or written before both proofs have been checked, so a frame that was queued on a link that never got
 // established has certainly not reached the peer.
 
+#include "dragonflylane/BodyBudget.h"
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/Frame.h"
 #include "dragonflylane/FrameQueue.h"
@@ -88,6 +89,8 @@
     std::string m_input;
     size_t m_readBytes;
     FrameAssembly m_assembly;
+    BodyShare m_assembled;
+    BodyShare m_queued;
     FrameQueue m_queue;
     std::vector<std::string> m_writing;
     size_t m_writingBytes { 0 };
--- a/dragonflylane/RankedAdmission.h
+++ b/dragonflylane/RankedAdmission.h
@@ -2,9 +2,10 @@
 
 // Admission by rank, for upstreams that call one another and are loaded near their limit.
 //
-// Order of service: routes by priority, then calls that can still meet their target, then the earliest target time. Pattern: under load a parent holds its slot
-// while its own calls queue behind new work of the next service, so every service fills with parents that wait for one
-// another. Calls that running work waits for are short and have tight targets, so they go first and the chain ends.
+// Order of service: routes by priority, then calls that can still meet their target, then the earliest target time.
+// Pattern: under load a parent holds its slot while its own calls queue behind new work of the next service, so every
+// service fills with parents that wait for one another. Calls that running work waits for are short and have tight
+// targets, so they go first and the chain ends.
 //
 // A ticket of the lowest rank is queued only if it is expected to end by its target time, with a margin for the spread
 // of service times. Under overload this keeps the queue as short as the targets allow: callers who cannot be served in
--- a/dragonflylane/RefusedCalls.cpp
+++ b/dragonflylane/RefusedCalls.cpp
@@ -4,7 +4,8 @@
 
 namespace dragonflylane {
 
-void RefusedCalls::noteRefusal(Fingerprint fingerprint, TimePoint firstReceived, TimePoint callerDeadline, TimePoint now)
+void RefusedCalls::noteRefusal(
+    Fingerprint fingerprint, TimePoint firstReceived, TimePoint callerDeadline, TimePoint now)
 {
     forgetExpired(now);
     m_calls.emplace(fingerprint, Call { firstReceived, callerDeadline });
@@ -30,8 +31,8 @@
     while (!m_order.empty()) {
         auto [fingerprint, firstReceived] = m_order.front();
         auto [begin, end] = m_calls.equal_range(fingerprint);
-        auto found = std::find_if(
-            begin, end, [&](const auto& item) { return item.second.firstReceived == firstReceived; });
+        auto found
+            = std::find_if(begin, end, [&](const auto& item) { return item.second.firstReceived == firstReceived; });
         bool isGone = found == end;
         bool isExpired = !isGone && found->second.deadline <= now;
         if (!isGone && !isExpired && m_order.size() < m_options.maxCalls)
--- a/dragonflylane/ResultCode.h
+++ b/dragonflylane/ResultCode.h
@@ -40,6 +40,7 @@
     TooManyHops = 124,
     CallerGone = 125,
     UpstreamRefused = 126,
+    BodyMemoryFull = 127,
 
     // A call may or may not have run.
     OwnerLost = 201,
@@ -51,6 +52,7 @@
     DuplicateUnknown = 207,
     MalformedAnswer = 208,
     UpstreamShed = 209,
+    AnswerMemoryFull = 210,
 
     // Plans and operators.
     UnknownService = 301,
--- a/dragonflylane/Settings.cpp
+++ b/dragonflylane/Settings.cpp
@@ -53,6 +53,8 @@
         { "calls", "default-timeout-ms", "ms", "2000", "1 to 600000", "Deadline of a call that states none." },
         { "calls", "max-connections", "connections", "2000", "1 to 60000", "Most callers connected at a time." },
         { "calls", "max-body-bytes", "bytes", "1048576", "0 to 67108864", "Largest request or answer body." },
+        { "calls", "body-memory-mb", "MB", "32", "8 to 4096",
+            "Memory for the bodies of all calls together. One body may take an eighth of it." },
         { "calls", "drain-timeout-s", "s", "60", "0.1 to 3600", "Longest wait for calls in flight at shutdown." },
         { "calls", "leave-notice-s", "s", "0.5", "0 to 60",
             "From the signal to stop until callers and peers have noticed; calls are served meanwhile." },
@@ -322,6 +324,7 @@
         settings.defaultTimeout = std::chrono::milliseconds(reader.number("calls", "default-timeout-ms", 1, 600000));
         settings.maxConnections = reader.number("calls", "max-connections", 1, 60000);
         settings.maxBodyBytes = reader.number("calls", "max-body-bytes", 0, 67108864);
+        settings.bodyMemoryBytes = static_cast<uint64_t>(reader.number("calls", "body-memory-mb", 8, 4096)) << 20;
         settings.drainTimeout = reader.seconds("calls", "drain-timeout-s", 0.1, 3600);
         settings.leaveNotice = reader.seconds("calls", "leave-notice-s", 0, 60);
         settings.hasDuplicateRecords = reader.flag("calls", "duplicate-records");
--- a/dragonflylane/Settings.h
+++ b/dragonflylane/Settings.h
@@ -61,6 +61,8 @@
     std::chrono::milliseconds defaultTimeout;
     uint32_t maxConnections { 0 };
     uint32_t maxBodyBytes { 0 };
+    /// For the bodies of all calls together.
+    uint64_t bodyMemoryBytes { 0 };
     std::chrono::milliseconds drainTimeout;
     /// From the signal to stop until readiness checks must have noticed.
     std::chrono::milliseconds leaveNotice;
--- a/dragonflylane/UpstreamClient.cpp
+++ b/dragonflylane/UpstreamClient.cpp
@@ -1,5 +1,6 @@
 #include "dragonflylane/UpstreamClient.h"
 
+#include "dragonflylane/BodyBudget.h"
 #include "dragonflylane/Metrics.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -118,6 +119,7 @@
         http::request<http::string_body> message;
         std::optional<http::response_parser<http::string_body>> parser;
         std::shared_ptr<Connection> connection;
+        BodyShare body;
         TimePoint deadline;
         Callback callback;
         bool isIdempotent { false };
@@ -235,15 +237,31 @@
     void read(const CallPtr& call)
     {
         call->parser.emplace();
-        call->parser->body_limit(m_options.maxBodyBytes);
+        call->parser->body_limit(largestBody());
         call->parser->skip(call->isHead);
-        http::async_read(call->connection->stream, call->connection->buffer, *call->parser,
+        call->body = m_options.bodies ? BodyShare(*m_options.bodies) : BodyShare();
+        readMore(call);
+    }
+
+    uint64_t largestBody() const
+    {
+        return m_options.bodies ? std::min(m_options.maxBodyBytes, m_options.bodies->largestBody())
+                                : m_options.maxBodyBytes;
+    }
+
+    void readMore(const CallPtr& call)
+    {
+        http::async_read_some(call->connection->stream, call->connection->buffer, *call->parser,
             [self = shared_from_this(), call](beast::error_code error, size_t) {
                 if (!call->callback)
                     return;
                 if (error)
                     return self->finishFailed(call, error);
-                self->finishRead(call);
+                if (!call->body.growTo(call->parser->get().body().size()))
+                    return self->finish(call, { .code = ResultCode::AnswerMemoryFull });
+                if (call->parser->is_done())
+                    return self->finishRead(call);
+                self->readMore(call);
             });
     }
 
@@ -299,6 +317,9 @@
 
     void finish(const CallPtr& call, UpstreamResult result)
     {
+        // An endless answer goes on until its connection is closed.
+        if (result.code != ResultCode::Ok && call->connection)
+            call->connection->stream.close();
         if (result.code != ResultCode::Ok)
             m_metrics.add(std::string("upstream_").append(name(result.code)));
         // The callback may send again, so it runs outside the caller's stack.
--- a/dragonflylane/UpstreamClient.h
+++ b/dragonflylane/UpstreamClient.h
@@ -18,6 +18,7 @@
 
 namespace dragonflylane {
 
+class BodyBudget;
 class Metrics;
 
 struct UpstreamClientOptions {
@@ -35,6 +36,8 @@
     /// An answer without a length is complete when the upstream closes the connection in order. Off: such an answer is
     /// refused, since some upstreams also close in order when they crash.
     bool mayEndWithConnection { false };
+    /// Shared with all other holders of bodies; none: each body has its own limit only.
+    BodyBudget* bodies { nullptr };
 };
 
 /// What came of one hand-over to the upstream.
--- /dev/null
+++ b/tests/BodyBudgetTest.cpp
@@ -0,0 +1,55 @@
+#include "dragonflylane/BodyBudget.h"
+
+#include <gtest/gtest.h>
+#include <vector>
+
+namespace dragonflylane {
+
+// Guards against bodies that together take more than the limit, and against room that is not given back.
+TEST(BodyBudgetTest, AllBodiesShareOneLimit)
+{
+    BodyBudget budget(8000);
+    std::vector<BodyShare> shares;
+    for (int i = 0; i < 8; ++i) {
+        shares.emplace_back(budget);
+        EXPECT_TRUE(shares.back().growTo(500));
+        EXPECT_TRUE(shares.back().growTo(1000));
+    }
+    EXPECT_EQ(budget.used(), 8000U);
+    BodyShare late(budget);
+    EXPECT_FALSE(late.growTo(1));
+    EXPECT_EQ(late.bytes(), 0U);
+    shares.pop_back();
+    EXPECT_TRUE(late.growTo(1000));
+    shares.clear();
+    EXPECT_EQ(budget.used(), 1000U);
+}
+
+// Guards against one endless body that leaves no room for the others.
+TEST(BodyBudgetTest, OneBodyHoldsAPartOnly)
+{
+    BodyBudget budget(8000);
+    BodyShare endless(budget);
+    uint64_t bytes = 0;
+    while (endless.growTo(bytes + 100))
+        bytes += 100;
+    EXPECT_EQ(bytes, budget.largestBody());
+    EXPECT_EQ(endless.bytes(), bytes);
+    EXPECT_TRUE(BodyShare(budget).growTo(1000));
+}
+
+// Guards against an answer that is ready and dropped for lack of room, and against shares that are counted twice.
+TEST(BodyBudgetTest, WhatIsReadyIsHeldAndSharesMove)
+{
+    BodyBudget budget(800);
+    BodyShare ready(budget);
+    ready.hold(5000);
+    EXPECT_FALSE(BodyShare(budget).growTo(1));
+    BodyShare moved = std::move(ready);
+    EXPECT_EQ(budget.used(), 5000U);
+    moved = BodyShare();
+    EXPECT_EQ(budget.used(), 0U);
+    EXPECT_TRUE(BodyShare().growTo(1 << 30));
+}
+
+} // namespace dragonflylane
--- a/tests/ConfigStateTest.cpp
+++ b/tests/ConfigStateTest.cpp
@@ -136,8 +136,8 @@
     }
 }
 
-// Pattern: a thousand routes are added to 2,400 on a fleet whose links carry 125 kB/s. Guards against a change that goes
-// out uncompressed, or as a snapshot of everything, since its raw form is longer than that.
+// Pattern: a thousand routes are added to 2,400 on a fleet whose links carry 125 kB/s. Guards against a change that
+// goes out uncompressed, or as a snapshot of everything, since its raw form is longer than that.
 TEST(ConfigHistoryTest, LargeChangeIsSentCompressed)
 {
     const auto stateOf = [](uint64_t revision, int routes) {
--- a/tests/FrameSegmentsTest.cpp
+++ b/tests/FrameSegmentsTest.cpp
@@ -42,8 +42,8 @@
             if (due > 0) {
                 size_t bytes = downloadBytes(random);
                 due -= static_cast<double>(bytes);
-                queue.push(FrameKind::ForwardResponse, std::string(bytes, 'd'), 10'000,
-                    isCut ? pacer.segmentBytes() : 0);
+                queue.push(
+                    FrameKind::ForwardResponse, std::string(bytes, 'd'), 10'000, isCut ? pacer.segmentBytes() : 0);
             }
             if ((now - start) % milliseconds(20) == Duration::zero()) {
                 queue.push(FrameKind::ForwardResponse, std::string(shortAnswerBytes, 's'), 10'000, 0);
--- a/tests/RankedAdmissionTest.cpp
+++ b/tests/RankedAdmissionTest.cpp
@@ -227,8 +227,8 @@
         return result;
     }
 
-    /// Offers half as much again as 12 slots can serve. A refused caller comes back twice. Share of the callers that are
-    /// served within the target time of their first try.
+    /// Offers half as much again as 12 slots can serve. A refused caller comes back twice. Share of the callers that
+    /// are served within the target time of their first try.
     double runReturns(bool isAgeKnown)
     {
         constexpr Duration service = milliseconds(60);
