Let an unexpected exception end one handler only; count bytes by kind of frame

Cause, found while looking for the fault that other operators met: an exception in any handler left the event loop and ended the daemon. Bytes of requests, answers and control frames, and the memory of bodies, are on the metrics address, since the account of bytes between data centres needed a program of its own.

--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -6,6 +6,7 @@
 #include "dragonflylane/CrashTask.h"
 #include "dragonflylane/EntryTask.h"
 #include "dragonflylane/Event.h"
+#include "dragonflylane/GuardedRun.h"
 #include "dragonflylane/HttpExchange.h"
 #include "dragonflylane/HttpServer.h"
 #include "dragonflylane/Journal.h"
@@ -165,7 +166,7 @@
         if (m_log && m_settings.hasDuplicateRecords)
             scheduleKeeperCheck();
         awaitReload();
-        m_context.run();
+        runGuarded(m_context, { .caught = [this](const std::exception& exception) { noteUnexpected(exception); } });
         Event("daemon_stopped").with("host", m_settings.hostId).with("exit_code", m_exitCode);
         return m_exitCode;
     }
@@ -430,6 +431,12 @@
         m_context.stop();
     }
 
+    void noteUnexpected(const std::exception& exception)
+    {
+        m_metrics.add("unexpected_errors");
+        Event("unexpected_error", EventLevel::Error).with("reason", exception.what());
+    }
+
     bool hasFloor() const { return m_relay->relay().hasFloor(); }
 
     // Logs each change, since a daemon that may not serve routes is the first thing to know about a refused call.
--- a/dragonflylane/PeerHub.cpp
+++ b/dragonflylane/PeerHub.cpp
@@ -1,5 +1,6 @@
 #include "dragonflylane/PeerHub.h"
 
+#include "dragonflylane/BodyBudget.h"
 #include "dragonflylane/Event.h"
 #include "dragonflylane/LinkPacer.h"
 #include "dragonflylane/Listener.h"
@@ -26,6 +27,26 @@
     // Each wakeup costs processor time.
     constexpr std::chrono::milliseconds shortestPace { 2 };
 
+    /// Names of the counters of bytes of one kind of frame.
+    struct ByteCounters {
+        std::string_view sent;
+        std::string_view received;
+    };
+
+    ByteCounters byteCounters(FrameKind kind)
+    {
+        switch (kind) {
+        case FrameKind::ForwardRequest:
+        case FrameKind::ForwardCancel:
+        case FrameKind::CallTransfer:
+            return { "peer_bytes_sent_requests", "peer_bytes_received_requests" };
+        case FrameKind::ForwardResponse:
+            return { "peer_bytes_sent_answers", "peer_bytes_received_answers" };
+        default:
+            return { "peer_bytes_sent_control", "peer_bytes_received_control" };
+        }
+    }
+
 } // namespace
 
 class PeerHub::Impl : public std::enable_shared_from_this<PeerHub::Impl> {
@@ -90,6 +111,7 @@
         auto it = m_links.find(id);
         if (it == m_links.end() || !it->second->isEstablished())
             return false;
+        m_metrics.add(byteCounters(kind).sent, frameHeaderBytes + payload.size());
         it->second->send(kind, payload);
         return m_links.contains(id);
     }
@@ -200,6 +222,7 @@
             return;
         }
         m_metrics.add("peer_frames_received");
+        m_metrics.add(byteCounters(frame.kind).received, frame.size);
         handler->second({ link.id(), link.peer(), frame.kind, frame.payload });
     }
 
@@ -287,6 +310,8 @@
         for (const auto& link : links)
             link->tick(now);
         m_metrics.set("peer_links", m_links.size());
+        if (m_options.bodies)
+            m_metrics.set("body_memory_bytes", m_options.bodies->used());
     }
 
     // A process that was stopped for longer than the peer timeout finds old frames in its sockets. Its peers have
