--- a/dragonflylane/RefusedCalls.cpp
+++ b/dragonflylane/RefusedCalls.cpp
@@ -9,7 +9,7 @@
 {
     forgetExpired(now);
     m_calls.emplace(fingerprint, Call { firstReceived, callerDeadline });
-    m_order.emplace_back(fingerprint, firstReceived);
+    m_order.push_back({ fingerprint, firstReceived });
 }
 
 std::optional<TimePoint> RefusedCalls::takeReturn(Fingerprint fingerprint, TimePoint now)
@@ -29,10 +29,10 @@
 void RefusedCalls::forgetExpired(TimePoint now)
 {
     while (!m_order.empty()) {
-        auto [fingerprint, firstReceived] = m_order.front();
-        auto [begin, end] = m_calls.equal_range(fingerprint);
-        auto found
-            = std::find_if(begin, end, [&](const auto& item) { return item.second.firstReceived == firstReceived; });
+        const Refusal oldest = m_order.front();
+        auto [begin, end] = m_calls.equal_range(oldest.fingerprint);
+        auto found = std::find_if(
+            begin, end, [&](const auto& item) { return item.second.firstReceived == oldest.firstReceived; });
         bool isGone = found == end;
         bool isExpired = !isGone && found->second.deadline <= now;
         if (!isGone && !isExpired && m_order.size() < m_options.maxCalls)
--- a/dragonflylane/RefusedCalls.h
+++ b/dragonflylane/RefusedCalls.h
@@ -46,6 +46,10 @@
         TimePoint firstReceived;
         TimePoint deadline;
     };
+    struct Refusal {
+        Fingerprint fingerprint;
+        TimePoint firstReceived;
+    };
     using Calls = std::multimap<Fingerprint, Call>;
 
     void forgetExpired(TimePoint now);
@@ -53,7 +57,7 @@
     RefusedCallsOptions m_options;
     Calls m_calls;
     /// In the order of the refusals, with those that have been taken.
-    std::deque<std::pair<Fingerprint, TimePoint>> m_order;
+    std::deque<Refusal> m_order;
 };
 
 } // namespace dragonflylane
