--- a/tests/UpstreamClientTest.cpp
+++ b/tests/UpstreamClientTest.cpp
@@ -21,6 +21,8 @@
     using std::chrono::milliseconds;
     using std::chrono::seconds;
 
+    const char* const requestIdHeader = "X-Trace";
+
     /// A client on a thread of its own, and the listener of its upstream, which the test plays byte by byte.
     class ClientRun {
     public:
@@ -39,13 +41,16 @@
         ClientRun(const ClientRun&) = delete;
         ClientRun& operator=(const ClientRun&) = delete;
 
-        std::future<UpstreamResult> send(const std::string& method, Duration timeout = seconds(10))
+        std::future<UpstreamResult> send(
+            const std::string& method, Duration timeout = seconds(10), const std::string& id = "")
         {
             auto result = std::make_shared<std::promise<UpstreamResult>>();
-            boost::asio::post(m_context, [this, method, timeout, result] {
+            boost::asio::post(m_context, [this, method, timeout, id, result] {
                 bool isIdempotent = method != "POST";
-                m_client.send({ .method = method, .target = "/", .body = isIdempotent ? "" : "order" }, isIdempotent,
-                    BootClock::now() + timeout,
+                HttpRequest request { .method = method, .target = "/", .body = isIdempotent ? "" : "order" };
+                if (!id.empty())
+                    request.headers.push_back({ requestIdHeader, id });
+                m_client.send(std::move(request), isIdempotent, BootClock::now() + timeout,
                     [result](UpstreamResult outcome) { result->set_value(std::move(outcome)); });
             });
             return result->get_future();
@@ -80,6 +85,12 @@
         std::thread m_thread;
     };
 
+    std::string answerTo(const std::string& id, const std::string& body)
+    {
+        return "HTTP/1.1 200 OK\r\nX-Trace: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+            + body;
+    }
+
     const char* const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 } // namespace
@@ -177,6 +188,31 @@
     }
 }
 
+// Guards against a second copy of an answer that arrives late, when the connection is in use again, and is taken for
+// the answer to the next request.
+TEST(UpstreamClientTest, SecondCopyOfAnAnswerReachesNobody)
+{
+    ClientRun client({ .repeatedHeader = requestIdHeader });
+    auto first = client.send("GET", seconds(10), "a");
+    RawSocket connection = client.listener.accept();
+    connection.readUntil("\r\n\r\n");
+    connection.write(answerTo("a", "first"));
+    EXPECT_EQ(first.get().response.body, "first");
+    auto second = client.send("GET", seconds(10), "b");
+    connection.readUntil("\r\n\r\n");
+    connection.write(answerTo("a", "first"));
+    connection.write(answerTo("b", "second"));
+    EXPECT_EQ(second.get().response.body, "second");
+    // A copy that arrives while the connection rests ends its use.
+    connection.write(answerTo("b", "second"));
+    std::this_thread::sleep_for(milliseconds(50));
+    auto third = client.send("GET", seconds(10), "c");
+    RawSocket fresh = client.listener.accept();
+    fresh.readUntil("\r\n\r\n");
+    fresh.write(answerTo("c", "third"));
+    EXPECT_EQ(third.get().response.body, "third");
+}
+
 // Guards against "not run" for a request whose bytes were sent on a connection that the upstream then closed.
 TEST(UpstreamClientTest, CloseAfterTheRequestIsLostAndNotNotRun)
 {
