--- a/dragonflylane/BodyBudget.h
+++ b/dragonflylane/BodyBudget.h
@@ -64,11 +64,17 @@
 
     /// Takes what the body has grown by. False if there is no room; then the share is as before.
     bool growTo(uint64_t bytes)
+    {
+        bool isTooLarge = m_budget && bytes > m_budget->largestBody();
+        return !isTooLarge && growWithinLimit(bytes);
+    }
+
+    /// The same for what is no single body, such as a frame with its headers.
+    bool growWithinLimit(uint64_t bytes)
     {
         if (!m_budget || bytes <= m_bytes)
             return true;
-        bool isTooLarge = bytes > m_budget->largestBody();
-        if (isTooLarge || m_budget->m_used + (bytes - m_bytes) > m_budget->m_limit)
+        if (m_budget->m_used + (bytes - m_bytes) > m_budget->m_limit)
             return false;
         hold(bytes);
         return true;
--- a/dragonflylane/PeerLink.cpp
+++ b/dragonflylane/PeerLink.cpp
@@ -155,7 +155,7 @@
     if (auto error = m_assembly.add(payload, whole))
         return error;
     // The peer cannot be told to wait, and its other frames come behind this one.
-    if (!m_assembled.growTo(m_assembly.bytes()))
+    if (!m_assembled.growWithinLimit(m_assembly.bytes()))
         return ResultCode::FrameTooLarge;
     m_assembled.hold(m_assembly.bytes());
     if (whole.empty())
--- a/dragonflylane/RankedAdmission.h
+++ b/dragonflylane/RankedAdmission.h
@@ -12,7 +12,8 @@
 // time learn so at once, instead of taking slots from those who can. Higher ranks wait only for slots to turn over, and
 // may end later, since the work that waits for them has its own target.
 //
-// What waits in the queue for longer than that is refused there.
+// A ticket that cannot meet its target any more goes behind those that can, and leaves the queue soon if they take the
+// slots.
 //
 // Costs O(queue + routes) per call; both are bounded.
 
--- a/tests/PeerHubTest.cpp
+++ b/tests/PeerHubTest.cpp
@@ -1,5 +1,6 @@
 #include "dragonflylane/PeerHub.h"
 
+#include "dragonflylane/BodyBudget.h"
 #include "dragonflylane/MeshSecret.h"
 #include "dragonflylane/Metrics.h"
 #include "dragonflylane/ResultCode.h"
@@ -173,6 +174,23 @@
     EXPECT_EQ(again.frames, std::vector<std::string> { "a:two" });
 }
 
+// Guards against a link that is closed, with everybody's calls on it, by a frame that is larger than one body may be: a
+// body of that size with its headers, or a snapshot of the log.
+TEST_F(PeerHubTest, CarriesFramesLargerThanOneBody)
+{
+    BodyBudget budget(8 << 20);
+    Node a(m_context, "a");
+    Node b(m_context, "b", { .bodies = &budget });
+    a.knows("b", b);
+    LinkId link;
+    ASSERT_FALSE(dial(a, "b", &link));
+    std::string payload(3 * budget.largestBody(), 'x');
+    EXPECT_TRUE(a.hub.send(link, FrameKind::Log, payload));
+    EXPECT_TRUE(runUntil([&] { return b.frames.size() == 1; }));
+    EXPECT_EQ(b.linksDown, 0);
+    EXPECT_EQ(budget.used(), 0U);
+}
+
 // Guards against a peer that reads too slowly and fills the sender's memory.
 TEST_F(PeerHubTest, ClosesALinkOverTheBacklogLimit)
 {
