--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -514,7 +514,7 @@
     constexpr size_t changes = 100;
     constexpr size_t recordBytes = 150;
     // Four copies to each of four others, from each of the five.
-    constexpr size_t copies = 4 * 4 * 5;
+    constexpr size_t copies = size_t { 4 } * 4 * 5;
     VirtualMesh mesh({ .dataCentres = 5 });
     mesh.start(daemons);
     convergeAll(mesh);
--- a/tests/TreePositionTest.cpp
+++ b/tests/TreePositionTest.cpp
@@ -186,8 +186,8 @@
 TEST(TreePositionTest, LargeChangeArrivesInTimeOverSlowLinks)
 {
     constexpr double changeBytes = 30'000;
-    constexpr double slowBytesPerSecond = 125'000 / 2;
-    constexpr double controlBytesPerSecond = 170'000'000 / 8;
+    constexpr double slowBytesPerSecond = 125'000.0 / 2;
+    constexpr double controlBytesPerSecond = 170'000'000.0 / 8;
     constexpr double bound = 1.25;
     const auto lastArrival = [&](unsigned controlChildren) {
         std::vector<TreeMember> members = fleet(201, 5, 5);
