--- a/fuzz/DecodersFuzz.cpp
+++ b/fuzz/DecodersFuzz.cpp
@@ -6,6 +6,7 @@
 #include "dragonflylane/ConfigWire.h"
 #include "dragonflylane/CrashWire.h"
 #include "dragonflylane/Frame.h"
+#include "dragonflylane/FrameSegments.h"
 #include "dragonflylane/GossipMessages.h"
 #include "dragonflylane/GossipWire.h"
 #include "dragonflylane/LogMessages.h"
@@ -19,6 +20,8 @@
 #include "dragonflylane/Wire.h"
 #include "gen-cpp/peer_types.h"
 
+#include <algorithm>
+#include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <map>
@@ -49,6 +52,23 @@
             std::abort();
     }
 
+    // Pieces of a length that their first byte states, put together by one assembly.
+    void fuzzSegments(std::string_view bytes)
+    {
+        FrameAssembly assembly;
+        std::string whole;
+        size_t added = 0;
+        while (!bytes.empty()) {
+            size_t size = std::min<size_t>(static_cast<uint8_t>(bytes[0]), bytes.size() - 1);
+            added += size;
+            if (assembly.add(bytes.substr(1, size), whole))
+                return;
+            if (assembly.bytes() + whole.size() > added)
+                std::abort();
+            bytes.remove_prefix(1 + size);
+        }
+    }
+
     void fuzzSettings(std::string_view bytes)
     {
         Settings settings;
@@ -97,6 +117,7 @@
         static const std::map<std::string_view, Target> targets {
             { "settings", fuzzSettings },
             { "frame", fuzzFrame },
+            { "segment", fuzzSegments },
             { "log", roundTrip<LogMessage> },
             { "gossip", roundTrip<GossipMessage> },
             { "relay", roundTrip<RelayMessage> },
