--- a/tests/LoopbackSupport.cpp
+++ b/tests/LoopbackSupport.cpp
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 #include <utility>
 
@@ -24,6 +25,17 @@
 
 } // namespace
 
+bool waitUntil(const std::function<bool()>& condition, Duration limit)
+{
+    TimePoint end = BootClock::now() + limit;
+    while (!condition()) {
+        if (BootClock::now() >= end)
+            return false;
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return true;
+}
+
 RawSocket::RawSocket(int descriptor)
     : m_descriptor(descriptor)
 {
--- a/tests/LoopbackSupport.h
+++ b/tests/LoopbackSupport.h
@@ -2,12 +2,18 @@
 
 // Plain blocking sockets on loopback, with ports from the kernel, for tests that must send exactly these bytes.
 
+#include "dragonflylane/BootClock.h"
+
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 
 namespace dragonflylane {
 
+/// Checks the condition every few milliseconds; false if it does not hold before the limit.
+bool waitUntil(const std::function<bool()>& condition, Duration limit = std::chrono::seconds(60));
+
 /// One TCP connection. Reads give up after ten seconds, so a fault fails the test instead of stopping it.
 class RawSocket {
 public:
