Keep the limit of one body and the conversion to microseconds in one place each

Found in the last reading: HttpSession and UpstreamClient computed the largest body alike, four places chose between a share with and without a budget, and EntryTask, OwnerTask and ForwardWire each converted durations for the wire.

--- a/dragonflylane/BodyBudget.h
+++ b/dragonflylane/BodyBudget.h
@@ -11,7 +11,6 @@
 // alone lets a handful of them take more memory than the host has, and the process that carries everybody's calls ends.
 // One body may hold a part of the limit only, so that others find room beside it. Not thread-safe.
 
-#include <algorithm>
 #include <cstdint>
 #include <utility>
 
@@ -37,12 +36,23 @@
     uint64_t m_used { 0 };
 };
 
+/// The limit of one body, or what the budget leaves to it, if there is one.
+inline uint64_t largestBody(uint64_t limit, const BodyBudget* budget)
+{
+    return budget && budget->largestBody() < limit ? budget->largestBody() : limit;
+}
+
 /// What one body holds; given back when it ends.
 class BodyShare {
 public:
     BodyShare() = default;
     explicit BodyShare(BodyBudget& budget)
-        : m_budget(&budget)
+        : BodyShare(&budget)
+    {
+    }
+    /// Without a budget, nothing is counted or refused.
+    explicit BodyShare(BodyBudget* budget)
+        : m_budget(budget)
     {
     }
     BodyShare(BodyShare&& other) noexcept
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -78,11 +78,6 @@
     constexpr int returnPercent = 30;
     constexpr double returnJitter = 0.5;
 
-    int64_t toMicroseconds(Duration duration)
-    {
-        return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
-    }
-
     // Host header without the port, in lower case.
     std::string hostName(const HttpRequest& request)
     {
@@ -297,7 +292,7 @@
         wire::ForwardRequest request = makeForwardRequest(*call, m_options.headerNames, attempt.id, *upstream, now);
         if (choice->owner != m_options.self)
             request.targetMicroseconds -= toMicroseconds(serviceOf(call).transit(now));
-        request.maxWaitMicroseconds = std::chrono::duration_cast<std::chrono::microseconds>(maxWait(*call)).count();
+        request.maxWaitMicroseconds = toMicroseconds(maxWait(*call));
         if (call->isClaimed)
             m_parts.claims.handedOver(call->id);
         if (choice->owner == m_options.self)
@@ -371,8 +366,7 @@
         if (!attempt)
             return;
         TimePoint now = BootClock::now();
-        request.remainingMicroseconds
-            = std::chrono::duration_cast<std::chrono::microseconds>(call->deadline - now).count();
+        request.remainingMicroseconds = toMicroseconds(call->deadline - now);
         attempt->link = link;
         attempt->isSent = !error && m_parts.hub.send(link, FrameKind::ForwardRequest, encodeThrift(request));
         if (attempt->isSent)
--- a/dragonflylane/ForwardWire.cpp
+++ b/dragonflylane/ForwardWire.cpp
@@ -48,13 +48,13 @@
         return isOwnId || isLoad || isHopByHopHeader(header.name);
     }
 
-    int64_t microseconds(Duration duration)
-    {
-        return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
-    }
-
 } // namespace
 
+int64_t toMicroseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+}
+
 std::vector<HttpHeader> fromWire(const std::vector<wire::Header>& headers)
 {
     std::vector<HttpHeader> converted;
@@ -79,7 +79,7 @@
     request.serviceName = call.serviceName.value();
     request.upstreamId = upstream.id.value();
     request.upstreamIncarnation = static_cast<int64_t>(upstream.incarnation.value());
-    request.remainingMicroseconds = microseconds(call.deadline - now);
+    request.remainingMicroseconds = toMicroseconds(call.deadline - now);
     request.attempt = static_cast<int32_t>(call.attempts);
     request.hops = static_cast<int32_t>(call.headers.hops + 1);
     request.idempotent = call.isIdempotent;
@@ -97,7 +97,7 @@
     request.callerService = call.origin.service.value();
     request.priority = static_cast<int32_t>(call.priority);
     request.routeKey = static_cast<int64_t>(call.routeKey);
-    request.targetMicroseconds = microseconds(call.target - now);
+    request.targetMicroseconds = toMicroseconds(call.target - now);
     request.body = source.body;
     return request;
 }
@@ -136,7 +136,7 @@
     wire::CallTransfer message;
     message.requestId = static_cast<int64_t>(id);
     message.traceId = call.requestId.value();
-    message.remainingMicroseconds = microseconds(call.deadline - BootClock::now());
+    message.remainingMicroseconds = toMicroseconds(call.deadline - BootClock::now());
     message.method = source.method;
     message.target = source.target;
     message.headers = toWire(source.headers);
--- a/dragonflylane/ForwardWire.h
+++ b/dragonflylane/ForwardWire.h
@@ -16,6 +16,9 @@
 struct EntryCall;
 struct UpstreamEntry;
 
+/// Durations of calls are sent in microseconds.
+int64_t toMicroseconds(Duration);
+
 std::vector<HttpHeader> fromWire(const std::vector<wire::Header>&);
 
 wire::ForwardRequest makeForwardRequest(
--- a/dragonflylane/HttpSession.cpp
+++ b/dragonflylane/HttpSession.cpp
@@ -99,7 +99,7 @@
 {
     m_parser.emplace();
     m_parser->header_limit(m_options.maxHeaderBytes);
-    m_parser->body_limit(largestBody());
+    m_parser->body_limit(largestBody(m_options.maxBodyBytes, m_options.bodies));
     m_stream.expires_after(std::min(m_options.headerTimeout, m_options.requestTimeout));
     http::async_read_header(
         m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, size_t) {
@@ -113,16 +113,10 @@
         });
 }
 
-uint64_t HttpSession::largestBody() const
-{
-    return m_options.bodies ? std::min(m_options.maxBodyBytes, m_options.bodies->largestBody())
-                            : m_options.maxBodyBytes;
-}
-
 void HttpSession::readBody()
 {
     m_stream.expires_after(m_options.requestTimeout);
-    m_body = m_options.bodies ? BodyShare(*m_options.bodies) : BodyShare();
+    m_body = BodyShare(m_options.bodies);
     // A body of known length is refused before it is read.
     uint64_t announced = m_parser->content_length().value_or(0);
     if (!m_body.growTo(announced))
@@ -240,10 +234,8 @@
 void HttpSession::respond(Slot& slot, HttpResponse answer)
 {
     slot.answer = std::move(answer);
-    if (m_options.bodies) {
-        slot.body = BodyShare(*m_options.bodies);
-        slot.body.hold(slot.answer->body.size());
-    }
+    slot.body = BodyShare(m_options.bodies);
+    slot.body.hold(slot.answer->body.size());
     writeNext();
 }
 
--- a/dragonflylane/HttpSession.h
+++ b/dragonflylane/HttpSession.h
@@ -56,7 +56,6 @@
     void readBody();
     void readMoreOfBody();
     void refuseBody();
-    uint64_t largestBody() const;
     void handleReadError(boost::beast::error_code);
     void handleRequest();
     bool hasContradictoryLengths() const;
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -381,14 +381,13 @@
     reply.status = static_cast<int32_t>(response.status);
     reply.headers = toAnswerHeaders(response, m_options.headerNames, call->request.traceId);
     reply.body = std::move(response.body);
-    reply.retryAfterMicroseconds = std::chrono::duration_cast<std::chrono::microseconds>(retryAfter).count();
-    reply.heldMicroseconds
-        = std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - call->receivedAt).count();
+    reply.retryAfterMicroseconds = toMicroseconds(retryAfter);
+    reply.heldMicroseconds = toMicroseconds(BootClock::now() - call->receivedAt);
     LoadReport report = load();
     reply.running = static_cast<int32_t>(report.running);
     reply.queued = static_cast<int32_t>(report.queued);
     reply.limit = static_cast<int32_t>(report.limit);
-    reply.serviceMicroseconds = std::chrono::duration_cast<std::chrono::microseconds>(report.serviceTime).count();
+    reply.serviceMicroseconds = toMicroseconds(report.serviceTime);
     call->respond(std::move(reply));
 }
 
--- a/dragonflylane/PeerLink.cpp
+++ b/dragonflylane/PeerLink.cpp
@@ -37,12 +37,10 @@
     , m_hooks(std::move(hooks))
     , m_ownNonce(MeshSecret::makeNonce())
     , m_readBytes(minReadBytes)
+    , m_assembled(options.bodies)
+    , m_queued(options.bodies)
     , m_liveness(livenessOptions(options), BootClock::now())
 {
-    if (options.bodies) {
-        m_assembled = BodyShare(*options.bodies);
-        m_queued = BodyShare(*options.bodies);
-    }
 }
 
 void PeerLink::start(TimePoint now)
--- a/dragonflylane/UpstreamClient.cpp
+++ b/dragonflylane/UpstreamClient.cpp
@@ -237,18 +237,12 @@
     void read(const CallPtr& call)
     {
         call->parser.emplace();
-        call->parser->body_limit(largestBody());
+        call->parser->body_limit(largestBody(m_options.maxBodyBytes, m_options.bodies));
         call->parser->skip(call->isHead);
-        call->body = m_options.bodies ? BodyShare(*m_options.bodies) : BodyShare();
+        call->body = BodyShare(m_options.bodies);
         readMore(call);
     }
 
-    uint64_t largestBody() const
-    {
-        return m_options.bodies ? std::min(m_options.maxBodyBytes, m_options.bodies->largestBody())
-                                : m_options.maxBodyBytes;
-    }
-
     void readMore(const CallPtr& call)
     {
         http::async_read_some(call->connection->stream, call->connection->buffer, *call->parser,
