Log and count what an upstream states about itself: rate limit, leaving

The statement is now parsed where every response passes, at the owner, and logged when it changes, with the requests sent while the one before held. No decision uses it yet.

--- a/dragonflylane/CallHeaders.h
+++ b/dragonflylane/CallHeaders.h
@@ -38,6 +38,11 @@
     std::string upstreamLoad {};
     /// Upstreams copy the request id to their responses, so that a response to another request can be detected.
     bool upstreamsEchoRequestId { false };
+    /// Set by an upstream on each response while it is in trouble: the requests per second that it accepts from all
+    /// daemons together, a decimal number.
+    std::string upstreamRateLimit { "Dragonflylane-Upstream-Rate-Limit" };
+    /// Set by an upstream to "1" on each response once its process is about to stop.
+    std::string upstreamLeaving { "Dragonflylane-Upstream-Leaving" };
 };
 
 /// Marks a call that was transferred by another entry daemon, see CallTransfers.
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -8,10 +8,12 @@
 #include "dragonflylane/Metrics.h"
 #include "dragonflylane/OwnerAdmission.h"
 #include "dragonflylane/RankedAdmission.h"
+#include "dragonflylane/UpstreamStatement.h"
 #include "gen-cpp/peer_types.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <cstdio>
 
 namespace dragonflylane {
 
@@ -44,6 +46,15 @@
         return response.status == statusServiceUnavailable && isMarked;
     }
 
+    std::string toText(const std::optional<RequestRate>& rate)
+    {
+        if (!rate)
+            return "none";
+        char text[32];
+        std::snprintf(text, sizeof(text), "%.6g", rate->perSecond);
+        return text;
+    }
+
     CallOutcome outcomeOf(ResultCode code)
     {
         switch (code) {
@@ -153,6 +164,8 @@
     Incarnation known = std::max(m_hooks.knownIncarnation(announcement.id), minIncarnation());
     m_incarnation = std::max(m_incarnation, known).next();
     m_completions.clear();
+    m_statedRateLimit = { .since = BootClock::now() };
+    m_statesLeaving = false;
     UpstreamClientOptions options { .upstream = announcement.address,
         .maxBodyBytes = m_options.maxBodyBytes,
         .echoedHeader = m_options.headerNames.upstreamsEchoRequestId ? m_options.headerNames.requestId : "",
@@ -306,6 +319,10 @@
 {
     call->sentAt = BootClock::now();
     call->incarnation = m_incarnation;
+    ++m_statedRateLimit.requests;
+    m_metrics.add("upstream_requests");
+    if (m_statedRateLimit.limit)
+        m_metrics.add("upstream_requests_under_limit");
     if (call->source == CallSource::Peer) {
         CallTicket ticket { .isNonIdempotent = call->request.order,
             .routeKey = static_cast<uint64_t>(call->request.routeKey) };
@@ -349,9 +366,45 @@
     return !header.empty() && (response.status == statusMisdirected || !response.header(header).empty());
 }
 
+// Whether the excess of an upstream over its limit comes from its owner not knowing the limit or from not keeping it
+// shows in the limit that is logged here and the requests that were sent while it applied.
+void OwnerTask::logRateLimit(std::optional<RequestRate> next, TimePoint now)
+{
+    auto entry = m_rateLimitLogLimiter.admit(now);
+    if (!entry)
+        return;
+    auto held = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_statedRateLimit.since);
+    Event("upstream_rate_limit")
+        .with("upstream", m_announcement->id)
+        .with("per_second", toText(next))
+        .with("previous", toText(m_statedRateLimit.limit))
+        .with("previous_held_ms", held.count())
+        .with("previous_requests", m_statedRateLimit.requests)
+        .with("left_out", entry->suppressed);
+}
+
+void OwnerTask::recordStatement(const UpstreamStatement& statement, TimePoint now)
+{
+    if (statement.isLeaving && !std::exchange(m_statesLeaving, true))
+        Event("upstream_states_leaving")
+            .with("upstream", m_announcement->id)
+            .with("draining", static_cast<int>(isDraining()));
+    if (statement.hasInvalidRateLimit) {
+        m_metrics.add("upstream_rate_limits_invalid");
+        return;
+    }
+    if (statement.rateLimit == m_statedRateLimit.limit)
+        return;
+    logRateLimit(statement.rateLimit, now);
+    m_statedRateLimit = { .limit = statement.rateLimit, .since = now };
+}
+
 void OwnerTask::finish(const CallPtr& call, UpstreamResult result)
 {
     TimePoint now = BootClock::now();
+    bool isResponse = result.code == ResultCode::Ok;
+    if (isResponse && call->incarnation == m_incarnation)
+        recordStatement(parseUpstreamStatement(result.response, m_options.headerNames), now);
     if (result.code == ResultCode::Ok && statesNotRun(result.response))
         result.code = ResultCode::UpstreamRefused;
     else if (result.code == ResultCode::Ok && isShedAnswer(result.response))
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -11,6 +11,7 @@
 #include "dragonflylane/Ids.h"
 #include "dragonflylane/LogRateLimiter.h"
 #include "dragonflylane/RecentCompletions.h"
+#include "dragonflylane/RequestRate.h"
 #include "dragonflylane/ResponseDelayEstimator.h"
 #include "dragonflylane/UpstreamClient.h"
 #include "dragonflylane/UpstreamPhase.h"
@@ -37,6 +38,7 @@
 class Journal;
 class Metrics;
 struct UpstreamRecord;
+struct UpstreamStatement;
 
 /// Registration that an upstream sends to its daemon.
 struct Announcement {
@@ -135,6 +137,14 @@
         TimePoint lostAt;
     };
 
+    /// The latest rate limit that the upstream has stated.
+    struct StatedRateLimit {
+        std::optional<RequestRate> limit;
+        TimePoint since;
+        /// Requests sent to the upstream since then.
+        uint64_t requests { 0 };
+    };
+
     struct WithdrawnProcess {
         UpstreamId id;
         uint64_t startedAt { 0 };
@@ -144,6 +154,8 @@
     bool isWithdrawn(const UpstreamId&, uint64_t startedAt) const;
     bool isOutdated(const Announcement&) const;
     bool statesNotRun(const HttpResponse&) const;
+    void recordStatement(const UpstreamStatement&, TimePoint now);
+    void logRateLimit(std::optional<RequestRate> next, TimePoint now);
     HttpRequest toHttp(wire::ForwardRequest&, Duration remaining) const;
     void startIncarnation(const Announcement&);
     void raiseIncarnation();
@@ -188,7 +200,10 @@
     std::vector<LostRequest> m_lostRequests;
     RecentCompletions m_completions;
     bool m_isProbing { false };
+    StatedRateLimit m_statedRateLimit;
+    bool m_statesLeaving { false };
     LogRateLimiter m_refusalLogLimiter;
+    LogRateLimiter m_rateLimitLogLimiter { { .perSecond = 2, .burst = 10 } };
     WakeupTimer m_timer;
 };
 
