Tests that fail: upstreams get more than they state that they accept

OwnerTaskTest: 1,001 requests in four seconds with 20 a second stated (125 are allowed), with both kinds of admission; and new requests after an upstream has stated that it leaves.

--- /dev/null
+++ b/tests/OwnerTaskTest.cpp
@@ -0,0 +1,250 @@
+// Runs the owner daemon's part of a call against an upstream on loopback that states a rate limit or that it is
+// leaving.
+
+#include "dragonflylane/OwnerTask.h"
+
+#include "dragonflylane/CrashTask.h"
+#include "dragonflylane/HttpExchange.h"
+#include "dragonflylane/HttpServer.h"
+#include "dragonflylane/Journal.h"
+#include "dragonflylane/LinkPacer.h"
+#include "dragonflylane/MemberRecord.h"
+#include "dragonflylane/Metrics.h"
+#include "gen-cpp/peer_types.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+#include <map>
+#include <vector>
+
+namespace dragonflylane {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    constexpr const char* upstreamName = "catalogue-1";
+
+    /// Answers each request after a service time, with the headers that are set at the time.
+    class StatingUpstream {
+    public:
+        StatingUpstream(boost::asio::io_context& context, Metrics& metrics)
+            : m_context(context)
+            , m_server(context, { .listen = { "127.0.0.1", 0 } }, metrics,
+                  [this](std::shared_ptr<HttpExchange> exchange) { handle(std::move(exchange)); })
+        {
+            EXPECT_FALSE(m_server.start());
+        }
+
+        Endpoint endpoint() const { return { "127.0.0.1", m_server.port() }; }
+        void setHeaders(std::vector<HttpHeader> headers) { m_headers = std::move(headers); }
+        const std::vector<TimePoint>& arrivals() const { return m_arrivals; }
+
+        /// The most requests that arrived within a window of this length, among the windows that begin after `from`.
+        size_t mostArrivals(TimePoint from, Duration window) const
+        {
+            size_t most = 0;
+            auto begin = std::lower_bound(m_arrivals.begin(), m_arrivals.end(), from);
+            for (auto first = begin; first != m_arrivals.end(); ++first) {
+                auto last = std::lower_bound(first, m_arrivals.end(), *first + window);
+                most = std::max(most, static_cast<size_t>(last - first));
+            }
+            return most;
+        }
+
+    private:
+        void handle(std::shared_ptr<HttpExchange> exchange)
+        {
+            m_arrivals.push_back(BootClock::now());
+            auto timer = std::make_shared<boost::asio::steady_timer>(m_context, milliseconds(10));
+            timer->async_wait([this, timer, exchange](boost::system::error_code) {
+                exchange->respond({ .status = 200, .headers = m_headers, .body = "ok" });
+            });
+        }
+
+        boost::asio::io_context& m_context;
+        std::vector<HttpHeader> m_headers;
+        std::vector<TimePoint> m_arrivals;
+        HttpServer m_server;
+    };
+
+    struct OwnerFixtureOptions {
+        bool usesRankedAdmission { true };
+    };
+
+    /// One owner daemon's task with its upstream, run by the test's thread.
+    class OwnerFixture {
+    public:
+        explicit OwnerFixture(OwnerFixtureOptions options = {})
+            : m_options(options)
+            , m_upstream(m_context, m_metrics)
+        {
+            restart();
+        }
+
+        /// Replaces the task by a new one, as if the daemon's process had been killed and started again.
+        void restart()
+        {
+            m_owner.reset();
+            ++m_generation;
+            m_owner = std::make_unique<OwnerTask>(m_context,
+                OwnerTaskOptions { .self = HostId("host-1"), .usesRankedAdmission = m_options.usesRankedAdmission },
+                m_pacer, m_crash, m_metrics, m_journal,
+                OwnerTask::Hooks {
+                    .publishUpstream = [this](std::optional<UpstreamRecord> record) { m_record = std::move(record); },
+                    .knownIncarnation = [](const UpstreamId&) { return Incarnation(); },
+                    .hostGeneration = [this] { return m_generation; } });
+        }
+
+        void announce(UpstreamPhase phase = UpstreamPhase::Ready, const std::string& instance = "1")
+        {
+            m_owner->announce({ .id = UpstreamId(upstreamName),
+                .service = ServiceName("catalogue"),
+                .address = m_upstream.endpoint(),
+                .slots = 12,
+                .phase = phase,
+                .instance = instance });
+        }
+
+        /// Offers one call every `gap` for this long, announces the upstream every second and runs all of them.
+        void offerCalls(Duration gap, Duration length)
+        {
+            TimePoint end = BootClock::now() + length;
+            TimePoint nextAnnouncement;
+            for (TimePoint next = BootClock::now(); next < end; next += gap) {
+                if (next >= nextAnnouncement) {
+                    announce();
+                    nextAnnouncement = next + seconds(1);
+                }
+                m_context.run_until(next);
+                call();
+            }
+            m_context.run_for(milliseconds(50));
+        }
+
+        void call()
+        {
+            wire::ForwardRequest request = makeRequest();
+            m_owner->handle(
+                std::move(request),
+                [this](const wire::ForwardResponse& response) {
+                    ++m_codes[static_cast<ResultCode>(response.code)];
+                    m_lastResponse = response;
+                },
+                OwnerTask::CallSource::Peer);
+        }
+
+        /// Calls and runs until the response.
+        ResultCode callAndWait()
+        {
+            size_t before = answered();
+            call();
+            TimePoint limit = BootClock::now() + seconds(10);
+            while (answered() == before && BootClock::now() < limit)
+                m_context.run_one_for(milliseconds(10));
+            return static_cast<ResultCode>(m_lastResponse.code);
+        }
+
+        wire::ForwardRequest makeRequest()
+        {
+            wire::ForwardRequest request;
+            request.requestId = m_nextId++;
+            request.traceId = "r-" + std::to_string(request.requestId);
+            request.serviceName = "catalogue";
+            request.upstreamId = upstreamName;
+            request.upstreamIncarnation = static_cast<int64_t>(m_owner->incarnation().value());
+            request.remainingMicroseconds = 800'000;
+            request.targetMicroseconds = 200'000;
+            request.idempotent = true;
+            request.fingerprint = request.requestId;
+            request.method = "GET";
+            request.target = "/catalogue/" + std::to_string(request.requestId);
+            return request;
+        }
+
+        void runFor(Duration length) { m_context.run_for(length); }
+        size_t count(ResultCode code) const { return m_codes.contains(code) ? m_codes.at(code) : 0; }
+        size_t answered() const
+        {
+            size_t sum = 0;
+            for (const auto& [code, count] : m_codes)
+                sum += count;
+            return sum;
+        }
+        const std::optional<UpstreamRecord>& record() const { return m_record; }
+        StatingUpstream& upstream() { return m_upstream; }
+
+    private:
+        const OwnerFixtureOptions m_options;
+        boost::asio::io_context m_context;
+        Metrics m_metrics;
+        Journal m_journal { "host-1" };
+        LinkPacer m_pacer;
+        CrashTask m_crash { {}, [](const std::string&) { return true; }, m_metrics, m_journal };
+        StatingUpstream m_upstream;
+        uint64_t m_generation { 0 };
+        std::optional<UpstreamRecord> m_record;
+        std::unique_ptr<OwnerTask> m_owner;
+        int64_t m_nextId { 1 };
+        std::map<ResultCode, size_t> m_codes;
+        wire::ForwardResponse m_lastResponse;
+    };
+
+    HttpHeader rateLimit(const std::string& perSecond)
+    {
+        return { CallHeaderNames().upstreamRateLimit, perSecond };
+    }
+
+    const HttpHeader leaving { CallHeaderNames().upstreamLeaving, "1" };
+
+    // The users' bound: in any four seconds, one and a half times the stated limit and five requests more.
+    constexpr seconds limitWindow { 4 };
+    size_t allowedRequests(double perSecond)
+    {
+        constexpr double tolerance = 1.5;
+        constexpr size_t slack = 5;
+        return static_cast<size_t>(tolerance * perSecond * limitWindow.count()) + slack;
+    }
+
+    class OwnerTaskRateLimitTest : public testing::TestWithParam<bool> { };
+
+    INSTANTIATE_TEST_SUITE_P(Admissions, OwnerTaskRateLimitTest, testing::Bool(),
+        [](const auto& info) { return info.param ? "Ranked" : "Classes"; });
+
+} // namespace
+
+// Guards against an owner that admits by slots only, so that an upstream in trouble gets more requests than it states
+// that it accepts.
+TEST_P(OwnerTaskRateLimitTest, UpstreamGetsNoMoreThanItsStatedLimit)
+{
+    constexpr double perSecond = 20;
+    OwnerFixture fixture({ .usesRankedAdmission = GetParam() });
+    fixture.upstream().setHeaders({ rateLimit("20") });
+    TimePoint start = BootClock::now();
+    fixture.offerCalls(milliseconds(4), milliseconds(4600));
+    size_t most = fixture.upstream().mostArrivals(start + milliseconds(500), limitWindow);
+    EXPECT_LE(most, allowedRequests(perSecond));
+    // The limit is also used: an upstream in trouble still serves what it accepts.
+    EXPECT_GE(most, static_cast<size_t>(perSecond * limitWindow.count() * 0.9));
+}
+
+// Guards against an owner that goes on using an upstream which states in its responses that it is leaving, until its
+// announcement says so too.
+TEST(OwnerTaskTest, LeavingUpstreamGetsNoNewRequests)
+{
+    OwnerFixture fixture;
+    fixture.announce();
+    fixture.upstream().setHeaders({ leaving });
+    ASSERT_EQ(fixture.callAndWait(), ResultCode::Ok);
+    size_t before = fixture.upstream().arrivals().size();
+    // Later announcements still state that the upstream is ready.
+    fixture.offerCalls(milliseconds(10), milliseconds(300));
+    EXPECT_EQ(fixture.upstream().arrivals().size(), before);
+    EXPECT_EQ(fixture.count(ResultCode::UpstreamDraining), fixture.answered() - 1);
+    ASSERT_TRUE(fixture.record());
+    EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Draining);
+}
+
+} // namespace dragonflylane
