Owners keep the rate limit that their upstream states

Cause: the statement was read by nobody. Admission knew slots and queue as the only capacity of an upstream. Evidence: the first violation is 3 s after the statement and 4 s before the restart of a daemon, no request arrived twice, and the new log line shows one process that saw the limit and sent 86.8 requests a second under it.

The owner sends every request to its upstream, so one limiter there bounds the sum over all daemons. It spaces requests by the inverse of the rate (GCRA, a quarter second's worth at once) and is part of admission: a call waits for a slot and for the rate, is refused at once if the wait is too long, with that wait as its Retry-After, and the wait counts as load in the reports that steer entry daemons to other upstreams.

--- a/dragonflylane/Admission.h
+++ b/dragonflylane/Admission.h
@@ -9,11 +9,13 @@
 //
 // Invariants of every implementation:
 //   * The number of running calls never exceeds the number of slots of the upstream.
+//   * While a rate limit is set, calls are forwarded no faster than UpstreamRateLimiter allows.
 //   * No call is forwarded at or after its deadline.
 //   * Every admitted or queued ticket is removed exactly once: by finished(), by cancel() or by a refusal.
 //   * Every refusal has a code that means "not run".
 
 #include "dragonflylane/BootClock.h"
+#include "dragonflylane/RequestRate.h"
 #include "dragonflylane/ResultCode.h"
 
 #include <cstdint>
@@ -91,6 +93,10 @@
     uint32_t limit { 0 };
     /// Mean over recent calls; zero before the first response.
     Duration serviceTime { 0 };
+
+    /// Counts a wait that is not for a slot as load: as the number of calls that the upstream can run in that time. If
+    /// the service time is unknown, all slots count as busy for that time.
+    void addWait(Duration);
 };
 
 class Admission {
@@ -107,6 +113,8 @@
     virtual bool cancel(uint64_t id) = 0;
     /// Sets the number of slots that the upstream announced. With zero slots no call is forwarded.
     virtual AdmissionChanges setSlots(uint32_t slots, TimePoint now) = 0;
+    /// Sets the rate that the upstream states that it accepts; empty: no limit.
+    virtual AdmissionChanges setRateLimit(std::optional<RequestRate>, TimePoint now) = 0;
     /// While draining, new tickets are refused; queued and running ones finish.
     virtual void setDraining(bool) = 0;
     virtual bool isDraining() const = 0;
--- a/dragonflylane/OwnerAdmission.cpp
+++ b/dragonflylane/OwnerAdmission.cpp
@@ -41,7 +41,7 @@
 
     CallClass& callClass = classOf(ticket.isNonIdempotent);
     callClass.lastOfferAt = now;
-    bool mustQueue = !hasSlotFor(ticket.isNonIdempotent, now) || nextRunnable(ticket.isNonIdempotent);
+    bool mustQueue = !mayStart(ticket.isNonIdempotent, now) || nextRunnable(ticket.isNonIdempotent);
     Duration wait = mustQueue ? expectedWait(ticket, now) : Duration::zero();
     if (ResultCode code = checkDeadline(ticket, wait, now); code != ResultCode::Ok)
         return refuse(code);
@@ -113,6 +113,12 @@
     return changes;
 }
 
+AdmissionChanges OwnerAdmission::setRateLimit(std::optional<RequestRate> limit, TimePoint now)
+{
+    m_rateLimiter.setLimit(limit, now);
+    return tick(now);
+}
+
 std::vector<RefusedTicket> OwnerAdmission::refuseQueued(ResultCode code)
 {
     std::vector<RefusedTicket> refused;
@@ -145,6 +151,8 @@
         if (!m_classes[i].queue.empty() && m_running.size() < limit() && other.lastOfferAt)
             consider(*other.lastOfferAt + m_options.classIdleAfter);
     }
+    if (m_rateLimiter.isLimited() && queuedCount() > 0 && m_running.size() < limit())
+        consider(m_rateLimiter.nextSend());
     return wakeup;
 }
 
@@ -160,6 +168,7 @@
         report.serviceTime = std::max(idempotentTime, nonIdempotentTime);
     else
         report.serviceTime = (idempotentTime + nonIdempotentTime) / 2;
+    report.addWait(m_rateLimiter.wait(queuedCount(), now));
     return report;
 }
 
@@ -203,6 +212,11 @@
     return std::max(1U, static_cast<uint32_t>(total * shareOf(isNonIdempotent)));
 }
 
+bool OwnerAdmission::mayStart(bool isNonIdempotent, TimePoint now) const
+{
+    return m_rateLimiter.maySend(now) && hasSlotFor(isNonIdempotent, now);
+}
+
 bool OwnerAdmission::hasSlotFor(bool isNonIdempotent, TimePoint now) const
 {
     uint32_t total = limit();
@@ -219,9 +233,17 @@
     });
 }
 
+// The ticket starts once it has a slot and the rate limit of the upstream allows another request.
+Duration OwnerAdmission::expectedWait(const CallTicket& ticket, TimePoint now) const
+{
+    bool waitsOnlyForRate = !m_rateLimiter.maySend(now) && hasSlotFor(ticket.isNonIdempotent, now);
+    Duration slotWait = waitsOnlyForRate ? Duration::zero() : expectedSlotWait(ticket, now);
+    return std::max(slotWait, m_rateLimiter.wait(queuedCount(), now));
+}
+
 // With n busy slots, one call finishes every (service time / n). The ticket starts once (tickets ahead of it + 1) calls
 // have finished. While the other class has queued tickets too, only this class's share of the freed slots counts.
-Duration OwnerAdmission::expectedWait(const CallTicket& ticket, TimePoint now) const
+Duration OwnerAdmission::expectedSlotWait(const CallTicket& ticket, TimePoint now) const
 {
     const CallClass& callClass = classOf(ticket.isNonIdempotent);
     auto isAhead
@@ -263,6 +285,7 @@
 void OwnerAdmission::start(const CallTicket& ticket, TimePoint now)
 {
     m_running[ticket.id] = { now, ticket.isNonIdempotent, ticket.isSuspect };
+    m_rateLimiter.recordSent(now);
     CallClass& callClass = classOf(ticket.isNonIdempotent);
     ++callClass.running;
     callClass.virtualTime += 1 / shareOf(ticket.isNonIdempotent);
@@ -283,8 +306,8 @@
 
 std::optional<bool> OwnerAdmission::nextClass(TimePoint now) const
 {
-    bool nonIdempotentCanRun = hasSlotFor(true, now) && nextRunnable(true);
-    bool idempotentCanRun = hasSlotFor(false, now) && nextRunnable(false);
+    bool nonIdempotentCanRun = mayStart(true, now) && nextRunnable(true);
+    bool idempotentCanRun = mayStart(false, now) && nextRunnable(false);
     if (!nonIdempotentCanRun && !idempotentCanRun)
         return std::nullopt;
     if (nonIdempotentCanRun != idempotentCanRun)
--- a/dragonflylane/OwnerAdmission.h
+++ b/dragonflylane/OwnerAdmission.h
@@ -14,6 +14,7 @@
 // per slot.
 
 #include "dragonflylane/ServiceTimeEstimate.h"
+#include "dragonflylane/UpstreamRateLimiter.h"
 
 #include <array>
 #include <unordered_map>
@@ -59,6 +60,7 @@
     /// cleared of that.
     AdmissionChanges setSuspect(uint64_t id, bool isSuspect, TimePoint now);
     AdmissionChanges setSlots(uint32_t slots, TimePoint now) override;
+    AdmissionChanges setRateLimit(std::optional<RequestRate>, TimePoint now) override;
     void setDraining(bool isDraining) override { m_isDraining = isDraining; }
     bool isDraining() const override { return m_isDraining; }
     void setLeaving() override { m_isLeaving = true; }
@@ -102,10 +104,13 @@
     uint32_t queuedCount() const;
     bool isInUse(bool isNonIdempotent, TimePoint now) const;
     uint32_t reservedFor(bool isNonIdempotent, uint32_t total, TimePoint now) const;
+    /// True if a call of this class may start: it has a slot, and the rate limit of the upstream allows a request.
+    bool mayStart(bool isNonIdempotent, TimePoint now) const;
     bool hasSlotFor(bool isNonIdempotent, TimePoint now) const;
     bool isSuspectRunning() const { return m_suspectsRunning > 0; }
     bool isSuspectQueued() const;
     Duration expectedWait(const CallTicket&, TimePoint now) const;
+    Duration expectedSlotWait(const CallTicket&, TimePoint now) const;
     ResultCode checkDeadline(const CallTicket&, Duration wait, TimePoint now) const;
     void enqueue(const CallTicket&);
     void start(const CallTicket&, TimePoint now);
@@ -122,6 +127,7 @@
     double m_limit { 0 };
     std::optional<TimePoint> m_limitLoweredAt;
     std::array<CallClass, 2> m_classes;
+    UpstreamRateLimiter m_rateLimiter;
     std::unordered_map<uint64_t, RunningCall> m_running;
     uint32_t m_suspectsRunning { 0 };
     bool m_isDraining { false };
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -149,6 +149,8 @@
         || m_announcement->service != announcement.service;
     if (isOtherProcess && m_announcement && !m_isStopped)
         declareDead("announced another instance");
+    if (isOtherProcess)
+        forgetStatements();
     if (isOtherProcess || m_isStopped)
         startIncarnation(announcement);
     raiseIncarnation();
@@ -159,13 +161,21 @@
     publish();
 }
 
+// What the previous process of the upstream stated does not hold for the new one.
+void OwnerTask::forgetStatements()
+{
+    TimePoint now = BootClock::now();
+    m_statesLeaving = false;
+    if (m_statedRateLimit.limit)
+        setRateLimit(std::nullopt, now);
+    m_statedRateLimit = { .since = now };
+}
+
 void OwnerTask::startIncarnation(const Announcement& announcement)
 {
     Incarnation known = std::max(m_hooks.knownIncarnation(announcement.id), minIncarnation());
     m_incarnation = std::max(m_incarnation, known).next();
     m_completions.clear();
-    m_statedRateLimit = { .since = BootClock::now() };
-    m_statesLeaving = false;
     UpstreamClientOptions options { .upstream = announcement.address,
         .maxBodyBytes = m_options.maxBodyBytes,
         .echoedHeader = m_options.headerNames.upstreamsEchoRequestId ? m_options.headerNames.requestId : "",
@@ -383,6 +393,13 @@
         .with("left_out", entry->suppressed);
 }
 
+void OwnerTask::setRateLimit(std::optional<RequestRate> limit, TimePoint now)
+{
+    logRateLimit(limit, now);
+    m_statedRateLimit = { .limit = limit, .since = now };
+    applyChanges(m_admission->setRateLimit(limit, now));
+}
+
 void OwnerTask::recordStatement(const UpstreamStatement& statement, TimePoint now)
 {
     if (statement.isLeaving && !std::exchange(m_statesLeaving, true))
@@ -395,8 +412,7 @@
     }
     if (statement.rateLimit == m_statedRateLimit.limit)
         return;
-    logRateLimit(statement.rateLimit, now);
-    m_statedRateLimit = { .limit = statement.rateLimit, .since = now };
+    setRateLimit(statement.rateLimit, now);
 }
 
 void OwnerTask::finish(const CallPtr& call, UpstreamResult result)
@@ -450,15 +466,13 @@
     call->respond(std::move(reply));
 }
 
-// Responses that wait for the network link are load, too. They are reported as the number of calls that the upstream
-// could run in the time until the link is free.
+// Responses that wait for the network link are load, too.
 LoadReport OwnerTask::load() const
 {
     TimePoint now = BootClock::now();
     LoadReport report = m_admission->load(now);
-    Duration delay = m_responseDelay.backlog(now);
     if (report.serviceTime > Duration::zero())
-        report.queued += static_cast<uint32_t>(delay * report.limit / report.serviceTime);
+        report.addWait(m_responseDelay.backlog(now));
     return report;
 }
 
@@ -478,6 +492,7 @@
         .with("running", report.running)
         .with("queued", report.queued)
         .with("slots", report.limit)
+        .with("rate_limit", toText(m_statedRateLimit.limit))
         .with("service_ms", milliseconds(report.serviceTime))
         .with("expected_wait_ms", milliseconds(expectedWait))
         .with("max_wait_ms", call.request.maxWaitMicroseconds / 1000)
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -155,8 +155,10 @@
     bool isOutdated(const Announcement&) const;
     bool statesNotRun(const HttpResponse&) const;
     void recordStatement(const UpstreamStatement&, TimePoint now);
+    void setRateLimit(std::optional<RequestRate>, TimePoint now);
     void logRateLimit(std::optional<RequestRate> next, TimePoint now);
     HttpRequest toHttp(wire::ForwardRequest&, Duration remaining) const;
+    void forgetStatements();
     void startIncarnation(const Announcement&);
     void raiseIncarnation();
     Incarnation minIncarnation() const;
--- a/dragonflylane/RankedAdmission.cpp
+++ b/dragonflylane/RankedAdmission.cpp
@@ -61,7 +61,7 @@
     // Without a queue deadline, a late ticket could wait until its deadline while newer tickets are served before it.
     ticket.queueDeadline = ticket.isLate ? startBy : ticket.deadline;
     bool isFirst = m_queue.empty() || precedes(ticket, m_queue.front());
-    bool canStartNow = isFirst && hasFreeSlot();
+    bool canStartNow = isFirst && mayStart(now);
     if (canStartNow && ticket.answerDelay == Duration::zero()) {
         start(ticket, now);
         return { AdmitAction::Admit, ResultCode::Ok };
@@ -102,6 +102,12 @@
     return tick(now);
 }
 
+AdmissionChanges RankedAdmission::setRateLimit(std::optional<RequestRate> limit, TimePoint now)
+{
+    m_rateLimiter.setLimit(limit, now);
+    return tick(now);
+}
+
 std::vector<RefusedTicket> RankedAdmission::refuseQueued(ResultCode code)
 {
     std::vector<RefusedTicket> refused;
@@ -122,7 +128,8 @@
 {
     if (m_queue.empty())
         return std::nullopt;
-    TimePoint wakeup = TimePoint::max();
+    bool waitsOnlyForRate = m_rateLimiter.isLimited() && freeSlots() > 0;
+    TimePoint wakeup = waitsOnlyForRate ? m_rateLimiter.nextSend() : TimePoint::max();
     for (const CallTicket& ticket : m_queue)
         wakeup = std::min({ wakeup, ticket.deadline, ticket.queueDeadline });
     return wakeup;
@@ -130,10 +137,12 @@
 
 LoadReport RankedAdmission::load(TimePoint now) const
 {
-    return { .running = static_cast<uint32_t>(m_running.size()),
+    LoadReport report { .running = static_cast<uint32_t>(m_running.size()),
         .queued = static_cast<uint32_t>(m_queue.size()),
         .limit = m_options.slots,
         .serviceTime = meanServiceTime(now) };
+    report.addWait(m_rateLimiter.wait(m_queue.size(), now));
+    return report;
 }
 
 Duration RankedAdmission::serviceTime(const CallTicket& ticket, TimePoint now) const
@@ -204,20 +213,27 @@
     return durationOf(sum / static_cast<double>(m_running.size()));
 }
 
-// The ticket starts once (tickets ahead of it + 1) calls have finished. A call that has run longer than its expected
-// service time is expected to finish within an eighth of that time.
+// The ticket starts once it has a slot and the rate limit of the upstream allows another request.
 Duration RankedAdmission::expectedWait(const CallTicket& ticket, TimePoint now) const
+{
+    auto ahead = static_cast<size_t>(std::count_if(
+        m_queue.begin(), m_queue.end(), [&](const CallTicket& other) { return !precedes(ticket, other); }));
+    return std::max(expectedSlotWait(ahead, now), m_rateLimiter.wait(ahead, now));
+}
+
+// Tickets for which no slot is free start one by one as calls finish. A call that has run longer than its expected
+// service time is expected to finish within an eighth of that time.
+Duration RankedAdmission::expectedSlotWait(size_t ahead, TimePoint now) const
 {
     constexpr int overdueDivisor = 8;
+    if (ahead < freeSlots() || m_running.empty())
+        return Duration::zero();
+    ahead -= freeSlots();
     std::vector<Duration> ends;
     for (const auto& [id, call] : m_running) {
         Duration service = serviceTime(call.ticket, now);
         ends.push_back(std::max(service - (now - call.startedAt), service / overdueDivisor));
     }
-    auto ahead = static_cast<size_t>(std::count_if(
-        m_queue.begin(), m_queue.end(), [&](const CallTicket& other) { return !precedes(ticket, other); }));
-    if (ends.empty())
-        return Duration::zero();
     std::sort(ends.begin(), ends.end());
     return ends[ahead % ends.size()] + meanServiceTime(now) * static_cast<Duration::rep>(ahead / ends.size());
 }
@@ -246,6 +262,7 @@
 void RankedAdmission::start(const CallTicket& ticket, TimePoint now)
 {
     m_running[ticket.id] = { ticket, now };
+    m_rateLimiter.recordSent(now);
 }
 
 void RankedAdmission::dispatchQueued(AdmissionChanges& changes, TimePoint now)
@@ -253,12 +270,12 @@
     std::vector<CallTicket> kept;
     for (const CallTicket& ticket : m_queue) {
         bool isExpired = ticket.deadline <= now;
-        bool isPastQueueDeadline = !isExpired && !hasFreeSlot() && now > ticket.queueDeadline;
+        bool isPastQueueDeadline = !isExpired && !mayStart(now) && now > ticket.queueDeadline;
         if (isPastQueueDeadline) {
             changes.refused.push_back({ ticket, ResultCode::QueueFull, expectedWait(ticket, now) });
             continue;
         }
-        if (!isExpired && !hasFreeSlot()) {
+        if (!isExpired && !mayStart(now)) {
             kept.push_back(ticket);
             continue;
         }
--- a/dragonflylane/RankedAdmission.h
+++ b/dragonflylane/RankedAdmission.h
@@ -23,6 +23,7 @@
 // Costs O(queue + routes) per call, and O(slots log slots) for the estimate of the wait; all are bounded.
 
 #include "dragonflylane/ServiceTimeEstimate.h"
+#include "dragonflylane/UpstreamRateLimiter.h"
 
 #include <unordered_map>
 
@@ -54,6 +55,7 @@
     AdmissionChanges finished(uint64_t id, CallOutcome, TimePoint now) override;
     bool cancel(uint64_t id) override;
     AdmissionChanges setSlots(uint32_t slots, TimePoint now) override;
+    AdmissionChanges setRateLimit(std::optional<RequestRate>, TimePoint now) override;
     void setDraining(bool isDraining) override { m_isDraining = isDraining; }
     bool isDraining() const override { return m_isDraining; }
     void setLeaving() override { m_isLeaving = true; }
@@ -80,12 +82,14 @@
     };
 
     bool precedes(const CallTicket&, const CallTicket&) const;
-    bool hasFreeSlot() const { return m_running.size() < m_options.slots; }
+    size_t freeSlots() const { return m_running.size() < m_options.slots ? m_options.slots - m_running.size() : 0; }
+    bool mayStart(TimePoint now) const { return freeSlots() > 0 && m_rateLimiter.maySend(now); }
     bool isHigherRank(const Route&, const Route& than) const;
     bool isSuspectAdmitted() const;
     size_t capacity() const;
     Duration meanServiceTime(TimePoint now) const;
     Duration expectedWait(const CallTicket&, TimePoint now) const;
+    Duration expectedSlotWait(size_t ahead, TimePoint now) const;
     /// Latest start with which a ticket like this one may be queued.
     TimePoint latestStart(const CallTicket&, TimePoint now) const;
     void recordOffer(const CallTicket&, TimePoint now);
@@ -101,6 +105,7 @@
     /// In order of service.
     std::vector<CallTicket> m_queue;
     std::unordered_map<uint64_t, RunningCall> m_running;
+    UpstreamRateLimiter m_rateLimiter;
     /// By route key.
     std::unordered_map<uint64_t, Route> m_routes;
     bool m_isDraining { false };
