An upstream that states that it is leaving gets no new requests

Callers: requests went to an upstream on its way out until its announcement arrived, which some upstreams send late or never. Cause: the statement in its responses was ignored. The owner now drains the upstream at the first such response, keeps it drained whatever later announcements of that process state, and publishes the drain, so entry daemons choose others. The statement holds until another process announces itself.

--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -100,7 +100,7 @@
 
 bool OwnerTask::isAnnouncedDrain() const
 {
-    return m_announcement && m_announcement->phase == UpstreamPhase::Draining;
+    return m_announcement && (m_announcement->phase == UpstreamPhase::Draining || m_statesLeaving);
 }
 
 bool OwnerTask::isWithdrawn(const UpstreamId& id, uint64_t startedAt) const
@@ -212,7 +212,9 @@
 {
     if (!m_announcement || m_isUnpublished)
         return m_hooks.publishUpstream(std::nullopt);
-    UpstreamPhase phase = m_isStopped ? UpstreamPhase::Stopped : m_announcement->phase;
+    UpstreamPhase phase = m_isStopped ? UpstreamPhase::Stopped
+        : isAnnouncedDrain()          ? UpstreamPhase::Draining
+                                      : m_announcement->phase;
     m_hooks.publishUpstream(UpstreamRecord { .id = m_announcement->id,
         .service = m_announcement->service,
         .phase = phase,
@@ -237,7 +239,9 @@
     Event("upstream_drain").with("upstream", m_announcement->id).with("draining", static_cast<int>(isDraining()));
     m_journal.record({ .event = isDraining() ? "upstream_draining" : "upstream_undrained",
         .subjects = { m_announcement->id.value(), m_options.self.value() },
-        .cause = m_isPlannedDrain ? "configuration" : "announcement" });
+        .cause = m_isPlannedDrain ? "configuration"
+            : m_statesLeaving     ? "response"
+                                  : "announcement" });
 }
 
 void OwnerTask::checkLease()
@@ -400,12 +404,19 @@
     applyChanges(m_admission->setRateLimit(limit, now));
 }
 
+// A process that is about to stop does not take that back, so the drain ends only with the process.
+void OwnerTask::setLeaving()
+{
+    Event("upstream_states_leaving").with("upstream", m_announcement->id).with("phase", name(m_announcement->phase));
+    m_statesLeaving = true;
+    applyDrain();
+    publish();
+}
+
 void OwnerTask::recordStatement(const UpstreamStatement& statement, TimePoint now)
 {
-    if (statement.isLeaving && !std::exchange(m_statesLeaving, true))
-        Event("upstream_states_leaving")
-            .with("upstream", m_announcement->id)
-            .with("draining", static_cast<int>(isDraining()));
+    if (statement.isLeaving && !m_statesLeaving)
+        setLeaving();
     if (statement.hasInvalidRateLimit) {
         m_metrics.add("upstream_rate_limits_invalid");
         return;
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -155,6 +155,7 @@
     bool isOutdated(const Announcement&) const;
     bool statesNotRun(const HttpResponse&) const;
     void recordStatement(const UpstreamStatement&, TimePoint now);
+    void setLeaving();
     void setRateLimit(std::optional<RequestRate>, TimePoint now);
     void logRateLimit(std::optional<RequestRate> next, TimePoint now);
     HttpRequest toHttp(wire::ForwardRequest&, Duration remaining) const;
