A restarted owner learns its upstream's limit and departure from entry daemons

What callers and upstreams would see: after a kill of the owner daemon, the new process knows neither, so it fills all slots of an upstream in trouble before the first response, and uses one that leaves if its announcement is late.

An owner takes it over if it is about the present process of the upstream, the limit only until that has answered itself. No gossip, no new message; nothing on the wire while upstreams state nothing.

Limits also survive a lapsed lease of the same process and end with the process or the statement.

--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -11,6 +11,7 @@
 #include "dragonflylane/ForwardServer.h"
 #include "dragonflylane/ForwardWire.h"
 #include "dragonflylane/Journal.h"
+#include "dragonflylane/KnownStatements.h"
 #include "dragonflylane/Metrics.h"
 #include "dragonflylane/OwnerTask.h"
 #include "dragonflylane/PeerHub.h"
@@ -294,6 +295,8 @@
         if (choice->owner != m_options.self)
             request.targetMicroseconds -= toMicroseconds(serviceOf(call).networkDelay(now));
         request.maxWaitMicroseconds = toMicroseconds(maxWait(*call));
+        if (const ProcessStatement* statement = m_knownStatements.find(choice->upstream, now))
+            request.__set_known(toWire(*statement));
         if (call->isClaimed)
             m_parts.claims.markForwarded(call->id);
         if (choice->owner == m_options.self)
@@ -401,8 +404,11 @@
         TimePoint now = BootClock::now();
         auto code = static_cast<ResultCode>(response.code);
         std::optional<LoadReport> report;
-        if (response.limit > 0)
+        // Zero if the response is not from the owner, or if that has no upstream yet.
+        if (response.limit > 0) {
             report = loadReport(response);
+            m_knownStatements.record(done.choice.upstream, statementOf(response), now);
+        }
         if (link != LinkId() && code == ResultCode::Ok)
             serviceOf(call).recordNetworkDelay(
                 now - done.startedAt, std::chrono::microseconds(response.heldMicroseconds), now);
@@ -729,6 +735,7 @@
     ForwardServer m_forwardServer;
     CallTransfers m_transfers;
     RefusedCalls m_refusedCalls;
+    KnownStatements m_knownStatements;
     std::set<std::pair<TimePoint, uint64_t>> m_deadlines;
     bool m_isDeadlineArmed { false };
     std::mt19937_64 m_random { m_options.bootId };
--- a/dragonflylane/ForwardWire.cpp
+++ b/dragonflylane/ForwardWire.cpp
@@ -2,8 +2,10 @@
 
 #include "dragonflylane/EntryCall.h"
 #include "dragonflylane/HeaderCoding.h"
+#include "dragonflylane/ProcessStatement.h"
 
 #include <charconv>
+#include <cmath>
 
 namespace dragonflylane {
 
@@ -71,6 +73,32 @@
     return converted;
 }
 
+wire::UpstreamStatement toWire(const ProcessStatement& statement)
+{
+    wire::UpstreamStatement message;
+    message.process = static_cast<int64_t>(statement.process.value());
+    message.leaving = statement.isLeaving;
+    if (statement.rateLimit)
+        message.__set_rateLimit(statement.rateLimit->perSecond);
+    return message;
+}
+
+ProcessStatement fromWire(const wire::UpstreamStatement& message)
+{
+    ProcessStatement statement { .process = ProcessId(static_cast<uint64_t>(message.process)),
+        .isLeaving = message.leaving };
+    if (message.__isset.rateLimit && std::isfinite(message.rateLimit) && message.rateLimit >= 0)
+        statement.rateLimit = RequestRate { message.rateLimit };
+    return statement;
+}
+
+std::optional<ProcessStatement> statementOf(const wire::ForwardResponse& response)
+{
+    if (!response.__isset.statement)
+        return std::nullopt;
+    return fromWire(response.statement);
+}
+
 wire::ForwardRequest makeForwardRequest(const EntryCall& call, const CallHeaderNames& names, uint64_t attemptId,
     const UpstreamEntry& upstream, TimePoint now)
 {
--- a/dragonflylane/ForwardWire.h
+++ b/dragonflylane/ForwardWire.h
@@ -7,6 +7,7 @@
 #include "dragonflylane/ResultCode.h"
 #include "gen-cpp/peer_types.h"
 
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -14,6 +15,7 @@
 
 struct CallHeaderNames;
 struct EntryCall;
+struct ProcessStatement;
 struct UpstreamEntry;
 
 /// Converts a duration to the unit of the wire fields.
@@ -21,6 +23,12 @@
 
 std::vector<HttpHeader> fromWire(const std::vector<wire::Header>&);
 
+wire::UpstreamStatement toWire(const ProcessStatement&);
+/// Drops a rate limit that is not a finite number of zero or more.
+ProcessStatement fromWire(const wire::UpstreamStatement&);
+/// What the owner daemon answered about the statements of its upstream; empty if there are none.
+std::optional<ProcessStatement> statementOf(const wire::ForwardResponse&);
+
 wire::ForwardRequest makeForwardRequest(
     const EntryCall&, const CallHeaderNames&, uint64_t attemptId, const UpstreamEntry&, TimePoint now);
 /// Selects the response headers that are sent to the entry daemon. Leaves out the request id and the length of the
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -1,6 +1,7 @@
 #include "dragonflylane/OwnerTask.h"
 
 #include "dragonflylane/CrashTask.h"
+#include "dragonflylane/Digest.h"
 #include "dragonflylane/Event.h"
 #include "dragonflylane/ForwardWire.h"
 #include "dragonflylane/Journal.h"
@@ -79,6 +80,11 @@
 
 } // namespace
 
+ProcessId Announcement::process() const
+{
+    return ProcessId(stableHash(instance, startedAt));
+}
+
 OwnerTask::OwnerTask(asio::io_context& context, OwnerTaskOptions options, const LinkPacer& pacer, CrashTask& crash,
     Metrics& metrics, Journal& journal, Hooks hooks)
     : m_context(context)
@@ -166,6 +172,7 @@
 {
     TimePoint now = BootClock::now();
     m_statesLeaving = false;
+    m_hasStatement = false;
     if (m_statedRateLimit.limit)
         setRateLimit(std::nullopt, now);
     m_statedRateLimit = { .since = now };
@@ -292,6 +299,8 @@
     call->deadline = BootClock::now() + std::chrono::microseconds(call->request.remainingMicroseconds);
     m_calls.emplace(call->id, call);
 
+    if (call->request.__isset.known)
+        adoptStatement(fromWire(call->request.known), BootClock::now());
     ResultCode refusal = checkRequest(call->request);
     CrashState state = m_crash.stateOf(call->fingerprint());
     if (refusal == ResultCode::Ok && state == CrashState::Quarantined)
@@ -413,8 +422,31 @@
     publish();
 }
 
+std::optional<ProcessStatement> OwnerTask::currentStatement() const
+{
+    if (!m_announcement || (!m_statedRateLimit.limit && !m_statesLeaving))
+        return std::nullopt;
+    return ProcessStatement {
+        .process = m_announcement->process(), .rateLimit = m_statedRateLimit.limit, .isLeaving = m_statesLeaving
+    };
+}
+
+// Until the upstream has answered, a daemon that was restarted relies on what entry daemons know, and of several limits
+// on the lowest.
+void OwnerTask::adoptStatement(const ProcessStatement& known, TimePoint now)
+{
+    if (!m_announcement || known.process != m_announcement->process())
+        return;
+    if (known.isLeaving && !m_statesLeaving)
+        setLeaving();
+    bool isLower = known.rateLimit && (!m_statedRateLimit.limit || *known.rateLimit < *m_statedRateLimit.limit);
+    if (isLower && !m_hasStatement)
+        setRateLimit(known.rateLimit, now);
+}
+
 void OwnerTask::recordStatement(const UpstreamStatement& statement, TimePoint now)
 {
+    m_hasStatement = true;
     if (statement.isLeaving && !m_statesLeaving)
         setLeaving();
     if (statement.hasInvalidRateLimit) {
@@ -474,6 +506,9 @@
     reply.queued = static_cast<int32_t>(report.queued);
     reply.limit = static_cast<int32_t>(report.limit);
     reply.serviceMicroseconds = toMicroseconds(report.serviceTime);
+    bool isAboutUpstream = m_announcement && m_announcement->id.value() == call->request.upstreamId;
+    if (auto statement = currentStatement(); statement && isAboutUpstream)
+        reply.__set_statement(toWire(*statement));
     call->respond(std::move(reply));
 }
 
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -10,8 +10,8 @@
 #include "dragonflylane/Endpoint.h"
 #include "dragonflylane/Ids.h"
 #include "dragonflylane/LogRateLimiter.h"
+#include "dragonflylane/ProcessStatement.h"
 #include "dragonflylane/RecentCompletions.h"
-#include "dragonflylane/RequestRate.h"
 #include "dragonflylane/ResponseDelayEstimator.h"
 #include "dragonflylane/UpstreamClient.h"
 #include "dragonflylane/UpstreamPhase.h"
@@ -54,6 +54,8 @@
     uint64_t startedAt { 0 };
     /// Increases with each announcement of one process; zero if not stated.
     Sequence sequence;
+
+    ProcessId process() const;
 };
 
 struct OwnerTaskOptions {
@@ -154,6 +156,8 @@
     bool isWithdrawn(const UpstreamId&, uint64_t startedAt) const;
     bool isOutdated(const Announcement&) const;
     bool statesNotRun(const HttpResponse&) const;
+    std::optional<ProcessStatement> currentStatement() const;
+    void adoptStatement(const ProcessStatement&, TimePoint now);
     void recordStatement(const UpstreamStatement&, TimePoint now);
     void setLeaving();
     void setRateLimit(std::optional<RequestRate>, TimePoint now);
@@ -205,6 +209,8 @@
     bool m_isProbing { false };
     StatedRateLimit m_statedRateLimit;
     bool m_statesLeaving { false };
+    /// The process of the upstream has answered a request of this daemon, so its statements are known first-hand.
+    bool m_hasStatement { false };
     LogRateLimiter m_refusalLogLimiter;
     LogRateLimiter m_rateLimitLogLimiter { { .perSecond = 2, .burst = 10 } };
     WakeupTimer m_timer;
--- a/gen-cpp/peer_types.cpp
+++ b/gen-cpp/peer_types.cpp
@@ -383,6 +383,153 @@
 }
 
 
+UpstreamStatement::~UpstreamStatement() noexcept {
+}
+
+
+void UpstreamStatement::__set_process(const int64_t val) {
+  this->process = val;
+}
+
+void UpstreamStatement::__set_rateLimit(const double val) {
+  this->rateLimit = val;
+__isset.rateLimit = true;
+}
+
+void UpstreamStatement::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+std::ostream& operator<<(std::ostream& out, const UpstreamStatement& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t UpstreamStatement::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->rateLimit);
+          this->__isset.rateLimit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t UpstreamStatement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("UpstreamStatement");
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.rateLimit) {
+    xfer += oprot->writeFieldBegin("rateLimit", ::apache::thrift::protocol::T_DOUBLE, 2);
+    xfer += oprot->writeDouble(this->rateLimit);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(UpstreamStatement &a, UpstreamStatement &b) {
+  using ::std::swap;
+  swap(a.process, b.process);
+  swap(a.rateLimit, b.rateLimit);
+  swap(a.leaving, b.leaving);
+  swap(a.__isset, b.__isset);
+}
+
+UpstreamStatement::UpstreamStatement(const UpstreamStatement& other12) noexcept {
+  process = other12.process;
+  rateLimit = other12.rateLimit;
+  leaving = other12.leaving;
+  __isset = other12.__isset;
+}
+UpstreamStatement::UpstreamStatement(UpstreamStatement&& other13) noexcept {
+  process = other13.process;
+  rateLimit = other13.rateLimit;
+  leaving = other13.leaving;
+  __isset = other13.__isset;
+}
+UpstreamStatement& UpstreamStatement::operator=(const UpstreamStatement& other14) noexcept {
+  process = other14.process;
+  rateLimit = other14.rateLimit;
+  leaving = other14.leaving;
+  __isset = other14.__isset;
+  return *this;
+}
+UpstreamStatement& UpstreamStatement::operator=(UpstreamStatement&& other15) noexcept {
+  process = other15.process;
+  rateLimit = other15.rateLimit;
+  leaving = other15.leaving;
+  __isset = other15.__isset;
+  return *this;
+}
+void UpstreamStatement::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "UpstreamStatement(";
+  out << "process=" << to_string(process);
+  out << ", " << "rateLimit="; (__isset.rateLimit ? (out << to_string(rateLimit)) : (out << "<null>"));
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ")";
+}
+
+
 ForwardRequest::~ForwardRequest() noexcept {
 }
 
@@ -466,6 +613,11 @@
 void ForwardRequest::__set_maxWaitMicroseconds(const int64_t val) {
   this->maxWaitMicroseconds = val;
 }
+
+void ForwardRequest::__set_known(const UpstreamStatement& val) {
+  this->known = val;
+__isset.known = true;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj)
 {
   obj.printTo(out);
@@ -602,14 +754,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->headers.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->headers.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              xfer += this->headers[_i16].read(iprot);
+              xfer += this->headers[_i20].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -666,6 +818,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->known.read(iprot);
+          this->__isset.known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -738,10 +898,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter17;
-    for (_iter17 = this->headers.begin(); _iter17 != this->headers.end(); ++_iter17)
+    std::vector<Header> ::const_iterator _iter21;
+    for (_iter21 = this->headers.begin(); _iter21 != this->headers.end(); ++_iter21)
     {
-      xfer += (*_iter17).write(oprot);
+      xfer += (*_iter21).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -771,6 +931,11 @@
   xfer += oprot->writeI64(this->maxWaitMicroseconds);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.known) {
+    xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_STRUCT, 21);
+    xfer += this->known.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -798,101 +963,106 @@
   swap(a.routeKey, b.routeKey);
   swap(a.targetMicroseconds, b.targetMicroseconds);
   swap(a.maxWaitMicroseconds, b.maxWaitMicroseconds);
+  swap(a.known, b.known);
   swap(a.__isset, b.__isset);
 }
 
-ForwardRequest::ForwardRequest(const ForwardRequest& other18) {
-  requestId = other18.requestId;
-  traceId = other18.traceId;
-  serviceName = other18.serviceName;
-  upstreamId = other18.upstreamId;
-  upstreamIncarnation = other18.upstreamIncarnation;
-  remainingMicroseconds = other18.remainingMicroseconds;
-  attempt = other18.attempt;
-  hops = other18.hops;
-  idempotent = other18.idempotent;
-  order = other18.order;
-  fingerprint = other18.fingerprint;
-  method = other18.method;
-  target = other18.target;
-  headers = other18.headers;
-  body = other18.body;
-  callerService = other18.callerService;
-  priority = other18.priority;
-  routeKey = other18.routeKey;
-  targetMicroseconds = other18.targetMicroseconds;
-  maxWaitMicroseconds = other18.maxWaitMicroseconds;
-  __isset = other18.__isset;
-}
-ForwardRequest::ForwardRequest(ForwardRequest&& other19) noexcept {
-  requestId = other19.requestId;
-  traceId = std::move(other19.traceId);
-  serviceName = std::move(other19.serviceName);
-  upstreamId = std::move(other19.upstreamId);
-  upstreamIncarnation = other19.upstreamIncarnation;
-  remainingMicroseconds = other19.remainingMicroseconds;
-  attempt = other19.attempt;
-  hops = other19.hops;
-  idempotent = other19.idempotent;
-  order = other19.order;
-  fingerprint = other19.fingerprint;
-  method = std::move(other19.method);
-  target = std::move(other19.target);
-  headers = std::move(other19.headers);
-  body = std::move(other19.body);
-  callerService = std::move(other19.callerService);
-  priority = other19.priority;
-  routeKey = other19.routeKey;
-  targetMicroseconds = other19.targetMicroseconds;
-  maxWaitMicroseconds = other19.maxWaitMicroseconds;
-  __isset = other19.__isset;
-}
-ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other20) {
-  requestId = other20.requestId;
-  traceId = other20.traceId;
-  serviceName = other20.serviceName;
-  upstreamId = other20.upstreamId;
-  upstreamIncarnation = other20.upstreamIncarnation;
-  remainingMicroseconds = other20.remainingMicroseconds;
-  attempt = other20.attempt;
-  hops = other20.hops;
-  idempotent = other20.idempotent;
-  order = other20.order;
-  fingerprint = other20.fingerprint;
-  method = other20.method;
-  target = other20.target;
-  headers = other20.headers;
-  body = other20.body;
-  callerService = other20.callerService;
-  priority = other20.priority;
-  routeKey = other20.routeKey;
-  targetMicroseconds = other20.targetMicroseconds;
-  maxWaitMicroseconds = other20.maxWaitMicroseconds;
-  __isset = other20.__isset;
+ForwardRequest::ForwardRequest(const ForwardRequest& other22) {
+  requestId = other22.requestId;
+  traceId = other22.traceId;
+  serviceName = other22.serviceName;
+  upstreamId = other22.upstreamId;
+  upstreamIncarnation = other22.upstreamIncarnation;
+  remainingMicroseconds = other22.remainingMicroseconds;
+  attempt = other22.attempt;
+  hops = other22.hops;
+  idempotent = other22.idempotent;
+  order = other22.order;
+  fingerprint = other22.fingerprint;
+  method = other22.method;
+  target = other22.target;
+  headers = other22.headers;
+  body = other22.body;
+  callerService = other22.callerService;
+  priority = other22.priority;
+  routeKey = other22.routeKey;
+  targetMicroseconds = other22.targetMicroseconds;
+  maxWaitMicroseconds = other22.maxWaitMicroseconds;
+  known = other22.known;
+  __isset = other22.__isset;
+}
+ForwardRequest::ForwardRequest(ForwardRequest&& other23) noexcept {
+  requestId = other23.requestId;
+  traceId = std::move(other23.traceId);
+  serviceName = std::move(other23.serviceName);
+  upstreamId = std::move(other23.upstreamId);
+  upstreamIncarnation = other23.upstreamIncarnation;
+  remainingMicroseconds = other23.remainingMicroseconds;
+  attempt = other23.attempt;
+  hops = other23.hops;
+  idempotent = other23.idempotent;
+  order = other23.order;
+  fingerprint = other23.fingerprint;
+  method = std::move(other23.method);
+  target = std::move(other23.target);
+  headers = std::move(other23.headers);
+  body = std::move(other23.body);
+  callerService = std::move(other23.callerService);
+  priority = other23.priority;
+  routeKey = other23.routeKey;
+  targetMicroseconds = other23.targetMicroseconds;
+  maxWaitMicroseconds = other23.maxWaitMicroseconds;
+  known = std::move(other23.known);
+  __isset = other23.__isset;
+}
+ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other24) {
+  requestId = other24.requestId;
+  traceId = other24.traceId;
+  serviceName = other24.serviceName;
+  upstreamId = other24.upstreamId;
+  upstreamIncarnation = other24.upstreamIncarnation;
+  remainingMicroseconds = other24.remainingMicroseconds;
+  attempt = other24.attempt;
+  hops = other24.hops;
+  idempotent = other24.idempotent;
+  order = other24.order;
+  fingerprint = other24.fingerprint;
+  method = other24.method;
+  target = other24.target;
+  headers = other24.headers;
+  body = other24.body;
+  callerService = other24.callerService;
+  priority = other24.priority;
+  routeKey = other24.routeKey;
+  targetMicroseconds = other24.targetMicroseconds;
+  maxWaitMicroseconds = other24.maxWaitMicroseconds;
+  known = other24.known;
+  __isset = other24.__isset;
   return *this;
 }
-ForwardRequest& ForwardRequest::operator=(ForwardRequest&& other21) noexcept {
-  requestId = other21.requestId;
-  traceId = std::move(other21.traceId);
-  serviceName = std::move(other21.serviceName);
-  upstreamId = std::move(other21.upstreamId);
-  upstreamIncarnation = other21.upstreamIncarnation;
-  remainingMicroseconds = other21.remainingMicroseconds;
-  attempt = other21.attempt;
-  hops = other21.hops;
-  idempotent = other21.idempotent;
-  order = other21.order;
-  fingerprint = other21.fingerprint;
-  method = std::move(other21.method);
-  target = std::move(other21.target);
-  headers = std::move(other21.headers);
-  body = std::move(other21.body);
-  callerService = std::move(other21.callerService);
-  priority = other21.priority;
-  routeKey = other21.routeKey;
-  targetMicroseconds = other21.targetMicroseconds;
-  maxWaitMicroseconds = other21.maxWaitMicroseconds;
-  __isset = other21.__isset;
+ForwardRequest& ForwardRequest::operator=(ForwardRequest&& other25) noexcept {
+  requestId = other25.requestId;
+  traceId = std::move(other25.traceId);
+  serviceName = std::move(other25.serviceName);
+  upstreamId = std::move(other25.upstreamId);
+  upstreamIncarnation = other25.upstreamIncarnation;
+  remainingMicroseconds = other25.remainingMicroseconds;
+  attempt = other25.attempt;
+  hops = other25.hops;
+  idempotent = other25.idempotent;
+  order = other25.order;
+  fingerprint = other25.fingerprint;
+  method = std::move(other25.method);
+  target = std::move(other25.target);
+  headers = std::move(other25.headers);
+  body = std::move(other25.body);
+  callerService = std::move(other25.callerService);
+  priority = other25.priority;
+  routeKey = other25.routeKey;
+  targetMicroseconds = other25.targetMicroseconds;
+  maxWaitMicroseconds = other25.maxWaitMicroseconds;
+  known = std::move(other25.known);
+  __isset = other25.__isset;
   return *this;
 }
 void ForwardRequest::printTo(std::ostream& out) const {
@@ -918,6 +1088,7 @@
   out << ", " << "routeKey=" << to_string(routeKey);
   out << ", " << "targetMicroseconds=" << to_string(targetMicroseconds);
   out << ", " << "maxWaitMicroseconds=" << to_string(maxWaitMicroseconds);
+  out << ", " << "known="; (__isset.known ? (out << to_string(known)) : (out << "<null>"));
   out << ")";
 }
 
@@ -969,6 +1140,11 @@
 void ForwardResponse::__set_heldMicroseconds(const int64_t val) {
   this->heldMicroseconds = val;
 }
+
+void ForwardResponse::__set_statement(const UpstreamStatement& val) {
+  this->statement = val;
+__isset.statement = true;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardResponse& obj)
 {
   obj.printTo(out);
@@ -1025,14 +1201,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->headers.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->headers.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->headers[_i26].read(iprot);
+              xfer += this->headers[_i30].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1097,6 +1273,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->statement.read(iprot);
+          this->__isset.statement = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1129,10 +1313,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter27;
-    for (_iter27 = this->headers.begin(); _iter27 != this->headers.end(); ++_iter27)
+    std::vector<Header> ::const_iterator _iter31;
+    for (_iter31 = this->headers.begin(); _iter31 != this->headers.end(); ++_iter31)
     {
-      xfer += (*_iter27).write(oprot);
+      xfer += (*_iter31).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1166,6 +1350,11 @@
   xfer += oprot->writeI64(this->heldMicroseconds);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.statement) {
+    xfer += oprot->writeFieldBegin("statement", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->statement.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1184,65 +1373,70 @@
   swap(a.serviceMicroseconds, b.serviceMicroseconds);
   swap(a.retryAfterMicroseconds, b.retryAfterMicroseconds);
   swap(a.heldMicroseconds, b.heldMicroseconds);
+  swap(a.statement, b.statement);
   swap(a.__isset, b.__isset);
 }
 
-ForwardResponse::ForwardResponse(const ForwardResponse& other28) {
-  requestId = other28.requestId;
-  code = other28.code;
-  status = other28.status;
-  headers = other28.headers;
-  body = other28.body;
-  running = other28.running;
-  queued = other28.queued;
-  limit = other28.limit;
-  serviceMicroseconds = other28.serviceMicroseconds;
-  retryAfterMicroseconds = other28.retryAfterMicroseconds;
-  heldMicroseconds = other28.heldMicroseconds;
-  __isset = other28.__isset;
-}
-ForwardResponse::ForwardResponse(ForwardResponse&& other29) noexcept {
-  requestId = other29.requestId;
-  code = other29.code;
-  status = other29.status;
-  headers = std::move(other29.headers);
-  body = std::move(other29.body);
-  running = other29.running;
-  queued = other29.queued;
-  limit = other29.limit;
-  serviceMicroseconds = other29.serviceMicroseconds;
-  retryAfterMicroseconds = other29.retryAfterMicroseconds;
-  heldMicroseconds = other29.heldMicroseconds;
-  __isset = other29.__isset;
-}
-ForwardResponse& ForwardResponse::operator=(const ForwardResponse& other30) {
-  requestId = other30.requestId;
-  code = other30.code;
-  status = other30.status;
-  headers = other30.headers;
-  body = other30.body;
-  running = other30.running;
-  queued = other30.queued;
-  limit = other30.limit;
-  serviceMicroseconds = other30.serviceMicroseconds;
-  retryAfterMicroseconds = other30.retryAfterMicroseconds;
-  heldMicroseconds = other30.heldMicroseconds;
-  __isset = other30.__isset;
+ForwardResponse::ForwardResponse(const ForwardResponse& other32) {
+  requestId = other32.requestId;
+  code = other32.code;
+  status = other32.status;
+  headers = other32.headers;
+  body = other32.body;
+  running = other32.running;
+  queued = other32.queued;
+  limit = other32.limit;
+  serviceMicroseconds = other32.serviceMicroseconds;
+  retryAfterMicroseconds = other32.retryAfterMicroseconds;
+  heldMicroseconds = other32.heldMicroseconds;
+  statement = other32.statement;
+  __isset = other32.__isset;
+}
+ForwardResponse::ForwardResponse(ForwardResponse&& other33) noexcept {
+  requestId = other33.requestId;
+  code = other33.code;
+  status = other33.status;
+  headers = std::move(other33.headers);
+  body = std::move(other33.body);
+  running = other33.running;
+  queued = other33.queued;
+  limit = other33.limit;
+  serviceMicroseconds = other33.serviceMicroseconds;
+  retryAfterMicroseconds = other33.retryAfterMicroseconds;
+  heldMicroseconds = other33.heldMicroseconds;
+  statement = std::move(other33.statement);
+  __isset = other33.__isset;
+}
+ForwardResponse& ForwardResponse::operator=(const ForwardResponse& other34) {
+  requestId = other34.requestId;
+  code = other34.code;
+  status = other34.status;
+  headers = other34.headers;
+  body = other34.body;
+  running = other34.running;
+  queued = other34.queued;
+  limit = other34.limit;
+  serviceMicroseconds = other34.serviceMicroseconds;
+  retryAfterMicroseconds = other34.retryAfterMicroseconds;
+  heldMicroseconds = other34.heldMicroseconds;
+  statement = other34.statement;
+  __isset = other34.__isset;
   return *this;
 }
-ForwardResponse& ForwardResponse::operator=(ForwardResponse&& other31) noexcept {
-  requestId = other31.requestId;
-  code = other31.code;
-  status = other31.status;
-  headers = std::move(other31.headers);
-  body = std::move(other31.body);
-  running = other31.running;
-  queued = other31.queued;
-  limit = other31.limit;
-  serviceMicroseconds = other31.serviceMicroseconds;
-  retryAfterMicroseconds = other31.retryAfterMicroseconds;
-  heldMicroseconds = other31.heldMicroseconds;
-  __isset = other31.__isset;
+ForwardResponse& ForwardResponse::operator=(ForwardResponse&& other35) noexcept {
+  requestId = other35.requestId;
+  code = other35.code;
+  status = other35.status;
+  headers = std::move(other35.headers);
+  body = std::move(other35.body);
+  running = other35.running;
+  queued = other35.queued;
+  limit = other35.limit;
+  serviceMicroseconds = other35.serviceMicroseconds;
+  retryAfterMicroseconds = other35.retryAfterMicroseconds;
+  heldMicroseconds = other35.heldMicroseconds;
+  statement = std::move(other35.statement);
+  __isset = other35.__isset;
   return *this;
 }
 void ForwardResponse::printTo(std::ostream& out) const {
@@ -1259,6 +1453,7 @@
   out << ", " << "serviceMicroseconds=" << to_string(serviceMicroseconds);
   out << ", " << "retryAfterMicroseconds=" << to_string(retryAfterMicroseconds);
   out << ", " << "heldMicroseconds=" << to_string(heldMicroseconds);
+  out << ", " << "statement="; (__isset.statement ? (out << to_string(statement)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1338,22 +1533,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardCancel::ForwardCancel(const ForwardCancel& other32) noexcept {
-  requestId = other32.requestId;
-  __isset = other32.__isset;
+ForwardCancel::ForwardCancel(const ForwardCancel& other36) noexcept {
+  requestId = other36.requestId;
+  __isset = other36.__isset;
 }
-ForwardCancel::ForwardCancel(ForwardCancel&& other33) noexcept {
-  requestId = other33.requestId;
-  __isset = other33.__isset;
+ForwardCancel::ForwardCancel(ForwardCancel&& other37) noexcept {
+  requestId = other37.requestId;
+  __isset = other37.__isset;
 }
-ForwardCancel& ForwardCancel::operator=(const ForwardCancel& other34) noexcept {
-  requestId = other34.requestId;
-  __isset = other34.__isset;
+ForwardCancel& ForwardCancel::operator=(const ForwardCancel& other38) noexcept {
+  requestId = other38.requestId;
+  __isset = other38.__isset;
   return *this;
 }
-ForwardCancel& ForwardCancel::operator=(ForwardCancel&& other35) noexcept {
-  requestId = other35.requestId;
-  __isset = other35.__isset;
+ForwardCancel& ForwardCancel::operator=(ForwardCancel&& other39) noexcept {
+  requestId = other39.requestId;
+  __isset = other39.__isset;
   return *this;
 }
 void ForwardCancel::printTo(std::ostream& out) const {
@@ -1471,14 +1666,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->headers.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->headers.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
             {
-              xfer += this->headers[_i40].read(iprot);
+              xfer += this->headers[_i44].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1543,10 +1738,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter41;
-    for (_iter41 = this->headers.begin(); _iter41 != this->headers.end(); ++_iter41)
+    std::vector<Header> ::const_iterator _iter45;
+    for (_iter45 = this->headers.begin(); _iter45 != this->headers.end(); ++_iter45)
     {
-      xfer += (*_iter41).write(oprot);
+      xfer += (*_iter45).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1578,50 +1773,50 @@
   swap(a.__isset, b.__isset);
 }
 
-CallTransfer::CallTransfer(const CallTransfer& other42) {
-  requestId = other42.requestId;
-  traceId = other42.traceId;
-  remainingMicroseconds = other42.remainingMicroseconds;
-  method = other42.method;
-  target = other42.target;
-  headers = other42.headers;
-  body = other42.body;
-  callerService = other42.callerService;
-  __isset = other42.__isset;
-}
-CallTransfer::CallTransfer(CallTransfer&& other43) noexcept {
-  requestId = other43.requestId;
-  traceId = std::move(other43.traceId);
-  remainingMicroseconds = other43.remainingMicroseconds;
-  method = std::move(other43.method);
-  target = std::move(other43.target);
-  headers = std::move(other43.headers);
-  body = std::move(other43.body);
-  callerService = std::move(other43.callerService);
-  __isset = other43.__isset;
-}
-CallTransfer& CallTransfer::operator=(const CallTransfer& other44) {
-  requestId = other44.requestId;
-  traceId = other44.traceId;
-  remainingMicroseconds = other44.remainingMicroseconds;
-  method = other44.method;
-  target = other44.target;
-  headers = other44.headers;
-  body = other44.body;
-  callerService = other44.callerService;
-  __isset = other44.__isset;
+CallTransfer::CallTransfer(const CallTransfer& other46) {
+  requestId = other46.requestId;
+  traceId = other46.traceId;
+  remainingMicroseconds = other46.remainingMicroseconds;
+  method = other46.method;
+  target = other46.target;
+  headers = other46.headers;
+  body = other46.body;
+  callerService = other46.callerService;
+  __isset = other46.__isset;
+}
+CallTransfer::CallTransfer(CallTransfer&& other47) noexcept {
+  requestId = other47.requestId;
+  traceId = std::move(other47.traceId);
+  remainingMicroseconds = other47.remainingMicroseconds;
+  method = std::move(other47.method);
+  target = std::move(other47.target);
+  headers = std::move(other47.headers);
+  body = std::move(other47.body);
+  callerService = std::move(other47.callerService);
+  __isset = other47.__isset;
+}
+CallTransfer& CallTransfer::operator=(const CallTransfer& other48) {
+  requestId = other48.requestId;
+  traceId = other48.traceId;
+  remainingMicroseconds = other48.remainingMicroseconds;
+  method = other48.method;
+  target = other48.target;
+  headers = other48.headers;
+  body = other48.body;
+  callerService = other48.callerService;
+  __isset = other48.__isset;
   return *this;
 }
-CallTransfer& CallTransfer::operator=(CallTransfer&& other45) noexcept {
-  requestId = other45.requestId;
-  traceId = std::move(other45.traceId);
-  remainingMicroseconds = other45.remainingMicroseconds;
-  method = std::move(other45.method);
-  target = std::move(other45.target);
-  headers = std::move(other45.headers);
-  body = std::move(other45.body);
-  callerService = std::move(other45.callerService);
-  __isset = other45.__isset;
+CallTransfer& CallTransfer::operator=(CallTransfer&& other49) noexcept {
+  requestId = other49.requestId;
+  traceId = std::move(other49.traceId);
+  remainingMicroseconds = other49.remainingMicroseconds;
+  method = std::move(other49.method);
+  target = std::move(other49.target);
+  headers = std::move(other49.headers);
+  body = std::move(other49.body);
+  callerService = std::move(other49.callerService);
+  __isset = other49.__isset;
   return *this;
 }
 void CallTransfer::printTo(std::ostream& out) const {
--- a/gen-cpp/peer_types.h
+++ b/gen-cpp/peer_types.h
@@ -27,6 +27,8 @@
 
 class Header;
 
+class UpstreamStatement;
+
 class ForwardRequest;
 
 class ForwardResponse;
@@ -191,8 +193,69 @@
 
 std::ostream& operator<<(std::ostream& out, const Header& obj);
 
+typedef struct _UpstreamStatement__isset {
+  _UpstreamStatement__isset() : process(false), rateLimit(false), leaving(false) {}
+  bool process :1;
+  bool rateLimit :1;
+  bool leaving :1;
+} _UpstreamStatement__isset;
+
+class UpstreamStatement : public virtual ::apache::thrift::TBase {
+ public:
+
+  UpstreamStatement(const UpstreamStatement&) noexcept;
+  UpstreamStatement(UpstreamStatement&&) noexcept;
+  UpstreamStatement& operator=(const UpstreamStatement&) noexcept;
+  UpstreamStatement& operator=(UpstreamStatement&&) noexcept;
+  UpstreamStatement() noexcept
+                    : process(0),
+                      rateLimit(0),
+                      leaving(0) {
+  }
+
+  virtual ~UpstreamStatement() noexcept;
+  int64_t process;
+  double rateLimit;
+  bool leaving;
+
+  _UpstreamStatement__isset __isset;
+
+  void __set_process(const int64_t val);
+
+  void __set_rateLimit(const double val);
+
+  void __set_leaving(const bool val);
+
+  bool operator == (const UpstreamStatement & rhs) const
+  {
+    if (!(process == rhs.process))
+      return false;
+    if (__isset.rateLimit != rhs.__isset.rateLimit)
+      return false;
+    else if (__isset.rateLimit && !(rateLimit == rhs.rateLimit))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    return true;
+  }
+  bool operator != (const UpstreamStatement &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const UpstreamStatement & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(UpstreamStatement &a, UpstreamStatement &b);
+
+std::ostream& operator<<(std::ostream& out, const UpstreamStatement& obj);
+
 typedef struct _ForwardRequest__isset {
-  _ForwardRequest__isset() : requestId(false), traceId(false), serviceName(false), upstreamId(false), upstreamIncarnation(false), remainingMicroseconds(false), attempt(false), hops(false), idempotent(false), order(false), fingerprint(false), method(false), target(false), headers(false), body(false), callerService(false), priority(false), routeKey(false), targetMicroseconds(false), maxWaitMicroseconds(false) {}
+  _ForwardRequest__isset() : requestId(false), traceId(false), serviceName(false), upstreamId(false), upstreamIncarnation(false), remainingMicroseconds(false), attempt(false), hops(false), idempotent(false), order(false), fingerprint(false), method(false), target(false), headers(false), body(false), callerService(false), priority(false), routeKey(false), targetMicroseconds(false), maxWaitMicroseconds(false), known(false) {}
   bool requestId :1;
   bool traceId :1;
   bool serviceName :1;
@@ -213,6 +276,7 @@
   bool routeKey :1;
   bool targetMicroseconds :1;
   bool maxWaitMicroseconds :1;
+  bool known :1;
 } _ForwardRequest__isset;
 
 class ForwardRequest : public virtual ::apache::thrift::TBase {
@@ -265,6 +329,7 @@
   int64_t routeKey;
   int64_t targetMicroseconds;
   int64_t maxWaitMicroseconds;
+  UpstreamStatement known;
 
   _ForwardRequest__isset __isset;
 
@@ -308,6 +373,8 @@
 
   void __set_maxWaitMicroseconds(const int64_t val);
 
+  void __set_known(const UpstreamStatement& val);
+
   bool operator == (const ForwardRequest & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -350,6 +417,10 @@
       return false;
     if (!(maxWaitMicroseconds == rhs.maxWaitMicroseconds))
       return false;
+    if (__isset.known != rhs.__isset.known)
+      return false;
+    else if (__isset.known && !(known == rhs.known))
+      return false;
     return true;
   }
   bool operator != (const ForwardRequest &rhs) const {
@@ -369,7 +440,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj);
 
 typedef struct _ForwardResponse__isset {
-  _ForwardResponse__isset() : requestId(false), code(false), status(false), headers(false), body(false), running(false), queued(false), limit(false), serviceMicroseconds(false), retryAfterMicroseconds(false), heldMicroseconds(false) {}
+  _ForwardResponse__isset() : requestId(false), code(false), status(false), headers(false), body(false), running(false), queued(false), limit(false), serviceMicroseconds(false), retryAfterMicroseconds(false), heldMicroseconds(false), statement(false) {}
   bool requestId :1;
   bool code :1;
   bool status :1;
@@ -381,6 +452,7 @@
   bool serviceMicroseconds :1;
   bool retryAfterMicroseconds :1;
   bool heldMicroseconds :1;
+  bool statement :1;
 } _ForwardResponse__isset;
 
 class ForwardResponse : public virtual ::apache::thrift::TBase {
@@ -415,6 +487,7 @@
   int64_t serviceMicroseconds;
   int64_t retryAfterMicroseconds;
   int64_t heldMicroseconds;
+  UpstreamStatement statement;
 
   _ForwardResponse__isset __isset;
 
@@ -440,6 +513,8 @@
 
   void __set_heldMicroseconds(const int64_t val);
 
+  void __set_statement(const UpstreamStatement& val);
+
   bool operator == (const ForwardResponse & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -464,6 +539,10 @@
       return false;
     if (!(heldMicroseconds == rhs.heldMicroseconds))
       return false;
+    if (__isset.statement != rhs.__isset.statement)
+      return false;
+    else if (__isset.statement && !(statement == rhs.statement))
+      return false;
     return true;
   }
   bool operator != (const ForwardResponse &rhs) const {
--- a/tests/OwnerTaskTest.cpp
+++ b/tests/OwnerTaskTest.cpp
@@ -4,6 +4,7 @@
 #include "dragonflylane/OwnerTask.h"
 
 #include "dragonflylane/CrashTask.h"
+#include "dragonflylane/ForwardWire.h"
 #include "dragonflylane/HttpExchange.h"
 #include "dragonflylane/HttpServer.h"
 #include "dragonflylane/Journal.h"
@@ -39,6 +40,7 @@
         }
 
         Endpoint endpoint() const { return { "127.0.0.1", m_server.port() }; }
+        void setServiceTime(Duration serviceTime) { m_serviceTime = serviceTime; }
         void setHeaders(std::vector<HttpHeader> headers) { m_headers = std::move(headers); }
         const std::vector<TimePoint>& arrivals() const { return m_arrivals; }
 
@@ -58,13 +60,14 @@
         void handle(std::shared_ptr<HttpExchange> exchange)
         {
             m_arrivals.push_back(BootClock::now());
-            auto timer = std::make_shared<boost::asio::steady_timer>(m_context, milliseconds(10));
+            auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_serviceTime);
             timer->async_wait([this, timer, exchange](boost::system::error_code) {
                 exchange->respond({ .status = 200, .headers = m_headers, .body = "ok" });
             });
         }
 
         boost::asio::io_context& m_context;
+        Duration m_serviceTime { milliseconds(10) };
         std::vector<HttpHeader> m_headers;
         std::vector<TimePoint> m_arrivals;
         HttpServer m_server;
@@ -136,6 +139,11 @@
                 OwnerTask::CallSource::Peer);
         }
 
+        /// From now on, entry daemons add this to their requests.
+        void setKnown(std::optional<ProcessStatement> known) { m_known = known; }
+        /// What the latest response tells entry daemons.
+        std::optional<ProcessStatement> lastStatement() const { return statementOf(m_lastResponse); }
+
         /// Calls and runs until the response.
         ResultCode callAndWait()
         {
@@ -161,6 +169,8 @@
             request.fingerprint = request.requestId;
             request.method = "GET";
             request.target = "/catalogue/" + std::to_string(request.requestId);
+            if (m_known)
+                request.__set_known(toWire(*m_known));
             return request;
         }
 
@@ -190,6 +200,7 @@
         int64_t m_nextId { 1 };
         std::map<ResultCode, size_t> m_codes;
         wire::ForwardResponse m_lastResponse;
+        std::optional<ProcessStatement> m_known;
     };
 
     HttpHeader rateLimit(const std::string& perSecond)
@@ -247,4 +258,92 @@
     EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Draining);
 }
 
+// Guards against an owner daemon that was restarted and sends a burst to an upstream in trouble before the first
+// response states the limit again. Entry daemons have passed the limit on to callers, so the upstream relies on it.
+TEST_P(OwnerTaskRateLimitTest, RestartedOwnerKeepsTheLimitThatEntryDaemonsKnow)
+{
+    constexpr double perSecond = 1;
+    OwnerFixture fixture({ .usesRankedAdmission = GetParam() });
+    fixture.upstream().setHeaders({ rateLimit("1") });
+    fixture.announce();
+    ASSERT_EQ(fixture.callAndWait(), ResultCode::Ok);
+    ASSERT_TRUE(fixture.lastStatement());
+    EXPECT_EQ(fixture.lastStatement()->rateLimit, RequestRate { perSecond });
+    TimePoint before = BootClock::now();
+    fixture.setKnown(fixture.lastStatement());
+    // Long enough that all slots are taken before the first response.
+    fixture.upstream().setServiceTime(milliseconds(400));
+    fixture.restart();
+    fixture.offerCalls(milliseconds(4), limitWindow);
+    EXPECT_LE(fixture.upstream().mostArrivals(before, limitWindow), allowedRequests(perSecond));
+}
+
+// Guards against an owner daemon that was restarted, believes a late announcement and sends requests to an upstream
+// that has stated that it is leaving.
+TEST(OwnerTaskTest, RestartedOwnerLearnsFromEntryDaemonsThatItsUpstreamLeaves)
+{
+    OwnerFixture fixture;
+    fixture.announce();
+    fixture.upstream().setHeaders({ leaving });
+    ASSERT_EQ(fixture.callAndWait(), ResultCode::Ok);
+    ASSERT_TRUE(fixture.lastStatement());
+    fixture.setKnown(fixture.lastStatement());
+    fixture.restart();
+    size_t before = fixture.upstream().arrivals().size();
+    fixture.offerCalls(milliseconds(10), milliseconds(200));
+    EXPECT_EQ(fixture.upstream().arrivals().size(), before);
+    EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Draining);
+}
+
+// Guards against a drain or a limit that outlasts the process of the upstream that stated it.
+TEST(OwnerTaskTest, StatementsOfThePreviousProcessDoNotHoldForTheNextOne)
+{
+    OwnerFixture fixture;
+    fixture.announce();
+    fixture.upstream().setHeaders({ leaving, rateLimit("0") });
+    ASSERT_EQ(fixture.callAndWait(), ResultCode::Ok);
+    fixture.setKnown(fixture.lastStatement());
+    fixture.upstream().setHeaders({});
+    fixture.announce(UpstreamPhase::Ready, "2");
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(fixture.callAndWait(), ResultCode::Ok);
+    EXPECT_FALSE(fixture.lastStatement());
+    EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Ready);
+}
+
+// Guards against a limit that stays in force after the upstream no longer states it, and against one that is dropped or
+// replaced because of a value that is no number.
+TEST(OwnerTaskTest, LimitChangesAndEndsWithTheStatement)
+{
+    OwnerFixture fixture;
+    fixture.announce();
+    for (const char* text : { "50", "nan", "-1", "1e999", "5 requests", "" }) {
+        fixture.upstream().setHeaders({ rateLimit(text) });
+        ASSERT_EQ(fixture.callAndWait(), ResultCode::Ok);
+        bool isStated = !std::string(text).empty();
+        ASSERT_EQ(fixture.lastStatement().has_value(), isStated) << text;
+        if (isStated) {
+            EXPECT_EQ(fixture.lastStatement()->rateLimit, RequestRate { 50 }) << text;
+        }
+    }
+}
+
+// Guards against a limit that is forgotten when the announcements of the same process were interrupted, as by a pause
+// of the daemon.
+TEST(OwnerTaskTest, LimitOutlastsALeaseOfTheSameProcess)
+{
+    OwnerFixture fixture;
+    fixture.announce();
+    fixture.upstream().setHeaders({ rateLimit("3") });
+    ASSERT_EQ(fixture.callAndWait(), ResultCode::Ok);
+    fixture.runFor(milliseconds(3300));
+    ASSERT_EQ(fixture.record()->phase, UpstreamPhase::Stopped);
+    fixture.announce();
+    fixture.upstream().setHeaders({ rateLimit("3") });
+    size_t before = fixture.upstream().arrivals().size();
+    fixture.offerCalls(milliseconds(4), milliseconds(300));
+    // Without a limit, all 75 calls would arrive.
+    EXPECT_LE(fixture.upstream().arrivals().size() - before, 3U);
+}
+
 } // namespace dragonflylane
--- a/wire/peer.thrift
+++ b/wire/peer.thrift
@@ -18,6 +18,14 @@
   2: string value
 }
 
+// What a process of an upstream has stated about itself in its responses.
+struct UpstreamStatement {
+  1: i64 process
+  // Requests per second. Not set: it stated no limit.
+  2: optional double rateLimit
+  3: bool leaving
+}
+
 struct ForwardRequest {
   1: i64 requestId
   2: string traceId
@@ -39,6 +47,8 @@
   18: i64 routeKey
   19: i64 targetMicroseconds
   20: i64 maxWaitMicroseconds
+  // What the entry daemon knows of the upstream, for an owner that was restarted.
+  21: optional UpstreamStatement known
 }
 
 struct ForwardResponse {
@@ -54,6 +64,8 @@
   10: i64 retryAfterMicroseconds
   // Time from the receipt of the request at the owner to its response.
   11: i64 heldMicroseconds
+  // Not set if the upstream states neither a limit nor that it is leaving.
+  12: optional UpstreamStatement statement
 }
 
 struct ForwardCancel {
