--- a/dragonflylane/RankedAdmission.cpp
+++ b/dragonflylane/RankedAdmission.cpp
@@ -141,7 +141,8 @@
         .queued = static_cast<uint32_t>(m_queue.size()),
         .limit = m_options.slots,
         .serviceTime = meanServiceTime(now) };
-    report.addWait(m_rateLimiter.wait(m_queue.size(), now));
+    if (m_options.reportsRateWait)
+        report.addWait(m_rateLimiter.wait(m_queue.size(), now));
     return report;
 }
 
--- a/dragonflylane/RankedAdmission.h
+++ b/dragonflylane/RankedAdmission.h
@@ -45,6 +45,7 @@
     // Switches that disable a mechanism for a test.
     bool orderByRank { true };
     bool refuseLate { true };
+    bool reportsRateWait { true };
 };
 
 class RankedAdmission final : public Admission {
--- a/tests/RankedAdmissionTest.cpp
+++ b/tests/RankedAdmissionTest.cpp
@@ -1,10 +1,11 @@
 #include "dragonflylane/RankedAdmission.h"
 
+#include "tests/Timeline.h"
+
 #include <array>
 #include <functional>
 #include <gtest/gtest.h>
 #include <map>
-#include <queue>
 #include <random>
 #include <rapidcheck/gtest.h>
 
@@ -30,38 +31,6 @@
         return mean / 2 + Duration(static_cast<int64_t>(random() % static_cast<uint64_t>(mean.count())));
     }
 
-    /// Discrete event simulation: runs scheduled actions in order of their times.
-    class Timeline {
-    public:
-        void at(TimePoint when, std::function<void()> action) { m_events.push({ when, m_next++, std::move(action) }); }
-        TimePoint now() const { return m_now; }
-
-        void run(TimePoint end)
-        {
-            while (!m_events.empty() && m_events.top().when < end) {
-                Event event = m_events.top();
-                m_events.pop();
-                m_now = event.when;
-                event.action();
-            }
-        }
-
-    private:
-        struct Event {
-            TimePoint when;
-            uint64_t number;
-            std::function<void()> action;
-            bool operator<(const Event& other) const
-            {
-                return std::pair(when, number) > std::pair(other.when, other.number);
-            }
-        };
-
-        std::priority_queue<Event> m_events;
-        uint64_t m_next { 0 };
-        TimePoint m_now { start };
-    };
-
     /// Calls of one kind.
     struct Work {
         Duration interval;
@@ -172,7 +141,7 @@
 
         ChainLoad m_load;
         std::mt19937_64 m_random { 1 };
-        Timeline m_timeline;
+        Timeline m_timeline { start };
         RankedAdmission m_frontend;
         RankedAdmission m_backend;
         std::map<uint64_t, CallTicket> m_parentOf;
@@ -193,7 +162,7 @@
     {
         constexpr Duration service = milliseconds(60);
         RankedAdmission admission({ .slots = 12, .refuseLate = refuseLate });
-        Timeline timeline;
+        Timeline timeline(start);
         std::mt19937_64 random(1);
         std::map<uint64_t, TimePoint> offeredAt;
         uint64_t calls = 0;
@@ -236,7 +205,7 @@
         constexpr Duration retryDelay = milliseconds(60);
         constexpr int maxAttempts = 3;
         RankedAdmission admission({ .slots = 12 });
-        Timeline timeline;
+        Timeline timeline(start);
         std::mt19937_64 random(1);
         std::map<uint64_t, TimePoint> firstAttemptTimes;
         uint64_t callers = 0;
