--- a/tests/EndlessBodyTest.cpp
+++ b/tests/EndlessBodyTest.cpp
@@ -24,26 +24,6 @@
     // Limit on the peak memory of the daemon process with the default budget of 32 MB for bodies.
     constexpr size_t peakLimit = 64 * megabyte;
 
-    std::string exchange(uint16_t port, const std::string& method, const std::string& target, const std::string& body)
-    {
-        RawSocket socket = RawSocket::connectTo(port);
-        socket.write(method + " " + target + " HTTP/1.1\r\nHost: localhost\r\nConnection: close\r\nContent-Length: "
-            + std::to_string(body.size()) + "\r\n\r\n" + body);
-        return socket.readUntilClosed();
-    }
-
-    int statusOf(const std::string& answer)
-    {
-        constexpr size_t statusOffset = 9;
-        return answer.size() > statusOffset ? std::atoi(answer.c_str() + statusOffset) : 0;
-    }
-
-    std::string bodyOf(const std::string& answer)
-    {
-        size_t end = answer.find("\r\n\r\n");
-        return end == std::string::npos ? "" : answer.substr(end + 4);
-    }
-
     /// Answers ordinary requests. For a path with "/endless-KIND", sends an endless response of that kind until the
     /// connection is closed.
     class EndlessUpstream {
--- a/tests/LoopbackSupport.cpp
+++ b/tests/LoopbackSupport.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-    sockaddr_in loopback(uint16_t port)
+    sockaddr_in loopbackAddress(uint16_t port)
     {
         sockaddr_in address {};
         address.sin_family = AF_INET;
@@ -59,7 +59,7 @@
 RawSocket RawSocket::connectTo(uint16_t port)
 {
     RawSocket result(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-    sockaddr_in address = loopback(port);
+    sockaddr_in address = loopbackAddress(port);
     if (connect(result.m_descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0)
         result.close();
     return result;
@@ -114,7 +114,7 @@
 RawListener::RawListener()
     : m_descriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
-    sockaddr_in address = loopback(0);
+    sockaddr_in address = loopbackAddress(0);
     socklen_t size = sizeof(address);
     bool isBound = bind(m_descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0
         && getsockname(m_descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0
@@ -148,4 +148,54 @@
         ::close(std::exchange(m_descriptor, -1));
 }
 
+// All sockets stay open until all ports have been chosen, since the kernel may assign a port again as soon as it is
+// closed.
+std::vector<uint16_t> freePorts(size_t count)
+{
+    std::vector<uint16_t> ports;
+    std::vector<int> sockets;
+    while (ports.size() < count) {
+        int tcp = socket(AF_INET, SOCK_STREAM, 0);
+        int udp = socket(AF_INET, SOCK_DGRAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        auto* generic = reinterpret_cast<sockaddr*>(&address);
+        bool isFree = bind(tcp, generic, length) == 0 && getsockname(tcp, generic, &length) == 0
+            && bind(udp, generic, length) == 0;
+        if (isFree)
+            ports.push_back(ntohs(address.sin_port));
+        sockets.insert(sockets.end(), { tcp, udp });
+    }
+    for (int descriptor : sockets)
+        close(descriptor);
+    return ports;
+}
+
+std::string loopback(uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+std::string exchange(uint16_t port, const std::string& method, const std::string& target, const std::string& body)
+{
+    RawSocket socket = RawSocket::connectTo(port);
+    socket.write(method + " " + target + " HTTP/1.1\r\nHost: localhost\r\nConnection: close\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body);
+    return socket.readUntilClosed();
+}
+
+int statusOf(const std::string& answer)
+{
+    constexpr size_t statusOffset = 9;
+    return answer.size() > statusOffset ? std::atoi(answer.c_str() + statusOffset) : 0;
+}
+
+std::string bodyOf(const std::string& answer)
+{
+    size_t end = answer.find("\r\n\r\n");
+    return end == std::string::npos ? "" : answer.substr(end + 4);
+}
+
 } // namespace dragonflylane
--- a/tests/LoopbackSupport.h
+++ b/tests/LoopbackSupport.h
@@ -8,12 +8,24 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace dragonflylane {
 
 /// Checks the condition every 20 ms. Returns false if it does not hold before the limit.
 bool waitUntil(const std::function<bool()>& condition, Duration limit = std::chrono::seconds(60));
 
+/// Ports that are currently free for both TCP and UDP.
+std::vector<uint16_t> freePorts(size_t count);
+/// Address "127.0.0.1:PORT".
+std::string loopback(uint16_t port);
+
+/// Sends one HTTP request on a connection of its own. Returns the whole response, or an empty string if there is none.
+std::string exchange(uint16_t port, const std::string& method, const std::string& target, const std::string& body);
+/// Status of a whole response; zero if it has none.
+int statusOf(const std::string& answer);
+std::string bodyOf(const std::string& answer);
+
 /// One TCP connection. Reads and writes time out after ten seconds, so that a fault fails the test instead of blocking
 /// it.
 class RawSocket {
--- a/tests/ProcessTest.cpp
+++ b/tests/ProcessTest.cpp
@@ -6,14 +6,12 @@
 #include "bench/ProcessGroup.h"
 #include "tests/LoopbackSupport.h"
 
-#include <arpa/inet.h>
 #include <boost/json.hpp>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <functional>
 #include <gtest/gtest.h>
-#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 
@@ -25,36 +23,6 @@
     constexpr std::chrono::seconds limit { 60 };
     constexpr const char* upstreamProgram = BINARY_DIR "/UpstreamStandIn";
 
-    // Ports chosen by the kernel that are currently free for both TCP and UDP. All sockets stay open until all ports
-    // have been chosen, since the kernel may assign a port again as soon as it is closed.
-    std::vector<uint16_t> freePorts(size_t count)
-    {
-        std::vector<uint16_t> ports;
-        std::vector<int> sockets;
-        while (ports.size() < count) {
-            int tcp = socket(AF_INET, SOCK_STREAM, 0);
-            int udp = socket(AF_INET, SOCK_DGRAM, 0);
-            sockaddr_in address {};
-            address.sin_family = AF_INET;
-            address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-            socklen_t length = sizeof(address);
-            auto* generic = reinterpret_cast<sockaddr*>(&address);
-            bool isFree = bind(tcp, generic, length) == 0 && getsockname(tcp, generic, &length) == 0
-                && bind(udp, generic, length) == 0;
-            if (isFree)
-                ports.push_back(ntohs(address.sin_port));
-            sockets.insert(sockets.end(), { tcp, udp });
-        }
-        for (int descriptor : sockets)
-            close(descriptor);
-        return ports;
-    }
-
-    std::string loopback(uint16_t port)
-    {
-        return "127.0.0.1:" + std::to_string(port);
-    }
-
     /// Revision and routes that a daemon uses; empty if it does not respond.
     struct RoutingState {
         uint64_t revision { 0 };
--- /dev/null
+++ b/tests/StatingUpstream.h
@@ -0,0 +1,73 @@
+#pragma once
+
+// An upstream that states a rate limit, or that it is leaving, in the headers of its responses.
+
+#include "dragonflylane/BootClock.h"
+#include "dragonflylane/HttpExchange.h"
+#include "dragonflylane/HttpServer.h"
+#include "dragonflylane/Metrics.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+#include <memory>
+#include <vector>
+
+namespace dragonflylane {
+
+// The users' bound: in any four seconds, one and a half times the stated limit and five requests more.
+inline constexpr std::chrono::seconds limitWindow { 4 };
+inline size_t allowedRequests(double perSecond)
+{
+    constexpr double tolerance = 1.5;
+    constexpr size_t slack = 5;
+    return static_cast<size_t>(tolerance * perSecond * limitWindow.count()) + slack;
+}
+
+/// Answers each request after a service time, with the headers that are set at the time.
+class StatingUpstream {
+public:
+    StatingUpstream(boost::asio::io_context& context, Metrics& metrics)
+        : m_context(context)
+        , m_server(context, { .listen = { "127.0.0.1", 0 } }, metrics,
+              [this](std::shared_ptr<HttpExchange> exchange) { handle(std::move(exchange)); })
+    {
+        EXPECT_FALSE(m_server.start());
+    }
+
+    Endpoint endpoint() const { return { "127.0.0.1", m_server.port() }; }
+    void setServiceTime(Duration serviceTime) { m_serviceTime = serviceTime; }
+    void setHeaders(std::vector<HttpHeader> headers) { m_headers = std::move(headers); }
+    const std::vector<TimePoint>& arrivals() const { return m_arrivals; }
+
+    /// The most requests that arrived within a window of this length, among the windows that begin after `from`.
+    size_t mostArrivals(TimePoint from, Duration window) const
+    {
+        size_t most = 0;
+        auto begin = std::lower_bound(m_arrivals.begin(), m_arrivals.end(), from);
+        for (auto first = begin; first != m_arrivals.end(); ++first) {
+            auto last = std::lower_bound(first, m_arrivals.end(), *first + window);
+            most = std::max(most, static_cast<size_t>(last - first));
+        }
+        return most;
+    }
+
+private:
+    void handle(std::shared_ptr<HttpExchange> exchange)
+    {
+        m_arrivals.push_back(BootClock::now());
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_serviceTime);
+        timer->async_wait([this, timer, exchange](boost::system::error_code) {
+            exchange->respond({ .status = 200, .headers = m_headers, .body = "ok" });
+        });
+    }
+
+    boost::asio::io_context& m_context;
+    Duration m_serviceTime { std::chrono::milliseconds(10) };
+    std::vector<HttpHeader> m_headers;
+    std::vector<TimePoint> m_arrivals;
+    HttpServer m_server;
+};
+
+} // namespace dragonflylane
