A seed offers no members that it has not heard of since a long pause

Callers could be sent to a host that had left: a daemon paused for longer than dead records are kept (60 s) holds members that all others have erased. Pages and digests leave such records out, Membership::sendContacts passed them on, and the daemon that joins takes them for alive until a probe fails.

sendContacts leaves them out. A page from which a record was left out is marked incomplete, so the joining daemon asks again or elsewhere instead of taking what is left for all members. MembershipTest.ResumedSeedOffersNoUnconfirmedMembers: before, the contacts had the member.

--- a/dragonflylane/Membership.cpp
+++ b/dragonflylane/Membership.cpp
@@ -1192,9 +1192,11 @@
     size_t budget = piggybackBudget;
     std::set<HostHash> chosen;
     auto add = [&](HostHash hash) {
-        const MemberRecord& record = m_entries.find(hash)->second.node->second;
+        const Entry& entry = m_entries.find(hash)->second;
+        const MemberRecord& record = entry.node->second;
         size_t size = encodedSizeBound(record);
-        if (size > budget || answer.piggyback.records.size() >= maxContacts || !chosen.insert(hash).second)
+        if (entry.isUnconfirmed || size > budget || answer.piggyback.records.size() >= maxContacts
+            || !chosen.insert(hash).second)
             return;
         budget -= size;
         answer.piggyback.records.push_back(record);
@@ -1281,6 +1283,8 @@
     size_t budget = piggybackBudget;
     for (auto it = m_entries.lower_bound(request.first); it != m_entries.end() && it->first <= request.last; ++it) {
         const MemberRecord& record = it->second.node->second;
+        // After a long pause this daemon knows less than the others until they have confirmed its records.
+        isComplete = isComplete && (!it->second.isUnconfirmed || request.acceptPartial);
         if (!record.isPresent() || it->second.isUnconfirmed)
             continue;
         size_t size = encodedSizeBound(record);
--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -182,6 +182,45 @@
     EXPECT_EQ(mesh.view(4, 9), nullptr);
 }
 
+// Guards against a daemon that joins through a seed which was paused for longer than the retention of dead records. It
+// must neither learn of members that all others may have erased, nor take what is left for all members.
+TEST(MembershipTest, ResumedSeedOffersNoUnconfirmedMembers)
+{
+    TimePoint now { 1000s };
+    Membership seed({}, makeRecord(0), now);
+    seed.receive(VirtualMesh::addressOf(1), recordsMessage(makeRecord(1)), now);
+    auto request = [&](bool contactsOnly) {
+        seed.takeOutputs();
+        GossipPageRequest page { .number = 7, .first = 0, .last = UINT64_MAX, .contactsOnly = contactsOnly };
+        seed.receive(VirtualMesh::addressOf(2), GossipDigestRequest { .page = page, .sender = makeRecord(2) }, now);
+        for (const MembershipOutput& output : seed.takeOutputs()) {
+            const auto* datagram = std::get_if<GossipDatagram>(&output);
+            const auto* records = datagram ? std::get_if<GossipRecords>(&datagram->message) : nullptr;
+            if (records && records->page)
+                return *records;
+        }
+        return GossipRecords();
+    };
+    auto offersMember = [&](bool contactsOnly) {
+        const std::vector<MemberRecord> records = request(contactsOnly).piggyback.records;
+        return std::any_of(records.begin(), records.end(),
+            [](const MemberRecord& record) { return record.host == VirtualMesh::hostOf(1); });
+    };
+    EXPECT_TRUE(offersMember(true));
+    EXPECT_TRUE(offersMember(false));
+    EXPECT_TRUE(request(false).page->isLast);
+    now += MembershipOptions {}.deadRetention + 1s;
+    EXPECT_FALSE(offersMember(true));
+    EXPECT_FALSE(offersMember(false));
+    EXPECT_FALSE(request(false).page->isLast);
+    // Its own record confirms the member after the datagrams from the time of the pause have been read.
+    now += 2 * MembershipOptions {}.probePeriod;
+    seed.receive(VirtualMesh::addressOf(1), recordsMessage(makeRecord(1, 1)), now);
+    EXPECT_TRUE(offersMember(true));
+    seed.receive(VirtualMesh::addressOf(2), recordsMessage(makeRecord(2, 1)), now);
+    EXPECT_TRUE(request(false).page->isLast);
+}
+
 // Guards against two sides of a partition that do not merge again, both while they retain each other's dead records and
 // after these have expired.
 TEST(MembershipTest, PartitionIsRepaired)
