Move what the owner knows of its upstream's statements into a class of its own

OwnerTask had grown by eight members and a page of rules about when a statement is adopted, replaced, kept or dropped. OwnedStatements holds them, without clock or network, and says what changed; OwnerTask applies that.

--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -14,7 +14,6 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <cstdio>
 
 namespace dragonflylane {
 
@@ -47,15 +46,6 @@
         return response.status == statusServiceUnavailable && isMarked;
     }
 
-    std::string toText(const std::optional<RequestRate>& rate)
-    {
-        if (!rate)
-            return "none";
-        char text[32];
-        std::snprintf(text, sizeof(text), "%.6g", rate->perSecond);
-        return text;
-    }
-
     CallOutcome outcomeOf(ResultCode code)
     {
         switch (code) {
@@ -106,7 +96,7 @@
 
 bool OwnerTask::isAnnouncedDrain() const
 {
-    return m_announcement && (m_announcement->phase == UpstreamPhase::Draining || m_statesLeaving);
+    return m_announcement && (m_announcement->phase == UpstreamPhase::Draining || m_statements.isLeaving());
 }
 
 bool OwnerTask::isWithdrawn(const UpstreamId& id, uint64_t startedAt) const
@@ -155,29 +145,18 @@
         || m_announcement->service != announcement.service;
     if (isOtherProcess && m_announcement && !m_isStopped)
         declareDead("announced another instance");
-    if (isOtherProcess)
-        forgetStatements();
     if (isOtherProcess || m_isStopped)
         startIncarnation(announcement);
     raiseIncarnation();
     m_announcement = announcement;
+    TimePoint now = BootClock::now();
+    applyStatements(m_statements.startProcess(announcement.id, announcement.process(), now), now);
     m_isStopped = announcement.phase == UpstreamPhase::Stopped;
     applyDrain();
     applyChanges(m_admission->setSlots(m_isStopped ? 0 : announcement.slots, BootClock::now()));
     publish();
 }
 
-// What the previous process of the upstream stated does not hold for the new one.
-void OwnerTask::forgetStatements()
-{
-    TimePoint now = BootClock::now();
-    m_statesLeaving = false;
-    m_hasStatement = false;
-    if (m_statedRateLimit.limit)
-        setRateLimit(std::nullopt, now);
-    m_statedRateLimit = { .since = now };
-}
-
 void OwnerTask::startIncarnation(const Announcement& announcement)
 {
     Incarnation known = std::max(m_hooks.knownIncarnation(announcement.id), minIncarnation());
@@ -246,9 +225,9 @@
     Event("upstream_drain").with("upstream", m_announcement->id).with("draining", static_cast<int>(isDraining()));
     m_journal.record({ .event = isDraining() ? "upstream_draining" : "upstream_undrained",
         .subjects = { m_announcement->id.value(), m_options.self.value() },
-        .cause = m_isPlannedDrain ? "configuration"
-            : m_statesLeaving     ? "response"
-                                  : "announcement" });
+        .cause = m_isPlannedDrain      ? "configuration"
+            : m_statements.isLeaving() ? "response"
+                                       : "announcement" });
 }
 
 void OwnerTask::checkLease()
@@ -300,7 +279,7 @@
     m_calls.emplace(call->id, call);
 
     if (call->request.__isset.known)
-        adoptStatement(fromWire(call->request.known), BootClock::now());
+        applyStatements(m_statements.adopt(fromWire(call->request.known), call->receivedAt), call->receivedAt);
     ResultCode refusal = checkRequest(call->request);
     CrashState state = m_crash.stateOf(call->fingerprint());
     if (refusal == ResultCode::Ok && state == CrashState::Quarantined)
@@ -342,9 +321,9 @@
 {
     call->sentAt = BootClock::now();
     call->incarnation = m_incarnation;
-    ++m_statedRateLimit.requests;
+    m_statements.recordRequest();
     m_metrics.add("upstream_requests");
-    if (m_statedRateLimit.limit)
+    if (m_statements.rateLimit())
         m_metrics.add("upstream_requests_under_limit");
     if (call->source == CallSource::Peer) {
         CallTicket ticket { .isNonIdempotent = call->request.order,
@@ -389,81 +368,30 @@
     return !header.empty() && (response.status == statusMisdirected || !response.header(header).empty());
 }
 
-// Whether the excess of an upstream over its limit comes from its owner not knowing the limit or from not keeping it
-// shows in the limit that is logged here and the requests that were sent while it applied.
-void OwnerTask::logRateLimit(std::optional<RequestRate> next, TimePoint now)
+void OwnerTask::recordStatements(const HttpResponse& response, TimePoint now)
 {
-    auto entry = m_rateLimitLogLimiter.admit(now);
-    if (!entry)
-        return;
-    auto held = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_statedRateLimit.since);
-    Event("upstream_rate_limit")
-        .with("upstream", m_announcement->id)
-        .with("per_second", toText(next))
-        .with("previous", toText(m_statedRateLimit.limit))
-        .with("previous_held_ms", held.count())
-        .with("previous_requests", m_statedRateLimit.requests)
-        .with("left_out", entry->suppressed);
-}
-
-void OwnerTask::setRateLimit(std::optional<RequestRate> limit, TimePoint now)
-{
-    logRateLimit(limit, now);
-    m_statedRateLimit = { .limit = limit, .since = now };
-    applyChanges(m_admission->setRateLimit(limit, now));
+    UpstreamStatement statement = parseUpstreamStatement(response, m_options.headerNames);
+    if (statement.hasInvalidRateLimit)
+        m_metrics.add("upstream_rate_limits_invalid");
+    applyStatements(m_statements.observe(statement, now), now);
 }
 
-// A process that is about to stop does not take that back, so the drain ends only with the process.
-void OwnerTask::setLeaving()
+void OwnerTask::applyStatements(const StatementChange& change, TimePoint now)
 {
-    Event("upstream_states_leaving").with("upstream", m_announcement->id).with("phase", name(m_announcement->phase));
-    m_statesLeaving = true;
+    if (change.isRateLimitChanged)
+        applyChanges(m_admission->setRateLimit(m_statements.rateLimit(), now));
+    if (!change.hasBegunToLeave)
+        return;
     applyDrain();
     publish();
 }
 
-std::optional<ProcessStatement> OwnerTask::currentStatement() const
-{
-    if (!m_announcement || (!m_statedRateLimit.limit && !m_statesLeaving))
-        return std::nullopt;
-    return ProcessStatement {
-        .process = m_announcement->process(), .rateLimit = m_statedRateLimit.limit, .isLeaving = m_statesLeaving
-    };
-}
-
-// Until the upstream has answered, a daemon that was restarted relies on what entry daemons know, and of several limits
-// on the lowest.
-void OwnerTask::adoptStatement(const ProcessStatement& known, TimePoint now)
-{
-    if (!m_announcement || known.process != m_announcement->process())
-        return;
-    if (known.isLeaving && !m_statesLeaving)
-        setLeaving();
-    bool isLower = known.rateLimit && (!m_statedRateLimit.limit || *known.rateLimit < *m_statedRateLimit.limit);
-    if (isLower && !m_hasStatement)
-        setRateLimit(known.rateLimit, now);
-}
-
-void OwnerTask::recordStatement(const UpstreamStatement& statement, TimePoint now)
-{
-    m_hasStatement = true;
-    if (statement.isLeaving && !m_statesLeaving)
-        setLeaving();
-    if (statement.hasInvalidRateLimit) {
-        m_metrics.add("upstream_rate_limits_invalid");
-        return;
-    }
-    if (statement.rateLimit == m_statedRateLimit.limit)
-        return;
-    setRateLimit(statement.rateLimit, now);
-}
-
 void OwnerTask::finish(const CallPtr& call, UpstreamResult result)
 {
     TimePoint now = BootClock::now();
     bool isResponse = result.code == ResultCode::Ok;
     if (isResponse && call->incarnation == m_incarnation)
-        recordStatement(parseUpstreamStatement(result.response, m_options.headerNames), now);
+        recordStatements(result.response, now);
     if (result.code == ResultCode::Ok && statesNotRun(result.response))
         result.code = ResultCode::UpstreamRefused;
     else if (result.code == ResultCode::Ok && isShedAnswer(result.response))
@@ -507,7 +435,7 @@
     reply.limit = static_cast<int32_t>(report.limit);
     reply.serviceMicroseconds = toMicroseconds(report.serviceTime);
     bool isAboutUpstream = m_announcement && m_announcement->id.value() == call->request.upstreamId;
-    if (auto statement = currentStatement(); statement && isAboutUpstream)
+    if (auto statement = m_statements.toTell(); statement && isAboutUpstream)
         reply.__set_statement(toWire(*statement));
     call->respond(std::move(reply));
 }
@@ -538,7 +466,7 @@
         .with("running", report.running)
         .with("queued", report.queued)
         .with("slots", report.limit)
-        .with("rate_limit", toText(m_statedRateLimit.limit))
+        .with("rate_limit", toText(m_statements.rateLimit()))
         .with("service_ms", milliseconds(report.serviceTime))
         .with("expected_wait_ms", milliseconds(expectedWait))
         .with("max_wait_ms", call.request.maxWaitMicroseconds / 1000)
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -10,7 +10,7 @@
 #include "dragonflylane/Endpoint.h"
 #include "dragonflylane/Ids.h"
 #include "dragonflylane/LogRateLimiter.h"
-#include "dragonflylane/ProcessStatement.h"
+#include "dragonflylane/OwnedStatements.h"
 #include "dragonflylane/RecentCompletions.h"
 #include "dragonflylane/ResponseDelayEstimator.h"
 #include "dragonflylane/UpstreamClient.h"
@@ -38,7 +38,6 @@
 class Journal;
 class Metrics;
 struct UpstreamRecord;
-struct UpstreamStatement;
 
 /// Registration that an upstream sends to its daemon.
 struct Announcement {
@@ -139,14 +138,6 @@
         TimePoint lostAt;
     };
 
-    /// The latest rate limit that the upstream has stated.
-    struct StatedRateLimit {
-        std::optional<RequestRate> limit;
-        TimePoint since;
-        /// Requests sent to the upstream since then.
-        uint64_t requests { 0 };
-    };
-
     struct WithdrawnProcess {
         UpstreamId id;
         uint64_t startedAt { 0 };
@@ -156,14 +147,9 @@
     bool isWithdrawn(const UpstreamId&, uint64_t startedAt) const;
     bool isOutdated(const Announcement&) const;
     bool statesNotRun(const HttpResponse&) const;
-    std::optional<ProcessStatement> currentStatement() const;
-    void adoptStatement(const ProcessStatement&, TimePoint now);
-    void recordStatement(const UpstreamStatement&, TimePoint now);
-    void setLeaving();
-    void setRateLimit(std::optional<RequestRate>, TimePoint now);
-    void logRateLimit(std::optional<RequestRate> next, TimePoint now);
+    void recordStatements(const HttpResponse&, TimePoint now);
+    void applyStatements(const StatementChange&, TimePoint now);
     HttpRequest toHttp(wire::ForwardRequest&, Duration remaining) const;
-    void forgetStatements();
     void startIncarnation(const Announcement&);
     void raiseIncarnation();
     Incarnation minIncarnation() const;
@@ -207,12 +193,8 @@
     std::vector<LostRequest> m_lostRequests;
     RecentCompletions m_completions;
     bool m_isProbing { false };
-    StatedRateLimit m_statedRateLimit;
-    bool m_statesLeaving { false };
-    /// The process of the upstream has answered a request of this daemon, so its statements are known first-hand.
-    bool m_hasStatement { false };
+    OwnedStatements m_statements;
     LogRateLimiter m_refusalLogLimiter;
-    LogRateLimiter m_rateLimitLogLimiter { { .perSecond = 2, .burst = 10 } };
     WakeupTimer m_timer;
 };
 
--- a/dragonflylane/RequestRate.h
+++ b/dragonflylane/RequestRate.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <compare>
+#include <optional>
+#include <string>
 
 namespace dragonflylane {
 
@@ -11,4 +13,7 @@
     auto operator<=>(const RequestRate&) const = default;
 };
 
+/// For logs: the number, or "none".
+std::string toText(const std::optional<RequestRate>&);
+
 } // namespace dragonflylane
--- a/tests/StatingUpstream.h
+++ b/tests/StatingUpstream.h
@@ -31,7 +31,7 @@
     StatingUpstream(boost::asio::io_context& context, Metrics& metrics)
         : m_context(context)
         , m_server(context, { .listen = { "127.0.0.1", 0 } }, metrics,
-              [this](std::shared_ptr<HttpExchange> exchange) { handle(std::move(exchange)); })
+              [this](const std::shared_ptr<HttpExchange>& exchange) { handle(exchange); })
     {
         EXPECT_FALSE(m_server.start());
     }
@@ -54,7 +54,7 @@
     }
 
 private:
-    void handle(std::shared_ptr<HttpExchange> exchange)
+    void handle(const std::shared_ptr<HttpExchange>& exchange)
     {
         m_arrivals.push_back(BootClock::now());
         auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_serviceTime);
