A restarted owner learns a withdrawal of its upstream from entry daemons too

A withdrawal now counts as the statement that the process is leaving, so it is in the answers to entry daemons and comes back with their requests. Open: no entry daemon had an answer since the withdrawal.

--- a/dragonflylane/OwnedStatements.h
+++ b/dragonflylane/OwnedStatements.h
@@ -32,6 +32,8 @@
     StatementChange startProcess(const UpstreamId&, ProcessId, TimePoint now);
     /// The process has stated this in a response. An invalid rate limit is ignored.
     StatementChange observe(const UpstreamStatement&, TimePoint now);
+    /// The process has withdrawn, which tells the same as a response that states that it is leaving.
+    StatementChange withdraw() { return { .hasBegunToLeave = setLeaving() }; }
     /// An entry daemon knows this from the owner daemon before its restart. Of several limits the lowest holds until
     /// the first response.
     StatementChange adopt(const ProcessStatement&, TimePoint now);
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -126,11 +126,10 @@
         m_withdrawn.push_back({ id, process });
     if (m_withdrawn.size() > maxWithdrawn)
         m_withdrawn.pop_front();
-    if (!isCurrent || isAnnouncedDrain())
+    if (!isCurrent)
         return;
     m_announcement->phase = UpstreamPhase::Draining;
-    applyDrain();
-    publish();
+    applyStatements(m_statements.withdraw(), BootClock::now());
 }
 
 void OwnerTask::announce(const Announcement& announcement)
--- a/tests/OwnerTaskTest.cpp
+++ b/tests/OwnerTaskTest.cpp
@@ -63,6 +63,8 @@
                 .instance = instance });
         }
 
+        void withdraw() { m_owner->withdraw(UpstreamId(upstreamName), 0); }
+
         /// Offers one call every `gap` for this long, announces the upstream every second and runs all of them.
         void offerCalls(Duration gap, Duration length)
         {
@@ -238,6 +240,26 @@
     EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Draining);
 }
 
+// Guards against an upstream that has withdrawn and is in use again, because its owner daemon was restarted, has lost
+// the withdrawal and gets a late announcement of the same process.
+TEST(OwnerTaskTest, RestartedOwnerLearnsFromEntryDaemonsThatItsUpstreamHasWithdrawn)
+{
+    OwnerFixture fixture;
+    fixture.announce();
+    ASSERT_EQ(fixture.callAndWait(), ResultCode::Ok);
+    fixture.withdraw();
+    EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Draining);
+    ASSERT_EQ(fixture.callAndWait(), ResultCode::UpstreamDraining);
+    fixture.setKnown(fixture.lastStatement());
+    fixture.restart();
+    size_t before = fixture.upstream().arrivals().size();
+    fixture.offerCalls(milliseconds(10), milliseconds(200));
+    EXPECT_EQ(fixture.upstream().arrivals().size(), before);
+    EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Draining);
+    fixture.announce(UpstreamPhase::Ready, "2");
+    EXPECT_EQ(fixture.callAndWait(), ResultCode::Ok);
+}
+
 // Guards against a drain or a limit that outlasts the process of the upstream that stated it.
 TEST(OwnerTaskTest, StatementsOfThePreviousProcessDoNotHoldForTheNextOne)
 {
