Name the statements after the side that keeps them; name the cause of a drain

OwnerStatements and EntryStatements instead of OwnedStatements and KnownStatements. A drain after a withdrawal was recorded with the cause "response"; it is "leaving" for both ways to learn that a process leaves.

--- a/dragonflylane/KnownStatements.cpp
+++ b/dragonflylane/EntryStatements.cpp
@@ -1,10 +1,10 @@
-#include "dragonflylane/KnownStatements.h"
+#include "dragonflylane/EntryStatements.h"
 
 #include <algorithm>
 
 namespace dragonflylane {
 
-void KnownStatements::record(
+void EntryStatements::record(
     const UpstreamId& upstream, const std::optional<ProcessStatement>& statement, TimePoint now)
 {
     if (!statement) {
@@ -16,14 +16,14 @@
         dropOldest();
 }
 
-const ProcessStatement* KnownStatements::find(const UpstreamId& upstream, TimePoint now) const
+const ProcessStatement* EntryStatements::find(const UpstreamId& upstream, TimePoint now) const
 {
     auto found = m_upstreams.find(upstream);
     bool isKnown = found != m_upstreams.end() && now - found->second.updatedAt <= m_options.maxAge;
     return isKnown ? &found->second.statement : nullptr;
 }
 
-void KnownStatements::dropOldest()
+void EntryStatements::dropOldest()
 {
     auto oldest = std::min_element(m_upstreams.begin(), m_upstreams.end(),
         [](const auto& a, const auto& b) { return a.second.updatedAt < b.second.updatedAt; });
--- a/dragonflylane/KnownStatements.h
+++ b/dragonflylane/EntryStatements.h
@@ -13,15 +13,15 @@
 
 namespace dragonflylane {
 
-struct KnownStatementsOptions {
+struct EntryStatementsOptions {
     /// Above this, the statement that was updated longest ago is dropped.
     size_t maxUpstreams { 1024 };
     Duration maxAge { std::chrono::minutes(10) };
 };
 
-class KnownStatements {
+class EntryStatements {
 public:
-    explicit KnownStatements(KnownStatementsOptions options = {})
+    explicit EntryStatements(EntryStatementsOptions options = {})
         : m_options(options)
     {
     }
@@ -41,7 +41,7 @@
 
     void dropOldest();
 
-    KnownStatementsOptions m_options;
+    EntryStatementsOptions m_options;
     std::unordered_map<UpstreamId, Known> m_upstreams;
 };
 
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -6,12 +6,12 @@
 #include "dragonflylane/CrashTask.h"
 #include "dragonflylane/EntryCall.h"
 #include "dragonflylane/EntryServiceState.h"
+#include "dragonflylane/EntryStatements.h"
 #include "dragonflylane/Event.h"
 #include "dragonflylane/Fingerprint.h"
 #include "dragonflylane/ForwardServer.h"
 #include "dragonflylane/ForwardWire.h"
 #include "dragonflylane/Journal.h"
-#include "dragonflylane/KnownStatements.h"
 #include "dragonflylane/Metrics.h"
 #include "dragonflylane/OwnerTask.h"
 #include "dragonflylane/PeerHub.h"
@@ -295,7 +295,7 @@
         if (choice->owner != m_options.self)
             request.targetMicroseconds -= toMicroseconds(serviceOf(call).networkDelay(now));
         request.maxWaitMicroseconds = toMicroseconds(maxWait(*call));
-        if (const ProcessStatement* statement = m_knownStatements.find(choice->upstream, now))
+        if (const ProcessStatement* statement = m_statements.find(choice->upstream, now))
             request.__set_known(toWire(*statement));
         if (call->isClaimed)
             m_parts.claims.markForwarded(call->id);
@@ -407,7 +407,7 @@
         // Zero if the response is not from the owner, or if that has no upstream yet.
         if (response.limit > 0) {
             report = loadReport(response);
-            m_knownStatements.record(done.choice.upstream, statementOf(response), now);
+            m_statements.record(done.choice.upstream, statementOf(response), now);
         }
         if (link != LinkId() && code == ResultCode::Ok)
             serviceOf(call).recordNetworkDelay(
@@ -735,7 +735,7 @@
     ForwardServer m_forwardServer;
     CallTransfers m_transfers;
     RefusedCalls m_refusedCalls;
-    KnownStatements m_knownStatements;
+    EntryStatements m_statements;
     std::set<std::pair<TimePoint, uint64_t>> m_deadlines;
     bool m_isDeadlineArmed { false };
     std::mt19937_64 m_random { m_options.bootId };
--- a/dragonflylane/OwnedStatements.cpp
+++ b/dragonflylane/OwnerStatements.cpp
@@ -1,4 +1,4 @@
-#include "dragonflylane/OwnedStatements.h"
+#include "dragonflylane/OwnerStatements.h"
 
 #include "dragonflylane/Event.h"
 #include "dragonflylane/UpstreamStatement.h"
@@ -7,7 +7,7 @@
 
 namespace dragonflylane {
 
-StatementChange OwnedStatements::startProcess(const UpstreamId& upstream, ProcessId process, TimePoint now)
+StatementChange OwnerStatements::startProcess(const UpstreamId& upstream, ProcessId process, TimePoint now)
 {
     if (upstream == m_upstream && process == m_current.process)
         return {};
@@ -21,7 +21,7 @@
     return change;
 }
 
-StatementChange OwnedStatements::observe(const UpstreamStatement& statement, TimePoint now)
+StatementChange OwnerStatements::observe(const UpstreamStatement& statement, TimePoint now)
 {
     m_hasObserved = true;
     StatementChange change;
@@ -32,7 +32,7 @@
     return change;
 }
 
-StatementChange OwnedStatements::adopt(const ProcessStatement& known, TimePoint now)
+StatementChange OwnerStatements::adopt(const ProcessStatement& known, TimePoint now)
 {
     if (m_upstream.isEmpty() || known.process != m_current.process)
         return {};
@@ -44,14 +44,14 @@
     return change;
 }
 
-std::optional<ProcessStatement> OwnedStatements::toTell() const
+std::optional<ProcessStatement> OwnerStatements::current() const
 {
     if (!m_current.rateLimit && !m_current.isLeaving)
         return std::nullopt;
     return m_current;
 }
 
-StatementChange OwnedStatements::setRateLimit(std::optional<RequestRate> limit, TimePoint now)
+StatementChange OwnerStatements::setRateLimit(std::optional<RequestRate> limit, TimePoint now)
 {
     if (limit == m_current.rateLimit)
         return {};
@@ -62,7 +62,7 @@
     return { .isRateLimitChanged = true };
 }
 
-bool OwnedStatements::setLeaving()
+bool OwnerStatements::setLeaving()
 {
     if (std::exchange(m_current.isLeaving, true))
         return false;
@@ -71,7 +71,7 @@
 }
 
 // The requests that were sent while the limit before held show whether the owner daemon kept it.
-void OwnedStatements::logRateLimit(const std::optional<RequestRate>& next, TimePoint now)
+void OwnerStatements::logRateLimit(const std::optional<RequestRate>& next, TimePoint now)
 {
     auto entry = m_logLimiter.admit(now);
     if (!entry)
--- a/dragonflylane/OwnedStatements.h
+++ b/dragonflylane/OwnerStatements.h
@@ -26,7 +26,7 @@
     bool hasBegunToLeave { false };
 };
 
-class OwnedStatements {
+class OwnerStatements {
 public:
     /// A process of the upstream was announced. Drops the statements of another process, but keeps those of this one.
     StatementChange startProcess(const UpstreamId&, ProcessId, TimePoint now);
@@ -43,7 +43,7 @@
     const std::optional<RequestRate>& rateLimit() const { return m_current.rateLimit; }
     bool isLeaving() const { return m_current.isLeaving; }
     /// For the answers to entry daemons; empty if the upstream states nothing.
-    std::optional<ProcessStatement> toTell() const;
+    std::optional<ProcessStatement> current() const;
 
 private:
     StatementChange setRateLimit(std::optional<RequestRate>, TimePoint now);
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -197,9 +197,11 @@
 {
     if (!m_announcement || m_isUnpublished)
         return m_hooks.publishUpstream(std::nullopt);
-    UpstreamPhase phase = m_isStopped ? UpstreamPhase::Stopped
-        : isAnnouncedDrain()          ? UpstreamPhase::Draining
-                                      : m_announcement->phase;
+    UpstreamPhase phase = m_announcement->phase;
+    if (m_isStopped)
+        phase = UpstreamPhase::Stopped;
+    else if (isAnnouncedDrain())
+        phase = UpstreamPhase::Draining;
     m_hooks.publishUpstream(UpstreamRecord { .id = m_announcement->id,
         .service = m_announcement->service,
         .phase = phase,
@@ -216,6 +218,13 @@
     applyDrain();
 }
 
+std::string OwnerTask::drainCause() const
+{
+    if (m_isPlannedDrain)
+        return "configuration";
+    return m_statements.isLeaving() ? "leaving" : "announcement";
+}
+
 void OwnerTask::applyDrain()
 {
     if (m_admission->isDraining() == isDraining())
@@ -224,9 +233,7 @@
     Event("upstream_drain").with("upstream", m_announcement->id).with("draining", static_cast<int>(isDraining()));
     m_journal.record({ .event = isDraining() ? "upstream_draining" : "upstream_undrained",
         .subjects = { m_announcement->id.value(), m_options.self.value() },
-        .cause = m_isPlannedDrain      ? "configuration"
-            : m_statements.isLeaving() ? "response"
-                                       : "announcement" });
+        .cause = drainCause() });
 }
 
 void OwnerTask::checkLease()
@@ -434,7 +441,7 @@
     reply.limit = static_cast<int32_t>(report.limit);
     reply.serviceMicroseconds = toMicroseconds(report.serviceTime);
     bool isAboutUpstream = m_announcement && m_announcement->id.value() == call->request.upstreamId;
-    if (auto statement = m_statements.toTell(); statement && isAboutUpstream)
+    if (auto statement = m_statements.current(); statement && isAboutUpstream)
         reply.__set_statement(toWire(*statement));
     call->respond(std::move(reply));
 }
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -10,7 +10,7 @@
 #include "dragonflylane/Endpoint.h"
 #include "dragonflylane/Ids.h"
 #include "dragonflylane/LogRateLimiter.h"
-#include "dragonflylane/OwnedStatements.h"
+#include "dragonflylane/OwnerStatements.h"
 #include "dragonflylane/RecentCompletions.h"
 #include "dragonflylane/ResponseDelayEstimator.h"
 #include "dragonflylane/UpstreamClient.h"
@@ -154,6 +154,7 @@
     void raiseIncarnation();
     Incarnation minIncarnation() const;
     void publish();
+    std::string drainCause() const;
     void applyDrain();
     void checkLease();
     CallTicket makeTicket(const Call&, TimePoint now) const;
@@ -193,7 +194,7 @@
     std::vector<LostRequest> m_lostRequests;
     RecentCompletions m_completions;
     bool m_isProbing { false };
-    OwnedStatements m_statements;
+    OwnerStatements m_statements;
     LogRateLimiter m_refusalLogLimiter;
     WakeupTimer m_timer;
 };
--- a/tests/KnownStatementsTest.cpp
+++ b/tests/EntryStatementsTest.cpp
@@ -1,4 +1,4 @@
-#include "dragonflylane/KnownStatements.h"
+#include "dragonflylane/EntryStatements.h"
 
 #include <gtest/gtest.h>
 
@@ -17,9 +17,9 @@
 } // namespace
 
 // Guards against a statement that is kept after the upstream no longer makes it.
-TEST(KnownStatementsTest, LatestAnswerReplacesOrErasesTheStatement)
+TEST(EntryStatementsTest, LatestAnswerReplacesOrErasesTheStatement)
 {
-    KnownStatements known;
+    EntryStatements known;
     known.record(upstream(1), limited, start);
     ASSERT_NE(known.find(upstream(1), start), nullptr);
     EXPECT_EQ(*known.find(upstream(1), start), limited);
@@ -31,9 +31,9 @@
 }
 
 // Guards against memory that grows with the number of upstreams that ever made a statement.
-TEST(KnownStatementsTest, IsBoundedInNumberAndTime)
+TEST(EntryStatementsTest, IsBoundedInNumberAndTime)
 {
-    KnownStatements known({ .maxUpstreams = 3, .maxAge = std::chrono::seconds(60) });
+    EntryStatements known({ .maxUpstreams = 3, .maxAge = std::chrono::seconds(60) });
     for (size_t i = 0; i < 5; ++i)
         known.record(upstream(i), limited, start + std::chrono::seconds(i));
     EXPECT_EQ(known.size(), 3U);
--- a/tests/OwnedStatementsTest.cpp
+++ b/tests/OwnerStatementsTest.cpp
@@ -1,4 +1,4 @@
-#include "dragonflylane/OwnedStatements.h"
+#include "dragonflylane/OwnerStatements.h"
 
 #include "dragonflylane/CallHeaders.h"
 #include "dragonflylane/UpstreamStatement.h"
@@ -29,9 +29,9 @@
 
 // Guards against a limit above the one that some entry daemon has passed on, and against knowledge of entry daemons
 // that overrides what the upstream states itself.
-TEST(OwnedStatementsTest, LowestKnownLimitHoldsUntilTheFirstResponse)
+TEST(OwnerStatementsTest, LowestKnownLimitHoldsUntilTheFirstResponse)
 {
-    OwnedStatements statements;
+    OwnerStatements statements;
     EXPECT_FALSE(statements.adopt(known(5), start).isRateLimitChanged);
     statements.startProcess(upstream, process, start);
     EXPECT_TRUE(statements.adopt(known(5), start).isRateLimitChanged);
@@ -42,21 +42,21 @@
     EXPECT_FALSE(statements.adopt(known(2), start).isRateLimitChanged);
     EXPECT_EQ(statements.rateLimit(), RequestRate { 9 });
     EXPECT_TRUE(statements.observe({}, start).isRateLimitChanged);
-    EXPECT_FALSE(statements.toTell());
+    EXPECT_FALSE(statements.current());
 }
 
 // Guards against a drain that is taken back while the process runs, and against one that the next process inherits from
 // the knowledge of an entry daemon.
-TEST(OwnedStatementsTest, DepartureHoldsForTheWholeProcessAndNoOther)
+TEST(OwnerStatementsTest, DepartureHoldsForTheWholeProcessAndNoOther)
 {
-    OwnedStatements statements;
+    OwnerStatements statements;
     statements.startProcess(upstream, process, start);
     EXPECT_TRUE(statements.observe({ .isLeaving = true }, start).hasBegunToLeave);
     EXPECT_FALSE(statements.observe({ .isLeaving = true }, start).hasBegunToLeave);
     statements.observe({}, start);
     statements.startProcess(upstream, process, start);
     EXPECT_TRUE(statements.isLeaving());
-    ProcessStatement told = *statements.toTell();
+    ProcessStatement told = *statements.current();
     statements.startProcess(upstream, ProcessId(2), start);
     EXPECT_FALSE(statements.isLeaving());
     EXPECT_FALSE(statements.adopt(told, start).hasBegunToLeave);
@@ -64,7 +64,7 @@
 }
 
 // Guards against values that are no rate: they neither limit the upstream nor lift the limit that it stated before.
-TEST(OwnedStatementsTest, InvalidRatesAreIgnored)
+TEST(OwnerStatementsTest, InvalidRatesAreIgnored)
 {
     for (const char* text : { "nan", "inf", "-1", "1e999", "4x", "x", "0x10", " 4" })
         EXPECT_TRUE(parse(text).hasInvalidRateLimit) << text;
@@ -73,7 +73,7 @@
     EXPECT_EQ(parse("12.5").rateLimit, RequestRate { 12.5 });
     EXPECT_TRUE(parse("", "1").isLeaving);
     EXPECT_FALSE(parse("", "0").isLeaving);
-    OwnedStatements statements;
+    OwnerStatements statements;
     statements.startProcess(upstream, process, start);
     statements.observe(parse("3"), start);
     EXPECT_FALSE(statements.observe(parse("nan"), start).isRateLimitChanged);
