--- a/tests/OwnerTaskTest.cpp
+++ b/tests/OwnerTaskTest.cpp
@@ -164,6 +164,17 @@
 
     const HttpHeader leaving { CallHeaderNames().upstreamLeaving, "1" };
 
+    /// Restarts the owner daemon and offers calls of an entry daemon that knows what the latest response has told.
+    void expectNoRequestsAfterRestart(OwnerFixture& fixture)
+    {
+        fixture.setKnown(fixture.lastStatement());
+        fixture.restart();
+        size_t before = fixture.upstream().arrivals().size();
+        fixture.offerCalls(milliseconds(10), milliseconds(200));
+        EXPECT_EQ(fixture.upstream().arrivals().size(), before);
+        EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Draining);
+    }
+
     class OwnerTaskRateLimitTest : public testing::TestWithParam<bool> { };
 
     INSTANTIATE_TEST_SUITE_P(Admissions, OwnerTaskRateLimitTest, testing::Bool(),
@@ -232,12 +243,7 @@
     fixture.upstream().setHeaders({ leaving });
     ASSERT_EQ(fixture.callAndWait(), ResultCode::Ok);
     ASSERT_TRUE(fixture.lastStatement());
-    fixture.setKnown(fixture.lastStatement());
-    fixture.restart();
-    size_t before = fixture.upstream().arrivals().size();
-    fixture.offerCalls(milliseconds(10), milliseconds(200));
-    EXPECT_EQ(fixture.upstream().arrivals().size(), before);
-    EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Draining);
+    expectNoRequestsAfterRestart(fixture);
 }
 
 // Guards against an upstream that has withdrawn and is in use again, because its owner daemon was restarted, has lost
@@ -250,12 +256,7 @@
     fixture.withdraw();
     EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Draining);
     ASSERT_EQ(fixture.callAndWait(), ResultCode::UpstreamDraining);
-    fixture.setKnown(fixture.lastStatement());
-    fixture.restart();
-    size_t before = fixture.upstream().arrivals().size();
-    fixture.offerCalls(milliseconds(10), milliseconds(200));
-    EXPECT_EQ(fixture.upstream().arrivals().size(), before);
-    EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Draining);
+    expectNoRequestsAfterRestart(fixture);
     fixture.announce(UpstreamPhase::Ready, "2");
     EXPECT_EQ(fixture.callAndWait(), ResultCode::Ok);
 }
