--- a/dragonflylane/ForwardWire.cpp
+++ b/dragonflylane/ForwardWire.cpp
@@ -5,7 +5,6 @@
 #include "dragonflylane/ProcessStatement.h"
 
 #include <charconv>
-#include <cmath>
 
 namespace dragonflylane {
 
@@ -87,8 +86,8 @@
 {
     ProcessStatement statement { .process = ProcessId(static_cast<uint64_t>(message.process)),
         .isLeaving = message.leaving };
-    if (message.__isset.rateLimit && std::isfinite(message.rateLimit) && message.rateLimit >= 0)
-        statement.rateLimit = RequestRate { message.rateLimit };
+    if (message.__isset.rateLimit)
+        statement.rateLimit = toRequestRate(message.rateLimit);
     return statement;
 }
 
--- a/dragonflylane/RequestRate.h
+++ b/dragonflylane/RequestRate.h
@@ -13,6 +13,9 @@
     auto operator<=>(const RequestRate&) const = default;
 };
 
+/// Empty unless the number is finite and zero or more.
+std::optional<RequestRate> toRequestRate(double perSecond);
+
 /// For logs: the number, or "none".
 std::string toText(const std::optional<RequestRate>&);
 
--- a/dragonflylane/UpstreamStatement.cpp
+++ b/dragonflylane/UpstreamStatement.cpp
@@ -3,7 +3,6 @@
 #include "dragonflylane/CallHeaders.h"
 
 #include <charconv>
-#include <cmath>
 
 namespace dragonflylane {
 
@@ -14,9 +13,7 @@
         double perSecond = 0;
         auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), perSecond);
         bool isNumber = error == std::errc() && end == text.data() + text.size();
-        if (!isNumber || !std::isfinite(perSecond) || perSecond < 0)
-            return std::nullopt;
-        return RequestRate { perSecond };
+        return isNumber ? toRequestRate(perSecond) : std::nullopt;
     }
 
 } // namespace
--- a/tests/EndlessBodyTest.cpp
+++ b/tests/EndlessBodyTest.cpp
@@ -6,7 +6,6 @@
 #include "tests/LoopbackSupport.h"
 
 #include <atomic>
-#include <boost/json.hpp>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -158,17 +157,11 @@
 
         bool confirmPlan() const
         {
-            std::string answer = exchange(m_api, "POST", "/v1/plans",
+            return dragonflylane::confirmPlan(m_api,
                 R"({"changes": [{"setService": {"name": "catalogue", "timeoutMs": 20000}},
                     {"setRoute": {"name": "catalogue", "pathPrefix": "/", "idempotentMethods": ["GET"],
                      "split": [{"service": "catalogue", "weight": 1}]}},
                     {"allowCall": {"caller": "client", "callee": "catalogue"}}]})");
-            boost::system::error_code error;
-            boost::json::value plan = boost::json::parse(bodyOf(answer), error);
-            if (error || !plan.is_object() || !plan.as_object().contains("plan"))
-                return false;
-            std::string id(plan.as_object().at("plan").as_string());
-            return statusOf(exchange(m_api, "POST", "/v1/plans/" + id + "/confirm", "")) / 100 == 2;
         }
 
         int call(const std::string& target) const { return statusOf(exchange(m_callers, "GET", target, "")); }
--- a/tests/LoopbackSupport.cpp
+++ b/tests/LoopbackSupport.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <boost/json.hpp>
 #include <cerrno>
 #include <netinet/in.h>
 #include <poll.h>
@@ -198,4 +199,14 @@
     return end == std::string::npos ? "" : answer.substr(end + 4);
 }
 
+bool confirmPlan(uint16_t api, const std::string& plan)
+{
+    boost::system::error_code error;
+    boost::json::value answer = boost::json::parse(bodyOf(exchange(api, "POST", "/v1/plans", plan)), error);
+    if (error || !answer.is_object() || !answer.as_object().contains("plan"))
+        return false;
+    std::string id(answer.as_object().at("plan").as_string());
+    return statusOf(exchange(api, "POST", "/v1/plans/" + id + "/confirm", "")) / 100 == 2;
+}
+
 } // namespace dragonflylane
--- a/tests/LoopbackSupport.h
+++ b/tests/LoopbackSupport.h
@@ -25,6 +25,8 @@
 /// Status of a whole response; zero if it has none.
 int statusOf(const std::string& answer);
 std::string bodyOf(const std::string& answer);
+/// Proposes a plan at the API of a daemon and confirms it. Returns false if either is refused.
+bool confirmPlan(uint16_t api, const std::string& plan);
 
 /// One TCP connection. Reads and writes time out after ten seconds, so that a fault fails the test instead of blocking
 /// it.
--- a/tests/StatementProcessTest.cpp
+++ b/tests/StatementProcessTest.cpp
@@ -9,7 +9,6 @@
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/json.hpp>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -159,17 +158,6 @@
             return statusOf(answer) / 100 == 2;
         }
 
-        bool confirmPlan() const
-        {
-            boost::system::error_code error;
-            boost::json::value answer
-                = boost::json::parse(bodyOf(exchange(m_entry.api, "POST", "/v1/plans", plan)), error);
-            if (error || !answer.is_object() || !answer.as_object().contains("plan"))
-                return false;
-            std::string id(answer.as_object().at("plan").as_string());
-            return statusOf(exchange(m_entry.api, "POST", "/v1/plans/" + id + "/confirm", "")) / 100 == 2;
-        }
-
         int call() const { return statusOf(exchange(m_entry.callers, "GET", "/probe", "")); }
 
         bool startMesh()
@@ -180,7 +168,10 @@
             writeSettings("entry", m_entry, m_entry.peer);
             writeSettings("owner", m_owner, m_entry.peer);
             bool isPlanned = waitUntil(
-                [this] { return keepsRunning("entry") && keepsRunning("owner") && announce() && confirmPlan(); },
+                [this] {
+                    return keepsRunning("entry") && keepsRunning("owner") && announce()
+                        && confirmPlan(m_entry.api, plan);
+                },
                 processLimit);
             return isPlanned && waitUntil([this] { return announce() && call() == 200; }, processLimit);
         }
--- a/tests/StatingUpstream.h
+++ b/tests/StatingUpstream.h
@@ -6,8 +6,8 @@
 #include "dragonflylane/HttpExchange.h"
 #include "dragonflylane/HttpServer.h"
 #include "dragonflylane/Metrics.h"
+#include "tests/RateWindow.h"
 
-#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <gtest/gtest.h>
@@ -16,15 +16,6 @@
 
 namespace dragonflylane {
 
-// The users' bound: in any four seconds, one and a half times the stated limit and five requests more.
-inline constexpr std::chrono::seconds limitWindow { 4 };
-inline size_t allowedRequests(double perSecond)
-{
-    constexpr double tolerance = 1.5;
-    constexpr size_t slack = 5;
-    return static_cast<size_t>(tolerance * perSecond * limitWindow.count()) + slack;
-}
-
 /// Answers each request after a service time, with the headers that are set at the time.
 class StatingUpstream {
 public:
@@ -42,16 +33,7 @@
     const std::vector<TimePoint>& arrivals() const { return m_arrivals; }
 
     /// The most requests that arrived within a window of this length, among the windows that begin after `from`.
-    size_t mostArrivals(TimePoint from, Duration window) const
-    {
-        size_t most = 0;
-        auto begin = std::lower_bound(m_arrivals.begin(), m_arrivals.end(), from);
-        for (auto first = begin; first != m_arrivals.end(); ++first) {
-            auto last = std::lower_bound(first, m_arrivals.end(), *first + window);
-            most = std::max(most, static_cast<size_t>(last - first));
-        }
-        return most;
-    }
+    size_t mostArrivals(TimePoint from, Duration window) const { return mostWithin(m_arrivals, window, from); }
 
 private:
     void handle(const std::shared_ptr<HttpExchange>& exchange)
--- a/tests/UpstreamRateLimiterTest.cpp
+++ b/tests/UpstreamRateLimiterTest.cpp
@@ -3,6 +3,7 @@
 #include "dragonflylane/OwnerAdmission.h"
 #include "dragonflylane/RankedAdmission.h"
 #include "dragonflylane/UpstreamSelector.h"
+#include "tests/RateWindow.h"
 #include "tests/Timeline.h"
 
 #include <algorithm>
@@ -187,16 +188,10 @@
 
         double mostOverLimit() const
         {
-            constexpr seconds window { 4 };
             size_t most = 0;
-            for (size_t i = 0; i < m_options.limited; ++i) {
-                const auto& sent = m_sent[i];
-                for (auto first = sent.begin(); first != sent.end(); ++first) {
-                    auto last = std::lower_bound(first, sent.end(), *first + window);
-                    most = std::max(most, static_cast<size_t>(last - first));
-                }
-            }
-            return static_cast<double>(most) / (limit() * window.count());
+            for (size_t i = 0; i < m_options.limited; ++i)
+                most = std::max(most, mostWithin(m_sent[i], limitWindow));
+            return static_cast<double>(most) / (limit() * limitWindow.count());
         }
 
         FleetOptions m_options;
