Log what a daemon suspects of crashing upstreams, and each change of parent

The hypotheses of the incident could not be told apart: no line stated which requests a dead upstream had in flight, which daemon knew of a suspect and since when, or how old the proof of a daemon was when it changed its parent. upstream_stopped now states the number of suspected requests, request_suspicion each change of state with its source, suspect_sent each request of a suspect (all bounded by a rate limiter); parent_selected, parent_lost and relay_resumed are logged at level info with the age of the proof and the attempts so far. No decision uses them.

--- a/dragonflylane/ApiTask.cpp
+++ b/dragonflylane/ApiTask.cpp
@@ -493,6 +493,7 @@
     m_parts.membership.exportMetrics();
     m_parts.relay.exportMetrics();
     m_parts.claims.exportMetrics();
+    m_parts.crash.exportMetrics();
     if (m_parts.log)
         m_parts.log->exportMetrics();
 }
--- a/dragonflylane/CrashTask.cpp
+++ b/dragonflylane/CrashTask.cpp
@@ -7,6 +7,30 @@
 
 namespace dragonflylane {
 
+namespace {
+
+    std::string_view stateName(CrashState state)
+    {
+        switch (state) {
+        case CrashState::Unsuspected:
+            return "unsuspected";
+        case CrashState::Suspect:
+            return "suspect";
+        case CrashState::Quarantined:
+            return "quarantined";
+        }
+        return "invalid";
+    }
+
+    std::vector<Fingerprint> fingerprintsOf(const CrashNotice& notice)
+    {
+        if (const auto* clear = std::get_if<CrashClear>(&notice))
+            return { clear->fingerprint };
+        return std::get<CrashReport>(notice).fingerprints;
+    }
+
+} // namespace
+
 CrashTask::CrashTask(CrashQuarantineOptions options, Broadcast broadcast, Metrics& metrics, Journal& journal)
     : m_quarantine(options)
     , m_broadcast(std::move(broadcast))
@@ -24,6 +48,7 @@
         .with("in_flight", inFlight.size());
     for (const CrashNotice& notice : m_quarantine.upstreamDied(upstream, incarnation, inFlight, BootClock::now()))
         send(notice);
+    logStates(inFlight, Source::ThisDaemon);
     for (Fingerprint fingerprint : inFlight) {
         bool isQuarantined = stateOf(fingerprint) == CrashState::Quarantined;
         m_journal.record({ .event = isQuarantined ? "request_quarantined" : "request_suspected",
@@ -34,8 +59,11 @@
 
 void CrashTask::completed(Fingerprint fingerprint)
 {
-    if (auto notice = m_quarantine.completed(fingerprint, BootClock::now()))
-        send(*notice);
+    auto notice = m_quarantine.completed(fingerprint, BootClock::now());
+    if (!notice)
+        return;
+    send(*notice);
+    logStates({ &fingerprint, 1 }, Source::ThisDaemon);
 }
 
 void CrashTask::receive(std::string_view payload)
@@ -43,15 +71,19 @@
     CrashNotice notice;
     if (decode(payload, notice))
         return m_metrics.add("crash_notice_malformed");
-    m_quarantine.receive(notice, BootClock::now());
+    m_metrics.add("crash_notices_received");
+    if (m_quarantine.receive(notice, BootClock::now()))
+        logStates(fingerprintsOf(notice), Source::Peer);
 }
 
 bool CrashTask::release(Fingerprint fingerprint)
 {
     auto notice = m_quarantine.release(fingerprint, BootClock::now());
-    if (notice)
-        send(*notice);
-    return notice.has_value();
+    if (!notice)
+        return false;
+    send(*notice);
+    logStates({ &fingerprint, 1 }, Source::ThisDaemon);
+    return true;
 }
 
 CrashState CrashTask::stateOf(Fingerprint fingerprint) const
@@ -65,6 +97,33 @@
     return m_quarantine.list(BootClock::now());
 }
 
+void CrashTask::exportMetrics() const
+{
+    size_t quarantined = 0;
+    std::vector<CrashEntry> entries = list();
+    for (const CrashEntry& entry : entries)
+        quarantined += entry.state == CrashState::Quarantined ? 1 : 0;
+    m_metrics.set("crash_suspects", entries.size() - quarantined);
+    m_metrics.set("crash_quarantined", quarantined);
+    m_metrics.set("crash_fingerprints_dropped", m_quarantine.dropped());
+}
+
+// States which daemon knew of which request, and since when.
+void CrashTask::logStates(std::span<const Fingerprint> fingerprints, Source source)
+{
+    TimePoint now = BootClock::now();
+    for (Fingerprint fingerprint : fingerprints) {
+        auto entry = m_logLimiter.admit(now);
+        if (!entry)
+            continue;
+        Event("request_suspicion")
+            .with("fingerprint", fingerprint)
+            .with("state", stateName(stateOf(fingerprint)))
+            .with("source", source == Source::Peer ? "peer" : "this_daemon")
+            .with("left_out", entry->suppressed);
+    }
+}
+
 void CrashTask::send(const CrashNotice& notice)
 {
     if (!m_broadcast(encode(notice)))
--- a/dragonflylane/CrashTask.h
+++ b/dragonflylane/CrashTask.h
@@ -3,6 +3,7 @@
 // Replicates the crash quarantine between the daemons: broadcasts local changes and applies those of other daemons.
 
 #include "dragonflylane/CrashQuarantine.h"
+#include "dragonflylane/LogRateLimiter.h"
 
 #include <functional>
 #include <span>
@@ -33,14 +34,23 @@
 
     CrashState stateOf(Fingerprint) const;
     std::vector<CrashEntry> list() const;
+    void exportMetrics() const;
 
 private:
+    /// Where a change of the state comes from.
+    enum class Source : uint8_t {
+        ThisDaemon,
+        Peer,
+    };
+
     void send(const CrashNotice&);
+    void logStates(std::span<const Fingerprint>, Source);
 
     CrashQuarantine m_quarantine;
     Broadcast m_broadcast;
     Metrics& m_metrics;
     Journal& m_journal;
+    LogRateLimiter m_logLimiter;
 };
 
 } // namespace dragonflylane
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -329,6 +329,8 @@
     call->incarnation = m_incarnation;
     m_statements.recordRequest();
     m_metrics.add("upstream_requests");
+    if (call->isSuspect)
+        logSuspect(*call);
     if (m_statements.rateLimit())
         m_metrics.add("upstream_requests_under_limit");
     if (call->source == CallSource::Peer) {
@@ -481,6 +483,20 @@
         .with("left_out", entry->suppressed);
 }
 
+void OwnerTask::logSuspect(const Call& call)
+{
+    m_metrics.add("upstream_suspect_requests");
+    auto entry = m_suspectLogLimiter.admit(call.sentAt);
+    if (!entry)
+        return;
+    Event("suspect_sent")
+        .with("request", call.request.traceId)
+        .with("upstream", call.request.upstreamId)
+        .with("incarnation", call.incarnation)
+        .with("fingerprint", call.fingerprint())
+        .with("left_out", entry->suppressed);
+}
+
 void OwnerTask::applyChanges(const AdmissionChanges& changes)
 {
     for (const CallTicket& ticket : changes.dispatched) {
@@ -568,8 +584,11 @@
         .cause = std::string(evidence) });
     if (!fingerprints.empty())
         m_crash.upstreamDied(m_announcement->id, m_incarnation, fingerprints);
-    else
-        Event("upstream_stopped").with("upstream", m_announcement->id).with("evidence", evidence);
+    Event("upstream_stopped")
+        .with("upstream", m_announcement->id)
+        .with("evidence", evidence)
+        .with("suspected", fingerprints.size())
+        .with("running", m_admission->load(now).running);
     for (const RefusedTicket& refused : m_admission->refuseQueued(ResultCode::UpstreamUnreachable)) {
         auto it = m_calls.find(refused.ticket.id);
         if (it != m_calls.end())
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -163,6 +163,7 @@
     void finish(const CallPtr&, UpstreamResult);
     void answer(const CallPtr&, ResultCode, HttpResponse, Duration retryAfter = {});
     void logRefusal(const Call&, ResultCode, Duration expectedWait);
+    void logSuspect(const Call&);
     void applyChanges(const AdmissionChanges&);
     void recordLostRequest(const Call&, bool wasSent);
     void probeUpstream();
@@ -196,6 +197,7 @@
     bool m_isProbing { false };
     OwnerStatements m_statements;
     LogRateLimiter m_refusalLogLimiter;
+    LogRateLimiter m_suspectLogLimiter;
     WakeupTimer m_timer;
 };
 
--- a/dragonflylane/RelayTask.cpp
+++ b/dragonflylane/RelayTask.cpp
@@ -43,9 +43,20 @@
         return "invalid";
     }
 
-    bool isError(RelayEvent::Kind kind)
+    // Changes of parent are rare and explain a late change. The other events are frequent in a large fleet.
+    EventLevel levelOf(RelayEvent::Kind kind)
     {
-        return kind == RelayEvent::Kind::DigestMismatch || kind == RelayEvent::Kind::RevisionRefused;
+        switch (kind) {
+        case RelayEvent::Kind::DigestMismatch:
+        case RelayEvent::Kind::RevisionRefused:
+            return EventLevel::Error;
+        case RelayEvent::Kind::ParentSelected:
+        case RelayEvent::Kind::ParentLost:
+        case RelayEvent::Kind::Resumed:
+            return EventLevel::Info;
+        default:
+            return EventLevel::Debug;
+        }
     }
 
 } // namespace
@@ -210,10 +221,14 @@
 
 void RelayTask::handle(const RelayEvent& event)
 {
-    Event(eventName(event.kind), isError(event.kind) ? EventLevel::Error : EventLevel::Debug)
+    const RelayCounters& counters = m_relay.counters();
+    Event(eventName(event.kind), levelOf(event.kind))
         .with("peer", event.peer)
         .with("code", name(event.code))
         .with("revision", event.revision)
+        .with("proof_age_ms", proofAge().count())
+        .with("attempts", counters.attempts)
+        .with("attempts_failed", counters.attemptsFailed)
         .with("reason", event.reason)
         .with("cause", event.cause);
     m_journal.record({ .event = std::string(eventName(event.kind)),
@@ -223,12 +238,22 @@
         .detail = event.reason });
 }
 
+// Age of the proof that the held configuration is current; -1 before the first proof.
+std::chrono::milliseconds RelayTask::proofAge() const
+{
+    constexpr std::chrono::milliseconds none { -1 };
+    auto provenAt = m_relay.provenAt();
+    return provenAt ? std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - *provenAt) : none;
+}
+
 void RelayTask::exportMetrics() const
 {
     const RelayCounters& counters = m_relay.counters();
     m_metrics.set("relay_children", m_relay.childCount());
     m_metrics.set("relay_parents_selected", counters.parentsSelected);
     m_metrics.set("relay_parents_lost", counters.parentsLost);
+    m_metrics.set("relay_attempts", counters.attempts);
+    m_metrics.set("relay_attempts_failed", counters.attemptsFailed);
     m_metrics.set("relay_children_refused", counters.childrenRefused);
     m_metrics.set("relay_stale_term", counters.staleTerm);
     m_metrics.set("relay_stale_revision", counters.staleRevision);
--- a/dragonflylane/RelayTask.h
+++ b/dragonflylane/RelayTask.h
@@ -54,6 +54,7 @@
     void handle(const RelaySend&);
     void handle(const RelayConnect&);
     void handle(const RelayEvent&);
+    std::chrono::milliseconds proofAge() const;
 
     RelayOptions withCallbacks(RelayOptions);
 
