--- a/tests/OwnerTaskTest.cpp
+++ b/tests/OwnerTaskTest.cpp
@@ -4,6 +4,7 @@
 #include "dragonflylane/OwnerTask.h"
 
 #include "dragonflylane/CrashTask.h"
+#include "dragonflylane/CrashWire.h"
 #include "dragonflylane/ForwardWire.h"
 #include "dragonflylane/Journal.h"
 #include "dragonflylane/LinkPacer.h"
@@ -81,10 +82,11 @@
             m_context.run_for(milliseconds(50));
         }
 
-        void call()
+        void call() { call(makeRequest()); }
+
+        OwnerTask::CallId call(wire::ForwardRequest request)
         {
-            wire::ForwardRequest request = makeRequest();
-            m_owner->handle(
+            return m_owner->handle(
                 std::move(request),
                 [this](const wire::ForwardResponse& response) {
                     ++m_codes[static_cast<ResultCode>(response.code)];
@@ -93,6 +95,14 @@
                 OwnerTask::CallSource::Peer);
         }
 
+        CrashState crashState(Fingerprint fingerprint) const { return m_crash.stateOf(fingerprint); }
+
+        /// Reports the death of another upstream that had this request in flight.
+        void reportDeathElsewhere(Fingerprint fingerprint, const std::string& upstream)
+        {
+            m_crash.receive(encode(CrashReport { { UpstreamId(upstream), Incarnation(1) }, { fingerprint } }));
+        }
+
         /// From now on, entry daemons add this to their requests.
         void setKnown(std::optional<ProcessStatement> known) { m_known = known; }
         /// What the latest response tells entry daemons.
@@ -139,6 +149,7 @@
         }
         const std::optional<UpstreamRecord>& record() const { return m_record; }
         StatingUpstream& upstream() { return m_upstream; }
+        OwnerTask& owner() { return *m_owner; }
 
     private:
         const OwnerFixtureOptions m_options;
@@ -312,4 +323,65 @@
     EXPECT_LE(fixture.upstream().arrivals().size() - before, 3U);
 }
 
+// Guards against a request that silences one upstream after the other and is never suspected, because no connection is
+// lost: its timeout or cancellation ends it before the lease of the upstream.
+TEST(OwnerTaskTest, RequestsUnansweredWhenTheUpstreamFellSilentAreSuspected)
+{
+    OwnerFixture fixture;
+    fixture.announce();
+    ASSERT_EQ(fixture.callAndWait(), ResultCode::Ok);
+    fixture.upstream().setServiceTime(seconds(60));
+    wire::ForwardRequest expired = fixture.makeRequest();
+    wire::ForwardRequest cancelled = fixture.makeRequest();
+    wire::ForwardRequest running = fixture.makeRequest();
+    running.remainingMicroseconds = 60'000'000;
+    fixture.call(expired);
+    OwnerTask::CallId cancelledCall = fixture.call(cancelled);
+    fixture.call(running);
+    fixture.runFor(milliseconds(200));
+    fixture.owner().cancel(cancelledCall);
+    fixture.runFor(milliseconds(3100));
+    ASSERT_EQ(fixture.record()->phase, UpstreamPhase::Stopped);
+    for (const wire::ForwardRequest& request : { expired, cancelled, running }) {
+        Fingerprint fingerprint(static_cast<uint64_t>(request.fingerprint));
+        EXPECT_EQ(fixture.crashState(fingerprint), CrashState::Suspect) << request.target;
+    }
+}
+
+// Guards against suspecting requests that an upstream was slow to answer, when it stops much later.
+TEST(OwnerTaskTest, RequestsThatExpiredWhileTheUpstreamWasAliveAreNotSuspected)
+{
+    OwnerFixture fixture;
+    fixture.announce();
+    fixture.upstream().setServiceTime(seconds(60));
+    wire::ForwardRequest expired = fixture.makeRequest();
+    fixture.call(expired);
+    fixture.runFor(milliseconds(1500));
+    fixture.announce();
+    fixture.runFor(milliseconds(3300));
+    ASSERT_EQ(fixture.record()->phase, UpstreamPhase::Stopped);
+    EXPECT_EQ(fixture.crashState(Fingerprint(static_cast<uint64_t>(expired.fingerprint))), CrashState::Unsuspected);
+}
+
+// Guards against copies of a crashing request that wait at an owner while it is being quarantined, and then reach the
+// upstream.
+TEST(OwnerTaskTest, CopyThatIsQueuedWhenItsRequestIsQuarantinedIsRefused)
+{
+    constexpr size_t slots = 12;
+    OwnerFixture fixture;
+    fixture.announce();
+    fixture.upstream().setServiceTime(milliseconds(100));
+    for (size_t i = 0; i < slots; ++i)
+        fixture.call();
+    wire::ForwardRequest queued = fixture.makeRequest();
+    Fingerprint fingerprint(static_cast<uint64_t>(queued.fingerprint));
+    fixture.call(queued);
+    fixture.reportDeathElsewhere(fingerprint, "catalogue-2");
+    fixture.reportDeathElsewhere(fingerprint, "catalogue-3");
+    ASSERT_EQ(fixture.crashState(fingerprint), CrashState::Quarantined);
+    fixture.runFor(milliseconds(500));
+    EXPECT_EQ(fixture.count(ResultCode::RequestQuarantined), 1U);
+    EXPECT_EQ(fixture.upstream().arrivals().size(), slots);
+}
+
 } // namespace dragonflylane
--- a/tests/UpstreamClientTest.cpp
+++ b/tests/UpstreamClientTest.cpp
@@ -112,6 +112,25 @@
     EXPECT_EQ(client.exchange("POST", "").code, ResultCode::UpstreamLost);
 }
 
+// Guards against a success with an empty or short body that is framed as whole, because the upstream stopped in the
+// middle of the head or of the framing and closed.
+TEST(UpstreamClientTest, ResponseThatStopsAnywhereIsAnError)
+{
+    ClientFixture client({ .acceptsCloseDelimited = true });
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n";
+    const std::string endOfHead = "\r\n\r\n";
+    for (const std::string& response : { head + "Content-Length: 12" + endOfHead + "twelve bytes",
+             head + "Transfer-Encoding: chunked" + endOfHead + "4\r\nfour\r\n0\r\nX-Sum: 1" + endOfHead,
+             head + "Server: s" + endOfHead }) {
+        for (size_t length = 0; length < response.size(); ++length) {
+            UpstreamResult result = client.exchange("GET", response.substr(0, length));
+            EXPECT_NE(result.code, ResultCode::Ok) << response.substr(0, length);
+            EXPECT_EQ(runState(result.code), RunState::Unknown) << response.substr(0, length);
+        }
+        EXPECT_EQ(client.exchange("GET", response).code, ResultCode::Ok) << response;
+    }
+}
+
 // Guards against unbounded memory use for the body of a response.
 TEST(UpstreamClientTest, BodiesOverTheLimitAreRefused)
 {
@@ -215,6 +234,46 @@
     EXPECT_EQ(third.get().response.body, "third");
 }
 
+// Guards against a caller that is told "not run" for a request that runs, because the upstream wrote an earlier refusal
+// once more and the copy bears no id.
+TEST(UpstreamClientTest, RefusalWithoutIdOnAKeptConnectionIsDropped)
+{
+    ClientFixture client({ .echoedHeader = requestIdHeader });
+    auto first = client.send("GET", seconds(10), "a");
+    RawSocket connection = client.listener.accept();
+    connection.readUntil("\r\n\r\n");
+    connection.write(responseFor("a", "first"));
+    EXPECT_EQ(first.get().response.body, "first");
+    auto second = client.send("GET", seconds(10), "b");
+    connection.readUntil("\r\n\r\n");
+    connection.write("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    connection.write(responseFor("b", "second"));
+    UpstreamResult result = second.get();
+    EXPECT_EQ(result.response.status, 200U);
+    EXPECT_EQ(result.response.body, "second");
+}
+
+// Guards against a refusal that is taken for the answer to a second sending of the same request, because it bears the
+// same id: the request is running meanwhile.
+TEST(UpstreamClientTest, RefusedRequestIsNotSentAgainOnTheSameConnection)
+{
+    ClientFixture client({ .echoedHeader = requestIdHeader });
+    const std::string refusal = std::string("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n")
+        + requestIdHeader + ": a\r\nContent-Length: 0\r\n\r\n";
+    auto first = client.send("GET", seconds(10), "a");
+    RawSocket connection = client.listener.accept();
+    connection.readUntil("\r\n\r\n");
+    connection.write(refusal);
+    EXPECT_EQ(first.get().response.status, 503U);
+    auto again = client.send("GET", seconds(10), "a");
+    RawSocket fresh = client.listener.accept();
+    ASSERT_TRUE(fresh.isOpen()) << "the second sending uses another connection";
+    connection.write(refusal);
+    fresh.readUntil("\r\n\r\n");
+    fresh.write(responseFor("a", "done"));
+    EXPECT_EQ(again.get().response.body, "done");
+}
+
 // Guards against reporting "not run" for a request that was sent on a connection which the upstream then closed.
 TEST(UpstreamClientTest, OutcomeIsUnknownIfTheConnectionClosesAfterTheRequest)
 {
