Suspect requests whose kept connection was lost when the upstream died

What callers saw: a GET that crashes the upstream that runs it was sent to upstreams without end; six copies ended twelve processes in QuarantineProcessTest.RequestThatCrashesUpstreamsOnKeptConnectionsIsQuarantined. Cause: the client did not count the loss of a connection that had carried requests before as a sign of a crash, since an upstream may close an idle connection at any time. So the owner found the upstream dead (connection refused) with no request in flight, and reported nothing. Idempotent requests use kept connections nearly always. Change: such a loss counts too. It only makes the owner probe the upstream; a process that is alive accepts the probe. Evidence: upstream_stopped stated suspected=0 in each of the twelve deaths.

--- a/dragonflylane/UpstreamClient.cpp
+++ b/dragonflylane/UpstreamClient.cpp
@@ -307,8 +307,7 @@
             && error != http::error::end_of_stream;
         if (isParseError)
             return finish(call, { .code = ResultCode::MalformedAnswer });
-        // An upstream may close an idle connection at any time, so only the loss of a new connection indicates a crash.
-        finish(call, { .code = ResultCode::UpstreamLost, .isConnectionLost = !call->isReused });
+        finish(call, { .code = ResultCode::UpstreamLost, .isConnectionLost = true });
     }
 
     void finish(const CallPtr& call, UpstreamResult result)
