Recognise a crashing request by what the caller sent, not by the service of its route

What callers saw: a request that was quarantined after two deaths crashed the upstreams of another service once its route had moved there (QuarantineProcessTest.QuarantineHoldsWhenTheRouteMovesToAnotherService: 2 deaths, 0 allowed). Cause: the fingerprint contained the selected service. A change of a route, or a split, gave the same request a new identity and two more deaths. Change: the fingerprint is the hash of host, method, target and body. CrashQuarantineTest.FingerprintSeparatesItsParts checks the host in place of the service and one more boundary.

--- a/bench/RequestDecisionBenchMain.cpp
+++ b/bench/RequestDecisionBenchMain.cpp
@@ -153,12 +153,11 @@
 
     void measureCrashes()
     {
-        ServiceName service("orders");
         for (size_t size : { 0, 200, 4096 }) {
             std::string body(size, 'b');
             std::string name = "fingerprint_body_" + std::to_string(size);
             measure(name.c_str(), operations, [&](uint64_t) {
-                sink = sink + requestFingerprint(service, "POST", "/orders/parcels?month=12", body).value();
+                sink = sink + requestFingerprint("orders.example", "POST", "/orders/parcels?month=12", body).value();
             });
         }
         CrashQuarantine quarantine;
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -180,14 +180,15 @@
             watchDeadline(call);
             return m_transfers.transfer(call, m_nextId++);
         }
-        ResultCode code = route(call);
+        const HttpRequest& request = call->exchange->request();
+        std::string host = hostName(request);
+        ResultCode code = route(call, host);
         if (code == ResultCode::Ok && call->deadline > m_lastAnswer)
             code = ResultCode::DaemonLeaving;
         if (code != ResultCode::Ok)
             return refuse(call, code);
         watchDeadline(call);
-        const HttpRequest& request = call->exchange->request();
-        call->fingerprint = requestFingerprint(call->serviceName, request.method, request.target, request.body);
+        call->fingerprint = requestFingerprint(host, request.method, request.target, request.body);
         detectCallerRetry(call);
         if (m_parts.crash.stateOf(call->fingerprint) == CrashState::Quarantined)
             return refuse(call, ResultCode::RequestQuarantined);
@@ -197,11 +198,11 @@
         claim(call);
     }
 
-    ResultCode route(const CallPtr& call)
+    ResultCode route(const CallPtr& call, std::string_view host)
     {
         const HttpRequest& request = call->exchange->request();
         call->routingTable = m_routingTable;
-        const RouteEntry* route = m_routingTable->findRoute(hostName(request), request.target);
+        const RouteEntry* route = m_routingTable->findRoute(host, request.target);
         if (!route)
             return ResultCode::NoRoute;
         // A retry with the same idempotency key selects the same service of a traffic split.
--- a/dragonflylane/Fingerprint.h
+++ b/dragonflylane/Fingerprint.h
@@ -8,8 +8,9 @@
 
 namespace dragonflylane {
 
-/// Hash of service, method, target and body, the same at all daemons. O(size of the request).
+/// Hash of what the caller sent, the same at all daemons and under every configuration: the service that a route
+/// selects is no part of it. `host` is the Host header without the port, in lower case. O(size of the request).
 Fingerprint requestFingerprint(
-    const ServiceName&, std::string_view method, std::string_view target, std::string_view body);
+    std::string_view host, std::string_view method, std::string_view target, std::string_view body);
 
 } // namespace dragonflylane
--- a/tests/CrashQuarantineTest.cpp
+++ b/tests/CrashQuarantineTest.cpp
@@ -269,12 +269,12 @@
 // Guards against equal fingerprints of requests that differ only in where one part ends and the next begins.
 TEST(CrashQuarantineTest, FingerprintSeparatesItsParts)
 {
-    ServiceName orders("orders");
-    Fingerprint base = requestFingerprint(orders, "POST", "/a", "b");
-    EXPECT_EQ(base, requestFingerprint(orders, "POST", "/a", "b"));
-    EXPECT_NE(base, requestFingerprint(orders, "POST", "/ab", ""));
-    EXPECT_NE(base, requestFingerprint(orders, "POST/", "a", "b"));
-    EXPECT_NE(base, requestFingerprint(ServiceName("loans"), "POST", "/a", "b"));
+    Fingerprint base = requestFingerprint("orders", "POST", "/a", "b");
+    EXPECT_EQ(base, requestFingerprint("orders", "POST", "/a", "b"));
+    EXPECT_NE(base, requestFingerprint("orders", "POST", "/ab", ""));
+    EXPECT_NE(base, requestFingerprint("orders", "POST/", "a", "b"));
+    EXPECT_NE(base, requestFingerprint("orde", "rsPOST", "/a", "b"));
+    EXPECT_NE(base, requestFingerprint("loans", "POST", "/a", "b"));
 }
 
 // Guards against notices that are changed by encoding and decoding, and against malformed datagrams that are accepted
