Suspect requests that were unanswered when their upstream fell silent

What callers saw: a request that makes upstreams fall silent, instead of closing their connections, was never suspected. Cause: only requests whose connection was lost counted as in flight at a death. Change: UnansweredRequests keeps requests that were given up until the upstream answers or announces itself; the calls running at a death count as well. A lease that ends while the daemon itself was paused suspects nothing, since the announcements may be waiting. A late announcement counts as a sign of life of half a second before. Red before: OwnerTaskTest.RequestsUnansweredWhenTheUpstreamFellSilentAreSuspected (none of three requests suspected). RequestsThatExpiredWhileTheUpstreamWasAliveAreNotSuspected passes before and after.

--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -31,6 +31,7 @@
     UpstreamClient::Cancel cancel;
     bool isSuspect { false };
 
+    bool isRunning() const { return sentAt != TimePoint(); }
     Fingerprint fingerprint() const { return Fingerprint(static_cast<uint64_t>(request.fingerprint)); }
 };
 
@@ -38,6 +39,10 @@
 
     constexpr unsigned statusServiceUnavailable = 503;
     constexpr std::chrono::milliseconds probeTimeout { 200 };
+    // An announcement shows that the upstream was alive this long ago, since it may have been delayed on its way.
+    constexpr std::chrono::milliseconds maxAnnouncementDelay { 500 };
+    // If the end of a lease is noticed later than this, the daemon itself was paused, and announcements may be waiting.
+    constexpr std::chrono::milliseconds maxTimerDelay { 500 };
 
     // An upstream signals that it sheds load by status 503 with Retry-After or X-Load-Shed.
     bool isShedAnswer(const HttpResponse& response)
@@ -85,6 +90,7 @@
     , m_hooks(std::move(hooks))
     , m_admission(makeAdmission(m_options))
     , m_responseDelay(pacer)
+    , m_unanswered({ .window = m_options.crashWindow })
     , m_timer(context, [this] {
         checkLease();
         applyChanges(m_admission->tick(BootClock::now()));
@@ -139,6 +145,7 @@
         return;
     }
     m_leaseEnd = BootClock::now() + m_options.lease;
+    recordSignOfLife(BootClock::now() - maxAnnouncementDelay);
     bool isOtherProcess = !m_announcement || m_announcement->id != announcement.id
         || m_announcement->instance != announcement.instance || m_announcement->address != announcement.address
         || m_announcement->service != announcement.service;
@@ -238,8 +245,11 @@
 
 void OwnerTask::checkLease()
 {
-    if (m_announcement && !m_isStopped && BootClock::now() >= m_leaseEnd)
-        declareDead("lease ended");
+    TimePoint now = BootClock::now();
+    if (!m_announcement || m_isStopped || now < m_leaseEnd)
+        return;
+    bool wasPaused = now - m_leaseEnd > maxTimerDelay;
+    declareDead("lease ended", wasPaused ? RunningRequests::Unsuspected : RunningRequests::Suspected);
 }
 
 ResultCode OwnerTask::checkRequest(const wire::ForwardRequest& request) const
@@ -318,6 +328,8 @@
     m_metrics.add("owner_calls_cancelled");
     if (m_admission->cancel(id))
         return;
+    if (call->isRunning() && call->incarnation == m_incarnation)
+        m_unanswered.gaveUp(call->fingerprint(), call->sentAt, BootClock::now());
     if (call->cancel)
         call->cancel();
     applyChanges(m_admission->finished(id, CallOutcome::Cancelled, BootClock::now()));
@@ -398,8 +410,10 @@
 {
     TimePoint now = BootClock::now();
     bool isResponse = result.code == ResultCode::Ok;
-    if (isResponse && call->incarnation == m_incarnation)
+    if (isResponse && call->incarnation == m_incarnation) {
         recordStatements(result.response, now);
+        recordSignOfLife(now);
+    }
     if (result.code == ResultCode::Ok && statesNotRun(result.response))
         result.code = ResultCode::UpstreamRefused;
     else if (result.code == ResultCode::Ok && isShedAnswer(result.response))
@@ -409,8 +423,8 @@
         m_crash.completed(call->fingerprint());
         if (call->incarnation == m_incarnation)
             m_completions.record(call->fingerprint(), now);
-    } else if (result.isConnectionLost) {
-        recordLostRequest(*call, runState(result.code) != RunState::NotRun);
+    } else {
+        recordUnanswered(*call, result);
     }
     AdmissionChanges changes = m_admission->finished(call->id, outcomeOf(result.code), now);
     answer(call, result.code, std::move(result.response));
@@ -529,17 +543,36 @@
 
 // Only a request that was sent can have crashed the upstream. In either case the lost or refused connection is a reason
 // to check whether the upstream is alive.
-void OwnerTask::recordLostRequest(const Call& call, bool wasSent)
+void OwnerTask::recordUnanswered(const Call& call, const UpstreamResult& result)
 {
     if (call.incarnation != m_incarnation || m_isStopped)
         return;
     TimePoint now = BootClock::now();
-    std::erase_if(m_lostRequests, [&](const LostRequest& lost) { return now - lost.lostAt > m_options.crashWindow; });
-    if (wasSent)
-        m_lostRequests.push_back({ call.fingerprint(), now });
+    if (result.code == ResultCode::UpstreamTimeout)
+        m_unanswered.gaveUp(call.fingerprint(), call.sentAt, now);
+    if (!result.isConnectionLost)
+        return;
+    if (runState(result.code) != RunState::NotRun)
+        m_unanswered.connectionLost(call.fingerprint(), now);
     probeUpstream();
 }
 
+void OwnerTask::recordSignOfLife(TimePoint at)
+{
+    m_unanswered.upstreamIsAlive(at);
+}
+
+// The requests that may have crashed the upstream: the unanswered ones and those that are still running.
+std::vector<Fingerprint> OwnerTask::takeSuspects(TimePoint now)
+{
+    std::vector<Fingerprint> suspects = m_unanswered.takeSuspects(now);
+    for (const auto& [id, call] : m_calls) {
+        if (call->isRunning() && call->incarnation == m_incarnation)
+            suspects.push_back(call->fingerprint());
+    }
+    return m_completions.excludeCompleted(suspects, now);
+}
+
 // The loss of a connection does not show whether the upstream crashed or only closed it, so a new connection is tried.
 // Only if that is refused has the process ended. A process that has already been restarted accepts it, and is detected
 // by its next announcement.
@@ -568,17 +601,13 @@
     });
 }
 
-void OwnerTask::declareDead(std::string_view evidence)
+void OwnerTask::declareDead(std::string_view evidence, RunningRequests runningRequests)
 {
     m_isStopped = true;
     TimePoint now = BootClock::now();
-    std::vector<Fingerprint> fingerprints;
-    for (const LostRequest& lost : m_lostRequests) {
-        if (now - lost.lostAt <= m_options.crashWindow)
-            fingerprints.push_back(lost.fingerprint);
-    }
-    m_lostRequests.clear();
-    fingerprints = m_completions.excludeCompleted(fingerprints, now);
+    std::vector<Fingerprint> fingerprints = takeSuspects(now);
+    if (runningRequests == RunningRequests::Unsuspected)
+        fingerprints.clear();
     m_journal.record({ .event = "upstream_stopped",
         .subjects = { m_announcement->id.value(), m_options.self.value() },
         .cause = std::string(evidence) });
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -13,6 +13,7 @@
 #include "dragonflylane/OwnerStatements.h"
 #include "dragonflylane/RecentCompletions.h"
 #include "dragonflylane/ResponseDelayEstimator.h"
+#include "dragonflylane/UnansweredRequests.h"
 #include "dragonflylane/UpstreamClient.h"
 #include "dragonflylane/UpstreamPhase.h"
 #include "dragonflylane/WakeupTimer.h"
@@ -133,9 +134,10 @@
     struct Call;
     using CallPtr = std::shared_ptr<Call>;
 
-    struct LostRequest {
-        Fingerprint fingerprint;
-        TimePoint lostAt;
+    /// Whether the requests that are running at a death may have caused it.
+    enum class RunningRequests : uint8_t {
+        Suspected,
+        Unsuspected,
     };
 
     struct WithdrawnProcess {
@@ -165,9 +167,11 @@
     void logRefusal(const Call&, ResultCode, Duration expectedWait);
     void logSuspect(const Call&);
     void applyChanges(const AdmissionChanges&);
-    void recordLostRequest(const Call&, bool wasSent);
+    void recordUnanswered(const Call&, const UpstreamResult&);
+    void recordSignOfLife(TimePoint at);
+    std::vector<Fingerprint> takeSuspects(TimePoint now);
     void probeUpstream();
-    void declareDead(std::string_view evidence);
+    void declareDead(std::string_view evidence, RunningRequests = RunningRequests::Suspected);
     void armTimer();
 
     boost::asio::io_context& m_context;
@@ -192,7 +196,7 @@
     std::shared_ptr<UpstreamClient> m_client;
     CallId m_nextCall { 1 };
     std::unordered_map<CallId, CallPtr> m_calls;
-    std::vector<LostRequest> m_lostRequests;
+    UnansweredRequests m_unanswered;
     RecentCompletions m_completions;
     bool m_isProbing { false };
     OwnerStatements m_statements;
