Check a waiting copy of a request again before it is sent to the upstream

What callers saw: copies of a crashing request that waited at an owner were sent after the request had been quarantined. Cause: the quarantine was checked when a call arrived, not when its turn came. Change: OwnerTask::dispatch checks it again; a request that became a suspect while it waited runs only if no other suspect is running, as admission does for those that were suspects on arrival. Red before: OwnerTaskTest.CopyThatIsQueuedWhenItsRequestIsQuarantinedIsRefused.

--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -284,6 +284,23 @@
     return ticket;
 }
 
+// Called when a call arrives and once more when it has waited, since its request may be suspected meanwhile. Admission
+// knows only of those that were suspects when they arrived.
+ResultCode OwnerTask::checkCrashState(Call& call) const
+{
+    CrashState state = m_crash.stateOf(call.fingerprint());
+    if (state == CrashState::Quarantined)
+        return ResultCode::RequestQuarantined;
+    call.isSuspect = state == CrashState::Suspect;
+    return call.isSuspect && isSuspectRunning() ? ResultCode::SuspectAlreadyRunning : ResultCode::Ok;
+}
+
+bool OwnerTask::isSuspectRunning() const
+{
+    return std::any_of(m_calls.begin(), m_calls.end(),
+        [](const auto& entry) { return entry.second->isSuspect && entry.second->isRunning(); });
+}
+
 OwnerTask::CallId OwnerTask::handle(wire::ForwardRequest request, Responder respond, CallSource source)
 {
     auto call = std::make_shared<Call>();
@@ -297,14 +314,12 @@
     if (call->request.__isset.known)
         applyStatements(m_statements.adopt(fromWire(call->request.known), call->receivedAt), call->receivedAt);
     ResultCode refusal = checkRequest(call->request);
-    CrashState state = m_crash.stateOf(call->fingerprint());
-    if (refusal == ResultCode::Ok && state == CrashState::Quarantined)
-        refusal = ResultCode::RequestQuarantined;
+    if (refusal == ResultCode::Ok)
+        refusal = checkCrashState(*call);
     if (refusal != ResultCode::Ok) {
         answer(call, refusal, {});
         return call->id;
     }
-    call->isSuspect = state == CrashState::Suspect;
     CallTicket ticket = makeTicket(*call, BootClock::now());
     AdmitDecision decision = m_admission->offer(ticket, BootClock::now());
     if (decision.action == AdmitAction::Admit)
@@ -335,6 +350,16 @@
     applyChanges(m_admission->finished(id, CallOutcome::Cancelled, BootClock::now()));
 }
 
+void OwnerTask::dispatch(const CallPtr& call)
+{
+    ResultCode refusal = checkCrashState(*call);
+    if (refusal == ResultCode::Ok)
+        return sendToUpstream(call);
+    AdmissionChanges changes = m_admission->finished(call->id, CallOutcome::Cancelled, BootClock::now());
+    answer(call, refusal, {});
+    applyChanges(changes);
+}
+
 void OwnerTask::sendToUpstream(const CallPtr& call)
 {
     call->sentAt = BootClock::now();
@@ -516,7 +541,7 @@
     for (const CallTicket& ticket : changes.dispatched) {
         auto it = m_calls.find(ticket.id);
         if (it != m_calls.end())
-            sendToUpstream(CallPtr(it->second));
+            dispatch(CallPtr(it->second));
     }
     for (const RefusedTicket& refused : changes.refused) {
         auto it = m_calls.find(refused.ticket.id);
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -161,6 +161,9 @@
     void checkLease();
     CallTicket makeTicket(const Call&, TimePoint now) const;
     ResultCode checkRequest(const wire::ForwardRequest&) const;
+    ResultCode checkCrashState(Call&) const;
+    bool isSuspectRunning() const;
+    void dispatch(const CallPtr&);
     void sendToUpstream(const CallPtr&);
     void finish(const CallPtr&, UpstreamResult);
     void answer(const CallPtr&, ResultCode, HttpResponse, Duration retryAfter = {});
