Compare what daemons suspect, so that a restart or a cut loses no quarantine

What callers saw: once every daemon had been killed and restarted in turn, a quarantined request crashed two more upstreams (QuarantineProcessTest.QuarantineOutlastsTheRestartOfEveryDaemon: 4 deaths, 2 before). A daemon that was cut off while the others learned of the request let it pass as well. Cause: the quarantine was replicated by one broadcast a notice and by nothing else. Change: CrashReplication. A daemon that has joined asks three others before it serves; a daemon that has records compares digests with two others each second. Nothing is sent while there is nothing to compare, a message holds 64 records at most, and records pass on their remaining time, so that they still expire. Considered: entry daemons add what they know to their requests, as for statements (a request that enters at the new process itself would pass); a repeated broadcast (costs a flood for each record); the replicated log (a quarantine would wait for a quorum). Open: nothing is stored, so the kill of every process at once loses the quarantine.

--- a/dragonflylane/CrashQuarantine.cpp
+++ b/dragonflylane/CrashQuarantine.cpp
@@ -1,6 +1,9 @@
 #include "dragonflylane/CrashQuarantine.h"
 
+#include "dragonflylane/Digest.h"
+
 #include <algorithm>
+#include <numeric>
 
 namespace dragonflylane {
 
@@ -14,8 +17,27 @@
         return std::find(deaths.begin(), deaths.end(), death) != deaths.end();
     }
 
+    size_t bucketOf(Fingerprint fingerprint)
+    {
+        return fingerprint.value() % CrashDigest::bucketCount;
+    }
+
+    // A sum of hashes, since daemons may learn of the deaths in any order.
+    uint64_t sumOfHashes(const std::vector<CrashDeath>& deaths, uint64_t seed)
+    {
+        return std::accumulate(
+            deaths.begin(), deaths.end(), uint64_t { 0 }, [&](uint64_t sum, const CrashDeath& death) {
+                return sum + stableHash(death.upstream.value(), seed + death.incarnation.value());
+            });
+    }
+
 } // namespace
 
+uint64_t CrashDigest::root() const
+{
+    return std::accumulate(buckets.begin(), buckets.end(), uint64_t { 0 });
+}
+
 CrashQuarantine::CrashQuarantine(CrashQuarantineOptions options)
     : m_options(options)
 {
@@ -113,7 +135,8 @@
         return false;
     if (record->deaths.size() < maxDeathsPerFingerprint)
         record->deaths.push_back(death);
-    setExpiry(fingerprint, *record, now);
+    setExpiry(fingerprint, *record, now + m_options.retention);
+    updateDigest(fingerprint, *record);
     return true;
 }
 
@@ -124,19 +147,66 @@
     if (!record)
         return false;
     bool isChanged = false;
-    for (const CrashDeath& death : clear.deaths) {
-        if (contains(record->cleared, death))
+    for (const CrashDeath& death : clear.deaths)
+        isChanged |= addClear(clear.fingerprint, *record, death);
+    return isChanged;
+}
+
+bool CrashQuarantine::addClear(Fingerprint fingerprint, Record& record, const CrashDeath& death)
+{
+    if (contains(record.cleared, death))
+        return false;
+    std::erase(record.deaths, death);
+    record.cleared.push_back(death);
+    if (record.cleared.size() > maxClearedPerFingerprint)
+        record.cleared.erase(record.cleared.begin());
+    updateQueues(fingerprint, record);
+    updateDigest(fingerprint, record);
+    return true;
+}
+
+// The remaining time is passed on, so that daemons do not renew each other's records for ever.
+bool CrashQuarantine::merge(const CrashRecord& other, TimePoint now)
+{
+    if (other.remaining <= Duration::zero())
+        return false;
+    bool isKnown = m_records.contains(other.fingerprint);
+    Record* record = findOrInsert(other.fingerprint, now);
+    if (!record)
+        return false;
+    TimePoint expiresAt = now + std::min(other.remaining, m_options.retention);
+    setExpiry(other.fingerprint, *record, isKnown ? std::max(record->expiresAt, expiresAt) : expiresAt);
+    bool isChanged = false;
+    for (const CrashDeath& death : other.cleared)
+        isChanged |= addClear(other.fingerprint, *record, death);
+    for (const CrashDeath& death : other.deaths) {
+        bool isNew = !contains(record->deaths, death) && !contains(record->cleared, death);
+        if (!isNew || record->deaths.size() >= maxDeathsPerFingerprint)
             continue;
-        std::erase(record->deaths, death);
-        record->cleared.push_back(death);
-        if (record->cleared.size() > maxClearedPerFingerprint)
-            record->cleared.erase(record->cleared.begin());
+        record->deaths.push_back(death);
         isChanged = true;
     }
-    updateQueues(clear.fingerprint, *record);
+    updateQueues(other.fingerprint, *record);
+    updateDigest(other.fingerprint, *record);
     return isChanged;
 }
 
+std::vector<CrashRecord> CrashQuarantine::recordsIn(const CrashDigest& other, size_t limit, TimePoint now)
+{
+    std::vector<CrashRecord> records;
+    auto position = m_records.lower_bound(m_nextRecord);
+    for (size_t visited = 0; visited < m_records.size() && records.size() < limit; ++visited) {
+        if (position == m_records.end())
+            position = m_records.begin();
+        const auto& [fingerprint, record] = *position++;
+        size_t bucket = bucketOf(fingerprint);
+        if (other.buckets[bucket] != m_digest.buckets[bucket] && record.expiresAt > now)
+            records.push_back({ fingerprint, record.deaths, record.cleared, record.expiresAt - now });
+    }
+    m_nextRecord = position == m_records.end() ? Fingerprint() : position->first;
+    return records;
+}
+
 std::optional<CrashNotice> CrashQuarantine::clearAll(Fingerprint fingerprint, bool isRelease, TimePoint now)
 {
     auto found = m_records.find(fingerprint);
@@ -161,6 +231,7 @@
     Record& record = m_records[fingerprint];
     record.expiresAt = now + m_options.retention;
     updateQueues(fingerprint, record);
+    updateDigest(fingerprint, record);
     return &record;
 }
 
@@ -174,11 +245,11 @@
     return true;
 }
 
-void CrashQuarantine::setExpiry(Fingerprint fingerprint, Record& record, TimePoint now)
+void CrashQuarantine::setExpiry(Fingerprint fingerprint, Record& record, TimePoint expiresAt)
 {
     m_evictable.erase({ record.expiresAt, fingerprint });
     m_quarantined.erase({ record.expiresAt, fingerprint });
-    record.expiresAt = now + m_options.retention;
+    record.expiresAt = expiresAt;
     updateQueues(fingerprint, record);
 }
 
@@ -197,9 +268,29 @@
         return;
     m_evictable.erase({ found->second.expiresAt, fingerprint });
     m_quarantined.erase({ found->second.expiresAt, fingerprint });
+    m_digest.buckets[bucketOf(fingerprint)] -= found->second.hash;
     m_records.erase(found);
 }
 
+void CrashQuarantine::updateDigest(Fingerprint fingerprint, Record& record)
+{
+    uint64_t& digest = m_digest.buckets[bucketOf(fingerprint)];
+    digest -= record.hash;
+    record.hash = hashOf(fingerprint, record);
+    digest += record.hash;
+}
+
+// Daemons may keep different ones of the many deaths of a quarantined request, which needs no repair.
+uint64_t CrashQuarantine::hashOf(Fingerprint fingerprint, const Record& record) const
+{
+    constexpr uint64_t deathSeed = 1;
+    constexpr uint64_t clearedSeed = uint64_t { 1 } << 32;
+    bool isQuarantined = record.deaths.size() >= m_options.deathsToQuarantine;
+    const uint64_t parts[] = { fingerprint.value(), isQuarantined ? 1U : 0U,
+        isQuarantined ? 0 : sumOfHashes(record.deaths, deathSeed), sumOfHashes(record.cleared, clearedSeed) };
+    return stableHash({ reinterpret_cast<const char*>(parts), sizeof(parts) });
+}
+
 CrashState CrashQuarantine::stateOf(const Record& record) const
 {
     if (m_options.quarantineEnabled && record.deaths.size() >= m_options.deathsToQuarantine)
--- a/dragonflylane/CrashQuarantine.h
+++ b/dragonflylane/CrashQuarantine.h
@@ -14,12 +14,13 @@
 //
 // A death is a pair (upstream, incarnation). A fingerprint is quarantined after two deaths that no later completion has
 // cleared. A CrashClear lists the deaths that it removes, so CrashReports and CrashClears may arrive in any order and
-// repeatedly, and all daemons still converge to the same state. Tables are bounded; all operations except list() cost
-// O(log n) per fingerprint.
+// repeatedly, and all daemons still converge to the same state. A daemon that missed broadcasts gets records instead,
+// see CrashReplication. Tables are bounded; all operations except list() and recordsIn() cost O(log n) per fingerprint.
 
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/Ids.h"
 
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -60,6 +61,29 @@
 
 using CrashNotice = std::variant<CrashReport, CrashClear>;
 
+/// All that a daemon knows about one fingerprint.
+struct CrashRecord {
+    Fingerprint fingerprint;
+    std::vector<CrashDeath> deaths;
+    /// Deaths that no longer count.
+    std::vector<CrashDeath> cleared;
+    /// Time until the record expires.
+    Duration remaining { 0 };
+
+    bool operator==(const CrashRecord&) const = default;
+};
+
+/// Digests of a table, one for each bucket of fingerprints. Equal digests mean equal states.
+struct CrashDigest {
+    static constexpr size_t bucketCount = 16;
+
+    std::array<uint64_t, bucketCount> buckets {};
+
+    /// Digest of the whole table; zero if it is empty.
+    uint64_t root() const;
+    bool operator==(const CrashDigest&) const = default;
+};
+
 enum class CrashState : uint8_t {
     Unsuspected,
     Suspect,
@@ -100,6 +124,12 @@
     /// Applies a notice of another daemon. Returns true if it changed the state.
     bool receive(const CrashNotice&, TimePoint now);
 
+    const CrashDigest& digest() const { return m_digest; }
+    /// At most `limit` records of the buckets in which the digests differ, in an order that changes with each call.
+    std::vector<CrashRecord> recordsIn(const CrashDigest& other, size_t limit, TimePoint now);
+    /// Adds what another daemon knows. Returns true if it changed the state.
+    bool merge(const CrashRecord&, TimePoint now);
+
     CrashState stateOf(Fingerprint, TimePoint now) const;
     /// Suspects and quarantined fingerprints, for operators.
     std::vector<CrashEntry> list(TimePoint now) const;
@@ -119,6 +149,8 @@
         /// Deaths that no longer count; kept so that a late or repeated report of them has no effect.
         std::vector<CrashDeath> cleared;
         TimePoint expiresAt;
+        /// Contribution to the digest.
+        uint64_t hash { 0 };
     };
     using ExpiryKey = std::pair<TimePoint, Fingerprint>;
 
@@ -131,8 +163,11 @@
     Record* findOrInsert(Fingerprint, TimePoint now);
     /// Evicts the entry that expires first. Returns false if all entries are quarantined.
     bool evictOne();
-    void setExpiry(Fingerprint, Record&, TimePoint now);
+    void setExpiry(Fingerprint, Record&, TimePoint expiresAt);
     void updateQueues(Fingerprint, const Record&);
+    bool addClear(Fingerprint, Record&, const CrashDeath&);
+    void updateDigest(Fingerprint, Record&);
+    uint64_t hashOf(Fingerprint, const Record&) const;
     void erase(Fingerprint);
     CrashState stateOf(const Record&) const;
 
@@ -142,6 +177,9 @@
     std::set<ExpiryKey> m_evictable;
     /// Quarantined fingerprints, ordered by expiry.
     std::set<ExpiryKey> m_quarantined;
+    CrashDigest m_digest;
+    /// Where the next call of recordsIn() begins.
+    Fingerprint m_nextRecord;
     uint64_t m_dropped { 0 };
 };
 
--- a/dragonflylane/CrashTask.h
+++ b/dragonflylane/CrashTask.h
@@ -34,6 +34,10 @@
 
     CrashState stateOf(Fingerprint) const;
     std::vector<CrashEntry> list() const;
+    /// The table, for the comparison with other daemons.
+    CrashQuarantine& quarantine() { return m_quarantine; }
+    /// Logs that a comparison has changed the state of a request.
+    void logMerged(Fingerprint fingerprint) { logStates({ &fingerprint, 1 }, Source::Peer); }
     void exportMetrics() const;
 
 private:
--- a/dragonflylane/CrashWire.cpp
+++ b/dragonflylane/CrashWire.cpp
@@ -5,6 +5,8 @@
 #include "dragonflylane/ThriftCodec.h"
 #include "gen-cpp/crash_types.h"
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace dragonflylane {
@@ -48,8 +50,80 @@
         notice.__set_clear(result);
     }
 
+    std::vector<wire::CrashDeath> toWire(const std::vector<CrashDeath>& deaths)
+    {
+        std::vector<wire::CrashDeath> result;
+        for (const CrashDeath& death : deaths)
+            result.push_back(toWire(death));
+        return result;
+    }
+
+    std::vector<CrashDeath> fromWire(const std::vector<wire::CrashDeath>& deaths)
+    {
+        std::vector<CrashDeath> result;
+        for (const wire::CrashDeath& death : deaths)
+            result.push_back(fromWire(death));
+        return result;
+    }
+
+    wire::CrashRecord toWire(const CrashRecord& record)
+    {
+        wire::CrashRecord result;
+        result.__set_fingerprint(static_cast<int64_t>(record.fingerprint.value()));
+        result.__set_deaths(toWire(record.deaths));
+        result.__set_cleared(toWire(record.cleared));
+        result.__set_remaining(std::chrono::ceil<std::chrono::milliseconds>(record.remaining).count());
+        return result;
+    }
+
+    CrashRecord fromWire(const wire::CrashRecord& record)
+    {
+        constexpr int64_t longest = int64_t { 24 } * 3600 * 1000;
+        return { .fingerprint = Fingerprint(static_cast<uint64_t>(record.fingerprint)),
+            .deaths = fromWire(record.deaths),
+            .cleared = fromWire(record.cleared),
+            .remaining = std::chrono::milliseconds(std::clamp<int64_t>(record.remaining, 0, longest)) };
+    }
+
 } // namespace
 
+std::string encode(const CrashSyncMessage& message)
+{
+    wire::CrashSync result;
+    if (message.root)
+        result.__set_digest(static_cast<int64_t>(*message.root));
+    if (message.digest)
+        result.__set_buckets({ message.digest->buckets.begin(), message.digest->buckets.end() });
+    if (message.records) {
+        std::vector<wire::CrashRecord> records;
+        for (const CrashRecord& record : *message.records)
+            records.push_back(toWire(record));
+        result.__set_records(records);
+    }
+    return encodeThrift(result);
+}
+
+std::error_code decode(std::string_view bytes, CrashSyncMessage& message)
+{
+    wire::CrashSync decoded;
+    if (std::error_code error
+        = decodeThrift(bytes, ThriftLimits { maxFramePayloadBytes, maxIdBytes, maxListItems }, decoded))
+        return error;
+    if (decoded.__isset.buckets && decoded.buckets.size() != CrashDigest::bucketCount)
+        return ResultCode::MalformedFrame;
+    message = {};
+    if (decoded.__isset.digest)
+        message.root = static_cast<uint64_t>(decoded.digest);
+    if (decoded.__isset.buckets)
+        std::copy(decoded.buckets.begin(), decoded.buckets.end(), message.digest.emplace().buckets.begin());
+    if (!decoded.__isset.records)
+        return {};
+    message.records.emplace();
+    for (const wire::CrashRecord& record : decoded.records)
+        message.records->push_back(fromWire(record));
+    return {};
+}
+
 std::string encode(const CrashNotice& notice)
 {
     wire::CrashNotice result;
--- a/dragonflylane/CrashWire.h
+++ b/dragonflylane/CrashWire.h
@@ -1,9 +1,10 @@
 #pragma once
 
-// Wire format of crash notices (wire/crash.thrift, Thrift compact protocol). They are sent as payloads of membership
-// broadcasts.
+// Wire format of crash notices, which are payloads of membership broadcasts, and of the messages of CrashReplication
+// (wire/crash.thrift, Thrift compact protocol).
 
 #include "dragonflylane/CrashQuarantine.h"
+#include "dragonflylane/CrashReplication.h"
 
 #include <string>
 #include <string_view>
@@ -16,4 +17,9 @@
 /// MalformedFrame if it is not one report or one clear, has trailing bytes, or has strings or lists over their limits.
 std::error_code decode(std::string_view, CrashNotice&);
 
+std::string encode(const CrashSyncMessage&);
+/// Decodes exactly one message. Returns FrameTooLarge or MalformedFrame as for a notice; a digest has one number for
+/// each bucket.
+std::error_code decode(std::string_view, CrashSyncMessage&);
+
 } // namespace dragonflylane
--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -3,6 +3,7 @@
 #include "dragonflylane/ApiTask.h"
 #include "dragonflylane/BodyBudget.h"
 #include "dragonflylane/ClaimTask.h"
+#include "dragonflylane/CrashSyncTask.h"
 #include "dragonflylane/CrashTask.h"
 #include "dragonflylane/EntryTask.h"
 #include "dragonflylane/Event.h"
@@ -25,6 +26,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <iterator>
 #include <random>
 
 namespace dragonflylane {
@@ -90,6 +92,7 @@
         , m_crash(
               {}, [this](std::string payload) { return m_membership->broadcast(std::move(payload)); }, m_metrics,
               m_journal)
+        , m_crashSync(m_context, m_crash, m_hub, m_metrics, [this](size_t count) { return randomPeers(count); })
         , m_claims(m_context, m_settings.hostId, m_bootId, m_hub, m_metrics, [this] { return configProvenAt(); })
         , m_owner(m_context,
               { .self = m_settings.hostId,
@@ -129,6 +132,7 @@
         makeApi(std::move(operators));
         m_entry->start();
         m_claims.start();
+        m_crashSync.start();
         m_api->start();
         if (auto error = describeListenError(m_hub.start(), m_settings.peer, detail))
             return error;
@@ -465,7 +469,26 @@
     }
 
     // Until the members are known, no upstream is known either, so calls could not be routed.
-    bool mayServeRoutes() const { return isProvenCurrent() && m_membership->view().isJoined(); }
+    // The others are asked for the requests that crash upstreams, which must not pass because this process is new.
+    bool mayServeRoutes()
+    {
+        if (!m_membership->view().isJoined())
+            return false;
+        m_crashSync.join();
+        return isProvenCurrent() && m_crashSync.isSynchronised();
+    }
+
+    std::vector<HostId> randomPeers(size_t count)
+    {
+        std::vector<HostId> present;
+        for (const auto& [host, record] : m_membership->view().members()) {
+            if (record.isPresent() && host != m_settings.hostId)
+                present.push_back(host);
+        }
+        std::vector<HostId> chosen;
+        std::sample(present.begin(), present.end(), std::back_inserter(chosen), count, m_random);
+        return chosen;
+    }
 
     // Prefers a live member of the own data centre, then a live member elsewhere. Without either, selects a control
     // host named in the settings.
@@ -598,6 +621,7 @@
             m_log->stop();
         m_relay->stop();
         m_claims.stop();
+        m_crashSync.stop();
         m_membership->stop();
         m_context.stop();
     }
@@ -650,6 +674,7 @@
     PeerHub m_hub;
     std::unique_ptr<MembershipTask> m_membership;
     CrashTask m_crash;
+    CrashSyncTask m_crashSync;
     ClaimTask m_claims;
     OwnerTask m_owner;
     RoutingTableTask m_routing;
@@ -666,6 +691,7 @@
     Epoch m_keeperEpoch;
     uint64_t m_incarnationsRaised { 0 };
     uint64_t m_hostGeneration { 0 };
+    std::mt19937_64 m_random { m_bootId };
     /// Addresses of the control hosts that are alive or suspect. Used with automatic voters only.
     std::map<HostId, Endpoint> m_controlHosts;
     bool m_isReady { false };
--- a/dragonflylane/Frame.h
+++ b/dragonflylane/Frame.h
@@ -27,6 +27,7 @@
     Log = 20,
     Relay = 21,
     Claim = 22,
+    CrashSync = 23,
     ApiRequest = 25,
     ApiResponse = 26,
 };
--- a/dragonflylane/FrameQueue.h
+++ b/dragonflylane/FrameQueue.h
@@ -107,6 +107,7 @@
         case FrameKind::Probe:
         case FrameKind::Log:
         case FrameKind::Relay:
+        case FrameKind::CrashSync:
             return FrameLane::Control;
         case FrameKind::ForwardRequest:
             return bytes <= maxShortRequestBytes ? FrameLane::Short : FrameLane::Bulk;
--- a/fuzz/DecodersFuzz.cpp
+++ b/fuzz/DecodersFuzz.cpp
@@ -124,6 +124,7 @@
             { "relay", roundTrip<RelayMessage> },
             { "claim", roundTrip<ClaimMessage> },
             { "crash", roundTrip<CrashNotice> },
+            { "crash-sync", roundTrip<CrashSyncMessage> },
             { "config", fuzzConfig },
             { "plan", fuzzPlan },
             { "plan-json", fuzzPlanJson },
--- a/gen-cpp/crash_types.cpp
+++ b/gen-cpp/crash_types.cpp
@@ -571,4 +571,402 @@
   out << ")";
 }
 
+
+CrashRecord::~CrashRecord() noexcept {
+}
+
+
+void CrashRecord::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void CrashRecord::__set_deaths(const std::vector<CrashDeath> & val) {
+  this->deaths = val;
+}
+
+void CrashRecord::__set_cleared(const std::vector<CrashDeath> & val) {
+  this->cleared = val;
+}
+
+void CrashRecord::__set_remaining(const int64_t val) {
+  this->remaining = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->deaths.clear();
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->deaths.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
+            {
+              xfer += this->deaths[_i32].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.deaths = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cleared.clear();
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->cleared.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
+            {
+              xfer += this->cleared[_i37].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cleared = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->remaining);
+          this->__isset.remaining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashRecord");
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
+    std::vector<CrashDeath> ::const_iterator _iter38;
+    for (_iter38 = this->deaths.begin(); _iter38 != this->deaths.end(); ++_iter38)
+    {
+      xfer += (*_iter38).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cleared", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->cleared.size()));
+    std::vector<CrashDeath> ::const_iterator _iter39;
+    for (_iter39 = this->cleared.begin(); _iter39 != this->cleared.end(); ++_iter39)
+    {
+      xfer += (*_iter39).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remaining", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->remaining);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashRecord &a, CrashRecord &b) {
+  using ::std::swap;
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.deaths, b.deaths);
+  swap(a.cleared, b.cleared);
+  swap(a.remaining, b.remaining);
+  swap(a.__isset, b.__isset);
+}
+
+CrashRecord::CrashRecord(const CrashRecord& other40) {
+  fingerprint = other40.fingerprint;
+  deaths = other40.deaths;
+  cleared = other40.cleared;
+  remaining = other40.remaining;
+  __isset = other40.__isset;
+}
+CrashRecord::CrashRecord(CrashRecord&& other41) noexcept {
+  fingerprint = other41.fingerprint;
+  deaths = std::move(other41.deaths);
+  cleared = std::move(other41.cleared);
+  remaining = other41.remaining;
+  __isset = other41.__isset;
+}
+CrashRecord& CrashRecord::operator=(const CrashRecord& other42) {
+  fingerprint = other42.fingerprint;
+  deaths = other42.deaths;
+  cleared = other42.cleared;
+  remaining = other42.remaining;
+  __isset = other42.__isset;
+  return *this;
+}
+CrashRecord& CrashRecord::operator=(CrashRecord&& other43) noexcept {
+  fingerprint = other43.fingerprint;
+  deaths = std::move(other43.deaths);
+  cleared = std::move(other43.cleared);
+  remaining = other43.remaining;
+  __isset = other43.__isset;
+  return *this;
+}
+void CrashRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashRecord(";
+  out << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "deaths=" << to_string(deaths);
+  out << ", " << "cleared=" << to_string(cleared);
+  out << ", " << "remaining=" << to_string(remaining);
+  out << ")";
+}
+
+
+CrashSync::~CrashSync() noexcept {
+}
+
+
+void CrashSync::__set_digest(const int64_t val) {
+  this->digest = val;
+__isset.digest = true;
+}
+
+void CrashSync::__set_buckets(const std::vector<int64_t> & val) {
+  this->buckets = val;
+__isset.buckets = true;
+}
+
+void CrashSync::__set_records(const std::vector<CrashRecord> & val) {
+  this->records = val;
+__isset.records = true;
+}
+std::ostream& operator<<(std::ostream& out, const CrashSync& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashSync::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->buckets.clear();
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->buckets.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
+            {
+              xfer += iprot->readI64(this->buckets[_i48]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.buckets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->records.clear();
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->records.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
+            {
+              xfer += this->records[_i53].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.records = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashSync::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashSync");
+
+  if (this->__isset.digest) {
+    xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 1);
+    xfer += oprot->writeI64(this->digest);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.buckets) {
+    xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 2);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
+      std::vector<int64_t> ::const_iterator _iter54;
+      for (_iter54 = this->buckets.begin(); _iter54 != this->buckets.end(); ++_iter54)
+      {
+        xfer += oprot->writeI64((*_iter54));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.records) {
+    xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 3);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
+      std::vector<CrashRecord> ::const_iterator _iter55;
+      for (_iter55 = this->records.begin(); _iter55 != this->records.end(); ++_iter55)
+      {
+        xfer += (*_iter55).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashSync &a, CrashSync &b) {
+  using ::std::swap;
+  swap(a.digest, b.digest);
+  swap(a.buckets, b.buckets);
+  swap(a.records, b.records);
+  swap(a.__isset, b.__isset);
+}
+
+CrashSync::CrashSync(const CrashSync& other56) {
+  digest = other56.digest;
+  buckets = other56.buckets;
+  records = other56.records;
+  __isset = other56.__isset;
+}
+CrashSync::CrashSync(CrashSync&& other57) noexcept {
+  digest = other57.digest;
+  buckets = std::move(other57.buckets);
+  records = std::move(other57.records);
+  __isset = other57.__isset;
+}
+CrashSync& CrashSync::operator=(const CrashSync& other58) {
+  digest = other58.digest;
+  buckets = other58.buckets;
+  records = other58.records;
+  __isset = other58.__isset;
+  return *this;
+}
+CrashSync& CrashSync::operator=(CrashSync&& other59) noexcept {
+  digest = other59.digest;
+  buckets = std::move(other59.buckets);
+  records = std::move(other59.records);
+  __isset = other59.__isset;
+  return *this;
+}
+void CrashSync::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashSync(";
+  out << "digest="; (__isset.digest ? (out << to_string(digest)) : (out << "<null>"));
+  out << ", " << "buckets="; (__isset.buckets ? (out << to_string(buckets)) : (out << "<null>"));
+  out << ", " << "records="; (__isset.records ? (out << to_string(records)) : (out << "<null>"));
+  out << ")";
+}
+
 }} // namespace
--- a/gen-cpp/crash_types.h
+++ b/gen-cpp/crash_types.h
@@ -29,6 +29,10 @@
 
 class CrashNotice;
 
+class CrashRecord;
+
+class CrashSync;
+
 typedef struct _CrashDeath__isset {
   _CrashDeath__isset() : upstreamId(false), incarnation(false) {}
   bool upstreamId :1;
@@ -243,6 +247,133 @@
 
 std::ostream& operator<<(std::ostream& out, const CrashNotice& obj);
 
+typedef struct _CrashRecord__isset {
+  _CrashRecord__isset() : fingerprint(false), deaths(false), cleared(false), remaining(false) {}
+  bool fingerprint :1;
+  bool deaths :1;
+  bool cleared :1;
+  bool remaining :1;
+} _CrashRecord__isset;
+
+class CrashRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashRecord(const CrashRecord&);
+  CrashRecord(CrashRecord&&) noexcept;
+  CrashRecord& operator=(const CrashRecord&);
+  CrashRecord& operator=(CrashRecord&&) noexcept;
+  CrashRecord() noexcept
+              : fingerprint(0),
+                remaining(0) {
+  }
+
+  virtual ~CrashRecord() noexcept;
+  int64_t fingerprint;
+  std::vector<CrashDeath>  deaths;
+  std::vector<CrashDeath>  cleared;
+  int64_t remaining;
+
+  _CrashRecord__isset __isset;
+
+  void __set_fingerprint(const int64_t val);
+
+  void __set_deaths(const std::vector<CrashDeath> & val);
+
+  void __set_cleared(const std::vector<CrashDeath> & val);
+
+  void __set_remaining(const int64_t val);
+
+  bool operator == (const CrashRecord & rhs) const
+  {
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(deaths == rhs.deaths))
+      return false;
+    if (!(cleared == rhs.cleared))
+      return false;
+    if (!(remaining == rhs.remaining))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashRecord &a, CrashRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashRecord& obj);
+
+typedef struct _CrashSync__isset {
+  _CrashSync__isset() : digest(false), buckets(false), records(false) {}
+  bool digest :1;
+  bool buckets :1;
+  bool records :1;
+} _CrashSync__isset;
+
+class CrashSync : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashSync(const CrashSync&);
+  CrashSync(CrashSync&&) noexcept;
+  CrashSync& operator=(const CrashSync&);
+  CrashSync& operator=(CrashSync&&) noexcept;
+  CrashSync() noexcept
+            : digest(0) {
+  }
+
+  virtual ~CrashSync() noexcept;
+  int64_t digest;
+  std::vector<int64_t>  buckets;
+  std::vector<CrashRecord>  records;
+
+  _CrashSync__isset __isset;
+
+  void __set_digest(const int64_t val);
+
+  void __set_buckets(const std::vector<int64_t> & val);
+
+  void __set_records(const std::vector<CrashRecord> & val);
+
+  bool operator == (const CrashSync & rhs) const
+  {
+    if (__isset.digest != rhs.__isset.digest)
+      return false;
+    else if (__isset.digest && !(digest == rhs.digest))
+      return false;
+    if (__isset.buckets != rhs.__isset.buckets)
+      return false;
+    else if (__isset.buckets && !(buckets == rhs.buckets))
+      return false;
+    if (__isset.records != rhs.__isset.records)
+      return false;
+    else if (__isset.records && !(records == rhs.records))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashSync &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashSync & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashSync &a, CrashSync &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashSync& obj);
+
 }} // namespace
 
 #endif
--- a/tests/CrashQuarantineTest.cpp
+++ b/tests/CrashQuarantineTest.cpp
@@ -1,5 +1,6 @@
 #include "dragonflylane/CrashQuarantine.h"
 
+#include "dragonflylane/CrashReplication.h"
 #include "dragonflylane/CrashWire.h"
 #include "dragonflylane/Fingerprint.h"
 #include "dragonflylane/OwnerAdmission.h"
@@ -8,6 +9,8 @@
 #include <algorithm>
 #include <cstdio>
 #include <gtest/gtest.h>
+#include <iterator>
+#include <memory>
 #include <random>
 #include <rapidcheck/gtest.h>
 
@@ -37,6 +40,116 @@
         uint64_t incarnation { 1 };
     };
 
+    /// Daemons that compare their tables in virtual time. Broadcasts between them are up to the test.
+    class ReplicaGroup {
+    public:
+        explicit ReplicaGroup(size_t size)
+        {
+            for (size_t i = 0; i < size; ++i)
+                restart(i);
+        }
+
+        /// Replaces a daemon by one that knows nothing.
+        void restart(size_t index)
+        {
+            m_replicas.resize(std::max(m_replicas.size(), index + 1));
+            m_replicas[index] = std::make_unique<Replica>(*this, index);
+            m_replicas[index]->replication.join(m_now);
+            deliver();
+        }
+
+        void setCutOff(size_t index, bool isCutOff) { m_replicas[index]->isCutOff = isCutOff; }
+        CrashQuarantine& quarantine(size_t index) { return m_replicas[index]->quarantine; }
+        bool isSynchronised(size_t index) const { return m_replicas[index]->replication.isSynchronised(m_now); }
+        size_t messages() const { return m_messages; }
+        TimePoint now() const { return m_now; }
+
+        /// Reports a death to all daemons that can be reached.
+        void broadcast(const CrashReport& report)
+        {
+            for (const auto& replica : m_replicas) {
+                if (!replica->isCutOff)
+                    replica->quarantine.receive(report, m_now);
+            }
+        }
+
+        void run(Duration length)
+        {
+            constexpr Duration step = milliseconds(100);
+            for (TimePoint end = m_now + length; m_now < end;) {
+                m_now += step;
+                for (const auto& replica : m_replicas)
+                    replica->replication.tick(m_now);
+                deliver();
+            }
+        }
+
+        bool allAgree()
+        {
+            return std::all_of(m_replicas.begin(), m_replicas.end(), [this](const auto& replica) {
+                return replica->quarantine.digest() == m_replicas.front()->quarantine.digest();
+            });
+        }
+
+    private:
+        struct Replica {
+            Replica(ReplicaGroup& group, size_t index)
+                : replication(quarantine, {},
+                    { .choosePeers = [&group, index](size_t count) { return group.choosePeers(index, count); },
+                        .merged = [](Fingerprint) {} })
+            {
+            }
+
+            CrashQuarantine quarantine;
+            CrashReplication replication;
+            bool isCutOff { false };
+        };
+
+        std::vector<HostId> choosePeers(size_t self, size_t count)
+        {
+            std::vector<HostId> others;
+            for (size_t i = 0; i < m_replicas.size(); ++i) {
+                if (i != self && m_replicas[i])
+                    others.emplace_back(std::to_string(i));
+            }
+            std::vector<HostId> chosen;
+            std::sample(others.begin(), others.end(), std::back_inserter(chosen), count, m_random);
+            return chosen;
+        }
+
+        // Messages pass through their encoding. Those of a daemon that is cut off are lost.
+        void deliver()
+        {
+            for (bool hasDelivered = true; hasDelivered;) {
+                hasDelivered = false;
+                for (size_t from = 0; from < m_replicas.size(); ++from) {
+                    if (!m_replicas[from])
+                        continue;
+                    for (const CrashSyncSend& send : m_replicas[from]->replication.takeOutputs()) {
+                        hasDelivered = true;
+                        deliver(from, send);
+                    }
+                }
+            }
+        }
+
+        void deliver(size_t from, const CrashSyncSend& send)
+        {
+            ++m_messages;
+            Replica& to = *m_replicas[std::stoul(send.to.value())];
+            if (to.isCutOff || m_replicas[from]->isCutOff)
+                return;
+            CrashSyncMessage decoded;
+            ASSERT_FALSE(decode(encode(send.message), decoded));
+            to.replication.receive(HostId(std::to_string(from)), decoded, m_now);
+        }
+
+        TimePoint m_now { start };
+        std::mt19937_64 m_random { 1 };
+        std::vector<std::unique_ptr<Replica>> m_replicas;
+        size_t m_messages { 0 };
+    };
+
     struct ClusterResult {
         int deaths { 0 };
         int quarantinedUnrelated { 0 };
@@ -277,6 +390,89 @@
     EXPECT_NE(base, requestFingerprint("loans", "POST", "/a", "b"));
 }
 
+// Guards against a crashing request that passes at a daemon which was cut off while the others learned of it.
+TEST(CrashQuarantineTest, DaemonThatWasCutOffLearnsWhatItMissed)
+{
+    constexpr size_t size = 20;
+    constexpr size_t cutOff = 7;
+    ReplicaGroup group(size);
+    group.setCutOff(cutOff, true);
+    for (uint64_t death : { 1, 2 })
+        group.broadcast(report("upstream", death, { crashingRequest }));
+    group.run(seconds(5));
+    EXPECT_EQ(group.quarantine(cutOff).stateOf(crashingRequest, group.now()), CrashState::Unsuspected);
+    group.setCutOff(cutOff, false);
+    group.run(seconds(3));
+    EXPECT_EQ(group.quarantine(cutOff).stateOf(crashingRequest, group.now()), CrashState::Quarantined);
+}
+
+// Guards against a daemon that serves after its restart before it knows what the others suspect.
+TEST(CrashQuarantineTest, RestartedDaemonKnowsAllBeforeItServes)
+{
+    ReplicaGroup group(5);
+    std::vector<Fingerprint> fingerprints;
+    for (uint64_t i = 1; i <= 50; ++i)
+        fingerprints.emplace_back(i);
+    for (uint64_t death : { 1, 2 })
+        group.broadcast(report("upstream", death, fingerprints));
+    for (size_t index = 0; index < 5; ++index) {
+        group.restart(index);
+        EXPECT_TRUE(group.isSynchronised(index));
+        for (Fingerprint fingerprint : fingerprints)
+            EXPECT_EQ(group.quarantine(index).stateOf(fingerprint, group.now()), CrashState::Quarantined);
+    }
+}
+
+// Guards against a daemon that waits for ever for others that do not answer.
+TEST(CrashQuarantineTest, DaemonServesEvenIfNobodyAnswers)
+{
+    ReplicaGroup group(3);
+    for (size_t index : { 1, 2 })
+        group.setCutOff(index, true);
+    group.restart(0);
+    EXPECT_FALSE(group.isSynchronised(0));
+    group.run(milliseconds(600));
+    EXPECT_TRUE(group.isSynchronised(0));
+}
+
+// Guards against tables that never agree, a suspect that a late comparison brings back after its release, comparisons
+// that keep a record alive for ever, and traffic while there is nothing to compare.
+TEST(CrashQuarantineTest, TablesAgreeAndExpire)
+{
+    ReplicaGroup group(10);
+    group.run(seconds(10));
+    size_t idle = group.messages();
+    group.run(seconds(10));
+    EXPECT_EQ(group.messages(), idle);
+    // Each death is reported to one daemon only, and together they exceed what one message holds.
+    for (uint64_t i = 0; i < 300; ++i)
+        group.quarantine(i % 10).receive(report("upstream", i % 7, { Fingerprint(i / 2) }), group.now());
+    group.run(seconds(30));
+    EXPECT_TRUE(group.allAgree());
+    ASSERT_TRUE(group.quarantine(3).release(Fingerprint(1), group.now()));
+    group.run(seconds(10));
+    EXPECT_TRUE(group.allAgree());
+    for (size_t index = 0; index < 10; ++index)
+        EXPECT_EQ(group.quarantine(index).stateOf(Fingerprint(1), group.now()), CrashState::Unsuspected);
+    group.run(minutes(10));
+    for (size_t index = 0; index < 10; ++index)
+        EXPECT_EQ(group.quarantine(index).size(), 0U);
+}
+
+// Guards against a comparison message that is changed by encoding, or crashes the daemon if it is malformed.
+TEST(CrashQuarantineTest, ComparisonMessagesAreBounded)
+{
+    CrashSyncMessage message { .root = 5, .digest = CrashDigest(), .records = std::vector<CrashRecord>() };
+    CrashDeath death { UpstreamId("upstream"), Incarnation(3) };
+    message.records->push_back({ crashingRequest, { death }, { death }, seconds(2) });
+    CrashSyncMessage decoded;
+    ASSERT_FALSE(decode(encode(message), decoded));
+    EXPECT_EQ(decoded, message);
+    EXPECT_EQ(decode(encode(message) + "x", decoded), ResultCode::MalformedFrame);
+    message.records->resize(300);
+    EXPECT_EQ(decode(encode(message), decoded), ResultCode::MalformedFrame);
+}
+
 // Guards against notices that are changed by encoding and decoding, and against malformed datagrams that are accepted
 // or crash the daemon.
 RC_GTEST_PROP(CrashQuarantineTest, WireFormatRoundTripsAndRejectsMalformedBytes, (uint64_t seed))
