Bound the wait of a daemon for its next parent to what callers may see of an old version

What callers saw: after an outage or a cut, daemons that could reach the control hosts again went on serving an old version for up to 3.8 s (RelayRecoveryTest, seeds 1 to 20; 3 s are allowed). Cause: each failed attempt doubles the backoff up to 4 s, and a candidate that failed is blocked for as long, so the wait after the outage grows with its length. Nothing ends it when the candidate is back. Change: the backoff is 1.25 s at most. After: 1.52 s at most in the same runs. Tried: 1 s (1.22 s at most, but 551 attempts in 20 s in RelayTest.BackoffLimitsAttemptsDuringAnOutage, 500 allowed; it makes 461 now). RelayBench before and after the change was not compared; its storms and partitions recover in 60 to 160 ms and 1.96 to 2.00 s with the change.

--- a/dragonflylane/RelayOptions.h
+++ b/dragonflylane/RelayOptions.h
@@ -60,7 +60,7 @@
 
     /// Full jitter: the delay before attempt n is uniform in [0, min(backoffCap, backoffBase * 2^n)].
     Duration backoffBase { std::chrono::milliseconds(50) };
-    Duration backoffCap { std::chrono::seconds(4) };
+    Duration backoffCap { std::chrono::milliseconds(1250) };
     /// Interval at which a daemon tries candidates that it prefers to its parent.
     Duration improvementInterval { std::chrono::seconds(30) };
     /// A candidate that announced its shutdown is skipped for this long.
