A daemon that is being stopped keeps its parent, and so its configuration, until its process ends

What callers saw: between SIGTERM and the end of the process (up to the grace time) a daemon served requests with the configuration that it held at SIGTERM, however many changes were acknowledged meanwhile. Cause: Relay::leave() detached from the parent as soon as the daemon had no children, and looked for no other one. The part of the relay that serves children ended, and with it the part that the daemon itself needs. Change: leave() only moves the children. The parent is kept, and replaced if it is lost. Red before: RelayTest.LeavingDaemonStillAppliesChanges, RelayTest.LeavingDaemonReplacesALostParent.

--- a/dragonflylane/Relay.cpp
+++ b/dragonflylane/Relay.cpp
@@ -115,7 +115,7 @@
 
 std::string_view Relay::reasonForNewParent(TimePoint now) const
 {
-    if (m_options.isControl || m_leaveDeadline)
+    if (m_options.isControl)
         return {};
     if (!m_parent)
         return "no parent";
@@ -937,10 +937,6 @@
     m_leaveDeadline = now + m_options.leaveTimeout;
     emit(RelayEvent::Kind::Leaving, m_options.self, ResultCode::DaemonLeaving, "graceful shutdown",
         std::to_string(m_children.size()) + " children asked to move");
-    if (m_attempt)
-        closeParentSession(*m_attempt);
-    m_attempt.reset();
-    m_nextAttemptAt.reset();
     for (const auto& [host, child] : m_children)
         send(host, RelayLink::ToChild, RelayLeaving { child.session });
     finishLeaving(now);
@@ -954,9 +950,6 @@
     for (const auto& [host, child] : m_children)
         m_outputs.emplace_back(RelayDisconnect { host, RelayLink::ToChild });
     m_children.clear();
-    if (m_parent)
-        closeParentSession(*m_parent);
-    m_parent.reset();
 }
 
 // Outputs
--- a/dragonflylane/Relay.h
+++ b/dragonflylane/Relay.h
@@ -57,7 +57,7 @@
     TimePoint nextWakeup() const;
 
     /// Starts a graceful shutdown and asks the children to move. `hasLeft()` becomes true when they have, or at
-    /// `leaveTimeout`.
+    /// `leaveTimeout`. The daemon itself keeps a parent, because it serves requests until its process ends.
     void leave(TimePoint now);
     bool hasLeft() const;
 
--- a/tests/RelayTest.cpp
+++ b/tests/RelayTest.cpp
@@ -770,6 +770,38 @@
     EXPECT_TRUE(simulation.allProven(steadyStateAge));
 }
 
+// Guards against a daemon that serves an old configuration for the whole of its graceful shutdown, because it has left
+// its parent at the start.
+TEST(RelayTest, LeavingDaemonStillAppliesChanges)
+{
+    RelaySimulation simulation({ .daemons = 100, .dataCentres = 2 });
+    settle(simulation);
+    const size_t relay = relayOnLevel(simulation, 1);
+    const size_t leaf = simulation.size() - 1;
+    for (size_t leaving : { relay, leaf })
+        simulation.relay(leaving).leave(simulation.now());
+    simulation.run(seconds(3));
+    ASSERT_TRUE(simulation.relay(relay).hasLeft());
+    simulation.publish();
+    auto time = simulation.runUntil([&] { return simulation.allHoldPublished(); }, seconds(3));
+    ASSERT_TRUE(time);
+    EXPECT_LE(*time, milliseconds(100));
+}
+
+// Guards against a daemon that serves an old configuration because its parent fails while it is leaving.
+TEST(RelayTest, LeavingDaemonReplacesALostParent)
+{
+    RelaySimulation simulation({ .daemons = 100, .dataCentres = 2 });
+    settle(simulation);
+    const size_t parent = relayOnLevel(simulation, 2);
+    for (size_t leaving : childrenOf(simulation, parent))
+        simulation.relay(leaving).leave(simulation.now());
+    simulation.run(milliseconds(100));
+    simulation.kill(parent, true);
+    simulation.publish();
+    EXPECT_TRUE(simulation.runUntil([&] { return simulation.allHoldPublished(); }, seconds(3)));
+}
+
 // Guards against a relay that accepts too many children, and against refused children that stop retrying.
 TEST(RelayTest, FullRelayRefusesAndTheChildAttachesElsewhere)
 {
