A repeated refusal on a kept connection is no answer to the request that runs

What callers saw: 'not run, try again' for a request that the upstream was running, if the upstream wrote an earlier refusal once more on the kept connection; a request that may be repeated was then run a second time elsewhere. Cause: a failure without the echoed id was taken for the answer of whatever request waited on the connection, and a request that had been refused could be sent again on the same connection, where the copy bears the id that is expected. Change: on a connection that has carried a request, a response without the id is dropped like one with another id. A request that failed on a connection is not sent on it again; after 16 failures the connection is closed, which bounds what is remembered. Requests that must not be repeated have always used new connections. Limit: without an echoed id (upstreamsEchoRequestId is off) a copy can't be told from the answer.

--- a/dragonflylane/UpstreamClient.cpp
+++ b/dragonflylane/UpstreamClient.cpp
@@ -4,6 +4,7 @@
 #include "dragonflylane/HttpReadBuffer.h"
 #include "dragonflylane/Metrics.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -26,6 +27,8 @@
     // Limit on interim responses (1xx) and responses to earlier requests that precede the final response. Beyond it,
     // no further response is skipped, since the upstream might send them endlessly.
     constexpr unsigned maxSkippedResponses = 16;
+    // A connection is closed after this many responses that were not a success.
+    constexpr size_t maxFailedRequests = 16;
 
     struct Connection {
         explicit Connection(asio::io_context& context)
@@ -37,8 +40,15 @@
         beast::flat_buffer buffer { maxReadAheadBytes };
         TimePoint opened;
         bool hasCarriedRequest { false };
+        /// Values of UpstreamClientOptions::echoedHeader of the requests whose response was not a success.
+        std::vector<std::string> failedRequests;
     };
 
+    bool isSuccess(const http::response<http::string_body>& message)
+    {
+        return message.result_int() / 100 == 2;
+    }
+
     // True if the upstream has closed the connection or sent bytes that no request asked for.
     bool isStale(Connection& connection)
     {
@@ -93,7 +103,7 @@
         call->callback = std::move(callback);
         if (!isIdempotent)
             m_lastNonIdempotent = BootClock::now();
-        call->connection = isIdempotent ? popLiveIdle() : popFreshSpare();
+        call->connection = isIdempotent ? popLiveIdle(call->expectedValue) : popFreshSpare();
         if (call->connection)
             write(call);
         else
@@ -134,11 +144,16 @@
     };
     using CallPtr = std::shared_ptr<Call>;
 
-    std::shared_ptr<Connection> popLiveIdle()
+    // Skips connections on which the same request has failed: the upstream may write that response once more, and a
+    // refusal would then be taken for the answer to the request that runs.
+    std::shared_ptr<Connection> popLiveIdle(const std::string& expectedValue)
     {
-        while (!m_idle.empty()) {
-            auto connection = std::move(m_idle.back());
-            m_idle.pop_back();
+        for (size_t i = m_idle.size(); i-- > 0;) {
+            const auto& failed = m_idle[i]->failedRequests;
+            if (std::find(failed.begin(), failed.end(), expectedValue) != failed.end())
+                continue;
+            auto connection = std::move(m_idle[i]);
+            m_idle.erase(m_idle.begin() + static_cast<std::ptrdiff_t>(i));
             if (!isStale(*connection))
                 return connection;
         }
@@ -261,14 +276,16 @@
             });
     }
 
-    // A successful response without the header cannot be matched to a request and is treated as one to another request.
+    // A response without the header cannot be matched to a request. A failure is accepted from a new connection, since
+    // there was no other request that it could belong to.
     bool belongsToOtherRequest(const Call& call, const http::response<http::string_body>& message) const
     {
         if (call.expectedValue.empty())
             return false;
         auto field = message.find(m_options.echoedHeader);
-        bool isSuccess = message.result_int() / 100 == 2;
-        return field == message.end() ? isSuccess : std::string_view(field->value()) != call.expectedValue;
+        if (field == message.end())
+            return isSuccess(message) || call.isReused;
+        return std::string_view(field->value()) != call.expectedValue;
     }
 
     void finishRead(const CallPtr& call)
@@ -287,7 +304,10 @@
         for (const auto& field : message)
             result.response.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
         result.response.body = std::move(message.body());
-        bool isReusable = isDelimited && call->parser->keep_alive() && call->connection->buffer.size() == 0;
+        if (!isSuccess(message) && !call->expectedValue.empty())
+            call->connection->failedRequests.push_back(call->expectedValue);
+        bool isReusable = isDelimited && call->parser->keep_alive() && call->connection->buffer.size() == 0
+            && call->connection->failedRequests.size() < maxFailedRequests;
         if (isReusable && m_idle.size() < m_options.maxIdleConnections) {
             call->connection->stream.expires_never();
             m_idle.push_back(std::move(call->connection));
