Requests that are still in flight when the time of a stop is over get a final answer

What callers saw: a request that was accepted late in a planned stop, or before it with a long deadline, was cut without an answer when the process ended, also one that must not be repeated. Cause: at the end of the time the daemon stopped its event loop with the calls in it. A call whose deadline was just before that end was cut too, since it waits for its owner for 20 ms longer. A daemon that transfers its calls, because it may not serve routes yet, accepted them without regard to the time that is left. Change: 300 ms before the limit the entry task ends all calls: as "not run" if none of their attempts was sent, otherwise as unknown. The owner refuses what waits in its queue, so that other entry daemons learn that it did not run. The process then has 200 ms to write the answers; requests that arrive meanwhile are refused. Transferred calls are refused if their deadline is after the end of the stop.

--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -589,13 +589,26 @@
             m_owner.unpublishUpstream();
         bool isDone = elapsed >= m_shutdownSchedule->exitWhenIdleAt && m_entry->isIdle() && m_owner.isIdle()
             && m_callerServer->inFlight() == 0 && m_relay->relay().hasLeft();
-        if (isDone && !m_isClosing)
+        bool isOverdue = !isDone && elapsed >= m_shutdownSchedule->abortAt;
+        bool isAborting = isOverdue && !std::exchange(m_hasAborted, true);
+        if (isAborting)
+            abortRequests();
+        if (isAborting || (isDone && !m_isClosing))
             return closeListener();
-        if (isDone || elapsed >= m_shutdownSchedule->abortAt)
-            return stop(isDone);
+        if (isDone || elapsed >= m_shutdownSchedule->exitAt)
+            return stop(!m_hasAborted);
         scheduleDrainPoll(drainPollInterval);
     }
 
+    // The entry daemons of the requests at this owner learn their outcome here, or that it is unknown when their
+    // connection to this daemon is closed.
+    void abortRequests()
+    {
+        Event("requests_aborted", EventLevel::Warning).with("connections", m_callerServer->inFlight());
+        m_owner.refuseQueuedCalls();
+        m_entry->abort();
+    }
+
     // Requests that were sent before the listener closed are still answered.
     void closeListener()
     {
@@ -697,6 +710,7 @@
     bool m_isReady { false };
     bool m_isLeaving { false };
     bool m_isClosing { false };
+    bool m_hasAborted { false };
     std::optional<ShutdownSchedule> m_shutdownSchedule;
     TimePoint m_leaveStartedAt;
     int m_exitCode { 0 };
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -146,6 +146,16 @@
     }
 
     void leave(TimePoint lastAnswer) { m_lastAnswer = lastAnswer; }
+
+    void abort()
+    {
+        std::vector<CallPtr> calls;
+        for (const auto& [id, call] : m_calls)
+            calls.push_back(call);
+        for (const CallPtr& call : calls)
+            giveUp(call, ResultCode::OwnerLost, ResultCode::DaemonLeaving);
+    }
+
     bool isIdle() const { return m_calls.empty() && m_forwardServer.isIdle(); }
 
     void handle(std::shared_ptr<HttpExchange> exchange)
@@ -177,6 +187,8 @@
             return refuse(call, ResultCode::DaemonLeaving);
         call->callerDeadline = call->deadline;
         if (!m_hooks.mayServeRoutes()) {
+            if (call->deadline > m_lastAnswer)
+                return refuse(call, ResultCode::DaemonLeaving);
             watchDeadline(call);
             return m_transfers.transfer(call, m_nextId++);
         }
@@ -639,17 +651,22 @@
         TimePoint now = BootClock::now();
         while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
             CallPtr call = m_calls.at(m_deadlines.begin()->second);
-            bool wasSent = m_transfers.isSent(*call)
-                || std::any_of(
-                    call->open.begin(), call->open.end(), [](const EntryAttempt& attempt) { return attempt.isSent; });
-            if (wasSent)
-                call->earlierUnknownCode = ResultCode::UpstreamTimeout;
-            refuse(call,
-                call->earlierUnknownCode != ResultCode::Ok ? call->earlierUnknownCode : ResultCode::DeadlineExceeded);
+            giveUp(call, ResultCode::UpstreamTimeout, ResultCode::DeadlineExceeded);
         }
         armDeadlines();
     }
 
+    // Ends a call that is still waiting for its response.
+    void giveUp(const CallPtr& call, ResultCode codeIfSent, ResultCode codeIfNotRun)
+    {
+        bool wasSent = m_transfers.isSent(*call)
+            || std::any_of(
+                call->open.begin(), call->open.end(), [](const EntryAttempt& attempt) { return attempt.isSent; });
+        if (wasSent)
+            call->earlierUnknownCode = codeIfSent;
+        refuse(call, call->earlierUnknownCode != ResultCode::Ok ? call->earlierUnknownCode : codeIfNotRun);
+    }
+
     void watchDeadline(const CallPtr& call)
     {
         m_deadlines.emplace(call->deadline + m_options.answerGrace, call->id);
@@ -770,6 +787,10 @@
 {
     m_impl->leave(lastAnswer);
 }
+void EntryTask::abort()
+{
+    m_impl->abort();
+}
 bool EntryTask::isIdle() const
 {
     return m_impl->isIdle();
--- a/dragonflylane/EntryTask.h
+++ b/dragonflylane/EntryTask.h
@@ -94,6 +94,8 @@
     /// Starts the graceful shutdown: refuses new calls whose deadline is after `lastAnswer`, the time until which
     /// responses are sent. Calls in flight continue.
     void leave(TimePoint lastAnswer);
+    /// Ends all calls in flight at once. The answer states that the call did not run only if that is certain.
+    void abort();
     bool isIdle() const;
 
 private:
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -643,12 +643,22 @@
         .with("evidence", evidence)
         .with("suspected", fingerprints.size())
         .with("running", m_admission->load(now).running);
-    for (const RefusedTicket& refused : m_admission->refuseQueued(ResultCode::UpstreamUnreachable)) {
+    refuseQueued(ResultCode::UpstreamUnreachable);
+    publish();
+}
+
+void OwnerTask::refuseQueued(ResultCode code)
+{
+    for (const RefusedTicket& refused : m_admission->refuseQueued(code)) {
         auto it = m_calls.find(refused.ticket.id);
         if (it != m_calls.end())
             answer(CallPtr(it->second), refused.code, {});
     }
-    publish();
+}
+
+void OwnerTask::refuseQueuedCalls()
+{
+    refuseQueued(ResultCode::DaemonLeaving);
 }
 
 void OwnerTask::armTimer()
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -123,6 +123,9 @@
     void unpublishUpstream();
     /// Refuses new calls; calls in flight continue.
     void refuseNewCalls();
+    /// Refuses the calls that have not been sent to the upstream, so that their entry daemons know that they did not
+    /// run.
+    void refuseQueuedCalls();
     bool isIdle() const { return m_calls.empty(); }
 
     const std::optional<Announcement>& upstream() const { return m_announcement; }
@@ -175,6 +178,7 @@
     std::vector<Fingerprint> takeSuspects(TimePoint now);
     void probeUpstream();
     void declareDead(std::string_view evidence, RunningRequests = RunningRequests::Suspected);
+    void refuseQueued(ResultCode);
     void armTimer();
 
     boost::asio::io_context& m_context;
--- a/dragonflylane/ShutdownSchedule.h
+++ b/dragonflylane/ShutdownSchedule.h
@@ -28,12 +28,15 @@
     Duration refuseRequestsAt;
     /// Callers have noticed the shutdown, so the process exits as soon as no request is in flight.
     Duration exitWhenIdleAt;
-    /// Requests that are still in flight are aborted.
+    /// Requests that are still in flight get a final answer, and new ones are refused.
     Duration abortAt;
+    /// The process exits, even if not every answer has been written.
+    Duration exitAt;
 
     explicit constexpr ShutdownSchedule(const ShutdownOptions& options)
         : exitWhenIdleAt(std::max<Duration>(options.notice, propagationTime))
         , abortAt(options.limit - exitTime)
+        , exitAt(abortAt + answerTime)
     {
         announceDrainAt
             = std::max(std::min(exitWhenIdleAt - propagationTime, options.limit / acceptDivisor), Duration::zero());
@@ -45,6 +48,8 @@
     static constexpr std::chrono::milliseconds propagationTime { 500 };
     // Requests are aborted this long before the limit, at which the process would be killed.
     static constexpr std::chrono::milliseconds exitTime { 300 };
+    // Time to write the answers of the aborted requests.
+    static constexpr std::chrono::milliseconds answerTime { 200 };
     // The announcement is sent after at most a third of the limit, so that the longest requests finish in the rest.
     static constexpr int acceptDivisor = 3;
 };
