--- a/dragonflylane/MembershipOptions.h
+++ b/dragonflylane/MembershipOptions.h
@@ -50,8 +50,8 @@
     /// A member that died recently has probably been cut off and may be back at any time. All members together contact
     /// it this often in each second, whatever their number.
     double deadProbesPerSecond { 30 };
-    /// Limit on the recently dead members that one daemon contacts in each second. A daemon that lacks more members than
-    /// it has, or all seeds, contacts as many lost addresses, since few others look for it.
+    /// Limit on the recently dead members that one daemon contacts in each second. A daemon that lacks more members
+    /// than it has, or all seeds, contacts as many lost addresses, since few others look for it.
     size_t maxDeadProbes { 3 };
     /// Dead and left records are kept for this time, so that an older record can't bring the member back.
     Duration deadRetention { std::chrono::seconds(60) };
--- a/tests/RelayRecoveryTest.cpp
+++ b/tests/RelayRecoveryTest.cpp
@@ -39,6 +39,31 @@
         return time.value_or(seconds(30));
     }
 
+    /// Stops and starts five parents of a daemon in turn, publishes, and returns how long the daemon takes to hold what
+    /// was published.
+    Duration recoveryTimeAfterRestarts(uint64_t seed, Duration pause)
+    {
+        constexpr size_t controlHosts = 5;
+        constexpr size_t parents = 5;
+        RelaySimulation simulation(
+            { .daemons = 14, .dataCentres = 3, .controlHosts = controlHosts, .seed = seed, .tree = {} });
+        const size_t daemon = simulation.size() - 1;
+        simulation.run(seconds(5));
+        for (size_t restarts = 0; restarts < parents; ++restarts) {
+            size_t parent = simulation.parentOf(daemon).value_or(0);
+            simulation.relay(parent).leave(simulation.now());
+            simulation.run(milliseconds(500));
+            simulation.kill(parent, false);
+            simulation.run(pause);
+            simulation.restart(parent);
+            simulation.run(pause);
+        }
+        Revision published = simulation.publish();
+        auto time
+            = simulation.runUntil([&] { return simulation.relay(daemon).held().revision == published; }, seconds(60));
+        return time.value_or(seconds(60));
+    }
+
 } // namespace
 
 // Guards against daemons that serve an old configuration for seconds after the control hosts are back, because they
@@ -58,4 +83,19 @@
     }
 }
 
+// Guards against a daemon that serves an old configuration for half a minute, because it avoids every candidate that
+// has announced its shutdown, although those have been started again.
+TEST(RelayRecoveryTest, DaemonIsCurrentAfterItsParentsWereRestartedInTurn)
+{
+    constexpr uint64_t seeds = 20;
+    for (milliseconds pause : { milliseconds(500), milliseconds(2000) }) {
+        Duration slowest {};
+        for (uint64_t seed = 1; seed <= seeds; ++seed)
+            slowest = std::max(slowest, recoveryTimeAfterRestarts(seed, pause));
+        auto ms = std::chrono::duration_cast<milliseconds>(slowest).count();
+        std::printf("pause %ld ms: current after %ld ms\n", static_cast<long>(pause.count()), static_cast<long>(ms));
+        EXPECT_LE(slowest, recoveryLimit);
+    }
+}
+
 } // namespace dragonflylane
