--- a/dragonflylane/Relay.cpp
+++ b/dragonflylane/Relay.cpp
@@ -70,37 +70,13 @@
     detectPause(now);
     if (m_options.isControl)
         return;
-    m_candidates = std::move(candidates);
+    m_candidates.set(std::move(candidates), now);
     m_level = std::max(level, 1U);
-    m_nextCandidate = 0;
-    std::erase_if(m_blockedUntil, [&](const auto& entry) { return entry.second <= now; });
-    if (m_attempt && !candidateIndex(m_attempt->host))
+    if (m_attempt && !m_candidates.indexOf(m_attempt->host))
         failAttempt(ResultCode::Ok, "no longer a candidate", {}, now);
     checkParent(now);
 }
 
-std::optional<size_t> Relay::candidateIndex(const HostId& host) const
-{
-    for (size_t i = 0; i < m_candidates.size(); ++i)
-        if (m_candidates[i].host == host)
-            return i;
-    return std::nullopt;
-}
-
-std::optional<size_t> Relay::nextCandidate(TimePoint now) const
-{
-    for (size_t step = 0; step < m_candidates.size(); ++step) {
-        size_t index = (m_nextCandidate + step) % m_candidates.size();
-        const HostId& host = m_candidates[index].host;
-        auto blocked = m_blockedUntil.find(host);
-        bool isBlocked = blocked != m_blockedUntil.end() && blocked->second > now;
-        bool isParent = m_parent && m_parent->host == host;
-        if (!isBlocked && !isParent && host != m_options.self)
-            return index;
-    }
-    return std::nullopt;
-}
-
 TimePoint Relay::staleAt(const ParentSession& session) const
 {
     unsigned graceLevels = std::min(m_level - 1, m_options.maxGraceLevels);
@@ -123,7 +99,7 @@
         return "the parent is leaving";
     if (now >= staleAt(*m_parent))
         return "the parent's proof is older than the freshness limit";
-    if (!candidateIndex(m_parent->host))
+    if (!m_candidates.indexOf(m_parent->host))
         return "the parent is no longer a candidate";
     return {};
 }
@@ -142,7 +118,7 @@
 
 void Relay::scheduleAttempt(std::string_view reason, std::string_view cause, TimePoint now)
 {
-    if (m_attempt || m_candidates.empty())
+    if (m_attempt || m_candidates.isEmpty())
         return;
     TimePoint at = now + backoffDelay();
     m_nextAttemptAt = m_nextAttemptAt ? std::min(*m_nextAttemptAt, at) : at;
@@ -155,32 +131,26 @@
     m_nextAttemptAt.reset();
     if (reasonForNewParent(now).empty())
         return;
-    if (std::optional<size_t> candidate = nextCandidate(now)) {
+    if (std::optional<size_t> candidate = m_candidates.next(m_options.self, parent(), now)) {
         startAttempt(*candidate, m_attemptReason, m_attemptCause, now);
         return;
     }
     // All candidates are blocked: wait until the first one is not, with jitter.
-    std::optional<TimePoint> earliest;
-    for (const ParentCandidate& candidate : m_candidates) {
-        auto blocked = m_blockedUntil.find(candidate.host);
-        if (blocked != m_blockedUntil.end() && blocked->second > now)
-            earliest = std::min(earliest.value_or(blocked->second), blocked->second);
-    }
     ++m_failures;
-    if (earliest)
+    if (std::optional<TimePoint> earliest = m_candidates.firstUnblocked(now))
         m_nextAttemptAt = *earliest + backoffDelay();
 }
 
 void Relay::startAttempt(size_t candidate, std::string_view reason, std::string_view cause, TimePoint now)
 {
     m_attempt = std::make_unique<ParentSession>();
-    m_attempt->host = m_candidates[candidate].host;
+    m_attempt->host = m_candidates.host(candidate);
     m_attempt->session = m_nextSession;
     m_attempt->startedAt = now;
     m_attempt->reason = reason;
     m_attempt->cause = cause;
     m_nextSession = (m_nextSession + 1) & sessionMask;
-    m_nextCandidate = (candidate + 1) % m_candidates.size();
+    m_candidates.setTried(candidate);
     ++m_counters.attempts;
     m_outputs.emplace_back(RelayConnect { m_attempt->host });
 }
@@ -225,7 +195,7 @@
     ++m_failures;
     emit(RelayEvent::Kind::AttemptFailed, attempt->host, code, reason, attempt->reason);
     if (m_options.mechanisms.backoff)
-        m_blockedUntil[attempt->host] = now + std::max(retryAfter, backoffCeiling());
+        m_candidates.block(attempt->host, now + std::max(retryAfter, backoffCeiling()));
     std::string_view newParentReason = reasonForNewParent(now);
     if (!newParentReason.empty())
         scheduleAttempt(newParentReason, "a candidate failed: " + std::string(reason), now);
@@ -238,8 +208,8 @@
     ++m_counters.parentsLost;
     emit(RelayEvent::Kind::ParentLost, lost->host, code, reason, lost->reason);
     if (m_options.mechanisms.backoff)
-        m_blockedUntil[lost->host] = now + retryAfter;
-    m_nextCandidate = 0;
+        m_candidates.block(lost->host, now + retryAfter);
+    m_candidates.startOver();
     scheduleAttempt(reason, "lost parent " + lost->host.value(), now);
 }
 
@@ -283,7 +253,7 @@
         = isFresh(*m_parent, now) ? *m_parent->proof : now - m_options.freshnessLimit + m_options.heartbeatInterval;
     m_parent->nextHeartbeatAt = now + m_options.heartbeatInterval;
     m_nextAttemptAt.reset();
-    m_nextCandidate = 0;
+    m_candidates.startOver();
     if (isFresh(*m_parent, now))
         m_failures = 0;
     m_summaryChanged = true;
@@ -313,10 +283,9 @@
     if (!m_parent || m_attempt || m_nextAttemptAt || m_leaveDeadline || now < m_nextImprovementAt)
         return;
     m_nextImprovementAt = now + m_options.improvementInterval;
-    size_t current = candidateIndex(m_parent->host).value_or(0);
+    size_t current = m_candidates.indexOf(m_parent->host).value_or(0);
     for (size_t i = 0; i < current; ++i) {
-        auto blocked = m_blockedUntil.find(m_candidates[i].host);
-        if (blocked != m_blockedUntil.end() && blocked->second > now)
+        if (m_candidates.isBlocked(m_candidates.host(i), now))
             continue;
         startAttempt(i, "retrying a preferred candidate", "timer", now);
         m_attempt->isImprovement = true;
@@ -605,8 +574,8 @@
         return;
     }
     session->isLeaving = true;
-    m_blockedUntil[from] = now + m_options.leavingPenalty;
-    m_nextCandidate = 0;
+    m_candidates.block(from, now + m_options.leavingPenalty);
+    m_candidates.startOver();
     checkParent(now);
 }
 
--- a/dragonflylane/Relay.h
+++ b/dragonflylane/Relay.h
@@ -23,8 +23,8 @@
 // Data. A change is forwarded within the call that receives it. At most one payload per child is in flight; further
 // changes are merged into the next one. A relay without a fresh proof still serves data.
 
+#include "dragonflylane/ParentCandidates.h"
 #include "dragonflylane/RelayOptions.h"
-#include "dragonflylane/TreePosition.h"
 
 #include <map>
 #include <memory>
@@ -131,8 +131,6 @@
     TimePoint staleAt(const ParentSession&) const;
     bool isFresh(const ParentSession&, TimePoint now) const;
     ParentSession* findParentSession(const HostId&, uint32_t session);
-    std::optional<size_t> candidateIndex(const HostId&) const;
-    std::optional<size_t> nextCandidate(TimePoint now) const;
     Duration backoffDelay();
     Duration backoffCeiling() const;
     void scheduleAttempt(std::string_view reason, std::string_view cause, TimePoint now);
@@ -202,10 +200,8 @@
     /// it.
     TimePoint m_proofAdvancedAt;
 
-    std::vector<ParentCandidate> m_candidates;
+    ParentCandidates m_candidates;
     unsigned m_level { 1 };
-    std::map<HostId, TimePoint> m_blockedUntil;
-    size_t m_nextCandidate { 0 };
     std::unique_ptr<ParentSession> m_parent;
     std::unique_ptr<ParentSession> m_attempt;
     std::optional<TimePoint> m_nextAttemptAt;
