--- a/tests/UpstreamClientTest.cpp
+++ b/tests/UpstreamClientTest.cpp
@@ -117,11 +117,13 @@
 TEST(UpstreamClientTest, ResponseThatStopsAnywhereIsAnError)
 {
     ClientFixture client({ .acceptsCloseDelimited = true });
-    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n";
-    const std::string endOfHead = "\r\n\r\n";
-    for (const std::string& response : { head + "Content-Length: 12" + endOfHead + "twelve bytes",
-             head + "Transfer-Encoding: chunked" + endOfHead + "4\r\nfour\r\n0\r\nX-Sum: 1" + endOfHead,
-             head + "Server: s" + endOfHead }) {
+    auto makeResponse = [](std::string_view lastHeader, std::string_view body) {
+        std::string response("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n");
+        return response.append(lastHeader).append("\r\n\r\n").append(body);
+    };
+    for (const std::string& response : { makeResponse("Content-Length: 12", "twelve bytes"),
+             makeResponse("Transfer-Encoding: chunked", "4\r\nfour\r\n0\r\nX-Sum: 1\r\n\r\n"),
+             makeResponse("Server: s", "") }) {
         for (size_t length = 0; length < response.size(); ++length) {
             UpstreamResult result = client.exchange("GET", response.substr(0, length));
             EXPECT_NE(result.code, ResultCode::Ok) << response.substr(0, length);
