--- a/dragonflylane/CrashWire.cpp
+++ b/dragonflylane/CrashWire.cpp
@@ -53,6 +53,7 @@
     std::vector<wire::CrashDeath> toWire(const std::vector<CrashDeath>& deaths)
     {
         std::vector<wire::CrashDeath> result;
+        result.reserve(deaths.size());
         for (const CrashDeath& death : deaths)
             result.push_back(toWire(death));
         return result;
@@ -61,6 +62,7 @@
     std::vector<CrashDeath> fromWire(const std::vector<wire::CrashDeath>& deaths)
     {
         std::vector<CrashDeath> result;
+        result.reserve(deaths.size());
         for (const wire::CrashDeath& death : deaths)
             result.push_back(fromWire(death));
         return result;
--- a/dragonflylane/Membership.cpp
+++ b/dragonflylane/Membership.cpp
@@ -1136,7 +1136,7 @@
     }
     std::vector<Endpoint> dead = deadAddresses();
     double share = static_cast<double>(dead.size()) / static_cast<double>(m_present.size() + 1);
-    double expected = std::min<double>(m_options.deadProbesPerSecond * share, m_options.maxDeadProbes);
+    double expected = std::min(m_options.deadProbesPerSecond * share, static_cast<double>(m_options.maxDeadProbes));
     constexpr size_t resolution = 1000;
     double fraction = static_cast<double>(randomBelow(resolution)) / resolution;
     contactLostMembers(dead, static_cast<size_t>(expected + fraction));
--- a/tests/ShutdownProcessTest.cpp
+++ b/tests/ShutdownProcessTest.cpp
@@ -89,6 +89,7 @@
         constexpr int earlyCount = 10;
         ASSERT_TRUE(startMesh());
         std::vector<std::thread> callers;
+        callers.reserve(earlyCount + callerCount);
         // Accepted before the signal, with a deadline after the end of the process.
         for (int i = 0; i < earlyCount; ++i)
             callers.emplace_back([this] { sendStalled(2 * shutdownLimit); });
