End a stopped process as soon as its last answers are written

The process that had given its answers at the end of a stop still waited for the requests of other entry daemons at its owner, up to 100 ms before it is killed.

--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -595,7 +595,8 @@
             abortRequests();
         if (isAborting || (isDone && !m_isClosing))
             return closeListener();
-        if (isDone || elapsed >= m_shutdownSchedule->exitAt)
+        bool isAnswered = m_hasAborted && m_callerServer->inFlight() == 0;
+        if (isDone || isAnswered || elapsed >= m_shutdownSchedule->exitAt)
             return stop(!m_hasAborted);
         scheduleDrainPoll(drainPollInterval);
     }
