Tests take ports that the kernel gives to no outgoing connection

Cause: upstream-4.log holds 94 times "cannot listen on 127.0.0.1:33897". freePorts() took ports from the range 32768 to 60999, closed them, and an outgoing connection of another process got one before the upstream was started. The test counts each start that ends as a crash. Change: ports between 10000 and 29999, a block of 100 for each test process.

--- a/tests/LoopbackSupport.cpp
+++ b/tests/LoopbackSupport.cpp
@@ -151,6 +151,21 @@
 
 // All sockets stay open until all ports have been chosen, since the kernel may assign a port again as soon as it is
 // closed.
+namespace {
+
+    // Below the range of the ports that the kernel gives to outgoing connections, one of which would otherwise take a
+    // port before the process that is to listen there has started. Each test process has a block of ports of its own.
+    uint16_t nextPort()
+    {
+        constexpr int firstPort = 10000;
+        constexpr int blocks = 200;
+        constexpr int portsPerBlock = 100;
+        static int next = 0;
+        return static_cast<uint16_t>(firstPort + getpid() % blocks * portsPerBlock + next++ % portsPerBlock);
+    }
+
+} // namespace
+
 std::vector<uint16_t> freePorts(size_t count)
 {
     std::vector<uint16_t> ports;
@@ -161,10 +176,9 @@
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof(address);
+        address.sin_port = htons(nextPort());
         auto* generic = reinterpret_cast<sockaddr*>(&address);
-        bool isFree = bind(tcp, generic, length) == 0 && getsockname(tcp, generic, &length) == 0
-            && bind(udp, generic, length) == 0;
+        bool isFree = bind(tcp, generic, sizeof(address)) == 0 && bind(udp, generic, sizeof(address)) == 0;
         if (isFree)
             ports.push_back(ntohs(address.sin_port));
         sockets.insert(sockets.end(), { tcp, udp });
