--- a/tests/LoopbackSupport.cpp
+++ b/tests/LoopbackSupport.cpp
@@ -149,8 +149,6 @@
         ::close(std::exchange(m_descriptor, -1));
 }
 
-// All sockets stay open until all ports have been chosen, since the kernel may assign a port again as soon as it is
-// closed.
 namespace {
 
     // Below the range of the ports that the kernel gives to outgoing connections, one of which would otherwise take a
@@ -166,6 +164,7 @@
 
 } // namespace
 
+// All sockets stay open until all ports have been chosen, so that no port is chosen twice.
 std::vector<uint16_t> freePorts(size_t count)
 {
     std::vector<uint16_t> ports;
