Keep the parser of a pending read alive when a caller's connection closes

Cause: HttpSession::close() destroyed m_parser while the handler of a completed read was queued; the read operation went on parsing into it. It happens when a write fails in the turn in which the next header is read. Ruled out: a premature end of the session, which the operation keeps alive. Change: each read operation shares the ownership of its parser; close() only drops the session's share.

--- a/dragonflylane/HttpSession.cpp
+++ b/dragonflylane/HttpSession.cpp
@@ -99,19 +99,19 @@
 
 void HttpSession::readHeader()
 {
-    m_parser.emplace();
+    m_parser = std::make_shared<Parser>();
     m_parser->header_limit(m_options.maxHeaderBytes);
     // A caller may have sent several requests ahead, under an earlier and higher limit.
     m_buffer.max_size(std::max(m_options.maxHeaderBytes + maxReadAheadBytes, m_buffer.size()));
     m_parser->body_limit(largestBody(m_options.maxBodyBytes, m_options.bodies));
     m_stream.expires_after(std::min(m_options.headerTimeout, m_options.requestTimeout));
     http::async_read_header(
-        m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, size_t) {
+        m_stream, m_buffer, *m_parser, [self = shared_from_this(), parser = m_parser](beast::error_code error, size_t) {
             if (self->m_isClosed)
                 return;
             if (error)
                 return self->handleReadError(error);
-            if (self->m_parser->is_done())
+            if (parser->is_done())
                 return self->handleRequest();
             self->readBody();
         });
@@ -130,17 +130,18 @@
 
 void HttpSession::readMoreOfBody()
 {
-    http::async_read_some(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, size_t) {
-        if (self->m_isClosed)
-            return;
-        if (error)
-            return self->handleReadError(error);
-        if (!self->m_body.growTo(self->m_parser->get().body().size()))
-            return self->refuseBody();
-        if (self->m_parser->is_done())
-            return self->handleRequest();
-        self->readMoreOfBody();
-    });
+    http::async_read_some(
+        m_stream, m_buffer, *m_parser, [self = shared_from_this(), parser = m_parser](beast::error_code error, size_t) {
+            if (self->m_isClosed)
+                return;
+            if (error)
+                return self->handleReadError(error);
+            if (!self->m_body.growTo(parser->get().body().size()))
+                return self->refuseBody();
+            if (parser->is_done())
+                return self->handleRequest();
+            self->readMoreOfBody();
+        });
 }
 
 void HttpSession::refuseBody()
--- a/dragonflylane/HttpSession.h
+++ b/dragonflylane/HttpSession.h
@@ -34,7 +34,7 @@
     void start();
     /// Closes the connection if no request is in flight.
     void closeIfIdle();
-    bool isBusy() const { return m_parser.has_value() || !m_slots.empty(); }
+    bool isBusy() const { return m_parser != nullptr || !m_slots.empty(); }
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -74,7 +74,9 @@
     const HttpServerOptions& m_options;
     const Hooks& m_hooks;
     boost::beast::flat_buffer m_buffer;
-    std::optional<Parser> m_parser;
+    /// The request that is being read, if any. Each read operation shares the parser: a read that has completed may
+    /// still parse in the turn after close().
+    std::shared_ptr<Parser> m_parser;
     /// Part of the body budget that the request that is being read uses.
     BodyReservation m_body;
     /// Requests whose response has not been written, oldest first.
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -278,6 +278,25 @@
     EXPECT_LT(answers.find("answer/2"), answers.find("answer/3"));
 }
 
+// Guards against a use after destruction: a read that has completed but whose handler has not run yet when a failed
+// write closes the connection continues with a parser that was destroyed, which ended the process (review/1).
+TEST(HttpServerTest, DisconnectWhileTheNextHeaderIsBeingParsed)
+{
+    constexpr int connections = 200;
+    constexpr int requestsPerConnection = 12;
+    ServerFixture server;
+    std::string request = "GET /a HTTP/1.1\r\nHost: a\r\nX-Padding: " + std::string(150, 'p') + "\r\n\r\n";
+    std::string pipelined;
+    for (int i = 0; i < requestsPerConnection; ++i)
+        pipelined += request;
+    for (int i = 0; i < connections; ++i) {
+        RawSocket caller = server.connect();
+        caller.write(pipelined);
+        caller.close();
+    }
+    EXPECT_TRUE(answerTo(server, "GET /after HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").ends_with("GET/after"));
+}
+
 // Guards against upstreams that continue to work for a caller that has disconnected, on a connection whose last request
 // is in flight.
 TEST(HttpServerTest, DisconnectIsDetectedDuringTheLastRequestOfAConnection)
