--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -194,7 +194,8 @@
             std::move(self), m_secret, m_metrics,
             MembershipTask::Hooks {
                 .memberChanged = [this](const HostId& host, const auto& record) { memberChanged(host, record); },
-                .broadcastReceived = [this](const HostId&, std::string_view payload) { m_crash.receive(payload); } });
+                .broadcastReceived = [this](const HostId&, std::string_view payload) { m_crash.receive(payload); },
+                .earlierRecordFound = [this](const MemberRecord& record) { adoptEarlierRecord(record); } });
     }
 
     void makeLog()
@@ -318,6 +319,12 @@
             Event("member_gone").with("host", host).with("state", record ? name(record->state) : "forgotten");
     }
 
+    void adoptEarlierRecord(const MemberRecord& record)
+    {
+        if (record.upstream)
+            m_owner.adoptEarlierRecord(*record.upstream);
+    }
+
     void updateControlHost(const HostId& host, const std::optional<MemberRecord>& record)
     {
         auto known = m_controlHosts.find(host);
--- a/dragonflylane/GossipWire.cpp
+++ b/dragonflylane/GossipWire.cpp
@@ -20,6 +20,7 @@
     // Sizes of encoded fields.
     constexpr size_t fieldHeaderSize = 1;
     constexpr size_t stopSize = 1;
+    constexpr size_t boolFieldSize = 1;
 
     size_t varintSize(uint64_t value)
     {
@@ -41,6 +42,22 @@
         return fieldHeaderSize + varintSize(text.size()) + text.size();
     }
 
+    wire::GossipDeparture toWire(const UpstreamDeparture& departure)
+    {
+        wire::GossipDeparture out;
+        out.process = static_cast<int64_t>(departure.process.value());
+        out.sequence = static_cast<int64_t>(departure.sequence.value());
+        out.isFinal = departure.isFinal;
+        return out;
+    }
+
+    UpstreamDeparture readDeparture(const wire::GossipDeparture& in)
+    {
+        return { .process = ProcessId(static_cast<uint64_t>(in.process)),
+            .sequence = Sequence(static_cast<uint64_t>(in.sequence)),
+            .isFinal = in.isFinal };
+    }
+
     wire::GossipMemberRecord toWire(const MemberRecord& record)
     {
         wire::GossipMemberRecord out;
@@ -62,6 +79,8 @@
         upstream.phase = static_cast<int32_t>(record.upstream->phase);
         upstream.slots = static_cast<int32_t>(record.upstream->slots);
         upstream.incarnation = static_cast<int64_t>(record.upstream->incarnation.value());
+        if (record.upstream->departure)
+            upstream.__set_departure(toWire(*record.upstream->departure));
         out.__set_upstream(upstream);
         return out;
     }
@@ -82,6 +101,8 @@
         out.service = ServiceName(in.serviceName);
         out.slots = static_cast<uint32_t>(in.slots);
         out.incarnation = Incarnation(static_cast<uint64_t>(in.incarnation));
+        if (in.__isset.departure)
+            out.departure = readDeparture(in.departure);
         return readEnum(in.phase, UpstreamPhase::Stopped, out.phase);
     }
 
@@ -360,6 +381,9 @@
     if (!record.upstream)
         return size;
     const UpstreamRecord& upstream = *record.upstream;
+    if (upstream.departure)
+        size += fieldHeaderSize + numberSize(upstream.departure->process.value())
+            + numberSize(upstream.departure->sequence.value()) + boolFieldSize + stopSize;
     return size + fieldHeaderSize + stringSize(upstream.id.value()) + stringSize(upstream.service.value())
         + numberSize(static_cast<uint64_t>(upstream.phase)) + numberSize(upstream.slots)
         + numberSize(upstream.incarnation.value()) + stopSize;
--- a/dragonflylane/MemberRecord.h
+++ b/dragonflylane/MemberRecord.h
@@ -5,6 +5,7 @@
 
 #include "dragonflylane/Endpoint.h"
 #include "dragonflylane/Ids.h"
+#include "dragonflylane/ProcessStatement.h"
 #include "dragonflylane/UpstreamPhase.h"
 
 #include <cstdint>
@@ -34,6 +35,17 @@
     Voter,
 };
 
+/// A process of an upstream that is leaving, as an owner daemon that is restarted has to know it again.
+struct UpstreamDeparture {
+    ProcessId process {};
+    /// Sequence of the announcement that began the drain; zero if not stated.
+    Sequence sequence {};
+    /// The process does not take it back. Otherwise an announcement with a higher sequence ends the drain.
+    bool isFinal { false };
+
+    bool operator==(const UpstreamDeparture&) const = default;
+};
+
 /// The upstream that a daemon owns.
 struct UpstreamRecord {
     UpstreamId id {};
@@ -41,6 +53,8 @@
     UpstreamPhase phase { UpstreamPhase::Cold };
     uint32_t slots { 0 };
     Incarnation incarnation {};
+    /// Set while the process is draining, and afterwards until the next process is announced.
+    std::optional<UpstreamDeparture> departure {};
 
     bool operator==(const UpstreamRecord&) const = default;
 };
--- a/dragonflylane/Membership.cpp
+++ b/dragonflylane/Membership.cpp
@@ -65,6 +65,7 @@
     }
 
     // Hashes all fields except host, incarnation, sequence and state.
+    // The departure of the upstream is left out: builds that do not know it pass the record on without it.
     uint32_t tieBreakOf(const MemberRecord& record)
     {
         std::string content;
@@ -507,6 +508,8 @@
     uint32_t ownTieBreak = m_entries.find(m_selfHash)->second.tieBreak;
     bool isNewer = orderOf(record, tieBreakOf(record)) > orderOf(self(), ownTieBreak);
     bool hasOtherBootId = record.bootId != self().bootId;
+    if (hasOtherBootId && !m_hasLeft)
+        m_outputs.emplace_back(EarlierRecordFound { record });
     if (m_hasLeft || (!isNewer && !(hasOtherBootId && record.incarnation >= self().incarnation)))
         return;
     if (hasOtherBootId ? !m_options.raisesIncarnationAfterRestart || now < m_nextIncarnationRaise
--- a/dragonflylane/MembershipOutput.h
+++ b/dragonflylane/MembershipOutput.h
@@ -26,6 +26,11 @@
     std::string payload;
 };
 
-using MembershipOutput = std::variant<GossipDatagram, MemberChanged, BroadcastReceived>;
+/// Another daemon still has the record that an earlier process of this daemon has published.
+struct EarlierRecordFound {
+    MemberRecord record;
+};
+
+using MembershipOutput = std::variant<GossipDatagram, MemberChanged, BroadcastReceived, EarlierRecordFound>;
 
 } // namespace dragonflylane
--- a/dragonflylane/MembershipTask.cpp
+++ b/dragonflylane/MembershipTask.cpp
@@ -126,6 +126,8 @@
             m_hooks.memberChanged(change->host, change->current);
         else if (auto* broadcast = std::get_if<BroadcastReceived>(&output))
             m_hooks.broadcastReceived(broadcast->origin, broadcast->payload);
+        else if (auto* earlier = std::get_if<EarlierRecordFound>(&output))
+            m_hooks.earlierRecordFound(earlier->record);
     }
     m_timer.arm(m_membership.nextWakeup());
 }
--- a/dragonflylane/MembershipTask.h
+++ b/dragonflylane/MembershipTask.h
@@ -22,6 +22,8 @@
     struct Hooks {
         std::function<void(const HostId&, const std::optional<MemberRecord>&)> memberChanged;
         std::function<void(const HostId&, std::string_view payload)> broadcastReceived;
+        /// Called with records that an earlier process of this daemon has published; may be called repeatedly.
+        std::function<void(const MemberRecord&)> earlierRecordFound;
     };
 
     MembershipTask(boost::asio::io_context&, MembershipOptions, MemberRecord self, const MeshSecret&, Metrics&, Hooks);
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -111,9 +111,17 @@
         [&](const WithdrawnProcess& process) { return process.id == id && process.startedAt == startedAt; });
 }
 
+bool OwnerTask::hasDepartedEarlier(const Announcement& announcement) const
+{
+    if (!m_earlierRecord || m_earlierRecord->id != announcement.id)
+        return false;
+    const UpstreamDeparture& earlier = *m_earlierRecord->departure;
+    return earlier.process == announcement.process() && (earlier.isFinal || announcement.sequence < earlier.sequence);
+}
+
 bool OwnerTask::isOutdated(const Announcement& announcement) const
 {
-    if (isWithdrawn(announcement.id, announcement.startedAt))
+    if (isWithdrawn(announcement.id, announcement.startedAt) || hasDepartedEarlier(announcement))
         return true;
     if (!m_announcement)
         return false;
@@ -138,6 +146,28 @@
     applyStatements(m_statements.withdraw(), BootClock::now());
 }
 
+// The announcement may have been accepted before the record arrived. It was outdated then, so the process drains.
+void OwnerTask::adoptEarlierRecord(const UpstreamRecord& record)
+{
+    if (!record.departure || m_earlierRecord == record)
+        return;
+    m_earlierRecord = record;
+    Event("upstream_departure_adopted")
+        .with("upstream", record.id)
+        .with("final", static_cast<int>(record.departure->isFinal))
+        .with("sequence", record.departure->sequence);
+    if (!m_announcement)
+        return publish();
+    if (!hasDepartedEarlier(*m_announcement))
+        return;
+    m_announcement->phase = UpstreamPhase::Draining;
+    m_drainSequence = record.departure->sequence;
+    if (record.departure->isFinal)
+        applyStatements(m_statements.withdraw(), BootClock::now());
+    applyDrain();
+    publish();
+}
+
 void OwnerTask::announce(const Announcement& announcement)
 {
     if (isOutdated(announcement)) {
@@ -154,6 +184,10 @@
     if (isOtherProcess || m_isStopped)
         startIncarnation(announcement);
     raiseIncarnation();
+    bool beginsDrain = announcement.phase == UpstreamPhase::Draining
+        && (isOtherProcess || m_announcement->phase != UpstreamPhase::Draining);
+    if (beginsDrain)
+        m_drainSequence = announcement.sequence;
     m_announcement = announcement;
     TimePoint now = BootClock::now();
     applyStatements(m_statements.startProcess(announcement.id, announcement.process(), now), now);
@@ -200,20 +234,45 @@
         m_incarnation = minIncarnation().next();
 }
 
-void OwnerTask::publish()
+std::optional<UpstreamDeparture> OwnerTask::departure() const
+{
+    if (!isAnnouncedDrain())
+        return std::nullopt;
+    return UpstreamDeparture {
+        .process = m_announcement->process(), .sequence = m_drainSequence, .isFinal = m_statements.isLeaving()
+    };
+}
+
+std::optional<UpstreamRecord> OwnerTask::makeRecord() const
 {
-    if (!m_announcement || m_isUnpublished)
-        return m_hooks.publishUpstream(std::nullopt);
+    if (!m_announcement) {
+        std::optional<UpstreamRecord> earlier = m_earlierRecord;
+        if (earlier)
+            earlier->phase = UpstreamPhase::Stopped;
+        return earlier;
+    }
     UpstreamPhase phase = m_announcement->phase;
     if (m_isStopped)
         phase = UpstreamPhase::Stopped;
     else if (isAnnouncedDrain())
         phase = UpstreamPhase::Draining;
-    m_hooks.publishUpstream(UpstreamRecord { .id = m_announcement->id,
+    return UpstreamRecord { .id = m_announcement->id,
         .service = m_announcement->service,
         .phase = phase,
         .slots = m_announcement->slots,
-        .incarnation = m_incarnation });
+        .incarnation = m_incarnation,
+        .departure = departure() };
+}
+
+// A departure stays in the membership records while this daemon shuts down, for its next process.
+void OwnerTask::publish()
+{
+    std::optional<UpstreamRecord> record = makeRecord();
+    if (m_isUnpublished && record)
+        record->phase = UpstreamPhase::Stopped;
+    if (m_isUnpublished && record && !record->departure)
+        record.reset();
+    m_hooks.publishUpstream(std::move(record));
 }
 
 void OwnerTask::setPlannedDrain(const std::function<bool(const UpstreamId&)>& isDrained)
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -10,6 +10,7 @@
 #include "dragonflylane/Endpoint.h"
 #include "dragonflylane/Ids.h"
 #include "dragonflylane/LogRateLimiter.h"
+#include "dragonflylane/MemberRecord.h"
 #include "dragonflylane/OwnerStatements.h"
 #include "dragonflylane/RecentCompletions.h"
 #include "dragonflylane/ResponseDelayEstimator.h"
@@ -38,7 +39,6 @@
 class CrashTask;
 class Journal;
 class Metrics;
-struct UpstreamRecord;
 
 /// Registration that an upstream sends to its daemon.
 struct Announcement {
@@ -111,6 +111,9 @@
     void announce(const Announcement&);
     /// Drains the upstream because its process is about to stop. Later announcements of that process are ignored.
     void withdraw(const UpstreamId&, uint64_t startedAt);
+    /// An earlier process of this daemon has published this record. Its departure, if any, holds again: later
+    /// announcements of that process are ignored as they would have been before the restart.
+    void adoptEarlierRecord(const UpstreamRecord&);
     /// Sets or clears the drain that the configuration asks for.
     void setPlannedDrain(const std::function<bool(const UpstreamId&)>& isDrained);
 
@@ -118,8 +121,8 @@
     CallId handle(wire::ForwardRequest, Responder, CallSource);
     void cancel(CallId);
 
-    /// Removes the upstream from the membership record, so that it gets no new calls. Calls that still arrive are
-    /// served.
+    /// Removes the upstream from the membership record, or marks it as stopped if it is leaving, so that it gets no new
+    /// calls. Calls that still arrive are served.
     void unpublishUpstream();
     /// Refuses new calls; calls in flight continue.
     void refuseNewCalls();
@@ -150,6 +153,9 @@
 
     bool isAnnouncedDrain() const;
     bool isWithdrawn(const UpstreamId&, uint64_t startedAt) const;
+    bool hasDepartedEarlier(const Announcement&) const;
+    std::optional<UpstreamDeparture> departure() const;
+    std::optional<UpstreamRecord> makeRecord() const;
     bool isOutdated(const Announcement&) const;
     bool statesNotRun(const HttpResponse&) const;
     void recordStatements(const HttpResponse&, TimePoint now);
@@ -197,6 +203,11 @@
     TimePoint m_leaseEnd;
     /// Upstream processes that have withdrawn, oldest first.
     std::deque<WithdrawnProcess> m_withdrawn;
+    /// Sequence of the announcement that began the drain of the current process.
+    Sequence m_drainSequence;
+    /// The latest record with a departure that an earlier process of this daemon has published. Published again until
+    /// an upstream is announced, so that it outlasts further restarts.
+    std::optional<UpstreamRecord> m_earlierRecord;
 
     std::unique_ptr<Admission> m_admission;
     ResponseDelayEstimator m_responseDelay;
--- a/gen-cpp/gossip_types.cpp
+++ b/gen-cpp/gossip_types.cpp
@@ -14,6 +14,151 @@
 namespace dragonflylane { namespace wire {
 
 
+GossipDeparture::~GossipDeparture() noexcept {
+}
+
+
+void GossipDeparture::__set_process(const int64_t val) {
+  this->process = val;
+}
+
+void GossipDeparture::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void GossipDeparture::__set_isFinal(const bool val) {
+  this->isFinal = val;
+}
+std::ostream& operator<<(std::ostream& out, const GossipDeparture& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GossipDeparture::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isFinal);
+          this->__isset.isFinal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GossipDeparture::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GossipDeparture");
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isFinal", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->isFinal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GossipDeparture &a, GossipDeparture &b) {
+  using ::std::swap;
+  swap(a.process, b.process);
+  swap(a.sequence, b.sequence);
+  swap(a.isFinal, b.isFinal);
+  swap(a.__isset, b.__isset);
+}
+
+GossipDeparture::GossipDeparture(const GossipDeparture& other0) noexcept {
+  process = other0.process;
+  sequence = other0.sequence;
+  isFinal = other0.isFinal;
+  __isset = other0.__isset;
+}
+GossipDeparture::GossipDeparture(GossipDeparture&& other1) noexcept {
+  process = other1.process;
+  sequence = other1.sequence;
+  isFinal = other1.isFinal;
+  __isset = other1.__isset;
+}
+GossipDeparture& GossipDeparture::operator=(const GossipDeparture& other2) noexcept {
+  process = other2.process;
+  sequence = other2.sequence;
+  isFinal = other2.isFinal;
+  __isset = other2.__isset;
+  return *this;
+}
+GossipDeparture& GossipDeparture::operator=(GossipDeparture&& other3) noexcept {
+  process = other3.process;
+  sequence = other3.sequence;
+  isFinal = other3.isFinal;
+  __isset = other3.__isset;
+  return *this;
+}
+void GossipDeparture::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GossipDeparture(";
+  out << "process=" << to_string(process);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "isFinal=" << to_string(isFinal);
+  out << ")";
+}
+
+
 GossipUpstream::~GossipUpstream() noexcept {
 }
 
@@ -37,6 +182,11 @@
 void GossipUpstream::__set_incarnation(const int64_t val) {
   this->incarnation = val;
 }
+
+void GossipUpstream::__set_departure(const GossipDeparture& val) {
+  this->departure = val;
+__isset.departure = true;
+}
 std::ostream& operator<<(std::ostream& out, const GossipUpstream& obj)
 {
   obj.printTo(out);
@@ -105,6 +255,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->departure.read(iprot);
+          this->__isset.departure = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -142,6 +300,11 @@
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.departure) {
+    xfer += oprot->writeFieldBegin("departure", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->departure.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -154,41 +317,46 @@
   swap(a.phase, b.phase);
   swap(a.slots, b.slots);
   swap(a.incarnation, b.incarnation);
+  swap(a.departure, b.departure);
   swap(a.__isset, b.__isset);
 }
 
-GossipUpstream::GossipUpstream(const GossipUpstream& other0) {
-  id = other0.id;
-  serviceName = other0.serviceName;
-  phase = other0.phase;
-  slots = other0.slots;
-  incarnation = other0.incarnation;
-  __isset = other0.__isset;
+GossipUpstream::GossipUpstream(const GossipUpstream& other4) {
+  id = other4.id;
+  serviceName = other4.serviceName;
+  phase = other4.phase;
+  slots = other4.slots;
+  incarnation = other4.incarnation;
+  departure = other4.departure;
+  __isset = other4.__isset;
 }
-GossipUpstream::GossipUpstream(GossipUpstream&& other1) noexcept {
-  id = std::move(other1.id);
-  serviceName = std::move(other1.serviceName);
-  phase = other1.phase;
-  slots = other1.slots;
-  incarnation = other1.incarnation;
-  __isset = other1.__isset;
+GossipUpstream::GossipUpstream(GossipUpstream&& other5) noexcept {
+  id = std::move(other5.id);
+  serviceName = std::move(other5.serviceName);
+  phase = other5.phase;
+  slots = other5.slots;
+  incarnation = other5.incarnation;
+  departure = std::move(other5.departure);
+  __isset = other5.__isset;
 }
-GossipUpstream& GossipUpstream::operator=(const GossipUpstream& other2) {
-  id = other2.id;
-  serviceName = other2.serviceName;
-  phase = other2.phase;
-  slots = other2.slots;
-  incarnation = other2.incarnation;
-  __isset = other2.__isset;
+GossipUpstream& GossipUpstream::operator=(const GossipUpstream& other6) {
+  id = other6.id;
+  serviceName = other6.serviceName;
+  phase = other6.phase;
+  slots = other6.slots;
+  incarnation = other6.incarnation;
+  departure = other6.departure;
+  __isset = other6.__isset;
   return *this;
 }
-GossipUpstream& GossipUpstream::operator=(GossipUpstream&& other3) noexcept {
-  id = std::move(other3.id);
-  serviceName = std::move(other3.serviceName);
-  phase = other3.phase;
-  slots = other3.slots;
-  incarnation = other3.incarnation;
-  __isset = other3.__isset;
+GossipUpstream& GossipUpstream::operator=(GossipUpstream&& other7) noexcept {
+  id = std::move(other7.id);
+  serviceName = std::move(other7.serviceName);
+  phase = other7.phase;
+  slots = other7.slots;
+  incarnation = other7.incarnation;
+  departure = std::move(other7.departure);
+  __isset = other7.__isset;
   return *this;
 }
 void GossipUpstream::printTo(std::ostream& out) const {
@@ -199,6 +367,7 @@
   out << ", " << "phase=" << to_string(phase);
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "departure="; (__isset.departure ? (out << to_string(departure)) : (out << "<null>"));
   out << ")";
 }
 
@@ -450,62 +619,62 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipMemberRecord::GossipMemberRecord(const GossipMemberRecord& other4) {
-  host = other4.host;
-  address = other4.address;
-  port = other4.port;
-  dataCentre = other4.dataCentre;
-  region = other4.region;
-  life = other4.life;
-  incarnation = other4.incarnation;
-  sequence = other4.sequence;
-  state = other4.state;
-  controlRole = other4.controlRole;
-  upstream = other4.upstream;
-  __isset = other4.__isset;
+GossipMemberRecord::GossipMemberRecord(const GossipMemberRecord& other8) {
+  host = other8.host;
+  address = other8.address;
+  port = other8.port;
+  dataCentre = other8.dataCentre;
+  region = other8.region;
+  life = other8.life;
+  incarnation = other8.incarnation;
+  sequence = other8.sequence;
+  state = other8.state;
+  controlRole = other8.controlRole;
+  upstream = other8.upstream;
+  __isset = other8.__isset;
 }
-GossipMemberRecord::GossipMemberRecord(GossipMemberRecord&& other5) noexcept {
-  host = std::move(other5.host);
-  address = std::move(other5.address);
-  port = other5.port;
-  dataCentre = std::move(other5.dataCentre);
-  region = std::move(other5.region);
-  life = other5.life;
-  incarnation = other5.incarnation;
-  sequence = other5.sequence;
-  state = other5.state;
-  controlRole = other5.controlRole;
-  upstream = std::move(other5.upstream);
-  __isset = other5.__isset;
+GossipMemberRecord::GossipMemberRecord(GossipMemberRecord&& other9) noexcept {
+  host = std::move(other9.host);
+  address = std::move(other9.address);
+  port = other9.port;
+  dataCentre = std::move(other9.dataCentre);
+  region = std::move(other9.region);
+  life = other9.life;
+  incarnation = other9.incarnation;
+  sequence = other9.sequence;
+  state = other9.state;
+  controlRole = other9.controlRole;
+  upstream = std::move(other9.upstream);
+  __isset = other9.__isset;
 }
-GossipMemberRecord& GossipMemberRecord::operator=(const GossipMemberRecord& other6) {
-  host = other6.host;
-  address = other6.address;
-  port = other6.port;
-  dataCentre = other6.dataCentre;
-  region = other6.region;
-  life = other6.life;
-  incarnation = other6.incarnation;
-  sequence = other6.sequence;
-  state = other6.state;
-  controlRole = other6.controlRole;
-  upstream = other6.upstream;
-  __isset = other6.__isset;
+GossipMemberRecord& GossipMemberRecord::operator=(const GossipMemberRecord& other10) {
+  host = other10.host;
+  address = other10.address;
+  port = other10.port;
+  dataCentre = other10.dataCentre;
+  region = other10.region;
+  life = other10.life;
+  incarnation = other10.incarnation;
+  sequence = other10.sequence;
+  state = other10.state;
+  controlRole = other10.controlRole;
+  upstream = other10.upstream;
+  __isset = other10.__isset;
   return *this;
 }
-GossipMemberRecord& GossipMemberRecord::operator=(GossipMemberRecord&& other7) noexcept {
-  host = std::move(other7.host);
-  address = std::move(other7.address);
-  port = other7.port;
-  dataCentre = std::move(other7.dataCentre);
-  region = std::move(other7.region);
-  life = other7.life;
-  incarnation = other7.incarnation;
-  sequence = other7.sequence;
-  state = other7.state;
-  controlRole = other7.controlRole;
-  upstream = std::move(other7.upstream);
-  __isset = other7.__isset;
+GossipMemberRecord& GossipMemberRecord::operator=(GossipMemberRecord&& other11) noexcept {
+  host = std::move(other11.host);
+  address = std::move(other11.address);
+  port = other11.port;
+  dataCentre = std::move(other11.dataCentre);
+  region = std::move(other11.region);
+  life = other11.life;
+  incarnation = other11.incarnation;
+  sequence = other11.sequence;
+  state = other11.state;
+  controlRole = other11.controlRole;
+  upstream = std::move(other11.upstream);
+  __isset = other11.__isset;
   return *this;
 }
 void GossipMemberRecord::printTo(std::ostream& out) const {
@@ -652,34 +821,34 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipBroadcast::GossipBroadcast(const GossipBroadcast& other8) {
-  origin = other8.origin;
-  life = other8.life;
-  number = other8.number;
-  payload = other8.payload;
-  __isset = other8.__isset;
-}
-GossipBroadcast::GossipBroadcast(GossipBroadcast&& other9) noexcept {
-  origin = std::move(other9.origin);
-  life = other9.life;
-  number = other9.number;
-  payload = std::move(other9.payload);
-  __isset = other9.__isset;
-}
-GossipBroadcast& GossipBroadcast::operator=(const GossipBroadcast& other10) {
-  origin = other10.origin;
-  life = other10.life;
-  number = other10.number;
-  payload = other10.payload;
-  __isset = other10.__isset;
+GossipBroadcast::GossipBroadcast(const GossipBroadcast& other12) {
+  origin = other12.origin;
+  life = other12.life;
+  number = other12.number;
+  payload = other12.payload;
+  __isset = other12.__isset;
+}
+GossipBroadcast::GossipBroadcast(GossipBroadcast&& other13) noexcept {
+  origin = std::move(other13.origin);
+  life = other13.life;
+  number = other13.number;
+  payload = std::move(other13.payload);
+  __isset = other13.__isset;
+}
+GossipBroadcast& GossipBroadcast::operator=(const GossipBroadcast& other14) {
+  origin = other14.origin;
+  life = other14.life;
+  number = other14.number;
+  payload = other14.payload;
+  __isset = other14.__isset;
   return *this;
 }
-GossipBroadcast& GossipBroadcast::operator=(GossipBroadcast&& other11) noexcept {
-  origin = std::move(other11.origin);
-  life = other11.life;
-  number = other11.number;
-  payload = std::move(other11.payload);
-  __isset = other11.__isset;
+GossipBroadcast& GossipBroadcast::operator=(GossipBroadcast&& other15) noexcept {
+  origin = std::move(other15.origin);
+  life = other15.life;
+  number = other15.number;
+  payload = std::move(other15.payload);
+  __isset = other15.__isset;
   return *this;
 }
 void GossipBroadcast::printTo(std::ostream& out) const {
@@ -738,14 +907,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->records.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->records.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              xfer += this->records[_i16].read(iprot);
+              xfer += this->records[_i20].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -758,14 +927,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->broadcasts.clear();
-            uint32_t _size17;
-            ::apache::thrift::protocol::TType _etype20;
-            xfer += iprot->readListBegin(_etype20, _size17);
-            this->broadcasts.resize(_size17);
-            uint32_t _i21;
-            for (_i21 = 0; _i21 < _size17; ++_i21)
+            uint32_t _size21;
+            ::apache::thrift::protocol::TType _etype24;
+            xfer += iprot->readListBegin(_etype24, _size21);
+            this->broadcasts.resize(_size21);
+            uint32_t _i25;
+            for (_i25 = 0; _i25 < _size21; ++_i25)
             {
-              xfer += this->broadcasts[_i21].read(iprot);
+              xfer += this->broadcasts[_i25].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -795,10 +964,10 @@
     xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-      std::vector<GossipMemberRecord> ::const_iterator _iter22;
-      for (_iter22 = this->records.begin(); _iter22 != this->records.end(); ++_iter22)
+      std::vector<GossipMemberRecord> ::const_iterator _iter26;
+      for (_iter26 = this->records.begin(); _iter26 != this->records.end(); ++_iter26)
       {
-        xfer += (*_iter22).write(oprot);
+        xfer += (*_iter26).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -808,10 +977,10 @@
     xfer += oprot->writeFieldBegin("broadcasts", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->broadcasts.size()));
-      std::vector<GossipBroadcast> ::const_iterator _iter23;
-      for (_iter23 = this->broadcasts.begin(); _iter23 != this->broadcasts.end(); ++_iter23)
+      std::vector<GossipBroadcast> ::const_iterator _iter27;
+      for (_iter27 = this->broadcasts.begin(); _iter27 != this->broadcasts.end(); ++_iter27)
       {
-        xfer += (*_iter23).write(oprot);
+        xfer += (*_iter27).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -829,26 +998,26 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipCargo::GossipCargo(const GossipCargo& other24) {
-  records = other24.records;
-  broadcasts = other24.broadcasts;
-  __isset = other24.__isset;
+GossipCargo::GossipCargo(const GossipCargo& other28) {
+  records = other28.records;
+  broadcasts = other28.broadcasts;
+  __isset = other28.__isset;
 }
-GossipCargo::GossipCargo(GossipCargo&& other25) noexcept {
-  records = std::move(other25.records);
-  broadcasts = std::move(other25.broadcasts);
-  __isset = other25.__isset;
+GossipCargo::GossipCargo(GossipCargo&& other29) noexcept {
+  records = std::move(other29.records);
+  broadcasts = std::move(other29.broadcasts);
+  __isset = other29.__isset;
 }
-GossipCargo& GossipCargo::operator=(const GossipCargo& other26) {
-  records = other26.records;
-  broadcasts = other26.broadcasts;
-  __isset = other26.__isset;
+GossipCargo& GossipCargo::operator=(const GossipCargo& other30) {
+  records = other30.records;
+  broadcasts = other30.broadcasts;
+  __isset = other30.__isset;
   return *this;
 }
-GossipCargo& GossipCargo::operator=(GossipCargo&& other27) noexcept {
-  records = std::move(other27.records);
-  broadcasts = std::move(other27.broadcasts);
-  __isset = other27.__isset;
+GossipCargo& GossipCargo::operator=(GossipCargo&& other31) noexcept {
+  records = std::move(other31.records);
+  broadcasts = std::move(other31.broadcasts);
+  __isset = other31.__isset;
   return *this;
 }
 void GossipCargo::printTo(std::ostream& out) const {
@@ -971,30 +1140,30 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipPing::GossipPing(const GossipPing& other28) {
-  number = other28.number;
-  target = other28.target;
-  cargo = other28.cargo;
-  __isset = other28.__isset;
+GossipPing::GossipPing(const GossipPing& other32) {
+  number = other32.number;
+  target = other32.target;
+  cargo = other32.cargo;
+  __isset = other32.__isset;
 }
-GossipPing::GossipPing(GossipPing&& other29) noexcept {
-  number = other29.number;
-  target = other29.target;
-  cargo = std::move(other29.cargo);
-  __isset = other29.__isset;
+GossipPing::GossipPing(GossipPing&& other33) noexcept {
+  number = other33.number;
+  target = other33.target;
+  cargo = std::move(other33.cargo);
+  __isset = other33.__isset;
 }
-GossipPing& GossipPing::operator=(const GossipPing& other30) {
-  number = other30.number;
-  target = other30.target;
-  cargo = other30.cargo;
-  __isset = other30.__isset;
+GossipPing& GossipPing::operator=(const GossipPing& other34) {
+  number = other34.number;
+  target = other34.target;
+  cargo = other34.cargo;
+  __isset = other34.__isset;
   return *this;
 }
-GossipPing& GossipPing::operator=(GossipPing&& other31) noexcept {
-  number = other31.number;
-  target = other31.target;
-  cargo = std::move(other31.cargo);
-  __isset = other31.__isset;
+GossipPing& GossipPing::operator=(GossipPing&& other35) noexcept {
+  number = other35.number;
+  target = other35.target;
+  cargo = std::move(other35.cargo);
+  __isset = other35.__isset;
   return *this;
 }
 void GossipPing::printTo(std::ostream& out) const {
@@ -1152,38 +1321,38 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipIndirectPing::GossipIndirectPing(const GossipIndirectPing& other32) {
-  number = other32.number;
-  target = other32.target;
-  address = other32.address;
-  port = other32.port;
-  cargo = other32.cargo;
-  __isset = other32.__isset;
+GossipIndirectPing::GossipIndirectPing(const GossipIndirectPing& other36) {
+  number = other36.number;
+  target = other36.target;
+  address = other36.address;
+  port = other36.port;
+  cargo = other36.cargo;
+  __isset = other36.__isset;
 }
-GossipIndirectPing::GossipIndirectPing(GossipIndirectPing&& other33) noexcept {
-  number = other33.number;
-  target = other33.target;
-  address = std::move(other33.address);
-  port = other33.port;
-  cargo = std::move(other33.cargo);
-  __isset = other33.__isset;
+GossipIndirectPing::GossipIndirectPing(GossipIndirectPing&& other37) noexcept {
+  number = other37.number;
+  target = other37.target;
+  address = std::move(other37.address);
+  port = other37.port;
+  cargo = std::move(other37.cargo);
+  __isset = other37.__isset;
 }
-GossipIndirectPing& GossipIndirectPing::operator=(const GossipIndirectPing& other34) {
-  number = other34.number;
-  target = other34.target;
-  address = other34.address;
-  port = other34.port;
-  cargo = other34.cargo;
-  __isset = other34.__isset;
+GossipIndirectPing& GossipIndirectPing::operator=(const GossipIndirectPing& other38) {
+  number = other38.number;
+  target = other38.target;
+  address = other38.address;
+  port = other38.port;
+  cargo = other38.cargo;
+  __isset = other38.__isset;
   return *this;
 }
-GossipIndirectPing& GossipIndirectPing::operator=(GossipIndirectPing&& other35) noexcept {
-  number = other35.number;
-  target = other35.target;
-  address = std::move(other35.address);
-  port = other35.port;
-  cargo = std::move(other35.cargo);
-  __isset = other35.__isset;
+GossipIndirectPing& GossipIndirectPing::operator=(GossipIndirectPing&& other39) noexcept {
+  number = other39.number;
+  target = other39.target;
+  address = std::move(other39.address);
+  port = other39.port;
+  cargo = std::move(other39.cargo);
+  __isset = other39.__isset;
   return *this;
 }
 void GossipIndirectPing::printTo(std::ostream& out) const {
@@ -1292,26 +1461,26 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipAcknowledgement::GossipAcknowledgement(const GossipAcknowledgement& other36) {
-  number = other36.number;
-  cargo = other36.cargo;
-  __isset = other36.__isset;
+GossipAcknowledgement::GossipAcknowledgement(const GossipAcknowledgement& other40) {
+  number = other40.number;
+  cargo = other40.cargo;
+  __isset = other40.__isset;
 }
-GossipAcknowledgement::GossipAcknowledgement(GossipAcknowledgement&& other37) noexcept {
-  number = other37.number;
-  cargo = std::move(other37.cargo);
-  __isset = other37.__isset;
+GossipAcknowledgement::GossipAcknowledgement(GossipAcknowledgement&& other41) noexcept {
+  number = other41.number;
+  cargo = std::move(other41.cargo);
+  __isset = other41.__isset;
 }
-GossipAcknowledgement& GossipAcknowledgement::operator=(const GossipAcknowledgement& other38) {
-  number = other38.number;
-  cargo = other38.cargo;
-  __isset = other38.__isset;
+GossipAcknowledgement& GossipAcknowledgement::operator=(const GossipAcknowledgement& other42) {
+  number = other42.number;
+  cargo = other42.cargo;
+  __isset = other42.__isset;
   return *this;
 }
-GossipAcknowledgement& GossipAcknowledgement::operator=(GossipAcknowledgement&& other39) noexcept {
-  number = other39.number;
-  cargo = std::move(other39.cargo);
-  __isset = other39.__isset;
+GossipAcknowledgement& GossipAcknowledgement::operator=(GossipAcknowledgement&& other43) noexcept {
+  number = other43.number;
+  cargo = std::move(other43.cargo);
+  __isset = other43.__isset;
   return *this;
 }
 void GossipAcknowledgement::printTo(std::ostream& out) const {
@@ -1466,38 +1635,38 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipPageRequest::GossipPageRequest(const GossipPageRequest& other40) noexcept {
-  number = other40.number;
-  first = other40.first;
-  last = other40.last;
-  contactsOnly = other40.contactsOnly;
-  acceptPartial = other40.acceptPartial;
-  __isset = other40.__isset;
-}
-GossipPageRequest::GossipPageRequest(GossipPageRequest&& other41) noexcept {
-  number = other41.number;
-  first = other41.first;
-  last = other41.last;
-  contactsOnly = other41.contactsOnly;
-  acceptPartial = other41.acceptPartial;
-  __isset = other41.__isset;
-}
-GossipPageRequest& GossipPageRequest::operator=(const GossipPageRequest& other42) noexcept {
-  number = other42.number;
-  first = other42.first;
-  last = other42.last;
-  contactsOnly = other42.contactsOnly;
-  acceptPartial = other42.acceptPartial;
-  __isset = other42.__isset;
+GossipPageRequest::GossipPageRequest(const GossipPageRequest& other44) noexcept {
+  number = other44.number;
+  first = other44.first;
+  last = other44.last;
+  contactsOnly = other44.contactsOnly;
+  acceptPartial = other44.acceptPartial;
+  __isset = other44.__isset;
+}
+GossipPageRequest::GossipPageRequest(GossipPageRequest&& other45) noexcept {
+  number = other45.number;
+  first = other45.first;
+  last = other45.last;
+  contactsOnly = other45.contactsOnly;
+  acceptPartial = other45.acceptPartial;
+  __isset = other45.__isset;
+}
+GossipPageRequest& GossipPageRequest::operator=(const GossipPageRequest& other46) noexcept {
+  number = other46.number;
+  first = other46.first;
+  last = other46.last;
+  contactsOnly = other46.contactsOnly;
+  acceptPartial = other46.acceptPartial;
+  __isset = other46.__isset;
   return *this;
 }
-GossipPageRequest& GossipPageRequest::operator=(GossipPageRequest&& other43) noexcept {
-  number = other43.number;
-  first = other43.first;
-  last = other43.last;
-  contactsOnly = other43.contactsOnly;
-  acceptPartial = other43.acceptPartial;
-  __isset = other43.__isset;
+GossipPageRequest& GossipPageRequest::operator=(GossipPageRequest&& other47) noexcept {
+  number = other47.number;
+  first = other47.first;
+  last = other47.last;
+  contactsOnly = other47.contactsOnly;
+  acceptPartial = other47.acceptPartial;
+  __isset = other47.__isset;
   return *this;
 }
 void GossipPageRequest::printTo(std::ostream& out) const {
@@ -1575,14 +1744,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wanted.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->wanted.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->wanted.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += iprot->readI64(this->wanted[_i48]);
+              xfer += iprot->readI64(this->wanted[_i52]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1633,10 +1802,10 @@
     xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->wanted.size()));
-      std::vector<int64_t> ::const_iterator _iter49;
-      for (_iter49 = this->wanted.begin(); _iter49 != this->wanted.end(); ++_iter49)
+      std::vector<int64_t> ::const_iterator _iter53;
+      for (_iter53 = this->wanted.begin(); _iter53 != this->wanted.end(); ++_iter53)
       {
-        xfer += oprot->writeI64((*_iter49));
+        xfer += oprot->writeI64((*_iter53));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1666,34 +1835,34 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipDigestRequest::GossipDigestRequest(const GossipDigestRequest& other50) {
-  root = other50.root;
-  wanted = other50.wanted;
-  page = other50.page;
-  sender = other50.sender;
-  __isset = other50.__isset;
-}
-GossipDigestRequest::GossipDigestRequest(GossipDigestRequest&& other51) noexcept {
-  root = other51.root;
-  wanted = std::move(other51.wanted);
-  page = std::move(other51.page);
-  sender = std::move(other51.sender);
-  __isset = other51.__isset;
-}
-GossipDigestRequest& GossipDigestRequest::operator=(const GossipDigestRequest& other52) {
-  root = other52.root;
-  wanted = other52.wanted;
-  page = other52.page;
-  sender = other52.sender;
-  __isset = other52.__isset;
+GossipDigestRequest::GossipDigestRequest(const GossipDigestRequest& other54) {
+  root = other54.root;
+  wanted = other54.wanted;
+  page = other54.page;
+  sender = other54.sender;
+  __isset = other54.__isset;
+}
+GossipDigestRequest::GossipDigestRequest(GossipDigestRequest&& other55) noexcept {
+  root = other55.root;
+  wanted = std::move(other55.wanted);
+  page = std::move(other55.page);
+  sender = std::move(other55.sender);
+  __isset = other55.__isset;
+}
+GossipDigestRequest& GossipDigestRequest::operator=(const GossipDigestRequest& other56) {
+  root = other56.root;
+  wanted = other56.wanted;
+  page = other56.page;
+  sender = other56.sender;
+  __isset = other56.__isset;
   return *this;
 }
-GossipDigestRequest& GossipDigestRequest::operator=(GossipDigestRequest&& other53) noexcept {
-  root = other53.root;
-  wanted = std::move(other53.wanted);
-  page = std::move(other53.page);
-  sender = std::move(other53.sender);
-  __isset = other53.__isset;
+GossipDigestRequest& GossipDigestRequest::operator=(GossipDigestRequest&& other57) noexcept {
+  root = other57.root;
+  wanted = std::move(other57.wanted);
+  page = std::move(other57.page);
+  sender = std::move(other57.sender);
+  __isset = other57.__isset;
   return *this;
 }
 void GossipDigestRequest::printTo(std::ostream& out) const {
@@ -1850,38 +2019,38 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipDigestEntry::GossipDigestEntry(const GossipDigestEntry& other54) noexcept {
-  hostHash = other54.hostHash;
-  incarnation = other54.incarnation;
-  sequence = other54.sequence;
-  state = other54.state;
-  tieBreak = other54.tieBreak;
-  __isset = other54.__isset;
-}
-GossipDigestEntry::GossipDigestEntry(GossipDigestEntry&& other55) noexcept {
-  hostHash = other55.hostHash;
-  incarnation = other55.incarnation;
-  sequence = other55.sequence;
-  state = other55.state;
-  tieBreak = other55.tieBreak;
-  __isset = other55.__isset;
-}
-GossipDigestEntry& GossipDigestEntry::operator=(const GossipDigestEntry& other56) noexcept {
-  hostHash = other56.hostHash;
-  incarnation = other56.incarnation;
-  sequence = other56.sequence;
-  state = other56.state;
-  tieBreak = other56.tieBreak;
-  __isset = other56.__isset;
+GossipDigestEntry::GossipDigestEntry(const GossipDigestEntry& other58) noexcept {
+  hostHash = other58.hostHash;
+  incarnation = other58.incarnation;
+  sequence = other58.sequence;
+  state = other58.state;
+  tieBreak = other58.tieBreak;
+  __isset = other58.__isset;
+}
+GossipDigestEntry::GossipDigestEntry(GossipDigestEntry&& other59) noexcept {
+  hostHash = other59.hostHash;
+  incarnation = other59.incarnation;
+  sequence = other59.sequence;
+  state = other59.state;
+  tieBreak = other59.tieBreak;
+  __isset = other59.__isset;
+}
+GossipDigestEntry& GossipDigestEntry::operator=(const GossipDigestEntry& other60) noexcept {
+  hostHash = other60.hostHash;
+  incarnation = other60.incarnation;
+  sequence = other60.sequence;
+  state = other60.state;
+  tieBreak = other60.tieBreak;
+  __isset = other60.__isset;
   return *this;
 }
-GossipDigestEntry& GossipDigestEntry::operator=(GossipDigestEntry&& other57) noexcept {
-  hostHash = other57.hostHash;
-  incarnation = other57.incarnation;
-  sequence = other57.sequence;
-  state = other57.state;
-  tieBreak = other57.tieBreak;
-  __isset = other57.__isset;
+GossipDigestEntry& GossipDigestEntry::operator=(GossipDigestEntry&& other61) noexcept {
+  hostHash = other61.hostHash;
+  incarnation = other61.incarnation;
+  sequence = other61.sequence;
+  state = other61.state;
+  tieBreak = other61.tieBreak;
+  __isset = other61.__isset;
   return *this;
 }
 void GossipDigestEntry::printTo(std::ostream& out) const {
@@ -1973,14 +2142,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->entries.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->entries.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->entries[_i62].read(iprot);
+              xfer += this->entries[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2023,10 +2192,10 @@
     xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-      std::vector<GossipDigestEntry> ::const_iterator _iter63;
-      for (_iter63 = this->entries.begin(); _iter63 != this->entries.end(); ++_iter63)
+      std::vector<GossipDigestEntry> ::const_iterator _iter67;
+      for (_iter67 = this->entries.begin(); _iter67 != this->entries.end(); ++_iter67)
       {
-        xfer += (*_iter63).write(oprot);
+        xfer += (*_iter67).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2046,34 +2215,34 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipDigest::GossipDigest(const GossipDigest& other64) {
-  buckets = other64.buckets;
-  first = other64.first;
-  last = other64.last;
-  entries = other64.entries;
-  __isset = other64.__isset;
-}
-GossipDigest::GossipDigest(GossipDigest&& other65) noexcept {
-  buckets = std::move(other65.buckets);
-  first = other65.first;
-  last = other65.last;
-  entries = std::move(other65.entries);
-  __isset = other65.__isset;
-}
-GossipDigest& GossipDigest::operator=(const GossipDigest& other66) {
-  buckets = other66.buckets;
-  first = other66.first;
-  last = other66.last;
-  entries = other66.entries;
-  __isset = other66.__isset;
+GossipDigest::GossipDigest(const GossipDigest& other68) {
+  buckets = other68.buckets;
+  first = other68.first;
+  last = other68.last;
+  entries = other68.entries;
+  __isset = other68.__isset;
+}
+GossipDigest::GossipDigest(GossipDigest&& other69) noexcept {
+  buckets = std::move(other69.buckets);
+  first = other69.first;
+  last = other69.last;
+  entries = std::move(other69.entries);
+  __isset = other69.__isset;
+}
+GossipDigest& GossipDigest::operator=(const GossipDigest& other70) {
+  buckets = other70.buckets;
+  first = other70.first;
+  last = other70.last;
+  entries = other70.entries;
+  __isset = other70.__isset;
   return *this;
 }
-GossipDigest& GossipDigest::operator=(GossipDigest&& other67) noexcept {
-  buckets = std::move(other67.buckets);
-  first = other67.first;
-  last = other67.last;
-  entries = std::move(other67.entries);
-  __isset = other67.__isset;
+GossipDigest& GossipDigest::operator=(GossipDigest&& other71) noexcept {
+  buckets = std::move(other71.buckets);
+  first = other71.first;
+  last = other71.last;
+  entries = std::move(other71.entries);
+  __isset = other71.__isset;
   return *this;
 }
 void GossipDigest::printTo(std::ostream& out) const {
@@ -2196,30 +2365,30 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipPageEnd::GossipPageEnd(const GossipPageEnd& other68) noexcept {
-  number = other68.number;
-  nextHash = other68.nextHash;
-  isLast = other68.isLast;
-  __isset = other68.__isset;
+GossipPageEnd::GossipPageEnd(const GossipPageEnd& other72) noexcept {
+  number = other72.number;
+  nextHash = other72.nextHash;
+  isLast = other72.isLast;
+  __isset = other72.__isset;
 }
-GossipPageEnd::GossipPageEnd(GossipPageEnd&& other69) noexcept {
-  number = other69.number;
-  nextHash = other69.nextHash;
-  isLast = other69.isLast;
-  __isset = other69.__isset;
+GossipPageEnd::GossipPageEnd(GossipPageEnd&& other73) noexcept {
+  number = other73.number;
+  nextHash = other73.nextHash;
+  isLast = other73.isLast;
+  __isset = other73.__isset;
 }
-GossipPageEnd& GossipPageEnd::operator=(const GossipPageEnd& other70) noexcept {
-  number = other70.number;
-  nextHash = other70.nextHash;
-  isLast = other70.isLast;
-  __isset = other70.__isset;
+GossipPageEnd& GossipPageEnd::operator=(const GossipPageEnd& other74) noexcept {
+  number = other74.number;
+  nextHash = other74.nextHash;
+  isLast = other74.isLast;
+  __isset = other74.__isset;
   return *this;
 }
-GossipPageEnd& GossipPageEnd::operator=(GossipPageEnd&& other71) noexcept {
-  number = other71.number;
-  nextHash = other71.nextHash;
-  isLast = other71.isLast;
-  __isset = other71.__isset;
+GossipPageEnd& GossipPageEnd::operator=(GossipPageEnd&& other75) noexcept {
+  number = other75.number;
+  nextHash = other75.nextHash;
+  isLast = other75.isLast;
+  __isset = other75.__isset;
   return *this;
 }
 void GossipPageEnd::printTo(std::ostream& out) const {
@@ -2328,26 +2497,26 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipRecords::GossipRecords(const GossipRecords& other72) {
-  cargo = other72.cargo;
-  page = other72.page;
-  __isset = other72.__isset;
+GossipRecords::GossipRecords(const GossipRecords& other76) {
+  cargo = other76.cargo;
+  page = other76.page;
+  __isset = other76.__isset;
 }
-GossipRecords::GossipRecords(GossipRecords&& other73) noexcept {
-  cargo = std::move(other73.cargo);
-  page = std::move(other73.page);
-  __isset = other73.__isset;
+GossipRecords::GossipRecords(GossipRecords&& other77) noexcept {
+  cargo = std::move(other77.cargo);
+  page = std::move(other77.page);
+  __isset = other77.__isset;
 }
-GossipRecords& GossipRecords::operator=(const GossipRecords& other74) {
-  cargo = other74.cargo;
-  page = other74.page;
-  __isset = other74.__isset;
+GossipRecords& GossipRecords::operator=(const GossipRecords& other78) {
+  cargo = other78.cargo;
+  page = other78.page;
+  __isset = other78.__isset;
   return *this;
 }
-GossipRecords& GossipRecords::operator=(GossipRecords&& other75) noexcept {
-  cargo = std::move(other75.cargo);
-  page = std::move(other75.page);
-  __isset = other75.__isset;
+GossipRecords& GossipRecords::operator=(GossipRecords&& other79) noexcept {
+  cargo = std::move(other79.cargo);
+  page = std::move(other79.page);
+  __isset = other79.__isset;
   return *this;
 }
 void GossipRecords::printTo(std::ostream& out) const {
@@ -2531,42 +2700,42 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipEnvelope::GossipEnvelope(const GossipEnvelope& other76) {
-  ping = other76.ping;
-  indirectPing = other76.indirectPing;
-  acknowledgement = other76.acknowledgement;
-  digestRequest = other76.digestRequest;
-  digest = other76.digest;
-  records = other76.records;
-  __isset = other76.__isset;
-}
-GossipEnvelope::GossipEnvelope(GossipEnvelope&& other77) noexcept {
-  ping = std::move(other77.ping);
-  indirectPing = std::move(other77.indirectPing);
-  acknowledgement = std::move(other77.acknowledgement);
-  digestRequest = std::move(other77.digestRequest);
-  digest = std::move(other77.digest);
-  records = std::move(other77.records);
-  __isset = other77.__isset;
-}
-GossipEnvelope& GossipEnvelope::operator=(const GossipEnvelope& other78) {
-  ping = other78.ping;
-  indirectPing = other78.indirectPing;
-  acknowledgement = other78.acknowledgement;
-  digestRequest = other78.digestRequest;
-  digest = other78.digest;
-  records = other78.records;
-  __isset = other78.__isset;
+GossipEnvelope::GossipEnvelope(const GossipEnvelope& other80) {
+  ping = other80.ping;
+  indirectPing = other80.indirectPing;
+  acknowledgement = other80.acknowledgement;
+  digestRequest = other80.digestRequest;
+  digest = other80.digest;
+  records = other80.records;
+  __isset = other80.__isset;
+}
+GossipEnvelope::GossipEnvelope(GossipEnvelope&& other81) noexcept {
+  ping = std::move(other81.ping);
+  indirectPing = std::move(other81.indirectPing);
+  acknowledgement = std::move(other81.acknowledgement);
+  digestRequest = std::move(other81.digestRequest);
+  digest = std::move(other81.digest);
+  records = std::move(other81.records);
+  __isset = other81.__isset;
+}
+GossipEnvelope& GossipEnvelope::operator=(const GossipEnvelope& other82) {
+  ping = other82.ping;
+  indirectPing = other82.indirectPing;
+  acknowledgement = other82.acknowledgement;
+  digestRequest = other82.digestRequest;
+  digest = other82.digest;
+  records = other82.records;
+  __isset = other82.__isset;
   return *this;
 }
-GossipEnvelope& GossipEnvelope::operator=(GossipEnvelope&& other79) noexcept {
-  ping = std::move(other79.ping);
-  indirectPing = std::move(other79.indirectPing);
-  acknowledgement = std::move(other79.acknowledgement);
-  digestRequest = std::move(other79.digestRequest);
-  digest = std::move(other79.digest);
-  records = std::move(other79.records);
-  __isset = other79.__isset;
+GossipEnvelope& GossipEnvelope::operator=(GossipEnvelope&& other83) noexcept {
+  ping = std::move(other83.ping);
+  indirectPing = std::move(other83.indirectPing);
+  acknowledgement = std::move(other83.acknowledgement);
+  digestRequest = std::move(other83.digestRequest);
+  digest = std::move(other83.digest);
+  records = std::move(other83.records);
+  __isset = other83.__isset;
   return *this;
 }
 void GossipEnvelope::printTo(std::ostream& out) const {
--- a/gen-cpp/gossip_types.h
+++ b/gen-cpp/gossip_types.h
@@ -21,6 +21,8 @@
 
 namespace dragonflylane { namespace wire {
 
+class GossipDeparture;
+
 class GossipUpstream;
 
 class GossipMemberRecord;
@@ -49,13 +51,73 @@
 
 class GossipEnvelope;
 
+typedef struct _GossipDeparture__isset {
+  _GossipDeparture__isset() : process(false), sequence(false), isFinal(false) {}
+  bool process :1;
+  bool sequence :1;
+  bool isFinal :1;
+} _GossipDeparture__isset;
+
+class GossipDeparture : public virtual ::apache::thrift::TBase {
+ public:
+
+  GossipDeparture(const GossipDeparture&) noexcept;
+  GossipDeparture(GossipDeparture&&) noexcept;
+  GossipDeparture& operator=(const GossipDeparture&) noexcept;
+  GossipDeparture& operator=(GossipDeparture&&) noexcept;
+  GossipDeparture() noexcept
+                  : process(0),
+                    sequence(0),
+                    isFinal(0) {
+  }
+
+  virtual ~GossipDeparture() noexcept;
+  int64_t process;
+  int64_t sequence;
+  bool isFinal;
+
+  _GossipDeparture__isset __isset;
+
+  void __set_process(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_isFinal(const bool val);
+
+  bool operator == (const GossipDeparture & rhs) const
+  {
+    if (!(process == rhs.process))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(isFinal == rhs.isFinal))
+      return false;
+    return true;
+  }
+  bool operator != (const GossipDeparture &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GossipDeparture & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GossipDeparture &a, GossipDeparture &b);
+
+std::ostream& operator<<(std::ostream& out, const GossipDeparture& obj);
+
 typedef struct _GossipUpstream__isset {
-  _GossipUpstream__isset() : id(false), serviceName(false), phase(false), slots(false), incarnation(false) {}
+  _GossipUpstream__isset() : id(false), serviceName(false), phase(false), slots(false), incarnation(false), departure(false) {}
   bool id :1;
   bool serviceName :1;
   bool phase :1;
   bool slots :1;
   bool incarnation :1;
+  bool departure :1;
 } _GossipUpstream__isset;
 
 class GossipUpstream : public virtual ::apache::thrift::TBase {
@@ -79,6 +141,7 @@
   int32_t phase;
   int32_t slots;
   int64_t incarnation;
+  GossipDeparture departure;
 
   _GossipUpstream__isset __isset;
 
@@ -92,6 +155,8 @@
 
   void __set_incarnation(const int64_t val);
 
+  void __set_departure(const GossipDeparture& val);
+
   bool operator == (const GossipUpstream & rhs) const
   {
     if (!(id == rhs.id))
@@ -104,6 +169,10 @@
       return false;
     if (!(incarnation == rhs.incarnation))
       return false;
+    if (__isset.departure != rhs.__isset.departure)
+      return false;
+    else if (__isset.departure && !(departure == rhs.departure))
+      return false;
     return true;
   }
   bool operator != (const GossipUpstream &rhs) const {
--- a/tests/GossipWireTest.cpp
+++ b/tests/GossipWireTest.cpp
@@ -38,6 +38,10 @@
                 .phase = static_cast<UpstreamPhase>(*rc::gen::inRange(0, 4)),
                 .slots = static_cast<uint32_t>(number()),
                 .incarnation = Incarnation(number()) };
+        if (out.upstream && *rc::gen::arbitrary<bool>())
+            out.upstream->departure = UpstreamDeparture {
+                .process = ProcessId(number()), .sequence = Sequence(number()), .isFinal = *rc::gen::arbitrary<bool>()
+            };
         return out;
     }
 
--- a/tests/LoopbackMesh.h
+++ b/tests/LoopbackMesh.h
@@ -19,6 +19,7 @@
     std::vector<std::string> hosts;
     /// Further lines of the section [calls].
     std::string callSettings { "admission = ranks\nhedging = no\n" };
+    std::string program { BINARY_DIR "/dragonflylaned" };
 };
 
 class LoopbackMesh {
@@ -117,7 +118,7 @@
     void start(size_t host)
     {
         m_processes.start({ .name = name(host),
-            .program = BINARY_DIR "/dragonflylaned",
+            .program = m_options.program,
             .arguments = { "--settings", (m_folder / (name(host) + ".ini")).string() },
             .logFile = (m_folder / (name(host) + ".log")).string() });
     }
--- a/tests/StatingUpstream.h
+++ b/tests/StatingUpstream.h
@@ -30,6 +30,8 @@
     Endpoint endpoint() const { return { "127.0.0.1", m_server.port() }; }
     void setServiceTime(Duration serviceTime) { m_serviceTime = serviceTime; }
     void setHeaders(std::vector<HttpHeader> headers) { m_headers = std::move(headers); }
+    /// Copies this header of each request to its response.
+    void setEchoedHeader(std::string name) { m_echoedHeader = std::move(name); }
     const std::vector<TimePoint>& arrivals() const { return m_arrivals; }
 
     /// The most requests that arrived within a window of this length, among the windows that begin after `from`.
@@ -41,13 +43,18 @@
         m_arrivals.push_back(BootClock::now());
         auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_serviceTime);
         timer->async_wait([this, timer, exchange](boost::system::error_code) {
-            exchange->respond({ .status = 200, .headers = m_headers, .body = "ok" });
+            HttpResponse response { .status = 200, .headers = m_headers, .body = "ok" };
+            std::string echoed(exchange->request().header(m_echoedHeader));
+            if (!echoed.empty())
+                response.headers.push_back({ m_echoedHeader, std::move(echoed) });
+            exchange->respond(std::move(response));
         });
     }
 
     boost::asio::io_context& m_context;
     Duration m_serviceTime { std::chrono::milliseconds(10) };
     std::vector<HttpHeader> m_headers;
+    std::string m_echoedHeader;
     std::vector<TimePoint> m_arrivals;
     HttpServer m_server;
 };
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -1,12 +1,20 @@
 // Gossip datagrams between daemons: probes, member records, digests and application broadcasts.
 namespace cpp dragonflylane.wire
 
+// A process of an upstream that is leaving. Lets an owner daemon that was restarted recognise its late announcements.
+struct GossipDeparture {
+  1: i64 process
+  2: i64 sequence
+  3: bool isFinal
+}
+
 struct GossipUpstream {
   1: string id
   2: string serviceName
   3: i32 phase
   4: i32 slots
   5: i64 incarnation
+  6: optional GossipDeparture departure
 }
 
 struct GossipMemberRecord {
