Send queued calls to a draining upstream for the time that it serves only

Cause: setDraining() refused new calls only; queued ones started whenever a slot became free, until their deadlines. Change: DrainWindow. Queued calls start until the drain time less the connect timeout is over. Those that are not expected to start by then are refused as not run at once, so another owner can be asked; the rest when it ends. OwnerAdmissionTest.DrainRefusesNewAndFinishesQueuedWork passes the time now, and also expects that nothing is refused.

--- a/dragonflylane/Admission.h
+++ b/dragonflylane/Admission.h
@@ -11,6 +11,7 @@
 //   * The number of running calls never exceeds the number of slots of the upstream.
 //   * While a rate limit is set, calls are forwarded no faster than UpstreamRateLimiter allows.
 //   * No call is forwarded at or after its deadline.
+//   * No call is forwarded later than the drain window after the beginning of a drain.
 //   * Every admitted or queued ticket is removed exactly once: by finished(), by cancel() or by a refusal.
 //   * Every refusal has a code that means "not run".
 
@@ -115,8 +116,9 @@
     virtual AdmissionChanges setSlots(uint32_t slots, TimePoint now) = 0;
     /// Sets the rate that the upstream states that it accepts; empty: no limit.
     virtual AdmissionChanges setRateLimit(std::optional<RequestRate>, TimePoint now) = 0;
-    /// While draining, new tickets are refused; queued and running ones finish.
-    virtual void setDraining(bool) = 0;
+    /// While draining, new tickets are refused and running ones finish. Queued ones are forwarded for the length of the
+    /// drain window (DrainWindow); those that are not expected to start by then are refused at once.
+    virtual AdmissionChanges setDraining(bool, TimePoint now) = 0;
     virtual bool isDraining() const = 0;
     /// The daemon is shutting down: new tickets are refused as while draining, with the code DaemonLeaving.
     virtual void setLeaving() = 0;
--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -100,7 +100,8 @@
                   .maxBodyBytes = m_settings.maxBodyBytes,
                   .acceptsCloseDelimitedResponses = m_options.acceptsCloseDelimitedResponses,
                   .bodies = &m_bodyBudget,
-                  .usesRankedAdmission = m_settings.usesRankedAdmission },
+                  .usesRankedAdmission = m_settings.usesRankedAdmission,
+                  .upstreamDrainTime = upstreamDrainTime() },
               m_hub.pacer(), m_crash, m_metrics, m_journal,
               { .publishUpstream
                   = [this](std::optional<UpstreamRecord> record) { m_membership->setUpstream(std::move(record)); },
@@ -165,7 +166,8 @@
             .with("callers", m_settings.callers.toString())
             .with("peer", m_settings.peer.toString())
             .with("api", m_settings.api.toString())
-            .with("control", static_cast<int>(m_settings.isControl()));
+            .with("control", static_cast<int>(m_settings.isControl()))
+            .with("upstream_drain_ms", upstreamDrainTime().count());
         m_signals.async_wait([this](boost::system::error_code error, int signal) {
             if (!error)
                 leave(signal);
@@ -182,6 +184,11 @@
 private:
     // ---- Construction ----
 
+    std::chrono::milliseconds upstreamDrainTime() const
+    {
+        return m_options.upstreamDrainTime.value_or(m_settings.upstreamDrainTime);
+    }
+
     void makeMembership()
     {
         MemberRecord self { .host = m_settings.hostId,
--- a/dragonflylane/Daemon.h
+++ b/dragonflylane/Daemon.h
@@ -12,8 +12,10 @@
 #include "dragonflylane/DaemonHooks.h"
 #include "dragonflylane/Settings.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <system_error>
 
@@ -26,6 +28,8 @@
     /// See UpstreamClientOptions::acceptsCloseDelimited.
     bool acceptsCloseDelimitedResponses { false };
     PlatformApiHandler platformApiHandler {};
+    /// Takes precedence over the setting upstream-drain-s.
+    std::optional<std::chrono::milliseconds> upstreamDrainTime {};
     /// Reads the settings again on SIGHUP. Empty: SIGHUP does not change the settings.
     std::function<SettingsError(Settings&)> reloadSettings {};
 };
--- a/dragonflylane/OwnerAdmission.cpp
+++ b/dragonflylane/OwnerAdmission.cpp
@@ -22,6 +22,7 @@
     : m_options(options)
     , m_estimateOptions { .weight = options.estimateWeight, .halfLife = options.estimateHalfLife }
     , m_limit(options.slots)
+    , m_drain(options.drainWindow)
 {
 }
 
@@ -30,7 +31,7 @@
     auto refuse = [](ResultCode code) { return AdmitDecision { AdmitAction::Refuse, code }; };
     if (m_isLeaving)
         return refuse(ResultCode::DaemonLeaving);
-    if (m_isDraining)
+    if (m_drain.isDraining())
         return refuse(ResultCode::UpstreamDraining);
     if (m_options.slots == 0)
         return refuse(ResultCode::NoUpstream);
@@ -119,6 +120,17 @@
     return tick(now);
 }
 
+AdmissionChanges OwnerAdmission::setDraining(bool isDraining, TimePoint now)
+{
+    AdmissionChanges changes;
+    if (!isDraining)
+        m_drain.cancel();
+    else
+        m_drain.begin(now);
+    refuseAfterDrain(changes, now);
+    return changes;
+}
+
 std::vector<RefusedTicket> OwnerAdmission::refuseQueued(ResultCode code)
 {
     std::vector<RefusedTicket> refused;
@@ -145,6 +157,8 @@
         for (const CallTicket& ticket : callClass.queue)
             consider(ticket.deadline);
     }
+    if (m_drain.end() && queuedCount() > 0)
+        consider(*m_drain.end());
     // When a reservation lapses, the other class may use its slots although no call has finished.
     for (size_t i = 0; i < m_classes.size(); ++i) {
         const CallClass& other = m_classes[1 - i];
@@ -329,9 +343,30 @@
     }
 }
 
+// Refuses the queued tickets that are not expected to start before the drain window ends, so that they can be served by
+// another upstream.
+void OwnerAdmission::refuseAfterDrain(AdmissionChanges& changes, TimePoint now)
+{
+    if (!m_drain.isDraining())
+        return;
+    bool mayWait = m_drain.maySend(now);
+    for (CallClass& callClass : m_classes) {
+        std::vector<CallTicket> kept;
+        for (const CallTicket& ticket : callClass.queue) {
+            if (mayWait && m_drain.maySend(now + expectedWait(ticket, now)))
+                kept.push_back(ticket);
+            else
+                changes.refused.push_back({ ticket, ResultCode::UpstreamDraining });
+        }
+        callClass.queue = std::move(kept);
+    }
+}
+
 void OwnerAdmission::dispatchQueued(AdmissionChanges& changes, TimePoint now)
 {
     expire(changes, now);
+    if (!m_drain.maySend(now))
+        refuseAfterDrain(changes, now);
     while (std::optional<bool> isNonIdempotent = nextClass(now)) {
         auto& queue = classOf(*isNonIdempotent).queue;
         auto position = queue.begin() + static_cast<std::ptrdiff_t>(*nextRunnable(*isNonIdempotent));
--- a/dragonflylane/OwnerAdmission.h
+++ b/dragonflylane/OwnerAdmission.h
@@ -13,6 +13,7 @@
 // Keeps the invariants listed in Admission.h. Costs O(queue) per call; by default the queue holds at most one ticket
 // per slot.
 
+#include "dragonflylane/DrainWindow.h"
 #include "dragonflylane/ServiceTimeEstimate.h"
 #include "dragonflylane/UpstreamRateLimiter.h"
 
@@ -40,6 +41,8 @@
     /// Without new samples the estimate halves in this time. Otherwise one slow period could cause all calls to be
     /// refused, and no sample would ever lower the estimate again.
     Duration estimateHalfLife { std::chrono::seconds(1) };
+    /// See Admission::setDraining().
+    Duration drainWindow { std::chrono::seconds(1) };
 
     // Switches that disable a mechanism for a test.
     bool adaptLimit { true };
@@ -61,8 +64,8 @@
     AdmissionChanges setSuspect(uint64_t id, bool isSuspect, TimePoint now);
     AdmissionChanges setSlots(uint32_t slots, TimePoint now) override;
     AdmissionChanges setRateLimit(std::optional<RequestRate>, TimePoint now) override;
-    void setDraining(bool isDraining) override { m_isDraining = isDraining; }
-    bool isDraining() const override { return m_isDraining; }
+    AdmissionChanges setDraining(bool, TimePoint now) override;
+    bool isDraining() const override { return m_drain.isDraining(); }
     void setLeaving() override { m_isLeaving = true; }
     std::vector<RefusedTicket> refuseQueued(ResultCode) override;
     AdmissionChanges tick(TimePoint now) override;
@@ -118,6 +121,7 @@
     std::optional<bool> nextClass(TimePoint now) const;
     void expire(AdmissionChanges&, TimePoint now);
     void dispatchQueued(AdmissionChanges&, TimePoint now);
+    void refuseAfterDrain(AdmissionChanges&, TimePoint now);
     void recordOutcome(const RunningCall&, CallOutcome, TimePoint now);
     void lowerLimit(const RunningCall&, TimePoint now);
     void raiseLimit();
@@ -130,7 +134,7 @@
     UpstreamRateLimiter m_rateLimiter;
     std::unordered_map<uint64_t, RunningCall> m_running;
     uint32_t m_suspectsRunning { 0 };
-    bool m_isDraining { false };
+    DrainWindow m_drain;
     bool m_isLeaving { false };
 };
 
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -66,11 +66,19 @@
         }
     }
 
+    // A call that is sent may first have to wait for a connection.
+    Duration drainWindow(const OwnerTaskOptions& options)
+    {
+        Duration connectTimeout = UpstreamClientOptions().connectTimeout;
+        return std::max(options.upstreamDrainTime - connectTimeout, Duration::zero());
+    }
+
     std::unique_ptr<Admission> makeAdmission(const OwnerTaskOptions& options)
     {
+        Duration window = drainWindow(options);
         if (options.usesRankedAdmission)
-            return std::make_unique<RankedAdmission>(RankedAdmissionOptions { .slots = 0 });
-        return std::make_unique<OwnerAdmission>(OwnerAdmissionOptions { .slots = 0 });
+            return std::make_unique<RankedAdmission>(RankedAdmissionOptions { .slots = 0, .drainWindow = window });
+        return std::make_unique<OwnerAdmission>(OwnerAdmissionOptions { .slots = 0, .drainWindow = window });
     }
 
 } // namespace
@@ -295,11 +303,18 @@
 {
     if (m_admission->isDraining() == isDraining())
         return;
-    m_admission->setDraining(isDraining());
-    Event("upstream_drain").with("upstream", m_announcement->id).with("draining", static_cast<int>(isDraining()));
+    LoadReport before = m_admission->load(BootClock::now());
+    AdmissionChanges changes = m_admission->setDraining(isDraining(), BootClock::now());
+    Event("upstream_drain")
+        .with("upstream", m_announcement->id)
+        .with("draining", static_cast<int>(isDraining()))
+        .with("running", before.running)
+        .with("queued", before.queued)
+        .with("refused", changes.refused.size());
     m_journal.record({ .event = isDraining() ? "upstream_draining" : "upstream_undrained",
         .subjects = { m_announcement->id.value(), m_options.self.value() },
         .cause = drainCause() });
+    applyChanges(changes);
 }
 
 void OwnerTask::checkLease()
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -69,6 +69,8 @@
     /// Selects RankedAdmission (by priority and target latency) instead of OwnerAdmission (slots shared between
     /// idempotent and non-idempotent requests).
     bool usesRankedAdmission { false };
+    /// An upstream that drains serves calls for at least this long after the drain was acknowledged.
+    Duration upstreamDrainTime { std::chrono::seconds(2) };
     /// An upstream that has not announced itself for this long is considered stopped.
     Duration lease { std::chrono::seconds(3) };
     /// Delay between the loss of a connection and the connection attempt that checks whether the upstream is alive. A
--- a/dragonflylane/RankedAdmission.cpp
+++ b/dragonflylane/RankedAdmission.cpp
@@ -37,6 +37,7 @@
 RankedAdmission::RankedAdmission(RankedAdmissionOptions options)
     : m_options(options)
     , m_estimateOptions { .weight = options.estimateWeight, .halfLife = options.estimateHalfLife }
+    , m_drain(options.drainWindow)
 {
 }
 
@@ -46,7 +47,7 @@
     auto refuse = [](ResultCode code, Duration wait = {}) { return AdmitDecision { AdmitAction::Refuse, code, wait }; };
     if (m_isLeaving)
         return refuse(ResultCode::DaemonLeaving);
-    if (m_isDraining)
+    if (m_drain.isDraining())
         return refuse(ResultCode::UpstreamDraining);
     if (m_options.slots == 0)
         return refuse(ResultCode::NoUpstream);
@@ -108,6 +109,17 @@
     return tick(now);
 }
 
+AdmissionChanges RankedAdmission::setDraining(bool isDraining, TimePoint now)
+{
+    AdmissionChanges changes;
+    if (!isDraining)
+        m_drain.cancel();
+    else
+        m_drain.begin(now);
+    refuseAfterDrain(changes, now);
+    return changes;
+}
+
 std::vector<RefusedTicket> RankedAdmission::refuseQueued(ResultCode code)
 {
     std::vector<RefusedTicket> refused;
@@ -132,6 +144,8 @@
     TimePoint wakeup = waitsOnlyForRate ? m_rateLimiter.nextSend() : TimePoint::max();
     for (const CallTicket& ticket : m_queue)
         wakeup = std::min({ wakeup, ticket.deadline, ticket.queueDeadline });
+    if (m_drain.end())
+        wakeup = std::min(wakeup, *m_drain.end());
     return wakeup;
 }
 
@@ -266,8 +280,25 @@
     m_rateLimiter.recordSent(now);
 }
 
+// Refuses the queued tickets that are not expected to start before the drain window ends, so that they can be served by
+// another upstream. The queue is in order of service, so these are at its end.
+void RankedAdmission::refuseAfterDrain(AdmissionChanges& changes, TimePoint now)
+{
+    if (!m_drain.isDraining())
+        return;
+    size_t kept = 0;
+    while (kept < m_queue.size() && m_drain.maySend(now)
+        && m_drain.maySend(now + std::max(expectedSlotWait(kept, now), m_rateLimiter.wait(kept, now))))
+        ++kept;
+    for (size_t i = kept; i < m_queue.size(); ++i)
+        changes.refused.push_back({ m_queue[i], ResultCode::UpstreamDraining });
+    m_queue.resize(kept);
+}
+
 void RankedAdmission::dispatchQueued(AdmissionChanges& changes, TimePoint now)
 {
+    if (!m_drain.maySend(now))
+        refuseAfterDrain(changes, now);
     std::vector<CallTicket> kept;
     for (const CallTicket& ticket : m_queue) {
         bool isExpired = ticket.deadline <= now;
--- a/dragonflylane/RankedAdmission.h
+++ b/dragonflylane/RankedAdmission.h
@@ -22,6 +22,7 @@
 //
 // Costs O(queue + routes) per call, and O(slots log slots) for the estimate of the wait; all are bounded.
 
+#include "dragonflylane/DrainWindow.h"
 #include "dragonflylane/ServiceTimeEstimate.h"
 #include "dragonflylane/UpstreamRateLimiter.h"
 
@@ -41,6 +42,8 @@
 
     /// Routes count as in use for this long after their last call.
     Duration routeIdleAfter { std::chrono::seconds(2) };
+    /// See Admission::setDraining().
+    Duration drainWindow { std::chrono::seconds(1) };
 
     // Switches that disable a mechanism for a test.
     bool orderByRank { true };
@@ -57,8 +60,8 @@
     bool cancel(uint64_t id) override;
     AdmissionChanges setSlots(uint32_t slots, TimePoint now) override;
     AdmissionChanges setRateLimit(std::optional<RequestRate>, TimePoint now) override;
-    void setDraining(bool isDraining) override { m_isDraining = isDraining; }
-    bool isDraining() const override { return m_isDraining; }
+    AdmissionChanges setDraining(bool, TimePoint now) override;
+    bool isDraining() const override { return m_drain.isDraining(); }
     void setLeaving() override { m_isLeaving = true; }
     std::vector<RefusedTicket> refuseQueued(ResultCode) override;
     AdmissionChanges tick(TimePoint now) override;
@@ -99,6 +102,7 @@
     void enqueue(const CallTicket&);
     void start(const CallTicket&, TimePoint now);
     void dispatchQueued(AdmissionChanges&, TimePoint now);
+    void refuseAfterDrain(AdmissionChanges&, TimePoint now);
     void recordOutcome(const RunningCall&, CallOutcome, TimePoint now);
 
     RankedAdmissionOptions m_options;
@@ -109,7 +113,7 @@
     UpstreamRateLimiter m_rateLimiter;
     /// By route key.
     std::unordered_map<uint64_t, Route> m_routes;
-    bool m_isDraining { false };
+    DrainWindow m_drain;
     bool m_isLeaving { false };
 };
 
--- a/dragonflylane/Settings.cpp
+++ b/dragonflylane/Settings.cpp
@@ -57,6 +57,9 @@
         { "calls", "body-memory-mb", "MB", "32", "8 to 4096",
             "Memory for the bodies of all calls together. One body may take an eighth of it." },
         { "calls", "drain-timeout-s", "s", "60", "0.1 to 3600", "Longest wait for calls in flight at shutdown." },
+        { "calls", "upstream-drain-s", "s", "2", "0 to 600",
+            "Time for which an upstream that drains serves calls after the acknowledgement; later none is sent to "
+            "it." },
         { "calls", "leave-notice-s", "s", "0.5", "0 to 60",
             "Time after the stop signal in which callers and peers notice the shutdown; calls are served meanwhile." },
         { "calls", "duplicate-records", "", "yes", "yes, no",
@@ -329,6 +332,7 @@
         settings.maxBodyBytes = reader.number("calls", "max-body-bytes", 0, 67108864);
         settings.bodyMemoryBytes = static_cast<uint64_t>(reader.number("calls", "body-memory-mb", 8, 4096)) << 20;
         settings.drainTimeout = reader.seconds("calls", "drain-timeout-s", 0.1, 3600);
+        settings.upstreamDrainTime = reader.seconds("calls", "upstream-drain-s", 0, 600);
         settings.leaveNotice = reader.seconds("calls", "leave-notice-s", 0, 60);
         settings.usesIdempotencyRecords = reader.flag("calls", "duplicate-records");
         settings.isHedging = reader.flag("calls", "hedging");
--- a/dragonflylane/Settings.h
+++ b/dragonflylane/Settings.h
@@ -68,6 +68,7 @@
     /// Time after the stop signal in which callers and readiness checks notice the shutdown; calls are served
     /// meanwhile.
     std::chrono::milliseconds leaveNotice;
+    std::chrono::milliseconds upstreamDrainTime;
     bool usesIdempotencyRecords { true };
     bool isHedging { true };
     /// True for "admission = ranks" in section [calls]. See OwnerTaskOptions.
--- a/tests/OwnerAdmissionTest.cpp
+++ b/tests/OwnerAdmissionTest.cpp
@@ -201,7 +201,7 @@
     OwnerAdmission admission({ .slots = 1 });
     ASSERT_EQ(admission.offer(nonIdempotentCall(1, seconds(1)), start).action, AdmitAction::Admit);
     ASSERT_EQ(admission.offer(nonIdempotentCall(2, seconds(1)), start).action, AdmitAction::Queue);
-    admission.setDraining(true);
+    EXPECT_TRUE(admission.setDraining(true, start).refused.empty());
     EXPECT_EQ(admission.offer(nonIdempotentCall(3, seconds(1)), start).code, ResultCode::UpstreamDraining);
     admission.setLeaving();
     EXPECT_EQ(admission.offer(nonIdempotentCall(4, seconds(1)), start).code, ResultCode::DaemonLeaving);
--- a/tests/OwnerTaskTest.cpp
+++ b/tests/OwnerTaskTest.cpp
@@ -225,6 +225,30 @@
     EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Draining);
 }
 
+// Guards against calls that were queued when the drain was acknowledged and reach the upstream when it may have stopped
+// already: its exit would cut them (review/3).
+TEST_P(OwnerTaskRateLimitTest, QueuedCallsDoNotReachTheUpstreamAfterItsDrainTime)
+{
+    constexpr size_t slots = 12;
+    OwnerFixture fixture({ .usesRankedAdmission = GetParam() });
+    // The running calls end 2.3 s after the drain has begun, and the queued ones could start then.
+    fixture.upstream().setServiceTime(milliseconds(2400));
+    fixture.announce();
+    for (size_t i = 0; i < 2 * slots; ++i) {
+        wire::ForwardRequest request = fixture.makeRequest();
+        request.remainingMicroseconds = 10'000'000;
+        request.targetMicroseconds = 10'000'000;
+        fixture.call(std::move(request));
+    }
+    fixture.runFor(milliseconds(100));
+    fixture.announce(UpstreamPhase::Draining);
+    fixture.runFor(seconds(2));
+    EXPECT_EQ(fixture.count(ResultCode::UpstreamDraining), slots) << "refused as not run as soon as it is certain";
+    fixture.runFor(milliseconds(700));
+    EXPECT_EQ(fixture.count(ResultCode::Ok), slots);
+    EXPECT_EQ(fixture.upstream().arrivals().size(), slots);
+}
+
 // Guards against an owner daemon that was restarted and sends a burst to an upstream in trouble before the first
 // response states the limit again. Entry daemons have passed the limit on to callers, so the upstream relies on it.
 TEST_P(OwnerTaskRateLimitTest, RestartedOwnerKeepsTheLimitThatEntryDaemonsKnow)
--- a/tests/RankedAdmissionTest.cpp
+++ b/tests/RankedAdmissionTest.cpp
@@ -358,4 +358,31 @@
     }
 }
 
+// Guards against queued calls that reach a draining upstream after it may have stopped, and against calls that wait for
+// that although it is known at once that they can't start in time.
+TEST(RankedAdmissionTest, DrainForwardsOnlyQueuedCallsThatStartInItsWindow)
+{
+    constexpr Duration service = milliseconds(800);
+    for (Duration runTime : { service, 2 * service }) {
+        RankedAdmission admission({ .slots = 1, .drainWindow = seconds(1) });
+        auto offer = [&](uint64_t id, TimePoint now) {
+            return admission.offer(ticket(id, now, seconds(8), seconds(9)), now).action;
+        };
+        ASSERT_EQ(offer(1, start), AdmitAction::Admit);
+        TimePoint now = start + service;
+        admission.finished(1, CallOutcome::Success, now);
+        ASSERT_EQ(offer(2, now), AdmitAction::Admit);
+        ASSERT_EQ(offer(3, now), AdmitAction::Queue);
+        ASSERT_EQ(offer(4, now), AdmitAction::Queue);
+        AdmissionChanges changes = admission.setDraining(true, now);
+        ASSERT_EQ(changes.refused.size(), 1U) << "the second one would start after two service times";
+        EXPECT_EQ(changes.refused[0].ticket.id, 4U);
+        EXPECT_EQ(changes.refused[0].code, ResultCode::UpstreamDraining);
+        bool isInWindow = runTime < seconds(1);
+        changes = admission.finished(2, CallOutcome::Success, now + runTime);
+        EXPECT_EQ(changes.dispatched.size(), isInWindow ? 1U : 0U);
+        EXPECT_EQ(changes.refused.size(), isInWindow ? 0U : 1U);
+    }
+}
+
 } // namespace dragonflylane
