Scale a split as a whole instead of cutting its weights one by one

Cause: OperatorDocument cut each weight to 10,000; fractional ones were multiplied by 100 and rounded before. Ruled out: the selection by weight; with 980 and 20 the share is right. Change: a split with a weight over the limit or a fraction is scaled so that its largest weight is 10,000, and a positive weight stays positive. Numbers that are too large for a double are refused.

--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -122,6 +122,41 @@
         EXPECT_TRUE(isAccepted(replaced(documentText, from, to))) << to;
 }
 
+// Guards against weights that are cut to a limit one by one, which changes the shares of the split (review/4).
+TEST(PlatformTest, WeightsOfAnySizeKeepTheirProportions)
+{
+    constexpr double tolerance = 0.001;
+    const std::pair<std::string, std::string> weights[] = { { "980000", "20000" }, { "980", "20" }, { "98.5", "1.5" },
+        { "0.004", "0.001" }, { "3e12", "1e12" }, { "1e300", "1e300" }, { "20000.5", "1" }, { "0", "15000" } };
+    for (const auto& [first, second] : weights) {
+        std::string text = replaced(documentText, "\"weight\":90", "\"weight\":" + first);
+        std::string detail;
+        auto command = readOperatorDocument(replaced(text, "\"weight\":10}", "\"weight\":" + second + "}"), &detail);
+        ASSERT_TRUE(command) << detail;
+        ConfigState state(Revision(1), command->items);
+        EXPECT_FALSE(state.validate(&detail)) << detail;
+        const auto& split = state.route(RouteName("r-n2ctnfz"))->split;
+        double used = split[0].weight / (1.0 * split[0].weight + split[1].weight);
+        double wanted = std::stod(first) / (std::stod(first) + std::stod(second));
+        EXPECT_NEAR(used, wanted, tolerance) << first << " and " << second;
+        EXPECT_EQ(split[0].weight == 0, std::stod(first) == 0) << "a part that gets requests keeps getting some";
+    }
+    std::string detail;
+    EXPECT_FALSE(readOperatorDocument(replaced(documentText, "\"weight\":90", "\"weight\":1e400"), &detail));
+}
+
+// Guards against routes that lose their order of priority because the numbers are cut to a limit.
+TEST(PlatformTest, PrioritiesOfAnySizeKeepTheirOrder)
+{
+    std::string text = replaced(documentText, "\"priority\":2", "\"priority\":300000");
+    std::string detail;
+    auto command = readOperatorDocument(replaced(text, "\"priority\":1,", "\"priority\":200000,"), &detail);
+    ASSERT_TRUE(command) << detail;
+    ConfigState state(Revision(1), command->items);
+    EXPECT_FALSE(state.validate(&detail)) << detail;
+    EXPECT_GT(state.route(RouteName("r-n2ctnfz"))->priority, state.route(RouteName("r-s989anu"))->priority);
+}
+
 // A malformed report, or one with an unknown state, must not announce a backend.
 TEST(PlatformTest, AcceptsOnlyCompleteReportsWithKnownState)
 {
