Make DrainWindow assignable, so that admissions stay assignable

CrashQuarantineTest assigns an OwnerAdmission and did not build since, whose tests were built by name only. Cause: a const member. Change: the member is not const. No behaviour changes; the test builds again.

--- a/dragonflylane/DrainWindow.h
+++ b/dragonflylane/DrainWindow.h
@@ -33,7 +33,7 @@
     const std::optional<TimePoint>& end() const { return m_end; }
 
 private:
-    const Duration m_length;
+    Duration m_length;
     std::optional<TimePoint> m_end;
 };
 
