Leave out an odd gossip record instead of the whole message

Here: reports of backends and documents with deep nesting, large numbers and ports out of range are refused one by one (PlatformTest.OddReportsAndDocumentsAreRejected, green at once). But a gossip message with one record out of range, as a newer build may send, was dropped with all its good records. Change: decode() keeps the good ones and counts the others; a metric, and a log line at most once a second.

--- a/dragonflylane/GossipMessages.h
+++ b/dragonflylane/GossipMessages.h
@@ -28,6 +28,8 @@
 struct GossipPiggyback {
     std::vector<MemberRecord> records {};
     std::vector<GossipBroadcast> broadcasts {};
+    /// Records and broadcasts that decode() has left out, because a value in them is out of range.
+    size_t invalidCount { 0 };
 
     bool operator==(const GossipPiggyback&) const = default;
     bool isEmpty() const { return records.empty() && broadcasts.empty(); }
--- a/dragonflylane/GossipWire.cpp
+++ b/dragonflylane/GossipWire.cpp
@@ -149,19 +149,22 @@
         return out;
     }
 
-    bool readPiggyback(const wire::GossipCargo& in, GossipPiggyback& out)
+    // One odd entry, such as one of a newer build, must not hide the others from this daemon.
+    void readPiggyback(const wire::GossipCargo& in, GossipPiggyback& out)
     {
-        out.records.resize(in.records.size());
-        for (size_t i = 0; i < in.records.size(); ++i) {
-            if (!readRecord(in.records[i], out.records[i]))
-                return false;
+        out.records.reserve(in.records.size());
+        for (const wire::GossipMemberRecord& item : in.records) {
+            MemberRecord record;
+            if (readRecord(item, record))
+                out.records.push_back(std::move(record));
         }
-        out.broadcasts.resize(in.broadcasts.size());
-        for (size_t i = 0; i < in.broadcasts.size(); ++i) {
-            if (!readBroadcast(in.broadcasts[i], out.broadcasts[i]))
-                return false;
+        out.broadcasts.reserve(in.broadcasts.size());
+        for (const wire::GossipBroadcast& item : in.broadcasts) {
+            GossipBroadcast broadcast;
+            if (readBroadcast(item, broadcast))
+                out.broadcasts.push_back(std::move(broadcast));
         }
-        return true;
+        out.invalidCount = in.records.size() + in.broadcasts.size() - out.records.size() - out.broadcasts.size();
     }
 
     template <typename WireMessage> void setPiggyback(WireMessage& out, const GossipPiggyback& piggyback)
@@ -255,7 +258,8 @@
     {
         out.number = static_cast<uint32_t>(in.number);
         out.target = static_cast<uint32_t>(in.target);
-        return readPiggyback(in.cargo, out.piggyback);
+        readPiggyback(in.cargo, out.piggyback);
+        return true;
     }
 
     bool read(const wire::GossipIndirectPing& in, GossipIndirectPing& out)
@@ -266,13 +270,15 @@
         if (!readEndpoint(in.address, in.port, out.targetAddress) || in.address.size() > maxAddressLength
             || !Endpoint::parse(out.targetAddress.toString()))
             return false;
-        return readPiggyback(in.cargo, out.piggyback);
+        readPiggyback(in.cargo, out.piggyback);
+        return true;
     }
 
     bool read(const wire::GossipAcknowledgement& in, GossipAcknowledgement& out)
     {
         out.number = static_cast<uint32_t>(in.number);
-        return readPiggyback(in.cargo, out.piggyback);
+        readPiggyback(in.cargo, out.piggyback);
+        return true;
     }
 
     bool read(const wire::GossipDigestRequest& in, GossipDigestRequest& out)
@@ -319,7 +325,8 @@
             out.page = GossipPageEnd { .number = static_cast<uint32_t>(in.page.number),
                 .next = static_cast<uint64_t>(in.page.nextHash),
                 .isLast = in.page.isLast };
-        return readPiggyback(in.cargo, out.piggyback);
+        readPiggyback(in.cargo, out.piggyback);
+        return true;
     }
 
     template <typename Message, typename WireMessage> bool readInto(const WireMessage& in, GossipMessage& out)
--- a/dragonflylane/Membership.cpp
+++ b/dragonflylane/Membership.cpp
@@ -457,6 +457,7 @@
 
 void Membership::applyPiggyback(const GossipPiggyback& piggyback, Disseminate disseminate, TimePoint now)
 {
+    m_counters.recordsInvalid += piggyback.invalidCount;
     for (const MemberRecord& record : piggyback.records)
         applyRecord(record, disseminate, now);
     for (const GossipBroadcast& broadcast : piggyback.broadcasts)
--- a/dragonflylane/MembershipTask.cpp
+++ b/dragonflylane/MembershipTask.cpp
@@ -1,5 +1,6 @@
 #include "dragonflylane/MembershipTask.h"
 
+#include "dragonflylane/Event.h"
 #include "dragonflylane/GossipWire.h"
 #include "dragonflylane/MeshSecret.h"
 #include "dragonflylane/Metrics.h"
@@ -87,6 +88,7 @@
     m_metrics.set("membership_deaths", counters.deaths);
     m_metrics.set("membership_refutations", counters.refutations);
     m_metrics.set("membership_probes_failed", counters.probesFailed);
+    m_metrics.set("membership_records_invalid", counters.recordsInvalid);
     m_metrics.set("membership_records_refused", counters.recordsRefused);
     m_metrics.set("membership_record_conflicts", counters.recordConflicts);
     m_metrics.set("membership_broadcasts_refused", counters.broadcastsRefused);
@@ -113,10 +115,26 @@
     GossipMessage message;
     if (decode(datagram, message))
         return m_metrics.add("gossip_malformed");
+    uint64_t invalidBefore = m_membership.counters().recordsInvalid;
     m_membership.receive({ m_sender.address().to_string(), m_sender.port() }, message, BootClock::now());
+    logInvalidRecords(m_membership.counters().recordsInvalid - invalidBefore);
     processOutputs();
 }
 
+void MembershipTask::logInvalidRecords(uint64_t count)
+{
+    if (count == 0)
+        return;
+    auto entry = m_invalidLogLimiter.admit(BootClock::now());
+    if (!entry)
+        return;
+    Event("gossip_records_invalid", EventLevel::Warning)
+        .with("from", m_sender.address().to_string())
+        .with("port", m_sender.port())
+        .with("records", count)
+        .with("left_out", entry->suppressed);
+}
+
 void MembershipTask::processOutputs()
 {
     for (MembershipOutput& output : m_membership.takeOutputs()) {
--- a/dragonflylane/MembershipTask.h
+++ b/dragonflylane/MembershipTask.h
@@ -3,6 +3,7 @@
 // Runs Membership over a UDP socket at the peer address. Every datagram is authenticated by a truncated HMAC with the
 // secret of the mesh.
 
+#include "dragonflylane/LogRateLimiter.h"
 #include "dragonflylane/Membership.h"
 #include "dragonflylane/WakeupTimer.h"
 
@@ -44,6 +45,7 @@
 private:
     void receive();
     void handleDatagram(std::string_view datagram);
+    void logInvalidRecords(uint64_t count);
     void processOutputs();
     void send(const GossipDatagram&);
 
@@ -55,6 +57,7 @@
     boost::asio::ip::udp::endpoint m_sender;
     std::string m_buffer;
     WakeupTimer m_timer;
+    LogRateLimiter m_invalidLogLimiter { { .perSecond = 1, .burst = 5 } };
 };
 
 } // namespace dragonflylane
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -179,6 +179,38 @@
     EXPECT_EQ(readStartTime(""), 0U);
 }
 
+// Guards against a report of another writer that ends the daemon, or names a backend that can't exist.
+TEST(PlatformTest, OddReportsAndDocumentsAreRejected)
+{
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    std::string deepObject;
+    for (int i = 0; i < 50'000; ++i)
+        deepObject += "{\"a\":";
+    const std::pair<std::string, std::string> odd[] = { { "\"version\":\"v1\"", "\"version\":" + deep },
+        { "\"version\":\"v1\"", "\"version\":" + deepObject }, { "\"slots\":12", "\"slots\":1e999" },
+        { "\"slots\":12", "\"slots\":-1" }, { "\"slots\":12", "\"slots\":99999999999999999999999999" },
+        { "\"seq\":4", "\"seq\":1e400" }, { "\"seq\":4", "\"seq\":4.5" }, { "10.128.0.9:8080", "10.128.0.9:65536" },
+        { "10.128.0.9:8080", "10.128.0.9:0" }, { "10.128.0.9:8080", "10.128.0.9:-1" },
+        { "10.128.0.9:8080", "10.128.0.9:99999999999999999999" }, { "10.128.0.9:8080", "10.128.0.9:" },
+        { "10.128.0.9:8080", "300.1.1.1:80" }, { "huvo11a", std::string(100'000, 'x') } };
+    for (const auto& [from, to] : odd)
+        EXPECT_FALSE(report(replaced(reportText, from, to))) << to.substr(0, 60);
+    // The start and the rest of a cold start are optional; an odd value doesn't count.
+    for (const char* born : { "1e999", "-1", "\"x\"", "[[[[]]]]" }) {
+        auto announcement = report(replaced(reportText, "1760000000123", born));
+        ASSERT_TRUE(announcement) << born;
+        EXPECT_EQ(announcement->startedAt, 0U) << born;
+    }
+    const std::pair<std::string, std::string> oddDocuments[]
+        = { { "\"r7\"", "\"r99999999999999999999999\"" }, { "\"timeout_s\":0.8", "\"timeout_s\":1e400" },
+              { "\"max_attempts\":2", "\"max_attempts\":1e30" }, { "\"priority\":2", "\"priority\":\"2\"" },
+              { "\"priority\":2", "\"priority\":-2" }, { "\"limits\":{", "\"limits\":" + deep + ",\"x\":{" } };
+    for (const auto& [from, to] : oddDocuments) {
+        std::string detail;
+        EXPECT_FALSE(readOperatorDocument(replaced(documentText, from, to), &detail)) << to.substr(0, 60);
+    }
+}
+
 // The HTTP statuses sent to operators and backends must match the outcome in the mesh.
 TEST(PlatformTest, MapsOutcomesToHttpStatuses)
 {
