Close an idle connection on which the upstream sends bytes that nobody asked for

In a head or a body they are bounded here (EndlessBodyTest, eight kinds); behind a complete answer they stayed in the kernel until the next request. Change: UpstreamClient waits for input on idle connections and drops the connection. isStale() refused them at the next use before, so the number of connections is the same. Evidence: UpstreamClientTest.IdleConnectionWithSurplusBytesIsClosed blocked for 10 s before, and passes; all 15 tests pass.

--- a/dragonflylane/UpstreamClient.cpp
+++ b/dragonflylane/UpstreamClient.cpp
@@ -154,12 +154,27 @@
                 continue;
             auto connection = std::move(m_idle[i]);
             m_idle.erase(m_idle.begin() + static_cast<std::ptrdiff_t>(i));
+            beast::error_code ignored;
+            connection->stream.socket().cancel(ignored);
             if (!isStale(*connection))
                 return connection;
         }
         return nullptr;
     }
 
+    // Drops an idle connection that the upstream closes, or on which it sends bytes that no request asked for: the
+    // kernel would keep them until the next request.
+    void closeOnInput(const std::shared_ptr<Connection>& connection)
+    {
+        connection->stream.socket().async_wait(tcp::socket::wait_read,
+            [weak = weak_from_this(), weakConnection = std::weak_ptr<Connection>(connection)](beast::error_code error) {
+                auto self = weak.lock();
+                auto idle = weakConnection.lock();
+                if (!error && self && idle)
+                    std::erase(self->m_idle, idle);
+            });
+    }
+
     std::shared_ptr<Connection> popFreshSpare()
     {
         TimePoint oldest = BootClock::now() - m_options.spareLifetime;
@@ -311,6 +326,7 @@
         if (isReusable && m_idle.size() < m_options.maxIdleConnections) {
             call->connection->stream.expires_never();
             m_idle.push_back(std::move(call->connection));
+            closeOnInput(m_idle.back());
         }
         finish(call, std::move(result));
     }
--- a/tests/UpstreamClientTest.cpp
+++ b/tests/UpstreamClientTest.cpp
@@ -146,6 +146,27 @@
     }
 }
 
+// Guards against bytes without end behind a complete response: nobody reads them while the connection is idle, and the
+// kernel would keep them until the next request.
+TEST(UpstreamClientTest, IdleConnectionWithSurplusBytesIsClosed)
+{
+    constexpr size_t moreThanSocketBuffers = 64 << 20;
+    ClientFixture client;
+    auto result = client.send("GET");
+    RawSocket connection = client.listener.accept();
+    connection.readUntil("\r\n\r\n");
+    connection.write(okResponse);
+    ASSERT_EQ(result.get().code, ResultCode::Ok);
+    std::this_thread::sleep_for(milliseconds(50));
+    const std::string junk(64 << 10, 'x');
+    TimePoint start = BootClock::now();
+    size_t sent = 0;
+    while (sent < moreThanSocketBuffers && connection.write(junk))
+        sent += junk.size();
+    EXPECT_LT(sent, moreThanSocketBuffers);
+    EXPECT_LT(BootClock::now() - start, seconds(5)) << "closed, not blocked";
+}
+
 // Guards against accepting bytes that are not HTTP, endless headers, or contradictory lengths.
 TEST(UpstreamClientTest, InvalidHttpIsMalformed)
 {
