Call no subscriber from the destructor of PeerHub

Seen by the review under AddressSanitizer: at the end of a planned stop ~PeerHub called the link-down handler of an EntryTask that was destroyed before it. Change: the destructor drops the subscribers before it closes the links.

--- a/dragonflylane/PeerHub.cpp
+++ b/dragonflylane/PeerHub.cpp
@@ -91,6 +91,14 @@
         closeLinks(ResultCode::DaemonLeaving);
     }
 
+    /// Subscribers may be destroyed before the hub.
+    void dropSubscribers()
+    {
+        m_handlers.clear();
+        m_downHandlers.clear();
+        m_dials.clear();
+    }
+
     void subscribe(FrameKind kind, FrameHandler handler) { m_handlers[kind] = std::move(handler); }
     void subscribeLinkDown(LinkDownHandler handler) { m_downHandlers.push_back(std::move(handler)); }
     void setAddress(const HostId& host, const Endpoint& endpoint) { m_addresses[host] = endpoint; }
@@ -371,6 +379,7 @@
 
 PeerHub::~PeerHub()
 {
+    m_impl->dropSubscribers();
     m_impl->closeAll();
 }
 
--- a/tests/PeerHubTest.cpp
+++ b/tests/PeerHubTest.cpp
@@ -105,6 +105,22 @@
     EXPECT_TRUE(otherSecret.frames.empty());
 }
 
+// Guards against a use after destruction: a daemon destroys the subscribers before the hub, and the hub closes its
+// links in its destructor.
+TEST_F(PeerHubTest, DestroyedHubCallsNoSubscriber)
+{
+    bool isCalled = false;
+    Node b(m_context, "b");
+    {
+        Node a(m_context, "a");
+        a.setAddressOf("b", b);
+        ASSERT_FALSE(dial(a, "b"));
+        a.hub.subscribeLinkDown([&](LinkId, const HostId&) { isCalled = true; });
+    }
+    EXPECT_FALSE(isCalled);
+    EXPECT_TRUE(runUntil([&] { return b.linksDown == 1; }));
+}
+
 // Guards against a peer that uses up memory, or whose frames are processed, before the handshake is complete.
 TEST_F(PeerHubTest, ClosesOnOversizedHandshakeAndOnFramesBeforeIt)
 {
