End a connection in time when a request was being read as the last response was sent

At a stop, the connection was shut down while the header of a further request was being read. Two reads ran on one stream; the header's end removed the time limit, and the connection stayed open as long as the caller kept it (more than 4 s in the test).

--- a/dragonflylane/HttpSession.cpp
+++ b/dragonflylane/HttpSession.cpp
@@ -74,6 +74,8 @@
             if (self->m_isClosed)
                 return;
             self->m_idleTimer.cancel();
+            if (self->m_isLingering)
+                return self->linger();
             if (error)
                 return self->handleDisconnect();
             if (self->m_hasReadLastRequest)
@@ -89,6 +91,7 @@
     m_isReading = false;
     char byte = 0;
     beast::error_code error;
+    m_stream.socket().non_blocking(true, error);
     size_t bytes = m_stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
     // The wait may also return for input that has been read in the meantime.
     if (error == asio::error::would_block)
@@ -109,6 +112,8 @@
         m_stream, m_buffer, *m_parser, [self = shared_from_this(), parser = m_parser](beast::error_code error, size_t) {
             if (self->m_isClosed)
                 return;
+            if (self->m_isLingering)
+                return self->linger();
             if (error)
                 return self->handleReadError(error);
             if (parser->is_done())
@@ -134,6 +139,8 @@
         m_stream, m_buffer, *m_parser, [self = shared_from_this(), parser = m_parser](beast::error_code error, size_t) {
             if (self->m_isClosed)
                 return;
+            if (self->m_isLingering)
+                return self->linger();
             if (error)
                 return self->handleReadError(error);
             if (!self->m_body.growTo(parser->get().body().size()))
@@ -314,6 +321,17 @@
 {
     beast::error_code ignored;
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    m_isLingering = true;
+    if (!m_isReading)
+        return linger();
+    // A request may be read at this time. The handler of that read calls linger().
+    m_stream.cancel();
+}
+
+void HttpSession::linger()
+{
+    m_parser.reset();
+    m_body = BodyReservation();
     m_stream.expires_after(lingerTime);
     discardInput();
 }
--- a/dragonflylane/HttpSession.h
+++ b/dragonflylane/HttpSession.h
@@ -66,6 +66,7 @@
     Response makeResponse(Slot&, bool keepAlive) const;
     void handleDisconnect();
     void closeGracefully();
+    void linger();
     void discardInput();
     void close();
 
@@ -87,6 +88,8 @@
     /// No further request will be read, because the caller or this side ends the connection.
     bool m_hasReadLastRequest { false };
     bool m_isWriting { false };
+    /// This side has been shut down; input is discarded until the caller closes its side.
+    bool m_isLingering { false };
     bool m_isClosed { false };
 };
 
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -20,6 +20,7 @@
 namespace {
 
     using std::chrono::milliseconds;
+    using std::chrono::seconds;
 
     /// A server on its own thread. The default handler answers with method and target.
     class ServerFixture {
@@ -278,6 +279,28 @@
     EXPECT_LT(answers.find("answer/2"), answers.find("answer/3"));
 }
 
+// Guards against a connection that stays open without a limit, because a request whose header arrives in pieces is read
+// on while the connection ends after the last response.
+TEST(HttpServerTest, StoppedServerEndsAConnectionWithAPartialHeader)
+{
+    constexpr Duration limit = seconds(4);
+    std::shared_ptr<HttpExchange> held;
+    std::atomic<bool> isHeld { false };
+    ServerFixture server({}, [&](std::shared_ptr<HttpExchange> exchange) {
+        held = std::move(exchange);
+        isHeld = true;
+    });
+    RawSocket caller = server.connect();
+    caller.write("GET /a HTTP/1.1\r\nHost: a\r\n\r\nGET /b HTTP/1.1\r\nHost:");
+    ASSERT_TRUE(waitUntil([&] { return isHeld.load(); }));
+    server.run([&] { server.server().closeAfterResponses(); });
+    server.run([&] { held->respond({ .body = "last" }); });
+    EXPECT_NE(caller.readUntil("last").find("Connection: close"), std::string::npos);
+    caller.write(" a\r\n\r\n");
+    EXPECT_TRUE(waitUntil([&] { return !caller.write("x"); }, limit));
+    EXPECT_EQ(server.handled, 1);
+}
+
 // Guards against a use after destruction: a read that has completed but whose handler has not run yet when a failed
 // write closes the connection continues with a parser that was destroyed, which ended the process (review/1).
 TEST(HttpServerTest, DisconnectWhileTheNextHeaderIsBeingParsed)
