Apply the limits on callers that the configuration sets

With max_header_bytes 65536 a request with 17 KB of headers got 431. Cause: nothing called HttpServer::setLimits(). Found with the test: the idle limit never acted on a connection after its first request, since the idle timer was set only when no request was in flight as the next one was awaited. Change: each applied configuration sets the limits, within those that protect the memory of the host, with a log line (caller_limits; a warning if one was reduced). The idle timer looks at the end of the last response when it expires, so that no timer is set for each request. Evidence: CallerLimitsProcessTest.ConfiguredLimitsAreApplied was red in both parts, and passes; HttpServerTest passes.

--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -257,12 +257,16 @@
             EntryTask::Parts { m_hub, m_owner, m_claims, m_crash, m_metrics, m_journal },
             EntryTask::Hooks { .mayServeRoutes = [this] { return mayServeRoutes(); },
                 .selectTransferPeer = [this](const std::vector<HostId>& tried) { return selectTransferPeer(tried); } });
-        HttpServerOptions serverOptions { .listen = m_settings.callers,
+        m_callerServer = std::make_unique<HttpServer>(m_context, callerServerOptions(), m_metrics,
+            [this](std::shared_ptr<HttpExchange> exchange) { m_entry->handle(std::move(exchange)); });
+    }
+
+    HttpServerOptions callerServerOptions()
+    {
+        return { .listen = m_settings.callers,
             .maxConnections = m_settings.maxConnections,
             .maxBodyBytes = m_settings.maxBodyBytes,
             .bodies = &m_bodyBudget };
-        m_callerServer = std::make_unique<HttpServer>(m_context, serverOptions, m_metrics,
-            [this](std::shared_ptr<HttpExchange> exchange) { m_entry->handle(std::move(exchange)); });
     }
 
     void makeApi(Operators operators)
@@ -410,6 +414,31 @@
         m_appliedDigest = state.digest();
         Event("revision_applied").with("revision", state.revision()).with("digest", state.digest().toString());
         m_routing.setState(state);
+        applyCallerLimits(state.meshPolicy());
+    }
+
+    // The limits of the configuration hold within those that protect the memory of this host.
+    void applyCallerLimits(const MeshPolicyItem* policy)
+    {
+        constexpr uint32_t maxHeaderBytes = 1 << 20;
+        HttpServerOptions options = callerServerOptions();
+        if (policy && policy->maxHeaderBytes > 0)
+            options.maxHeaderBytes = std::min(policy->maxHeaderBytes, maxHeaderBytes);
+        if (policy && policy->maxBodyBytes > 0)
+            options.maxBodyBytes = std::min(policy->maxBodyBytes, options.maxBodyBytes);
+        if (policy && policy->headerTimeout.count() > 0)
+            options.headerTimeout = policy->headerTimeout;
+        if (policy && policy->idleTimeout.count() > 0)
+            options.idleTimeout = policy->idleTimeout;
+        bool isReduced = policy
+            && (policy->maxHeaderBytes > options.maxHeaderBytes || policy->maxBodyBytes > options.maxBodyBytes);
+        Event("caller_limits", isReduced ? EventLevel::Warning : EventLevel::Info)
+            .with("header_bytes", options.maxHeaderBytes)
+            .with("body_bytes", options.maxBodyBytes)
+            .with("header_ms", std::chrono::duration_cast<std::chrono::milliseconds>(options.headerTimeout).count())
+            .with("idle_ms", std::chrono::duration_cast<std::chrono::milliseconds>(options.idleTimeout).count())
+            .with("reduced", static_cast<int>(isReduced));
+        m_callerServer->setLimits(options);
     }
 
     void applyRoutingTable(const std::shared_ptr<const RoutingTable>& routingTable)
--- a/dragonflylane/HttpServer.cpp
+++ b/dragonflylane/HttpServer.cpp
@@ -54,16 +54,13 @@
         Endpoint listen = m_options.listen;
         m_options = limits;
         m_options.listen = listen;
+        for (const std::shared_ptr<HttpSession>& session : liveSessions())
+            session->limitsChanged();
     }
 
     void closeIdle()
     {
-        std::vector<std::shared_ptr<HttpSession>> sessions;
-        for (const auto& [key, weak] : m_sessions) {
-            if (auto session = weak.lock())
-                sessions.push_back(session);
-        }
-        for (const auto& session : sessions)
+        for (const std::shared_ptr<HttpSession>& session : liveSessions())
             session->closeIfIdle();
     }
 
@@ -78,6 +75,17 @@
     }
 
 private:
+    // A copy, since a session that closes is removed from the map.
+    std::vector<std::shared_ptr<HttpSession>> liveSessions() const
+    {
+        std::vector<std::shared_ptr<HttpSession>> sessions;
+        for (const auto& [key, weak] : m_sessions) {
+            if (auto session = weak.lock())
+                sessions.push_back(std::move(session));
+        }
+        return sessions;
+    }
+
     // Connections in the kernel's accept queue may already have sent requests. Closing the listener would reset them.
     void acceptPending()
     {
--- a/dragonflylane/HttpSession.cpp
+++ b/dragonflylane/HttpSession.cpp
@@ -40,9 +40,38 @@
 
 void HttpSession::start()
 {
+    m_idleSince = BootClock::now();
+    armIdleTimer();
     awaitRequest();
 }
 
+void HttpSession::limitsChanged()
+{
+    if (!m_isClosed)
+        armIdleTimer();
+}
+
+// The timer is not set anew for each request, since that costs more than to find out when it expires.
+void HttpSession::armIdleTimer()
+{
+    Duration idle = isBusy() ? Duration::zero() : BootClock::now() - m_idleSince;
+    m_idleTimer.expires_after(std::max<Duration>(m_options.idleTimeout - idle, Duration::zero()));
+    m_idleTimer.async_wait([weak = weak_from_this()](beast::error_code error) {
+        auto self = weak.lock();
+        if (!error && self)
+            self->checkIdle();
+    });
+}
+
+void HttpSession::checkIdle()
+{
+    if (m_isClosed)
+        return;
+    if (!isBusy() && BootClock::now() - m_idleSince >= m_options.idleTimeout)
+        return close();
+    armIdleTimer();
+}
+
 void HttpSession::closeIfIdle()
 {
     if (!isBusy())
@@ -61,19 +90,10 @@
     m_isReading = true;
     if (m_buffer.size() > 0 && !m_hasReadLastRequest)
         return readHeader();
-    if (m_slots.empty()) {
-        m_idleTimer.expires_after(m_options.idleTimeout);
-        m_idleTimer.async_wait([weak = weak_from_this()](beast::error_code error) {
-            auto self = weak.lock();
-            if (!error && self)
-                self->closeIfIdle();
-        });
-    }
     m_stream.socket().async_wait(
         asio::ip::tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
             if (self->m_isClosed)
                 return;
-            self->m_idleTimer.cancel();
             if (self->m_isLingering)
                 return self->linger();
             if (error)
@@ -274,6 +294,7 @@
             return self->handleDisconnect();
         if (!keepAlive)
             return self->closeGracefully();
+        self->m_idleSince = BootClock::now();
         self->writeNext();
         self->awaitRequest();
     });
--- a/dragonflylane/HttpSession.h
+++ b/dragonflylane/HttpSession.h
@@ -3,6 +3,7 @@
 // One connection of a caller. Internal to HttpServer.
 
 #include "dragonflylane/BodyBudget.h"
+#include "dragonflylane/BootClock.h"
 #include "dragonflylane/HttpExchange.h"
 #include "dragonflylane/HttpServer.h"
 #include "dragonflylane/ResultCode.h"
@@ -32,6 +33,8 @@
     HttpSession(boost::asio::ip::tcp::socket, const HttpServerOptions&, const Hooks&);
 
     void start();
+    /// The options have changed.
+    void limitsChanged();
     /// Closes the connection if no request is in flight.
     void closeIfIdle();
     bool isBusy() const { return m_parser != nullptr || !m_slots.empty(); }
@@ -50,6 +53,8 @@
         bool isHead { false };
     };
 
+    void armIdleTimer();
+    void checkIdle();
     void awaitRequest();
     void checkEndOfInput();
     void readHeader();
@@ -72,6 +77,8 @@
 
     boost::beast::tcp_stream m_stream;
     boost::asio::steady_timer m_idleTimer;
+    /// When the last response was written, or when the connection was accepted.
+    TimePoint m_idleSince;
     const HttpServerOptions& m_options;
     const Hooks& m_hooks;
     boost::beast::flat_buffer m_buffer;
