Wait for a disk that is full while a control daemon starts

But a daemon that was started while its disk was full ended. Change: opening the log is repeated for up to a minute. Damage is still reported at once.

--- a/dragonflylane/LogTask.cpp
+++ b/dragonflylane/LogTask.cpp
@@ -21,6 +21,7 @@
     constexpr std::chrono::seconds submitTimeout { 4 };
 
     constexpr std::chrono::milliseconds writeRetryInterval { 200 };
+    constexpr std::chrono::minutes maxOpenWait { 1 };
 
     std::string_view roleName(LogRole role)
     {
@@ -78,7 +79,7 @@
         LogStoreOptions { .self = m_options.self, .random = randomNumber() }, std::move(files));
     RecoveredLog recovered;
     LogStoreReport report;
-    if (auto error = m_store->open(recovered, report)) {
+    if (auto error = openStore(recovered, report)) {
         detail = dataFolder + "/" + report.file + ": offset " + std::to_string(report.offset) + ": " + error.message();
         return error;
     }
@@ -98,6 +99,22 @@
     return {};
 }
 
+// A disk that is full or fails for a while must not end the process, as it does not while the daemon runs. The host is
+// as good as down until then: nothing is served yet. Damage is reported at once, since it does not pass.
+std::error_code LogTask::openStore(RecoveredLog& recovered, LogStoreReport& report)
+{
+    std::error_code error = m_store->open(recovered, report);
+    if (error != ResultCode::StorageFailed)
+        return error;
+    Event("log_open_failed", EventLevel::Error).with("file", report.file).with("reason", error);
+    for (TimePoint end = BootClock::now() + maxOpenWait;
+         error == ResultCode::StorageFailed && BootClock::now() < end;) {
+        std::this_thread::sleep_for(writeRetryInterval);
+        error = m_store->open(recovered, report);
+    }
+    return error;
+}
+
 void LogTask::stop()
 {
     m_isStopped = true;
--- a/dragonflylane/LogTask.h
+++ b/dragonflylane/LogTask.h
@@ -22,6 +22,7 @@
 
 class Journal;
 class LogStore;
+struct LogStoreReport;
 class Metrics;
 class PeerHub;
 struct PeerFrame;
@@ -63,6 +64,7 @@
     void exportMetrics() const;
 
 private:
+    std::error_code openStore(RecoveredLog&, LogStoreReport&);
     struct PendingCommand {
         Term term;
         TimePoint submitted;
--- a/tests/LogVotersTest.cpp
+++ b/tests/LogVotersTest.cpp
@@ -101,6 +101,37 @@
     EXPECT_EQ(cluster.violation, "");
 }
 
+// Guards against a log that accepts nothing any more after the disks of its voters were full for a few seconds, one
+// after another. A full disk finishes no write; the leader's is among them.
+TEST(LogVotersTest, DisksThatWereFullInTurnDelayNoLaterCommand)
+{
+    constexpr size_t size = 5;
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        LogCluster cluster(size, seed, automaticVoterOptions(), true);
+        ASSERT_TRUE(cluster.runUntil([&] { return voterCount(cluster) == size; }, seconds(5))) << seed;
+        for (size_t turn = 0; turn < 2 * size; ++turn) {
+            size_t full = turn % 2 == 0 ? cluster.waitForLeader() : (turn + seed) % size;
+            cluster.nodes[full].syncProbability = 0;
+            TimePoint end = cluster.now + milliseconds(1500 + 700 * (turn % 5));
+            size_t before = cluster.committed.size();
+            while (cluster.now < end) {
+                if (cluster.leader() >= 0)
+                    cluster.propose(static_cast<size_t>(cluster.leader()), "change");
+                cluster.run(milliseconds(200));
+            }
+            EXPECT_GT(cluster.committed.size(), before) << "seed " << seed << " turn " << turn;
+            cluster.nodes[full].syncProbability = 1;
+            cluster.run(milliseconds(300));
+        }
+        EXPECT_TRUE(cluster.runUntil([&] { return voterCount(cluster) == size; }, seconds(5))) << seed;
+        TimePoint recovered = cluster.now;
+        EXPECT_TRUE(cluster.commitsMoreEntries()) << seed;
+        EXPECT_LT(cluster.now - recovered, seconds(1)) << seed;
+        EXPECT_TRUE(cluster.converges()) << seed;
+        EXPECT_EQ(cluster.violation, "") << seed;
+    }
+}
+
 // Guards against a replica that considers itself a voter forever because it was down when it was replaced.
 TEST(LogVotersTest, ReplacedVoterReturnsAsNonVoter)
 {
