Keep the permission to found the log on the disk

Seen by the review: if all control hosts are killed within half a second of the very first start, no log is ever founded and no change is accepted. Cause: may-found is set at the first start only, and was held in the memory of the process. Change: the folder of the log keeps it as a file, synced with the replica id before the first election and lost with the disk, so that a replica without its former disk still founds nothing. log_opened states it. LogCluster models the permission as a part of the disk. LogStoreTest.PermissionToBootstrapIsKeptWithTheFolder.

--- a/dragonflylane/LogReplica.h
+++ b/dragonflylane/LogReplica.h
@@ -60,8 +60,8 @@
     /// Automatic voters: the intended number of voters. Commands are rejected if more than one voter is missing, since
     /// an entry must be on more disks than may be lost at once.
     size_t targetVoters { 5 };
-    /// Automatic voters: this replica may take part in the bootstrap of the log (setting may-found). False after any
-    /// restart, so that a replica that lost its disk never creates a second log.
+    /// Automatic voters: this replica may take part in the bootstrap of the log. Kept on the disk from the first start
+    /// (setting may-found), so that a replica that lost its disk never creates a second log.
     bool canBootstrap { false };
     /// Automatic voters: number of bootstrap hosts, including those that are not known yet; at most three.
     size_t bootstrapHostCount { 0 };
--- a/dragonflylane/LogStore.cpp
+++ b/dragonflylane/LogStore.cpp
@@ -16,6 +16,7 @@
 
     constexpr const char* fileName = "replica.log";
     constexpr const char* temporaryName = "replica.log.new";
+    constexpr const char* permissionName = "may-bootstrap";
     constexpr std::string_view fileMagic = "DFLYLOG1";
     constexpr std::string_view recordMagic = "\xD7REC";
     constexpr size_t headerBytes = 24;
@@ -146,6 +147,8 @@
         return fail(error);
     m_log = {};
     report.isNew = !exists;
+    if (auto error = readPermission(report.isNew, report))
+        return fail(error);
     if (exists) {
         if (auto error = recover(content, report))
             return fail(error);
@@ -160,6 +163,21 @@
     return {};
 }
 
+// A new permission is durable once rewrite() has synced the folder, before the replica takes part in an election.
+std::error_code LogStore::readPermission(bool isNew, LogStoreReport& report)
+{
+    std::string content;
+    if (auto error = m_files->read(permissionName, content, report.mayBootstrap))
+        return error;
+    if (report.mayBootstrap || !isNew || !m_options.mayBootstrap)
+        return {};
+    std::unique_ptr<LogFile> file;
+    if (auto error = m_files->create(permissionName, file))
+        return error;
+    report.mayBootstrap = true;
+    return file->sync();
+}
+
 std::error_code LogStore::recover(std::string_view content, LogStoreReport& report)
 {
     // The file is renamed to its final name only after a sync, so its header is never torn.
--- a/dragonflylane/LogStore.h
+++ b/dragonflylane/LogStore.h
@@ -19,6 +19,10 @@
 // read back may still be unsynced, and pages whose sync failed may be marked clean. Writing them again makes them
 // durable before the replica acts on them. A snapshot also writes a new file, which removes the old entries.
 //
+// The empty file "may-bootstrap" is the permission to bootstrap the log. It is kept with the replica id and lost with
+// it: a replica that was restarted before there was a log must still be able to found one, and one that lost its disk
+// must not.
+//
 // Limitation: damage inside the last record cannot be distinguished from a torn write. It is truncated and reported.
 
 #include "dragonflylane/LogFiles.h"
@@ -33,6 +37,8 @@
     HostId self {};
     /// Random number for the replica id of a new folder and the salt of the file; must differ at each start.
     uint64_t random { 0 };
+    /// A new folder is given the permission to bootstrap the log.
+    bool mayBootstrap { false };
     /// The file is rewritten without superseded records when it exceeds this size and twice its size after the last
     /// rewrite.
     size_t rewriteBytes { 16U << 20 };
@@ -46,6 +52,8 @@
     /// Number of bytes removed after the last complete record.
     uint64_t tornBytes { 0 };
     bool isNew { false };
+    /// The folder has the permission to bootstrap the log, from this start or from its first one.
+    bool mayBootstrap { false };
 };
 
 /// Applies a write to a log in memory. Returns false if the entries would not be contiguous.
@@ -70,6 +78,7 @@
     uint64_t fileBytes() const { return m_fileBytes; }
 
 private:
+    std::error_code readPermission(bool isNew, LogStoreReport&);
     std::error_code recover(std::string_view content, LogStoreReport&);
     std::error_code rewrite();
     std::error_code appendRecord(LogFile&, std::string_view batch);
--- a/dragonflylane/LogTask.cpp
+++ b/dragonflylane/LogTask.cpp
@@ -76,7 +76,8 @@
         return ResultCode::StorageFailed;
     }
     m_store = std::make_unique<LogStore>(
-        LogStoreOptions { .self = m_options.self, .random = randomNumber() }, std::move(files));
+        LogStoreOptions { .self = m_options.self, .random = randomNumber(), .mayBootstrap = m_options.canBootstrap },
+        std::move(files));
     RecoveredLog recovered;
     LogStoreReport report;
     if (auto error = openStore(recovered, report)) {
@@ -92,8 +93,10 @@
     Event("log_opened")
         .with("replica", recovered.replicaId)
         .with("new", static_cast<int>(report.isNew))
+        .with("may_bootstrap", static_cast<int>(report.mayBootstrap))
         .with("entries", recovered.entries.size());
     m_hub.subscribe(FrameKind::Log, [this](const PeerFrame& frame) { handleFrame(frame); });
+    m_options.canBootstrap = report.mayBootstrap;
     m_replica = std::make_unique<LogReplica>(m_options, std::move(recovered), BootClock::now());
     handleOutputs();
     return {};
--- a/tests/LogCluster.h
+++ b/tests/LogCluster.h
@@ -41,7 +41,9 @@
         double syncProbability { 1 };
         Duration clockOffset {};
         bool isSuspended { false };
-        int starts { 0 };
+        /// The disk holds the permission to bootstrap the log.
+        bool mayBootstrap { false };
+        int lostDisks { 0 };
     };
 
     LogCluster(size_t size, uint64_t seed, LogReplicaOptions options = {}, bool bootstrap = false)
@@ -57,6 +59,7 @@
             Node node;
             node.options = options;
             node.options.self = options.controlHosts[i];
+            node.mayBootstrap = options.canBootstrap;
             node.clockOffset = std::chrono::seconds(1000 * (i + 1));
             node.disk.replicaId = members.voters[i].id;
             if (!bootstrap)
@@ -73,14 +76,13 @@
     {
         Node& node = nodes[i];
         node.options.seed = m_random();
-        node.options.canBootstrap = node.options.canBootstrap && node.starts == 0;
+        node.options.canBootstrap = node.mayBootstrap;
         node.applied = node.disk.snapshot.index.value();
         node.lastMembershipIndex = 0;
         node.isSuspended = false;
         // After a reboot the clock may show a time at which the replica has sent messages before.
         if (m_random() % 2 == 0)
             node.clockOffset -= std::chrono::milliseconds(m_random() % 3000);
-        ++node.starts;
         node.replica = std::make_unique<LogReplica>(node.options, node.disk, clock(node));
         if (node.options.automaticVoters) {
             const std::vector<HostId>& hosts = node.options.controlHosts;
@@ -106,7 +108,8 @@
         crash(i);
         Node& node = nodes[i];
         node.disk = {};
-        node.disk.replicaId = ReplicaId(node.options.self.value() + "/" + std::to_string(node.starts));
+        node.disk.replicaId = ReplicaId(node.options.self.value() + "/" + std::to_string(++node.lostDisks));
+        node.mayBootstrap = false;
     }
 
     void partition(size_t i, bool isPartitioned = true)
--- a/tests/LogStoreTest.cpp
+++ b/tests/LogStoreTest.cpp
@@ -369,6 +369,28 @@
     }
 }
 
+// Guards against a log that is never founded because the replicas were restarted before, and against one that is
+// founded twice because a replica without its former disk takes part.
+TEST(LogStoreTest, PermissionToBootstrapIsKeptWithTheFolder)
+{
+    auto permission = [](SimulatedDisk& disk, bool mayBootstrap) {
+        LogStore store({ .self = HostId("host"), .random = 1, .mayBootstrap = mayBootstrap },
+            std::make_unique<SimulatedFiles>(disk));
+        RecoveredLog log;
+        LogStoreReport report;
+        EXPECT_FALSE(store.open(log, report));
+        return report.mayBootstrap;
+    };
+    std::mt19937_64 random(1);
+    SimulatedDisk first;
+    EXPECT_TRUE(permission(first, true));
+    first.simulatePowerLoss(random);
+    EXPECT_TRUE(permission(first, false));
+    SimulatedDisk replaced;
+    EXPECT_FALSE(permission(replaced, false));
+    EXPECT_FALSE(permission(replaced, true)) << "not a new folder";
+}
+
 // Guards against a replica that keeps its id after the loss of its folder.
 TEST(LogStoreTest, NewFolderHasANewReplicaId)
 {
--- a/tests/LogVotersTest.cpp
+++ b/tests/LogVotersTest.cpp
@@ -187,10 +187,9 @@
     }
     cluster.run(seconds(8));
     RC_ASSERT(cluster.violation.empty());
-    // If a majority of the bootstrap hosts restarted before there was a log, no host may create one. Otherwise the log
-    // must accept commands.
-    if (cluster.leader() >= 0)
-        RC_ASSERT(cluster.commitsMoreEntries());
+    // At most one disk was lost, so a majority of the bootstrap hosts could still found the log.
+    RC_ASSERT(cluster.leader() >= 0);
+    RC_ASSERT(cluster.commitsMoreEntries());
 }
 
 } // namespace dragonflylane
--- a/tests/StorageProcessTest.cpp
+++ b/tests/StorageProcessTest.cpp
@@ -3,6 +3,7 @@
 #include "tests/LoopbackMesh.h"
 
 #include <filesystem>
+#include <fstream>
 #include <gtest/gtest.h>
 #include <thread>
 
@@ -31,5 +32,37 @@
             [&] { return statusOf(exchange(mesh.ports(0).api, "GET", "/v1/ready", "")) == 200; }, seconds(10)));
     }
 
+    // Guards against a mesh that never accepts a change, because its control hosts were all killed right after their
+    // very first start: only then do the settings allow them to found the log.
+    TEST(StorageProcessTest, HostsKilledAtTheFirstStartFoundTheLogLater)
+    {
+        LoopbackMesh mesh({ .hosts = { "a", "b", "c" } });
+        std::string seeds;
+        for (size_t i = 0; i < mesh.size(); ++i)
+            seeds += (i == 0 ? "" : ", ") + loopback(mesh.ports(i).peer);
+        auto writeSettings = [&](const std::string& mayFound) {
+            for (size_t i = 0; i < mesh.size(); ++i) {
+                std::ofstream(mesh.folder() / (mesh.name(i) + ".ini"))
+                    << "[mesh]\nid = mesh-test\nseeds = " << seeds << "\n[host]\nid = " << mesh.name(i)
+                    << "\n[listen]\ncallers = none\npeer = " << loopback(mesh.ports(i).peer)
+                    << "\napi = " << loopback(mesh.ports(i).api)
+                    << "\n[control]\nvoters = automatic\nmember = yes\ntolerated-losses = 1\nmay-found = " << mayFound
+                    << "\nelection-timeout-ms = 2000\ndata-folder = " << (mesh.folder() / mesh.name(i)).string()
+                    << "\n";
+            }
+        };
+        writeSettings("yes");
+        ASSERT_TRUE(mesh.keepAllRunning());
+        for (size_t i = 0; i < mesh.size(); ++i) {
+            const fs::path log = mesh.folder() / mesh.name(i) / "replica.log";
+            ASSERT_TRUE(waitUntil([&] { return fs::exists(log); }, seconds(5)));
+        }
+        for (size_t i = 0; i < mesh.size(); ++i)
+            mesh.kill(i);
+        writeSettings("no");
+        EXPECT_TRUE(
+            waitUntil([&] { return mesh.keepAllRunning() && confirmPlan(mesh.ports(0).api, plan); }, seconds(20)));
+    }
+
 } // namespace
 } // namespace dragonflylane
