Decode every body between daemons that the daemons accept

Cause: the decoder of call frames limited strings to 2 MiB; bodies are accepted up to 4 MiB by default. Change: a string is bounded by its payload. Bodies that would not fit into a frame are refused by entry and owner, and daemon_started states the largest body. Ruled out as a fix: lower limits for bodies, which would deny proper requests.

--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -7,6 +7,7 @@
 #include "dragonflylane/CrashTask.h"
 #include "dragonflylane/EntryTask.h"
 #include "dragonflylane/Event.h"
+#include "dragonflylane/Frame.h"
 #include "dragonflylane/GuardedRun.h"
 #include "dragonflylane/HttpExchange.h"
 #include "dragonflylane/HttpServer.h"
@@ -97,7 +98,7 @@
         , m_owner(m_context,
               { .self = m_settings.hostId,
                   .headerNames = m_options.headerNames,
-                  .maxBodyBytes = m_settings.maxBodyBytes,
+                  .maxBodyBytes = maxBodyBytes(),
                   .acceptsCloseDelimitedResponses = m_options.acceptsCloseDelimitedResponses,
                   .bodies = &m_bodyBudget,
                   .usesRankedAdmission = m_settings.usesRankedAdmission,
@@ -167,7 +168,8 @@
             .with("peer", m_settings.peer.toString())
             .with("api", m_settings.api.toString())
             .with("control", static_cast<int>(m_settings.isControl()))
-            .with("upstream_drain_ms", upstreamDrainTime().count());
+            .with("upstream_drain_ms", upstreamDrainTime().count())
+            .with("largest_body_bytes", largestBody(maxBodyBytes(), &m_bodyBudget));
         m_signals.async_wait([this](boost::system::error_code error, int signal) {
             if (!error)
                 leave(signal);
@@ -184,6 +186,9 @@
 private:
     // ---- Construction ----
 
+    // A larger body does not fit into a frame between daemons, so it is refused at once.
+    uint64_t maxBodyBytes() const { return std::min<uint64_t>(m_settings.maxBodyBytes, maxForwardedBodyBytes); }
+
     std::chrono::milliseconds upstreamDrainTime() const
     {
         return m_options.upstreamDrainTime.value_or(m_settings.upstreamDrainTime);
@@ -265,7 +270,7 @@
     {
         return { .listen = m_settings.callers,
             .maxConnections = m_settings.maxConnections,
-            .maxBodyBytes = m_settings.maxBodyBytes,
+            .maxBodyBytes = maxBodyBytes(),
             .bodies = &m_bodyBudget };
     }
 
--- a/dragonflylane/Frame.h
+++ b/dragonflylane/Frame.h
@@ -33,8 +33,10 @@
 };
 
 inline constexpr size_t frameHeaderBytes = 5;
-/// Exceeds the largest call (1 MB of body and headers) and the largest snapshot.
+/// Exceeds the largest snapshot.
 inline constexpr size_t maxFramePayloadBytes = 16 << 20;
+/// Largest body of a request or response that passes between daemons. The rest of a frame is for headers.
+inline constexpr size_t maxForwardedBodyBytes = maxFramePayloadBytes - (2 << 20);
 /// Limit during the handshake, until the peer has proved that it belongs to the mesh.
 inline constexpr size_t maxHandshakePayloadBytes = 1024;
 
--- a/dragonflylane/Wire.h
+++ b/dragonflylane/Wire.h
@@ -10,8 +10,10 @@
 /// Returns false if the payload is not a complete, valid struct or exceeds the limits of a call.
 template <typename Struct> bool decodeThrift(std::string_view payload, Struct& value)
 {
-    constexpr ThriftLimits limits {
-        .maxBytes = maxFramePayloadBytes, .maxStringBytes = 2 << 20, .maxElements = 100'000
+    // A string is bounded by the payload that contains it, so that a body of any accepted size can be decoded.
+    constexpr size_t maxElements = 100'000;
+    ThriftLimits limits {
+        .maxBytes = maxFramePayloadBytes, .maxStringBytes = payload.size(), .maxElements = maxElements
     };
     return !decodeThrift(payload, limits, value);
 }
--- a/tests/ForwardWireTest.cpp
+++ b/tests/ForwardWireTest.cpp
@@ -71,4 +71,29 @@
     EXPECT_EQ(toAnswerHeaders(answer, names(), "id1").size(), 2U);
 }
 
+// Guards against bodies that entry and owner accept and that the other daemon drops, so that a request vanishes, or
+// runs and its response is thrown away (review/2).
+TEST(ForwardWireTest, EveryBodyThatIsAcceptedIsDecoded)
+{
+    for (size_t bytes :
+        { size_t { 2 } << 20, size_t { 3'000'000 }, size_t { 4 } << 20, size_t { maxForwardedBodyBytes } }) {
+        wire::ForwardRequest request;
+        request.body = std::string(bytes, 'b');
+        wire::ForwardRequest receivedRequest;
+        ASSERT_TRUE(decodeThrift(encodeThrift(request), receivedRequest)) << bytes;
+        EXPECT_EQ(receivedRequest.body, request.body);
+        wire::ForwardResponse response;
+        response.body = std::string(bytes, 'b');
+        wire::ForwardResponse receivedResponse;
+        ASSERT_TRUE(decodeThrift(encodeThrift(response), receivedResponse)) << bytes;
+        EXPECT_EQ(receivedResponse.body, response.body);
+    }
+    // A forged length must not be believed.
+    wire::ForwardRequest forged;
+    forged.body = std::string(100, 'b');
+    std::string payload = encodeThrift(forged);
+    wire::ForwardRequest ignored;
+    EXPECT_FALSE(decodeThrift(payload.substr(0, payload.size() / 2), ignored));
+}
+
 } // namespace dragonflylane
