Split the transfer of pages off Membership

Membership kept the ranges of records that a joining daemon has yet to fetch beside its probes, gossip and repair.

--- a/dragonflylane/Membership.cpp
+++ b/dragonflylane/Membership.cpp
@@ -35,7 +35,6 @@
     // With 16 samples, a member of the own data centre is found in half of the cases if one member in twenty is there.
     constexpr size_t maxLocalSamples = 16;
 
-    constexpr size_t joinRanges = 8;
     constexpr size_t localContacts = 8;
     constexpr size_t maxContacts = 14;
     // Limits the search for members of the same data centre, which runs for each joining daemon.
@@ -103,6 +102,7 @@
     , m_random(options.seed)
     , m_updates(options.seed)
     , m_broadcasts({ .maxQueued = options.maxBroadcasts, .maxIdentities = options.maxBroadcastIdentities })
+    , m_pages({ .maxInFlight = options.maxPagesInFlight, .timeout = options.pageTimeout })
     , m_transferTokens(options.transferBurst)
     , m_transferTokensAt(now)
     , m_antiEntropyPeriod(options.antiEntropyPeriod)
@@ -221,10 +221,7 @@
     // Datagrams queued in the socket can be as old as the pause.
     if (gap >= m_options.deadRetention)
         m_staleDatagramsUntil = now + m_options.probePeriod;
-    for (PageRange& range : m_pages) {
-        range.number = 0;
-        range.due = now;
-    }
+    m_pages.restartRequests(now);
 }
 
 void Membership::tick(TimePoint now)
@@ -259,12 +256,7 @@
         next = std::min({ next, m_nextLostProbe, m_nextDeadProbe });
     if (m_joinStage == JoinStage::Contacts)
         next = std::min(next, m_nextJoin);
-    size_t inFlight = std::count_if(m_pages.begin(), m_pages.end(), [](auto& range) { return range.number != 0; });
-    for (const PageRange& range : m_pages) {
-        if (range.number != 0 || inFlight < m_options.maxPagesInFlight)
-            next = std::min(next, range.due);
-    }
-    return next;
+    return std::min(next, m_pages.nextWakeup());
 }
 
 std::vector<MembershipOutput> Membership::takeOutputs()
@@ -1206,7 +1198,7 @@
     std::erase(seeds, self().address);
     m_seeds = std::move(seeds);
     m_joinAttempts = 0;
-    m_pages.clear();
+    m_pages.cancel();
     m_joinStage = m_seeds.empty() ? JoinStage::Done : JoinStage::Contacts;
     m_nextJoin = now + randomDuration(m_options.joinBackoffBase);
 }
@@ -1280,36 +1272,22 @@
         if (m_entries.find(hash)->second.node->second.dataCentre == self().dataCentre)
             m_pageSources.push_back(hash);
     }
-    constexpr HostHash rangeSize = UINT64_MAX / joinRanges + 1;
-    for (size_t i = 0; i < joinRanges; ++i)
-        m_pages.push_back({ .first = i * rangeSize, .last = i * rangeSize + (rangeSize - 1), .due = now });
+    m_pages.start(now);
     requestPages(now);
 }
 
 void Membership::requestPages(TimePoint now)
 {
-    size_t inFlight = 0;
-    for (PageRange& range : m_pages) {
-        if (range.number != 0 && range.due <= now) {
-            ++m_counters.pagesTimedOut;
-            range.number = 0;
-            range.due = now + joinBackoff(range.attempts++);
-        }
-        inFlight += range.number != 0;
-    }
-    for (PageRange& range : m_pages) {
-        if (range.number != 0 || range.due > now || inFlight >= m_options.maxPagesInFlight)
-            continue;
-        requestPage(range, now);
-        ++inFlight;
-    }
+    m_counters.pagesTimedOut
+        += m_pages.expireRequests([this](unsigned attempts) { return joinBackoff(attempts); }, now);
+    while (PageTransfer::Range* range = m_pages.nextDue(now))
+        requestPage(*range, now);
 }
 
-void Membership::requestPage(PageRange& range, TimePoint now)
+void Membership::requestPage(PageTransfer::Range& range, TimePoint now)
 {
     ++m_counters.pagesRequested;
-    range.number = nextNumber();
-    range.due = now + m_options.pageTimeout;
+    m_pages.setRequested(range, nextNumber(), now);
     // If all daemons of the mesh are joining, none of them can send complete pages.
     bool acceptPartial = range.attempts >= completeOnlyAttempts;
     GossipPageRequest page {
@@ -1360,22 +1338,11 @@
 
 void Membership::finishPage(const GossipPageEnd& page, TimePoint now)
 {
-    auto range = std::find_if(m_pages.begin(), m_pages.end(),
-        [&](const PageRange& item) { return item.number != 0 && item.number == page.number; });
-    if (range == m_pages.end())
+    if (!m_pages.finish(
+            page, [this](unsigned attempts) { return joinBackoff(attempts); }, now))
         return;
-    if (page.isLast) {
-        m_pages.erase(range);
-    } else if (page.next <= range->first) {
-        range->number = 0;
-        range->due = now + joinBackoff(range->attempts++);
-    } else {
-        *range = { .first = page.next, .last = range->last, .due = now };
-    }
-    if (!m_pages.empty()) {
-        requestPages(now);
-        return;
-    }
+    if (!m_pages.isDone())
+        return requestPages(now);
     m_joinStage = JoinStage::Done;
     scheduleEarlyAntiEntropy(now);
 }
--- a/dragonflylane/Membership.h
+++ b/dragonflylane/Membership.h
@@ -31,6 +31,7 @@
 #include "dragonflylane/MembershipCounters.h"
 #include "dragonflylane/MembershipOptions.h"
 #include "dragonflylane/MembershipOutput.h"
+#include "dragonflylane/PageTransfer.h"
 #include "dragonflylane/UpdateQueue.h"
 
 #include <array>
@@ -142,17 +143,6 @@
         Done,
     };
 
-    // A range of host hashes whose records must still be fetched.
-    struct PageRange {
-        HostHash first { 0 };
-        HostHash last { 0 };
-        // Zero while no request is in flight.
-        uint32_t number { 0 };
-        unsigned attempts { 0 };
-        // When the request times out, or when the next one may be sent.
-        TimePoint due;
-    };
-
     enum class Disseminate : uint8_t {
         No,
         Yes,
@@ -211,7 +201,7 @@
     void requestContacts(TimePoint now);
     void startPages(TimePoint now);
     void requestPages(TimePoint now);
-    void requestPage(PageRange&, TimePoint now);
+    void requestPage(PageTransfer::Range&, TimePoint now);
     void finishPage(const GossipPageEnd&, TimePoint now);
     Endpoint choosePageSource(unsigned attempts);
     Duration joinBackoff(unsigned attempts);
@@ -290,7 +280,7 @@
     JoinStage m_joinStage { JoinStage::Done };
     unsigned m_joinAttempts { 0 };
     uint32_t m_contactNumber { 0 };
-    std::vector<PageRange> m_pages;
+    PageTransfer m_pages;
     // Members of our data centre that were known when the first pages were requested.
     std::vector<HostHash> m_pageSources;
 
