Say once what both admissions and all reads of a session do

Read as a newcomer: setDraining() stood twice with the same four lines, and three handlers of HttpSession began alike. DrainWindow::setDraining() and HttpSession::hasEndedDuringRead() replace them. No behaviour changes; HttpServerTest (14), OwnerAdmissionTest (9), RankedAdmissionTest (7), OwnerTaskTest (15) and CallerLimitsProcessTest pass.

--- a/dragonflylane/DrainWindow.h
+++ b/dragonflylane/DrainWindow.h
@@ -3,7 +3,7 @@
 // How long an upstream that is draining still gets calls that were queued before the drain.
 //
 //     DrainWindow window(length);
-//     window.begin(now);
+//     window.setDraining(true, now);
 //     if (!window.maySend(now)) ...    // refuse the call as not run: the upstream may stop before the call ends
 
 #include "dragonflylane/BootClock.h"
@@ -19,13 +19,15 @@
     {
     }
 
-    /// Has no effect while draining: the upstream counts from the first acknowledgement.
-    void begin(TimePoint now)
+    /// Begins or ends the drain. A window that has begun stays as it is: the upstream counts from the first
+    /// acknowledgement.
+    void setDraining(bool isDraining, TimePoint now)
     {
-        if (!m_end)
+        if (!isDraining)
+            m_end.reset();
+        else if (!m_end)
             m_end = now + m_length;
     }
-    void cancel() { m_end.reset(); }
 
     bool isDraining() const { return m_end.has_value(); }
     bool maySend(TimePoint at) const { return !m_end || at < *m_end; }
--- a/dragonflylane/HttpSession.cpp
+++ b/dragonflylane/HttpSession.cpp
@@ -92,10 +92,8 @@
         return readHeader();
     m_stream.socket().async_wait(
         asio::ip::tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
-            if (self->m_isClosed)
+            if (self->hasEndedDuringRead())
                 return;
-            if (self->m_isLingering)
-                return self->linger();
             if (error)
                 return self->handleDisconnect();
             if (self->m_hasReadLastRequest)
@@ -130,10 +128,8 @@
     m_stream.expires_after(std::min(m_options.headerTimeout, m_options.requestTimeout));
     http::async_read_header(
         m_stream, m_buffer, *m_parser, [self = shared_from_this(), parser = m_parser](beast::error_code error, size_t) {
-            if (self->m_isClosed)
+            if (self->hasEndedDuringRead())
                 return;
-            if (self->m_isLingering)
-                return self->linger();
             if (error)
                 return self->handleReadError(error);
             if (parser->is_done())
@@ -157,10 +153,8 @@
 {
     http::async_read_some(
         m_stream, m_buffer, *m_parser, [self = shared_from_this(), parser = m_parser](beast::error_code error, size_t) {
-            if (self->m_isClosed)
+            if (self->hasEndedDuringRead())
                 return;
-            if (self->m_isLingering)
-                return self->linger();
             if (error)
                 return self->handleReadError(error);
             if (!self->m_body.growTo(parser->get().body().size()))
@@ -349,6 +343,14 @@
     m_stream.cancel();
 }
 
+// Called first by each handler of a read. Begins to discard input if the connection was shut down meanwhile.
+bool HttpSession::hasEndedDuringRead()
+{
+    if (m_isLingering && !m_isClosed)
+        linger();
+    return m_isLingering || m_isClosed;
+}
+
 void HttpSession::linger()
 {
     m_parser.reset();
--- a/dragonflylane/HttpSession.h
+++ b/dragonflylane/HttpSession.h
@@ -71,6 +71,7 @@
     Response makeResponse(Slot&, bool keepAlive) const;
     void handleDisconnect();
     void closeGracefully();
+    bool hasEndedDuringRead();
     void linger();
     void discardInput();
     void close();
--- a/dragonflylane/OwnerAdmission.cpp
+++ b/dragonflylane/OwnerAdmission.cpp
@@ -123,10 +123,7 @@
 AdmissionChanges OwnerAdmission::setDraining(bool isDraining, TimePoint now)
 {
     AdmissionChanges changes;
-    if (!isDraining)
-        m_drain.cancel();
-    else
-        m_drain.begin(now);
+    m_drain.setDraining(isDraining, now);
     refuseAfterDrain(changes, now);
     return changes;
 }
--- a/dragonflylane/RankedAdmission.cpp
+++ b/dragonflylane/RankedAdmission.cpp
@@ -112,10 +112,7 @@
 AdmissionChanges RankedAdmission::setDraining(bool isDraining, TimePoint now)
 {
     AdmissionChanges changes;
-    if (!isDraining)
-        m_drain.cancel();
-    else
-        m_drain.begin(now);
+    m_drain.setDraining(isDraining, now);
     refuseAfterDrain(changes, now);
     return changes;
 }
