Send no further record when a draining upstream withdraws

Hypothesis: the departure in the membership record changed once more when an upstream that was draining deregistered, and each change goes to all daemons. Change: a departure stays as it was when the drain began. A process that has begun to drain announces nothing else later, so a restarted daemon recognises its late reports by their sequence.

--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -169,7 +169,7 @@
     if (!hasDepartedEarlier(*m_announcement))
         return;
     m_announcement->phase = UpstreamPhase::Draining;
-    m_drainSequence = record.departure->sequence;
+    m_departure = record.departure;
     if (record.departure->isFinal)
         applyStatements(m_statements.withdraw(), BootClock::now());
     applyDrain();
@@ -192,10 +192,6 @@
     if (isOtherProcess || m_isStopped)
         startIncarnation(announcement);
     raiseIncarnation();
-    bool beginsDrain = announcement.phase == UpstreamPhase::Draining
-        && (isOtherProcess || m_announcement->phase != UpstreamPhase::Draining);
-    if (beginsDrain)
-        m_drainSequence = announcement.sequence;
     m_announcement = announcement;
     TimePoint now = BootClock::now();
     applyStatements(m_statements.startProcess(announcement.id, announcement.process(), now), now);
@@ -242,13 +238,17 @@
         m_incarnation = minIncarnation().next();
 }
 
-std::optional<UpstreamDeparture> OwnerTask::departure() const
+// A departure stays as it was when the drain began, since each change of the record is sent to every daemon. A process
+// that has begun to drain announces no other phase later, so its withdrawal adds nothing.
+void OwnerTask::updateDeparture()
 {
     if (!isAnnouncedDrain())
-        return std::nullopt;
-    return UpstreamDeparture {
-        .process = m_announcement->process(), .sequence = m_drainSequence, .isFinal = m_statements.isLeaving()
-    };
+        return m_departure.reset();
+    ProcessId process = m_announcement->process();
+    if (!m_departure || m_departure->process != process)
+        m_departure = UpstreamDeparture {
+            .process = process, .sequence = m_announcement->sequence, .isFinal = m_statements.isLeaving()
+        };
 }
 
 std::optional<UpstreamRecord> OwnerTask::makeRecord() const
@@ -269,12 +269,13 @@
         .phase = phase,
         .slots = m_announcement->slots,
         .incarnation = m_incarnation,
-        .departure = departure() };
+        .departure = m_departure };
 }
 
 // A departure stays in the membership records while this daemon shuts down, for its next process.
 void OwnerTask::publish()
 {
+    updateDeparture();
     std::optional<UpstreamRecord> record = makeRecord();
     if (m_isUnpublished && record)
         record->phase = UpstreamPhase::Stopped;
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -156,7 +156,7 @@
     bool isAnnouncedDrain() const;
     bool isWithdrawn(const UpstreamId&, uint64_t startedAt) const;
     bool hasDepartedEarlier(const Announcement&) const;
-    std::optional<UpstreamDeparture> departure() const;
+    void updateDeparture();
     std::optional<UpstreamRecord> makeRecord() const;
     bool isOutdated(const Announcement&) const;
     bool statesNotRun(const HttpResponse&) const;
@@ -205,8 +205,8 @@
     TimePoint m_leaseEnd;
     /// Upstream processes that have withdrawn, oldest first.
     std::deque<WithdrawnProcess> m_withdrawn;
-    /// Sequence of the announcement that began the drain of the current process.
-    Sequence m_drainSequence;
+    /// Set while the current process drains.
+    std::optional<UpstreamDeparture> m_departure;
     /// The latest record with a departure that an earlier process of this daemon has published. Published again until
     /// an upstream is announced, so that it outlasts further restarts.
     std::optional<UpstreamRecord> m_earlierRecord;
--- a/tests/OwnerTaskTest.cpp
+++ b/tests/OwnerTaskTest.cpp
@@ -296,6 +296,17 @@
     EXPECT_EQ(fixture.callAndWait(), ResultCode::Ok);
 }
 
+// Guards against a further record, sent to every daemon, for each upstream that leaves as announced.
+TEST(OwnerTaskTest, WithdrawalOfADrainingUpstreamChangesNoRecord)
+{
+    OwnerFixture fixture;
+    fixture.announce(UpstreamPhase::Draining);
+    ASSERT_TRUE(fixture.record() && fixture.record()->departure);
+    std::optional<UpstreamRecord> before = fixture.record();
+    fixture.withdraw();
+    EXPECT_EQ(fixture.record(), before);
+}
+
 // Guards against a drain or a limit that outlasts the process of the upstream that stated it.
 TEST(OwnerTaskTest, StatementsOfThePreviousProcessDoNotHoldForTheNextOne)
 {
