--- a/dragonflylane/Admission.h
+++ b/dragonflylane/Admission.h
@@ -39,6 +39,10 @@
     uint64_t routeKey { 0 };
     /// Priority of the route; 0 is served first.
     uint32_t priority { 0 };
+    /// Identifies the tenant; zero for calls without one.
+    uint64_t tenantKey { 0 };
+    /// Priority of the tenant, which goes before that of the route; 0 is served first.
+    uint32_t tenantPriority { 0 };
     /// Latency objective: the time by which the response should be ready. Not set: the deadline.
     TimePoint target {};
     /// Refuse the ticket if its expected wait is longer than this, so that the caller can try another upstream.
--- a/dragonflylane/CallHeaders.cpp
+++ b/dragonflylane/CallHeaders.cpp
@@ -71,6 +71,10 @@
     switch (code) {
     case ResultCode::NoRoute:
         return 404;
+    case ResultCode::ApiKeyUnknown:
+        return 401;
+    case ResultCode::AllotmentExceeded:
+        return 429;
     case ResultCode::CallerNotAllowed:
         return 403;
     case ResultCode::MalformedRequest:
--- a/dragonflylane/ConfigItem.cpp
+++ b/dragonflylane/ConfigItem.cpp
@@ -4,6 +4,8 @@
 #include "dragonflylane/ResultCode.h"
 
 #include <algorithm>
+#include <bit>
+#include <cmath>
 #include <set>
 
 namespace dragonflylane {
@@ -40,6 +42,9 @@
             appendNumber(out, item.maxAttempts);
             appendNumber(out, item.priority);
             appendNumber(out, static_cast<uint64_t>(item.targetLatency.count()));
+            // Only if set, so that the digests of configurations without it stay the same.
+            if (item.isPublic)
+                appendNumber(out, uint64_t { 1 });
         }
 
         void operator()(const CallRuleItem& item) const
@@ -67,6 +72,30 @@
             appendNumber(out, item.maxBodyBytes);
             appendNumber(out, static_cast<uint64_t>(item.headerTimeout.count()));
             appendNumber(out, static_cast<uint64_t>(item.idleTimeout.count()));
+            // Only if set, so that the digests of configurations without it stay the same.
+            if (item.requiresApiKeys)
+                appendNumber(out, uint64_t { 1 });
+        }
+
+        void operator()(const TenantItem& item) const
+        {
+            appendText(out, item.name.value());
+            appendNumber(out, item.keys.size());
+            for (const ApiKeyHash& key : item.keys)
+                appendText(out, key.bytes());
+            appendNumber(out, item.priority);
+            appendNumber(out, std::bit_cast<uint64_t>(item.ratePerSecond));
+            appendNumber(out, std::bit_cast<uint64_t>(item.burst));
+        }
+
+        void operator()(const RolloutItem& item) const
+        {
+            appendText(out, item.service.value());
+            appendText(out, item.target.value());
+            appendNumber(out, static_cast<uint64_t>(item.state));
+            appendNumber(out, item.sharePermille);
+            appendNumber(out, static_cast<uint64_t>(item.duration.count()));
+            appendNumber(out, static_cast<uint64_t>(item.elapsed.count()));
         }
     };
 
@@ -77,6 +106,8 @@
         ItemKey operator()(const DrainItem& item) const { return drainKey(item.upstream); }
         ItemKey operator()(const KeeperViewItem&) const { return keeperViewKey(); }
         ItemKey operator()(const MeshPolicyItem&) const { return meshPolicyKey(); }
+        ItemKey operator()(const TenantItem& item) const { return tenantKey(item.name); }
+        ItemKey operator()(const RolloutItem& item) const { return rolloutKey(item.service); }
     };
 
     std::error_code reject(ResultCode code, std::string text, std::string* detail)
@@ -253,6 +284,37 @@
                 return reject(ResultCode::InvalidValue, "a time of the mesh policy is out of range", detail);
             return {};
         }
+
+        std::error_code operator()(const TenantItem& item) const
+        {
+            if (!isValidTenantName(item.name.value()))
+                return reject(ResultCode::InvalidName,
+                    "tenant name '" + printableExcerpt(item.name.value()) + "' is not valid", detail);
+            const std::string where = " of tenant " + item.name.value();
+            if (item.keys.size() > ItemLimits::tenantKeys)
+                return reject(ResultCode::InvalidValue, "too many keys" + where, detail);
+            if (item.priority > ItemLimits::priority)
+                return reject(ResultCode::InvalidValue, "priority" + where + " is out of range", detail);
+            auto isValid
+                = [](double value) { return std::isfinite(value) && value >= 0 && value <= ItemLimits::requestRate; };
+            if (!isValid(item.ratePerSecond) || !isValid(item.burst))
+                return reject(ResultCode::InvalidValue, "rate or burst" + where + " is out of range", detail);
+            return {};
+        }
+
+        std::error_code operator()(const RolloutItem& item) const
+        {
+            if (std::error_code error = checkName("service", item.service.value()))
+                return error;
+            if (std::error_code error = checkName("version", item.target.value()))
+                return error;
+            bool isValid = item.sharePermille <= ItemLimits::sharePermille && item.duration.count() >= 0
+                && item.elapsed.count() >= 0 && item.state <= RolloutState::RolledBack;
+            if (!isValid)
+                return reject(ResultCode::InvalidValue,
+                    "a value of the roll-out of service " + item.service.value() + " is out of range", detail);
+            return {};
+        }
     };
 
 } // namespace
@@ -297,6 +359,16 @@
     return { ItemKind::MeshPolicy, {} };
 }
 
+ItemKey tenantKey(const TenantName& name)
+{
+    return { ItemKind::Tenant, name.value() };
+}
+
+ItemKey rolloutKey(const ServiceName& service)
+{
+    return { ItemKind::Rollout, service.value() };
+}
+
 std::string_view kindName(ItemKind kind)
 {
     switch (kind) {
@@ -312,6 +384,10 @@
         return "keeper_view";
     case ItemKind::MeshPolicy:
         return "mesh_policy";
+    case ItemKind::Tenant:
+        return "tenant";
+    case ItemKind::Rollout:
+        return "rollout";
     }
     return "unknown";
 }
@@ -336,6 +412,12 @@
     return hasValidStart && std::all_of(name.begin(), name.end(), isNameCharacter);
 }
 
+bool isValidTenantName(std::string_view name)
+{
+    return !name.empty() && name.size() <= ItemLimits::nameLength
+        && std::all_of(name.begin(), name.end(), [](char c) { return c > ' ' && c <= '~'; });
+}
+
 std::string printableExcerpt(std::string_view text)
 {
     std::string result(text.substr(0, ItemLimits::nameLength));
--- a/dragonflylane/ConfigItem.h
+++ b/dragonflylane/ConfigItem.h
@@ -3,6 +3,7 @@
 // The items of a configuration. An item has a kind, a name that is unique within the kind, and a value. Items are plain
 // values; checkItem() checks a single one and ConfigState::validate() their consistency.
 
+#include "dragonflylane/ApiKeyHash.h"
 #include "dragonflylane/KeeperHost.h"
 
 #include <chrono>
@@ -25,6 +26,8 @@
     Drain = 4,
     KeeperView = 5,
     MeshPolicy = 6,
+    Tenant = 7,
+    Rollout = 8,
 };
 
 /// Identifies an item. The name of a CallRule is "caller>callee"; KeeperView and MeshPolicy exist once, with an empty
@@ -80,6 +83,8 @@
     uint32_t priority { 0 };
     /// Latency within which a response has its full value for the caller; zero if not configured.
     std::chrono::milliseconds targetLatency { 0 };
+    /// Callers need no API key, even if the mesh policy requires keys.
+    bool isPublic { false };
 
     bool operator==(const RouteItem&) const = default;
 };
@@ -119,12 +124,50 @@
     std::chrono::milliseconds headerTimeout { 0 };
     /// Longest time between two requests of a connection.
     std::chrono::milliseconds idleTimeout { 0 };
+    /// Callers need an API key of a tenant on every route that is not public.
+    bool requiresApiKeys { false };
 
     bool operator==(const MeshPolicyItem&) const = default;
 };
 
+/// A customer of the mesh. Its callers present one of its API keys.
+struct TenantItem {
+    TenantName name;
+    std::vector<ApiKeyHash> keys;
+    /// Priority of its requests, which goes before that of the route; 0 is served first.
+    uint32_t priority { 0 };
+    /// Allotment over all daemons together, in requests per second; zero: no limit.
+    double ratePerSecond { 0 };
+    /// Requests beyond the rate that the allotment allows in any window.
+    double burst { 0 };
+
+    bool operator==(const TenantItem&) const = default;
+};
+
+enum class RolloutState : uint8_t {
+    Running = 0,
+    Completed = 1,
+    RolledBack = 2,
+};
+
+/// Moves the requests of a service to upstreams of another version. Only the log's leader changes this item.
+struct RolloutItem {
+    ServiceName service;
+    UpstreamVersion target;
+    RolloutState state { RolloutState::Running };
+    /// Share of the service's requests that the target version gets while running, in thousandths.
+    uint32_t sharePermille { 0 };
+    /// Time in which the roll-out should be completed.
+    std::chrono::milliseconds duration { 0 };
+    /// Time since the start at the latest change of this item. A new leader continues from there.
+    std::chrono::milliseconds elapsed { 0 };
+
+    bool operator==(const RolloutItem&) const = default;
+};
+
 /// The alternatives are in the order of ItemKind.
-using ConfigItem = std::variant<ServiceItem, RouteItem, CallRuleItem, DrainItem, KeeperViewItem, MeshPolicyItem>;
+using ConfigItem = std::variant<ServiceItem, RouteItem, CallRuleItem, DrainItem, KeeperViewItem, MeshPolicyItem,
+    TenantItem, RolloutItem>;
 
 /// Limits of single items. They bound the cost of one item in every daemon.
 struct ItemLimits {
@@ -140,6 +183,9 @@
     static constexpr size_t idempotentMethods = 16;
     static constexpr size_t methodLength = 16;
     static constexpr size_t keeperHosts = 64;
+    static constexpr size_t tenantKeys = 64;
+    static constexpr double requestRate = 1e9;
+    static constexpr uint32_t sharePermille = 1000;
 };
 
 ItemKey keyOf(const ConfigItem&);
@@ -149,7 +195,10 @@
 ItemKey drainKey(const UpstreamId&);
 ItemKey keeperViewKey();
 ItemKey meshPolicyKey();
-/// Name of the kind in messages and JSON: "service", "route", "call_rule", "drain", "keeper_view", "mesh_policy".
+ItemKey tenantKey(const TenantName&);
+ItemKey rolloutKey(const ServiceName&);
+/// Name of the kind in messages and JSON: "service", "route", "call_rule", "drain", "keeper_view", "mesh_policy",
+/// "tenant", "rollout".
 std::string_view kindName(ItemKind);
 
 /// Unambiguous encodings of key and value for the digest. Independent of the wire format, so that a change of the wire
@@ -159,6 +208,8 @@
 
 /// True for 1 to 64 characters of [a-z0-9._-] that start with a letter or digit.
 bool isValidName(std::string_view);
+/// True for 1 to 64 printable ASCII characters other than spaces.
+bool isValidTenantName(std::string_view);
 /// Makes untrusted text safe for messages: the first 64 characters, with '?' for all but printable ASCII.
 std::string printableExcerpt(std::string_view);
 /// Checks the names and ranges of one item. Returns InvalidName, InvalidValue or ZeroWeights, with a sentence in
--- a/dragonflylane/ConfigState.cpp
+++ b/dragonflylane/ConfigState.cpp
@@ -118,6 +118,22 @@
         return {};
     }
 
+    std::error_code checkTenants(const ConfigState& state, std::string* detail)
+    {
+        std::unordered_map<ApiKeyHash, const TenantItem*> owners;
+        for (const TenantItem* tenant : state.all<TenantItem>()) {
+            for (const ApiKeyHash& key : tenant->keys) {
+                auto [other, inserted] = owners.try_emplace(key, tenant);
+                if (!inserted && other->second != tenant)
+                    return reject(ResultCode::DuplicateApiKey,
+                        "tenants " + other->second->name.value() + " and " + tenant->name.value()
+                            + " have the same API key",
+                        detail);
+            }
+        }
+        return {};
+    }
+
     std::error_code checkCallRules(const ConfigState& state, std::string* detail)
     {
         const std::vector<const CallRuleItem*> rules = state.all<CallRuleItem>();
@@ -218,6 +234,8 @@
     }
     if (std::error_code error = checkRoutes(*this, detail))
         return error;
+    if (std::error_code error = checkTenants(*this, detail))
+        return error;
     return checkCallRules(*this, detail);
 }
 
--- a/dragonflylane/ConfigState.h
+++ b/dragonflylane/ConfigState.h
@@ -67,7 +67,8 @@
     void setRevision(Revision revision) { m_revision = revision; }
 
     /// Checks that the items are consistent with one another: every split and call rule refers to existing services
-    /// (DanglingRoute, UnknownService), path prefixes are unique (DuplicatePrefix), call rules have no cycle
+    /// (DanglingRoute, UnknownService), path prefixes are unique (DuplicatePrefix), so are the API keys of all tenants
+    /// together (DuplicateApiKey), call rules have no cycle
     /// (CallCycle), each item passes checkItem(), and their number and total size are within the limits (PlanTooLarge).
     /// O(items). `detail` names the item in a sentence.
     std::error_code validate(std::string* detail = nullptr) const;
--- a/dragonflylane/ConfigWire.cpp
+++ b/dragonflylane/ConfigWire.cpp
@@ -64,6 +64,8 @@
             route.maxAttempts = static_cast<int32_t>(item.maxAttempts);
             route.priority = static_cast<int32_t>(item.priority);
             route.targetLatencyMilliseconds = narrow(item.targetLatency);
+            if (item.isPublic)
+                route.__set_isPublic(true);
             out->routes.push_back(std::move(route));
             out->__isset.routes = true;
         }
@@ -98,8 +100,36 @@
             policy.maxBodyBytes = static_cast<int64_t>(item.maxBodyBytes);
             policy.headerTimeoutMilliseconds = narrow(item.headerTimeout);
             policy.idleTimeoutMilliseconds = narrow(item.idleTimeout);
+            if (item.requiresApiKeys)
+                policy.__set_requiresApiKeys(true);
             out->__set_meshPolicy(policy);
         }
+
+        void operator()(const TenantItem& item) const
+        {
+            wire::ConfigTenant tenant;
+            tenant.name = item.name.value();
+            for (const ApiKeyHash& key : item.keys)
+                tenant.keyHashes.push_back(key.bytes());
+            tenant.priority = static_cast<int32_t>(item.priority);
+            tenant.ratePerSecond = item.ratePerSecond;
+            tenant.burst = item.burst;
+            out->tenants.push_back(std::move(tenant));
+            out->__isset.tenants = true;
+        }
+
+        void operator()(const RolloutItem& item) const
+        {
+            wire::ConfigRollout rollout;
+            rollout.serviceName = item.service.value();
+            rollout.targetVersion = item.target.value();
+            rollout.state = static_cast<int32_t>(item.state);
+            rollout.sharePermille = static_cast<int32_t>(item.sharePermille);
+            rollout.duration = item.duration.count();
+            rollout.elapsed = item.elapsed.count();
+            out->rollouts.push_back(std::move(rollout));
+            out->__isset.rollouts = true;
+        }
     };
 
     bool readRoute(const wire::ConfigRoute& wireRoute, std::vector<ConfigItem>* items)
@@ -122,10 +152,45 @@
         route.targetLatency = std::chrono::milliseconds(wireRoute.targetLatencyMilliseconds);
         route.timeout = std::chrono::milliseconds(wireRoute.timeoutMilliseconds);
         route.idempotentMethods = wireRoute.idempotentMethods;
+        route.isPublic = wireRoute.__isset.isPublic && wireRoute.isPublic;
         items->push_back(std::move(route));
         return true;
     }
 
+    bool readTenant(const wire::ConfigTenant& wireTenant, std::vector<ConfigItem>* items)
+    {
+        TenantItem tenant;
+        tenant.name = TenantName(wireTenant.name);
+        for (const std::string& bytes : wireTenant.keyHashes) {
+            auto key = ApiKeyHash::fromBytes(bytes);
+            if (!key)
+                return false;
+            tenant.keys.push_back(*key);
+        }
+        if (wireTenant.priority < 0)
+            return false;
+        tenant.priority = static_cast<uint32_t>(wireTenant.priority);
+        tenant.ratePerSecond = wireTenant.ratePerSecond;
+        tenant.burst = wireTenant.burst;
+        items->push_back(std::move(tenant));
+        return true;
+    }
+
+    bool readRollout(const wire::ConfigRollout& wireRollout, std::vector<ConfigItem>* items)
+    {
+        bool isValid = wireRollout.state >= 0 && wireRollout.state <= static_cast<int32_t>(RolloutState::RolledBack)
+            && wireRollout.sharePermille >= 0;
+        if (!isValid)
+            return false;
+        items->push_back(RolloutItem { .service = ServiceName(wireRollout.serviceName),
+            .target = UpstreamVersion(wireRollout.targetVersion),
+            .state = static_cast<RolloutState>(wireRollout.state),
+            .sharePermille = static_cast<uint32_t>(wireRollout.sharePermille),
+            .duration = std::chrono::milliseconds(wireRollout.duration),
+            .elapsed = std::chrono::milliseconds(wireRollout.elapsed) });
+        return true;
+    }
+
 } // namespace
 
 std::string digestBytes(const Digest& digest)
@@ -187,7 +252,16 @@
             .maxHeaderBytes = static_cast<uint32_t>(policy.maxHeaderBytes),
             .maxBodyBytes = static_cast<uint64_t>(policy.maxBodyBytes),
             .headerTimeout = std::chrono::milliseconds(policy.headerTimeoutMilliseconds),
-            .idleTimeout = std::chrono::milliseconds(policy.idleTimeoutMilliseconds) });
+            .idleTimeout = std::chrono::milliseconds(policy.idleTimeoutMilliseconds),
+            .requiresApiKeys = policy.__isset.requiresApiKeys && policy.requiresApiKeys });
+    }
+    for (const wire::ConfigTenant& tenant : wireItems.tenants) {
+        if (!readTenant(tenant, items))
+            return false;
+    }
+    for (const wire::ConfigRollout& rollout : wireItems.rollouts) {
+        if (!readRollout(rollout, items))
+            return false;
     }
     return true;
 }
@@ -224,7 +298,7 @@
 bool readKey(const wire::ConfigItemKey& wireKey, ItemKey* key)
 {
     if (wireKey.kind < static_cast<int32_t>(ItemKind::Service)
-        || wireKey.kind > static_cast<int32_t>(ItemKind::MeshPolicy))
+        || wireKey.kind > static_cast<int32_t>(ItemKind::Rollout))
         return false;
     *key = { static_cast<ItemKind>(wireKey.kind), wireKey.name };
     return true;
--- a/dragonflylane/EntryCall.h
+++ b/dragonflylane/EntryCall.h
@@ -48,6 +48,9 @@
     /// then.
     TimePoint target;
     uint32_t priority { 0 };
+    /// Tenant whose API key the caller presented; empty if none.
+    TenantName tenant;
+    uint32_t tenantPriority { 0 };
     /// Hash of the route's name. Service times are estimated per route, since requests of one route take about the same
     /// time.
     uint64_t routeKey { 0 };
--- a/dragonflylane/ForwardWire.cpp
+++ b/dragonflylane/ForwardWire.cpp
@@ -127,6 +127,10 @@
     request.priority = static_cast<int32_t>(call.priority);
     request.routeKey = static_cast<int64_t>(call.routeKey);
     request.targetMicroseconds = toMicroseconds(call.target - now);
+    if (!call.tenant.isEmpty()) {
+        request.__set_tenant(call.tenant.value());
+        request.__set_tenantPriority(static_cast<int32_t>(call.tenantPriority));
+    }
     request.body = source.body;
     return request;
 }
--- a/dragonflylane/Frame.h
+++ b/dragonflylane/Frame.h
@@ -28,8 +28,10 @@
     Relay = 21,
     Claim = 22,
     CrashSync = 23,
+    Quota = 24,
     ApiRequest = 25,
     ApiResponse = 26,
+    Rollout = 27,
 };
 
 inline constexpr size_t frameHeaderBytes = 5;
--- a/dragonflylane/FrameQueue.h
+++ b/dragonflylane/FrameQueue.h
@@ -108,6 +108,8 @@
         case FrameKind::Log:
         case FrameKind::Relay:
         case FrameKind::CrashSync:
+        case FrameKind::Quota:
+        case FrameKind::Rollout:
             return FrameLane::Control;
         case FrameKind::ForwardRequest:
             return bytes <= maxShortRequestBytes ? FrameLane::Short : FrameLane::Bulk;
--- a/dragonflylane/GossipWire.cpp
+++ b/dragonflylane/GossipWire.cpp
@@ -81,6 +81,8 @@
         upstream.incarnation = static_cast<int64_t>(record.upstream->incarnation.value());
         if (record.upstream->departure)
             upstream.__set_departure(toWire(*record.upstream->departure));
+        if (!record.upstream->version.isEmpty())
+            upstream.__set_version(record.upstream->version.value());
         out.__set_upstream(upstream);
         return out;
     }
@@ -103,6 +105,8 @@
         out.incarnation = Incarnation(static_cast<uint64_t>(in.incarnation));
         if (in.__isset.departure)
             out.departure = readDeparture(in.departure);
+        if (in.__isset.version)
+            out.version = UpstreamVersion(in.version);
         return readEnum(in.phase, UpstreamPhase::Stopped, out.phase);
     }
 
@@ -391,6 +395,8 @@
     if (upstream.departure)
         size += fieldHeaderSize + numberSize(upstream.departure->process.value())
             + numberSize(upstream.departure->sequence.value()) + boolFieldSize + stopSize;
+    if (!upstream.version.isEmpty())
+        size += stringSize(upstream.version.value());
     return size + fieldHeaderSize + stringSize(upstream.id.value()) + stringSize(upstream.service.value())
         + numberSize(static_cast<uint64_t>(upstream.phase)) + numberSize(upstream.slots)
         + numberSize(upstream.incarnation.value()) + stopSize;
@@ -408,7 +414,9 @@
     if (record.host.isEmpty() || !fits(record.host.value()) || !fits(record.dataCentre.value())
         || !fits(record.region.value()))
         return false;
-    if (record.upstream && (!fits(record.upstream->id.value()) || !fits(record.upstream->service.value())))
+    if (record.upstream
+        && (!fits(record.upstream->id.value()) || !fits(record.upstream->service.value())
+            || !fits(record.upstream->version.value())))
         return false;
     return record.address.isSet() && record.address.address.size() <= maxAddressLength
         && Endpoint::parse(record.address.toString()) && record.incarnation.value() <= maxCounter
--- a/dragonflylane/Ids.h
+++ b/dragonflylane/Ids.h
@@ -14,6 +14,10 @@
 using UpstreamId = StrongString<struct UpstreamIdTag>;
 using RouteName = StrongString<struct RouteNameTag>;
 using PlanId = StrongString<struct PlanIdTag>;
+/// A customer whose callers present API keys.
+using TenantName = StrongString<struct TenantNameTag>;
+/// Version of an upstream's software.
+using UpstreamVersion = StrongString<struct UpstreamVersionTag>;
 using OperatorName = StrongString<struct OperatorNameTag>;
 using RequestId = StrongString<struct RequestIdTag>;
 using IdempotencyKey = StrongString<struct IdempotencyKeyTag>;
--- a/dragonflylane/MemberRecord.h
+++ b/dragonflylane/MemberRecord.h
@@ -55,6 +55,8 @@
     Incarnation incarnation {};
     /// Set while the process is draining, and afterwards until the next process is announced.
     std::optional<UpstreamDeparture> departure {};
+    /// Empty if the upstream states none.
+    UpstreamVersion version {};
 
     bool operator==(const UpstreamRecord&) const = default;
 };
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -269,7 +269,8 @@
         .phase = phase,
         .slots = m_announcement->slots,
         .incarnation = m_incarnation,
-        .departure = m_departure };
+        .departure = m_departure,
+        .version = m_announcement->version };
 }
 
 // A departure stays in the membership records while this daemon shuts down, for its next process.
@@ -352,6 +353,10 @@
         .routeKey = static_cast<uint64_t>(call.request.routeKey),
         .priority = static_cast<uint32_t>(call.request.priority),
         .target = now + std::chrono::microseconds(call.request.targetMicroseconds) };
+    if (call.request.__isset.tenant) {
+        ticket.tenantKey = stableHash(call.request.tenant);
+        ticket.tenantPriority = static_cast<uint32_t>(std::max(call.request.tenantPriority, 0));
+    }
     if (call.request.maxWaitMicroseconds > 0)
         ticket.maxWait = std::chrono::microseconds(call.request.maxWaitMicroseconds);
     if (call.source == CallSource::Peer)
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -47,6 +47,8 @@
     Endpoint address;
     uint32_t slots { 0 };
     UpstreamPhase phase { UpstreamPhase::Ready };
+    /// Version of its software; empty if not stated.
+    UpstreamVersion version {};
     /// Identifies the process: differs after each restart of the upstream.
     std::string instance;
     /// Start of the process, in milliseconds of the upstream's wall clock; zero if not stated. An announcement of the
--- a/dragonflylane/PlanJson.cpp
+++ b/dragonflylane/PlanJson.cpp
@@ -157,6 +157,7 @@
         item.maxAttempts = static_cast<uint32_t>(reader.number("maxAttempts", 0, maxNumber));
         item.priority = static_cast<uint32_t>(reader.number("priority", 0, maxNumber));
         item.targetLatency = milliseconds(reader.number("targetLatencyMs", 0, maxNumber));
+        item.isPublic = reader.flag("public").value_or(false);
         return item;
     }
 
@@ -168,6 +169,7 @@
         item.maxBodyBytes = reader.number("maxBodyBytes", 0, maxNumber);
         item.headerTimeout = milliseconds(reader.number("headerTimeoutMs", 0, maxNumber));
         item.idleTimeout = milliseconds(reader.number("idleTimeoutMs", 0, maxNumber));
+        item.requiresApiKeys = reader.flag("requiresApiKeys").value_or(false);
         return item;
     }
 
@@ -337,6 +339,8 @@
                 object.emplace("priority", item.priority);
             if (item.targetLatency.count() > 0)
                 object.emplace("targetLatencyMs", item.targetLatency.count());
+            if (item.isPublic)
+                object.emplace("public", true);
             return { { "setRoute", std::move(object) } };
         }
 
@@ -359,10 +363,29 @@
 
         json::object operator()(const MeshPolicyItem& item) const
         {
-            return { { "setMeshPolicy",
-                json::object { { "openCalls", item.openCalls }, { "maxHeaderBytes", item.maxHeaderBytes },
-                    { "maxBodyBytes", item.maxBodyBytes }, { "headerTimeoutMs", item.headerTimeout.count() },
-                    { "idleTimeoutMs", item.idleTimeout.count() } } } };
+            json::object object { { "openCalls", item.openCalls }, { "maxHeaderBytes", item.maxHeaderBytes },
+                { "maxBodyBytes", item.maxBodyBytes }, { "headerTimeoutMs", item.headerTimeout.count() },
+                { "idleTimeoutMs", item.idleTimeout.count() } };
+            if (item.requiresApiKeys)
+                object.emplace("requiresApiKeys", true);
+            return { { "setMeshPolicy", std::move(object) } };
+        }
+
+        // The hashes of the keys tell an operator nothing, so only their number is rendered.
+        json::object operator()(const TenantItem& item) const
+        {
+            return { { "setTenant",
+                json::object { { "name", item.name.value() }, { "keys", item.keys.size() },
+                    { "priority", item.priority }, { "ratePerSecond", item.ratePerSecond },
+                    { "burst", item.burst } } } };
+        }
+
+        json::object operator()(const RolloutItem& item) const
+        {
+            return { { "setRollout",
+                json::object { { "service", item.service.value() }, { "targetVersion", item.target.value() },
+                    { "state", static_cast<int>(item.state) }, { "sharePermille", item.sharePermille },
+                    { "durationMs", item.duration.count() }, { "elapsedMs", item.elapsed.count() } } } };
         }
     };
 
@@ -383,6 +406,10 @@
         }
         case ItemKind::MeshPolicy:
             return { { "removeMeshPolicy", json::object() } };
+        case ItemKind::Tenant:
+            return { { "removeTenant", key.name } };
+        case ItemKind::Rollout:
+            return { { "removeRollout", key.name } };
         case ItemKind::KeeperView:
             break;
         }
--- a/dragonflylane/PlanReview.cpp
+++ b/dragonflylane/PlanReview.cpp
@@ -182,6 +182,8 @@
         ItemKey key = keyOfChange(change);
         if (key.kind == ItemKind::KeeperView)
             return reject(ResultCode::InvalidValue, "the keeper view cannot be changed by a plan", detail);
+        if (key.kind == ItemKind::Rollout)
+            return reject(ResultCode::InvalidValue, "a roll-out cannot be changed by a plan", detail);
         if (const auto* set = std::get_if<SetItem>(&change)) {
             if (std::error_code error = checkItem(set->item, detail))
                 return error;
--- a/dragonflylane/PlanStateMachine.cpp
+++ b/dragonflylane/PlanStateMachine.cpp
@@ -17,6 +17,11 @@
         return !name.isEmpty() && name.value().size() <= ItemLimits::nameLength;
     }
 
+    bool isDocumentKind(ItemKind kind)
+    {
+        return kind != ItemKind::KeeperView && kind != ItemKind::Drain && kind != ItemKind::Rollout;
+    }
+
     Digest documentDigest(std::string_view document)
     {
         constexpr uint64_t secondSeed = 1;
@@ -262,15 +267,15 @@
     return outcome;
 }
 
-// Drains and the keeper view are not part of a document and stay unchanged. Equal items are not inserted again, which
-// saves the computation of their digests.
+// Drains, the keeper view and roll-outs are not part of a document and stay unchanged. Equal items are not inserted
+// again, which saves the computation of their digests.
 std::error_code PlanStateMachine::replaceDocumentItems(
     const std::vector<ConfigItem>& items, ConfigState* next, std::string* detail) const
 {
     std::set<ItemKey> documentKeys;
     for (const ConfigItem& item : items) {
         ItemKey key = keyOf(item);
-        if (key.kind == ItemKind::KeeperView || key.kind == ItemKind::Drain || !documentKeys.insert(key).second) {
+        if (!isDocumentKind(key.kind) || !documentKeys.insert(key).second) {
             *detail = printableExcerpt(key.toString())
                 + " occurs twice in the document or has a kind that documents cannot contain";
             return ResultCode::InvalidValue;
@@ -281,8 +286,7 @@
     }
     std::vector<ItemKey> obsoleteKeys;
     for (const auto& [key, item] : next->items()) {
-        bool isDocumentItem = key.kind != ItemKind::KeeperView && key.kind != ItemKind::Drain;
-        if (isDocumentItem && !documentKeys.contains(key))
+        if (isDocumentKind(key.kind) && !documentKeys.contains(key))
             obsoleteKeys.push_back(key);
     }
     for (const ItemKey& key : obsoleteKeys)
--- a/dragonflylane/ResultCode.h
+++ b/dragonflylane/ResultCode.h
@@ -42,6 +42,8 @@
     CallerGone = 125,
     UpstreamRefused = 126,
     BodyMemoryFull = 127,
+    ApiKeyUnknown = 128,
+    AllotmentExceeded = 129,
 
     // A call may or may not have run.
     OwnerLost = 201,
@@ -76,6 +78,8 @@
     UnknownItem = 318,
     NotFound = 319,
     TooManyPlans = 320,
+    DuplicateApiKey = 321,
+    RolloutConflict = 322,
 
     // Settings and storage.
     SettingUnknown = 401,
--- a/dragonflylane/RoutingTable.cpp
+++ b/dragonflylane/RoutingTable.cpp
@@ -84,6 +84,18 @@
     return route.timeout.count() > 0 ? route.timeout : service(index).timeout;
 }
 
+const TenantEntry* RoutingTable::findTenant(const ApiKeyHash& key) const
+{
+    auto found = m_tables->tenantByKey.find(key);
+    return found == m_tables->tenantByKey.end() ? nullptr : &m_tables->tenants[found->second];
+}
+
+const RolloutItem* RoutingTable::rollout(const ServiceName& service) const
+{
+    auto found = m_tables->rollouts.find(service);
+    return found == m_tables->rollouts.end() ? nullptr : &found->second;
+}
+
 bool RoutingTable::mayCall(std::string_view caller, ServiceIndex callee) const
 {
     if (m_tables->policy.openCalls)
--- a/dragonflylane/RoutingTable.h
+++ b/dragonflylane/RoutingTable.h
@@ -19,6 +19,14 @@
 
 namespace dragonflylane {
 
+/// A tenant as the request path needs it. See TenantItem for the fields.
+struct TenantEntry {
+    TenantName name;
+    uint32_t priority { 0 };
+    double ratePerSecond { 0 };
+    double burst { 0 };
+};
+
 /// Index into the services of one routing table; not valid for another one.
 using ServiceIndex = uint32_t;
 
@@ -55,6 +63,7 @@
     uint32_t maxAttempts { 0 };
     uint32_t priority { 0 };
     std::chrono::milliseconds targetLatency { 0 };
+    bool isPublic { false };
 
     /// Methods are case-sensitive (RFC 9110).
     bool isIdempotent(std::string_view method) const;
@@ -91,6 +100,12 @@
     bool mayCall(std::string_view caller, ServiceIndex callee) const;
     /// Rules for the whole mesh; default values if the configuration has none.
     const MeshPolicyItem& policy() const { return m_tables->policy; }
+    /// The tenant that holds the API key, or null. O(1).
+    const TenantEntry* findTenant(const ApiKeyHash&) const;
+    /// All tenants, ordered by name.
+    const std::vector<TenantEntry>& tenants() const { return m_tables->tenants; }
+    /// The latest roll-out of a service, or null if it has none.
+    const RolloutItem* rollout(const ServiceName&) const;
 
 private:
     friend class RoutingTableBuilder;
@@ -114,6 +129,9 @@
         IndexByName serviceByName;
         /// Caller index in the upper, callee index in the lower 32 bits; `client` has the index after the last service.
         std::unordered_set<uint64_t> callRules;
+        std::vector<TenantEntry> tenants;
+        std::unordered_map<ApiKeyHash, uint32_t> tenantByKey;
+        std::unordered_map<ServiceName, RolloutItem> rollouts;
     };
 
     const RouteEntry* findRouteOfHost(std::string_view host, std::string_view path) const;
--- a/dragonflylane/RoutingTableBuilder.cpp
+++ b/dragonflylane/RoutingTableBuilder.cpp
@@ -165,7 +165,8 @@
             .idempotence = item->isIdempotent,
             .maxAttempts = item->maxAttempts,
             .priority = item->priority,
-            .targetLatency = item->targetLatency };
+            .targetLatency = item->targetLatency,
+            .isPublic = item->isPublic };
         for (const SplitPart& part : item->split) {
             route.split.push_back({ tables->serviceByName.at(part.service.value()), part.weight });
             route.totalWeight += part.weight;
@@ -179,6 +180,13 @@
         uint64_t callerIndex = caller == tables->serviceByName.end() ? client : caller->second;
         tables->callRules.insert((callerIndex << calleeIndexBits) | tables->serviceByName.at(rule->callee.value()));
     }
+    for (const TenantItem* item : m_state.all<TenantItem>()) {
+        for (const ApiKeyHash& key : item->keys)
+            tables->tenantByKey.emplace(key, static_cast<uint32_t>(tables->tenants.size()));
+        tables->tenants.push_back({ item->name, item->priority, item->ratePerSecond, item->burst });
+    }
+    for (const RolloutItem* item : m_state.all<RolloutItem>())
+        tables->rollouts.emplace(item->service, *item);
     return tables;
 }
 
--- a/dragonflylane/RoutingTableTask.cpp
+++ b/dragonflylane/RoutingTableTask.cpp
@@ -17,7 +17,8 @@
         .dataCentre = record.dataCentre,
         .incarnation = upstream.incarnation,
         .slots = upstream.slots,
-        .phase = upstream.phase };
+        .phase = upstream.phase,
+        .version = upstream.version };
 }
 
 RoutingTableTask::RoutingTableTask(boost::asio::io_context& context, Published published, Conflict conflict)
--- a/dragonflylane/UpstreamEntry.h
+++ b/dragonflylane/UpstreamEntry.h
@@ -18,6 +18,8 @@
     Incarnation incarnation;
     uint32_t slots { 0 };
     UpstreamPhase phase { UpstreamPhase::Cold };
+    /// Empty if the upstream states none.
+    UpstreamVersion version {};
 
     bool operator==(const UpstreamEntry&) const = default;
     bool acceptsRequests() const { return phase == UpstreamPhase::Cold || phase == UpstreamPhase::Ready; }
--- a/gen-cpp/config_types.cpp
+++ b/gen-cpp/config_types.cpp
@@ -349,6 +349,11 @@
 void ConfigRoute::__set_targetLatencyMilliseconds(const int32_t val) {
   this->targetLatencyMilliseconds = val;
 }
+
+void ConfigRoute::__set_isPublic(const bool val) {
+  this->isPublic = val;
+__isset.isPublic = true;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigRoute& obj)
 {
   obj.printTo(out);
@@ -481,6 +486,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isPublic);
+          this->__isset.isPublic = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -556,6 +569,11 @@
   xfer += oprot->writeI32(this->targetLatencyMilliseconds);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.isPublic) {
+    xfer += oprot->writeFieldBegin("isPublic", ::apache::thrift::protocol::T_BOOL, 11);
+    xfer += oprot->writeBool(this->isPublic);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -573,6 +591,7 @@
   swap(a.maxAttempts, b.maxAttempts);
   swap(a.priority, b.priority);
   swap(a.targetLatencyMilliseconds, b.targetLatencyMilliseconds);
+  swap(a.isPublic, b.isPublic);
   swap(a.__isset, b.__isset);
 }
 
@@ -587,6 +606,7 @@
   maxAttempts = other20.maxAttempts;
   priority = other20.priority;
   targetLatencyMilliseconds = other20.targetLatencyMilliseconds;
+  isPublic = other20.isPublic;
   __isset = other20.__isset;
 }
 ConfigRoute::ConfigRoute(ConfigRoute&& other21) noexcept {
@@ -600,6 +620,7 @@
   maxAttempts = other21.maxAttempts;
   priority = other21.priority;
   targetLatencyMilliseconds = other21.targetLatencyMilliseconds;
+  isPublic = other21.isPublic;
   __isset = other21.__isset;
 }
 ConfigRoute& ConfigRoute::operator=(const ConfigRoute& other22) {
@@ -613,6 +634,7 @@
   maxAttempts = other22.maxAttempts;
   priority = other22.priority;
   targetLatencyMilliseconds = other22.targetLatencyMilliseconds;
+  isPublic = other22.isPublic;
   __isset = other22.__isset;
   return *this;
 }
@@ -627,6 +649,7 @@
   maxAttempts = other23.maxAttempts;
   priority = other23.priority;
   targetLatencyMilliseconds = other23.targetLatencyMilliseconds;
+  isPublic = other23.isPublic;
   __isset = other23.__isset;
   return *this;
 }
@@ -643,6 +666,7 @@
   out << ", " << "maxAttempts=" << to_string(maxAttempts);
   out << ", " << "priority=" << to_string(priority);
   out << ", " << "targetLatencyMilliseconds=" << to_string(targetLatencyMilliseconds);
+  out << ", " << "isPublic="; (__isset.isPublic ? (out << to_string(isPublic)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1059,6 +1083,11 @@
 void ConfigMeshPolicy::__set_idleTimeoutMilliseconds(const int32_t val) {
   this->idleTimeoutMilliseconds = val;
 }
+
+void ConfigMeshPolicy::__set_requiresApiKeys(const bool val) {
+  this->requiresApiKeys = val;
+__isset.requiresApiKeys = true;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigMeshPolicy& obj)
 {
   obj.printTo(out);
@@ -1127,6 +1156,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->requiresApiKeys);
+          this->__isset.requiresApiKeys = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1164,6 +1201,11 @@
   xfer += oprot->writeI32(this->idleTimeoutMilliseconds);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.requiresApiKeys) {
+    xfer += oprot->writeFieldBegin("requiresApiKeys", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->requiresApiKeys);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1176,6 +1218,7 @@
   swap(a.maxBodyBytes, b.maxBodyBytes);
   swap(a.headerTimeoutMilliseconds, b.headerTimeoutMilliseconds);
   swap(a.idleTimeoutMilliseconds, b.idleTimeoutMilliseconds);
+  swap(a.requiresApiKeys, b.requiresApiKeys);
   swap(a.__isset, b.__isset);
 }
 
@@ -1185,6 +1228,7 @@
   maxBodyBytes = other42.maxBodyBytes;
   headerTimeoutMilliseconds = other42.headerTimeoutMilliseconds;
   idleTimeoutMilliseconds = other42.idleTimeoutMilliseconds;
+  requiresApiKeys = other42.requiresApiKeys;
   __isset = other42.__isset;
 }
 ConfigMeshPolicy::ConfigMeshPolicy(ConfigMeshPolicy&& other43) noexcept {
@@ -1193,6 +1237,7 @@
   maxBodyBytes = other43.maxBodyBytes;
   headerTimeoutMilliseconds = other43.headerTimeoutMilliseconds;
   idleTimeoutMilliseconds = other43.idleTimeoutMilliseconds;
+  requiresApiKeys = other43.requiresApiKeys;
   __isset = other43.__isset;
 }
 ConfigMeshPolicy& ConfigMeshPolicy::operator=(const ConfigMeshPolicy& other44) noexcept {
@@ -1201,6 +1246,7 @@
   maxBodyBytes = other44.maxBodyBytes;
   headerTimeoutMilliseconds = other44.headerTimeoutMilliseconds;
   idleTimeoutMilliseconds = other44.idleTimeoutMilliseconds;
+  requiresApiKeys = other44.requiresApiKeys;
   __isset = other44.__isset;
   return *this;
 }
@@ -1210,6 +1256,7 @@
   maxBodyBytes = other45.maxBodyBytes;
   headerTimeoutMilliseconds = other45.headerTimeoutMilliseconds;
   idleTimeoutMilliseconds = other45.idleTimeoutMilliseconds;
+  requiresApiKeys = other45.requiresApiKeys;
   __isset = other45.__isset;
   return *this;
 }
@@ -1221,6 +1268,427 @@
   out << ", " << "maxBodyBytes=" << to_string(maxBodyBytes);
   out << ", " << "headerTimeoutMilliseconds=" << to_string(headerTimeoutMilliseconds);
   out << ", " << "idleTimeoutMilliseconds=" << to_string(idleTimeoutMilliseconds);
+  out << ", " << "requiresApiKeys="; (__isset.requiresApiKeys ? (out << to_string(requiresApiKeys)) : (out << "<null>"));
+  out << ")";
+}
+
+
+ConfigTenant::~ConfigTenant() noexcept {
+}
+
+
+void ConfigTenant::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void ConfigTenant::__set_keyHashes(const std::vector<std::string> & val) {
+  this->keyHashes = val;
+}
+
+void ConfigTenant::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void ConfigTenant::__set_ratePerSecond(const double val) {
+  this->ratePerSecond = val;
+}
+
+void ConfigTenant::__set_burst(const double val) {
+  this->burst = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigTenant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigTenant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->keyHashes.clear();
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->keyHashes.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
+            {
+              xfer += iprot->readBinary(this->keyHashes[_i50]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.keyHashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->ratePerSecond);
+          this->__isset.ratePerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->burst);
+          this->__isset.burst = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigTenant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigTenant");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("keyHashes", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->keyHashes.size()));
+    std::vector<std::string> ::const_iterator _iter51;
+    for (_iter51 = this->keyHashes.begin(); _iter51 != this->keyHashes.end(); ++_iter51)
+    {
+      xfer += oprot->writeBinary((*_iter51));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ratePerSecond", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->ratePerSecond);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("burst", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->burst);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigTenant &a, ConfigTenant &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.keyHashes, b.keyHashes);
+  swap(a.priority, b.priority);
+  swap(a.ratePerSecond, b.ratePerSecond);
+  swap(a.burst, b.burst);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigTenant::ConfigTenant(const ConfigTenant& other52) {
+  name = other52.name;
+  keyHashes = other52.keyHashes;
+  priority = other52.priority;
+  ratePerSecond = other52.ratePerSecond;
+  burst = other52.burst;
+  __isset = other52.__isset;
+}
+ConfigTenant::ConfigTenant(ConfigTenant&& other53) noexcept {
+  name = std::move(other53.name);
+  keyHashes = std::move(other53.keyHashes);
+  priority = other53.priority;
+  ratePerSecond = other53.ratePerSecond;
+  burst = other53.burst;
+  __isset = other53.__isset;
+}
+ConfigTenant& ConfigTenant::operator=(const ConfigTenant& other54) {
+  name = other54.name;
+  keyHashes = other54.keyHashes;
+  priority = other54.priority;
+  ratePerSecond = other54.ratePerSecond;
+  burst = other54.burst;
+  __isset = other54.__isset;
+  return *this;
+}
+ConfigTenant& ConfigTenant::operator=(ConfigTenant&& other55) noexcept {
+  name = std::move(other55.name);
+  keyHashes = std::move(other55.keyHashes);
+  priority = other55.priority;
+  ratePerSecond = other55.ratePerSecond;
+  burst = other55.burst;
+  __isset = other55.__isset;
+  return *this;
+}
+void ConfigTenant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigTenant(";
+  out << "name=" << to_string(name);
+  out << ", " << "keyHashes=" << to_string(keyHashes);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "ratePerSecond=" << to_string(ratePerSecond);
+  out << ", " << "burst=" << to_string(burst);
+  out << ")";
+}
+
+
+ConfigRollout::~ConfigRollout() noexcept {
+}
+
+
+void ConfigRollout::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void ConfigRollout::__set_targetVersion(const std::string& val) {
+  this->targetVersion = val;
+}
+
+void ConfigRollout::__set_state(const int32_t val) {
+  this->state = val;
+}
+
+void ConfigRollout::__set_sharePermille(const int32_t val) {
+  this->sharePermille = val;
+}
+
+void ConfigRollout::__set_duration(const int64_t val) {
+  this->duration = val;
+}
+
+void ConfigRollout::__set_elapsed(const int64_t val) {
+  this->elapsed = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigRollout& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigRollout::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->targetVersion);
+          this->__isset.targetVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sharePermille);
+          this->__isset.sharePermille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->duration);
+          this->__isset.duration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->elapsed);
+          this->__isset.elapsed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigRollout::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigRollout");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetVersion", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->targetVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sharePermille", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->sharePermille);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("duration", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->duration);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("elapsed", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->elapsed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigRollout &a, ConfigRollout &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.targetVersion, b.targetVersion);
+  swap(a.state, b.state);
+  swap(a.sharePermille, b.sharePermille);
+  swap(a.duration, b.duration);
+  swap(a.elapsed, b.elapsed);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigRollout::ConfigRollout(const ConfigRollout& other56) {
+  serviceName = other56.serviceName;
+  targetVersion = other56.targetVersion;
+  state = other56.state;
+  sharePermille = other56.sharePermille;
+  duration = other56.duration;
+  elapsed = other56.elapsed;
+  __isset = other56.__isset;
+}
+ConfigRollout::ConfigRollout(ConfigRollout&& other57) noexcept {
+  serviceName = std::move(other57.serviceName);
+  targetVersion = std::move(other57.targetVersion);
+  state = other57.state;
+  sharePermille = other57.sharePermille;
+  duration = other57.duration;
+  elapsed = other57.elapsed;
+  __isset = other57.__isset;
+}
+ConfigRollout& ConfigRollout::operator=(const ConfigRollout& other58) {
+  serviceName = other58.serviceName;
+  targetVersion = other58.targetVersion;
+  state = other58.state;
+  sharePermille = other58.sharePermille;
+  duration = other58.duration;
+  elapsed = other58.elapsed;
+  __isset = other58.__isset;
+  return *this;
+}
+ConfigRollout& ConfigRollout::operator=(ConfigRollout&& other59) noexcept {
+  serviceName = std::move(other59.serviceName);
+  targetVersion = std::move(other59.targetVersion);
+  state = other59.state;
+  sharePermille = other59.sharePermille;
+  duration = other59.duration;
+  elapsed = other59.elapsed;
+  __isset = other59.__isset;
+  return *this;
+}
+void ConfigRollout::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigRollout(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "targetVersion=" << to_string(targetVersion);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "sharePermille=" << to_string(sharePermille);
+  out << ", " << "duration=" << to_string(duration);
+  out << ", " << "elapsed=" << to_string(elapsed);
   out << ")";
 }
 
@@ -1258,6 +1726,16 @@
   this->meshPolicy = val;
 __isset.meshPolicy = true;
 }
+
+void ConfigItems::__set_tenants(const std::vector<ConfigTenant> & val) {
+  this->tenants = val;
+__isset.tenants = true;
+}
+
+void ConfigItems::__set_rollouts(const std::vector<ConfigRollout> & val) {
+  this->rollouts = val;
+__isset.rollouts = true;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigItems& obj)
 {
   obj.printTo(out);
@@ -1290,14 +1768,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->services.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->services.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->services[_i50].read(iprot);
+              xfer += this->services[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1310,14 +1788,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->routes.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->routes.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->routes.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
             {
-              xfer += this->routes[_i55].read(iprot);
+              xfer += this->routes[_i69].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1330,14 +1808,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->callRules.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->callRules.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->callRules.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += this->callRules[_i60].read(iprot);
+              xfer += this->callRules[_i74].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1350,14 +1828,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->drains.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->drains.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->drains.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
             {
-              xfer += iprot->readString(this->drains[_i65]);
+              xfer += iprot->readString(this->drains[_i79]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1382,6 +1860,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tenants.clear();
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->tenants.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
+            {
+              xfer += this->tenants[_i84].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tenants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rollouts.clear();
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->rollouts.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
+            {
+              xfer += this->rollouts[_i89].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rollouts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1403,10 +1921,10 @@
     xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 1);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-      std::vector<ConfigService> ::const_iterator _iter66;
-      for (_iter66 = this->services.begin(); _iter66 != this->services.end(); ++_iter66)
+      std::vector<ConfigService> ::const_iterator _iter90;
+      for (_iter90 = this->services.begin(); _iter90 != this->services.end(); ++_iter90)
       {
-        xfer += (*_iter66).write(oprot);
+        xfer += (*_iter90).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1416,10 +1934,10 @@
     xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
-      std::vector<ConfigRoute> ::const_iterator _iter67;
-      for (_iter67 = this->routes.begin(); _iter67 != this->routes.end(); ++_iter67)
+      std::vector<ConfigRoute> ::const_iterator _iter91;
+      for (_iter91 = this->routes.begin(); _iter91 != this->routes.end(); ++_iter91)
       {
-        xfer += (*_iter67).write(oprot);
+        xfer += (*_iter91).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1429,10 +1947,10 @@
     xfer += oprot->writeFieldBegin("callRules", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->callRules.size()));
-      std::vector<ConfigCallRule> ::const_iterator _iter68;
-      for (_iter68 = this->callRules.begin(); _iter68 != this->callRules.end(); ++_iter68)
+      std::vector<ConfigCallRule> ::const_iterator _iter92;
+      for (_iter92 = this->callRules.begin(); _iter92 != this->callRules.end(); ++_iter92)
       {
-        xfer += (*_iter68).write(oprot);
+        xfer += (*_iter92).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1442,10 +1960,10 @@
     xfer += oprot->writeFieldBegin("drains", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->drains.size()));
-      std::vector<std::string> ::const_iterator _iter69;
-      for (_iter69 = this->drains.begin(); _iter69 != this->drains.end(); ++_iter69)
+      std::vector<std::string> ::const_iterator _iter93;
+      for (_iter93 = this->drains.begin(); _iter93 != this->drains.end(); ++_iter93)
       {
-        xfer += oprot->writeString((*_iter69));
+        xfer += oprot->writeString((*_iter93));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1461,6 +1979,32 @@
     xfer += this->meshPolicy.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.tenants) {
+    xfer += oprot->writeFieldBegin("tenants", ::apache::thrift::protocol::T_LIST, 7);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tenants.size()));
+      std::vector<ConfigTenant> ::const_iterator _iter94;
+      for (_iter94 = this->tenants.begin(); _iter94 != this->tenants.end(); ++_iter94)
+      {
+        xfer += (*_iter94).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rollouts) {
+    xfer += oprot->writeFieldBegin("rollouts", ::apache::thrift::protocol::T_LIST, 8);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rollouts.size()));
+      std::vector<ConfigRollout> ::const_iterator _iter95;
+      for (_iter95 = this->rollouts.begin(); _iter95 != this->rollouts.end(); ++_iter95)
+      {
+        xfer += (*_iter95).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1474,45 +2018,55 @@
   swap(a.drains, b.drains);
   swap(a.keeperView, b.keeperView);
   swap(a.meshPolicy, b.meshPolicy);
+  swap(a.tenants, b.tenants);
+  swap(a.rollouts, b.rollouts);
   swap(a.__isset, b.__isset);
 }
 
-ConfigItems::ConfigItems(const ConfigItems& other70) {
-  services = other70.services;
-  routes = other70.routes;
-  callRules = other70.callRules;
-  drains = other70.drains;
-  keeperView = other70.keeperView;
-  meshPolicy = other70.meshPolicy;
-  __isset = other70.__isset;
-}
-ConfigItems::ConfigItems(ConfigItems&& other71) noexcept {
-  services = std::move(other71.services);
-  routes = std::move(other71.routes);
-  callRules = std::move(other71.callRules);
-  drains = std::move(other71.drains);
-  keeperView = std::move(other71.keeperView);
-  meshPolicy = std::move(other71.meshPolicy);
-  __isset = other71.__isset;
-}
-ConfigItems& ConfigItems::operator=(const ConfigItems& other72) {
-  services = other72.services;
-  routes = other72.routes;
-  callRules = other72.callRules;
-  drains = other72.drains;
-  keeperView = other72.keeperView;
-  meshPolicy = other72.meshPolicy;
-  __isset = other72.__isset;
+ConfigItems::ConfigItems(const ConfigItems& other96) {
+  services = other96.services;
+  routes = other96.routes;
+  callRules = other96.callRules;
+  drains = other96.drains;
+  keeperView = other96.keeperView;
+  meshPolicy = other96.meshPolicy;
+  tenants = other96.tenants;
+  rollouts = other96.rollouts;
+  __isset = other96.__isset;
+}
+ConfigItems::ConfigItems(ConfigItems&& other97) noexcept {
+  services = std::move(other97.services);
+  routes = std::move(other97.routes);
+  callRules = std::move(other97.callRules);
+  drains = std::move(other97.drains);
+  keeperView = std::move(other97.keeperView);
+  meshPolicy = std::move(other97.meshPolicy);
+  tenants = std::move(other97.tenants);
+  rollouts = std::move(other97.rollouts);
+  __isset = other97.__isset;
+}
+ConfigItems& ConfigItems::operator=(const ConfigItems& other98) {
+  services = other98.services;
+  routes = other98.routes;
+  callRules = other98.callRules;
+  drains = other98.drains;
+  keeperView = other98.keeperView;
+  meshPolicy = other98.meshPolicy;
+  tenants = other98.tenants;
+  rollouts = other98.rollouts;
+  __isset = other98.__isset;
   return *this;
 }
-ConfigItems& ConfigItems::operator=(ConfigItems&& other73) noexcept {
-  services = std::move(other73.services);
-  routes = std::move(other73.routes);
-  callRules = std::move(other73.callRules);
-  drains = std::move(other73.drains);
-  keeperView = std::move(other73.keeperView);
-  meshPolicy = std::move(other73.meshPolicy);
-  __isset = other73.__isset;
+ConfigItems& ConfigItems::operator=(ConfigItems&& other99) noexcept {
+  services = std::move(other99.services);
+  routes = std::move(other99.routes);
+  callRules = std::move(other99.callRules);
+  drains = std::move(other99.drains);
+  keeperView = std::move(other99.keeperView);
+  meshPolicy = std::move(other99.meshPolicy);
+  tenants = std::move(other99.tenants);
+  rollouts = std::move(other99.rollouts);
+  __isset = other99.__isset;
   return *this;
 }
 void ConfigItems::printTo(std::ostream& out) const {
@@ -1524,6 +2078,8 @@
   out << ", " << "drains="; (__isset.drains ? (out << to_string(drains)) : (out << "<null>"));
   out << ", " << "keeperView="; (__isset.keeperView ? (out << to_string(keeperView)) : (out << "<null>"));
   out << ", " << "meshPolicy="; (__isset.meshPolicy ? (out << to_string(meshPolicy)) : (out << "<null>"));
+  out << ", " << "tenants="; (__isset.tenants ? (out << to_string(tenants)) : (out << "<null>"));
+  out << ", " << "rollouts="; (__isset.rollouts ? (out << to_string(rollouts)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1620,26 +2176,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigItemKey::ConfigItemKey(const ConfigItemKey& other74) {
-  kind = other74.kind;
-  name = other74.name;
-  __isset = other74.__isset;
+ConfigItemKey::ConfigItemKey(const ConfigItemKey& other100) {
+  kind = other100.kind;
+  name = other100.name;
+  __isset = other100.__isset;
 }
-ConfigItemKey::ConfigItemKey(ConfigItemKey&& other75) noexcept {
-  kind = other75.kind;
-  name = std::move(other75.name);
-  __isset = other75.__isset;
+ConfigItemKey::ConfigItemKey(ConfigItemKey&& other101) noexcept {
+  kind = other101.kind;
+  name = std::move(other101.name);
+  __isset = other101.__isset;
 }
-ConfigItemKey& ConfigItemKey::operator=(const ConfigItemKey& other76) {
-  kind = other76.kind;
-  name = other76.name;
-  __isset = other76.__isset;
+ConfigItemKey& ConfigItemKey::operator=(const ConfigItemKey& other102) {
+  kind = other102.kind;
+  name = other102.name;
+  __isset = other102.__isset;
   return *this;
 }
-ConfigItemKey& ConfigItemKey::operator=(ConfigItemKey&& other77) noexcept {
-  kind = other77.kind;
-  name = std::move(other77.name);
-  __isset = other77.__isset;
+ConfigItemKey& ConfigItemKey::operator=(ConfigItemKey&& other103) noexcept {
+  kind = other103.kind;
+  name = std::move(other103.name);
+  __isset = other103.__isset;
   return *this;
 }
 void ConfigItemKey::printTo(std::ostream& out) const {
@@ -1751,14 +2307,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removals.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->removals.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->removals.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->removals[_i82].read(iprot);
+              xfer += this->removals[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1808,10 +2364,10 @@
     xfer += oprot->writeFieldBegin("removals", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->removals.size()));
-      std::vector<ConfigItemKey> ::const_iterator _iter83;
-      for (_iter83 = this->removals.begin(); _iter83 != this->removals.end(); ++_iter83)
+      std::vector<ConfigItemKey> ::const_iterator _iter109;
+      for (_iter109 = this->removals.begin(); _iter109 != this->removals.end(); ++_iter109)
       {
-        xfer += (*_iter83).write(oprot);
+        xfer += (*_iter109).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1833,42 +2389,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigDelta::ConfigDelta(const ConfigDelta& other84) {
-  fromRevision = other84.fromRevision;
-  fromDigest = other84.fromDigest;
-  toRevision = other84.toRevision;
-  toDigest = other84.toDigest;
-  upserts = other84.upserts;
-  removals = other84.removals;
-  __isset = other84.__isset;
-}
-ConfigDelta::ConfigDelta(ConfigDelta&& other85) noexcept {
-  fromRevision = other85.fromRevision;
-  fromDigest = std::move(other85.fromDigest);
-  toRevision = other85.toRevision;
-  toDigest = std::move(other85.toDigest);
-  upserts = std::move(other85.upserts);
-  removals = std::move(other85.removals);
-  __isset = other85.__isset;
-}
-ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other86) {
-  fromRevision = other86.fromRevision;
-  fromDigest = other86.fromDigest;
-  toRevision = other86.toRevision;
-  toDigest = other86.toDigest;
-  upserts = other86.upserts;
-  removals = other86.removals;
-  __isset = other86.__isset;
+ConfigDelta::ConfigDelta(const ConfigDelta& other110) {
+  fromRevision = other110.fromRevision;
+  fromDigest = other110.fromDigest;
+  toRevision = other110.toRevision;
+  toDigest = other110.toDigest;
+  upserts = other110.upserts;
+  removals = other110.removals;
+  __isset = other110.__isset;
+}
+ConfigDelta::ConfigDelta(ConfigDelta&& other111) noexcept {
+  fromRevision = other111.fromRevision;
+  fromDigest = std::move(other111.fromDigest);
+  toRevision = other111.toRevision;
+  toDigest = std::move(other111.toDigest);
+  upserts = std::move(other111.upserts);
+  removals = std::move(other111.removals);
+  __isset = other111.__isset;
+}
+ConfigDelta& ConfigDelta::operator=(const ConfigDelta& other112) {
+  fromRevision = other112.fromRevision;
+  fromDigest = other112.fromDigest;
+  toRevision = other112.toRevision;
+  toDigest = other112.toDigest;
+  upserts = other112.upserts;
+  removals = other112.removals;
+  __isset = other112.__isset;
   return *this;
 }
-ConfigDelta& ConfigDelta::operator=(ConfigDelta&& other87) noexcept {
-  fromRevision = other87.fromRevision;
-  fromDigest = std::move(other87.fromDigest);
-  toRevision = other87.toRevision;
-  toDigest = std::move(other87.toDigest);
-  upserts = std::move(other87.upserts);
-  removals = std::move(other87.removals);
-  __isset = other87.__isset;
+ConfigDelta& ConfigDelta::operator=(ConfigDelta&& other113) noexcept {
+  fromRevision = other113.fromRevision;
+  fromDigest = std::move(other113.fromDigest);
+  toRevision = other113.toRevision;
+  toDigest = std::move(other113.toDigest);
+  upserts = std::move(other113.upserts);
+  removals = std::move(other113.removals);
+  __isset = other113.__isset;
   return *this;
 }
 void ConfigDelta::printTo(std::ostream& out) const {
@@ -1993,30 +2549,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigSnapshot::ConfigSnapshot(const ConfigSnapshot& other88) {
-  revision = other88.revision;
-  digest = other88.digest;
-  items = other88.items;
-  __isset = other88.__isset;
+ConfigSnapshot::ConfigSnapshot(const ConfigSnapshot& other114) {
+  revision = other114.revision;
+  digest = other114.digest;
+  items = other114.items;
+  __isset = other114.__isset;
 }
-ConfigSnapshot::ConfigSnapshot(ConfigSnapshot&& other89) noexcept {
-  revision = other89.revision;
-  digest = std::move(other89.digest);
-  items = std::move(other89.items);
-  __isset = other89.__isset;
+ConfigSnapshot::ConfigSnapshot(ConfigSnapshot&& other115) noexcept {
+  revision = other115.revision;
+  digest = std::move(other115.digest);
+  items = std::move(other115.items);
+  __isset = other115.__isset;
 }
-ConfigSnapshot& ConfigSnapshot::operator=(const ConfigSnapshot& other90) {
-  revision = other90.revision;
-  digest = other90.digest;
-  items = other90.items;
-  __isset = other90.__isset;
+ConfigSnapshot& ConfigSnapshot::operator=(const ConfigSnapshot& other116) {
+  revision = other116.revision;
+  digest = other116.digest;
+  items = other116.items;
+  __isset = other116.__isset;
   return *this;
 }
-ConfigSnapshot& ConfigSnapshot::operator=(ConfigSnapshot&& other91) noexcept {
-  revision = other91.revision;
-  digest = std::move(other91.digest);
-  items = std::move(other91.items);
-  __isset = other91.__isset;
+ConfigSnapshot& ConfigSnapshot::operator=(ConfigSnapshot&& other117) noexcept {
+  revision = other117.revision;
+  digest = std::move(other117.digest);
+  items = std::move(other117.items);
+  __isset = other117.__isset;
   return *this;
 }
 void ConfigSnapshot::printTo(std::ostream& out) const {
@@ -2195,42 +2751,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPayload::ConfigPayload(const ConfigPayload& other92) {
-  kind = other92.kind;
-  revision = other92.revision;
-  digest = other92.digest;
-  delta = other92.delta;
-  snapshot = other92.snapshot;
-  compressedDelta = other92.compressedDelta;
-  __isset = other92.__isset;
-}
-ConfigPayload::ConfigPayload(ConfigPayload&& other93) noexcept {
-  kind = other93.kind;
-  revision = other93.revision;
-  digest = std::move(other93.digest);
-  delta = std::move(other93.delta);
-  snapshot = std::move(other93.snapshot);
-  compressedDelta = std::move(other93.compressedDelta);
-  __isset = other93.__isset;
-}
-ConfigPayload& ConfigPayload::operator=(const ConfigPayload& other94) {
-  kind = other94.kind;
-  revision = other94.revision;
-  digest = other94.digest;
-  delta = other94.delta;
-  snapshot = other94.snapshot;
-  compressedDelta = other94.compressedDelta;
-  __isset = other94.__isset;
+ConfigPayload::ConfigPayload(const ConfigPayload& other118) {
+  kind = other118.kind;
+  revision = other118.revision;
+  digest = other118.digest;
+  delta = other118.delta;
+  snapshot = other118.snapshot;
+  compressedDelta = other118.compressedDelta;
+  __isset = other118.__isset;
+}
+ConfigPayload::ConfigPayload(ConfigPayload&& other119) noexcept {
+  kind = other119.kind;
+  revision = other119.revision;
+  digest = std::move(other119.digest);
+  delta = std::move(other119.delta);
+  snapshot = std::move(other119.snapshot);
+  compressedDelta = std::move(other119.compressedDelta);
+  __isset = other119.__isset;
+}
+ConfigPayload& ConfigPayload::operator=(const ConfigPayload& other120) {
+  kind = other120.kind;
+  revision = other120.revision;
+  digest = other120.digest;
+  delta = other120.delta;
+  snapshot = other120.snapshot;
+  compressedDelta = other120.compressedDelta;
+  __isset = other120.__isset;
   return *this;
 }
-ConfigPayload& ConfigPayload::operator=(ConfigPayload&& other95) noexcept {
-  kind = other95.kind;
-  revision = other95.revision;
-  digest = std::move(other95.digest);
-  delta = std::move(other95.delta);
-  snapshot = std::move(other95.snapshot);
-  compressedDelta = std::move(other95.compressedDelta);
-  __isset = other95.__isset;
+ConfigPayload& ConfigPayload::operator=(ConfigPayload&& other121) noexcept {
+  kind = other121.kind;
+  revision = other121.revision;
+  digest = std::move(other121.digest);
+  delta = std::move(other121.delta);
+  snapshot = std::move(other121.snapshot);
+  compressedDelta = std::move(other121.compressedDelta);
+  __isset = other121.__isset;
   return *this;
 }
 void ConfigPayload::printTo(std::ostream& out) const {
--- a/gen-cpp/config_types.h
+++ b/gen-cpp/config_types.h
@@ -35,6 +35,10 @@
 
 class ConfigMeshPolicy;
 
+class ConfigTenant;
+
+class ConfigRollout;
+
 class ConfigItems;
 
 class ConfigItemKey;
@@ -164,7 +168,7 @@
 std::ostream& operator<<(std::ostream& out, const ConfigSplitPart& obj);
 
 typedef struct _ConfigRoute__isset {
-  _ConfigRoute__isset() : name(false), pathPrefix(false), split(false), timeoutMilliseconds(false), idempotentMethods(false), host(false), idempotent(false), maxAttempts(false), priority(false), targetLatencyMilliseconds(false) {}
+  _ConfigRoute__isset() : name(false), pathPrefix(false), split(false), timeoutMilliseconds(false), idempotentMethods(false), host(false), idempotent(false), maxAttempts(false), priority(false), targetLatencyMilliseconds(false), isPublic(false) {}
   bool name :1;
   bool pathPrefix :1;
   bool split :1;
@@ -175,6 +179,7 @@
   bool maxAttempts :1;
   bool priority :1;
   bool targetLatencyMilliseconds :1;
+  bool isPublic :1;
 } _ConfigRoute__isset;
 
 class ConfigRoute : public virtual ::apache::thrift::TBase {
@@ -192,7 +197,8 @@
                 idempotent(0),
                 maxAttempts(0),
                 priority(0),
-                targetLatencyMilliseconds(0) {
+                targetLatencyMilliseconds(0),
+                isPublic(0) {
   }
 
   virtual ~ConfigRoute() noexcept;
@@ -206,6 +212,7 @@
   int32_t maxAttempts;
   int32_t priority;
   int32_t targetLatencyMilliseconds;
+  bool isPublic;
 
   _ConfigRoute__isset __isset;
 
@@ -229,6 +236,8 @@
 
   void __set_targetLatencyMilliseconds(const int32_t val);
 
+  void __set_isPublic(const bool val);
+
   bool operator == (const ConfigRoute & rhs) const
   {
     if (!(name == rhs.name))
@@ -255,6 +264,10 @@
       return false;
     if (!(targetLatencyMilliseconds == rhs.targetLatencyMilliseconds))
       return false;
+    if (__isset.isPublic != rhs.__isset.isPublic)
+      return false;
+    else if (__isset.isPublic && !(isPublic == rhs.isPublic))
+      return false;
     return true;
   }
   bool operator != (const ConfigRoute &rhs) const {
@@ -429,12 +442,13 @@
 std::ostream& operator<<(std::ostream& out, const ConfigKeeperView& obj);
 
 typedef struct _ConfigMeshPolicy__isset {
-  _ConfigMeshPolicy__isset() : openCalls(false), maxHeaderBytes(false), maxBodyBytes(false), headerTimeoutMilliseconds(false), idleTimeoutMilliseconds(false) {}
+  _ConfigMeshPolicy__isset() : openCalls(false), maxHeaderBytes(false), maxBodyBytes(false), headerTimeoutMilliseconds(false), idleTimeoutMilliseconds(false), requiresApiKeys(false) {}
   bool openCalls :1;
   bool maxHeaderBytes :1;
   bool maxBodyBytes :1;
   bool headerTimeoutMilliseconds :1;
   bool idleTimeoutMilliseconds :1;
+  bool requiresApiKeys :1;
 } _ConfigMeshPolicy__isset;
 
 class ConfigMeshPolicy : public virtual ::apache::thrift::TBase {
@@ -449,7 +463,8 @@
                      maxHeaderBytes(0),
                      maxBodyBytes(0),
                      headerTimeoutMilliseconds(0),
-                     idleTimeoutMilliseconds(0) {
+                     idleTimeoutMilliseconds(0),
+                     requiresApiKeys(0) {
   }
 
   virtual ~ConfigMeshPolicy() noexcept;
@@ -458,6 +473,7 @@
   int64_t maxBodyBytes;
   int32_t headerTimeoutMilliseconds;
   int32_t idleTimeoutMilliseconds;
+  bool requiresApiKeys;
 
   _ConfigMeshPolicy__isset __isset;
 
@@ -471,6 +487,8 @@
 
   void __set_idleTimeoutMilliseconds(const int32_t val);
 
+  void __set_requiresApiKeys(const bool val);
+
   bool operator == (const ConfigMeshPolicy & rhs) const
   {
     if (!(openCalls == rhs.openCalls))
@@ -483,6 +501,10 @@
       return false;
     if (!(idleTimeoutMilliseconds == rhs.idleTimeoutMilliseconds))
       return false;
+    if (__isset.requiresApiKeys != rhs.__isset.requiresApiKeys)
+      return false;
+    else if (__isset.requiresApiKeys && !(requiresApiKeys == rhs.requiresApiKeys))
+      return false;
     return true;
   }
   bool operator != (const ConfigMeshPolicy &rhs) const {
@@ -501,14 +523,168 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigMeshPolicy& obj);
 
+typedef struct _ConfigTenant__isset {
+  _ConfigTenant__isset() : name(false), keyHashes(false), priority(false), ratePerSecond(false), burst(false) {}
+  bool name :1;
+  bool keyHashes :1;
+  bool priority :1;
+  bool ratePerSecond :1;
+  bool burst :1;
+} _ConfigTenant__isset;
+
+class ConfigTenant : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigTenant(const ConfigTenant&);
+  ConfigTenant(ConfigTenant&&) noexcept;
+  ConfigTenant& operator=(const ConfigTenant&);
+  ConfigTenant& operator=(ConfigTenant&&) noexcept;
+  ConfigTenant() noexcept
+               : name(),
+                 priority(0),
+                 ratePerSecond(0),
+                 burst(0) {
+  }
+
+  virtual ~ConfigTenant() noexcept;
+  std::string name;
+  std::vector<std::string>  keyHashes;
+  int32_t priority;
+  double ratePerSecond;
+  double burst;
+
+  _ConfigTenant__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_keyHashes(const std::vector<std::string> & val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_ratePerSecond(const double val);
+
+  void __set_burst(const double val);
+
+  bool operator == (const ConfigTenant & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(keyHashes == rhs.keyHashes))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(ratePerSecond == rhs.ratePerSecond))
+      return false;
+    if (!(burst == rhs.burst))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigTenant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigTenant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigTenant &a, ConfigTenant &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigTenant& obj);
+
+typedef struct _ConfigRollout__isset {
+  _ConfigRollout__isset() : serviceName(false), targetVersion(false), state(false), sharePermille(false), duration(false), elapsed(false) {}
+  bool serviceName :1;
+  bool targetVersion :1;
+  bool state :1;
+  bool sharePermille :1;
+  bool duration :1;
+  bool elapsed :1;
+} _ConfigRollout__isset;
+
+class ConfigRollout : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigRollout(const ConfigRollout&);
+  ConfigRollout(ConfigRollout&&) noexcept;
+  ConfigRollout& operator=(const ConfigRollout&);
+  ConfigRollout& operator=(ConfigRollout&&) noexcept;
+  ConfigRollout() noexcept
+                : serviceName(),
+                  targetVersion(),
+                  state(0),
+                  sharePermille(0),
+                  duration(0),
+                  elapsed(0) {
+  }
+
+  virtual ~ConfigRollout() noexcept;
+  std::string serviceName;
+  std::string targetVersion;
+  int32_t state;
+  int32_t sharePermille;
+  int64_t duration;
+  int64_t elapsed;
+
+  _ConfigRollout__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_targetVersion(const std::string& val);
+
+  void __set_state(const int32_t val);
+
+  void __set_sharePermille(const int32_t val);
+
+  void __set_duration(const int64_t val);
+
+  void __set_elapsed(const int64_t val);
+
+  bool operator == (const ConfigRollout & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(targetVersion == rhs.targetVersion))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(sharePermille == rhs.sharePermille))
+      return false;
+    if (!(duration == rhs.duration))
+      return false;
+    if (!(elapsed == rhs.elapsed))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigRollout &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigRollout & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigRollout &a, ConfigRollout &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigRollout& obj);
+
 typedef struct _ConfigItems__isset {
-  _ConfigItems__isset() : services(false), routes(false), callRules(false), drains(false), keeperView(false), meshPolicy(false) {}
+  _ConfigItems__isset() : services(false), routes(false), callRules(false), drains(false), keeperView(false), meshPolicy(false), tenants(false), rollouts(false) {}
   bool services :1;
   bool routes :1;
   bool callRules :1;
   bool drains :1;
   bool keeperView :1;
   bool meshPolicy :1;
+  bool tenants :1;
+  bool rollouts :1;
 } _ConfigItems__isset;
 
 class ConfigItems : public virtual ::apache::thrift::TBase {
@@ -528,6 +704,8 @@
   std::vector<std::string>  drains;
   ConfigKeeperView keeperView;
   ConfigMeshPolicy meshPolicy;
+  std::vector<ConfigTenant>  tenants;
+  std::vector<ConfigRollout>  rollouts;
 
   _ConfigItems__isset __isset;
 
@@ -543,6 +721,10 @@
 
   void __set_meshPolicy(const ConfigMeshPolicy& val);
 
+  void __set_tenants(const std::vector<ConfigTenant> & val);
+
+  void __set_rollouts(const std::vector<ConfigRollout> & val);
+
   bool operator == (const ConfigItems & rhs) const
   {
     if (__isset.services != rhs.__isset.services)
@@ -569,6 +751,14 @@
       return false;
     else if (__isset.meshPolicy && !(meshPolicy == rhs.meshPolicy))
       return false;
+    if (__isset.tenants != rhs.__isset.tenants)
+      return false;
+    else if (__isset.tenants && !(tenants == rhs.tenants))
+      return false;
+    if (__isset.rollouts != rhs.__isset.rollouts)
+      return false;
+    else if (__isset.rollouts && !(rollouts == rhs.rollouts))
+      return false;
     return true;
   }
   bool operator != (const ConfigItems &rhs) const {
--- a/gen-cpp/gossip_types.cpp
+++ b/gen-cpp/gossip_types.cpp
@@ -187,6 +187,11 @@
   this->departure = val;
 __isset.departure = true;
 }
+
+void GossipUpstream::__set_version(const std::string& val) {
+  this->version = val;
+__isset.version = true;
+}
 std::ostream& operator<<(std::ostream& out, const GossipUpstream& obj)
 {
   obj.printTo(out);
@@ -263,6 +268,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -305,6 +318,11 @@
     xfer += this->departure.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.version) {
+    xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeString(this->version);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -318,6 +336,7 @@
   swap(a.slots, b.slots);
   swap(a.incarnation, b.incarnation);
   swap(a.departure, b.departure);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
@@ -328,6 +347,7 @@
   slots = other4.slots;
   incarnation = other4.incarnation;
   departure = other4.departure;
+  version = other4.version;
   __isset = other4.__isset;
 }
 GossipUpstream::GossipUpstream(GossipUpstream&& other5) noexcept {
@@ -337,6 +357,7 @@
   slots = other5.slots;
   incarnation = other5.incarnation;
   departure = std::move(other5.departure);
+  version = std::move(other5.version);
   __isset = other5.__isset;
 }
 GossipUpstream& GossipUpstream::operator=(const GossipUpstream& other6) {
@@ -346,6 +367,7 @@
   slots = other6.slots;
   incarnation = other6.incarnation;
   departure = other6.departure;
+  version = other6.version;
   __isset = other6.__isset;
   return *this;
 }
@@ -356,6 +378,7 @@
   slots = other7.slots;
   incarnation = other7.incarnation;
   departure = std::move(other7.departure);
+  version = std::move(other7.version);
   __isset = other7.__isset;
   return *this;
 }
@@ -368,6 +391,7 @@
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "departure="; (__isset.departure ? (out << to_string(departure)) : (out << "<null>"));
+  out << ", " << "version="; (__isset.version ? (out << to_string(version)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen-cpp/gossip_types.h
+++ b/gen-cpp/gossip_types.h
@@ -111,13 +111,14 @@
 std::ostream& operator<<(std::ostream& out, const GossipDeparture& obj);
 
 typedef struct _GossipUpstream__isset {
-  _GossipUpstream__isset() : id(false), serviceName(false), phase(false), slots(false), incarnation(false), departure(false) {}
+  _GossipUpstream__isset() : id(false), serviceName(false), phase(false), slots(false), incarnation(false), departure(false), version(false) {}
   bool id :1;
   bool serviceName :1;
   bool phase :1;
   bool slots :1;
   bool incarnation :1;
   bool departure :1;
+  bool version :1;
 } _GossipUpstream__isset;
 
 class GossipUpstream : public virtual ::apache::thrift::TBase {
@@ -132,7 +133,8 @@
                    serviceName(),
                    phase(0),
                    slots(0),
-                   incarnation(0) {
+                   incarnation(0),
+                   version() {
   }
 
   virtual ~GossipUpstream() noexcept;
@@ -142,6 +144,7 @@
   int32_t slots;
   int64_t incarnation;
   GossipDeparture departure;
+  std::string version;
 
   _GossipUpstream__isset __isset;
 
@@ -157,6 +160,8 @@
 
   void __set_departure(const GossipDeparture& val);
 
+  void __set_version(const std::string& val);
+
   bool operator == (const GossipUpstream & rhs) const
   {
     if (!(id == rhs.id))
@@ -173,6 +178,10 @@
       return false;
     else if (__isset.departure && !(departure == rhs.departure))
       return false;
+    if (__isset.version != rhs.__isset.version)
+      return false;
+    else if (__isset.version && !(version == rhs.version))
+      return false;
     return true;
   }
   bool operator != (const GossipUpstream &rhs) const {
--- a/gen-cpp/peer_types.cpp
+++ b/gen-cpp/peer_types.cpp
@@ -618,6 +618,16 @@
   this->known = val;
 __isset.known = true;
 }
+
+void ForwardRequest::__set_tenant(const std::string& val) {
+  this->tenant = val;
+__isset.tenant = true;
+}
+
+void ForwardRequest::__set_tenantPriority(const int32_t val) {
+  this->tenantPriority = val;
+__isset.tenantPriority = true;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj)
 {
   obj.printTo(out);
@@ -826,6 +836,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->tenant);
+          this->__isset.tenant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tenantPriority);
+          this->__isset.tenantPriority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -936,6 +962,16 @@
     xfer += this->known.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.tenant) {
+    xfer += oprot->writeFieldBegin("tenant", ::apache::thrift::protocol::T_STRING, 22);
+    xfer += oprot->writeString(this->tenant);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.tenantPriority) {
+    xfer += oprot->writeFieldBegin("tenantPriority", ::apache::thrift::protocol::T_I32, 23);
+    xfer += oprot->writeI32(this->tenantPriority);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -964,6 +1000,8 @@
   swap(a.targetMicroseconds, b.targetMicroseconds);
   swap(a.maxWaitMicroseconds, b.maxWaitMicroseconds);
   swap(a.known, b.known);
+  swap(a.tenant, b.tenant);
+  swap(a.tenantPriority, b.tenantPriority);
   swap(a.__isset, b.__isset);
 }
 
@@ -989,6 +1027,8 @@
   targetMicroseconds = other22.targetMicroseconds;
   maxWaitMicroseconds = other22.maxWaitMicroseconds;
   known = other22.known;
+  tenant = other22.tenant;
+  tenantPriority = other22.tenantPriority;
   __isset = other22.__isset;
 }
 ForwardRequest::ForwardRequest(ForwardRequest&& other23) noexcept {
@@ -1013,6 +1053,8 @@
   targetMicroseconds = other23.targetMicroseconds;
   maxWaitMicroseconds = other23.maxWaitMicroseconds;
   known = std::move(other23.known);
+  tenant = std::move(other23.tenant);
+  tenantPriority = other23.tenantPriority;
   __isset = other23.__isset;
 }
 ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other24) {
@@ -1037,6 +1079,8 @@
   targetMicroseconds = other24.targetMicroseconds;
   maxWaitMicroseconds = other24.maxWaitMicroseconds;
   known = other24.known;
+  tenant = other24.tenant;
+  tenantPriority = other24.tenantPriority;
   __isset = other24.__isset;
   return *this;
 }
@@ -1062,6 +1106,8 @@
   targetMicroseconds = other25.targetMicroseconds;
   maxWaitMicroseconds = other25.maxWaitMicroseconds;
   known = std::move(other25.known);
+  tenant = std::move(other25.tenant);
+  tenantPriority = other25.tenantPriority;
   __isset = other25.__isset;
   return *this;
 }
@@ -1089,6 +1135,8 @@
   out << ", " << "targetMicroseconds=" << to_string(targetMicroseconds);
   out << ", " << "maxWaitMicroseconds=" << to_string(maxWaitMicroseconds);
   out << ", " << "known="; (__isset.known ? (out << to_string(known)) : (out << "<null>"));
+  out << ", " << "tenant="; (__isset.tenant ? (out << to_string(tenant)) : (out << "<null>"));
+  out << ", " << "tenantPriority="; (__isset.tenantPriority ? (out << to_string(tenantPriority)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1145,6 +1193,16 @@
   this->statement = val;
 __isset.statement = true;
 }
+
+void ForwardResponse::__set_slownessPercent(const int32_t val) {
+  this->slownessPercent = val;
+__isset.slownessPercent = true;
+}
+
+void ForwardResponse::__set_paceLimit(const int32_t val) {
+  this->paceLimit = val;
+__isset.paceLimit = true;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardResponse& obj)
 {
   obj.printTo(out);
@@ -1281,6 +1339,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slownessPercent);
+          this->__isset.slownessPercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->paceLimit);
+          this->__isset.paceLimit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1355,6 +1429,16 @@
     xfer += this->statement.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.slownessPercent) {
+    xfer += oprot->writeFieldBegin("slownessPercent", ::apache::thrift::protocol::T_I32, 13);
+    xfer += oprot->writeI32(this->slownessPercent);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.paceLimit) {
+    xfer += oprot->writeFieldBegin("paceLimit", ::apache::thrift::protocol::T_I32, 14);
+    xfer += oprot->writeI32(this->paceLimit);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1374,6 +1458,8 @@
   swap(a.retryAfterMicroseconds, b.retryAfterMicroseconds);
   swap(a.heldMicroseconds, b.heldMicroseconds);
   swap(a.statement, b.statement);
+  swap(a.slownessPercent, b.slownessPercent);
+  swap(a.paceLimit, b.paceLimit);
   swap(a.__isset, b.__isset);
 }
 
@@ -1390,6 +1476,8 @@
   retryAfterMicroseconds = other32.retryAfterMicroseconds;
   heldMicroseconds = other32.heldMicroseconds;
   statement = other32.statement;
+  slownessPercent = other32.slownessPercent;
+  paceLimit = other32.paceLimit;
   __isset = other32.__isset;
 }
 ForwardResponse::ForwardResponse(ForwardResponse&& other33) noexcept {
@@ -1405,6 +1493,8 @@
   retryAfterMicroseconds = other33.retryAfterMicroseconds;
   heldMicroseconds = other33.heldMicroseconds;
   statement = std::move(other33.statement);
+  slownessPercent = other33.slownessPercent;
+  paceLimit = other33.paceLimit;
   __isset = other33.__isset;
 }
 ForwardResponse& ForwardResponse::operator=(const ForwardResponse& other34) {
@@ -1420,6 +1510,8 @@
   retryAfterMicroseconds = other34.retryAfterMicroseconds;
   heldMicroseconds = other34.heldMicroseconds;
   statement = other34.statement;
+  slownessPercent = other34.slownessPercent;
+  paceLimit = other34.paceLimit;
   __isset = other34.__isset;
   return *this;
 }
@@ -1436,6 +1528,8 @@
   retryAfterMicroseconds = other35.retryAfterMicroseconds;
   heldMicroseconds = other35.heldMicroseconds;
   statement = std::move(other35.statement);
+  slownessPercent = other35.slownessPercent;
+  paceLimit = other35.paceLimit;
   __isset = other35.__isset;
   return *this;
 }
@@ -1454,6 +1548,8 @@
   out << ", " << "retryAfterMicroseconds=" << to_string(retryAfterMicroseconds);
   out << ", " << "heldMicroseconds=" << to_string(heldMicroseconds);
   out << ", " << "statement="; (__isset.statement ? (out << to_string(statement)) : (out << "<null>"));
+  out << ", " << "slownessPercent="; (__isset.slownessPercent ? (out << to_string(slownessPercent)) : (out << "<null>"));
+  out << ", " << "paceLimit="; (__isset.paceLimit ? (out << to_string(paceLimit)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen-cpp/peer_types.h
+++ b/gen-cpp/peer_types.h
@@ -255,7 +255,7 @@
 std::ostream& operator<<(std::ostream& out, const UpstreamStatement& obj);
 
 typedef struct _ForwardRequest__isset {
-  _ForwardRequest__isset() : requestId(false), traceId(false), serviceName(false), upstreamId(false), upstreamIncarnation(false), remainingMicroseconds(false), attempt(false), hops(false), idempotent(false), order(false), fingerprint(false), method(false), target(false), headers(false), body(false), callerService(false), priority(false), routeKey(false), targetMicroseconds(false), maxWaitMicroseconds(false), known(false) {}
+  _ForwardRequest__isset() : requestId(false), traceId(false), serviceName(false), upstreamId(false), upstreamIncarnation(false), remainingMicroseconds(false), attempt(false), hops(false), idempotent(false), order(false), fingerprint(false), method(false), target(false), headers(false), body(false), callerService(false), priority(false), routeKey(false), targetMicroseconds(false), maxWaitMicroseconds(false), known(false), tenant(false), tenantPriority(false) {}
   bool requestId :1;
   bool traceId :1;
   bool serviceName :1;
@@ -277,6 +277,8 @@
   bool targetMicroseconds :1;
   bool maxWaitMicroseconds :1;
   bool known :1;
+  bool tenant :1;
+  bool tenantPriority :1;
 } _ForwardRequest__isset;
 
 class ForwardRequest : public virtual ::apache::thrift::TBase {
@@ -305,7 +307,9 @@
                    priority(0),
                    routeKey(0),
                    targetMicroseconds(0),
-                   maxWaitMicroseconds(0) {
+                   maxWaitMicroseconds(0),
+                   tenant(),
+                   tenantPriority(0) {
   }
 
   virtual ~ForwardRequest() noexcept;
@@ -330,6 +334,8 @@
   int64_t targetMicroseconds;
   int64_t maxWaitMicroseconds;
   UpstreamStatement known;
+  std::string tenant;
+  int32_t tenantPriority;
 
   _ForwardRequest__isset __isset;
 
@@ -375,6 +381,10 @@
 
   void __set_known(const UpstreamStatement& val);
 
+  void __set_tenant(const std::string& val);
+
+  void __set_tenantPriority(const int32_t val);
+
   bool operator == (const ForwardRequest & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -421,6 +431,14 @@
       return false;
     else if (__isset.known && !(known == rhs.known))
       return false;
+    if (__isset.tenant != rhs.__isset.tenant)
+      return false;
+    else if (__isset.tenant && !(tenant == rhs.tenant))
+      return false;
+    if (__isset.tenantPriority != rhs.__isset.tenantPriority)
+      return false;
+    else if (__isset.tenantPriority && !(tenantPriority == rhs.tenantPriority))
+      return false;
     return true;
   }
   bool operator != (const ForwardRequest &rhs) const {
@@ -440,7 +458,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj);
 
 typedef struct _ForwardResponse__isset {
-  _ForwardResponse__isset() : requestId(false), code(false), status(false), headers(false), body(false), running(false), queued(false), limit(false), serviceMicroseconds(false), retryAfterMicroseconds(false), heldMicroseconds(false), statement(false) {}
+  _ForwardResponse__isset() : requestId(false), code(false), status(false), headers(false), body(false), running(false), queued(false), limit(false), serviceMicroseconds(false), retryAfterMicroseconds(false), heldMicroseconds(false), statement(false), slownessPercent(false), paceLimit(false) {}
   bool requestId :1;
   bool code :1;
   bool status :1;
@@ -453,6 +471,8 @@
   bool retryAfterMicroseconds :1;
   bool heldMicroseconds :1;
   bool statement :1;
+  bool slownessPercent :1;
+  bool paceLimit :1;
 } _ForwardResponse__isset;
 
 class ForwardResponse : public virtual ::apache::thrift::TBase {
@@ -472,7 +492,9 @@
                     limit(0),
                     serviceMicroseconds(0),
                     retryAfterMicroseconds(0),
-                    heldMicroseconds(0) {
+                    heldMicroseconds(0),
+                    slownessPercent(0),
+                    paceLimit(0) {
   }
 
   virtual ~ForwardResponse() noexcept;
@@ -488,6 +510,8 @@
   int64_t retryAfterMicroseconds;
   int64_t heldMicroseconds;
   UpstreamStatement statement;
+  int32_t slownessPercent;
+  int32_t paceLimit;
 
   _ForwardResponse__isset __isset;
 
@@ -515,6 +539,10 @@
 
   void __set_statement(const UpstreamStatement& val);
 
+  void __set_slownessPercent(const int32_t val);
+
+  void __set_paceLimit(const int32_t val);
+
   bool operator == (const ForwardResponse & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -543,6 +571,14 @@
       return false;
     else if (__isset.statement && !(statement == rhs.statement))
       return false;
+    if (__isset.slownessPercent != rhs.__isset.slownessPercent)
+      return false;
+    else if (__isset.slownessPercent && !(slownessPercent == rhs.slownessPercent))
+      return false;
+    if (__isset.paceLimit != rhs.__isset.paceLimit)
+      return false;
+    else if (__isset.paceLimit && !(paceLimit == rhs.paceLimit))
+      return false;
     return true;
   }
   bool operator != (const ForwardResponse &rhs) const {
--- a/gen-cpp/plan_types.cpp
+++ b/gen-cpp/plan_types.cpp
@@ -1038,6 +1038,362 @@
 }
 
 
+PlanStartRollout::~PlanStartRollout() noexcept {
+}
+
+
+void PlanStartRollout::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void PlanStartRollout::__set_targetVersion(const std::string& val) {
+  this->targetVersion = val;
+}
+
+void PlanStartRollout::__set_duration(const int64_t val) {
+  this->duration = val;
+}
+
+void PlanStartRollout::__set_operatorName(const std::string& val) {
+  this->operatorName = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlanStartRollout& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlanStartRollout::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->targetVersion);
+          this->__isset.targetVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->duration);
+          this->__isset.duration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->operatorName);
+          this->__isset.operatorName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlanStartRollout::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlanStartRollout");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetVersion", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->targetVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("duration", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->duration);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("operatorName", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->operatorName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlanStartRollout &a, PlanStartRollout &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.targetVersion, b.targetVersion);
+  swap(a.duration, b.duration);
+  swap(a.operatorName, b.operatorName);
+  swap(a.__isset, b.__isset);
+}
+
+PlanStartRollout::PlanStartRollout(const PlanStartRollout& other42) {
+  serviceName = other42.serviceName;
+  targetVersion = other42.targetVersion;
+  duration = other42.duration;
+  operatorName = other42.operatorName;
+  __isset = other42.__isset;
+}
+PlanStartRollout::PlanStartRollout(PlanStartRollout&& other43) noexcept {
+  serviceName = std::move(other43.serviceName);
+  targetVersion = std::move(other43.targetVersion);
+  duration = other43.duration;
+  operatorName = std::move(other43.operatorName);
+  __isset = other43.__isset;
+}
+PlanStartRollout& PlanStartRollout::operator=(const PlanStartRollout& other44) {
+  serviceName = other44.serviceName;
+  targetVersion = other44.targetVersion;
+  duration = other44.duration;
+  operatorName = other44.operatorName;
+  __isset = other44.__isset;
+  return *this;
+}
+PlanStartRollout& PlanStartRollout::operator=(PlanStartRollout&& other45) noexcept {
+  serviceName = std::move(other45.serviceName);
+  targetVersion = std::move(other45.targetVersion);
+  duration = other45.duration;
+  operatorName = std::move(other45.operatorName);
+  __isset = other45.__isset;
+  return *this;
+}
+void PlanStartRollout::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlanStartRollout(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "targetVersion=" << to_string(targetVersion);
+  out << ", " << "duration=" << to_string(duration);
+  out << ", " << "operatorName=" << to_string(operatorName);
+  out << ")";
+}
+
+
+PlanAdvanceRollout::~PlanAdvanceRollout() noexcept {
+}
+
+
+void PlanAdvanceRollout::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void PlanAdvanceRollout::__set_targetVersion(const std::string& val) {
+  this->targetVersion = val;
+}
+
+void PlanAdvanceRollout::__set_state(const int32_t val) {
+  this->state = val;
+}
+
+void PlanAdvanceRollout::__set_sharePermille(const int32_t val) {
+  this->sharePermille = val;
+}
+
+void PlanAdvanceRollout::__set_elapsed(const int64_t val) {
+  this->elapsed = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlanAdvanceRollout& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlanAdvanceRollout::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->targetVersion);
+          this->__isset.targetVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sharePermille);
+          this->__isset.sharePermille = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->elapsed);
+          this->__isset.elapsed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlanAdvanceRollout::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlanAdvanceRollout");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetVersion", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->targetVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sharePermille", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->sharePermille);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("elapsed", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->elapsed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlanAdvanceRollout &a, PlanAdvanceRollout &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.targetVersion, b.targetVersion);
+  swap(a.state, b.state);
+  swap(a.sharePermille, b.sharePermille);
+  swap(a.elapsed, b.elapsed);
+  swap(a.__isset, b.__isset);
+}
+
+PlanAdvanceRollout::PlanAdvanceRollout(const PlanAdvanceRollout& other46) {
+  serviceName = other46.serviceName;
+  targetVersion = other46.targetVersion;
+  state = other46.state;
+  sharePermille = other46.sharePermille;
+  elapsed = other46.elapsed;
+  __isset = other46.__isset;
+}
+PlanAdvanceRollout::PlanAdvanceRollout(PlanAdvanceRollout&& other47) noexcept {
+  serviceName = std::move(other47.serviceName);
+  targetVersion = std::move(other47.targetVersion);
+  state = other47.state;
+  sharePermille = other47.sharePermille;
+  elapsed = other47.elapsed;
+  __isset = other47.__isset;
+}
+PlanAdvanceRollout& PlanAdvanceRollout::operator=(const PlanAdvanceRollout& other48) {
+  serviceName = other48.serviceName;
+  targetVersion = other48.targetVersion;
+  state = other48.state;
+  sharePermille = other48.sharePermille;
+  elapsed = other48.elapsed;
+  __isset = other48.__isset;
+  return *this;
+}
+PlanAdvanceRollout& PlanAdvanceRollout::operator=(PlanAdvanceRollout&& other49) noexcept {
+  serviceName = std::move(other49.serviceName);
+  targetVersion = std::move(other49.targetVersion);
+  state = other49.state;
+  sharePermille = other49.sharePermille;
+  elapsed = other49.elapsed;
+  __isset = other49.__isset;
+  return *this;
+}
+void PlanAdvanceRollout::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlanAdvanceRollout(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "targetVersion=" << to_string(targetVersion);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "sharePermille=" << to_string(sharePermille);
+  out << ", " << "elapsed=" << to_string(elapsed);
+  out << ")";
+}
+
+
 PlanCommand::~PlanCommand() noexcept {
 }
 
@@ -1066,6 +1422,16 @@
   this->patch = val;
 __isset.patch = true;
 }
+
+void PlanCommand::__set_startRollout(const PlanStartRollout& val) {
+  this->startRollout = val;
+__isset.startRollout = true;
+}
+
+void PlanCommand::__set_advanceRollout(const PlanAdvanceRollout& val) {
+  this->advanceRollout = val;
+__isset.advanceRollout = true;
+}
 std::ostream& operator<<(std::ostream& out, const PlanCommand& obj)
 {
   obj.printTo(out);
@@ -1134,6 +1500,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->startRollout.read(iprot);
+          this->__isset.startRollout = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->advanceRollout.read(iprot);
+          this->__isset.advanceRollout = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1176,6 +1558,16 @@
     xfer += this->patch.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.startRollout) {
+    xfer += oprot->writeFieldBegin("startRollout", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->startRollout.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.advanceRollout) {
+    xfer += oprot->writeFieldBegin("advanceRollout", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->advanceRollout.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1188,41 +1580,51 @@
   swap(a.setKeepers, b.setKeepers);
   swap(a.replace, b.replace);
   swap(a.patch, b.patch);
+  swap(a.startRollout, b.startRollout);
+  swap(a.advanceRollout, b.advanceRollout);
   swap(a.__isset, b.__isset);
 }
 
-PlanCommand::PlanCommand(const PlanCommand& other42) {
-  propose = other42.propose;
-  confirm = other42.confirm;
-  setKeepers = other42.setKeepers;
-  replace = other42.replace;
-  patch = other42.patch;
-  __isset = other42.__isset;
-}
-PlanCommand::PlanCommand(PlanCommand&& other43) noexcept {
-  propose = std::move(other43.propose);
-  confirm = std::move(other43.confirm);
-  setKeepers = std::move(other43.setKeepers);
-  replace = std::move(other43.replace);
-  patch = std::move(other43.patch);
-  __isset = other43.__isset;
-}
-PlanCommand& PlanCommand::operator=(const PlanCommand& other44) {
-  propose = other44.propose;
-  confirm = other44.confirm;
-  setKeepers = other44.setKeepers;
-  replace = other44.replace;
-  patch = other44.patch;
-  __isset = other44.__isset;
+PlanCommand::PlanCommand(const PlanCommand& other50) {
+  propose = other50.propose;
+  confirm = other50.confirm;
+  setKeepers = other50.setKeepers;
+  replace = other50.replace;
+  patch = other50.patch;
+  startRollout = other50.startRollout;
+  advanceRollout = other50.advanceRollout;
+  __isset = other50.__isset;
+}
+PlanCommand::PlanCommand(PlanCommand&& other51) noexcept {
+  propose = std::move(other51.propose);
+  confirm = std::move(other51.confirm);
+  setKeepers = std::move(other51.setKeepers);
+  replace = std::move(other51.replace);
+  patch = std::move(other51.patch);
+  startRollout = std::move(other51.startRollout);
+  advanceRollout = std::move(other51.advanceRollout);
+  __isset = other51.__isset;
+}
+PlanCommand& PlanCommand::operator=(const PlanCommand& other52) {
+  propose = other52.propose;
+  confirm = other52.confirm;
+  setKeepers = other52.setKeepers;
+  replace = other52.replace;
+  patch = other52.patch;
+  startRollout = other52.startRollout;
+  advanceRollout = other52.advanceRollout;
+  __isset = other52.__isset;
   return *this;
 }
-PlanCommand& PlanCommand::operator=(PlanCommand&& other45) noexcept {
-  propose = std::move(other45.propose);
-  confirm = std::move(other45.confirm);
-  setKeepers = std::move(other45.setKeepers);
-  replace = std::move(other45.replace);
-  patch = std::move(other45.patch);
-  __isset = other45.__isset;
+PlanCommand& PlanCommand::operator=(PlanCommand&& other53) noexcept {
+  propose = std::move(other53.propose);
+  confirm = std::move(other53.confirm);
+  setKeepers = std::move(other53.setKeepers);
+  replace = std::move(other53.replace);
+  patch = std::move(other53.patch);
+  startRollout = std::move(other53.startRollout);
+  advanceRollout = std::move(other53.advanceRollout);
+  __isset = other53.__isset;
   return *this;
 }
 void PlanCommand::printTo(std::ostream& out) const {
@@ -1233,6 +1635,8 @@
   out << ", " << "setKeepers="; (__isset.setKeepers ? (out << to_string(setKeepers)) : (out << "<null>"));
   out << ", " << "replace="; (__isset.replace ? (out << to_string(replace)) : (out << "<null>"));
   out << ", " << "patch="; (__isset.patch ? (out << to_string(patch)) : (out << "<null>"));
+  out << ", " << "startRollout="; (__isset.startRollout ? (out << to_string(startRollout)) : (out << "<null>"));
+  out << ", " << "advanceRollout="; (__isset.advanceRollout ? (out << to_string(advanceRollout)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1334,14 +1738,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->changes.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->changes.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->changes[_i50].read(iprot);
+              xfer += this->changes[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1402,14 +1806,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->conflictItems.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->conflictItems.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->conflictItems.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
             {
-              xfer += this->conflictItems[_i55].read(iprot);
+              xfer += this->conflictItems[_i63].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1454,10 +1858,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<PlanChange> ::const_iterator _iter56;
-    for (_iter56 = this->changes.begin(); _iter56 != this->changes.end(); ++_iter56)
+    std::vector<PlanChange> ::const_iterator _iter64;
+    for (_iter64 = this->changes.begin(); _iter64 != this->changes.end(); ++_iter64)
     {
-      xfer += (*_iter56).write(oprot);
+      xfer += (*_iter64).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1491,10 +1895,10 @@
     xfer += oprot->writeFieldBegin("conflictItems", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->conflictItems.size()));
-      std::vector< ::dragonflylane::wire::ConfigItemKey> ::const_iterator _iter57;
-      for (_iter57 = this->conflictItems.begin(); _iter57 != this->conflictItems.end(); ++_iter57)
+      std::vector< ::dragonflylane::wire::ConfigItemKey> ::const_iterator _iter65;
+      for (_iter65 = this->conflictItems.begin(); _iter65 != this->conflictItems.end(); ++_iter65)
       {
-        xfer += (*_iter57).write(oprot);
+        xfer += (*_iter65).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1526,62 +1930,62 @@
   swap(a.__isset, b.__isset);
 }
 
-PlanRecord::PlanRecord(const PlanRecord& other58) {
-  planId = other58.planId;
-  base = other58.base;
-  changes = other58.changes;
-  proposedBy = other58.proposedBy;
-  confirmedBy = other58.confirmedBy;
-  status = other58.status;
-  revision = other58.revision;
-  code = other58.code;
-  detail = other58.detail;
-  conflictItems = other58.conflictItems;
-  conflictCount = other58.conflictCount;
-  __isset = other58.__isset;
-}
-PlanRecord::PlanRecord(PlanRecord&& other59) noexcept {
-  planId = std::move(other59.planId);
-  base = other59.base;
-  changes = std::move(other59.changes);
-  proposedBy = std::move(other59.proposedBy);
-  confirmedBy = std::move(other59.confirmedBy);
-  status = other59.status;
-  revision = other59.revision;
-  code = other59.code;
-  detail = std::move(other59.detail);
-  conflictItems = std::move(other59.conflictItems);
-  conflictCount = other59.conflictCount;
-  __isset = other59.__isset;
-}
-PlanRecord& PlanRecord::operator=(const PlanRecord& other60) {
-  planId = other60.planId;
-  base = other60.base;
-  changes = other60.changes;
-  proposedBy = other60.proposedBy;
-  confirmedBy = other60.confirmedBy;
-  status = other60.status;
-  revision = other60.revision;
-  code = other60.code;
-  detail = other60.detail;
-  conflictItems = other60.conflictItems;
-  conflictCount = other60.conflictCount;
-  __isset = other60.__isset;
+PlanRecord::PlanRecord(const PlanRecord& other66) {
+  planId = other66.planId;
+  base = other66.base;
+  changes = other66.changes;
+  proposedBy = other66.proposedBy;
+  confirmedBy = other66.confirmedBy;
+  status = other66.status;
+  revision = other66.revision;
+  code = other66.code;
+  detail = other66.detail;
+  conflictItems = other66.conflictItems;
+  conflictCount = other66.conflictCount;
+  __isset = other66.__isset;
+}
+PlanRecord::PlanRecord(PlanRecord&& other67) noexcept {
+  planId = std::move(other67.planId);
+  base = other67.base;
+  changes = std::move(other67.changes);
+  proposedBy = std::move(other67.proposedBy);
+  confirmedBy = std::move(other67.confirmedBy);
+  status = other67.status;
+  revision = other67.revision;
+  code = other67.code;
+  detail = std::move(other67.detail);
+  conflictItems = std::move(other67.conflictItems);
+  conflictCount = other67.conflictCount;
+  __isset = other67.__isset;
+}
+PlanRecord& PlanRecord::operator=(const PlanRecord& other68) {
+  planId = other68.planId;
+  base = other68.base;
+  changes = other68.changes;
+  proposedBy = other68.proposedBy;
+  confirmedBy = other68.confirmedBy;
+  status = other68.status;
+  revision = other68.revision;
+  code = other68.code;
+  detail = other68.detail;
+  conflictItems = other68.conflictItems;
+  conflictCount = other68.conflictCount;
+  __isset = other68.__isset;
   return *this;
 }
-PlanRecord& PlanRecord::operator=(PlanRecord&& other61) noexcept {
-  planId = std::move(other61.planId);
-  base = other61.base;
-  changes = std::move(other61.changes);
-  proposedBy = std::move(other61.proposedBy);
-  confirmedBy = std::move(other61.confirmedBy);
-  status = other61.status;
-  revision = other61.revision;
-  code = other61.code;
-  detail = std::move(other61.detail);
-  conflictItems = std::move(other61.conflictItems);
-  conflictCount = other61.conflictCount;
-  __isset = other61.__isset;
+PlanRecord& PlanRecord::operator=(PlanRecord&& other69) noexcept {
+  planId = std::move(other69.planId);
+  base = other69.base;
+  changes = std::move(other69.changes);
+  proposedBy = std::move(other69.proposedBy);
+  confirmedBy = std::move(other69.confirmedBy);
+  status = other69.status;
+  revision = other69.revision;
+  code = other69.code;
+  detail = std::move(other69.detail);
+  conflictItems = std::move(other69.conflictItems);
+  conflictCount = other69.conflictCount;
+  __isset = other69.__isset;
   return *this;
 }
 void PlanRecord::printTo(std::ostream& out) const {
@@ -1711,30 +2115,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PlanAcceptedDocument::PlanAcceptedDocument(const PlanAcceptedDocument& other62) {
-  version = other62.version;
-  digest = other62.digest;
-  revision = other62.revision;
-  __isset = other62.__isset;
+PlanAcceptedDocument::PlanAcceptedDocument(const PlanAcceptedDocument& other70) {
+  version = other70.version;
+  digest = other70.digest;
+  revision = other70.revision;
+  __isset = other70.__isset;
 }
-PlanAcceptedDocument::PlanAcceptedDocument(PlanAcceptedDocument&& other63) noexcept {
-  version = other63.version;
-  digest = std::move(other63.digest);
-  revision = other63.revision;
-  __isset = other63.__isset;
+PlanAcceptedDocument::PlanAcceptedDocument(PlanAcceptedDocument&& other71) noexcept {
+  version = other71.version;
+  digest = std::move(other71.digest);
+  revision = other71.revision;
+  __isset = other71.__isset;
 }
-PlanAcceptedDocument& PlanAcceptedDocument::operator=(const PlanAcceptedDocument& other64) {
-  version = other64.version;
-  digest = other64.digest;
-  revision = other64.revision;
-  __isset = other64.__isset;
+PlanAcceptedDocument& PlanAcceptedDocument::operator=(const PlanAcceptedDocument& other72) {
+  version = other72.version;
+  digest = other72.digest;
+  revision = other72.revision;
+  __isset = other72.__isset;
   return *this;
 }
-PlanAcceptedDocument& PlanAcceptedDocument::operator=(PlanAcceptedDocument&& other65) noexcept {
-  version = other65.version;
-  digest = std::move(other65.digest);
-  revision = other65.revision;
-  __isset = other65.__isset;
+PlanAcceptedDocument& PlanAcceptedDocument::operator=(PlanAcceptedDocument&& other73) noexcept {
+  version = other73.version;
+  digest = std::move(other73.digest);
+  revision = other73.revision;
+  __isset = other73.__isset;
   return *this;
 }
 void PlanAcceptedDocument::printTo(std::ostream& out) const {
@@ -1811,14 +2215,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deltas.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->deltas.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->deltas.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->deltas[_i70].read(iprot);
+              xfer += this->deltas[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1831,14 +2235,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->plans.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->plans.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->plans.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
             {
-              xfer += this->plans[_i75].read(iprot);
+              xfer += this->plans[_i83].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1859,14 +2263,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->acceptedDocuments.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->acceptedDocuments.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->acceptedDocuments.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->acceptedDocuments[_i80].read(iprot);
+              xfer += this->acceptedDocuments[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1899,10 +2303,10 @@
   xfer += oprot->writeFieldBegin("deltas", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deltas.size()));
-    std::vector< ::dragonflylane::wire::ConfigDelta> ::const_iterator _iter81;
-    for (_iter81 = this->deltas.begin(); _iter81 != this->deltas.end(); ++_iter81)
+    std::vector< ::dragonflylane::wire::ConfigDelta> ::const_iterator _iter89;
+    for (_iter89 = this->deltas.begin(); _iter89 != this->deltas.end(); ++_iter89)
     {
-      xfer += (*_iter81).write(oprot);
+      xfer += (*_iter89).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1911,10 +2315,10 @@
   xfer += oprot->writeFieldBegin("plans", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->plans.size()));
-    std::vector<PlanRecord> ::const_iterator _iter82;
-    for (_iter82 = this->plans.begin(); _iter82 != this->plans.end(); ++_iter82)
+    std::vector<PlanRecord> ::const_iterator _iter90;
+    for (_iter90 = this->plans.begin(); _iter90 != this->plans.end(); ++_iter90)
     {
-      xfer += (*_iter82).write(oprot);
+      xfer += (*_iter90).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1928,10 +2332,10 @@
   xfer += oprot->writeFieldBegin("acceptedDocuments", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acceptedDocuments.size()));
-    std::vector<PlanAcceptedDocument> ::const_iterator _iter83;
-    for (_iter83 = this->acceptedDocuments.begin(); _iter83 != this->acceptedDocuments.end(); ++_iter83)
+    std::vector<PlanAcceptedDocument> ::const_iterator _iter91;
+    for (_iter91 = this->acceptedDocuments.begin(); _iter91 != this->acceptedDocuments.end(); ++_iter91)
     {
-      xfer += (*_iter83).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1952,38 +2356,38 @@
   swap(a.__isset, b.__isset);
 }
 
-PlanBookSnapshot::PlanBookSnapshot(const PlanBookSnapshot& other84) {
-  state = other84.state;
-  deltas = other84.deltas;
-  plans = other84.plans;
-  document = other84.document;
-  acceptedDocuments = other84.acceptedDocuments;
-  __isset = other84.__isset;
-}
-PlanBookSnapshot::PlanBookSnapshot(PlanBookSnapshot&& other85) noexcept {
-  state = std::move(other85.state);
-  deltas = std::move(other85.deltas);
-  plans = std::move(other85.plans);
-  document = std::move(other85.document);
-  acceptedDocuments = std::move(other85.acceptedDocuments);
-  __isset = other85.__isset;
-}
-PlanBookSnapshot& PlanBookSnapshot::operator=(const PlanBookSnapshot& other86) {
-  state = other86.state;
-  deltas = other86.deltas;
-  plans = other86.plans;
-  document = other86.document;
-  acceptedDocuments = other86.acceptedDocuments;
-  __isset = other86.__isset;
+PlanBookSnapshot::PlanBookSnapshot(const PlanBookSnapshot& other92) {
+  state = other92.state;
+  deltas = other92.deltas;
+  plans = other92.plans;
+  document = other92.document;
+  acceptedDocuments = other92.acceptedDocuments;
+  __isset = other92.__isset;
+}
+PlanBookSnapshot::PlanBookSnapshot(PlanBookSnapshot&& other93) noexcept {
+  state = std::move(other93.state);
+  deltas = std::move(other93.deltas);
+  plans = std::move(other93.plans);
+  document = std::move(other93.document);
+  acceptedDocuments = std::move(other93.acceptedDocuments);
+  __isset = other93.__isset;
+}
+PlanBookSnapshot& PlanBookSnapshot::operator=(const PlanBookSnapshot& other94) {
+  state = other94.state;
+  deltas = other94.deltas;
+  plans = other94.plans;
+  document = other94.document;
+  acceptedDocuments = other94.acceptedDocuments;
+  __isset = other94.__isset;
   return *this;
 }
-PlanBookSnapshot& PlanBookSnapshot::operator=(PlanBookSnapshot&& other87) noexcept {
-  state = std::move(other87.state);
-  deltas = std::move(other87.deltas);
-  plans = std::move(other87.plans);
-  document = std::move(other87.document);
-  acceptedDocuments = std::move(other87.acceptedDocuments);
-  __isset = other87.__isset;
+PlanBookSnapshot& PlanBookSnapshot::operator=(PlanBookSnapshot&& other95) noexcept {
+  state = std::move(other95.state);
+  deltas = std::move(other95.deltas);
+  plans = std::move(other95.plans);
+  document = std::move(other95.document);
+  acceptedDocuments = std::move(other95.acceptedDocuments);
+  __isset = other95.__isset;
   return *this;
 }
 void PlanBookSnapshot::printTo(std::ostream& out) const {
--- a/gen-cpp/plan_types.h
+++ b/gen-cpp/plan_types.h
@@ -34,6 +34,10 @@
 
 class PlanPatch;
 
+class PlanStartRollout;
+
+class PlanAdvanceRollout;
+
 class PlanCommand;
 
 class PlanRecord;
@@ -423,13 +427,154 @@
 
 std::ostream& operator<<(std::ostream& out, const PlanPatch& obj);
 
+typedef struct _PlanStartRollout__isset {
+  _PlanStartRollout__isset() : serviceName(false), targetVersion(false), duration(false), operatorName(false) {}
+  bool serviceName :1;
+  bool targetVersion :1;
+  bool duration :1;
+  bool operatorName :1;
+} _PlanStartRollout__isset;
+
+class PlanStartRollout : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlanStartRollout(const PlanStartRollout&);
+  PlanStartRollout(PlanStartRollout&&) noexcept;
+  PlanStartRollout& operator=(const PlanStartRollout&);
+  PlanStartRollout& operator=(PlanStartRollout&&) noexcept;
+  PlanStartRollout() noexcept
+                   : serviceName(),
+                     targetVersion(),
+                     duration(0),
+                     operatorName() {
+  }
+
+  virtual ~PlanStartRollout() noexcept;
+  std::string serviceName;
+  std::string targetVersion;
+  int64_t duration;
+  std::string operatorName;
+
+  _PlanStartRollout__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_targetVersion(const std::string& val);
+
+  void __set_duration(const int64_t val);
+
+  void __set_operatorName(const std::string& val);
+
+  bool operator == (const PlanStartRollout & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(targetVersion == rhs.targetVersion))
+      return false;
+    if (!(duration == rhs.duration))
+      return false;
+    if (!(operatorName == rhs.operatorName))
+      return false;
+    return true;
+  }
+  bool operator != (const PlanStartRollout &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlanStartRollout & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlanStartRollout &a, PlanStartRollout &b);
+
+std::ostream& operator<<(std::ostream& out, const PlanStartRollout& obj);
+
+typedef struct _PlanAdvanceRollout__isset {
+  _PlanAdvanceRollout__isset() : serviceName(false), targetVersion(false), state(false), sharePermille(false), elapsed(false) {}
+  bool serviceName :1;
+  bool targetVersion :1;
+  bool state :1;
+  bool sharePermille :1;
+  bool elapsed :1;
+} _PlanAdvanceRollout__isset;
+
+class PlanAdvanceRollout : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlanAdvanceRollout(const PlanAdvanceRollout&);
+  PlanAdvanceRollout(PlanAdvanceRollout&&) noexcept;
+  PlanAdvanceRollout& operator=(const PlanAdvanceRollout&);
+  PlanAdvanceRollout& operator=(PlanAdvanceRollout&&) noexcept;
+  PlanAdvanceRollout() noexcept
+                     : serviceName(),
+                       targetVersion(),
+                       state(0),
+                       sharePermille(0),
+                       elapsed(0) {
+  }
+
+  virtual ~PlanAdvanceRollout() noexcept;
+  std::string serviceName;
+  std::string targetVersion;
+  int32_t state;
+  int32_t sharePermille;
+  int64_t elapsed;
+
+  _PlanAdvanceRollout__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_targetVersion(const std::string& val);
+
+  void __set_state(const int32_t val);
+
+  void __set_sharePermille(const int32_t val);
+
+  void __set_elapsed(const int64_t val);
+
+  bool operator == (const PlanAdvanceRollout & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(targetVersion == rhs.targetVersion))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(sharePermille == rhs.sharePermille))
+      return false;
+    if (!(elapsed == rhs.elapsed))
+      return false;
+    return true;
+  }
+  bool operator != (const PlanAdvanceRollout &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlanAdvanceRollout & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlanAdvanceRollout &a, PlanAdvanceRollout &b);
+
+std::ostream& operator<<(std::ostream& out, const PlanAdvanceRollout& obj);
+
 typedef struct _PlanCommand__isset {
-  _PlanCommand__isset() : propose(false), confirm(false), setKeepers(false), replace(false), patch(false) {}
+  _PlanCommand__isset() : propose(false), confirm(false), setKeepers(false), replace(false), patch(false), startRollout(false), advanceRollout(false) {}
   bool propose :1;
   bool confirm :1;
   bool setKeepers :1;
   bool replace :1;
   bool patch :1;
+  bool startRollout :1;
+  bool advanceRollout :1;
 } _PlanCommand__isset;
 
 class PlanCommand : public virtual ::apache::thrift::TBase {
@@ -448,6 +593,8 @@
   PlanSetKeepers setKeepers;
   PlanReplace replace;
   PlanPatch patch;
+  PlanStartRollout startRollout;
+  PlanAdvanceRollout advanceRollout;
 
   _PlanCommand__isset __isset;
 
@@ -461,6 +608,10 @@
 
   void __set_patch(const PlanPatch& val);
 
+  void __set_startRollout(const PlanStartRollout& val);
+
+  void __set_advanceRollout(const PlanAdvanceRollout& val);
+
   bool operator == (const PlanCommand & rhs) const
   {
     if (__isset.propose != rhs.__isset.propose)
@@ -483,6 +634,14 @@
       return false;
     else if (__isset.patch && !(patch == rhs.patch))
       return false;
+    if (__isset.startRollout != rhs.__isset.startRollout)
+      return false;
+    else if (__isset.startRollout && !(startRollout == rhs.startRollout))
+      return false;
+    if (__isset.advanceRollout != rhs.__isset.advanceRollout)
+      return false;
+    else if (__isset.advanceRollout && !(advanceRollout == rhs.advanceRollout))
+      return false;
     return true;
   }
   bool operator != (const PlanCommand &rhs) const {
--- a/tests/ConfigStateTest.cpp
+++ b/tests/ConfigStateTest.cpp
@@ -394,7 +394,15 @@
     EXPECT_EQ(decode([](auto& d) { d.upserts.routes[0].split[0].weight = -1; }), ResultCode::MalformedFrame);
     EXPECT_EQ(decode([](auto& d) { d.upserts.services.push_back(d.upserts.services[0]); }), ResultCode::MalformedFrame);
     EXPECT_EQ(decode([](auto& d) { d.fromDigest.push_back('x'); }), ResultCode::MalformedFrame);
-    for (int32_t kind : { -1, 0, 7 }) {
+    wire::ConfigTenant tenant;
+    tenant.name = "reader";
+    tenant.keyHashes = { "short" };
+    EXPECT_EQ(decode([&](auto& d) { d.upserts.__set_tenants({ tenant }); }), ResultCode::MalformedFrame);
+    wire::ConfigRollout rollout;
+    rollout.serviceName = "a";
+    rollout.state = 3;
+    EXPECT_EQ(decode([&](auto& d) { d.upserts.__set_rollouts({ rollout }); }), ResultCode::MalformedFrame);
+    for (int32_t kind : { -1, 0, 9 }) {
         wire::ConfigItemKey key;
         key.kind = kind;
         auto remove = [&](auto& d) { d.__set_removals({ key }); };
--- a/wire/config.thrift
+++ b/wire/config.thrift
@@ -24,6 +24,7 @@
   8: i32 maxAttempts
   9: i32 priority
   10: i32 targetLatencyMilliseconds
+  11: optional bool isPublic
 }
 
 struct ConfigCallRule {
@@ -47,6 +48,26 @@
   3: i64 maxBodyBytes
   4: i32 headerTimeoutMilliseconds
   5: i32 idleTimeoutMilliseconds
+  6: optional bool requiresApiKeys
+}
+
+// Keys are SHA-256 hashes.
+struct ConfigTenant {
+  1: string name
+  2: list<binary> keyHashes
+  3: i32 priority
+  4: double ratePerSecond
+  5: double burst
+}
+
+// Times are milliseconds.
+struct ConfigRollout {
+  1: string serviceName
+  2: string targetVersion
+  3: i32 state
+  4: i32 sharePermille
+  5: i64 duration
+  6: i64 elapsed
 }
 
 // Items grouped by kind, which is shorter than a tag for each item.
@@ -57,6 +78,8 @@
   4: optional list<string> drains
   5: optional ConfigKeeperView keeperView
   6: optional ConfigMeshPolicy meshPolicy
+  7: optional list<ConfigTenant> tenants
+  8: optional list<ConfigRollout> rollouts
 }
 
 struct ConfigItemKey {
--- a/wire/gossip.thrift
+++ b/wire/gossip.thrift
@@ -15,6 +15,8 @@
   4: i32 slots
   5: i64 incarnation
   6: optional GossipDeparture departure
+  // Version of the upstream's software. Not set: not stated.
+  7: optional string version
 }
 
 struct GossipMemberRecord {
--- a/wire/peer.thrift
+++ b/wire/peer.thrift
@@ -49,6 +49,9 @@
   20: i64 maxWaitMicroseconds
   // What the entry daemon knows of the upstream, for an owner that was restarted.
   21: optional UpstreamStatement known
+  // Tenant whose key the caller presented. Not set: calls of upstreams, and meshes without tenants.
+  22: optional string tenant
+  23: optional i32 tenantPriority
 }
 
 struct ForwardResponse {
@@ -66,6 +69,10 @@
   11: i64 heldMicroseconds
   // Not set if the upstream states neither a limit nor that it is leaving.
   12: optional UpstreamStatement statement
+  // How long work takes at the upstream at this moment, in percent of its usual time. Not set: not stated.
+  13: optional i32 slownessPercent
+  // Calls that the owner lets run at the same time while the upstream warms up. Not set: all slots.
+  14: optional i32 paceLimit
 }
 
 struct ForwardCancel {
--- a/wire/plan.thrift
+++ b/wire/plan.thrift
@@ -47,6 +47,23 @@
   7: string operatorName
 }
 
+// Starts a roll-out. Times are milliseconds.
+struct PlanStartRollout {
+  1: string serviceName
+  2: string targetVersion
+  3: i64 duration
+  4: string operatorName
+}
+
+// Sets the share or the final state of a running roll-out.
+struct PlanAdvanceRollout {
+  1: string serviceName
+  2: string targetVersion
+  3: i32 state
+  4: i32 sharePermille
+  5: i64 elapsed
+}
+
 // Exactly one field is set.
 struct PlanCommand {
   1: optional PlanPropose propose
@@ -54,6 +71,8 @@
   3: optional PlanSetKeepers setKeepers
   4: optional PlanReplace replace
   5: optional PlanPatch patch
+  6: optional PlanStartRollout startRollout
+  7: optional PlanAdvanceRollout advanceRollout
 }
 
 struct PlanRecord {
