Take no status outside 200 to 599 of an upstream for an answer

Callers got status 000, 001, 099, 600 or 999 as the answer when an upstream in trouble wrote such a status line. Where the end of the connection may end a body, they also got a 101 that nobody asked for, and the 17th interim response in a row.

Cause: the parser accepts any three digits, and UpstreamClient passed on what the parser accepted; interim responses were only skipped up to a limit, and what came after the limit went on as a final response.

judgeResponse() now decides without I/O whether a response is the answer, is skipped, or is no answer at all. The last is MalformedAnswer: 502, outcome unknown, the connection closed, counted, and a failure for the choice of upstreams.

--- a/dragonflylane/ApiClient.cpp
+++ b/dragonflylane/ApiClient.cpp
@@ -1,6 +1,7 @@
 #include "dragonflylane/ApiClient.h"
 
 #include "dragonflylane/HttpReadBuffer.h"
+#include "dragonflylane/HttpStatus.h"
 #include "dragonflylane/ResultCode.h"
 
 #include <boost/asio/io_context.hpp>
@@ -101,6 +102,8 @@
     if (error)
         return error == beast::error::timeout ? ResultCode::PeerTimeout : ResultCode::PeerClosed;
     response = exchange.takeResponse();
+    if (!isFinalStatus(response.status))
+        return ResultCode::MalformedAnswer;
     return {};
 }
 
--- a/dragonflylane/ApiClient.h
+++ b/dragonflylane/ApiClient.h
@@ -30,7 +30,8 @@
 
     /// Tries the servers in order. Returns OutcomeUncertain if none responded.
     std::error_code send(const HttpRequest&, HttpResponse&) const;
-    /// Sends to one server. Returns PeerClosed if the connection failed, PeerTimeout if no response came in time.
+    /// Sends to one server. Returns PeerClosed if the connection failed, PeerTimeout if no response came in time, and
+    /// MalformedAnswer if its status is not that of a final response.
     static std::error_code sendTo(const Endpoint&, const HttpRequest&, Duration timeout, HttpResponse&);
 
 private:
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -397,6 +397,7 @@
         wire::ForwardResponse response;
         if (!decodeThrift(frame.payload, response))
             return m_parts.metrics.add("forward_malformed");
+        rejectInvalidStatus(response);
         if (m_transfers.handleResponse(frame, response))
             return;
         auto id = static_cast<uint64_t>(response.requestId);
--- a/dragonflylane/ForwardWire.cpp
+++ b/dragonflylane/ForwardWire.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflylane/EntryCall.h"
 #include "dragonflylane/HeaderCoding.h"
+#include "dragonflylane/HttpStatus.h"
 #include "dragonflylane/ProcessStatement.h"
 
 #include <charconv>
@@ -163,6 +164,17 @@
     return http;
 }
 
+void rejectInvalidStatus(wire::ForwardResponse& response)
+{
+    bool hasStatus = response.status != 0 || response.code == static_cast<int32_t>(ResultCode::Ok);
+    if (!hasStatus || (response.status > 0 && isFinalStatus(static_cast<unsigned>(response.status))))
+        return;
+    response.code = static_cast<int32_t>(ResultCode::MalformedAnswer);
+    response.status = 0;
+    response.headers.clear();
+    response.body.clear();
+}
+
 wire::CallTransfer makeTransfer(const EntryCall& call, uint64_t id)
 {
     const HttpRequest& source = call.exchange->request();
--- a/dragonflylane/ForwardWire.h
+++ b/dragonflylane/ForwardWire.h
@@ -37,6 +37,9 @@
 /// A response that consists of a result code only.
 wire::ForwardResponse makeResponse(uint64_t attemptId, ResultCode);
 HttpResponse toHttpResponse(wire::ForwardResponse);
+/// Replaces a response whose status is not that of a final response by the code MalformedAnswer. A daemon of an earlier
+/// build passes on any status of three digits.
+void rejectInvalidStatus(wire::ForwardResponse&);
 
 wire::CallTransfer makeTransfer(const EntryCall&, uint64_t id);
 HttpRequest toHttpRequest(wire::CallTransfer, const CallHeaderNames&);
--- a/dragonflylane/PeerApi.cpp
+++ b/dragonflylane/PeerApi.cpp
@@ -106,6 +106,7 @@
     wire::ForwardResponse response;
     if (!decodeThrift(frame.payload, response))
         return;
+    rejectInvalidStatus(response);
     auto it = m_pending.find(static_cast<uint64_t>(response.requestId));
     if (it != m_pending.end() && it->second.link == frame.link)
         finish(it->first, toHttpResponse(std::move(response)));
--- a/dragonflylane/UpstreamClient.cpp
+++ b/dragonflylane/UpstreamClient.cpp
@@ -3,6 +3,7 @@
 #include "dragonflylane/BodyBudget.h"
 #include "dragonflylane/HttpReadBuffer.h"
 #include "dragonflylane/Metrics.h"
+#include "dragonflylane/UpstreamResponse.h"
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
@@ -44,11 +45,6 @@
         std::vector<std::string> failedRequests;
     };
 
-    bool isSuccess(const http::response<http::string_body>& message)
-    {
-        return message.result_int() / 100 == 2;
-    }
-
     // True if the upstream has closed the connection or sent bytes that no request asked for.
     bool isStale(Connection& connection)
     {
@@ -291,38 +287,30 @@
             });
     }
 
-    // A response without the header cannot be matched to a request. A failure is accepted from a new connection, since
-    // there was no other request that it could belong to.
-    bool belongsToOtherRequest(const Call& call, const http::response<http::string_body>& message) const
+    ResponseContext contextOf(const Call& call) const
     {
-        if (call.expectedValue.empty())
-            return false;
-        auto field = message.find(m_options.echoedHeader);
-        if (field == message.end())
-            return isSuccess(message) || call.isReused;
-        return std::string_view(field->value()) != call.expectedValue;
+        return { .echoedHeader = m_options.echoedHeader,
+            .expectedValue = call.expectedValue,
+            .isHead = call.isHead,
+            .isReused = call.isReused,
+            .acceptsCloseDelimited = m_options.acceptsCloseDelimited };
     }
 
     void finishRead(const CallPtr& call)
     {
         auto& message = call->parser->get();
-        bool isInterim = message.result_int() / 100 == 1 && message.result() != http::status::switching_protocols;
-        if ((isInterim || belongsToOtherRequest(*call, message)) && ++call->skippedResponses <= maxSkippedResponses)
+        ResponseContext context = contextOf(*call);
+        ResponseVerdict verdict = judgeResponse(message, context);
+        if (verdict == ResponseVerdict::Skip && ++call->skippedResponses <= maxSkippedResponses)
             return read(call);
-        // If only the close of the connection ends the body, a complete body cannot be told from a crash in the middle.
-        bool isDelimited = call->isHead || message.chunked() || message.has_content_length()
-            || message.result() == http::status::no_content || message.result() == http::status::not_modified;
-        if (belongsToOtherRequest(*call, message) || (!isDelimited && !m_options.acceptsCloseDelimited))
+        if (verdict != ResponseVerdict::Answer)
             return finish(call, { .code = ResultCode::MalformedAnswer });
-        UpstreamResult result;
-        result.response.status = message.result_int();
-        for (const auto& field : message)
-            result.response.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-        result.response.body = std::move(message.body());
+        bool isReusable
+            = isDelimited(message, context) && call->parser->keep_alive() && call->connection->buffer.size() == 0;
         if (!isSuccess(message) && !call->expectedValue.empty())
             call->connection->failedRequests.push_back(call->expectedValue);
-        bool isReusable = isDelimited && call->parser->keep_alive() && call->connection->buffer.size() == 0
-            && call->connection->failedRequests.size() < maxFailedRequests;
+        isReusable = isReusable && call->connection->failedRequests.size() < maxFailedRequests;
+        UpstreamResult result { .response = takeResponse(message) };
         if (isReusable && m_idle.size() < m_options.maxIdleConnections) {
             call->connection->stream.expires_never();
             m_idle.push_back(std::move(call->connection));
--- a/fuzz/DecodersFuzz.cpp
+++ b/fuzz/DecodersFuzz.cpp
@@ -10,6 +10,7 @@
 #include "dragonflylane/FrameSegments.h"
 #include "dragonflylane/GossipMessages.h"
 #include "dragonflylane/GossipWire.h"
+#include "dragonflylane/HttpStatus.h"
 #include "dragonflylane/LogMessages.h"
 #include "dragonflylane/LogWire.h"
 #include "dragonflylane/PlanJson.h"
@@ -18,10 +19,12 @@
 #include "dragonflylane/RelayMessages.h"
 #include "dragonflylane/RelayWire.h"
 #include "dragonflylane/Settings.h"
+#include "dragonflylane/UpstreamResponse.h"
 #include "dragonflylane/Wire.h"
 #include "gen-cpp/peer_types.h"
 
 #include <algorithm>
+#include <boost/beast/http/parser.hpp>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
@@ -70,6 +73,32 @@
         }
     }
 
+    // The first byte sets what the request was; the rest is what the upstream sends.
+    void fuzzResponse(std::string_view bytes)
+    {
+        constexpr uint64_t maxBodyBytes = 1 << 10;
+        if (bytes.empty())
+            return;
+        auto flags = static_cast<uint8_t>(bytes.front());
+        ResponseContext context { .echoedHeader = "X-Trace",
+            .expectedValue = (flags & 1) != 0 ? "id" : "",
+            .isHead = (flags & 2) != 0,
+            .isReused = (flags & 4) != 0,
+            .acceptsCloseDelimited = (flags & 8) != 0 };
+        boost::beast::http::response_parser<boost::beast::http::string_body> parser;
+        parser.eager(true);
+        parser.skip(context.isHead);
+        parser.body_limit(maxBodyBytes);
+        boost::beast::error_code error;
+        parser.put(boost::asio::buffer(bytes.data() + 1, bytes.size() - 1), error);
+        if (error || !parser.is_done())
+            return;
+        UpstreamMessage message = parser.release();
+        bool isAnswer = judgeResponse(message, context) == ResponseVerdict::Answer;
+        if (isAnswer && !isFinalStatus(takeResponse(message).status))
+            std::abort();
+    }
+
     void fuzzSettings(std::string_view bytes)
     {
         Settings settings;
@@ -129,6 +158,7 @@
             { "plan", fuzzPlan },
             { "plan-json", fuzzPlanJson },
             { "call", fuzzCall },
+            { "response", fuzzResponse },
         };
         const char* name = std::getenv("FUZZ_TARGET");
         auto found = targets.find(name ? name : "");
--- a/tests/ForwardWireTest.cpp
+++ b/tests/ForwardWireTest.cpp
@@ -1,8 +1,11 @@
 #include "dragonflylane/ForwardWire.h"
 #include "dragonflylane/CallHeaders.h"
 #include "dragonflylane/HeaderCoding.h"
+#include "dragonflylane/ResultCode.h"
 #include "dragonflylane/Wire.h"
 
+#include "gen-cpp/peer_types.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -96,4 +99,23 @@
     EXPECT_FALSE(decodeThrift(payload.substr(0, payload.size() / 2), ignored));
 }
 
+// Guards against passing on a status that no HTTP response may have, from a daemon of an earlier build.
+TEST(ForwardWireTest, InvalidStatusBecomesACode)
+{
+    auto codeFor = [](int32_t status, ResultCode code) {
+        wire::ForwardResponse response = makeResponse(1, code);
+        response.status = status;
+        response.body = "body";
+        rejectInvalidStatus(response);
+        EXPECT_EQ(response.body.empty(), response.code == static_cast<int32_t>(ResultCode::MalformedAnswer));
+        return static_cast<ResultCode>(response.code);
+    };
+    for (int32_t status : { -1, 0, 1, 99, 100, 101, 199, 600, 999 })
+        EXPECT_EQ(codeFor(status, ResultCode::Ok), ResultCode::MalformedAnswer) << status;
+    for (int32_t status : { 200, 404, 599 })
+        EXPECT_EQ(codeFor(status, ResultCode::Ok), ResultCode::Ok) << status;
+    // A refusal by a daemon has no status.
+    EXPECT_EQ(codeFor(0, ResultCode::QueueFull), ResultCode::QueueFull);
+}
+
 } // namespace dragonflylane
--- a/tests/UpstreamClientTest.cpp
+++ b/tests/UpstreamClientTest.cpp
@@ -199,6 +199,46 @@
     EXPECT_EQ(client.exchange("POST", endless + okResponse).code, ResultCode::MalformedAnswer);
 }
 
+// Guards against passing on a status line such as "HTTP/1.1 000 Oops" of an upstream in trouble as an answer. The
+// request may have run, and the connection is of no further use.
+TEST(UpstreamClientTest, StatusOutsideTheProtocolIsNoAnswer)
+{
+    ClientFixture client({ .acceptsCloseDelimited = true });
+    for (const char* status : { "000 Oops", "001 Oops", "099 Oops", "600 Oops", "999 Oops", "000", "99", "0", "1000",
+             "-20", "+200", "20x" }) {
+        for (const char* method : { "GET", "POST" }) {
+            auto result = client.send(method);
+            RawSocket connection = client.listener.accept();
+            connection.readUntil("\r\n\r\n");
+            connection.write("HTTP/1.1 " + std::string(status) + "\r\nContent-Length: 2\r\n\r\nok");
+            connection.readUntilClosed();
+            EXPECT_FALSE(connection.wasReset()) << status;
+            UpstreamResult outcome = result.get();
+            EXPECT_EQ(outcome.code, ResultCode::MalformedAnswer) << status;
+            EXPECT_EQ(runState(outcome.code), RunState::Unknown);
+        }
+    }
+    UpstreamResult lowest = client.exchange("GET", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(lowest.response.status, 200U);
+    UpstreamResult highest = client.exchange("GET", "HTTP/1.1 599 Oops\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(highest.response.status, 599U);
+}
+
+// Guards against an interim response as the answer where the end of the connection may end a body: after too many of
+// them, and for a switch of protocols that nobody has asked for.
+TEST(UpstreamClientTest, InterimResponseIsNeverTheAnswer)
+{
+    ClientFixture client({ .acceptsCloseDelimited = true });
+    std::string endless;
+    for (int i = 0; i < 2000; ++i)
+        endless += "HTTP/1.1 102 Processing\r\n\r\n";
+    EXPECT_EQ(client.exchange("GET", endless + okResponse).code, ResultCode::MalformedAnswer);
+    EXPECT_EQ(client.exchange("GET", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n").code,
+        ResultCode::MalformedAnswer);
+    EXPECT_EQ(client.exchange("GET", "HTTP/1.1 101 Switching Protocols\r\nContent-Length: 2\r\n\r\nok").code,
+        ResultCode::MalformedAnswer);
+}
+
 // Guards against waiting for the body of a response that has none, and against losing the response after it.
 TEST(UpstreamClientTest, ResponsesWithoutBodyKeepTheConnection)
 {
