Find the running call that a nested call belongs to

An upstream that makes calls while it runs a request names them by the request's own id and a suffix, and sends no API key. So the entry daemon has to learn from this host's owner daemon which call is running under the prefix.

RunningCalls indexes the calls that were sent to the local upstream by request id; OwnerTask::findRunning() returns what a nested call inherits (tenant, priorities, route key, target latency, deadline) as a ParentCall.

--- a/dragonflylane/CallHeaders.cpp
+++ b/dragonflylane/CallHeaders.cpp
@@ -66,6 +66,13 @@
     return {};
 }
 
+std::string_view parentRequestId(const RequestId& requestId, const CallHeaderNames& names)
+{
+    std::string_view id = requestId.value();
+    size_t separator = names.nestedIdSeparator == 0 ? std::string_view::npos : id.rfind(names.nestedIdSeparator);
+    return separator == std::string_view::npos ? std::string_view() : id.substr(0, separator);
+}
+
 unsigned httpStatus(ResultCode code)
 {
     switch (code) {
--- a/dragonflylane/CallHeaders.h
+++ b/dragonflylane/CallHeaders.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace dragonflylane {
 
@@ -28,6 +29,10 @@
     /// Id of the upstream that the request is for. A different upstream at the same address refuses the request.
     std::string expectedUpstream {};
 
+    /// Separates the request id of a nested call from the suffix that its upstream has added to the id of the call that
+    /// it is running. 0: request ids do not show nesting.
+    char nestedIdSeparator { 0 };
+
     // On responses.
     std::string code { "Dragonflylane-Code" };
     /// Whether the request ran: "not-run" or "unknown".
@@ -67,6 +72,9 @@
 /// 128 bytes.
 std::error_code parseCallHeaders(const HttpRequest&, const CallHeaderNames&, CallHeaders&);
 
+/// Request id of the call that a call with this id is nested in, according to the id itself; empty if it is not nested.
+std::string_view parentRequestId(const RequestId&, const CallHeaderNames&);
+
 /// Response for a refusal. States the result code and whether the request ran in headers, and the message of the code
 /// in the body. If `retryAfter` is above zero, it is sent as Retry-After.
 HttpResponse makeRefusal(ResultCode, const RequestId&, const CallHeaderNames& = {}, Duration retryAfter = {});
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -32,6 +32,15 @@
     bool isSuspect { false };
 
     bool isRunning() const { return sentAt != TimePoint(); }
+    ParentCall asParent() const
+    {
+        return { .tenant = TenantName(request.tenant),
+            .tenantPriority = static_cast<uint32_t>(std::max(request.tenantPriority, 0)),
+            .routeKey = static_cast<uint64_t>(request.routeKey),
+            .priority = static_cast<uint32_t>(request.priority),
+            .target = receivedAt + std::chrono::microseconds(request.targetMicroseconds),
+            .deadline = deadline };
+    }
     Fingerprint fingerprint() const { return Fingerprint(static_cast<uint64_t>(request.fingerprint)); }
 };
 
@@ -420,6 +429,7 @@
     CallPtr call = it->second;
     m_calls.erase(it);
     m_responseDelay.finished(id, 0);
+    m_runningCalls.abandon(id, call->request.traceId, BootClock::now());
     m_metrics.add("owner_calls_cancelled");
     if (m_admission->cancel(id))
         return;
@@ -430,6 +440,11 @@
     applyChanges(m_admission->finished(id, CallOutcome::Cancelled, BootClock::now()));
 }
 
+std::optional<ParentCall> OwnerTask::findRunning(std::string_view requestId) const
+{
+    return m_runningCalls.find(requestId, BootClock::now());
+}
+
 void OwnerTask::dispatch(const CallPtr& call)
 {
     ResultCode refusal = checkCrashState(*call);
@@ -444,6 +459,7 @@
 {
     call->sentAt = BootClock::now();
     call->incarnation = m_incarnation;
+    m_runningCalls.add(call->id, call->request.traceId, call->asParent());
     m_statements.recordRequest();
     m_metrics.add("upstream_requests");
     if (call->isSuspect)
@@ -540,6 +556,7 @@
 {
     m_calls.erase(call->id);
     m_responseDelay.finished(call->id, response.body.size());
+    m_runningCalls.remove(call->id, call->request.traceId);
     m_metrics.add(std::string("owner_").append(name(code)));
     if (code != ResultCode::Ok) {
         m_journal.record({ .event = "owner_answered",
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -12,8 +12,10 @@
 #include "dragonflylane/LogRateLimiter.h"
 #include "dragonflylane/MemberRecord.h"
 #include "dragonflylane/OwnerStatements.h"
+#include "dragonflylane/ParentCall.h"
 #include "dragonflylane/RecentCompletions.h"
 #include "dragonflylane/ResponseDelayEstimator.h"
+#include "dragonflylane/RunningCalls.h"
 #include "dragonflylane/UnansweredRequests.h"
 #include "dragonflylane/UpstreamClient.h"
 #include "dragonflylane/UpstreamPhase.h"
@@ -25,6 +27,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -124,6 +127,9 @@
     /// Runs a call or refuses it. Calls the responder exactly once unless the call is cancelled.
     CallId handle(wire::ForwardRequest, Responder, CallSource);
     void cancel(CallId);
+    /// The call with this request id that the upstream is running. A call that was cancelled is found until its
+    /// deadline, since the upstream may go on with it. O(1).
+    std::optional<ParentCall> findRunning(std::string_view requestId) const;
 
     /// Removes the upstream from the membership record, or marks it as stopped if it is leaving, so that it gets no new
     /// calls. Calls that still arrive are served.
@@ -218,6 +224,7 @@
     std::shared_ptr<UpstreamClient> m_client;
     CallId m_nextCall { 1 };
     std::unordered_map<CallId, CallPtr> m_calls;
+    RunningCalls m_runningCalls;
     UnansweredRequests m_unanswered;
     RecentCompletions m_completions;
     bool m_isProbing { false };
--- a/tests/OwnerTaskTest.cpp
+++ b/tests/OwnerTaskTest.cpp
@@ -323,6 +323,28 @@
     EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Ready);
 }
 
+// Guards against a nested call that is let in under a parent which has ended, or does not run here.
+TEST(OwnerTaskTest, FindsACallOnlyWhileTheUpstreamRunsIt)
+{
+    OwnerFixture fixture;
+    fixture.upstream().setServiceTime(milliseconds(200));
+    fixture.announce();
+    wire::ForwardRequest request = fixture.makeRequest();
+    std::string requestId = request.traceId;
+    request.routeKey = 7;
+    request.__set_tenant("north");
+    EXPECT_FALSE(fixture.owner().findRunning(requestId));
+    fixture.call(request);
+    fixture.runFor(milliseconds(50));
+    std::optional<ParentCall> parent = fixture.owner().findRunning(requestId);
+    ASSERT_TRUE(parent);
+    EXPECT_EQ(parent->tenant, TenantName("north"));
+    EXPECT_EQ(parent->routeKey, 7U);
+    fixture.runFor(milliseconds(500));
+    EXPECT_EQ(fixture.count(ResultCode::Ok), 1U);
+    EXPECT_FALSE(fixture.owner().findRunning(requestId));
+}
+
 // Guards against a limit that stays in force after the upstream no longer states it, and against one that is dropped or
 // replaced because of a value that is no number.
 TEST(OwnerTaskTest, LimitChangesAndEndsWithTheStatement)
