Let calls in by the API keys of tenants

Calls without a known key ran, the key and a forged tenant header reached the upstreams, and upstreams were not told the tenant.

* CallerAuthentication decides by key, then by the parent of a nested call, then by whether the route is public; only if the mesh policy requires keys. 401 (api_key_unknown) otherwise.
The headers are parsed into a hash at once.
* The key header and a tenant header of the caller are dropped on the way to the owner; the owner sets the tenant header.
A transfer to another entry daemon carries the hash of the key and the tenant of the parent call instead.
A daemon without any configuration can't tell what credentials are for and leaves them out; in a mesh without API keys the receiving daemon then refuses the call as not run.
Otherwise credentials pass on as before without tenants.
* Idempotency keys are scoped to the tenant.
* Operator documents hold tenants and public routes; a 4xx states its reason.
Plans of the tool: setTenant (keys are hashed as they are read) and removeTenant.
* Calls are counted by tenant (the 32 largest by name) in metrics and status.
* Routing moved from EntryTask into CallRouting.

Fields 9 to 12 of wire CallTransfer are new and optional. The signature of claimKey() changed, so two callers in tests and benches pass an empty tenant; StatingUpstream keeps the latest request.

--- a/bench/RequestDecisionBenchMain.cpp
+++ b/bench/RequestDecisionBenchMain.cpp
@@ -114,7 +114,7 @@
         keeper.setView(single, now);
         HostId entry("entry-daemon-0001");
         auto keyOf = [](uint64_t i) {
-            return claimKey("POST", "/orders", IdempotencyKey("0f4c1d2e-7a3b-4c5d-8e9f-" + std::to_string(i)));
+            return claimKey({}, "POST", "/orders", IdempotencyKey("0f4c1d2e-7a3b-4c5d-8e9f-" + std::to_string(i)));
         };
         size_t before = allocatedBytes();
         measure("claim_at_keeper", records, [&](uint64_t i) {
--- a/dragonflylane/CallHeaders.cpp
+++ b/dragonflylane/CallHeaders.cpp
@@ -28,6 +28,19 @@
         return true;
     }
 
+    // Empty if the credentials are of another scheme, or if there are several headers with credentials.
+    std::optional<ApiKeyHash> apiKeyHash(const HttpRequest& request, const std::string& headerName)
+    {
+        constexpr std::string_view scheme = "Bearer ";
+        auto isCredentials = [&](const HttpHeader& header) { return equalsIgnoringCase(header.name, headerName); };
+        if (std::count_if(request.headers.begin(), request.headers.end(), isCredentials) != 1)
+            return std::nullopt;
+        std::string_view credentials = request.header(headerName);
+        if (!equalsIgnoringCase(credentials.substr(0, scheme.size()), scheme))
+            return std::nullopt;
+        return ApiKeyHash::of(credentials.substr(scheme.size()));
+    }
+
     bool isRequestId(std::string_view text)
     {
         if (text.empty() || text.size() > maxRequestIdBytes)
@@ -62,6 +75,7 @@
     std::string_view id = request.header(names.requestId);
     if (isRequestId(id))
         headers.requestId = RequestId(std::string(id));
+    headers.apiKey = apiKeyHash(request, names.apiKey);
     headers.isTransferred = !request.header(transferredHeader).empty();
     return {};
 }
--- a/dragonflylane/CallHeaders.h
+++ b/dragonflylane/CallHeaders.h
@@ -2,6 +2,7 @@
 
 // HTTP headers with the metadata of a call, and the responses that a daemon generates itself.
 
+#include "dragonflylane/ApiKeyHash.h"
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/HttpMessage.h"
 #include "dragonflylane/Ids.h"
@@ -29,6 +30,10 @@
     /// Id of the upstream that the request is for. A different upstream at the same address refuses the request.
     std::string expectedUpstream {};
 
+    /// Credentials of the caller: "Bearer" and an API key. Sent on only in a mesh that requires no API keys.
+    std::string apiKey { "Authorization" };
+    /// Name of the tenant, for the upstream. Removed from the requests of callers.
+    std::string tenant { "Dragonflylane-Tenant" };
     /// Separates the request id of a nested call from the suffix that its upstream has added to the id of the call that
     /// it is running. 0: request ids do not show nesting.
     char nestedIdSeparator { 0 };
@@ -64,6 +69,8 @@
     uint32_t hops { 0 };
     /// Request id chosen by the caller; empty if absent or invalid.
     RequestId requestId;
+    /// Hash of the API key that the caller presented; empty if there is none.
+    std::optional<ApiKeyHash> apiKey;
     /// The call was transferred by another entry daemon that may not serve routes yet.
     bool isTransferred { false };
 };
--- a/dragonflylane/CallLog.cpp
+++ b/dragonflylane/CallLog.cpp
@@ -27,6 +27,7 @@
         Event(response.event)
             .with("request", call.requestId)
             .with("service", call.serviceName)
+            .with("tenant", call.tenant)
             .with("code", name(response.code))
             .with("status", response.status)
             .with("run", runState(response.code) == RunState::NotRun ? "not-run" : "unknown")
--- a/dragonflylane/CallTransfers.cpp
+++ b/dragonflylane/CallTransfers.cpp
@@ -43,7 +43,7 @@
     call->tried.push_back(peer);
     m_pending.emplace(id, Pending { .call = call });
     m_metrics.add("calls_transferred");
-    std::string message = encodeThrift(makeTransfer(*call, id));
+    std::string message = encodeThrift(makeTransfer(*call, m_names, id));
     m_hub.withLink(peer, [this, id, message = std::move(message)](std::error_code error, LinkId link) {
         auto it = m_pending.find(id);
         if (it == m_pending.end())
@@ -110,7 +110,7 @@
     if (!decodeThrift(frame.payload, message))
         return m_metrics.add("forward_malformed");
     int64_t id = message.requestId;
-    CallOrigin origin { .service = ServiceName(message.callerService) };
+    CallOrigin origin = originOf(message);
     auto exchange = std::make_shared<HttpExchange>(toHttpRequest(std::move(message), m_names), BootClock::now(),
         [this, id, link = frame.link](HttpResponse response) {
             wire::ForwardResponse reply = toForwardResponse(std::move(response));
--- a/dragonflylane/ClaimCoordinator.h
+++ b/dragonflylane/ClaimCoordinator.h
@@ -3,7 +3,7 @@
 // Coordinator of idempotency claims at the entry daemon (docs/design.md, 5.4). Before a request with an idempotency key
 // is forwarded, its key is claimed at a majority of the key's keepers (the hosts that store its idempotency record).
 //
-//     coordinator.claim(callId, claimKey(method, target, key), now);
+//     coordinator.claim(callId, claimKey(tenant, method, target, key), now);
 //     for (ClaimOutput& output : coordinator.takeOutputs())
 //         // ClaimSend: send it. ClaimGranted: call markForwarded(callId), then forward the request.
 //         // ClaimRefused: answer the caller with the code, or with the stored response if the code is Ok.
--- a/dragonflylane/ClaimMessages.cpp
+++ b/dragonflylane/ClaimMessages.cpp
@@ -9,12 +9,14 @@
 
 // In HTTP neither the method nor the target contains a space, so the separators are unambiguous. A long target is
 // replaced by its hash to keep the key within maxClaimKeyBytes.
-std::string claimKey(std::string_view method, std::string_view target, const IdempotencyKey& key)
+std::string claimKey(
+    const TenantName& tenant, std::string_view method, std::string_view target, const IdempotencyKey& key)
 {
     constexpr size_t maxUnhashedTarget = 256;
     std::string targetPart
         = target.size() <= maxUnhashedTarget ? std::string(target) : std::to_string(stableHash(target));
-    return std::string(method) + ' ' + targetPart + ' ' + key.value();
+    std::string tenantPart = tenant.isEmpty() ? std::string() : std::to_string(stableHash(tenant.value())) + ' ';
+    return tenantPart + std::string(method) + ' ' + targetPart + ' ' + key.value();
 }
 
 bool KeeperGap::covers(std::string_view key) const
--- a/dragonflylane/ClaimMessages.h
+++ b/dragonflylane/ClaimMessages.h
@@ -29,9 +29,10 @@
     bool operator==(const ClaimId&) const = default;
 };
 
-/// Returns the key under which the idempotency record is stored. An idempotency key is scoped to a method and a target,
-/// but not to a service, because a plan may change the traffic split between a request and its retry.
-std::string claimKey(std::string_view method, std::string_view target, const IdempotencyKey&);
+/// Returns the key under which the idempotency record is stored. An idempotency key is scoped to a tenant, so that no
+/// tenant gets the response of another, and to a method and a target, but not to a service, because a plan may change
+/// the traffic split between a request and its retry.
+std::string claimKey(const TenantName&, std::string_view method, std::string_view target, const IdempotencyKey&);
 
 /// Coordinator to keeper: claims a key.
 struct ClaimRequest {
--- a/dragonflylane/CommandOutput.cpp
+++ b/dragonflylane/CommandOutput.cpp
@@ -79,6 +79,21 @@
             + (field(log, "isCurrent") == "true" ? "current" : "NOT CURRENT") + "\n";
     }
 
+    std::string tenantLines(const json::value& status)
+    {
+        std::string count = field(status, "tenantCount");
+        if (count.empty() || count == "0")
+            return {};
+        bool requiresKeys = field(status, "requiresApiKeys") == "true";
+        std::string lines
+            = "tenants      " + count + (requiresKeys ? ", API keys required\n" : ", no API keys required\n");
+        for (const json::value& tenant : list(status, "tenants"))
+            lines += "tenant       " + field(tenant, "name") + " asked " + field(tenant, "asked") + ", served "
+                + field(tenant, "served") + ", refused " + field(tenant, "refused") + ", over allotment "
+                + field(tenant, "overAllotment") + "\n";
+        return lines;
+    }
+
     std::string quarantineLines(const json::array& entries)
     {
         std::string lines;
@@ -174,6 +189,7 @@
     }
     lines += "members      " + field(status, "members") + "\n";
     lines += "drains       " + join(list(status, "drains")) + "\n";
+    lines += tenantLines(status);
     return lines + quarantineLines(list(status, "quarantine"));
 }
 
--- a/dragonflylane/EntryCall.h
+++ b/dragonflylane/EntryCall.h
@@ -33,6 +33,7 @@
     std::shared_ptr<HttpExchange> exchange;
     CallHeaders headers;
     RequestId requestId;
+    /// The routing table when the call arrived.
     std::shared_ptr<const RoutingTable> routingTable;
     ServiceIndex service { 0 };
     ServiceName serviceName;
@@ -48,9 +49,12 @@
     /// then.
     TimePoint target;
     uint32_t priority { 0 };
-    /// Tenant whose API key the caller presented; empty if none.
+    /// Tenant whose API key the caller presented, or that of the call that this one is nested in; empty if none.
     TenantName tenant;
     uint32_t tenantPriority { 0 };
+    /// The call was made by an upstream for a call that it is running, so it is part of that call.
+    bool isNested { false };
+    bool isPublicRoute { false };
     /// Hash of the route's name. Service times are estimated per route, since requests of one route take about the same
     /// time.
     uint64_t routeKey { 0 };
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -1,7 +1,9 @@
 #include "dragonflylane/EntryTask.h"
 
 #include "dragonflylane/CallLog.h"
+#include "dragonflylane/CallRouting.h"
 #include "dragonflylane/CallTransfers.h"
+#include "dragonflylane/CallerAuthentication.h"
 #include "dragonflylane/ClaimTask.h"
 #include "dragonflylane/CrashTask.h"
 #include "dragonflylane/EntryCall.h"
@@ -22,7 +24,6 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <cctype>
 #include <random>
 #include <set>
 #include <tuple>
@@ -80,15 +81,6 @@
     constexpr int maxRetryAfterPercent = 30;
     constexpr double retryAfterJitter = 0.5;
 
-    // Host header without the port, in lower case.
-    std::string hostName(const HttpRequest& request)
-    {
-        std::string_view field = request.header("Host");
-        std::string host(field.substr(0, field.rfind(':')));
-        std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) { return std::tolower(c); });
-        return host;
-    }
-
     LoadReport loadReport(const wire::ForwardResponse& response)
     {
         return { .running = static_cast<uint32_t>(response.running),
@@ -128,6 +120,7 @@
     void setRoutingTable(std::shared_ptr<const RoutingTable> routingTable)
     {
         m_routingTable = std::move(routingTable);
+        m_parts.metrics.tenants().setTenants(m_routingTable->tenants());
         TimePoint now = BootClock::now();
         for (ServiceIndex index = 0; index < m_routingTable->serviceCount(); ++index) {
             auto service = m_routingTable->sharedService(index);
@@ -163,11 +156,12 @@
         auto call = std::make_shared<EntryCall>();
         call->id = m_nextId++;
         call->exchange = std::move(exchange);
+        call->routingTable = m_routingTable;
         call->deadline = call->exchange->received() + m_options.defaultTimeout;
         m_calls.emplace(call->id, call);
         std::error_code error = parseCallHeaders(call->exchange->request(), m_options.headerNames, call->headers);
-        call->origin = originOf(*call->exchange);
         call->requestId = call->headers.requestId.isEmpty() ? makeRequestId(call->id) : call->headers.requestId;
+        call->origin = originOf(*call);
         if (error)
             return refuse(call, resultCode(error));
         call->exchange->setCancelHook([this, call] { cancelCall(call); });
@@ -175,7 +169,7 @@
     }
 
 private:
-    // ---- Deadline, route, quarantine and claim of the idempotency key ----
+    // ---- Deadline, route, tenant, quarantine and claim of the idempotency key ----
 
     void admit(const CallPtr& call)
     {
@@ -192,15 +186,16 @@
             watchDeadline(call);
             return m_transfers.transfer(call, m_nextId++);
         }
-        const HttpRequest& request = call->exchange->request();
-        std::string host = hostName(request);
-        ResultCode code = route(call, host);
+        ResultCode code = routeCall(*call, m_options.defaultTimeout, BootClock::now());
+        if (code == ResultCode::Ok)
+            code = authenticate(*call);
         if (code == ResultCode::Ok && call->deadline > m_lastAnswer)
             code = ResultCode::DaemonLeaving;
         if (code != ResultCode::Ok)
             return refuse(call, code);
         watchDeadline(call);
-        call->fingerprint = requestFingerprint(host, request.method, request.target, request.body);
+        const HttpRequest& request = call->exchange->request();
+        call->fingerprint = requestFingerprint(hostName(request), request.method, request.target, request.body);
         detectCallerRetry(call);
         if (m_parts.crash.stateOf(call->fingerprint) == CrashState::Quarantined)
             return refuse(call, ResultCode::RequestQuarantined);
@@ -210,36 +205,24 @@
         claim(call);
     }
 
-    ResultCode route(const CallPtr& call, std::string_view host)
+    CallCredentials credentialsOf(const EntryCall& call) const
     {
-        const HttpRequest& request = call->exchange->request();
-        call->routingTable = m_routingTable;
-        const RouteEntry* route = m_routingTable->findRoute(host, request.target);
-        if (!route)
-            return ResultCode::NoRoute;
-        // A retry with the same idempotency key selects the same service of a traffic split.
-        const std::string& seed = call->headers.key.isEmpty() ? call->requestId.value() : call->headers.key.value();
-        call->service = route->select(stableHash(seed));
-        const ServiceEntry& service = m_routingTable->service(call->service);
-        call->serviceName = service.name;
-        call->isIdempotent = route->isIdempotent(request.method);
-        TimePoint received = call->exchange->received();
-        if (!call->headers.timeout) {
-            auto timeout = m_routingTable->timeout(*route, call->service);
-            call->deadline = received + (timeout.count() > 0 ? timeout : m_options.defaultTimeout);
-            call->callerDeadline = call->deadline;
-        } else if (route->timeout.count() > 0) {
-            call->deadline = std::min(call->deadline, received + route->timeout);
-        }
-        call->target = route->targetLatency.count() > 0 ? received + route->targetLatency : call->deadline;
-        call->priority = route->priority;
-        call->routeKey = stableHash(route->name.value());
-        call->maxAttempts = route->maxAttempts > 0 ? route->maxAttempts : service.maxAttempts;
-        if (!m_routingTable->mayCall(call->headers.caller.value(), call->service))
-            return ResultCode::CallerNotAllowed;
-        if (BootClock::now() >= call->deadline)
-            return ResultCode::DeadlineExceeded;
-        return ResultCode::Ok;
+        CallCredentials credentials { .apiKey = call.headers.apiKey };
+        std::string_view parentId = parentRequestId(call.requestId, m_options.headerNames);
+        auto parent = parentId.empty() ? std::nullopt : m_parts.owner.findRunning(parentId);
+        if (parent)
+            credentials.parent = InheritedTenant { .name = parent->tenant, .priority = parent->tenantPriority };
+        return credentials;
+    }
+
+    ResultCode authenticate(EntryCall& call)
+    {
+        AuthenticatedCaller caller;
+        ResultCode code = authenticateCaller(*call.routingTable, call.isPublicRoute, call.origin.credentials, &caller);
+        call.tenant = std::move(caller.tenant);
+        call.tenantPriority = caller.tenantPriority;
+        call.isNested = caller.isNested;
+        return code;
     }
 
     // If the caller retries a request that was refused, the target latency counts from its first request.
@@ -258,7 +241,7 @@
     void claim(const CallPtr& call)
     {
         const HttpRequest& request = call->exchange->request();
-        std::string key = claimKey(request.method, request.target, call->headers.key);
+        std::string key = claimKey(call->tenant, request.method, request.target, call->headers.key);
         m_parts.claims.claim(call->id, std::move(key), [this, call](const ClaimTask::Outcome& outcome) {
             if (call->isFinished)
                 return;
@@ -581,16 +564,24 @@
         return std::min(std::chrono::duration_cast<Duration>(base * jitter), left * maxRetryAfterPercent / 100);
     }
 
-    CallOrigin originOf(const HttpExchange& exchange) const
+    // A call that was transferred has its origin from the daemon where it entered the mesh.
+    CallOrigin originOf(const EntryCall& call) const
     {
-        if (exchange.origin())
-            return *exchange.origin();
-        return { .service = m_options.service };
+        if (call.exchange->origin())
+            return *call.exchange->origin();
+        return { .service = m_options.service, .credentials = credentialsOf(call) };
     }
 
-    void respond(const CallPtr& call, ResultCode code, HttpResponse response)
+    void countEnd(const EntryCall& call, ResultCode code)
     {
         m_parts.metrics.countCall(code);
+        if (!call.isNested)
+            m_parts.metrics.tenants().count(call.tenant, code);
+    }
+
+    void respond(const CallPtr& call, ResultCode code, HttpResponse response)
+    {
+        countEnd(*call, code);
         m_parts.metrics.observe("call_latency", BootClock::now() - call->exchange->received());
         finish(call);
         call->exchange->respond(std::move(response));
@@ -598,7 +589,7 @@
 
     void cancelCall(const CallPtr& call)
     {
-        m_parts.metrics.countCall(ResultCode::CallerGone);
+        countEnd(*call, ResultCode::CallerGone);
         m_log.cancelled(*call);
         finish(call);
     }
--- a/dragonflylane/ForwardWire.cpp
+++ b/dragonflylane/ForwardWire.cpp
@@ -38,6 +38,23 @@
             || equalsIgnoringCase(name, names.expectedUpstream) || equalsIgnoringCase(name, transferredHeader);
     }
 
+    // True for headers of the caller that neither an upstream nor another daemon may see, or that only the mesh may
+    // set.
+    bool isHiddenFromUpstream(std::string_view name, const RoutingTable& routingTable, const CallHeaderNames& names)
+    {
+        bool hasApiKeys = routingTable.policy().requiresApiKeys;
+        if (hasApiKeys && equalsIgnoringCase(name, names.apiKey))
+            return true;
+        bool hasTenants = hasApiKeys || !routingTable.tenants().empty();
+        return hasTenants && equalsIgnoringCase(name, names.tenant);
+    }
+
+    // Whether the credentials of a caller may be an API key. Unknown before the daemon has its first configuration.
+    bool mayHoldApiKey(const RoutingTable& routingTable)
+    {
+        return routingTable.revision() == Revision() || routingTable.policy().requiresApiKeys;
+    }
+
     // True for response headers that the entry daemon does not need, see toAnswerHeaders().
     bool isOmitted(
         const HttpHeader& header, const HttpResponse& answer, const CallHeaderNames& names, std::string_view requestId)
@@ -120,7 +137,9 @@
     for (const HttpHeader& header : source.headers) {
         bool isTraceId = equalsIgnoringCase(header.name, names.requestId) && header.value == request.traceId;
         bool isCaller = hasCallerService && equalsIgnoringCase(header.name, names.caller);
-        if (!isTraceId && !isCaller && !isSetByNextDaemon(header.name, names) && !isHopByHopHeader(header.name))
+        bool isHidden = isHiddenFromUpstream(header.name, *call.routingTable, names);
+        if (!isTraceId && !isCaller && !isHidden && !isSetByNextDaemon(header.name, names)
+            && !isHopByHopHeader(header.name))
             request.headers.push_back(toWire(header));
     }
     request.callerService = call.origin.service.value();
@@ -163,7 +182,7 @@
     return http;
 }
 
-wire::CallTransfer makeTransfer(const EntryCall& call, uint64_t id)
+wire::CallTransfer makeTransfer(const EntryCall& call, const CallHeaderNames& names, uint64_t id)
 {
     const HttpRequest& source = call.exchange->request();
     wire::CallTransfer message;
@@ -172,12 +191,36 @@
     message.remainingMicroseconds = toMicroseconds(call.deadline - BootClock::now());
     message.method = source.method;
     message.target = source.target;
-    message.headers = toWire(source.headers);
+    std::vector<HttpHeader> headers = source.headers;
+    if (mayHoldApiKey(*call.routingTable)) {
+        size_t removed = std::erase_if(
+            headers, [&](const HttpHeader& header) { return equalsIgnoringCase(header.name, names.apiKey); });
+        message.__set_omitsCredentials(removed > 0);
+    }
+    message.headers = toWire(headers);
     message.body = source.body;
     message.callerService = call.origin.service.value();
+    const CallCredentials& credentials = call.origin.credentials;
+    if (credentials.apiKey)
+        message.__set_apiKeyHash(credentials.apiKey->bytes());
+    if (credentials.parent) {
+        message.__set_parentTenant(credentials.parent->name.value());
+        message.__set_parentTenantPriority(static_cast<int32_t>(credentials.parent->priority));
+    }
     return message;
 }
 
+CallOrigin originOf(const wire::CallTransfer& message)
+{
+    CallOrigin origin { .service = ServiceName(message.callerService) };
+    origin.credentials.apiKey = ApiKeyHash::fromBytes(message.apiKeyHash);
+    if (message.__isset.parentTenant)
+        origin.credentials.parent = InheritedTenant { .name = TenantName(message.parentTenant),
+            .priority = static_cast<uint32_t>(std::max(message.parentTenantPriority, 0)) };
+    origin.credentials.isHeaderOmitted = message.omitsCredentials;
+    return origin;
+}
+
 HttpRequest toHttpRequest(wire::CallTransfer message, const CallHeaderNames& names)
 {
     HttpRequest request { .method = std::move(message.method), .target = std::move(message.target) };
--- a/dragonflylane/ForwardWire.h
+++ b/dragonflylane/ForwardWire.h
@@ -14,6 +14,7 @@
 namespace dragonflylane {
 
 struct CallHeaderNames;
+struct CallOrigin;
 struct EntryCall;
 struct ProcessStatement;
 struct UpstreamEntry;
@@ -38,7 +39,10 @@
 wire::ForwardResponse makeResponse(uint64_t attemptId, ResultCode);
 HttpResponse toHttpResponse(wire::ForwardResponse);
 
-wire::CallTransfer makeTransfer(const EntryCall&, uint64_t id);
+/// Instead of an API key, the message holds its hash.
+wire::CallTransfer makeTransfer(const EntryCall&, const CallHeaderNames&, uint64_t id);
+/// Where a call that was transferred has entered the mesh, according to the daemon that transferred it.
+CallOrigin originOf(const wire::CallTransfer&);
 HttpRequest toHttpRequest(wire::CallTransfer, const CallHeaderNames&);
 /// Reads the result code from the response header in which a refusal states it.
 wire::ForwardResponse toForwardResponse(HttpResponse);
--- a/dragonflylane/HttpExchange.h
+++ b/dragonflylane/HttpExchange.h
@@ -3,6 +3,7 @@
 // One HTTP request from a caller together with its response callback.
 
 #include "dragonflylane/BootClock.h"
+#include "dragonflylane/CallCredentials.h"
 #include "dragonflylane/HttpMessage.h"
 #include "dragonflylane/Ids.h"
 
@@ -15,6 +16,7 @@
 struct CallOrigin {
     /// Service on the host where the call entered the mesh; empty if callers state their service in a header.
     ServiceName service;
+    CallCredentials credentials {};
 };
 
 /// Sends at most one response. The handler may keep the exchange and respond later; a response after the caller has
--- a/dragonflylane/Metrics.cpp
+++ b/dragonflylane/Metrics.cpp
@@ -58,6 +58,7 @@
     std::string text;
     for (const auto& [name, value] : m_counters)
         text += name + " " + std::to_string(value) + "\n";
+    text += m_tenants.render();
     for (const auto& [name, histogram] : m_histograms) {
         text += name + "_count " + std::to_string(histogram->count()) + "\n";
         for (auto [suffix, q] : { std::pair("_p50_us ", 0.5), std::pair("_p99_us ", 0.99) }) {
--- a/dragonflylane/Metrics.h
+++ b/dragonflylane/Metrics.h
@@ -5,6 +5,7 @@
 
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/ResultCode.h"
+#include "dragonflylane/TenantCounters.h"
 
 #include <cstdint>
 #include <map>
@@ -37,12 +38,17 @@
     /// Quantile of a histogram, zero if nothing was recorded. Relative error under 5 %.
     Duration quantile(std::string_view name, double q) const;
 
-    /// One "name value" line for each counter, sorted by name, followed by count, p50 and p99 of each histogram.
+    TenantCounters& tenants() { return m_tenants; }
+    const TenantCounters& tenants() const { return m_tenants; }
+
+    /// One "name value" line for each counter, sorted by name, followed by those of the tenants and by count, p50 and
+    /// p99 of each histogram.
     std::string render() const;
 
 private:
     std::map<std::string, uint64_t, std::less<>> m_counters;
     std::map<std::string, std::unique_ptr<LatencyHistogram>, std::less<>> m_histograms;
+    TenantCounters m_tenants;
 };
 
 } // namespace dragonflylane
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -495,6 +495,7 @@
     if (http.header(names.requestId).empty())
         add(names.requestId, request.traceId);
     add(names.caller, request.callerService);
+    add(names.tenant, request.tenant);
     add(names.expectedUpstream, request.upstreamId);
     http.body = std::move(request.body);
     return http;
--- a/dragonflylane/PlanJson.cpp
+++ b/dragonflylane/PlanJson.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <charconv>
 #include <functional>
 #include <limits>
 
@@ -161,6 +162,61 @@
         return item;
     }
 
+    /// Zero if the member is absent.
+    double readRate(ObjectReader& reader, const char* key)
+    {
+        const json::value* value = reader.member(key);
+        if (!value)
+            return 0;
+        if (value->is_number())
+            return value->to_number<double>();
+        reader.fail(std::string("needs a number '") + key + "'");
+        return 0;
+    }
+
+    std::optional<ApiKeyHash> parseHexHash(std::string_view text)
+    {
+        constexpr size_t digitsPerByte = 2;
+        constexpr int base = 16;
+        if (text.size() != digitsPerByte * ApiKeyHash::length)
+            return std::nullopt;
+        std::string bytes;
+        for (size_t i = 0; i < text.size(); i += digitsPerByte) {
+            unsigned char byte = 0;
+            const char* end = text.data() + i + digitsPerByte;
+            auto result = std::from_chars(text.data() + i, end, byte, base);
+            if (result.ec != std::errc() || result.ptr != end)
+                return std::nullopt;
+            bytes += static_cast<char>(byte);
+        }
+        return ApiKeyHash::fromBytes(bytes);
+    }
+
+    // Keys are hashed as soon as they are read, so that no plan holds them.
+    TenantItem readTenant(ObjectReader& reader)
+    {
+        TenantItem item { .name = TenantName(reader.text("name")) };
+        auto readKeys
+            = [&](const char* member, const std::function<std::optional<ApiKeyHash>(std::string_view)>& hash) {
+                  const json::array* keys = reader.array(member, false);
+                  if (!keys)
+                      return;
+                  for (const json::value& key : *keys) {
+                      auto keyHash = key.is_string() ? hash(key.get_string()) : std::nullopt;
+                      if (!keyHash)
+                          return reader.fail(std::string("has an invalid element in '") + member + "'");
+                      item.keys.push_back(*keyHash);
+                  }
+              };
+        readKeys("keys",
+            [](std::string_view key) { return key.empty() ? std::nullopt : std::optional(ApiKeyHash::of(key)); });
+        readKeys("keySha256", parseHexHash);
+        item.priority = static_cast<uint32_t>(reader.number("priority", 0, maxNumber));
+        item.ratePerSecond = readRate(reader, "ratePerSecond");
+        item.burst = readRate(reader, "burst");
+        return item;
+    }
+
     MeshPolicyItem readMeshPolicy(ObjectReader& reader)
     {
         MeshPolicyItem item;
@@ -228,6 +284,9 @@
                 changeByObject([](ObjectReader& reader) { return RemoveItem { keyOf(readCallRule(reader)) }; }) },
             { "setMeshPolicy",
                 changeByObject([](ObjectReader& reader) { return SetItem { readMeshPolicy(reader) }; }) },
+            { "setTenant", changeByObject([](ObjectReader& reader) { return SetItem { readTenant(reader) }; }) },
+            { "removeTenant",
+                changeByName([](std::string name) { return RemoveItem { tenantKey(TenantName(std::move(name))) }; }) },
             { "removeMeshPolicy", changeByObject([](ObjectReader&) { return RemoveItem { meshPolicyKey() }; }) },
             { "removeService", changeByName([](std::string name) {
                  return RemoveItem { serviceKey(ServiceName(std::move(name))) };
@@ -371,11 +430,12 @@
             return { { "setMeshPolicy", std::move(object) } };
         }
 
-        // The hashes of the keys tell an operator nothing, so only their number is rendered.
+        // The hashes of the keys tell an operator nothing, so only their number is rendered. Such a change cannot be
+        // proposed again.
         json::object operator()(const TenantItem& item) const
         {
             return { { "setTenant",
-                json::object { { "name", item.name.value() }, { "keys", item.keys.size() },
+                json::object { { "name", item.name.value() }, { "keyCount", item.keys.size() },
                     { "priority", item.priority }, { "ratePerSecond", item.ratePerSecond },
                     { "burst", item.burst } } } };
         }
--- a/dragonflylane/StatusJson.cpp
+++ b/dragonflylane/StatusJson.cpp
@@ -5,6 +5,7 @@
 #include "dragonflylane/Journal.h"
 #include "dragonflylane/LogTask.h"
 #include "dragonflylane/MembershipTask.h"
+#include "dragonflylane/Metrics.h"
 #include "dragonflylane/OwnerTask.h"
 #include "dragonflylane/RelayTask.h"
 #include "dragonflylane/RoutingTableTask.h"
@@ -86,6 +87,23 @@
             { "running", load.running }, { "queued", load.queued }, { "limit", load.limit } };
     }
 
+    // Tenants that are counted by name. A daemon may have thousands of others.
+    json::array describeTenants(const RoutingTable& routingTable, const TenantCounters& counters)
+    {
+        json::array tenants;
+        for (const TenantEntry& tenant : routingTable.tenants()) {
+            auto counted = counters.named().find(tenant.name);
+            if (counted == counters.named().end())
+                continue;
+            const TenantCounts& counts = counted->second;
+            tenants.emplace_back(json::object { { "name", tenant.name.value() }, { "priority", tenant.priority },
+                { "ratePerSecond", tenant.ratePerSecond }, { "burst", tenant.burst }, { "asked", counts.asked() },
+                { "served", counts.served }, { "refused", counts.refused },
+                { "overAllotment", counts.overAllotment } });
+        }
+        return tenants;
+    }
+
     json::array describeServices(const RoutingTable& routingTable)
     {
         json::array services;
@@ -143,6 +161,10 @@
         status["log"] = describeLog(*parts.log);
         status["acks"] = json::parse(renderAcks(parts.relay.relay().acks()));
     }
+    const RoutingTable& routingTable = *parts.routing.routingTable();
+    status["requiresApiKeys"] = routingTable.policy().requiresApiKeys;
+    status["tenantCount"] = routingTable.tenants().size();
+    status["tenants"] = describeTenants(routingTable, parts.metrics.tenants());
     json::array conflicts;
     for (const UpstreamConflict& conflict : parts.routing.conflicts()) {
         conflicts.emplace_back(json::object { { "upstream", conflict.id.value() }, { "used", conflict.used.value() },
--- a/fuzz/DecodersFuzz.cpp
+++ b/fuzz/DecodersFuzz.cpp
@@ -20,6 +20,7 @@
 #include "dragonflylane/Settings.h"
 #include "dragonflylane/Wire.h"
 #include "gen-cpp/peer_types.h"
+#include "platform/OperatorDocument.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -103,6 +104,23 @@
         parsePlanRequest(bytes, &request);
     }
 
+    // A document that is refused must have a reason, and one that is accepted must be checked as a configuration.
+    void fuzzOperatorDocument(std::string_view bytes)
+    {
+        std::string detail;
+        auto command = platform::readOperatorDocument(bytes, &detail);
+        if (command.has_value() != detail.empty())
+            std::abort();
+        if (!command)
+            return;
+        ConfigDelta delta;
+        for (const ConfigItem& item : command->items)
+            delta.upserts.emplace(keyOf(item), item);
+        ConfigState state;
+        if (!state.apply(delta, { .base = false, .digest = false }))
+            state.validate(&detail);
+    }
+
     void fuzzCall(std::string_view bytes)
     {
         wire::ForwardRequest request;
@@ -111,6 +129,8 @@
         decodeThrift(bytes, response);
         wire::Hello hello;
         decodeThrift(bytes, hello);
+        wire::CallTransfer transfer;
+        decodeThrift(bytes, transfer);
     }
 
     Target selectedTarget()
@@ -128,6 +148,7 @@
             { "config", fuzzConfig },
             { "plan", fuzzPlan },
             { "plan-json", fuzzPlanJson },
+            { "operator-document", fuzzOperatorDocument },
             { "call", fuzzCall },
         };
         const char* name = std::getenv("FUZZ_TARGET");
--- a/gen-cpp/peer_types.cpp
+++ b/gen-cpp/peer_types.cpp
@@ -1690,6 +1690,26 @@
 void CallTransfer::__set_callerService(const std::string& val) {
   this->callerService = val;
 }
+
+void CallTransfer::__set_apiKeyHash(const std::string& val) {
+  this->apiKeyHash = val;
+__isset.apiKeyHash = true;
+}
+
+void CallTransfer::__set_parentTenant(const std::string& val) {
+  this->parentTenant = val;
+__isset.parentTenant = true;
+}
+
+void CallTransfer::__set_parentTenantPriority(const int32_t val) {
+  this->parentTenantPriority = val;
+__isset.parentTenantPriority = true;
+}
+
+void CallTransfer::__set_omitsCredentials(const bool val) {
+  this->omitsCredentials = val;
+__isset.omitsCredentials = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallTransfer& obj)
 {
   obj.printTo(out);
@@ -1794,6 +1814,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->apiKeyHash);
+          this->__isset.apiKeyHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->parentTenant);
+          this->__isset.parentTenant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->parentTenantPriority);
+          this->__isset.parentTenantPriority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->omitsCredentials);
+          this->__isset.omitsCredentials = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1851,6 +1903,26 @@
   xfer += oprot->writeString(this->callerService);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.apiKeyHash) {
+    xfer += oprot->writeFieldBegin("apiKeyHash", ::apache::thrift::protocol::T_STRING, 9);
+    xfer += oprot->writeBinary(this->apiKeyHash);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.parentTenant) {
+    xfer += oprot->writeFieldBegin("parentTenant", ::apache::thrift::protocol::T_STRING, 10);
+    xfer += oprot->writeString(this->parentTenant);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.parentTenantPriority) {
+    xfer += oprot->writeFieldBegin("parentTenantPriority", ::apache::thrift::protocol::T_I32, 11);
+    xfer += oprot->writeI32(this->parentTenantPriority);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.omitsCredentials) {
+    xfer += oprot->writeFieldBegin("omitsCredentials", ::apache::thrift::protocol::T_BOOL, 12);
+    xfer += oprot->writeBool(this->omitsCredentials);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1866,6 +1938,10 @@
   swap(a.headers, b.headers);
   swap(a.body, b.body);
   swap(a.callerService, b.callerService);
+  swap(a.apiKeyHash, b.apiKeyHash);
+  swap(a.parentTenant, b.parentTenant);
+  swap(a.parentTenantPriority, b.parentTenantPriority);
+  swap(a.omitsCredentials, b.omitsCredentials);
   swap(a.__isset, b.__isset);
 }
 
@@ -1878,6 +1954,10 @@
   headers = other46.headers;
   body = other46.body;
   callerService = other46.callerService;
+  apiKeyHash = other46.apiKeyHash;
+  parentTenant = other46.parentTenant;
+  parentTenantPriority = other46.parentTenantPriority;
+  omitsCredentials = other46.omitsCredentials;
   __isset = other46.__isset;
 }
 CallTransfer::CallTransfer(CallTransfer&& other47) noexcept {
@@ -1889,6 +1969,10 @@
   headers = std::move(other47.headers);
   body = std::move(other47.body);
   callerService = std::move(other47.callerService);
+  apiKeyHash = std::move(other47.apiKeyHash);
+  parentTenant = std::move(other47.parentTenant);
+  parentTenantPriority = other47.parentTenantPriority;
+  omitsCredentials = other47.omitsCredentials;
   __isset = other47.__isset;
 }
 CallTransfer& CallTransfer::operator=(const CallTransfer& other48) {
@@ -1900,6 +1984,10 @@
   headers = other48.headers;
   body = other48.body;
   callerService = other48.callerService;
+  apiKeyHash = other48.apiKeyHash;
+  parentTenant = other48.parentTenant;
+  parentTenantPriority = other48.parentTenantPriority;
+  omitsCredentials = other48.omitsCredentials;
   __isset = other48.__isset;
   return *this;
 }
@@ -1912,6 +2000,10 @@
   headers = std::move(other49.headers);
   body = std::move(other49.body);
   callerService = std::move(other49.callerService);
+  apiKeyHash = std::move(other49.apiKeyHash);
+  parentTenant = std::move(other49.parentTenant);
+  parentTenantPriority = other49.parentTenantPriority;
+  omitsCredentials = other49.omitsCredentials;
   __isset = other49.__isset;
   return *this;
 }
@@ -1926,6 +2018,10 @@
   out << ", " << "headers=" << to_string(headers);
   out << ", " << "body=" << to_string(body);
   out << ", " << "callerService=" << to_string(callerService);
+  out << ", " << "apiKeyHash="; (__isset.apiKeyHash ? (out << to_string(apiKeyHash)) : (out << "<null>"));
+  out << ", " << "parentTenant="; (__isset.parentTenant ? (out << to_string(parentTenant)) : (out << "<null>"));
+  out << ", " << "parentTenantPriority="; (__isset.parentTenantPriority ? (out << to_string(parentTenantPriority)) : (out << "<null>"));
+  out << ", " << "omitsCredentials="; (__isset.omitsCredentials ? (out << to_string(omitsCredentials)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen-cpp/peer_types.h
+++ b/gen-cpp/peer_types.h
@@ -643,7 +643,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardCancel& obj);
 
 typedef struct _CallTransfer__isset {
-  _CallTransfer__isset() : requestId(false), traceId(false), remainingMicroseconds(false), method(false), target(false), headers(false), body(false), callerService(false) {}
+  _CallTransfer__isset() : requestId(false), traceId(false), remainingMicroseconds(false), method(false), target(false), headers(false), body(false), callerService(false), apiKeyHash(false), parentTenant(false), parentTenantPriority(false), omitsCredentials(false) {}
   bool requestId :1;
   bool traceId :1;
   bool remainingMicroseconds :1;
@@ -652,6 +652,10 @@
   bool headers :1;
   bool body :1;
   bool callerService :1;
+  bool apiKeyHash :1;
+  bool parentTenant :1;
+  bool parentTenantPriority :1;
+  bool omitsCredentials :1;
 } _CallTransfer__isset;
 
 class CallTransfer : public virtual ::apache::thrift::TBase {
@@ -668,7 +672,11 @@
                  method(),
                  target(),
                  body(),
-                 callerService() {
+                 callerService(),
+                 apiKeyHash(),
+                 parentTenant(),
+                 parentTenantPriority(0),
+                 omitsCredentials(0) {
   }
 
   virtual ~CallTransfer() noexcept;
@@ -680,6 +688,10 @@
   std::vector<Header>  headers;
   std::string body;
   std::string callerService;
+  std::string apiKeyHash;
+  std::string parentTenant;
+  int32_t parentTenantPriority;
+  bool omitsCredentials;
 
   _CallTransfer__isset __isset;
 
@@ -699,6 +711,14 @@
 
   void __set_callerService(const std::string& val);
 
+  void __set_apiKeyHash(const std::string& val);
+
+  void __set_parentTenant(const std::string& val);
+
+  void __set_parentTenantPriority(const int32_t val);
+
+  void __set_omitsCredentials(const bool val);
+
   bool operator == (const CallTransfer & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -717,6 +737,22 @@
       return false;
     if (!(callerService == rhs.callerService))
       return false;
+    if (__isset.apiKeyHash != rhs.__isset.apiKeyHash)
+      return false;
+    else if (__isset.apiKeyHash && !(apiKeyHash == rhs.apiKeyHash))
+      return false;
+    if (__isset.parentTenant != rhs.__isset.parentTenant)
+      return false;
+    else if (__isset.parentTenant && !(parentTenant == rhs.parentTenant))
+      return false;
+    if (__isset.parentTenantPriority != rhs.__isset.parentTenantPriority)
+      return false;
+    else if (__isset.parentTenantPriority && !(parentTenantPriority == rhs.parentTenantPriority))
+      return false;
+    if (__isset.omitsCredentials != rhs.__isset.omitsCredentials)
+      return false;
+    else if (__isset.omitsCredentials && !(omitsCredentials == rhs.omitsCredentials))
+      return false;
     return true;
   }
   bool operator != (const CallTransfer &rhs) const {
--- a/tests/ForwardWireTest.cpp
+++ b/tests/ForwardWireTest.cpp
@@ -1,6 +1,8 @@
 #include "dragonflylane/ForwardWire.h"
 #include "dragonflylane/CallHeaders.h"
+#include "dragonflylane/EntryCall.h"
 #include "dragonflylane/HeaderCoding.h"
+#include "dragonflylane/RoutingTableBuilder.h"
 #include "dragonflylane/Wire.h"
 
 #include <gtest/gtest.h>
@@ -19,6 +21,36 @@
         return names;
     }
 
+    std::shared_ptr<const RoutingTable> routingTable(bool requiresApiKeys)
+    {
+        ConfigDelta delta;
+        delta.toRevision = Revision(1);
+        delta.upserts.emplace(meshPolicyKey(), MeshPolicyItem { .requiresApiKeys = requiresApiKeys });
+        ConfigState state;
+        EXPECT_FALSE(state.apply(delta, { .base = false, .digest = false }));
+        RoutingTableBuilder builder;
+        builder.setState(state);
+        return builder.build();
+    }
+
+    const std::string apiKey = "secret-key";
+
+    /// A call of tenant north whose request has an API key and a forged tenant.
+    EntryCall makeCall(std::shared_ptr<const RoutingTable> routingTable)
+    {
+        HttpRequest request { .method = "GET", .target = "/" };
+        request.headers
+            = { { "authorization", "Bearer " + apiKey }, { "Dragonflylane-Tenant", "south" }, { "X-Other", "kept" } };
+        EntryCall call;
+        call.exchange = std::make_shared<HttpExchange>(request, TimePoint(), nullptr);
+        call.routingTable = std::move(routingTable);
+        EXPECT_FALSE(parseCallHeaders(request, names(), call.headers));
+        call.origin.credentials.apiKey = call.headers.apiKey;
+        call.tenant = TenantName("north");
+        call.tenantPriority = 2;
+        return call;
+    }
+
 } // namespace
 
 RC_GTEST_PROP(HeaderCodingProperty, DecodingRestoresTheText, ())
@@ -71,6 +103,46 @@
     EXPECT_EQ(toAnswerHeaders(answer, names(), "id1").size(), 2U);
 }
 
+// Guards against an API key that reaches the owner daemon or an upstream, and against a forged tenant.
+TEST(ForwardWireTest, RequestHoldsTheTenantInsteadOfTheKey)
+{
+    EntryCall call = makeCall(routingTable(true));
+    wire::ForwardRequest request = makeForwardRequest(call, names(), 1, {}, TimePoint());
+    EXPECT_EQ(encodeThrift(request).find(apiKey), std::string::npos);
+    EXPECT_EQ(request.headers.size(), 1U);
+    EXPECT_EQ(request.tenant, "north");
+    EXPECT_EQ(request.tenantPriority, 2);
+}
+
+// A mesh that requires no API keys does not know what the header is for, so it reaches the upstream.
+TEST(ForwardWireTest, CredentialsAreSentOnInAMeshWithoutApiKeys)
+{
+    EntryCall call = makeCall(routingTable(false));
+    EXPECT_EQ(makeForwardRequest(call, names(), 1, {}, TimePoint()).headers.size(), 3U);
+    wire::CallTransfer transfer = makeTransfer(call, names(), 1);
+    EXPECT_FALSE(originOf(transfer).credentials.isHeaderOmitted);
+    EXPECT_EQ(transfer.headers.size(), 3U);
+}
+
+// Guards against an API key in a frame to another entry daemon, which still has to authenticate the caller.
+TEST(ForwardWireTest, TransferHoldsTheHashOfTheKey)
+{
+    for (const auto& table : { routingTable(true), std::make_shared<const RoutingTable>() }) {
+        EntryCall call = makeCall(table);
+        call.origin.credentials.parent = InheritedTenant { .name = TenantName("west"), .priority = 5 };
+        std::string payload = encodeThrift(makeTransfer(call, names(), 1));
+        EXPECT_EQ(payload.find(apiKey), std::string::npos);
+        wire::CallTransfer received;
+        ASSERT_TRUE(decodeThrift(payload, received));
+        CallCredentials credentials = originOf(received).credentials;
+        EXPECT_EQ(credentials.apiKey, ApiKeyHash::of(apiKey));
+        EXPECT_TRUE(credentials.isHeaderOmitted);
+        ASSERT_TRUE(credentials.parent);
+        EXPECT_EQ(credentials.parent->name, TenantName("west"));
+        EXPECT_EQ(credentials.parent->priority, 5U);
+    }
+}
+
 // Guards against bodies that entry and owner accept and that the other daemon drops, so that a request vanishes, or
 // runs and its response is thrown away (review/2).
 TEST(ForwardWireTest, EveryBodyThatIsAcceptedIsDecoded)
--- a/tests/IdempotencyRecordsTest.cpp
+++ b/tests/IdempotencyRecordsTest.cpp
@@ -733,7 +733,7 @@
 {
     std::mt19937_64 random(seed);
     ClaimId id { hostId(random() % 100), random(), random() };
-    std::string key = claimKey("POST", "/orders", IdempotencyKey(std::to_string(random())));
+    std::string key = claimKey({}, "POST", "/orders", IdempotencyKey(std::to_string(random())));
     std::string answer(random() % maxStoredAnswerBytes, '\0');
     IdempotencyRecord record { key, RecordState::Finished, { id, id }, answer, Duration(random() % 1'000'000) };
     KeeperGap gap { viewOf(random(), { 0, 1, 2, 3 }), { hostId(1), hostId(2) }, Duration(random() % 1'000'000) };
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -211,6 +211,118 @@
     }
 }
 
+namespace {
+
+    /// The document with a member "tenants" of this value.
+    std::string documentWithTenants(const std::string& tenants)
+    {
+        return replaced(documentText, "\"limits\":{", "\"tenants\":" + tenants + ",\"limits\":{");
+    }
+
+    bool isAccepted(const std::string& document)
+    {
+        std::string detail;
+        bool isAccepted = readOperatorDocument(document, &detail).has_value();
+        EXPECT_EQ(detail.empty(), isAccepted) << detail;
+        return isAccepted;
+    }
+
+} // namespace
+
+TEST(PlatformTest, ConvertsTenants)
+{
+    std::string detail;
+    auto command = readOperatorDocument(
+        documentWithTenants(R"([{"name":"north","api_keys":["k1","k2"],"priority":3,"rate_per_s":10.5,"burst":4},)"
+                            R"({"name":"south","api_keys":[],"priority":99999999999,"rate_per_s":1e300}])"),
+        &detail);
+    ASSERT_TRUE(command) << detail;
+    std::vector<TenantItem> tenants;
+    bool requiresApiKeys = false;
+    for (const ConfigItem& item : command->items) {
+        if (const auto* tenant = std::get_if<TenantItem>(&item))
+            tenants.push_back(*tenant);
+        if (const auto* policy = std::get_if<MeshPolicyItem>(&item))
+            requiresApiKeys = policy->requiresApiKeys;
+    }
+    EXPECT_TRUE(requiresApiKeys);
+    ASSERT_EQ(tenants.size(), 2U);
+    EXPECT_EQ(tenants[0].name, TenantName("north"));
+    EXPECT_EQ(tenants[0].keys, (std::vector { ApiKeyHash::of("k1"), ApiKeyHash::of("k2") }));
+    EXPECT_EQ(tenants[0].ratePerSecond, 10.5);
+    EXPECT_EQ(tenants[0].burst, 4);
+    EXPECT_LT(tenants[0].priority, tenants[1].priority) << "the order is kept";
+    EXPECT_EQ(tenants[1].ratePerSecond, ItemLimits::requestRate);
+}
+
+TEST(PlatformTest, DocumentWithoutTenantsRequiresNoKeys)
+{
+    for (const char* tenants : { "null", "[]" }) {
+        std::string detail;
+        auto command = readOperatorDocument(documentWithTenants(tenants), &detail);
+        ASSERT_TRUE(command) << detail;
+        for (const ConfigItem& item : command->items) {
+            if (const auto* policy = std::get_if<MeshPolicyItem>(&item))
+                EXPECT_FALSE(policy->requiresApiKeys);
+        }
+    }
+}
+
+TEST(PlatformTest, AbsurdTenantsAreAcceptedOrRejectedWithAReason)
+{
+    EXPECT_TRUE(isAccepted(documentWithTenants(R"([{"name":"a","api_keys":["k"],"rate_per_s":0.25,"burst":0.5}])")));
+    EXPECT_TRUE(
+        isAccepted(documentWithTenants(R"([{"name":"a","api_keys":[")" + std::string(10'000, 'k') + R"("]}])")));
+    for (const char* tenants : { "{}", "7", "[7]", "[{}]", R"([{"name":"a"}])", R"([{"api_keys":["k"]}])",
+             R"([{"name":"","api_keys":["k"]}])", R"([{"name":"a b","api_keys":["k"]}])",
+             R"([{"name":"a","api_keys":[""]}])", R"([{"name":"a","api_keys":[7]}])",
+             R"([{"name":"a","api_keys":"k"}])", R"([{"name":"a","api_keys":["k"],"rate_per_s":-1}])",
+             R"([{"name":"a","api_keys":["k"],"burst":-0.5}])", R"([{"name":"a","api_keys":["k"],"rate_per_s":"9"}])",
+             R"([{"name":"a","api_keys":["k"],"rate_per_s":1e999}])",
+             R"([{"name":"a","api_keys":["k"],"priority":-1}])" })
+        EXPECT_FALSE(isAccepted(documentWithTenants(tenants))) << tenants;
+    EXPECT_FALSE(
+        isAccepted(documentWithTenants(R"([{"name":")" + std::string(10'000, 'n') + R"(","api_keys":["k"]}])")));
+    EXPECT_FALSE(isAccepted(replaced(documentText, "\"priority\":2", "\"priority\":2,\"public\":\"yes\"")));
+}
+
+// Guards against a document that is in force in part, or not refused at all.
+TEST(PlatformTest, DocumentsThatTheMeshCannotHoldAreRefusedAsAWhole)
+{
+    std::string many = "[";
+    for (int i = 0; i < 100'000; ++i)
+        many += (i == 0 ? "" : ",") + (R"({"name":"t)" + std::to_string(i)) + R"(","api_keys":["k)" + std::to_string(i)
+            + R"("]})";
+    const std::pair<std::string, ResultCode> documents[] = { { many + "]", ResultCode::PlanTooLarge },
+        { R"([{"name":"a","api_keys":["k"]},{"name":"b","api_keys":["k"]}])", ResultCode::DuplicateApiKey } };
+    for (const auto& [tenants, code] : documents) {
+        std::string detail;
+        auto command = readOperatorDocument(documentWithTenants(tenants), &detail);
+        ASSERT_TRUE(command) << detail;
+        ConfigDelta delta;
+        for (const ConfigItem& item : command->items)
+            delta.upserts.emplace(keyOf(item), item);
+        ConfigState state;
+        ASSERT_FALSE(state.apply(delta, { .base = false, .digest = false }));
+        EXPECT_EQ(resultCode(state.validate(&detail)), code);
+        EXPECT_FALSE(detail.empty());
+    }
+}
+
+TEST(PlatformTest, RefusedDocumentStatesTheReason)
+{
+    HttpResponse malformed = serve("POST", "/v1/Config.Put", documentWithTenants("7"), {});
+    EXPECT_EQ(malformed.status, 400U);
+    EXPECT_EQ(malformed.body, R"({"error":"tenants is not an array"})");
+    DaemonHooks hooks;
+    hooks.replaceConfiguration = [](const ReplaceCommand&, const std::function<void(ReplaceAnswer)>& callback) {
+        callback({ .code = ResultCode::DuplicateApiKey, .detail = "tenants a and b have the same API key" });
+    };
+    HttpResponse refused = serve("POST", "/v1/Config.Put", documentText, hooks);
+    EXPECT_EQ(refused.status, 400U);
+    EXPECT_EQ(refused.body, R"({"error":"tenants a and b have the same API key"})");
+}
+
 // The HTTP statuses sent to operators and backends must match the outcome in the mesh.
 TEST(PlatformTest, MapsOutcomesToHttpStatuses)
 {
--- a/tests/StatingUpstream.h
+++ b/tests/StatingUpstream.h
@@ -34,6 +34,8 @@
     void setEchoedHeader(std::string name) { m_echoedHeader = std::move(name); }
     const std::vector<TimePoint>& arrivals() const { return m_arrivals; }
 
+    const HttpRequest& lastRequest() const { return m_lastRequest; }
+
     /// The most requests that arrived within a window of this length, among the windows that begin after `from`.
     size_t mostArrivals(TimePoint from, Duration window) const { return mostWithin(m_arrivals, window, from); }
 
@@ -41,6 +43,7 @@
     void handle(const std::shared_ptr<HttpExchange>& exchange)
     {
         m_arrivals.push_back(BootClock::now());
+        m_lastRequest = exchange->request();
         auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_serviceTime);
         timer->async_wait([this, timer, exchange](boost::system::error_code) {
             HttpResponse response { .status = 200, .headers = m_headers, .body = "ok" };
@@ -56,6 +59,7 @@
     std::vector<HttpHeader> m_headers;
     std::string m_echoedHeader;
     std::vector<TimePoint> m_arrivals;
+    HttpRequest m_lastRequest;
     HttpServer m_server;
 };
 
--- a/wire/peer.thrift
+++ b/wire/peer.thrift
@@ -89,4 +89,12 @@
   6: list<Header> headers
   7: binary body
   8: string callerService
+  // SHA-256 of the API key that the caller presented. The key itself is not sent.
+  9: optional binary apiKeyHash
+  // Set if the call is nested in one that runs at the upstream of the sending daemon's host: the tenant of that call,
+  // which may be empty, and its priority.
+  10: optional string parentTenant
+  11: optional i32 parentTenantPriority
+  // The header with the credentials was left out, since the sender can't tell whether it holds an API key.
+  12: optional bool omitsCredentials
 }
