--- a/fuzz/DecodersFuzz.cpp
+++ b/fuzz/DecodersFuzz.cpp
@@ -22,6 +22,7 @@
 #include "dragonflylane/UpstreamResponse.h"
 #include "dragonflylane/Wire.h"
 #include "gen-cpp/peer_types.h"
+#include "platform/OperatorDocument.h"
 
 #include <algorithm>
 #include <boost/beast/http/parser.hpp>
@@ -132,6 +133,23 @@
         parsePlanRequest(bytes, &request);
     }
 
+    // A document that is refused must have a reason, and one that is accepted must be checked as a configuration.
+    void fuzzOperatorDocument(std::string_view bytes)
+    {
+        std::string detail;
+        auto command = platform::readOperatorDocument(bytes, &detail);
+        if (command.has_value() != detail.empty())
+            std::abort();
+        if (!command)
+            return;
+        ConfigDelta delta;
+        for (const ConfigItem& item : command->items)
+            delta.upserts.emplace(keyOf(item), item);
+        ConfigState state;
+        if (!state.apply(delta, { .base = false, .digest = false }))
+            state.validate(&detail);
+    }
+
     void fuzzCall(std::string_view bytes)
     {
         wire::ForwardRequest request;
@@ -140,6 +158,8 @@
         decodeThrift(bytes, response);
         wire::Hello hello;
         decodeThrift(bytes, hello);
+        wire::CallTransfer transfer;
+        decodeThrift(bytes, transfer);
     }
 
     Target selectedTarget()
@@ -157,6 +177,7 @@
             { "config", fuzzConfig },
             { "plan", fuzzPlan },
             { "plan-json", fuzzPlanJson },
+            { "operator-document", fuzzOperatorDocument },
             { "call", fuzzCall },
             { "response", fuzzResponse },
         };
