Name the scheme in each refusal for lack of an API key; test tenants in plans

RFC 9110 requires WWW-Authenticate in a response with status 401. PlanJsonTest shows that a plan holds and renders no key, and that a tenant without a name or with invalid keys is refused with the reason.

--- a/dragonflylane/CallHeaders.cpp
+++ b/dragonflylane/CallHeaders.cpp
@@ -28,17 +28,20 @@
         return true;
     }
 
+    /// Authentication scheme of API keys (RFC 6750).
+    constexpr std::string_view apiKeyScheme = "Bearer";
+
     // Empty if the credentials are of another scheme, or if there are several headers with credentials.
     std::optional<ApiKeyHash> apiKeyHash(const HttpRequest& request, const std::string& headerName)
     {
-        constexpr std::string_view scheme = "Bearer ";
         auto isCredentials = [&](const HttpHeader& header) { return equalsIgnoringCase(header.name, headerName); };
         if (std::count_if(request.headers.begin(), request.headers.end(), isCredentials) != 1)
             return std::nullopt;
         std::string_view credentials = request.header(headerName);
-        if (!equalsIgnoringCase(credentials.substr(0, scheme.size()), scheme))
-            return std::nullopt;
-        return ApiKeyHash::of(credentials.substr(scheme.size()));
+        size_t separator = credentials.find(' ');
+        bool isApiKey
+            = separator != std::string_view::npos && equalsIgnoringCase(credentials.substr(0, separator), apiKeyScheme);
+        return isApiKey ? std::optional(ApiKeyHash::of(credentials.substr(separator + 1))) : std::nullopt;
     }
 
     bool isRequestId(std::string_view text)
@@ -132,6 +135,8 @@
         { names.run, isNotRun ? "not-run" : "unknown" }, { "Content-Type", "text/plain" } };
     if (!id.isEmpty())
         response.headers.push_back({ names.requestId, id.value() });
+    if (code == ResultCode::ApiKeyUnknown)
+        response.headers.push_back({ "WWW-Authenticate", std::string(apiKeyScheme) });
     if (retryAfter > Duration::zero()) {
         double seconds = std::chrono::duration<double>(retryAfter).count();
         char text[32];
--- a/tests/PlanReviewTest.cpp
+++ b/tests/PlanReviewTest.cpp
@@ -448,6 +448,41 @@
     RC_ASSERT(parsed == request);
 }
 
+// Guards against a plan that holds or shows an API key.
+TEST(PlanJsonTest, KeysOfATenantAreHashedAndNotRendered)
+{
+    PlanRequest request;
+    std::string detail;
+    const std::string hashOfAbc = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad";
+    ASSERT_FALSE(parsePlanRequest(R"({"changes": [{"setTenant": {"name": "north", "keys": ["secret"], "keySha256": [")"
+            + hashOfAbc + R"("], "priority": 2, "ratePerSecond": 1.5, "burst": 3}}, {"removeTenant": "south"}]})",
+        &request, &detail))
+        << detail;
+    ASSERT_EQ(request.changes.size(), 2U);
+    auto tenant = std::get<TenantItem>(std::get<SetItem>(request.changes[0]).item);
+    EXPECT_EQ(tenant.keys, (std::vector { ApiKeyHash::of("secret"), ApiKeyHash::of("abc") }));
+    EXPECT_EQ(tenant.ratePerSecond, 1.5);
+    EXPECT_EQ(std::get<RemoveItem>(request.changes[1]).key, tenantKey(TenantName("south")));
+    std::string rendered = renderPlanRequest(request);
+    EXPECT_EQ(rendered.find("secret"), std::string::npos);
+    EXPECT_EQ(rendered.find(hashOfAbc), std::string::npos);
+    EXPECT_NE(rendered.find(R"("keyCount":2)"), std::string::npos) << rendered;
+}
+
+TEST(PlanJsonTest, InvalidTenantsAreRefusedWithTheReason)
+{
+    for (const char* tenant : { R"({"keys": ["k"]})", R"({"name": "a", "keys": [""]})", R"({"name": "a", "keys": "k"})",
+             R"({"name": "a", "keys": [7]})", R"({"name": "a", "keySha256": ["ba78"]})",
+             R"({"name": "a", "ratePerSecond": "1"})", R"({"name": "a", "priority": -1})",
+             R"({"name": "a", "keyCount": 1})" }) {
+        PlanRequest request;
+        std::string detail;
+        EXPECT_TRUE(parsePlanRequest(R"({"changes": [{"setTenant": )" + std::string(tenant) + "}]}", &request, &detail))
+            << tenant;
+        EXPECT_FALSE(detail.empty()) << tenant;
+    }
+}
+
 // Guards against effects or warnings that are missing in the output for operators.
 TEST(PlanJsonTest, RendersEffectsAsJsonAndText)
 {
