Start and advance roll-outs in the replicated state machine

Operators got no answer to the order of a roll-out, because no command of the state machine knew them. Two commands now change the roll-out item of a service: one starts it, without effect if the order is sent again, and one of the leader sets the share and the final state, without effect unless that roll-out is running. Plans stay current across such changes, as they do across changes of the keeper view. The new item and the keeper view are stored by the same function.

--- a/dragonflylane/PlanStateMachine.cpp
+++ b/dragonflylane/PlanStateMachine.cpp
@@ -58,6 +58,10 @@
         return replace(*replacement);
     if (const auto* change = std::get_if<PatchCommand>(&command))
         return patch(*change);
+    if (const auto* start = std::get_if<StartRolloutCommand>(&command))
+        return changeRollout(applyRolloutCommand(*start, state()));
+    if (const auto* advance = std::get_if<AdvanceRolloutCommand>(&command))
+        return changeRollout(applyRolloutCommand(*advance, state()));
     return setKeepers(std::get<SetKeepersCommand>(command));
 }
 
@@ -154,19 +158,37 @@
     std::string detail;
     if (std::error_code error = checkItem(view, &detail))
         return rejection({}, resultCode(error), detail);
-    ApplyOutcome outcome;
-    outcome.status = PlanStatus::Confirmed;
     if (const KeeperViewItem* current = state().keeperView()) {
-        if (*current == view) {
-            outcome.revision = state().revision();
-            outcome.repeated = true;
-            return outcome;
-        }
+        if (*current == view)
+            return unchanged();
         if (view.epoch <= current->epoch)
             return rejection({}, ResultCode::PlanConflict, "the keeper view already has this epoch or a higher one");
     }
+    return storeItem(view);
+}
+
+ApplyOutcome PlanStateMachine::changeRollout(const RolloutChange& change)
+{
+    if (change.code != ResultCode::Ok)
+        return rejection({}, change.code, change.detail);
+    return change.item ? storeItem(*change.item) : unchanged();
+}
+
+ApplyOutcome PlanStateMachine::unchanged() const
+{
+    ApplyOutcome outcome;
+    outcome.status = PlanStatus::Confirmed;
+    outcome.revision = state().revision();
+    outcome.repeated = true;
+    return outcome;
+}
+
+ApplyOutcome PlanStateMachine::storeItem(const ConfigItem& item)
+{
+    ApplyOutcome outcome;
+    outcome.status = PlanStatus::Confirmed;
     ConfigState next = state();
-    next.insert(view);
+    next.insert(item);
     next.setRevision(state().revision().next());
     outcome.delta = state().deltaTo(next);
     m_history.append(*outcome.delta, std::move(next));
@@ -345,8 +367,8 @@
     return record.status == PlanStatus::Proposed && isCurrentBase(record.base);
 }
 
-// The leader changes the keeper view without an operator, and plans cannot change it. Such revisions therefore do not
-// outdate a plan; otherwise operators would get conflicts that no other operator has caused.
+// The leader changes the keeper view and roll-outs without an operator, and plans cannot change them. Such revisions
+// therefore do not outdate a plan; otherwise operators would get conflicts that no other operator has caused.
 bool PlanStateMachine::isCurrentBase(Revision base) const
 {
     if (base == state().revision())
@@ -355,7 +377,8 @@
     if (base > state().revision() || !since)
         return false;
     std::vector<ItemKey> keys = since->keys();
-    return std::all_of(keys.begin(), keys.end(), [](const ItemKey& key) { return key == keeperViewKey(); });
+    return std::all_of(keys.begin(), keys.end(),
+        [](const ItemKey& key) { return key.kind == ItemKind::KeeperView || key.kind == ItemKind::Rollout; });
 }
 
 void PlanStateMachine::storePlan(PlanRecord record)
--- a/dragonflylane/PlanStateMachine.h
+++ b/dragonflylane/PlanStateMachine.h
@@ -12,6 +12,7 @@
 #include "dragonflylane/ConfigHistory.h"
 #include "dragonflylane/Plan.h"
 #include "dragonflylane/ResultCode.h"
+#include "dragonflylane/RolloutCommands.h"
 
 #include <deque>
 #include <list>
@@ -28,8 +29,8 @@
     bool operator==(const ProposeCommand&) const = default;
 };
 
-/// Applies a stored plan if its base is still the current revision, apart from keeper view changes. A retry returns the
-/// original outcome.
+/// Applies a stored plan if its base is still the current revision, apart from changes of the keeper view and of
+/// roll-outs. A retry returns the original outcome.
 struct ConfirmCommand {
     PlanId plan;
     OperatorName operatorName;
@@ -86,7 +87,8 @@
     bool operator==(const AcceptedDocument&) const = default;
 };
 
-using PlanCommand = std::variant<ProposeCommand, ConfirmCommand, SetKeepersCommand, ReplaceCommand, PatchCommand>;
+using PlanCommand = std::variant<ProposeCommand, ConfirmCommand, SetKeepersCommand, ReplaceCommand, PatchCommand,
+    StartRolloutCommand, AdvanceRolloutCommand>;
 
 /// Status of a plan.
 enum class PlanStatus : uint8_t {
@@ -195,6 +197,11 @@
     ApplyOutcome propose(const ProposeCommand&);
     ApplyOutcome confirm(const ConfirmCommand&);
     ApplyOutcome setKeepers(const SetKeepersCommand&);
+    ApplyOutcome changeRollout(const RolloutChange&);
+    /// Outcome of a command that has no effect.
+    ApplyOutcome unchanged() const;
+    /// Creates a revision with this item.
+    ApplyOutcome storeItem(const ConfigItem&);
     ApplyOutcome replace(const ReplaceCommand&);
     ApplyOutcome patch(const PatchCommand&);
     /// Returns the outcome of a document that was accepted before or has a wrong version or base. Returns nothing if
--- a/dragonflylane/PlanWire.cpp
+++ b/dragonflylane/PlanWire.cpp
@@ -99,6 +99,27 @@
             patch.operatorName = command.operatorName.value();
             out->__set_patch(patch);
         }
+
+        void operator()(const StartRolloutCommand& command) const
+        {
+            wire::PlanStartRollout start;
+            start.serviceName = command.service.value();
+            start.targetVersion = command.target.value();
+            start.duration = command.duration.count();
+            start.operatorName = command.operatorName.value();
+            out->__set_startRollout(start);
+        }
+
+        void operator()(const AdvanceRolloutCommand& command) const
+        {
+            wire::PlanAdvanceRollout advance;
+            advance.serviceName = command.service.value();
+            advance.targetVersion = command.target.value();
+            advance.state = static_cast<int32_t>(command.state);
+            advance.sharePermille = static_cast<int32_t>(command.sharePermille);
+            advance.elapsed = command.elapsed.count();
+            out->__set_advanceRollout(advance);
+        }
     };
 
     bool readPatch(const wire::PlanPatch& patch, PlanCommand* command)
@@ -118,6 +139,26 @@
         return true;
     }
 
+    StartRolloutCommand readStartRollout(const wire::PlanStartRollout& start)
+    {
+        return { .service = ServiceName(start.serviceName),
+            .target = UpstreamVersion(start.targetVersion),
+            .duration = std::chrono::milliseconds(start.duration),
+            .operatorName = OperatorName(start.operatorName) };
+    }
+
+    bool readAdvanceRollout(const wire::PlanAdvanceRollout& advance, PlanCommand* command)
+    {
+        AdvanceRolloutCommand result { .service = ServiceName(advance.serviceName),
+            .target = UpstreamVersion(advance.targetVersion),
+            .sharePermille = static_cast<uint32_t>(advance.sharePermille),
+            .elapsed = std::chrono::milliseconds(advance.elapsed) };
+        if (!readEnum(advance.state, RolloutState::RolledBack, result.state))
+            return false;
+        *command = std::move(result);
+        return true;
+    }
+
     bool readReplace(const wire::PlanReplace& replace, PlanCommand* command)
     {
         ReplaceCommand result;
@@ -202,7 +243,8 @@
         return error;
     const auto& isFieldSet = wireCommand.__isset;
     if (int { isFieldSet.propose } + int { isFieldSet.confirm } + int { isFieldSet.setKeepers }
-            + int { isFieldSet.replace } + int { isFieldSet.patch }
+            + int { isFieldSet.replace } + int { isFieldSet.patch } + int { isFieldSet.startRollout }
+            + int { isFieldSet.advanceRollout }
         != 1)
         return ResultCode::MalformedFrame;
     if (isFieldSet.propose && !readPropose(wireCommand.propose, command))
@@ -211,6 +253,10 @@
         return ResultCode::MalformedFrame;
     if (isFieldSet.replace && !readReplace(wireCommand.replace, command))
         return ResultCode::MalformedFrame;
+    if (isFieldSet.startRollout)
+        *command = readStartRollout(wireCommand.startRollout);
+    if (isFieldSet.advanceRollout && !readAdvanceRollout(wireCommand.advanceRollout, command))
+        return ResultCode::MalformedFrame;
     if (isFieldSet.confirm)
         *command
             = ConfirmCommand { PlanId(wireCommand.confirm.planId), OperatorName(wireCommand.confirm.operatorName) };
