Count the answers of versions at the entry daemons

An owner daemon now says how long the upstream has worked on a request (ForwardResponse.runMicroseconds), because the time that it was queued says nothing about a version.

--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -556,6 +556,8 @@
     reply.body = std::move(response.body);
     reply.retryAfterMicroseconds = toMicroseconds(retryAfter);
     reply.heldMicroseconds = toMicroseconds(BootClock::now() - call->receivedAt);
+    if (call->isRunning())
+        reply.__set_runMicroseconds(toMicroseconds(BootClock::now() - call->sentAt));
     LoadReport report = load();
     reply.running = static_cast<int32_t>(report.running);
     reply.queued = static_cast<int32_t>(report.queued);
--- a/dragonflylane/RolloutDecider.cpp
+++ b/dragonflylane/RolloutDecider.cpp
@@ -100,7 +100,7 @@
 
 bool RolloutDecider::mayComplete(TimePoint now) const
 {
-    if (!m_fullSince || isInDoubt(now) || m_evidence.target().ended < m_options.minAnswers)
+    if (!m_fullSince || isInDoubt(now) || m_evidence.targetAnswers() < m_options.minAnswers)
         return false;
     if (progress(now) >= completeInAnyCaseFrom)
         return true;
--- a/dragonflylane/RolloutEvidence.cpp
+++ b/dragonflylane/RolloutEvidence.cpp
@@ -11,13 +11,14 @@
 
     AnswerCounts answersOf(const RolloutCounts& counts)
     {
-        return { .answers = counts.ended, .bad = counts.failed + counts.slow };
+        return { .answers = counts.ended - counts.unanswered, .bad = counts.failed + counts.slow };
     }
 
     void addTo(RolloutCounts& sum, const RolloutCounts& counts)
     {
         sum.sent += counts.sent;
         sum.ended += counts.ended;
+        sum.unanswered += counts.unanswered;
         sum.failed += counts.failed;
         sum.slow += counts.slow;
         sum.runTime += counts.runTime;
@@ -27,6 +28,7 @@
     {
         sum.sent -= counts.sent;
         sum.ended -= counts.ended;
+        sum.unanswered -= counts.unanswered;
         sum.failed -= counts.failed;
         sum.slow -= counts.slow;
         sum.runTime -= counts.runTime;
@@ -34,8 +36,8 @@
 
     bool isAtLeast(const RolloutCounts& counts, const RolloutCounts& earlier)
     {
-        return counts.sent >= earlier.sent && counts.ended >= earlier.ended && counts.failed >= earlier.failed
-            && counts.slow >= earlier.slow;
+        return counts.sent >= earlier.sent && counts.ended >= earlier.ended && counts.unanswered >= earlier.unanswered
+            && counts.failed >= earlier.failed && counts.slow >= earlier.slow;
     }
 
 } // namespace
--- a/dragonflylane/RolloutEvidence.h
+++ b/dragonflylane/RolloutEvidence.h
@@ -5,7 +5,7 @@
 //     RolloutEvidence evidence(service, target);
 //     evidence.add(report, now);
 //     evidence.score();                    // see VersionComparison
-//     evidence.requestsLeftAtOthers(now);
+//     evidence.hasRequestsAtOthers(now);
 //
 // Reports are cumulative. A lost or repeated one does no harm, and a new leader gets all counts with the first report
 // of each daemon. Contains no clock. O(tallies) for each report.
@@ -28,6 +28,8 @@
     /// Sums over all daemons and routes.
     const RolloutCounts& target() const { return m_target; }
     const RolloutCounts& others() const { return m_others; }
+    /// Answers of the target that tell something about the version.
+    uint64_t targetAnswers() const { return m_target.ended - m_target.unanswered; }
     /// Whether some daemon has a request at another version than the target, or has sent one within `quietTime`.
     /// Daemons that have not reported within `reportLifetime` do not count.
     bool hasRequestsAtOthers(TimePoint now) const;
--- a/dragonflylane/RolloutReport.h
+++ b/dragonflylane/RolloutReport.h
@@ -13,8 +13,10 @@
 /// Counts of requests that were sent to upstreams.
 struct RolloutCounts {
     uint64_t sent { 0 };
-    /// Answered, or given up.
+    /// Answered, refused or given up.
     uint64_t ended { 0 };
+    /// Ended without an answer that tells anything about the version, for example refused for lack of capacity.
+    uint64_t unanswered { 0 };
     uint64_t failed { 0 };
     /// Not failed, but several times slower than the other versions on the same route.
     uint64_t slow { 0 };
--- a/gen-cpp/peer_types.cpp
+++ b/gen-cpp/peer_types.cpp
@@ -1203,6 +1203,11 @@
   this->paceLimit = val;
 __isset.paceLimit = true;
 }
+
+void ForwardResponse::__set_runMicroseconds(const int64_t val) {
+  this->runMicroseconds = val;
+__isset.runMicroseconds = true;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardResponse& obj)
 {
   obj.printTo(out);
@@ -1355,6 +1360,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->runMicroseconds);
+          this->__isset.runMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1439,6 +1452,11 @@
     xfer += oprot->writeI32(this->paceLimit);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.runMicroseconds) {
+    xfer += oprot->writeFieldBegin("runMicroseconds", ::apache::thrift::protocol::T_I64, 15);
+    xfer += oprot->writeI64(this->runMicroseconds);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1460,6 +1478,7 @@
   swap(a.statement, b.statement);
   swap(a.slownessPercent, b.slownessPercent);
   swap(a.paceLimit, b.paceLimit);
+  swap(a.runMicroseconds, b.runMicroseconds);
   swap(a.__isset, b.__isset);
 }
 
@@ -1478,6 +1497,7 @@
   statement = other32.statement;
   slownessPercent = other32.slownessPercent;
   paceLimit = other32.paceLimit;
+  runMicroseconds = other32.runMicroseconds;
   __isset = other32.__isset;
 }
 ForwardResponse::ForwardResponse(ForwardResponse&& other33) noexcept {
@@ -1495,6 +1515,7 @@
   statement = std::move(other33.statement);
   slownessPercent = other33.slownessPercent;
   paceLimit = other33.paceLimit;
+  runMicroseconds = other33.runMicroseconds;
   __isset = other33.__isset;
 }
 ForwardResponse& ForwardResponse::operator=(const ForwardResponse& other34) {
@@ -1512,6 +1533,7 @@
   statement = other34.statement;
   slownessPercent = other34.slownessPercent;
   paceLimit = other34.paceLimit;
+  runMicroseconds = other34.runMicroseconds;
   __isset = other34.__isset;
   return *this;
 }
@@ -1530,6 +1552,7 @@
   statement = std::move(other35.statement);
   slownessPercent = other35.slownessPercent;
   paceLimit = other35.paceLimit;
+  runMicroseconds = other35.runMicroseconds;
   __isset = other35.__isset;
   return *this;
 }
@@ -1550,6 +1573,7 @@
   out << ", " << "statement="; (__isset.statement ? (out << to_string(statement)) : (out << "<null>"));
   out << ", " << "slownessPercent="; (__isset.slownessPercent ? (out << to_string(slownessPercent)) : (out << "<null>"));
   out << ", " << "paceLimit="; (__isset.paceLimit ? (out << to_string(paceLimit)) : (out << "<null>"));
+  out << ", " << "runMicroseconds="; (__isset.runMicroseconds ? (out << to_string(runMicroseconds)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen-cpp/peer_types.h
+++ b/gen-cpp/peer_types.h
@@ -458,7 +458,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj);
 
 typedef struct _ForwardResponse__isset {
-  _ForwardResponse__isset() : requestId(false), code(false), status(false), headers(false), body(false), running(false), queued(false), limit(false), serviceMicroseconds(false), retryAfterMicroseconds(false), heldMicroseconds(false), statement(false), slownessPercent(false), paceLimit(false) {}
+  _ForwardResponse__isset() : requestId(false), code(false), status(false), headers(false), body(false), running(false), queued(false), limit(false), serviceMicroseconds(false), retryAfterMicroseconds(false), heldMicroseconds(false), statement(false), slownessPercent(false), paceLimit(false), runMicroseconds(false) {}
   bool requestId :1;
   bool code :1;
   bool status :1;
@@ -473,6 +473,7 @@
   bool statement :1;
   bool slownessPercent :1;
   bool paceLimit :1;
+  bool runMicroseconds :1;
 } _ForwardResponse__isset;
 
 class ForwardResponse : public virtual ::apache::thrift::TBase {
@@ -494,7 +495,8 @@
                     retryAfterMicroseconds(0),
                     heldMicroseconds(0),
                     slownessPercent(0),
-                    paceLimit(0) {
+                    paceLimit(0),
+                    runMicroseconds(0) {
   }
 
   virtual ~ForwardResponse() noexcept;
@@ -512,6 +514,7 @@
   UpstreamStatement statement;
   int32_t slownessPercent;
   int32_t paceLimit;
+  int64_t runMicroseconds;
 
   _ForwardResponse__isset __isset;
 
@@ -543,6 +546,8 @@
 
   void __set_paceLimit(const int32_t val);
 
+  void __set_runMicroseconds(const int64_t val);
+
   bool operator == (const ForwardResponse & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -579,6 +584,10 @@
       return false;
     else if (__isset.paceLimit && !(paceLimit == rhs.paceLimit))
       return false;
+    if (__isset.runMicroseconds != rhs.__isset.runMicroseconds)
+      return false;
+    else if (__isset.runMicroseconds && !(runMicroseconds == rhs.runMicroseconds))
+      return false;
     return true;
   }
   bool operator != (const ForwardResponse &rhs) const {
--- a/gen-cpp/rollout_types.cpp
+++ b/gen-cpp/rollout_types.cpp
@@ -34,8 +34,8 @@
   this->sent = val;
 }
 
-void RolloutTally::__set_answered(const int64_t val) {
-  this->answered = val;
+void RolloutTally::__set_ended(const int64_t val) {
+  this->ended = val;
 }
 
 void RolloutTally::__set_failed(const int64_t val) {
@@ -46,8 +46,12 @@
   this->slow = val;
 }
 
-void RolloutTally::__set_latencySum(const int64_t val) {
-  this->latencySum = val;
+void RolloutTally::__set_runTimeSum(const int64_t val) {
+  this->runTimeSum = val;
+}
+
+void RolloutTally::__set_unanswered(const int64_t val) {
+  this->unanswered = val;
 }
 std::ostream& operator<<(std::ostream& out, const RolloutTally& obj)
 {
@@ -111,8 +115,8 @@
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->answered);
-          this->__isset.answered = true;
+          xfer += iprot->readI64(this->ended);
+          this->__isset.ended = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -135,8 +139,16 @@
         break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->latencySum);
-          this->__isset.latencySum = true;
+          xfer += iprot->readI64(this->runTimeSum);
+          this->__isset.runTimeSum = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->unanswered);
+          this->__isset.unanswered = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -174,8 +186,8 @@
   xfer += oprot->writeI64(this->sent);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("answered", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->answered);
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->ended);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("failed", ::apache::thrift::protocol::T_I64, 6);
@@ -186,8 +198,12 @@
   xfer += oprot->writeI64(this->slow);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("latencySum", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->latencySum);
+  xfer += oprot->writeFieldBegin("runTimeSum", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->runTimeSum);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unanswered", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->unanswered);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -201,10 +217,11 @@
   swap(a.version, b.version);
   swap(a.routeKey, b.routeKey);
   swap(a.sent, b.sent);
-  swap(a.answered, b.answered);
+  swap(a.ended, b.ended);
   swap(a.failed, b.failed);
   swap(a.slow, b.slow);
-  swap(a.latencySum, b.latencySum);
+  swap(a.runTimeSum, b.runTimeSum);
+  swap(a.unanswered, b.unanswered);
   swap(a.__isset, b.__isset);
 }
 
@@ -213,10 +230,11 @@
   version = other0.version;
   routeKey = other0.routeKey;
   sent = other0.sent;
-  answered = other0.answered;
+  ended = other0.ended;
   failed = other0.failed;
   slow = other0.slow;
-  latencySum = other0.latencySum;
+  runTimeSum = other0.runTimeSum;
+  unanswered = other0.unanswered;
   __isset = other0.__isset;
 }
 RolloutTally::RolloutTally(RolloutTally&& other1) noexcept {
@@ -224,10 +242,11 @@
   version = std::move(other1.version);
   routeKey = other1.routeKey;
   sent = other1.sent;
-  answered = other1.answered;
+  ended = other1.ended;
   failed = other1.failed;
   slow = other1.slow;
-  latencySum = other1.latencySum;
+  runTimeSum = other1.runTimeSum;
+  unanswered = other1.unanswered;
   __isset = other1.__isset;
 }
 RolloutTally& RolloutTally::operator=(const RolloutTally& other2) {
@@ -235,10 +254,11 @@
   version = other2.version;
   routeKey = other2.routeKey;
   sent = other2.sent;
-  answered = other2.answered;
+  ended = other2.ended;
   failed = other2.failed;
   slow = other2.slow;
-  latencySum = other2.latencySum;
+  runTimeSum = other2.runTimeSum;
+  unanswered = other2.unanswered;
   __isset = other2.__isset;
   return *this;
 }
@@ -247,10 +267,11 @@
   version = std::move(other3.version);
   routeKey = other3.routeKey;
   sent = other3.sent;
-  answered = other3.answered;
+  ended = other3.ended;
   failed = other3.failed;
   slow = other3.slow;
-  latencySum = other3.latencySum;
+  runTimeSum = other3.runTimeSum;
+  unanswered = other3.unanswered;
   __isset = other3.__isset;
   return *this;
 }
@@ -261,10 +282,11 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "routeKey=" << to_string(routeKey);
   out << ", " << "sent=" << to_string(sent);
-  out << ", " << "answered=" << to_string(answered);
+  out << ", " << "ended=" << to_string(ended);
   out << ", " << "failed=" << to_string(failed);
   out << ", " << "slow=" << to_string(slow);
-  out << ", " << "latencySum=" << to_string(latencySum);
+  out << ", " << "runTimeSum=" << to_string(runTimeSum);
+  out << ", " << "unanswered=" << to_string(unanswered);
   out << ")";
 }
 
@@ -277,8 +299,8 @@
   this->host = val;
 }
 
-void RolloutEvidence::__set_life(const int64_t val) {
-  this->life = val;
+void RolloutEvidence::__set_process(const int64_t val) {
+  this->process = val;
 }
 
 void RolloutEvidence::__set_number(const int64_t val) {
@@ -326,8 +348,8 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->life);
-          this->__isset.life = true;
+          xfer += iprot->readI64(this->process);
+          this->__isset.process = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -381,8 +403,8 @@
   xfer += oprot->writeString(this->host);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("life", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->life);
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->process);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 3);
@@ -409,7 +431,7 @@
 void swap(RolloutEvidence &a, RolloutEvidence &b) {
   using ::std::swap;
   swap(a.host, b.host);
-  swap(a.life, b.life);
+  swap(a.process, b.process);
   swap(a.number, b.number);
   swap(a.tallies, b.tallies);
   swap(a.__isset, b.__isset);
@@ -417,21 +439,21 @@
 
 RolloutEvidence::RolloutEvidence(const RolloutEvidence& other10) {
   host = other10.host;
-  life = other10.life;
+  process = other10.process;
   number = other10.number;
   tallies = other10.tallies;
   __isset = other10.__isset;
 }
 RolloutEvidence::RolloutEvidence(RolloutEvidence&& other11) noexcept {
   host = std::move(other11.host);
-  life = other11.life;
+  process = other11.process;
   number = other11.number;
   tallies = std::move(other11.tallies);
   __isset = other11.__isset;
 }
 RolloutEvidence& RolloutEvidence::operator=(const RolloutEvidence& other12) {
   host = other12.host;
-  life = other12.life;
+  process = other12.process;
   number = other12.number;
   tallies = other12.tallies;
   __isset = other12.__isset;
@@ -439,7 +461,7 @@
 }
 RolloutEvidence& RolloutEvidence::operator=(RolloutEvidence&& other13) noexcept {
   host = std::move(other13.host);
-  life = other13.life;
+  process = other13.process;
   number = other13.number;
   tallies = std::move(other13.tallies);
   __isset = other13.__isset;
@@ -449,7 +471,7 @@
   using ::apache::thrift::to_string;
   out << "RolloutEvidence(";
   out << "host=" << to_string(host);
-  out << ", " << "life=" << to_string(life);
+  out << ", " << "process=" << to_string(process);
   out << ", " << "number=" << to_string(number);
   out << ", " << "tallies=" << to_string(tallies);
   out << ")";
--- a/gen-cpp/rollout_types.h
+++ b/gen-cpp/rollout_types.h
@@ -26,15 +26,16 @@
 class RolloutEvidence;
 
 typedef struct _RolloutTally__isset {
-  _RolloutTally__isset() : serviceName(false), version(false), routeKey(false), sent(false), answered(false), failed(false), slow(false), latencySum(false) {}
+  _RolloutTally__isset() : serviceName(false), version(false), routeKey(false), sent(false), ended(false), failed(false), slow(false), runTimeSum(false), unanswered(false) {}
   bool serviceName :1;
   bool version :1;
   bool routeKey :1;
   bool sent :1;
-  bool answered :1;
+  bool ended :1;
   bool failed :1;
   bool slow :1;
-  bool latencySum :1;
+  bool runTimeSum :1;
+  bool unanswered :1;
 } _RolloutTally__isset;
 
 class RolloutTally : public virtual ::apache::thrift::TBase {
@@ -49,10 +50,11 @@
                  version(),
                  routeKey(0),
                  sent(0),
-                 answered(0),
+                 ended(0),
                  failed(0),
                  slow(0),
-                 latencySum(0) {
+                 runTimeSum(0),
+                 unanswered(0) {
   }
 
   virtual ~RolloutTally() noexcept;
@@ -60,10 +62,11 @@
   std::string version;
   int64_t routeKey;
   int64_t sent;
-  int64_t answered;
+  int64_t ended;
   int64_t failed;
   int64_t slow;
-  int64_t latencySum;
+  int64_t runTimeSum;
+  int64_t unanswered;
 
   _RolloutTally__isset __isset;
 
@@ -75,13 +78,15 @@
 
   void __set_sent(const int64_t val);
 
-  void __set_answered(const int64_t val);
+  void __set_ended(const int64_t val);
 
   void __set_failed(const int64_t val);
 
   void __set_slow(const int64_t val);
 
-  void __set_latencySum(const int64_t val);
+  void __set_runTimeSum(const int64_t val);
+
+  void __set_unanswered(const int64_t val);
 
   bool operator == (const RolloutTally & rhs) const
   {
@@ -93,13 +98,15 @@
       return false;
     if (!(sent == rhs.sent))
       return false;
-    if (!(answered == rhs.answered))
+    if (!(ended == rhs.ended))
       return false;
     if (!(failed == rhs.failed))
       return false;
     if (!(slow == rhs.slow))
       return false;
-    if (!(latencySum == rhs.latencySum))
+    if (!(runTimeSum == rhs.runTimeSum))
+      return false;
+    if (!(unanswered == rhs.unanswered))
       return false;
     return true;
   }
@@ -120,9 +127,9 @@
 std::ostream& operator<<(std::ostream& out, const RolloutTally& obj);
 
 typedef struct _RolloutEvidence__isset {
-  _RolloutEvidence__isset() : host(false), life(false), number(false), tallies(false) {}
+  _RolloutEvidence__isset() : host(false), process(false), number(false), tallies(false) {}
   bool host :1;
-  bool life :1;
+  bool process :1;
   bool number :1;
   bool tallies :1;
 } _RolloutEvidence__isset;
@@ -136,13 +143,13 @@
   RolloutEvidence& operator=(RolloutEvidence&&) noexcept;
   RolloutEvidence() noexcept
                   : host(),
-                    life(0),
+                    process(0),
                     number(0) {
   }
 
   virtual ~RolloutEvidence() noexcept;
   std::string host;
-  int64_t life;
+  int64_t process;
   int64_t number;
   std::vector<RolloutTally>  tallies;
 
@@ -150,7 +157,7 @@
 
   void __set_host(const std::string& val);
 
-  void __set_life(const int64_t val);
+  void __set_process(const int64_t val);
 
   void __set_number(const int64_t val);
 
@@ -160,7 +167,7 @@
   {
     if (!(host == rhs.host))
       return false;
-    if (!(life == rhs.life))
+    if (!(process == rhs.process))
       return false;
     if (!(number == rhs.number))
       return false;
--- a/wire/peer.thrift
+++ b/wire/peer.thrift
@@ -73,6 +73,8 @@
   13: optional i32 slownessPercent
   // Calls that the owner lets run at the same time while the upstream warms up. Not set: all slots.
   14: optional i32 paceLimit
+  // Time that the upstream has worked on the request. Not set: it did not get the request.
+  15: optional i64 runMicroseconds
 }
 
 struct ForwardCancel {
