Roll out versions: selection, evidence, leader and operators' API

A request for a service with a running roll-out goes to the target version with the probability of the share, and never falls back to it from another version; a version that was rolled back gets nothing, and a daemon whose configuration was proven more than 1.5 s ago sends the target nothing. Each group of versions has a selector of its own. Operators start and read roll-outs by the daemon's API, the tool and the platform's API. What an attempt's result says about its upstream moved from EntryTask to AttemptOutcome.

--- a/dragonflylane/ApiTask.cpp
+++ b/dragonflylane/ApiTask.cpp
@@ -13,6 +13,7 @@
 #include "dragonflylane/PlanJson.h"
 #include "dragonflylane/PlanReview.h"
 #include "dragonflylane/RelayTask.h"
+#include "dragonflylane/RolloutJson.h"
 #include "dragonflylane/RoutingTableTask.h"
 #include "dragonflylane/StatusJson.h"
 
@@ -168,6 +169,8 @@
         { "POST", "plans", 3, &ApiTask::confirmPlan },
         { "GET", "plans", 2, &ApiTask::showPlan },
         { "GET", "document", 1, &ApiTask::showDocument },
+        { "POST", "rollouts", 1, &ApiTask::createRollout },
+        { "GET", "rollouts", 2, &ApiTask::showRollout },
         { "GET", "ready", 1, &ApiTask::showReadiness },
         { "GET", "history", 1, &ApiTask::showHistory },
         { "GET", "status", 1, &ApiTask::showStatus },
@@ -346,11 +349,25 @@
         if (command.operatorName.isEmpty())
             command.operatorName = OperatorName(trustedOperator);
         auto sharedCommand = std::make_shared<ReplaceCommand>(std::move(command));
-        findLeader(BootClock::now() + leaderLookupTimeout,
-            [this, sharedCommand, callback = std::move(callback)](const HostId& leader) {
-                if (leader == m_parts.settings.hostId)
-                    return replaceConfiguration(*sharedCommand, callback);
-                callback({ .code = ResultCode::NotLeader, .leader = apiAddress(leader) });
+        runAtLeader([this, sharedCommand, callback] { replaceConfiguration(*sharedCommand, callback); },
+            [callback](const std::optional<Endpoint>& leader) {
+                callback({ .code = ResultCode::NotLeader, .leader = leader });
+            });
+    };
+    hooks.startRollout = [this](StartRolloutCommand command, RolloutCallback callback) {
+        if (command.operatorName.isEmpty())
+            command.operatorName = OperatorName(trustedOperator);
+        runAtLeader([this, command, callback] { startRollout(command, callback); },
+            [callback](const std::optional<Endpoint>& leader) {
+                callback({ .code = ResultCode::NotLeader, .leader = leader });
+            });
+    };
+    hooks.readRollout = [this](const ServiceName& service, RolloutCallback callback) {
+        if (m_parts.log && m_parts.log->isCurrent(BootClock::now()))
+            return readRollout(service, callback);
+        runAtLeader([this, service, callback] { readRollout(service, callback); },
+            [callback](const std::optional<Endpoint>& leader) {
+                callback({ .code = ResultCode::NotLeader, .leader = leader });
             });
     };
     hooks.readDocument
@@ -377,6 +394,16 @@
     timer->async_wait([this, timer, deadline, callback](boost::system::error_code) { findLeader(deadline, callback); });
 }
 
+void ApiTask::runAtLeader(std::function<void()> atLeader, std::function<void(std::optional<Endpoint> leader)> elsewhere)
+{
+    findLeader(BootClock::now() + leaderLookupTimeout,
+        [this, atLeader = std::move(atLeader), elsewhere = std::move(elsewhere)](const HostId& leader) {
+            if (leader == m_parts.settings.hostId)
+                return atLeader();
+            elsewhere(apiAddress(leader));
+        });
+}
+
 void ApiTask::replaceConfiguration(const ReplaceCommand& command, const ReplaceCallback& callback)
 {
     auto report = [version = PlanId(std::to_string(command.version.value())), operatorName = command.operatorName,
@@ -420,6 +447,66 @@
         { .headers = { { "Content-Type", "application/json" } }, .body = m_parts.log->stateMachine().document() });
 }
 
+// ---- roll-outs ----
+
+void ApiTask::startRollout(const StartRolloutCommand& command, const RolloutCallback& callback)
+{
+    auto report = [command, callback](std::error_code error, const ApplyOutcome& outcome) {
+        ResultCode code = error ? resultCode(error) : outcome.code;
+        Event("rollout_started")
+            .with("service", printableExcerpt(command.service.value()))
+            .with("target", printableExcerpt(command.target.value()))
+            .with("duration_ms", command.duration.count())
+            .with("operator", command.operatorName)
+            .with("code", name(code))
+            .with("revision", outcome.revision)
+            .with("repeated", static_cast<int>(outcome.repeated))
+            .with("detail", outcome.detail);
+        callback({ .code = code, .detail = outcome.detail });
+    };
+    if (!m_parts.log->isCurrent(BootClock::now()))
+        return report(ResultCode::QuorumLost, {});
+    m_parts.log->submit(command, report);
+}
+
+void ApiTask::readRollout(const ServiceName& service, const RolloutCallback& callback) const
+{
+    if (!m_parts.log->isCurrent(BootClock::now()))
+        return callback({ .code = ResultCode::QuorumLost });
+    const ConfigItem* item = m_parts.log->stateMachine().state().find(rolloutKey(service));
+    if (!item)
+        return callback({ .code = ResultCode::NotFound });
+    callback({ .item = std::get<RolloutItem>(*item) });
+}
+
+void ApiTask::createRollout(const ApiRequest& request)
+{
+    if (!isLeader())
+        return forwardToLeader(request);
+    auto command = parseRolloutStart(request.http.body);
+    if (!command)
+        return request.respondError(ResultCode::InvalidValue, "service, version or duration_s");
+    command->operatorName = request.operatorName;
+    startRollout(*command, [request](const RolloutAnswer& answer) {
+        if (answer.code != ResultCode::Ok)
+            return request.respondError(answer.code, answer.detail);
+        request.respondJson("{}\n");
+    });
+}
+
+void ApiTask::showRollout(const ApiRequest& request)
+{
+    if (!isLeader())
+        return forwardToLeader(request);
+    readRollout(ServiceName(request.path[1]), [request](const RolloutAnswer& answer) {
+        if (answer.code != ResultCode::Ok)
+            return request.respondError(answer.code, "roll-out of " + request.path[1]);
+        request.respondJson(renderRollout(*answer.item));
+    });
+}
+
+// ---- readiness and plans ----
+
 void ApiTask::showReadiness(const ApiRequest& request)
 {
     constexpr unsigned statusServiceUnavailable = 503;
--- a/dragonflylane/ApiTask.h
+++ b/dragonflylane/ApiTask.h
@@ -80,12 +80,20 @@
     using ReplaceCallback = std::function<void(ReplaceAnswer)>;
     using DocumentCallback = std::function<void(DocumentAnswer)>;
 
+    using RolloutCallback = std::function<void(RolloutAnswer)>;
+
     void replaceConfiguration(const ReplaceCommand&, const ReplaceCallback&);
     void readDocument(const DocumentCallback&, TimePoint deadline);
+    void startRollout(const StartRolloutCommand&, const RolloutCallback&);
+    void readRollout(const ServiceName&, const RolloutCallback&) const;
+    /// Calls `atLeader` if this daemon leads, or else `elsewhere` with the API address of the leader, if it is known.
+    void runAtLeader(std::function<void()> atLeader, std::function<void(std::optional<Endpoint> leader)> elsewhere);
     /// Calls back with the leader's host id, which is empty if no leader is known by the deadline.
     void findLeader(TimePoint deadline, const std::function<void(HostId)>&);
     std::optional<Endpoint> apiAddress(const HostId&) const;
     void showDocument(const ApiRequest&);
+    void createRollout(const ApiRequest&);
+    void showRollout(const ApiRequest&);
     void showReadiness(const ApiRequest&);
     void showHistory(const ApiRequest&);
     void showStatus(const ApiRequest&);
--- a/dragonflylane/CommandLine.cpp
+++ b/dragonflylane/CommandLine.cpp
@@ -36,12 +36,18 @@
   metrics                counters of the daemon at --api
   explain ID             decisions about a request, plan, daemon or upstream
   release FINGERPRINT    release a quarantined request
+  rollout start SERVICE VERSION --duration SECONDS
+                         move the requests of a service to another version of its upstreams
+  rollout show SERVICE   state of the latest roll-out of a service
   check-settings FILE    check a settings file
 )";
 
     struct Arguments {
         std::string command;
         std::string operand;
+        /// Arguments after the operand.
+        std::vector<std::string> furtherOperands;
+        double durationSeconds { 0 };
         std::vector<Endpoint> servers;
         std::string token;
         bool isJson { false };
@@ -173,6 +179,25 @@
             [](const json::value&) { return std::string("released\n"); });
     }
 
+    int startRollout(Session& session, const std::string& service, const std::string& version)
+    {
+        json::object order { { "service", service }, { "version", version },
+            { "duration_s", session.arguments().durationSeconds } };
+        return session.exchange({ .method = "POST", .target = "/v1/rollouts", .body = json::serialize(order) },
+            [](const json::value&) { return std::string("started\n"); });
+    }
+
+    int rollout(Session& session)
+    {
+        const std::string& action = session.arguments().operand;
+        const std::vector<std::string>& operands = session.arguments().furtherOperands;
+        if (action == "start" && operands.size() == 2)
+            return startRollout(session, operands[0], operands[1]);
+        if (action == "show" && operands.size() == 1)
+            return session.get("/v1/rollouts/" + operands[0], renderPretty);
+        return fail(ResultCode::SettingMissing, "operands of rollout " + action);
+    }
+
     int checkSettings(const std::string& path)
     {
         Settings settings;
@@ -220,6 +245,7 @@
                         return session.get("/v1/explain?id=" + session.arguments().operand, renderExplanation);
                     } } },
             { "release", { true, release } },
+            { "rollout", { true, rollout } },
             { "check-settings", { true, [](Session& session) { return checkSettings(session.arguments().operand); } } },
         };
         return table;
@@ -247,6 +273,8 @@
     {
         Arguments arguments { .command = parsed["command"].as<std::string>(),
             .operand = parsed["operand"].as<std::string>(),
+            .furtherOperands = parsed["further"].as<std::vector<std::string>>(),
+            .durationSeconds = parsed["duration"].as<double>(),
             .isJson = parsed.count("json") > 0,
             .isWatching = parsed.count("watch") > 0,
             .isConfirming = parsed.count("confirm") > 0 };
@@ -273,9 +301,11 @@
         "token-file", "file with the operator's token", cxxopts::value<std::string>())("json", "print JSON")(
         "watch", "refresh status every second")("confirm", "confirm the plan of drain and undrain at once")(
         "command", "", cxxopts::value<std::string>()->default_value(""))(
-        "operand", "", cxxopts::value<std::string>()->default_value(""))("help", "print this help");
-    options.parse_positional({ "command", "operand" });
-    options.positional_help("COMMAND [OPERAND]");
+        "operand", "", cxxopts::value<std::string>()->default_value(""))(
+        "further", "", cxxopts::value<std::vector<std::string>>()->default_value(""))("duration",
+        "time of a roll-out in seconds", cxxopts::value<double>()->default_value("0"))("help", "print this help");
+    options.parse_positional({ "command", "operand", "further" });
+    options.positional_help("COMMAND [OPERAND...]");
     try {
         auto parsed = options.parse(argc, argv);
         if (parsed.count("help") > 0 || parsed["command"].as<std::string>().empty()) {
--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -20,6 +20,8 @@
 #include "dragonflylane/OwnerTask.h"
 #include "dragonflylane/PeerHub.h"
 #include "dragonflylane/RelayTask.h"
+#include "dragonflylane/RolloutRecorder.h"
+#include "dragonflylane/RolloutTask.h"
 #include "dragonflylane/RoutingTableTask.h"
 #include "dragonflylane/ShutdownSchedule.h"
 #include "dragonflylane/TreePosition.h"
@@ -52,6 +54,9 @@
     // Share of the mesh-wide retry budget that the daemons use. The rest is a margin, because each daemon computes its
     // part with its own clock and its own member list.
     constexpr double retryBudgetShare = 0.8;
+    // A daemon whose configuration was proven longer ago may have missed the roll-back of a version. Three heartbeats
+    // of the distribution tree.
+    constexpr std::chrono::milliseconds maxConfigAge { 1500 };
 
     uint64_t randomNumber()
     {
@@ -108,6 +113,7 @@
                   = [this](std::optional<UpstreamRecord> record) { m_membership->setUpstream(std::move(record)); },
                   .knownIncarnation = [this](const UpstreamId& id) { return knownIncarnation(id); },
                   .hostGeneration = [this] { return hostGeneration(); } })
+        , m_rollouts(m_settings.hostId, m_bootId)
         , m_routing(
               m_context, [this](const auto& routingTable) { applyRoutingTable(routingTable); },
               [this](const UpstreamConflict& conflict) { logUpstreamConflict(conflict); })
@@ -116,6 +122,8 @@
         makeLog();
         makeRelay();
         makeEntry();
+        m_rolloutTask = std::make_unique<RolloutTask>(m_context, m_settings.hostId, m_hub, m_rollouts, m_log.get(),
+            m_metrics, RolloutTask::Hooks { .controlHosts = [this] { return controlHosts(); } });
     }
 
     std::error_code start(std::string& detail)
@@ -135,6 +143,7 @@
         m_entry->start();
         m_claims.start();
         m_crashSync.start();
+        m_rolloutTask->start();
         m_api->start();
         if (auto error = describeListenError(m_hub.start(), m_settings.peer, detail))
             return error;
@@ -259,9 +268,10 @@
         options.retryBudget.window = m_settings.retryWindow;
         options.retryBudget.ratio = m_settings.retryRatio * retryBudgetShare;
         m_entry = std::make_unique<EntryTask>(m_context, std::move(options),
-            EntryTask::Parts { m_hub, m_owner, m_claims, m_crash, m_metrics, m_journal },
+            EntryTask::Parts { m_hub, m_owner, m_claims, m_crash, m_metrics, m_journal, m_rollouts },
             EntryTask::Hooks { .mayServeRoutes = [this] { return mayServeRoutes(); },
-                .selectTransferPeer = [this](const std::vector<HostId>& tried) { return selectTransferPeer(tried); } });
+                .selectTransferPeer = [this](const std::vector<HostId>& tried) { return selectTransferPeer(tried); },
+                .isConfigRecent = [this] { return isConfigRecent(); } });
         m_callerServer = std::make_unique<HttpServer>(m_context, callerServerOptions(), m_metrics,
             [this](std::shared_ptr<HttpExchange> exchange) { m_entry->handle(std::move(exchange)); });
     }
@@ -419,6 +429,7 @@
         m_appliedDigest = state.digest();
         Event("revision_applied").with("revision", state.revision()).with("digest", state.digest().toString());
         m_routing.setState(state);
+        m_rolloutTask->setState(state);
         applyCallerLimits(state.meshPolicy());
     }
 
@@ -478,6 +489,20 @@
         return m_relay->relay().provenAt();
     }
 
+    bool isConfigRecent() const
+    {
+        auto provenAt = m_relay->relay().provenAt();
+        return provenAt && BootClock::now() - *provenAt <= maxConfigAge;
+    }
+
+    std::vector<HostId> controlHosts() const
+    {
+        std::vector<HostId> hosts;
+        for (const auto& [host, endpoint] : m_settings.hasAutomaticVoters ? m_controlHosts : m_settings.voters)
+            hosts.push_back(host);
+        return hosts;
+    }
+
     void logUpstreamConflict(const UpstreamConflict& conflict)
     {
         m_metrics.add("upstream_id_conflicts");
@@ -684,6 +709,7 @@
         m_relay->stop();
         m_claims.stop();
         m_crashSync.stop();
+        m_rolloutTask->stop();
         m_membership->stop();
         m_context.stop();
     }
@@ -739,10 +765,12 @@
     CrashSyncTask m_crashSync;
     ClaimTask m_claims;
     OwnerTask m_owner;
+    RolloutRecorder m_rollouts;
     RoutingTableTask m_routing;
     std::unique_ptr<LogTask> m_log;
     std::unique_ptr<RelayTask> m_relay;
     std::unique_ptr<EntryTask> m_entry;
+    std::unique_ptr<RolloutTask> m_rolloutTask;
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<ApiTask> m_api;
     std::vector<std::unique_ptr<HttpServer>> m_apiServers;
--- a/dragonflylane/DaemonHooks.h
+++ b/dragonflylane/DaemonHooks.h
@@ -3,6 +3,7 @@
 // Interface of the daemon for adapters to another platform's API. An adapter only translates requests and responses;
 // the daemon makes all decisions.
 
+#include "dragonflylane/ConfigItem.h"
 #include "dragonflylane/Endpoint.h"
 #include "dragonflylane/HttpMessage.h"
 #include "dragonflylane/Ids.h"
@@ -16,6 +17,7 @@
 
 struct Announcement;
 struct ReplaceCommand;
+struct StartRolloutCommand;
 
 /// Outcome of replacing the configuration.
 struct ReplaceAnswer {
@@ -36,6 +38,19 @@
     std::optional<Endpoint> leader {};
 };
 
+/// Outcome of starting or reading a roll-out.
+struct RolloutAnswer {
+    /// Starting: Ok if started by this request or an earlier one, RolloutConflict while another one of the service
+    /// runs, UnknownService, InvalidName or InvalidValue. Reading: Ok or NotFound. NotLeader, QuorumLost and
+    /// OutcomeUncertain: the operator should ask again.
+    ResultCode code { ResultCode::Ok };
+    std::string detail;
+    /// With NotLeader: API address of the leader, if known.
+    std::optional<Endpoint> leader {};
+    /// The roll-out that was read.
+    std::optional<RolloutItem> item {};
+};
+
 /// Functions and settings of one daemon; valid for the lifetime of the daemon.
 struct DaemonHooks {
     /// Service and address of the upstream on this host, if the settings give them.
@@ -48,6 +63,8 @@
     std::function<void(const UpstreamId&, uint64_t startedAt)> withdraw {};
     std::function<void(ReplaceCommand, std::function<void(ReplaceAnswer)>)> replaceConfiguration {};
     std::function<void(std::function<void(DocumentAnswer)>)> readDocument {};
+    std::function<void(StartRolloutCommand, std::function<void(RolloutAnswer)>)> startRollout {};
+    std::function<void(const ServiceName&, std::function<void(RolloutAnswer)>)> readRollout {};
 };
 
 /// Handles requests of another platform's API on the listeners of the daemon's API. Returns false for a request that is
--- a/dragonflylane/EntryCall.h
+++ b/dragonflylane/EntryCall.h
@@ -5,6 +5,7 @@
 #include "dragonflylane/CallHeaders.h"
 #include "dragonflylane/HttpExchange.h"
 #include "dragonflylane/PeerHub.h"
+#include "dragonflylane/RolloutRecorder.h"
 #include "dragonflylane/RoutingTable.h"
 #include "dragonflylane/UpstreamSelector.h"
 
@@ -23,6 +24,8 @@
     LinkId link;
     /// Id of the call in OwnerTask if the upstream is local.
     uint64_t ownerCallId { 0 };
+    /// Zero if no roll-out of the service is running.
+    RolloutAttemptId rolloutAttempt;
     TimePoint startedAt;
     bool isSent { false };
 };
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -1,5 +1,6 @@
 #include "dragonflylane/EntryTask.h"
 
+#include "dragonflylane/AttemptOutcome.h"
 #include "dragonflylane/CallLog.h"
 #include "dragonflylane/CallTransfers.h"
 #include "dragonflylane/ClaimTask.h"
@@ -36,35 +37,6 @@
 
     using CallPtr = std::shared_ptr<EntryCall>;
 
-    SelectionOutcome selectionOutcome(ResultCode code)
-    {
-        switch (code) {
-        case ResultCode::Ok:
-            return SelectionOutcome::Success;
-        case ResultCode::UpstreamTimeout:
-            return SelectionOutcome::Timeout;
-        case ResultCode::QueueFull:
-        case ResultCode::WouldMissDeadline:
-        case ResultCode::UpstreamShed:
-        case ResultCode::UpstreamRefused:
-        case ResultCode::SuspectAlreadyRunning:
-            return SelectionOutcome::Refused;
-        case ResultCode::UpstreamDraining:
-        case ResultCode::DaemonLeaving:
-        case ResultCode::UpstreamChanged:
-        case ResultCode::UpstreamUnreachable:
-        case ResultCode::OwnerUnreachable:
-        case ResultCode::OwnerLost:
-            return SelectionOutcome::Unavailable;
-        case ResultCode::DeadlineExceeded:
-        case ResultCode::RequestQuarantined:
-        case ResultCode::CallerGone:
-            return SelectionOutcome::Ignored;
-        default:
-            return SelectionOutcome::Failure;
-        }
-    }
-
     constexpr unsigned statusServiceUnavailable = 503;
     constexpr unsigned firstServerError = 500;
     // The first owner, usually one in the same data centre, may queue a call for a quarter of its target latency, which
@@ -134,8 +106,10 @@
             auto& state = m_services[service->name];
             if (!state)
                 state = std::make_unique<EntryServiceState>(serviceStateOptions(service->name), now);
-            state->setService(std::move(service), now);
+            const RolloutItem* rollout = m_routingTable->rollout(service->name);
+            state->setService(std::move(service), rollout, now);
         }
+        m_parts.rollouts.setRoutingTable(*m_routingTable);
     }
 
     void setRetrySlack(double slack)
@@ -302,6 +276,7 @@
         ++call->attempts;
         call->tried.push_back(choice->owner);
         EntryAttempt attempt { .id = m_nextId++, .choice = *choice, .startedAt = now };
+        attempt.rolloutAttempt = m_parts.rollouts.begin(call->serviceName, upstream->version, call->routeKey);
         call->open.push_back(attempt);
         m_attempts.emplace(attempt.id, call);
         wire::ForwardRequest request = makeForwardRequest(*call, m_options.headerNames, attempt.id, *upstream, now);
@@ -324,26 +299,33 @@
     // Once all candidates have refused, the call is queued at the owner with the shortest queue.
     std::optional<Choice> chooseUpstream(const CallPtr& call, TimePoint now)
     {
-        UpstreamSelector& selector = serviceOf(call).selector();
+        VersionGroup versions = versionsFor(*call);
         bool isRedirectWorthwhile = serviceOf(call).redirectSuccessRate().isWorthwhile(now);
         // If redirects rarely succeed, the first owner queues the call instead of refusing it.
         if (call->redirects == 0 && !isRedirectWorthwhile)
             call->isFinalAttempt = true;
         bool mayAskAnother = isRedirectWorthwhile || !isCapacityRefusal(call->refusal);
         if (mayAskAnother && call->redirects <= m_options.maxRedirects) {
-            if (auto choice = selector.choose(call->tried, now))
+            if (auto choice = serviceOf(call).choose(versions, call->tried, now))
                 return choice;
         }
         if (call->ownerWithShortestQueue.isEmpty() || call->isFinalAttempt)
             return std::nullopt;
         call->isFinalAttempt = true;
-        return selector.chooseOwner(call->ownerWithShortestQueue, now);
+        return serviceOf(call).chooseOwner(versions, call->ownerWithShortestQueue, now);
+    }
+
+    VersionGroup versionsFor(const EntryCall& call) const
+    {
+        return serviceOf(call).versionsFor({ .request = call.requestId,
+            .isRetry = call.upstreamAttempts > 0,
+            .isConfigRecent = m_hooks.isConfigRecent() });
     }
 
     // Longest time that the owner may queue the call; zero means no limit. Short while other owners can be asked.
     Duration maxWait(const EntryCall& call) const
     {
-        bool isOnlyUpstream = serviceOf(call).selector().size() <= 1;
+        bool isOnlyUpstream = serviceOf(call).size(versionsFor(call)) <= 1;
         if (call.isFinalAttempt || isOnlyUpstream)
             return Duration::zero();
         Duration targetLatency = call.target - call.exchange->received();
@@ -425,9 +407,10 @@
         if (link != LinkId() && code == ResultCode::Ok)
             serviceOf(call).recordNetworkDelay(
                 now - done.startedAt, std::chrono::microseconds(response.heldMicroseconds), now);
-        bool isError = code == ResultCode::Ok && static_cast<unsigned>(response.status) >= firstServerError;
-        SelectionOutcome outcome = isError ? SelectionOutcome::Error : selectionOutcome(code);
-        serviceOf(call).selector().finished(done.choice, outcome, report, now);
+        auto status = static_cast<unsigned>(response.status);
+        serviceOf(call).finished(done.choice, selectionOutcome(code, status), report, now);
+        m_parts.rollouts.end(
+            done.rolloutAttempt, rolloutOutcome(code, status), std::chrono::microseconds(response.runMicroseconds));
         if (call->redirects > 0 && !call->isFinalAttempt)
             serviceOf(call).redirectSuccessRate().record(!isCapacityRefusal(code), now);
         if (code == ResultCode::Ok) {
@@ -635,7 +618,8 @@
         // The request may run before the cancellation arrives.
         if (attempt.isSent)
             call->earlierUnknownCode = ResultCode::OwnerLost;
-        serviceOf(call).selector().finished(attempt.choice, SelectionOutcome::Ignored, std::nullopt, BootClock::now());
+        serviceOf(call).finished(attempt.choice, SelectionOutcome::Ignored, std::nullopt, BootClock::now());
+        m_parts.rollouts.end(attempt.rolloutAttempt, RolloutOutcome::Unanswered, Duration::zero());
         if (attempt.link == LinkId()) {
             if (attempt.isSent)
                 m_parts.owner.cancel(attempt.ownerCallId);
--- a/dragonflylane/EntryTask.h
+++ b/dragonflylane/EntryTask.h
@@ -31,6 +31,7 @@
 class Metrics;
 class OwnerTask;
 class PeerHub;
+class RolloutRecorder;
 
 struct EntryTaskOptions {
     HostId self;
@@ -69,6 +70,9 @@
         std::function<bool()> mayServeRoutes;
         /// Selects another live daemon to transfer a call to, excluding those tried. Empty if there is none.
         std::function<HostId(const std::vector<HostId>& tried)> selectTransferPeer;
+        /// True if the configuration was proven current a moment ago. Without that, a version that is being rolled out
+        /// gets no calls, since it may have been rolled back.
+        std::function<bool()> isConfigRecent;
     };
     /// Other components of this daemon that the task uses.
     struct Parts {
@@ -78,6 +82,7 @@
         CrashTask& crash;
         Metrics& metrics;
         Journal& journal;
+        RolloutRecorder& rollouts;
     };
 
     EntryTask(boost::asio::io_context&, EntryTaskOptions, Parts, Hooks);
--- a/dragonflylane/RolloutCommands.cpp
+++ b/dragonflylane/RolloutCommands.cpp
@@ -19,6 +19,15 @@
 
 } // namespace
 
+std::optional<std::chrono::milliseconds> rolloutDuration(double seconds)
+{
+    std::chrono::duration<double> time(seconds);
+    // The comparison is false for a number that is not finite, too.
+    if (!(time.count() > 0 && time <= RolloutLimits::duration))
+        return std::nullopt;
+    return std::chrono::ceil<std::chrono::milliseconds>(time);
+}
+
 // A roll-out that has ended counts as the same one if target and duration are equal. Otherwise an order that is sent
 // again because its answer was lost would start a version again that has just been rolled back.
 RolloutChange applyRolloutCommand(const StartRolloutCommand& command, const ConfigState& state)
--- a/dragonflylane/RolloutCommands.h
+++ b/dragonflylane/RolloutCommands.h
@@ -40,6 +40,9 @@
     static constexpr std::chrono::hours duration { 24 };
 };
 
+/// Empty if the number is not a duration that a roll-out may have.
+std::optional<std::chrono::milliseconds> rolloutDuration(double seconds);
+
 /// Result of a command: an error, the item to store, or neither if the command has no effect.
 struct RolloutChange {
     ResultCode code { ResultCode::Ok };
--- /dev/null
+++ b/dragonflylane/RolloutJson.cpp
@@ -0,0 +1,61 @@
+#include "dragonflylane/RolloutJson.h"
+
+#include <boost/json.hpp>
+
+namespace dragonflylane {
+
+namespace json = boost::json;
+
+namespace {
+
+    std::string text(const json::object& object, const char* key)
+    {
+        const json::value* value = object.if_contains(key);
+        return value && value->is_string() ? std::string(value->as_string()) : std::string();
+    }
+
+    double seconds(std::chrono::milliseconds time)
+    {
+        return std::chrono::duration<double>(time).count();
+    }
+
+} // namespace
+
+std::string_view name(RolloutState state)
+{
+    switch (state) {
+    case RolloutState::Running:
+        return "running";
+    case RolloutState::Completed:
+        return "completed";
+    case RolloutState::RolledBack:
+        return "rolled_back";
+    }
+    return "";
+}
+
+std::optional<StartRolloutCommand> parseRolloutStart(std::string_view body)
+{
+    boost::system::error_code error;
+    json::value document = json::parse(body, error);
+    const json::object* object = error ? nullptr : document.if_object();
+    const json::value* duration = object ? object->if_contains("duration_s") : nullptr;
+    if (!duration || !duration->is_number())
+        return std::nullopt;
+    auto time = rolloutDuration(duration->to_number<double>());
+    if (!time)
+        return std::nullopt;
+    return StartRolloutCommand { .service = ServiceName(text(*object, "service")),
+        .target = UpstreamVersion(text(*object, "version")),
+        .duration = *time };
+}
+
+std::string renderRollout(const RolloutItem& item)
+{
+    return json::serialize(json::object { { "service", item.service.value() }, { "version", item.target.value() },
+               { "state", name(item.state) }, { "share", item.sharePermille / double { ItemLimits::sharePermille } },
+               { "duration_s", seconds(item.duration) }, { "elapsed_s", seconds(item.elapsed) } })
+        + "\n";
+}
+
+} // namespace dragonflylane
--- a/dragonflylane/RolloutRecorder.cpp
+++ b/dragonflylane/RolloutRecorder.cpp
@@ -1,6 +1,5 @@
 #include "dragonflylane/RolloutRecorder.h"
 
-#include "dragonflylane/ResultCode.h"
 #include "dragonflylane/RoutingTable.h"
 
 #include <algorithm>
@@ -9,29 +8,11 @@
 
 namespace {
 
-    constexpr unsigned firstServerError = 500;
     // Weight of the latest answer in the mean of the run times.
     constexpr double meanWeight = 0.05;
 
 } // namespace
 
-RolloutOutcome rolloutOutcome(ResultCode code, unsigned status)
-{
-    switch (code) {
-    case ResultCode::Ok:
-        return status >= firstServerError ? RolloutOutcome::Failed : RolloutOutcome::Answered;
-    case ResultCode::UpstreamTimeout:
-        return RolloutOutcome::Answered;
-    case ResultCode::UpstreamLost:
-    case ResultCode::UpstreamShed:
-    case ResultCode::AnswerTruncated:
-    case ResultCode::MalformedAnswer:
-        return RolloutOutcome::Failed;
-    default:
-        return RolloutOutcome::Unanswered;
-    }
-}
-
 RolloutRecorder::RolloutRecorder(HostId self, uint64_t process)
     : m_self(std::move(self))
     , m_process(process)
--- a/dragonflylane/RolloutRecorder.h
+++ b/dragonflylane/RolloutRecorder.h
@@ -22,7 +22,6 @@
 namespace dragonflylane {
 
 class RoutingTable;
-enum class ResultCode : uint16_t;
 
 /// Identifies the tally in which a request is counted; zero: it is not counted.
 using RolloutAttemptId = StrongNumber<struct RolloutAttemptIdTag>;
@@ -35,9 +34,6 @@
     Unanswered,
 };
 
-/// Outcome of an attempt that ended with this code and, if the code is Ok, this HTTP status.
-RolloutOutcome rolloutOutcome(ResultCode, unsigned status);
-
 class RolloutRecorder {
 public:
     RolloutRecorder(HostId self, uint64_t process);
--- a/dragonflylane/UpstreamSelector.h
+++ b/dragonflylane/UpstreamSelector.h
@@ -46,6 +46,8 @@
     /// Number of the selector's entry for the upstream. It stays the same across rebuilds while the upstream is in the
     /// subset and keeps its owner, so that finished() can ignore a choice whose entry was removed.
     uint64_t entry { 0 };
+    /// Chosen by the selector for the target version of a roll-out, see EntryServiceState.
+    bool isTarget { false };
 };
 
 enum class SelectionOutcome : uint8_t {
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -1,6 +1,7 @@
 // Tests the adapter to the platform's API. The messages are the examples of the platform's documentation.
 
 #include "dragonflylane/OwnerTask.h"
+#include "dragonflylane/RolloutCommands.h"
 #include "platform/InstanceReport.h"
 #include "platform/OperatorDocument.h"
 #include "platform/PlatformApi.h"
@@ -246,4 +247,42 @@
         daemonRequest, [](const HttpResponse&) {}, local));
 }
 
+// The operator starts roll-outs and asks for their state in the words of the platform.
+TEST(PlatformTest, TranslatesRollouts)
+{
+    const std::string order = R"({"service":"huvo11a","target_version":"v2","duration_s":12.5})";
+    const std::map<ResultCode, unsigned> statuses { { ResultCode::Ok, 200 }, { ResultCode::RolloutConflict, 409 },
+        { ResultCode::UnknownService, 404 }, { ResultCode::InvalidValue, 400 }, { ResultCode::QuorumLost, 503 },
+        { ResultCode::OutcomeUncertain, 503 } };
+    for (const auto& [code, status] : statuses) {
+        StartRolloutCommand started;
+        DaemonHooks hooks;
+        hooks.startRollout
+            = [&, code = code](const StartRolloutCommand& command, const std::function<void(RolloutAnswer)>& callback) {
+                  started = command;
+                  callback({ .code = code });
+              };
+        EXPECT_EQ(serve("POST", "/v1/Rollouts.Start", order, hooks).status, status);
+        EXPECT_EQ(
+            started, (StartRolloutCommand { ServiceName("huvo11a"), UpstreamVersion("v2"), milliseconds(12500) }));
+        for (const char* odd : { "{}", R"({"service":"huvo11a","target_version":"v2","duration_s":1e300})" })
+            EXPECT_EQ(serve("POST", "/v1/Rollouts.Start", odd, hooks).status, 400U);
+    }
+    DaemonHooks hooks;
+    hooks.readRollout = [](const ServiceName& service, const std::function<void(RolloutAnswer)>& callback) {
+        if (service != ServiceName("huvo11a"))
+            return callback({ .code = ResultCode::NotFound });
+        callback({ .item
+            = RolloutItem { .service = service, .target = UpstreamVersion("v2"), .state = RolloutState::RolledBack } });
+    };
+    EXPECT_EQ(
+        serve("GET", "/v1/Rollouts.Get/huvo11a", "", hooks).body, R"({"state":"rolled_back","target_version":"v2"})");
+    EXPECT_EQ(serve("GET", "/v1/Rollouts.Get/other", "", hooks).status, 404U);
+    hooks.readRollout = [](const ServiceName&, const std::function<void(RolloutAnswer)>& callback) {
+        callback({ .code = ResultCode::NotLeader, .leader = Endpoint { "10.0.0.4", 8080 } });
+    };
+    EXPECT_EQ(serve("GET", "/v1/Rollouts.Get/huvo11a", "", hooks).header("Location"),
+        "http://10.0.0.4:8080/v1/Rollouts.Get/huvo11a");
+}
+
 } // namespace dragonflylane::platform
--- a/tests/RolloutRecorderTest.cpp
+++ b/tests/RolloutRecorderTest.cpp
@@ -1,6 +1,6 @@
 #include "dragonflylane/RolloutRecorder.h"
 
-#include "dragonflylane/ResultCode.h"
+#include "dragonflylane/AttemptOutcome.h"
 #include "dragonflylane/RolloutWire.h"
 #include "dragonflylane/RoutingTableBuilder.h"
 #include "tests/ConfigGenerators.h"
