--- a/fuzz/DecodersFuzz.cpp
+++ b/fuzz/DecodersFuzz.cpp
@@ -17,6 +17,7 @@
 #include "dragonflylane/PlanWire.h"
 #include "dragonflylane/RelayMessages.h"
 #include "dragonflylane/RelayWire.h"
+#include "dragonflylane/RolloutWire.h"
 #include "dragonflylane/Settings.h"
 #include "dragonflylane/Wire.h"
 #include "gen-cpp/peer_types.h"
@@ -125,6 +126,7 @@
             { "claim", roundTrip<ClaimMessage> },
             { "crash", roundTrip<CrashNotice> },
             { "crash-sync", roundTrip<CrashSyncMessage> },
+            { "rollout", roundTrip<RolloutReport> },
             { "config", fuzzConfig },
             { "plan", fuzzPlan },
             { "plan-json", fuzzPlanJson },
