--- a/fuzz/DecodersFuzz.cpp
+++ b/fuzz/DecodersFuzz.cpp
@@ -18,6 +18,7 @@
 #include "dragonflylane/PlanWire.h"
 #include "dragonflylane/RelayMessages.h"
 #include "dragonflylane/RelayWire.h"
+#include "dragonflylane/RolloutWire.h"
 #include "dragonflylane/Settings.h"
 #include "dragonflylane/UpstreamResponse.h"
 #include "dragonflylane/Wire.h"
@@ -174,6 +175,7 @@
             { "claim", roundTrip<ClaimMessage> },
             { "crash", roundTrip<CrashNotice> },
             { "crash-sync", roundTrip<CrashSyncMessage> },
+            { "rollout", roundTrip<RolloutReport> },
             { "config", fuzzConfig },
             { "plan", fuzzPlan },
             { "plan-json", fuzzPlanJson },
