Choose upstreams by expected finish and pace upstreams that start

Upstreams of one service differ in speed, but the selection compared only the load per slot, and the entry daemons gave a new upstream a share by a fixed ramp of ten seconds. The owner now reads the load that its upstream states, learns the usual service time of each route and the momentary slowness, and attaches them to its answers; entry daemons compare upstreams by expected finish. The owner limits the concurrent calls of an upstream that starts or recovers. Both are switched on by upstreams that state their load.

Tests: OwnerTaskTest, ForwardWireTest, UpstreamSelectorTest, UpstreamSpeedTest, WarmupPaceTest pass.

--- a/dragonflylane/Admission.h
+++ b/dragonflylane/Admission.h
@@ -18,6 +18,7 @@
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/RequestRate.h"
 #include "dragonflylane/ResultCode.h"
+#include "dragonflylane/SpeedReport.h"
 
 #include <cstdint>
 #include <optional>
@@ -98,6 +99,10 @@
     uint32_t limit { 0 };
     /// Mean over recent calls; zero before the first response.
     Duration serviceTime { 0 };
+    /// Empty if the upstream states no load.
+    std::optional<SpeedReport> speed {};
+    /// Concurrent calls that the owner allows (WarmupPace). Empty if the owner does not pace its upstream.
+    std::optional<uint32_t> paceLimit {};
 
     /// Counts a wait that is not for a slot as load: as the number of calls that the upstream can run in that time. If
     /// the service time is unknown, all slots count as busy for that time.
--- a/dragonflylane/EntryServiceState.cpp
+++ b/dragonflylane/EntryServiceState.cpp
@@ -15,6 +15,7 @@
 void EntryServiceState::recordNetworkDelay(Duration total, Duration heldByOwner, TimePoint now)
 {
     m_networkDelay.addSample(std::max(total - heldByOwner, Duration::zero()), CallOutcome::Success, now, {});
+    m_selector.setNetworkDelay(networkDelay(now));
 }
 
 void EntryServiceState::setService(std::shared_ptr<const ServiceEntry> service, TimePoint now)
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -89,14 +89,6 @@
         return host;
     }
 
-    LoadReport loadReport(const wire::ForwardResponse& response)
-    {
-        return { .running = static_cast<uint32_t>(response.running),
-            .queued = static_cast<uint32_t>(response.queued),
-            .limit = static_cast<uint32_t>(response.limit),
-            .serviceTime = std::chrono::microseconds(response.serviceMicroseconds) };
-    }
-
 } // namespace
 
 class EntryTask::Impl : public std::enable_shared_from_this<EntryTask::Impl> {
@@ -308,6 +300,9 @@
         if (choice->owner != m_options.self)
             request.targetMicroseconds -= toMicroseconds(serviceOf(call).networkDelay(now));
         request.maxWaitMicroseconds = toMicroseconds(maxWait(*call));
+        Duration typical = serviceOf(call).selector().typicalServiceTime(call->routeKey);
+        if (typical > Duration::zero())
+            request.__set_typicalServiceMicroseconds(toMicroseconds(typical));
         if (const ProcessStatement* statement = m_statements.find(choice->upstream, now))
             request.__set_known(toWire(*statement));
         if (call->isClaimed)
@@ -419,7 +414,7 @@
         std::optional<LoadReport> report;
         // Zero if the response is not from the owner, or if that has no upstream yet.
         if (response.limit > 0) {
-            report = loadReport(response);
+            report = loadReport(response, call->routeKey);
             m_statements.record(done.choice.upstream, statementOf(response), now);
         }
         if (link != LinkId() && code == ResultCode::Ok)
--- a/dragonflylane/ForwardWire.cpp
+++ b/dragonflylane/ForwardWire.cpp
@@ -1,5 +1,6 @@
 #include "dragonflylane/ForwardWire.h"
 
+#include "dragonflylane/Admission.h"
 #include "dragonflylane/EntryCall.h"
 #include "dragonflylane/HeaderCoding.h"
 #include "dragonflylane/ProcessStatement.h"
@@ -98,6 +99,33 @@
     return fromWire(response.statement);
 }
 
+void addSpeed(wire::ForwardResponse& response, const LoadReport& report)
+{
+    if (report.speed) {
+        response.__set_slownessPercent(static_cast<int32_t>(report.speed->slowness.value()));
+        response.__set_usualServiceMicroseconds(toMicroseconds(report.speed->usualServiceTime));
+    }
+    if (report.paceLimit)
+        response.__set_paceLimit(static_cast<int32_t>(*report.paceLimit));
+}
+
+LoadReport loadReport(const wire::ForwardResponse& response, uint64_t routeKey)
+{
+    LoadReport report { .running = static_cast<uint32_t>(response.running),
+        .queued = static_cast<uint32_t>(response.queued),
+        .limit = static_cast<uint32_t>(response.limit),
+        .serviceTime = std::chrono::microseconds(response.serviceMicroseconds) };
+    if (response.__isset.slownessPercent && response.__isset.usualServiceMicroseconds) {
+        int32_t slowness = std::max(response.slownessPercent, 1);
+        report.speed = SpeedReport { .routeKey = routeKey,
+            .usualServiceTime = std::chrono::microseconds(response.usualServiceMicroseconds),
+            .slowness = SlownessPercent(static_cast<uint64_t>(slowness)) };
+    }
+    if (response.__isset.paceLimit)
+        report.paceLimit = static_cast<uint32_t>(std::max(response.paceLimit, 1));
+    return report;
+}
+
 wire::ForwardRequest makeForwardRequest(const EntryCall& call, const CallHeaderNames& names, uint64_t attemptId,
     const UpstreamEntry& upstream, TimePoint now)
 {
--- a/dragonflylane/ForwardWire.h
+++ b/dragonflylane/ForwardWire.h
@@ -15,6 +15,7 @@
 
 struct CallHeaderNames;
 struct EntryCall;
+struct LoadReport;
 struct ProcessStatement;
 struct UpstreamEntry;
 
@@ -29,6 +30,11 @@
 /// What the owner daemon answered about the statements of its upstream; empty if there are none.
 std::optional<ProcessStatement> statementOf(const wire::ForwardResponse&);
 
+/// Adds speed and pace limit of the report to the response, as far as they are known.
+void addSpeed(wire::ForwardResponse&, const LoadReport&);
+/// The load of the upstream that the owner daemon attached to its response to a call of this route.
+LoadReport loadReport(const wire::ForwardResponse&, uint64_t routeKey);
+
 wire::ForwardRequest makeForwardRequest(
     const EntryCall&, const CallHeaderNames&, uint64_t attemptId, const UpstreamEntry&, TimePoint now);
 /// Selects the response headers that are sent to the entry daemon. Leaves out the request id and the length of the
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -19,6 +19,13 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+    // An hour; bounds what a malformed request can state.
+    constexpr int64_t maxTypicalServiceMicroseconds = 3'600'000'000;
+
+} // namespace
+
 struct OwnerTask::Call {
     CallId id { 0 };
     wire::ForwardRequest request;
@@ -33,11 +40,18 @@
 
     bool isRunning() const { return sentAt != TimePoint(); }
     Fingerprint fingerprint() const { return Fingerprint(static_cast<uint64_t>(request.fingerprint)); }
+    /// Service time of the route at the peers of the upstream; zero if unknown.
+    Duration typicalServiceTime() const
+    {
+        int64_t microseconds = request.__isset.typicalServiceMicroseconds ? request.typicalServiceMicroseconds : 0;
+        return std::chrono::microseconds(std::clamp<int64_t>(microseconds, 0, maxTypicalServiceMicroseconds));
+    }
 };
 
 namespace {
 
     constexpr unsigned statusServiceUnavailable = 503;
+    constexpr unsigned firstServerError = 500;
     constexpr std::chrono::milliseconds probeTimeout { 200 };
     // An announcement shows that the upstream was alive this long ago, since it may have been delayed on its way.
     constexpr std::chrono::milliseconds maxAnnouncementDelay { 500 };
@@ -99,6 +113,7 @@
     , m_admission(makeAdmission(m_options))
     , m_responseDelay(pacer)
     , m_unanswered({ .window = m_options.crashWindow })
+    , m_performance(metrics)
     , m_timer(context, [this] {
         checkLease();
         applyChanges(m_admission->tick(BootClock::now()));
@@ -191,13 +206,17 @@
         declareDead("announced another instance");
     if (isOtherProcess || m_isStopped)
         startIncarnation(announcement);
+    bool mayBeCold = m_announcement || announcement.phase == UpstreamPhase::Cold;
+    if (isOtherProcess || m_isStopped)
+        m_performance.startProcess(announcement.id, mayBeCold ? WarmupNeed::Needed : WarmupNeed::Unneeded);
     raiseIncarnation();
     m_announcement = announcement;
     TimePoint now = BootClock::now();
     applyStatements(m_statements.startProcess(announcement.id, announcement.process(), now), now);
     m_isStopped = announcement.phase == UpstreamPhase::Stopped;
     applyDrain();
-    applyChanges(m_admission->setSlots(m_isStopped ? 0 : announcement.slots, BootClock::now()));
+    m_performance.setSlots(announcement.slots);
+    applySlots();
     publish();
 }
 
@@ -294,6 +313,13 @@
     applyDrain();
 }
 
+void OwnerTask::applySlots()
+{
+    uint32_t slots = m_isStopped ? 0 : m_performance.limit();
+    if (std::exchange(m_appliedSlots, slots) != slots)
+        applyChanges(m_admission->setSlots(slots, BootClock::now()));
+}
+
 std::string OwnerTask::drainCause() const
 {
     if (m_isPlannedDrain)
@@ -316,6 +342,8 @@
     m_journal.record({ .event = isDraining() ? "upstream_draining" : "upstream_undrained",
         .subjects = { m_announcement->id.value(), m_options.self.value() },
         .cause = drainCause() });
+    if (!isDraining())
+        m_performance.resume();
     applyChanges(changes);
 }
 
@@ -400,6 +428,8 @@
         answer(call, refusal, {});
         return call->id;
     }
+    m_performance.recordRequest(call->typicalServiceTime(), call->receivedAt);
+    applySlots();
     CallTicket ticket = makeTicket(*call, BootClock::now());
     AdmitDecision decision = m_admission->offer(ticket, BootClock::now());
     if (decision.action == AdmitAction::Admit)
@@ -531,11 +561,28 @@
     } else {
         recordUnanswered(*call, result);
     }
+    if (call->incarnation == m_incarnation)
+        recordPerformance(*call, result, now);
     AdmissionChanges changes = m_admission->finished(call->id, outcomeOf(result.code), now);
     answer(call, result.code, std::move(result.response));
     applyChanges(changes);
 }
 
+// An upstream in trouble answers with an error or not at all. Its time for that says nothing about its speed.
+void OwnerTask::recordPerformance(const Call& call, const UpstreamResult& result, TimePoint now)
+{
+    bool isSuccess = result.code == ResultCode::Ok && result.response.status < firstServerError;
+    if (isSuccess) {
+        AnsweredCall answered { .routeKey = static_cast<uint64_t>(call.request.routeKey),
+            .serviceTime = now - call.sentAt,
+            .typical = call.typicalServiceTime() };
+        m_performance.recordResponse(answered, result.response.header(m_options.headerNames.upstreamLoad), now);
+    } else if (result.code != ResultCode::Ok) {
+        m_performance.recordTrouble(now);
+    }
+    applySlots();
+}
+
 void OwnerTask::answer(const CallPtr& call, ResultCode code, HttpResponse response, Duration retryAfter)
 {
     m_calls.erase(call->id);
@@ -561,6 +608,8 @@
     reply.queued = static_cast<int32_t>(report.queued);
     reply.limit = static_cast<int32_t>(report.limit);
     reply.serviceMicroseconds = toMicroseconds(report.serviceTime);
+    m_performance.addTo(report, static_cast<uint64_t>(call->request.routeKey), BootClock::now());
+    addSpeed(reply, report);
     bool isAboutUpstream = m_announcement && m_announcement->id.value() == call->request.upstreamId;
     if (auto statement = m_statements.current(); statement && isAboutUpstream)
         reply.__set_statement(toWire(*statement));
@@ -595,6 +644,7 @@
         .with("slots", report.limit)
         .with("rate_limit", toText(m_statements.rateLimit()))
         .with("service_ms", milliseconds(report.serviceTime))
+        .with("slowness_percent", m_performance.slowness(now).value())
         .with("expected_wait_ms", milliseconds(expectedWait))
         .with("max_wait_ms", call.request.maxWaitMicroseconds / 1000)
         .with("left_ms", milliseconds(call.deadline - now))
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -16,6 +16,7 @@
 #include "dragonflylane/ResponseDelayEstimator.h"
 #include "dragonflylane/UnansweredRequests.h"
 #include "dragonflylane/UpstreamClient.h"
+#include "dragonflylane/UpstreamPerformance.h"
 #include "dragonflylane/UpstreamPhase.h"
 #include "dragonflylane/WakeupTimer.h"
 
@@ -138,6 +139,7 @@
     const std::optional<Announcement>& upstream() const { return m_announcement; }
     Incarnation incarnation() const { return m_incarnation; }
     LoadReport load() const;
+    const UpstreamPerformance& performance() const { return m_performance; }
     bool isDraining() const { return m_isPlannedDrain || isAnnouncedDrain(); }
 
 private:
@@ -179,6 +181,9 @@
     void dispatch(const CallPtr&);
     void sendToUpstream(const CallPtr&);
     void finish(const CallPtr&, UpstreamResult);
+    void recordPerformance(const Call&, const UpstreamResult&, TimePoint now);
+    /// Applies the number of calls that may run at the same time.
+    void applySlots();
     void answer(const CallPtr&, ResultCode, HttpResponse, Duration retryAfter = {});
     void logRefusal(const Call&, ResultCode, Duration expectedWait);
     void logSuspect(const Call&);
@@ -222,6 +227,9 @@
     RecentCompletions m_completions;
     bool m_isProbing { false };
     OwnerStatements m_statements;
+    UpstreamPerformance m_performance;
+    /// The slots that m_admission was given last.
+    uint32_t m_appliedSlots { 0 };
     LogRateLimiter m_refusalLogLimiter;
     LogRateLimiter m_suspectLogLimiter;
     WakeupTimer m_timer;
--- a/dragonflylane/StatusJson.cpp
+++ b/dragonflylane/StatusJson.cpp
@@ -83,7 +83,9 @@
         LoadReport load = owner.load();
         return { { "id", owner.upstream()->id.value() }, { "service", owner.upstream()->service.value() },
             { "incarnation", owner.incarnation().value() }, { "draining", owner.isDraining() },
-            { "running", load.running }, { "queued", load.queued }, { "limit", load.limit } };
+            { "running", load.running }, { "queued", load.queued }, { "limit", load.limit },
+            { "slownessPercent", owner.performance().slowness(BootClock::now()).value() },
+            { "paceLimit", owner.performance().limit() } };
     }
 
     json::array describeServices(const RoutingTable& routingTable)
--- a/dragonflylane/UpstreamSelector.cpp
+++ b/dragonflylane/UpstreamSelector.cpp
@@ -74,6 +74,8 @@
             entry.ejectedUntil.reset();
             entry.failures = 0;
             entry.successRate = 1;
+            entry.speedReportedAt.reset();
+            entry.paceLimit.reset();
         }
         entry.candidate = candidate;
         entry.tier = tierOf(candidate);
@@ -87,21 +89,11 @@
 std::optional<Choice> UpstreamSelector::choose(std::span<const HostId> tried, TimePoint now)
 {
     std::optional<size_t> best = localUpstream(tried, now);
-    bool isDecided = best.has_value();
-    double bestLoad = 0;
-    double spillLoad
-        = tried.empty() ? m_options.spillLoad : std::min(m_options.spillLoad, m_options.spillLoadAfterRefusal);
-    for (size_t tier = 0; tier < tierCount && !isDecided; ++tier) {
-        std::optional<size_t> found = chooseInTier(tier, tried, now);
-        if (!found)
-            continue;
-        double load = loadPerSlot(m_entries[*found], now);
-        if (!best || load < bestLoad) {
-            best = found;
-            bestLoad = load;
-        }
-        if (load < spillLoad)
-            break;
+    bool mayCompare = m_hasSpeeds && m_options.useSpeeds;
+    if (!best || mayCompare) {
+        std::optional<size_t> other = chooseInTiers(tried, now);
+        if (!best || (other && isMuchFaster(*other, *best, now)))
+            best = other;
     }
     if (!best)
         best = chooseIgnoringEjection(tried, now);
@@ -112,6 +104,23 @@
     return Choice { entry.candidate.id, entry.candidate.owner, entry.number };
 }
 
+std::optional<size_t> UpstreamSelector::chooseInTiers(std::span<const HostId> tried, TimePoint now)
+{
+    std::optional<size_t> best;
+    double spillLoad
+        = tried.empty() ? m_options.spillLoad : std::min(m_options.spillLoad, m_options.spillLoadAfterRefusal);
+    for (size_t tier = 0; tier < tierCount; ++tier) {
+        std::optional<size_t> found = chooseInTier(tier, tried, now);
+        if (!found)
+            continue;
+        if (!best || expectedFinish(m_entries[*found], now) < expectedFinish(m_entries[*best], now))
+            best = found;
+        if (loadPerSlot(m_entries[*found], now) < spillLoad)
+            break;
+    }
+    return best;
+}
+
 std::optional<Choice> UpstreamSelector::chooseOwner(const HostId& owner, TimePoint now)
 {
     for (Entry& entry : m_entries) {
@@ -132,12 +141,8 @@
     Entry& entry = m_entries[found->second];
     if (entry.outstanding > 0)
         --entry.outstanding;
-    if (report) {
-        double reported = static_cast<double>(report->running) + report->queued;
-        entry.loadFromOthers = std::max(0.0, reported - entry.outstanding);
-        entry.reportedLimit = report->limit;
-        entry.reportedAt = now;
-    }
+    if (report)
+        recordReport(entry, *report, now);
     switch (outcome) {
     case SelectionOutcome::Success:
         entry.failures = 0;
@@ -249,7 +254,8 @@
 double UpstreamSelector::slowStartWeight(const Entry& entry, TimePoint now) const
 {
     Duration age = now - entry.candidate.readySince;
-    if (!m_options.slowStartEnabled || age >= m_options.slowStart)
+    // An owner that paces its upstream limits the load of all entry daemons together.
+    if (!m_options.slowStartEnabled || age >= m_options.slowStart || entry.paceLimit)
         return 1;
     double share = static_cast<double>(age.count()) / static_cast<double>(m_options.slowStart.count());
     return std::max(m_options.minSlowStartWeight, share);
@@ -269,6 +275,45 @@
     entry.successRateUpdatedAt = now;
 }
 
+void UpstreamSelector::recordReport(Entry& entry, const LoadReport& report, TimePoint now)
+{
+    double reported = static_cast<double>(report.running) + report.queued;
+    entry.loadFromOthers = std::max(0.0, reported - entry.outstanding);
+    entry.reportedLimit = report.limit;
+    entry.reportedAt = now;
+    entry.paceLimit = report.paceLimit;
+    if (report.speed)
+        recordSpeed(entry, *report.speed, now);
+}
+
+void UpstreamSelector::recordSpeed(Entry& entry, const SpeedReport& report, TimePoint now)
+{
+    if (report.usualServiceTime <= Duration::zero())
+        return;
+    double relative = m_typicalServiceTimes.record(report.routeKey, report.usualServiceTime);
+    double weight = entry.speedReportedAt ? m_options.relativeServiceTimeWeight : 1;
+    entry.logRelativeServiceTime += weight * (std::log(relative) - entry.logRelativeServiceTime);
+    double ratio = static_cast<double>(report.slowness.value()) / static_cast<double>(usualSlowness.value());
+    entry.logSlowness = std::log(ratio);
+    entry.speedReportedAt = now;
+    m_latestRoute = report.routeKey;
+    m_hasSpeeds = true;
+}
+
+double UpstreamSelector::relativeServiceTime(const Entry& entry, TimePoint now) const
+{
+    if (!m_options.useSpeeds || !entry.speedReportedAt)
+        return 1;
+    Duration age = now - *entry.speedReportedAt;
+    double usual = entry.logRelativeServiceTime * decayFactor(age, m_options.relativeServiceTimeHalfLife);
+    return std::exp(usual + entry.logSlowness * decayFactor(age, m_options.slownessHalfLife));
+}
+
+double UpstreamSelector::expectedFinish(const Entry& entry, TimePoint now) const
+{
+    return relativeServiceTime(entry, now) * (1 + loadPerSlot(entry, now));
+}
+
 double UpstreamSelector::loadPerSlot(const Entry& entry, TimePoint now) const
 {
     double load = entry.outstanding;
@@ -280,6 +325,8 @@
         double limit = std::min<double>(entry.reportedLimit, capacity);
         capacity -= (capacity - limit) * share;
     }
+    if (entry.paceLimit && entry.reportedAt && now - *entry.reportedAt < m_options.paceLimitHold)
+        capacity = std::min<double>(capacity, *entry.paceLimit);
     // An upstream that fails fast has few outstanding requests, so its failures count as load.
     double deficit = m_options.avoidFailing ? std::max(0.0, m_options.minSuccessRate - successRate(entry, now)) : 0;
     return load / std::max(1.0, capacity) + deficit * failurePenalty;
@@ -324,13 +371,16 @@
 
 std::optional<size_t> UpstreamSelector::chooseInTier(size_t tier, std::span<const HostId> tried, TimePoint now)
 {
-    std::optional<size_t> first = sample(tier, tried, std::nullopt, now);
-    if (!first || !m_options.twoChoices)
-        return first;
-    std::optional<size_t> second = sample(tier, tried, first, now);
-    if (!second)
-        return first;
-    return loadPerSlot(m_entries[*second], now) < loadPerSlot(m_entries[*first], now) ? second : first;
+    std::optional<size_t> best = sample(tier, tried, std::nullopt, now);
+    if (!best || !m_options.twoChoices)
+        return best;
+    uint32_t samples = m_hasSpeeds && m_options.useSpeeds ? m_options.samplesWithSpeeds : 2;
+    for (uint32_t i = 1; i < samples; ++i) {
+        std::optional<size_t> other = sample(tier, tried, best, now);
+        if (other && expectedFinish(m_entries[*other], now) < expectedFinish(m_entries[*best], now))
+            best = other;
+    }
+    return best;
 }
 
 std::optional<size_t> UpstreamSelector::localUpstream(std::span<const HostId> tried, TimePoint now)
@@ -348,6 +398,18 @@
     return static_cast<size_t>(own - m_entries.begin());
 }
 
+bool UpstreamSelector::isMuchFaster(size_t other, size_t local, TimePoint now) const
+{
+    if (other == local)
+        return false;
+    double distance = 0;
+    Duration typical = m_typicalServiceTimes.find(m_latestRoute);
+    if (typical > Duration::zero())
+        distance = static_cast<double>(m_networkDelay.count()) / static_cast<double>(typical.count());
+    double otherFinish = expectedFinish(m_entries[other], now) + distance;
+    return relativeServiceTime(m_entries[local], now) > m_options.localUpstreamMaxSlowness * otherFinish;
+}
+
 // If only ejected upstreams are left, an attempt that will probably fail is better than none.
 std::optional<size_t> UpstreamSelector::chooseIgnoringEjection(std::span<const HostId> tried, TimePoint now) const
 {
--- a/dragonflylane/UpstreamSelector.h
+++ b/dragonflylane/UpstreamSelector.h
@@ -8,7 +8,9 @@
 //     selector.finished(*choice, SelectionOutcome::Success, load, now);   // exactly once for each choice
 //
 // The local upstream (the one of this daemon) is preferred while it has spare capacity. Otherwise two random candidates
-// of the nearest data centre are compared by their load per slot (power of two choices, Mitzenmacher 2001).
+// of the nearest data centre are compared by their expected finish (power of two choices, Mitzenmacher 2001): their
+// service time relative to that of their peers, plus the wait that their load per slot causes. Upstreams that state no
+// load count as equally fast, which leaves the load per slot.
 //
 // Only a subset of the candidates is used, which rebuild() selects by rendezvous hashing with the host id of the
 // daemon. choose() costs at most O(subset); rebuild() costs O(candidates) for the hashes and O(subset) for the rest.
@@ -16,6 +18,7 @@
 #include "dragonflylane/Admission.h"
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/Ids.h"
+#include "dragonflylane/TypicalServiceTimes.h"
 
 #include <array>
 #include <cstdint>
@@ -97,6 +100,20 @@
     /// Without responses, the failure rate (1 - success rate) halves in this time.
     Duration successRateHalfLife { std::chrono::seconds(3) };
     Duration unavailableFor { std::chrono::seconds(3) };
+    /// A reported slowness returns halfway to usual in this time.
+    Duration slownessHalfLife { std::chrono::milliseconds(300) };
+    /// Without responses, the relative service time of an upstream returns halfway to that of its peers in this time,
+    /// since only another attempt can show that it has become faster.
+    Duration relativeServiceTimeHalfLife { std::chrono::seconds(5) };
+    /// Weight of a new report in the relative service time.
+    double relativeServiceTimeWeight { 0.3 };
+    /// The local upstream is chosen while its service time exceeds that of the alternative by no more than this factor
+    /// and the network delay.
+    double localUpstreamMaxSlowness { 1.25 };
+    /// A pace limit holds for this long after its report.
+    Duration paceLimitHold { std::chrono::seconds(1) };
+    /// Upstreams that are compared once their speeds are known.
+    uint32_t samplesWithSpeeds { 3 };
 
     // Switches that disable a mechanism for a test.
     bool twoChoices { true };
@@ -106,6 +123,7 @@
     bool slowStartEnabled { true };
     bool ejectOutliers { true };
     bool avoidFailing { true };
+    bool useSpeeds { true };
 };
 
 class UpstreamSelector {
@@ -125,6 +143,11 @@
     /// Ends an attempt. The report is the one attached to the response, if any.
     void finished(const Choice&, SelectionOutcome, const std::optional<LoadReport>&, TimePoint now);
 
+    /// Mean network delay of calls to other hosts, both ways together.
+    void setNetworkDelay(Duration delay) { m_networkDelay = delay; }
+    /// Typical service time of the route over the upstreams of the service; zero if unknown.
+    Duration typicalServiceTime(uint64_t routeKey) const { return m_typicalServiceTimes.find(routeKey); }
+
     /// Upstreams of the subset, for connection management.
     std::vector<UpstreamId> subset() const;
     bool isEjected(const UpstreamId&, TimePoint now) const;
@@ -144,6 +167,12 @@
         double loadFromOthers { 0 };
         uint32_t reportedLimit { 0 };
         std::optional<TimePoint> reportedAt;
+        /// Natural logarithm of the usual service time relative to that of the peers.
+        double logRelativeServiceTime { 0 };
+        /// Natural logarithm of the momentary slowness.
+        double logSlowness { 0 };
+        std::optional<TimePoint> speedReportedAt;
+        std::optional<uint32_t> paceLimit;
         /// Exponentially weighted share of recent attempts that succeeded.
         double successRate { 1 };
         TimePoint successRateUpdatedAt;
@@ -158,14 +187,24 @@
     double slowStartWeight(const Entry&, TimePoint now) const;
     double successRate(const Entry&, TimePoint now) const;
     void recordResult(Entry&, bool isSuccess, TimePoint now);
+    void recordReport(Entry&, const LoadReport&, TimePoint now);
+    void recordSpeed(Entry&, const SpeedReport&, TimePoint now);
     double loadPerSlot(const Entry&, TimePoint now) const;
+    /// Service time relative to the typical one, including the momentary slowness.
+    double relativeServiceTime(const Entry&, TimePoint now) const;
+    /// Time until a new call would finish, as a multiple of the typical service time.
+    double expectedFinish(const Entry&, TimePoint now) const;
     bool isUsable(const Entry&, std::span<const HostId> tried, TimePoint now) const;
     /// A random usable upstream of the tier other than the given one.
     std::optional<size_t> sample(
         size_t tier, std::span<const HostId> tried, std::optional<size_t> other, TimePoint now);
+    /// The best of several samples of the nearest tiers.
+    std::optional<size_t> chooseInTiers(std::span<const HostId> tried, TimePoint now);
     std::optional<size_t> chooseInTier(size_t tier, std::span<const HostId> tried, TimePoint now);
     /// The local upstream, if it has spare capacity.
     std::optional<size_t> localUpstream(std::span<const HostId> tried, TimePoint now);
+    /// True if a call would finish much earlier at the other upstream than at the local one.
+    bool isMuchFaster(size_t other, size_t local, TimePoint now) const;
     /// The upstream with the fewest outstanding requests, ejected or not.
     std::optional<size_t> chooseIgnoringEjection(std::span<const HostId> tried, TimePoint now) const;
     size_t ejectedCount(TimePoint now) const;
@@ -179,6 +218,11 @@
     std::vector<Entry> m_entries;
     std::array<std::vector<size_t>, tierCount> m_tiers;
     std::unordered_map<UpstreamId, size_t> m_index;
+    TypicalServiceTimes m_typicalServiceTimes;
+    /// Route of the latest speed report.
+    uint64_t m_latestRoute { 0 };
+    bool m_hasSpeeds { false };
+    Duration m_networkDelay { 0 };
 };
 
 } // namespace dragonflylane
--- a/gen-cpp/peer_types.cpp
+++ b/gen-cpp/peer_types.cpp
@@ -628,6 +628,11 @@
   this->tenantPriority = val;
 __isset.tenantPriority = true;
 }
+
+void ForwardRequest::__set_typicalServiceMicroseconds(const int64_t val) {
+  this->typicalServiceMicroseconds = val;
+__isset.typicalServiceMicroseconds = true;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj)
 {
   obj.printTo(out);
@@ -852,6 +857,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 27:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->typicalServiceMicroseconds);
+          this->__isset.typicalServiceMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -972,6 +985,11 @@
     xfer += oprot->writeI32(this->tenantPriority);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.typicalServiceMicroseconds) {
+    xfer += oprot->writeFieldBegin("typicalServiceMicroseconds", ::apache::thrift::protocol::T_I64, 27);
+    xfer += oprot->writeI64(this->typicalServiceMicroseconds);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1002,6 +1020,7 @@
   swap(a.known, b.known);
   swap(a.tenant, b.tenant);
   swap(a.tenantPriority, b.tenantPriority);
+  swap(a.typicalServiceMicroseconds, b.typicalServiceMicroseconds);
   swap(a.__isset, b.__isset);
 }
 
@@ -1029,6 +1048,7 @@
   known = other22.known;
   tenant = other22.tenant;
   tenantPriority = other22.tenantPriority;
+  typicalServiceMicroseconds = other22.typicalServiceMicroseconds;
   __isset = other22.__isset;
 }
 ForwardRequest::ForwardRequest(ForwardRequest&& other23) noexcept {
@@ -1055,6 +1075,7 @@
   known = std::move(other23.known);
   tenant = std::move(other23.tenant);
   tenantPriority = other23.tenantPriority;
+  typicalServiceMicroseconds = other23.typicalServiceMicroseconds;
   __isset = other23.__isset;
 }
 ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other24) {
@@ -1081,6 +1102,7 @@
   known = other24.known;
   tenant = other24.tenant;
   tenantPriority = other24.tenantPriority;
+  typicalServiceMicroseconds = other24.typicalServiceMicroseconds;
   __isset = other24.__isset;
   return *this;
 }
@@ -1108,6 +1130,7 @@
   known = std::move(other25.known);
   tenant = std::move(other25.tenant);
   tenantPriority = other25.tenantPriority;
+  typicalServiceMicroseconds = other25.typicalServiceMicroseconds;
   __isset = other25.__isset;
   return *this;
 }
@@ -1137,6 +1160,7 @@
   out << ", " << "known="; (__isset.known ? (out << to_string(known)) : (out << "<null>"));
   out << ", " << "tenant="; (__isset.tenant ? (out << to_string(tenant)) : (out << "<null>"));
   out << ", " << "tenantPriority="; (__isset.tenantPriority ? (out << to_string(tenantPriority)) : (out << "<null>"));
+  out << ", " << "typicalServiceMicroseconds="; (__isset.typicalServiceMicroseconds ? (out << to_string(typicalServiceMicroseconds)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1203,6 +1227,11 @@
   this->paceLimit = val;
 __isset.paceLimit = true;
 }
+
+void ForwardResponse::__set_usualServiceMicroseconds(const int64_t val) {
+  this->usualServiceMicroseconds = val;
+__isset.usualServiceMicroseconds = true;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardResponse& obj)
 {
   obj.printTo(out);
@@ -1355,6 +1384,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->usualServiceMicroseconds);
+          this->__isset.usualServiceMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1439,6 +1476,11 @@
     xfer += oprot->writeI32(this->paceLimit);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.usualServiceMicroseconds) {
+    xfer += oprot->writeFieldBegin("usualServiceMicroseconds", ::apache::thrift::protocol::T_I64, 17);
+    xfer += oprot->writeI64(this->usualServiceMicroseconds);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1460,6 +1502,7 @@
   swap(a.statement, b.statement);
   swap(a.slownessPercent, b.slownessPercent);
   swap(a.paceLimit, b.paceLimit);
+  swap(a.usualServiceMicroseconds, b.usualServiceMicroseconds);
   swap(a.__isset, b.__isset);
 }
 
@@ -1478,6 +1521,7 @@
   statement = other32.statement;
   slownessPercent = other32.slownessPercent;
   paceLimit = other32.paceLimit;
+  usualServiceMicroseconds = other32.usualServiceMicroseconds;
   __isset = other32.__isset;
 }
 ForwardResponse::ForwardResponse(ForwardResponse&& other33) noexcept {
@@ -1495,6 +1539,7 @@
   statement = std::move(other33.statement);
   slownessPercent = other33.slownessPercent;
   paceLimit = other33.paceLimit;
+  usualServiceMicroseconds = other33.usualServiceMicroseconds;
   __isset = other33.__isset;
 }
 ForwardResponse& ForwardResponse::operator=(const ForwardResponse& other34) {
@@ -1512,6 +1557,7 @@
   statement = other34.statement;
   slownessPercent = other34.slownessPercent;
   paceLimit = other34.paceLimit;
+  usualServiceMicroseconds = other34.usualServiceMicroseconds;
   __isset = other34.__isset;
   return *this;
 }
@@ -1530,6 +1576,7 @@
   statement = std::move(other35.statement);
   slownessPercent = other35.slownessPercent;
   paceLimit = other35.paceLimit;
+  usualServiceMicroseconds = other35.usualServiceMicroseconds;
   __isset = other35.__isset;
   return *this;
 }
@@ -1550,6 +1597,7 @@
   out << ", " << "statement="; (__isset.statement ? (out << to_string(statement)) : (out << "<null>"));
   out << ", " << "slownessPercent="; (__isset.slownessPercent ? (out << to_string(slownessPercent)) : (out << "<null>"));
   out << ", " << "paceLimit="; (__isset.paceLimit ? (out << to_string(paceLimit)) : (out << "<null>"));
+  out << ", " << "usualServiceMicroseconds="; (__isset.usualServiceMicroseconds ? (out << to_string(usualServiceMicroseconds)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen-cpp/peer_types.h
+++ b/gen-cpp/peer_types.h
@@ -255,7 +255,7 @@
 std::ostream& operator<<(std::ostream& out, const UpstreamStatement& obj);
 
 typedef struct _ForwardRequest__isset {
-  _ForwardRequest__isset() : requestId(false), traceId(false), serviceName(false), upstreamId(false), upstreamIncarnation(false), remainingMicroseconds(false), attempt(false), hops(false), idempotent(false), order(false), fingerprint(false), method(false), target(false), headers(false), body(false), callerService(false), priority(false), routeKey(false), targetMicroseconds(false), maxWaitMicroseconds(false), known(false), tenant(false), tenantPriority(false) {}
+  _ForwardRequest__isset() : requestId(false), traceId(false), serviceName(false), upstreamId(false), upstreamIncarnation(false), remainingMicroseconds(false), attempt(false), hops(false), idempotent(false), order(false), fingerprint(false), method(false), target(false), headers(false), body(false), callerService(false), priority(false), routeKey(false), targetMicroseconds(false), maxWaitMicroseconds(false), known(false), tenant(false), tenantPriority(false), typicalServiceMicroseconds(false) {}
   bool requestId :1;
   bool traceId :1;
   bool serviceName :1;
@@ -279,6 +279,7 @@
   bool known :1;
   bool tenant :1;
   bool tenantPriority :1;
+  bool typicalServiceMicroseconds :1;
 } _ForwardRequest__isset;
 
 class ForwardRequest : public virtual ::apache::thrift::TBase {
@@ -309,7 +310,8 @@
                    targetMicroseconds(0),
                    maxWaitMicroseconds(0),
                    tenant(),
-                   tenantPriority(0) {
+                   tenantPriority(0),
+                   typicalServiceMicroseconds(0) {
   }
 
   virtual ~ForwardRequest() noexcept;
@@ -336,6 +338,7 @@
   UpstreamStatement known;
   std::string tenant;
   int32_t tenantPriority;
+  int64_t typicalServiceMicroseconds;
 
   _ForwardRequest__isset __isset;
 
@@ -385,6 +388,8 @@
 
   void __set_tenantPriority(const int32_t val);
 
+  void __set_typicalServiceMicroseconds(const int64_t val);
+
   bool operator == (const ForwardRequest & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -439,6 +444,10 @@
       return false;
     else if (__isset.tenantPriority && !(tenantPriority == rhs.tenantPriority))
       return false;
+    if (__isset.typicalServiceMicroseconds != rhs.__isset.typicalServiceMicroseconds)
+      return false;
+    else if (__isset.typicalServiceMicroseconds && !(typicalServiceMicroseconds == rhs.typicalServiceMicroseconds))
+      return false;
     return true;
   }
   bool operator != (const ForwardRequest &rhs) const {
@@ -458,7 +467,7 @@
 std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj);
 
 typedef struct _ForwardResponse__isset {
-  _ForwardResponse__isset() : requestId(false), code(false), status(false), headers(false), body(false), running(false), queued(false), limit(false), serviceMicroseconds(false), retryAfterMicroseconds(false), heldMicroseconds(false), statement(false), slownessPercent(false), paceLimit(false) {}
+  _ForwardResponse__isset() : requestId(false), code(false), status(false), headers(false), body(false), running(false), queued(false), limit(false), serviceMicroseconds(false), retryAfterMicroseconds(false), heldMicroseconds(false), statement(false), slownessPercent(false), paceLimit(false), usualServiceMicroseconds(false) {}
   bool requestId :1;
   bool code :1;
   bool status :1;
@@ -473,6 +482,7 @@
   bool statement :1;
   bool slownessPercent :1;
   bool paceLimit :1;
+  bool usualServiceMicroseconds :1;
 } _ForwardResponse__isset;
 
 class ForwardResponse : public virtual ::apache::thrift::TBase {
@@ -494,7 +504,8 @@
                     retryAfterMicroseconds(0),
                     heldMicroseconds(0),
                     slownessPercent(0),
-                    paceLimit(0) {
+                    paceLimit(0),
+                    usualServiceMicroseconds(0) {
   }
 
   virtual ~ForwardResponse() noexcept;
@@ -512,6 +523,7 @@
   UpstreamStatement statement;
   int32_t slownessPercent;
   int32_t paceLimit;
+  int64_t usualServiceMicroseconds;
 
   _ForwardResponse__isset __isset;
 
@@ -543,6 +555,8 @@
 
   void __set_paceLimit(const int32_t val);
 
+  void __set_usualServiceMicroseconds(const int64_t val);
+
   bool operator == (const ForwardResponse & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -579,6 +593,10 @@
       return false;
     else if (__isset.paceLimit && !(paceLimit == rhs.paceLimit))
       return false;
+    if (__isset.usualServiceMicroseconds != rhs.__isset.usualServiceMicroseconds)
+      return false;
+    else if (__isset.usualServiceMicroseconds && !(usualServiceMicroseconds == rhs.usualServiceMicroseconds))
+      return false;
     return true;
   }
   bool operator != (const ForwardResponse &rhs) const {
--- /dev/null
+++ b/tests/WarmupPaceTest.cpp
@@ -0,0 +1,119 @@
+#include "dragonflylane/WarmupPace.h"
+
+#include <gtest/gtest.h>
+
+namespace dragonflylane {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr uint32_t slots = 12;
+    constexpr milliseconds typical { 100 };
+
+    WarmupPace startedPace()
+    {
+        WarmupPace pace;
+        pace.setSlots(slots);
+        pace.begin();
+        pace.recordRequest(typical);
+        return pace;
+    }
+
+    /// Feeds responses until a round has ended.
+    PaceChange runRound(WarmupPace& pace, Duration serviceTime)
+    {
+        for (uint32_t i = 0; i <= slots; ++i) {
+            PaceChange change = pace.recordResponse(serviceTime, typical);
+            if (change != PaceChange::None)
+                return change;
+        }
+        return PaceChange::None;
+    }
+
+    int roundsUntilEnd(WarmupPace& pace, Duration serviceTime)
+    {
+        constexpr int maxRounds = 100;
+        int rounds = 0;
+        while (pace.isWarmingUp() && rounds < maxRounds) {
+            runRound(pace, serviceTime);
+            ++rounds;
+        }
+        return rounds;
+    }
+
+} // namespace
+
+// Guards against a flood of a cold upstream: it becomes slower with each call beyond the four that it can serve.
+TEST(WarmupPaceTest, UpstreamThatSlowsDownWithItsLoadIsNotFlooded)
+{
+    WarmupPace pace = startedPace();
+    EXPECT_EQ(pace.limit(), 2U);
+    for (int round = 0; round < 50; ++round) {
+        milliseconds serviceTime = pace.limit() <= 4 ? typical : typical * pace.limit() / 2;
+        runRound(pace, serviceTime);
+        EXPECT_LE(pace.limit(), 8U);
+        EXPECT_TRUE(pace.isWarmingUp());
+    }
+}
+
+// Guards against an upstream that is left idle although it is as fast as its peers.
+TEST(WarmupPaceTest, UpstreamAsFastAsItsPeersReachesItsSlotsInFourRounds)
+{
+    WarmupPace pace = startedPace();
+    EXPECT_EQ(roundsUntilEnd(pace, typical), 4);
+    EXPECT_EQ(pace.limit(), slots);
+}
+
+// Guards against an upstream that is slower than its peers for good and never gets all its slots.
+TEST(WarmupPaceTest, UpstreamThatIsSlowerForGoodReachesItsSlots)
+{
+    WarmupPace pace = startedPace();
+    int rounds = roundsUntilEnd(pace, 2 * typical);
+    EXPECT_GT(rounds, 4);
+    EXPECT_LE(rounds, 12);
+    EXPECT_EQ(pace.limit(), slots);
+}
+
+// Guards against a process that is announced as healthy but sheds or loses its calls.
+TEST(WarmupPaceTest, UpstreamInTroubleKeepsTheInitialLimit)
+{
+    WarmupPace pace = startedPace();
+    for (int i = 0; i < 100; ++i) {
+        pace.recordResponse(typical, typical);
+        EXPECT_EQ(pace.recordTrouble(), PaceChange::Halved);
+        EXPECT_EQ(pace.limit(), 2U);
+    }
+}
+
+// Guards against a fall to the initial limit for good after an upstream has fallen back twice.
+TEST(WarmupPaceTest, UpstreamThatFallsBackTwiceRecovers)
+{
+    WarmupPace pace = startedPace();
+    for (int fall = 0; fall < 2; ++fall) {
+        EXPECT_EQ(runRound(pace, typical), PaceChange::Doubled);
+        EXPECT_EQ(runRound(pace, typical), PaceChange::Doubled);
+        EXPECT_EQ(runRound(pace, 5 * typical), PaceChange::Halved);
+        EXPECT_EQ(pace.limit(), 4U);
+        EXPECT_EQ(runRound(pace, typical), PaceChange::Doubled);
+        EXPECT_EQ(pace.recordTrouble(), PaceChange::Halved);
+        EXPECT_EQ(pace.recordTrouble(), PaceChange::Halved);
+        EXPECT_EQ(pace.limit(), 2U);
+    }
+    roundsUntilEnd(pace, typical);
+    EXPECT_EQ(pace.limit(), slots);
+}
+
+// All upstreams of a service start together, so no peer can serve the other calls. Guards against refusals for want of
+// slots that are idle.
+TEST(WarmupPaceTest, NoWarmupWithoutPeers)
+{
+    WarmupPace pace;
+    pace.setSlots(slots);
+    pace.begin();
+    EXPECT_EQ(pace.recordRequest(Duration::zero()), PaceChange::None);
+    EXPECT_EQ(pace.recordRequest(typical), PaceChange::None);
+    EXPECT_EQ(pace.limit(), slots);
+}
+
+} // namespace dragonflylane
--- a/wire/peer.thrift
+++ b/wire/peer.thrift
@@ -52,6 +52,8 @@
   // Tenant whose key the caller presented. Not set: calls of upstreams, and meshes without tenants.
   22: optional string tenant
   23: optional i32 tenantPriority
+  // Typical service time of the route at the upstreams of the service. Not set: no upstream has stated its own.
+  27: optional i64 typicalServiceMicroseconds
 }
 
 struct ForwardResponse {
@@ -73,6 +75,8 @@
   13: optional i32 slownessPercent
   // Calls that the owner lets run at the same time while the upstream warms up. Not set: all slots.
   14: optional i32 paceLimit
+  // Usual service time of the call's route at the upstream. Not set: the upstream states no load, or has answered none.
+  17: optional i64 usualServiceMicroseconds
 }
 
 struct ForwardCancel {
