--- a/dragonflylane/StatusJson.cpp
+++ b/dragonflylane/StatusJson.cpp
@@ -84,7 +84,9 @@
         LoadReport load = owner.load();
         return { { "id", owner.upstream()->id.value() }, { "service", owner.upstream()->service.value() },
             { "incarnation", owner.incarnation().value() }, { "draining", owner.isDraining() },
-            { "running", load.running }, { "queued", load.queued }, { "limit", load.limit } };
+            { "running", load.running }, { "queued", load.queued }, { "limit", load.limit },
+            { "slownessPercent", owner.performance().slowness(BootClock::now()).value() },
+            { "paceLimit", owner.performance().limit() } };
     }
 
     // Tenants that are counted by name. A daemon may have thousands of others.
