Check a document before it is sent

Operators saw what a document does only when a control host had reviewed it, and nothing told them of entries that never match or of limits that contradict each other.

Exit codes 0, 1 and 2.

--- a/dragonflylane/CommandLine.cpp
+++ b/dragonflylane/CommandLine.cpp
@@ -3,6 +3,7 @@
 #include "dragonflylane/ApiClient.h"
 #include "dragonflylane/ApiRequest.h"
 #include "dragonflylane/CommandOutput.h"
+#include "dragonflylane/DocumentCheck.h"
 #include "dragonflylane/ResultCode.h"
 #include "dragonflylane/Settings.h"
 
@@ -13,6 +14,7 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <optional>
 #include <sstream>
 #include <thread>
 
@@ -39,6 +41,8 @@
   rollout start SERVICE VERSION --duration SECONDS
                          move the requests of a service to another version of its upstreams
   rollout show SERVICE   state of the latest roll-out of a service
+  check FILE             check the changes in FILE before they are sent; --against FILE names the changes that make up
+                         the configuration in force
   check-settings FILE    check a settings file
 )";
 
@@ -48,6 +52,8 @@
         /// Arguments after the operand.
         std::vector<std::string> furtherOperands;
         double durationSeconds { 0 };
+        /// File with the configuration in force; empty: none.
+        std::string against;
         std::vector<Endpoint> servers;
         std::string token;
         bool isJson { false };
@@ -135,19 +141,49 @@
         return confirm(session, id);
     }
 
-    int plan(Session& session)
+    // The path "-" stands for standard input. Empty if the file cannot be read.
+    std::optional<std::string> readText(const std::string& path)
     {
-        const std::string& path = session.arguments().operand;
         std::stringstream text;
         if (path == "-") {
             text << std::cin.rdbuf();
-        } else {
-            std::ifstream stream(path);
-            text << stream.rdbuf();
-            if (!stream)
-                return fail(ResultCode::FileUnreadable, path);
+            return text.str();
+        }
+        std::ifstream stream(path);
+        text << stream.rdbuf();
+        return stream ? std::optional(text.str()) : std::nullopt;
+    }
+
+    int plan(Session& session)
+    {
+        const std::string& path = session.arguments().operand;
+        auto text = readText(path);
+        return text ? propose(session, *text) : fail(ResultCode::FileUnreadable, path);
+    }
+
+    int check(Session& session)
+    {
+        const Arguments& arguments = session.arguments();
+        auto unreadable = [](const std::string& path) {
+            fail(ResultCode::FileUnreadable, path);
+            return static_cast<int>(CheckResult::Unreadable);
+        };
+        std::optional<ConfigState> base;
+        if (!arguments.against.empty()) {
+            auto text = readText(arguments.against);
+            if (!text)
+                return unreadable(arguments.against);
+            CheckedDocument inForce = readPlanDocument(*text, ConfigState());
+            if (!inForce.error.empty())
+                return unreadable(arguments.against + ": " + inForce.error);
+            base = std::move(inForce.state);
         }
-        return propose(session, text.str());
+        auto text = readText(arguments.operand);
+        if (!text)
+            return unreadable(arguments.operand);
+        CheckReport report = reportOn(readPlanDocument(*text, base.value_or(ConfigState())), base);
+        std::fputs((arguments.isJson ? report.json : report.text).c_str(), stdout);
+        return static_cast<int>(report.result);
     }
 
     int drain(Session& session, const char* changeKind)
@@ -246,6 +282,7 @@
                     } } },
             { "release", { true, release } },
             { "rollout", { true, rollout } },
+            { "check", { true, check } },
             { "check-settings", { true, [](Session& session) { return checkSettings(session.arguments().operand); } } },
         };
         return table;
@@ -275,6 +312,7 @@
             .operand = parsed["operand"].as<std::string>(),
             .furtherOperands = parsed["further"].as<std::vector<std::string>>(),
             .durationSeconds = parsed["duration"].as<double>(),
+            .against = parsed["against"].as<std::string>(),
             .isJson = parsed.count("json") > 0,
             .isWatching = parsed.count("watch") > 0,
             .isConfirming = parsed.count("confirm") > 0 };
@@ -301,9 +339,10 @@
         "token-file", "file with the operator's token", cxxopts::value<std::string>())("json", "print JSON")(
         "watch", "refresh status every second")("confirm", "confirm the plan of drain and undrain at once")(
         "command", "", cxxopts::value<std::string>()->default_value(""))(
-        "operand", "", cxxopts::value<std::string>()->default_value(""))(
-        "further", "", cxxopts::value<std::vector<std::string>>()->default_value(""))("duration",
-        "time of a roll-out in seconds", cxxopts::value<double>()->default_value("0"))("help", "print this help");
+        "operand", "", cxxopts::value<std::string>()->default_value(""))("further", "",
+        cxxopts::value<std::vector<std::string>>()->default_value(""))("duration", "time of a roll-out in seconds",
+        cxxopts::value<double>()->default_value("0"))("against", "configuration in force, for check",
+        cxxopts::value<std::string>()->default_value(""))("help", "print this help");
     options.parse_positional({ "command", "operand", "further" });
     options.positional_help("COMMAND [OPERAND...]");
     try {
--- a/dragonflylane/PlanJson.cpp
+++ b/dragonflylane/PlanJson.cpp
@@ -626,9 +626,9 @@
     return json::serialize(document);
 }
 
-std::string renderPlanText(const PlanId& id, const Plan& plan)
+std::string renderDifferenceText(const Plan& plan)
 {
-    std::string text = "plan " + id.value() + " on revision " + std::to_string(plan.base.value()) + "\n";
+    std::string text;
     for (const ItemKey& key : plan.added)
         text += "  add " + key.toString() + " " + describeValue(plan.delta.upserts.at(key)) + "\n";
     for (const ItemKey& key : plan.changed) {
@@ -641,6 +641,13 @@
         text += "  route gained: " + route.value() + "\n";
     for (const RouteName& route : plan.routesLost)
         text += "  route lost: " + route.value() + "\n";
+    return text;
+}
+
+std::string renderPlanText(const PlanId& id, const Plan& plan)
+{
+    std::string text = "plan " + id.value() + " on revision " + std::to_string(plan.base.value()) + "\n";
+    text += renderDifferenceText(plan);
     for (const PlanWarning& warning : plan.warnings)
         text += "  warning: " + warning.item.toString() + " " + warning.text + "\n";
     text += "  daemons affected: " + std::to_string(plan.daemonsAffected) + ", about "
--- a/dragonflylane/PlanJson.h
+++ b/dragonflylane/PlanJson.h
@@ -29,6 +29,8 @@
 std::string renderPlan(const PlanId&, const Plan&);
 /// Renders a stored plan as JSON: changes, status, operators, revision.
 std::string renderPlanRecord(const PlanRecord&);
+/// Renders what a plan adds, changes and removes as text, one line per effect.
+std::string renderDifferenceText(const Plan&);
 /// Renders a reviewed plan as text, one line per effect.
 std::string renderPlanText(const PlanId&, const Plan&);
 /// Renders the outcome of a command as JSON: code, message, revision, conflicting items.
--- a/dragonflylane/PlanReview.cpp
+++ b/dragonflylane/PlanReview.cpp
@@ -119,6 +119,28 @@
 
 } // namespace
 
+Plan planBetween(const ConfigState& base, const ConfigState& final)
+{
+    Plan result;
+    result.base = base.revision();
+    result.delta = base.deltaTo(final);
+    for (const auto& [key, item] : result.delta.upserts) {
+        const ConfigItem* before = base.find(key);
+        (before ? result.changed : result.added).push_back(key);
+        if (before)
+            result.before.emplace(key, *before);
+        else if (key.kind == ItemKind::Route)
+            result.routesGained.emplace_back(key.name);
+    }
+    for (const ItemKey& key : result.delta.removals) {
+        result.removed.push_back(key);
+        result.before.emplace(key, *base.find(key));
+        if (key.kind == ItemKind::Route)
+            result.routesLost.emplace_back(key.name);
+    }
+    return result;
+}
+
 PlanReview::PlanReview(const ConfigState& base)
     : m_base(base)
 {
@@ -134,26 +156,10 @@
     if (std::error_code error = final.validate(detail))
         return error;
     final.setRevision(m_base.revision().next());
-    Plan result;
-    result.base = m_base.revision();
-    result.delta = m_base.deltaTo(final);
+    Plan result = planBetween(m_base, final);
     if (result.delta.size() == 0)
         return reject(ResultCode::EmptyPlan, "the final state equals the base", detail);
     result.changes = changes;
-    for (const auto& [key, item] : result.delta.upserts) {
-        const ConfigItem* before = m_base.find(key);
-        (before ? result.changed : result.added).push_back(key);
-        if (before)
-            result.before.emplace(key, *before);
-        else if (key.kind == ItemKind::Route)
-            result.routesGained.emplace_back(key.name);
-    }
-    for (const ItemKey& key : result.delta.removals) {
-        result.removed.push_back(key);
-        result.before.emplace(key, *m_base.find(key));
-        if (key.kind == ItemKind::Route)
-            result.routesLost.emplace_back(key.name);
-    }
     *plan = std::move(result);
     return {};
 }
--- a/dragonflylane/PlanReview.h
+++ b/dragonflylane/PlanReview.h
@@ -16,6 +16,9 @@
     uint64_t daemons { 0 };
 };
 
+/// The difference between two states as a plan, without changes, warnings and estimates.
+Plan planBetween(const ConfigState& base, const ConfigState& final);
+
 /// Reviews changes against a base state.
 class PlanReview {
 public:
