--- a/dragonflylane/EntryServiceState.cpp
+++ b/dragonflylane/EntryServiceState.cpp
@@ -42,6 +42,8 @@
 {
     m_networkDelay.addSample(std::max(total - heldByOwner, Duration::zero()), CallOutcome::Success, now, {});
     m_selector.setNetworkDelay(networkDelay(now));
+    if (m_targetSelector)
+        m_targetSelector->setNetworkDelay(networkDelay(now));
 }
 
 void EntryServiceState::setRollout(const RolloutItem* rollout)
--- a/dragonflylane/EntryServiceState.h
+++ b/dragonflylane/EntryServiceState.h
@@ -63,6 +63,8 @@
     std::optional<Choice> choose(VersionGroup, std::span<const HostId> tried, TimePoint now);
     std::optional<Choice> chooseOwner(VersionGroup, const HostId&, TimePoint now);
     void finished(const Choice&, SelectionOutcome, const std::optional<LoadReport>&, TimePoint now);
+    /// See UpstreamSelector; of the versions other than the target.
+    Duration typicalServiceTime(uint64_t routeKey) const { return m_selector.typicalServiceTime(routeKey); }
     /// Number of upstreams from which choose() selects.
     size_t size(VersionGroup) const;
 
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -258,7 +258,7 @@
         if (choice->owner != m_options.self)
             request.targetMicroseconds -= toMicroseconds(serviceOf(call).networkDelay(now));
         request.maxWaitMicroseconds = toMicroseconds(maxWait(*call));
-        Duration typical = serviceOf(call).selector().typicalServiceTime(call->routeKey);
+        Duration typical = serviceOf(call).typicalServiceTime(call->routeKey);
         if (typical > Duration::zero())
             request.__set_typicalServiceMicroseconds(toMicroseconds(typical));
         if (const ProcessStatement* statement = m_statements.find(choice->upstream, now))
