State the version in announcements, and test a roll-back with real daemons

The daemon's own announcement had no version, so only the platform's API could take part in roll-outs. The fields of the daemon's API for roll-outs are in milliseconds, as in plans, and the tool prints them as lines.

Measured: RolloutProcessTest passes: a failing version is rolled back, and after a kill of the control host it gets nothing.

--- a/dragonflylane/ApiTask.cpp
+++ b/dragonflylane/ApiTask.cpp
@@ -85,8 +85,10 @@
             .address = *address,
             .slots = static_cast<uint32_t>(slots->as_int64()),
             .phase = *phase,
+            .version = UpstreamVersion(text("version")),
             .instance = text("instance") };
-        return isValidName(announcement.id.value()) && isValidName(announcement.service.value());
+        bool isVersionValid = announcement.version.isEmpty() || isValidName(announcement.version.value());
+        return isVersionValid && isValidName(announcement.id.value()) && isValidName(announcement.service.value());
     }
 
     // Takes the upstreams from the membership rather than the routing table: the latter lists upstreams of configured
@@ -485,7 +487,7 @@
         return forwardToLeader(request);
     auto command = parseRolloutStart(request.http.body);
     if (!command)
-        return request.respondError(ResultCode::InvalidValue, "service, version or duration_s");
+        return request.respondError(ResultCode::InvalidValue, "service, version or durationMs");
     command->operatorName = request.operatorName;
     startRollout(*command, [request](const RolloutAnswer& answer) {
         if (answer.code != ResultCode::Ok)
--- a/dragonflylane/CommandLine.cpp
+++ b/dragonflylane/CommandLine.cpp
@@ -181,8 +181,9 @@
 
     int startRollout(Session& session, const std::string& service, const std::string& version)
     {
+        constexpr double millisecondsPerSecond = 1000;
         json::object order { { "service", service }, { "version", version },
-            { "duration_s", session.arguments().durationSeconds } };
+            { "durationMs", session.arguments().durationSeconds * millisecondsPerSecond } };
         return session.exchange({ .method = "POST", .target = "/v1/rollouts", .body = json::serialize(order) },
             [](const json::value&) { return std::string("started\n"); });
     }
@@ -194,7 +195,7 @@
         if (action == "start" && operands.size() == 2)
             return startRollout(session, operands[0], operands[1]);
         if (action == "show" && operands.size() == 1)
-            return session.get("/v1/rollouts/" + operands[0], renderPretty);
+            return session.get("/v1/rollouts/" + operands[0], renderRolloutText);
         return fail(ResultCode::SettingMissing, "operands of rollout " + action);
     }
 
--- a/dragonflylane/CommandOutput.cpp
+++ b/dragonflylane/CommandOutput.cpp
@@ -147,6 +147,15 @@
     return lines + (confirmedBy.empty() ? "" : ", confirmed by " + confirmedBy) + "\n";
 }
 
+std::string renderRolloutText(const json::value& rollout)
+{
+    std::string lines = "service      " + field(rollout, "service") + "\n";
+    lines += "version      " + field(rollout, "version") + "\n";
+    lines += "state        " + field(rollout, "state") + ", share " + field(rollout, "sharePermille") + " of 1000\n";
+    lines += "elapsed      " + field(rollout, "elapsedMs") + " of " + field(rollout, "durationMs") + " ms\n";
+    return lines;
+}
+
 std::string renderHistory(const json::value& document)
 {
     std::string lines;
--- a/dragonflylane/CommandOutput.h
+++ b/dragonflylane/CommandOutput.h
@@ -19,5 +19,6 @@
 std::string renderExplanation(const boost::json::value&);
 /// Renders any document with one "key: value" line for each field.
 std::string renderPretty(const boost::json::value&);
+std::string renderRolloutText(const boost::json::value&);
 
 } // namespace dragonflylane
--- a/dragonflylane/RolloutJson.cpp
+++ b/dragonflylane/RolloutJson.cpp
@@ -8,17 +8,14 @@
 
 namespace {
 
+    constexpr double millisecondsPerSecond = 1000;
+
     std::string text(const json::object& object, const char* key)
     {
         const json::value* value = object.if_contains(key);
         return value && value->is_string() ? std::string(value->as_string()) : std::string();
     }
 
-    double seconds(std::chrono::milliseconds time)
-    {
-        return std::chrono::duration<double>(time).count();
-    }
-
 } // namespace
 
 std::string_view name(RolloutState state)
@@ -39,10 +36,10 @@
     boost::system::error_code error;
     json::value document = json::parse(body, error);
     const json::object* object = error ? nullptr : document.if_object();
-    const json::value* duration = object ? object->if_contains("duration_s") : nullptr;
+    const json::value* duration = object ? object->if_contains("durationMs") : nullptr;
     if (!duration || !duration->is_number())
         return std::nullopt;
-    auto time = rolloutDuration(duration->to_number<double>());
+    auto time = rolloutDuration(duration->to_number<double>() / millisecondsPerSecond);
     if (!time)
         return std::nullopt;
     return StartRolloutCommand { .service = ServiceName(text(*object, "service")),
@@ -53,8 +50,8 @@
 std::string renderRollout(const RolloutItem& item)
 {
     return json::serialize(json::object { { "service", item.service.value() }, { "version", item.target.value() },
-               { "state", name(item.state) }, { "share", item.sharePermille / double { ItemLimits::sharePermille } },
-               { "duration_s", seconds(item.duration) }, { "elapsed_s", seconds(item.elapsed) } })
+               { "state", name(item.state) }, { "sharePermille", item.sharePermille },
+               { "durationMs", item.duration.count() }, { "elapsedMs", item.elapsed.count() } })
         + "\n";
 }
 
--- a/dragonflylane/RolloutJson.h
+++ b/dragonflylane/RolloutJson.h
@@ -12,7 +12,7 @@
 
 /// "running", "completed" or "rolled_back".
 std::string_view name(RolloutState);
-/// Reads {"service": ..., "version": ..., "duration_s": ...}. Empty if a field is absent or has another type.
+/// Reads {"service": ..., "version": ..., "durationMs": ...}. Empty if a field is absent or has another type.
 std::optional<StartRolloutCommand> parseRolloutStart(std::string_view body);
 std::string renderRollout(const RolloutItem&);
 
--- a/tests/StatingUpstream.h
+++ b/tests/StatingUpstream.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// An upstream that states a rate limit, or that it is leaving, in the headers of its responses.
+// An upstream that states a rate limit, or that it is leaving, in the headers of its responses, or that fails.
 
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/HttpExchange.h"
@@ -29,6 +29,7 @@
 
     Endpoint endpoint() const { return { "127.0.0.1", m_server.port() }; }
     void setServiceTime(Duration serviceTime) { m_serviceTime = serviceTime; }
+    void setStatus(unsigned status) { m_status = status; }
     void setHeaders(std::vector<HttpHeader> headers) { m_headers = std::move(headers); }
     /// Copies this header of each request to its response.
     void setEchoedHeader(std::string name) { m_echoedHeader = std::move(name); }
@@ -43,7 +44,7 @@
         m_arrivals.push_back(BootClock::now());
         auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_serviceTime);
         timer->async_wait([this, timer, exchange](boost::system::error_code) {
-            HttpResponse response { .status = 200, .headers = m_headers, .body = "ok" };
+            HttpResponse response { .status = m_status, .headers = m_headers, .body = "ok" };
             std::string echoed(exchange->request().header(m_echoedHeader));
             if (!echoed.empty())
                 response.headers.push_back({ m_echoedHeader, std::move(echoed) });
@@ -53,6 +54,7 @@
 
     boost::asio::io_context& m_context;
     Duration m_serviceTime { std::chrono::milliseconds(10) };
+    unsigned m_status { 200 };
     std::vector<HttpHeader> m_headers;
     std::string m_echoedHeader;
     std::vector<TimePoint> m_arrivals;
