Treat nearly equal service times as equal

At low load the smallest difference between two learned service times decided every choice. Differences under 5 % count as none now.

--- a/dragonflylane/UpstreamSelector.cpp
+++ b/dragonflylane/UpstreamSelector.cpp
@@ -22,6 +22,10 @@
     // Load per slot that is added per unit of success rate below minSuccessRate.
     constexpr double failurePenalty = 4;
 
+    // Upstreams whose relative service times are closer to one than this (about 5 %) count as equally fast. At low load
+    // even the smallest difference would decide the comparison.
+    constexpr double minLogDifference = 0.05;
+
     struct RankedCandidate {
         uint64_t hash { 0 };
         size_t index { 0 };
@@ -306,7 +310,8 @@
         return 1;
     Duration age = now - *entry.speedReportedAt;
     double usual = entry.logRelativeServiceTime * decayFactor(age, m_options.relativeServiceTimeHalfLife);
-    return std::exp(usual + entry.logSlowness * decayFactor(age, m_options.slownessHalfLife));
+    double logRelative = usual + entry.logSlowness * decayFactor(age, m_options.slownessHalfLife);
+    return std::abs(logRelative) < minLogDifference ? 1 : std::exp(logRelative);
 }
 
 double UpstreamSelector::expectedFinish(const Entry& entry, TimePoint now) const
--- a/tests/ForwardWireTest.cpp
+++ b/tests/ForwardWireTest.cpp
@@ -1,4 +1,5 @@
 #include "dragonflylane/ForwardWire.h"
+#include "dragonflylane/Admission.h"
 #include "dragonflylane/CallHeaders.h"
 #include "dragonflylane/HeaderCoding.h"
 #include "dragonflylane/Wire.h"
@@ -96,4 +97,28 @@
     EXPECT_FALSE(decodeThrift(payload.substr(0, payload.size() / 2), ignored));
 }
 
+TEST(ForwardWireTest, SpeedAndPaceReachTheEntryDaemon)
+{
+    constexpr uint64_t route = 7;
+    LoadReport sent { .limit = 12,
+        .speed = SpeedReport { .routeKey = route,
+            .usualServiceTime = std::chrono::milliseconds(120),
+            .slowness = SlownessPercent(250) },
+        .paceLimit = 4 };
+    wire::ForwardResponse message;
+    addSpeed(message, sent);
+    wire::ForwardResponse received;
+    ASSERT_TRUE(decodeThrift(encodeThrift(message), received));
+    LoadReport report = loadReport(received, route);
+    ASSERT_TRUE(report.speed);
+    EXPECT_EQ(report.speed->usualServiceTime, sent.speed->usualServiceTime);
+    EXPECT_EQ(report.speed->slowness, sent.speed->slowness);
+    EXPECT_EQ(report.paceLimit, sent.paceLimit);
+
+    // An owner whose upstream states no load sends neither.
+    LoadReport plain = loadReport(wire::ForwardResponse(), route);
+    EXPECT_FALSE(plain.speed);
+    EXPECT_FALSE(plain.paceLimit);
+}
+
 } // namespace dragonflylane
--- a/tests/UpstreamSelectorTest.cpp
+++ b/tests/UpstreamSelectorTest.cpp
@@ -360,4 +360,113 @@
     EXPECT_NE(selector.choose(std::vector { options.self }, start)->owner, options.self);
 }
 
+namespace {
+
+    constexpr uint64_t testRoute = 7;
+
+    LoadReport speedReport(Duration usualServiceTime, SlownessPercent slowness = usualSlowness)
+    {
+        return { .limit = 12,
+            .speed
+            = SpeedReport { .routeKey = testRoute, .usualServiceTime = usualServiceTime, .slowness = slowness } };
+    }
+
+    /// Reports speeds until each upstream has been chosen: the first one takes the first time, the others the second.
+    void teachSpeeds(UpstreamSelector& selector, const UpstreamId& first, Duration firstTime, Duration otherTime)
+    {
+        for (int i = 0; i < 400; ++i) {
+            Choice choice = *selector.choose({}, start);
+            selector.finished(choice, SelectionOutcome::Success,
+                speedReport(choice.upstream == first ? firstTime : otherTime), start);
+        }
+    }
+
+} // namespace
+
+// One of four upstreams takes 2.4 times as long as its peers. Guards against an even share for it.
+TEST(UpstreamSelectorTest, SlowUpstreamGetsAFewCallsUntilItsReportIsOld)
+{
+    for (bool useSpeeds : { true, false }) {
+        UpstreamSelectorOptions options = optionsFor();
+        options.useSpeeds = useSpeeds;
+        UpstreamSelector selector(options);
+        std::vector<UpstreamCandidate> upstreams = candidates(4, "a");
+        selector.rebuild(upstreams, start);
+        teachSpeeds(selector, upstreams[0].id, milliseconds(240), milliseconds(100));
+        int share = countChoices(selector, upstreams[0].id, 1000, start + milliseconds(10));
+        if (useSpeeds)
+            EXPECT_LT(share, 50);
+        else
+            EXPECT_GT(share, 150);
+        EXPECT_GT(countChoices(selector, upstreams[0].id, 1000, start + seconds(60)), 10);
+    }
+}
+
+// Guards against calls that wait at a slow local upstream while others are idle, and against calls that leave the local
+// upstream for a small gain or for one that is as far away as the gain.
+TEST(UpstreamSelectorTest, SlowLocalUpstreamIsLeftOnlyForAMuchFasterOne)
+{
+    struct Case {
+        milliseconds localTime;
+        Duration networkDelay;
+        bool isLeft;
+    };
+    for (const Case& item : { Case { milliseconds(240), milliseconds(3), true },
+             Case { milliseconds(115), milliseconds(3), false }, Case { milliseconds(240), seconds(1), false } }) {
+        UpstreamSelectorOptions options = optionsFor();
+        options.self = HostId("host-a-0");
+        UpstreamSelector selector(options);
+        std::vector<UpstreamCandidate> upstreams = candidates(4, "a");
+        selector.rebuild(upstreams, start);
+        selector.setNetworkDelay(item.networkDelay);
+        for (int i = 0; i < 100; ++i) {
+            // Also asks the others, which are not chosen while the local upstream is idle.
+            std::vector<HostId> tried;
+            if (i % 2 == 0)
+                tried.push_back(options.self);
+            Choice choice = *selector.choose(tried, start);
+            bool isLocal = choice.owner == options.self;
+            selector.finished(choice, SelectionOutcome::Success,
+                speedReport(isLocal ? Duration(item.localTime) : Duration(milliseconds(100))), start);
+        }
+        EXPECT_EQ(selector.choose({}, start)->owner != options.self, item.isLeft) << item.localTime.count();
+    }
+}
+
+// Guards against a slow period that is held against an upstream long after it has ended.
+TEST(UpstreamSelectorTest, MomentarySlownessIsForgotten)
+{
+    UpstreamSelector selector(optionsFor());
+    std::vector<UpstreamCandidate> upstreams = candidates(4, "a");
+    selector.rebuild(upstreams, start);
+    teachSpeeds(selector, upstreams[0].id, milliseconds(100), milliseconds(100));
+    std::vector<Choice> open;
+    while (open.empty() || open.back().upstream != upstreams[0].id)
+        open.push_back(*selector.choose({}, start));
+    for (const Choice& choice : open) {
+        bool isSlow = choice.upstream == upstreams[0].id;
+        selector.finished(choice, SelectionOutcome::Success,
+            speedReport(milliseconds(100), SlownessPercent(isSlow ? 250 : 100)), start);
+    }
+    EXPECT_LT(countChoices(selector, upstreams[0].id, 1000, start + milliseconds(10)), 50);
+    EXPECT_GT(countChoices(selector, upstreams[0].id, 1000, start + seconds(5)), 150);
+}
+
+// The owner lets four calls run while its upstream warms up. Guards against entry daemons that take no notice of it,
+// and against a slow start of their own beside it.
+TEST(UpstreamSelectorTest, PaceLimitReplacesTheSlowStart)
+{
+    UpstreamSelector selector(optionsFor());
+    std::vector<UpstreamCandidate> upstreams = candidates(2, "a");
+    upstreams[0].readySince = start;
+    selector.rebuild(upstreams, start);
+    Choice choice = *selector.chooseOwner(upstreams[0].owner, start);
+    LoadReport report { .limit = 4, .paceLimit = 4 };
+    selector.finished(choice, SelectionOutcome::Success, report, start);
+    for (int i = 0; i < 16; ++i)
+        selector.choose({}, start + milliseconds(500));
+    EXPECT_GE(selector.outstanding(upstreams[0].id), 3U);
+    EXPECT_LE(selector.outstanding(upstreams[0].id), 5U);
+}
+
 } // namespace dragonflylane
