--- a/dragonflylane/CommandOutput.cpp
+++ b/dragonflylane/CommandOutput.cpp
@@ -173,6 +173,11 @@
             lines += "late         " + field(late, "host") + " holds " + field(late, "held") + "\n";
     }
     lines += "members      " + field(status, "members") + "\n";
+    const json::value& upstream = child(status, "upstream");
+    if (upstream.is_object())
+        lines += "upstream     " + field(upstream, "id") + ", running " + field(upstream, "running") + ", queued "
+            + field(upstream, "queued") + ", pace limit " + field(upstream, "paceLimit") + ", slowness "
+            + field(upstream, "slownessPercent") + " %\n";
     lines += "drains       " + join(list(status, "drains")) + "\n";
     return lines + quarantineLines(list(status, "quarantine"));
 }
