--- a/bench/SelectionModel.cpp
+++ b/bench/SelectionModel.cpp
@@ -148,8 +148,8 @@
         {
             std::vector<UpstreamCandidate> candidates;
             for (size_t i = 0; i < options.hosts; ++i)
-                candidates.push_back({ UpstreamId(std::to_string(i)), hostName(i), DataCentreName("a"),
-                    RegionName("r"), options.slots, true, TimePoint() });
+                candidates.push_back({ UpstreamId(std::to_string(i)), hostName(i), DataCentreName("a"), RegionName("r"),
+                    options.slots, true, TimePoint() });
             for (size_t i = 0; i < options.hosts; ++i) {
                 UpstreamSelectorOptions selectorOptions { .self = hostName(i),
                     .dataCentre = DataCentreName("a"),
--- a/bench/SelectionModelBenchMain.cpp
+++ b/bench/SelectionModelBenchMain.cpp
@@ -1,6 +1,6 @@
-// Compares ways to choose an upstream in virtual time, on the same arrivals: today's choice by load per slot, the choice
-// by expected finish with several settings, and an ideal that knows every work time. Prints one line for each load and
-// candidate: p50, p99, share in time, and share of the calls that went to another host.
+// Compares ways to choose an upstream in virtual time, on the same arrivals: today's choice by load per slot, the
+// choice by expected finish with several settings, and an ideal that knows every work time. Prints one line for each
+// load and candidate: p50, p99, share in time, and share of the calls that went to another host.
 
 #include "bench/SelectionModel.h"
 
--- a/tests/WarmupPaceTest.cpp
+++ b/tests/WarmupPaceTest.cpp
@@ -1,5 +1,7 @@
 #include "dragonflylane/WarmupPace.h"
 
+#include "dragonflylane/RankedAdmission.h"
+
 #include <gtest/gtest.h>
 
 namespace dragonflylane {
@@ -116,4 +118,36 @@
     EXPECT_EQ(pace.limit(), slots);
 }
 
+// Forty entry daemons find a new upstream at the same moment. Guards against a flood although each of them sends only a
+// few calls, and against refusals that state no wait.
+TEST(WarmupPaceTest, CallsOfAllEntryDaemonsTogetherStayBelowTheLimit)
+{
+    constexpr int entryDaemons = 40;
+    const TimePoint now { std::chrono::seconds(1000) };
+    WarmupPace pace = startedPace();
+    RankedAdmission admission({ .slots = pace.limit() });
+    auto ticketFor = [&](int id) {
+        return CallTicket { .id = static_cast<uint64_t>(id),
+            .deadline = now + std::chrono::seconds(4),
+            .target = now + milliseconds(800),
+            .maxWait = milliseconds(200) };
+    };
+    // One call has shown the service time.
+    admission.offer(ticketFor(entryDaemons), now - typical);
+    admission.finished(entryDaemons, CallOutcome::Success, now);
+    uint32_t admitted = 0;
+    int refused = 0;
+    for (int id = 0; id < entryDaemons; ++id) {
+        AdmitDecision decision = admission.offer(ticketFor(id), now);
+        admitted += decision.action == AdmitAction::Admit ? 1 : 0;
+        if (decision.action != AdmitAction::Refuse)
+            continue;
+        ++refused;
+        EXPECT_EQ(decision.code, ResultCode::QueueFull);
+        EXPECT_GE(decision.expectedWait, typical);
+    }
+    EXPECT_EQ(admitted, pace.limit());
+    EXPECT_GT(refused, entryDaemons / 2);
+}
+
 } // namespace dragonflylane
