--- a/dragonflylane/UpstreamSelector.cpp
+++ b/dragonflylane/UpstreamSelector.cpp
@@ -22,10 +22,6 @@
     // Load per slot that is added per unit of success rate below minSuccessRate.
     constexpr double failurePenalty = 4;
 
-    // Upstreams whose relative service times are closer to one than this (about 5 %) count as equally fast. At low load
-    // even the smallest difference would decide the comparison.
-    constexpr double minLogDifference = 0.05;
-
     struct RankedCandidate {
         uint64_t hash { 0 };
         size_t index { 0 };
@@ -78,7 +74,7 @@
             entry.ejectedUntil.reset();
             entry.failures = 0;
             entry.successRate = 1;
-            entry.speedReportedAt.reset();
+            entry.relativeServiceTime = {};
             entry.paceLimit.reset();
         }
         entry.candidate = candidate;
@@ -93,8 +89,7 @@
 std::optional<Choice> UpstreamSelector::choose(std::span<const HostId> tried, TimePoint now)
 {
     std::optional<size_t> best = localUpstream(tried, now);
-    bool mayCompare = m_hasSpeeds && m_options.useSpeeds;
-    if (!best || mayCompare) {
+    if (!best || comparesSpeeds()) {
         std::optional<size_t> other = chooseInTiers(tried, now);
         if (!best || (other && isMuchFaster(*other, *best, now)))
             best = other;
@@ -294,24 +289,15 @@
 {
     if (report.usualServiceTime <= Duration::zero())
         return;
-    double relative = m_typicalServiceTimes.record(report.routeKey, report.usualServiceTime);
-    double weight = entry.speedReportedAt ? m_options.relativeServiceTimeWeight : 1;
-    entry.logRelativeServiceTime += weight * (std::log(relative) - entry.logRelativeServiceTime);
-    double ratio = static_cast<double>(report.slowness.value()) / static_cast<double>(usualSlowness.value());
-    entry.logSlowness = std::log(ratio);
-    entry.speedReportedAt = now;
+    double usualRatio = m_typicalServiceTimes.record(report.routeKey, report.usualServiceTime);
+    entry.relativeServiceTime.record(usualRatio, report.slowness, now, m_options.relativeServiceTime);
     m_latestRoute = report.routeKey;
     m_hasSpeeds = true;
 }
 
 double UpstreamSelector::relativeServiceTime(const Entry& entry, TimePoint now) const
 {
-    if (!m_options.useSpeeds || !entry.speedReportedAt)
-        return 1;
-    Duration age = now - *entry.speedReportedAt;
-    double usual = entry.logRelativeServiceTime * decayFactor(age, m_options.relativeServiceTimeHalfLife);
-    double logRelative = usual + entry.logSlowness * decayFactor(age, m_options.slownessHalfLife);
-    return std::abs(logRelative) < minLogDifference ? 1 : std::exp(logRelative);
+    return m_options.useSpeeds ? entry.relativeServiceTime.value(now, m_options.relativeServiceTime) : 1;
 }
 
 double UpstreamSelector::expectedFinish(const Entry& entry, TimePoint now) const
@@ -379,7 +365,7 @@
     std::optional<size_t> best = sample(tier, tried, std::nullopt, now);
     if (!best || !m_options.twoChoices)
         return best;
-    uint32_t samples = m_hasSpeeds && m_options.useSpeeds ? m_options.samplesWithSpeeds : 2;
+    uint32_t samples = comparesSpeeds() ? m_options.samplesWithSpeeds : 2;
     for (uint32_t i = 1; i < samples; ++i) {
         std::optional<size_t> other = sample(tier, tried, best, now);
         if (other && expectedFinish(m_entries[*other], now) < expectedFinish(m_entries[*best], now))
--- a/dragonflylane/UpstreamSelector.h
+++ b/dragonflylane/UpstreamSelector.h
@@ -18,6 +18,7 @@
 #include "dragonflylane/Admission.h"
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/Ids.h"
+#include "dragonflylane/RelativeServiceTime.h"
 #include "dragonflylane/TypicalServiceTimes.h"
 
 #include <array>
@@ -100,13 +101,7 @@
     /// Without responses, the failure rate (1 - success rate) halves in this time.
     Duration successRateHalfLife { std::chrono::seconds(3) };
     Duration unavailableFor { std::chrono::seconds(3) };
-    /// A reported slowness returns halfway to usual in this time.
-    Duration slownessHalfLife { std::chrono::milliseconds(300) };
-    /// Without responses, the relative service time of an upstream returns halfway to that of its peers in this time,
-    /// since only another attempt can show that it has become faster.
-    Duration relativeServiceTimeHalfLife { std::chrono::seconds(5) };
-    /// Weight of a new report in the relative service time.
-    double relativeServiceTimeWeight { 0.3 };
+    RelativeServiceTimeOptions relativeServiceTime {};
     /// The local upstream is chosen while its service time exceeds that of the alternative by no more than this factor
     /// and the network delay.
     double localUpstreamMaxSlowness { 1.25 };
@@ -167,11 +162,8 @@
         double loadFromOthers { 0 };
         uint32_t reportedLimit { 0 };
         std::optional<TimePoint> reportedAt;
-        /// Natural logarithm of the usual service time relative to that of the peers.
-        double logRelativeServiceTime { 0 };
-        /// Natural logarithm of the momentary slowness.
-        double logSlowness { 0 };
-        std::optional<TimePoint> speedReportedAt;
+        RelativeServiceTime relativeServiceTime;
+        /// Concurrent calls that the owner allows, from the last report.
         std::optional<uint32_t> paceLimit;
         /// Exponentially weighted share of recent attempts that succeeded.
         double successRate { 1 };
@@ -189,6 +181,7 @@
     void recordResult(Entry&, bool isSuccess, TimePoint now);
     void recordReport(Entry&, const LoadReport&, TimePoint now);
     void recordSpeed(Entry&, const SpeedReport&, TimePoint now);
+    bool comparesSpeeds() const { return m_hasSpeeds && m_options.useSpeeds; }
     double loadPerSlot(const Entry&, TimePoint now) const;
     /// Service time relative to the typical one, including the momentary slowness.
     double relativeServiceTime(const Entry&, TimePoint now) const;
@@ -219,9 +212,10 @@
     std::array<std::vector<size_t>, tierCount> m_tiers;
     std::unordered_map<UpstreamId, size_t> m_index;
     TypicalServiceTimes m_typicalServiceTimes;
-    /// Route of the latest speed report.
-    uint64_t m_latestRoute { 0 };
+    /// Whether any upstream has reported its speed.
     bool m_hasSpeeds { false };
+    /// Route of the latest speed report. Its typical service time is the unit of the network delay.
+    uint64_t m_latestRoute { 0 };
     Duration m_networkDelay { 0 };
 };
 
