Start the warm-up also if the first caller knows no peers

The callers of a new host are the first to call its upstream, and their daemon has heard of no peers yet, so the warm-up was left out. It now starts with the first request that carries the service time of peers, at no less than the calls that run at that moment, unless the upstream has answered four calls before.

--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -428,7 +428,8 @@
         answer(call, refusal, {});
         return call->id;
     }
-    m_performance.recordRequest(call->typicalServiceTime(), call->receivedAt);
+    uint32_t running = m_admission->load(call->receivedAt).running;
+    m_performance.recordRequest(call->typicalServiceTime(), running, call->receivedAt);
     applySlots();
     CallTicket ticket = makeTicket(*call, BootClock::now());
     AdmitDecision decision = m_admission->offer(ticket, BootClock::now());
--- a/dragonflylane/UpstreamPerformance.cpp
+++ b/dragonflylane/UpstreamPerformance.cpp
@@ -26,9 +26,9 @@
     m_pace.setSlots(slots);
 }
 
-void UpstreamPerformance::recordRequest(Duration typical, TimePoint now)
+void UpstreamPerformance::recordRequest(Duration typical, uint32_t running, TimePoint now)
 {
-    logChange(m_pace.recordRequest(typical), now);
+    logChange(m_pace.recordRequest(typical, running), now);
 }
 
 void UpstreamPerformance::recordResponse(const AnsweredCall& call, std::string_view loadHeader, TimePoint now)
--- a/dragonflylane/UpstreamPerformance.h
+++ b/dragonflylane/UpstreamPerformance.h
@@ -48,8 +48,8 @@
     /// The process accepts calls again after a drain.
     void resume();
     void setSlots(uint32_t slots);
-    /// A call for the upstream arrived; `typical` as in AnsweredCall.
-    void recordRequest(Duration typical, TimePoint now);
+    /// A call for the upstream arrived while this many were running; `typical` as in AnsweredCall.
+    void recordRequest(Duration typical, uint32_t running, TimePoint now);
     /// The upstream answered a call with success and this load header, which may be empty.
     void recordResponse(const AnsweredCall&, std::string_view loadHeader, TimePoint now);
     /// The upstream shed a call, lost it or did not answer it in time.
--- a/dragonflylane/WarmupPace.h
+++ b/dragonflylane/WarmupPace.h
@@ -3,8 +3,8 @@
 // Limit of concurrent calls of an upstream that starts or recovers, applied by its owner daemon, so that it holds for
 // the calls of all entry daemons together. Contains no I/O and no clock.
 //
-//     pace.begin(slots);                                        // a process started, or a drain was taken back
-//     pace.recordRequest(typicalServiceTime);                   // each call that arrives
+//     pace.begin();                                             // a process started, or a drain was taken back
+//     pace.recordRequest(typicalServiceTime, running);          // each call that arrives
 //     pace.recordResponse(serviceTime, typicalServiceTime);     // each call that the upstream answered
 //     pace.recordTrouble();                                     // each call that it shed, lost or did not answer in
 //     time admission.setSlots(pace.limit());
@@ -17,8 +17,9 @@
 //   * slower than in the round before, or any trouble: the limit halves.
 // The warm-up ends once the limit has reached the slots.
 //
-// The peers must be able to serve the other calls meanwhile. If the first request after the start carries no service
-// time of peers, as when all upstreams of a service start together, there is no warm-up.
+// The peers must be able to serve the other calls meanwhile. The warm-up therefore starts with the first request that
+// carries their service time, at no less than the calls that run at that moment. If the upstream has answered a round
+// of calls by then, as when all upstreams of a service start together, there is no warm-up.
 
 #include "dragonflylane/BootClock.h"
 
@@ -55,12 +56,13 @@
     {
     }
 
-    /// The upstream has started or recovered. The warm-up starts with the next request.
+    /// The upstream has started or recovered. The warm-up starts with a request that carries the peers' service time.
     void begin();
     /// Sets the slots that the upstream announced.
     void setSlots(uint32_t slots);
-    /// A call for the upstream arrived; `typical` is the service time of its peers, zero if unknown.
-    PaceChange recordRequest(Duration typical);
+    /// A call for the upstream arrived while this many were running; `typical` is the service time of its peers, zero
+    /// if unknown.
+    PaceChange recordRequest(Duration typical, uint32_t running);
     PaceChange recordResponse(Duration serviceTime, Duration typical);
     PaceChange recordTrouble();
 
@@ -72,12 +74,14 @@
 
 private:
     enum class State : uint8_t {
-        /// Waits for the first request.
+        /// Waits for a request that carries the peers' service time.
         Pending,
         WarmingUp,
         Done,
     };
 
+    /// Counts a response that arrived before any request carried the peers' service time.
+    void recordResponseWithoutPeers();
     void startRound();
     PaceChange finishRound();
     PaceChange halve();
