Bound the requests of tenants by leased allowances

The configuration has a rate and a burst for each tenant, and nothing held callers to them. Each entry daemon now admits requests of a tenant within an allowance (QuotaShare), which the control leader divides under a lease (QuotaDivider). Requests beyond it are refused at once with 429 and the tenant's Retry-After, and never enter a queue. Calls without a tenant and tenants without a rate are served as before.

A daemon accepts only the answer to its latest report, so each report shows the leader all earlier grants that will ever apply. This makes the sum exact without a copy of the leader's table, so QuotaTable has left the messages again.

Not run yet: callers with a key, which need the tenant of a call.

--- a/dragonflylane/ApiTask.cpp
+++ b/dragonflylane/ApiTask.cpp
@@ -12,6 +12,7 @@
 #include "dragonflylane/OwnerTask.h"
 #include "dragonflylane/PlanJson.h"
 #include "dragonflylane/PlanReview.h"
+#include "dragonflylane/QuotaTask.h"
 #include "dragonflylane/RelayTask.h"
 #include "dragonflylane/RoutingTableTask.h"
 #include "dragonflylane/StatusJson.h"
@@ -494,6 +495,7 @@
     m_parts.relay.exportMetrics();
     m_parts.claims.exportMetrics();
     m_parts.crash.exportMetrics();
+    m_parts.quota.exportMetrics();
     if (m_parts.log)
         m_parts.log->exportMetrics();
 }
--- a/dragonflylane/ApiTask.h
+++ b/dragonflylane/ApiTask.h
@@ -28,6 +28,7 @@
 class Metrics;
 class OwnerTask;
 class RoutingTableTask;
+class QuotaTask;
 class RelayTask;
 struct ApiRequest;
 struct ApplyOutcome;
@@ -44,6 +45,7 @@
     OwnerTask& owner;
     ClaimTask& claims;
     CrashTask& crash;
+    QuotaTask& quota;
     LogTask* log;
     /// Whether this daemon can serve callers.
     std::function<bool()> isReady;
--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -19,6 +19,7 @@
 #include "dragonflylane/Metrics.h"
 #include "dragonflylane/OwnerTask.h"
 #include "dragonflylane/PeerHub.h"
+#include "dragonflylane/QuotaTask.h"
 #include "dragonflylane/RelayTask.h"
 #include "dragonflylane/RoutingTableTask.h"
 #include "dragonflylane/ShutdownSchedule.h"
@@ -115,6 +116,7 @@
         makeMembership();
         makeLog();
         makeRelay();
+        makeQuota();
         makeEntry();
     }
 
@@ -133,6 +135,7 @@
             m_hub.setAddress(host, endpoint);
         makeApi(std::move(operators));
         m_entry->start();
+        m_quota->start();
         m_claims.start();
         m_crashSync.start();
         m_api->start();
@@ -242,6 +245,28 @@
             RelayTask::Hooks { .applied = [this](const ConfigState& state) { applyConfig(state); } });
     }
 
+    void makeQuota()
+    {
+        m_quota = std::make_unique<QuotaTask>(m_context,
+            QuotaTaskOptions {
+                .self = m_settings.hostId, .life = BootId(m_bootId), .window = m_settings.allotmentWindow },
+            m_hub, m_metrics,
+            QuotaTask::Hooks { .leadingTerm = [this] { return leadingTerm(); },
+                .knownLeader = [this] { return m_log ? m_log->replica().leader().host : HostId(); } });
+        std::vector<HostId> controlHosts;
+        for (const auto& [host, endpoint] : m_settings.voters)
+            controlHosts.push_back(host);
+        m_quota->setControlHosts(std::move(controlHosts));
+    }
+
+    // Term of the replicated log if this host leads it and its lease holds.
+    std::optional<Term> leadingTerm() const
+    {
+        if (!m_log || m_log->replica().role() != LogRole::Leader || !m_log->isCurrent(BootClock::now()))
+            return std::nullopt;
+        return m_log->replica().term();
+    }
+
     void makeEntry()
     {
         EntryTaskOptions options { .self = m_settings.hostId,
@@ -261,7 +286,9 @@
         m_entry = std::make_unique<EntryTask>(m_context, std::move(options),
             EntryTask::Parts { m_hub, m_owner, m_claims, m_crash, m_metrics, m_journal },
             EntryTask::Hooks { .mayServeRoutes = [this] { return mayServeRoutes(); },
-                .selectTransferPeer = [this](const std::vector<HostId>& tried) { return selectTransferPeer(tried); } });
+                .selectTransferPeer = [this](const std::vector<HostId>& tried) { return selectTransferPeer(tried); },
+                .admitTenant = [this](const TenantName& tenant, Duration maxWait,
+                                   QuotaTask::Answer answer) { m_quota->admit(tenant, maxWait, std::move(answer)); } });
         m_callerServer = std::make_unique<HttpServer>(m_context, callerServerOptions(), m_metrics,
             [this](std::shared_ptr<HttpExchange> exchange) { m_entry->handle(std::move(exchange)); });
     }
@@ -278,7 +305,7 @@
     {
         m_api = std::make_unique<ApiTask>(m_context,
             ApiParts { m_settings, m_hub, m_metrics, m_journal, *m_membership, *m_relay, m_routing, m_owner, m_claims,
-                m_crash, m_log.get(),
+                m_crash, *m_quota, m_log.get(),
                 [this] {
                     logReadinessChange();
                     return m_isReady;
@@ -329,6 +356,9 @@
             updatePosition();
         if (m_settings.hasAutomaticVoters)
             updateControlHost(host, isPresent && record->controlRole != ControlRole::None ? record : std::nullopt);
+        // With automatic voters, hosts with a replica of the log have no callers.
+        if (!m_settings.hasAutomaticVoters || !record || record->controlRole == ControlRole::None)
+            m_quota->setHost(host, isPresent);
         updateRetrySlack();
         logReadinessChange();
         if (!isPresent)
@@ -352,15 +382,13 @@
             m_controlHosts[host] = record->address;
         else
             m_controlHosts.erase(host);
-        updateControlHostsOfReplicatedLog();
+        publishControlHosts();
     }
 
     // Only control hosts that are seeds may bootstrap the replicated log at the first start of the mesh, because the
     // seeds are the same on all hosts.
-    void updateControlHostsOfReplicatedLog()
+    void publishControlHosts()
     {
-        if (!m_log)
-            return;
         std::vector<HostId> hosts;
         std::vector<HostId> bootstrapHosts;
         for (const auto& [host, address] : m_controlHosts) {
@@ -368,7 +396,9 @@
             if (std::find(m_settings.seeds.begin(), m_settings.seeds.end(), address) != m_settings.seeds.end())
                 bootstrapHosts.push_back(host);
         }
-        m_log->setControlHosts(std::move(hosts), std::move(bootstrapHosts));
+        m_quota->setControlHosts(hosts);
+        if (m_log)
+            m_log->setControlHosts(std::move(hosts), std::move(bootstrapHosts));
     }
 
     // The retry slack is divided evenly among the daemons that serve callers.
@@ -449,6 +479,7 @@
     void applyRoutingTable(const std::shared_ptr<const RoutingTable>& routingTable)
     {
         m_entry->setRoutingTable(routingTable);
+        m_quota->setRoutingTable(*routingTable);
         m_owner.setPlannedDrain([this](const UpstreamId& id) { return m_relay->state().isDrained(id); });
         updateKeeperView();
     }
@@ -601,7 +632,7 @@
     void checkKeepers()
     {
         TimePoint now = BootClock::now();
-        if (m_log->replica().role() != LogRole::Leader || !m_log->isCurrent(now))
+        if (!leadingTerm())
             return m_keeperPlanner.reset();
         auto view = m_keeperPlanner.proposeView(
             m_membership->view().members(), m_log->stateMachine().state().keeperView(), now);
@@ -684,6 +715,7 @@
         m_relay->stop();
         m_claims.stop();
         m_crashSync.stop();
+        m_quota->stop();
         m_membership->stop();
         m_context.stop();
     }
@@ -742,6 +774,7 @@
     RoutingTableTask m_routing;
     std::unique_ptr<LogTask> m_log;
     std::unique_ptr<RelayTask> m_relay;
+    std::unique_ptr<QuotaTask> m_quota;
     std::unique_ptr<EntryTask> m_entry;
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<ApiTask> m_api;
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -1,5 +1,6 @@
 #include "dragonflylane/EntryTask.h"
 
+#include "dragonflylane/AttemptOutcome.h"
 #include "dragonflylane/CallLog.h"
 #include "dragonflylane/CallTransfers.h"
 #include "dragonflylane/ClaimTask.h"
@@ -36,41 +37,13 @@
 
     using CallPtr = std::shared_ptr<EntryCall>;
 
-    SelectionOutcome selectionOutcome(ResultCode code)
-    {
-        switch (code) {
-        case ResultCode::Ok:
-            return SelectionOutcome::Success;
-        case ResultCode::UpstreamTimeout:
-            return SelectionOutcome::Timeout;
-        case ResultCode::QueueFull:
-        case ResultCode::WouldMissDeadline:
-        case ResultCode::UpstreamShed:
-        case ResultCode::UpstreamRefused:
-        case ResultCode::SuspectAlreadyRunning:
-            return SelectionOutcome::Refused;
-        case ResultCode::UpstreamDraining:
-        case ResultCode::DaemonLeaving:
-        case ResultCode::UpstreamChanged:
-        case ResultCode::UpstreamUnreachable:
-        case ResultCode::OwnerUnreachable:
-        case ResultCode::OwnerLost:
-            return SelectionOutcome::Unavailable;
-        case ResultCode::DeadlineExceeded:
-        case ResultCode::RequestQuarantined:
-        case ResultCode::CallerGone:
-            return SelectionOutcome::Ignored;
-        default:
-            return SelectionOutcome::Failure;
-        }
-    }
-
     constexpr unsigned statusServiceUnavailable = 503;
     constexpr unsigned firstServerError = 500;
     // The first owner, usually one in the same data centre, may queue a call for a quarter of its target latency, which
     // keeps calls in their data centre. The owners asked after it may queue it for an eighth.
     constexpr int firstOwnerWaitDivisor = 4;
     constexpr int nextOwnerWaitDivisor = 8;
+    constexpr int allotmentWaitDivisor = 8;
     // Lower bound of the allowed wait: asking another owner hardly takes less time.
     constexpr std::chrono::milliseconds minOwnerWait { 3 };
     // Lower bound of Retry-After, unless the caller's deadline is near.
@@ -204,6 +177,28 @@
         detectCallerRetry(call);
         if (m_parts.crash.stateOf(call->fingerprint) == CrashState::Quarantined)
             return refuse(call, ResultCode::RequestQuarantined);
+        checkAllotment(call);
+    }
+
+    // The wait for the leader's answer may take an eighth of the time to the target.
+    void checkAllotment(const CallPtr& call)
+    {
+        if (call->tenant.isEmpty() || !m_hooks.admitTenant)
+            return startAdmitted(call);
+        Duration maxWait = (call->target - BootClock::now()) / allotmentWaitDivisor;
+        m_hooks.admitTenant(call->tenant, maxWait, [this, call](QuotaVerdict verdict, Duration retryAfter) {
+            if (call->isFinished)
+                return;
+            if (verdict == QuotaVerdict::Admitted)
+                return startAdmitted(call);
+            call->retryAfter = retryAfter;
+            bool isExceeded = verdict == QuotaVerdict::Exceeded;
+            refuse(call, isExceeded ? ResultCode::AllotmentExceeded : ResultCode::ConfigNotProven);
+        });
+    }
+
+    void startAdmitted(const CallPtr& call)
+    {
         serviceOf(call).policy().budget().recordRequest(BootClock::now());
         if (call->isIdempotent || call->headers.key.isEmpty() || !m_options.usesIdempotencyRecords)
             return startAttempt(call);
@@ -569,6 +564,9 @@
     // callers that are refused at the same time.
     Duration callerRetryAfter(const CallPtr& call, ResultCode code)
     {
+        // Exact, since it depends on the tenant alone.
+        if (code == ResultCode::AllotmentExceeded)
+            return call->retryAfter;
         bool mayRetry = runState(code) == RunState::NotRun && httpStatus(code) == statusServiceUnavailable;
         Duration left = call->callerDeadline - BootClock::now();
         if (!mayRetry || left <= Duration::zero())
--- a/dragonflylane/EntryTask.h
+++ b/dragonflylane/EntryTask.h
@@ -12,6 +12,7 @@
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/CallHeaders.h"
 #include "dragonflylane/Ids.h"
+#include "dragonflylane/QuotaShare.h"
 #include "dragonflylane/ResultCode.h"
 #include "dragonflylane/RetryBudget.h"
 #include "dragonflylane/RoutingTable.h"
@@ -69,6 +70,10 @@
         std::function<bool()> mayServeRoutes;
         /// Selects another live daemon to transfer a call to, excluding those tried. Empty if there is none.
         std::function<HostId(const std::vector<HostId>& tried)> selectTransferPeer;
+        /// Answers whether the allotment of the tenant admits a request, see QuotaTask::admit(). Not set: no
+        /// allotments.
+        std::function<void(const TenantName&, Duration maxWait, std::function<void(QuotaVerdict, Duration retryAfter)>)>
+            admitTenant {};
     };
     /// Other components of this daemon that the task uses.
     struct Parts {
--- a/dragonflylane/Settings.cpp
+++ b/dragonflylane/Settings.cpp
@@ -72,6 +72,9 @@
             "Window in which the retries of all daemons are bounded; 0: each daemon has a budget of its own." },
         { "calls", "retry-slack", "retries", "0", "0 to 1000000",
             "Retries to a service that all daemons together may make in the window beyond the ratio." },
+        { "calls", "allotment-window-s", "s", "5", "empty or 0.1 to 600",
+            "Window in which the rate and burst of each tenant bound its requests at all daemons together; the same on "
+            "every host. Empty: the default." },
         { "log", "level", "", "info", "debug, info, warning, error", "Lowest level that is logged." },
     };
 
@@ -343,6 +346,8 @@
         settings.retryRatio = reader.decimal("calls", "retry-ratio", 0, 1);
         settings.retryWindow = reader.seconds("calls", "retry-window-s", 0, 600);
         settings.retrySlack = reader.decimal("calls", "retry-slack", 0, 1000000);
+        if (!reader.text("calls", "allotment-window-s").empty())
+            settings.allotmentWindow = reader.seconds("calls", "allotment-window-s", 0.1, 600);
         settings.electionTimeout
             = std::chrono::milliseconds(reader.number("control", "election-timeout-ms", 100, 10000));
         settings.toleratedLosses = reader.number("control", "tolerated-losses", 0, 4);
--- a/dragonflylane/Settings.h
+++ b/dragonflylane/Settings.h
@@ -77,6 +77,8 @@
     double retryRatio { 0 };
     std::chrono::milliseconds retryWindow;
     double retrySlack { 0 };
+    /// Window in which the rate and burst of a tenant hold.
+    std::chrono::milliseconds allotmentWindow { std::chrono::seconds(5) };
 
     std::string logLevel;
 
--- a/gen-cpp/quota_types.cpp
+++ b/gen-cpp/quota_types.cpp
@@ -33,6 +33,10 @@
 void QuotaDemand::__set_wanted(const int64_t val) {
   this->wanted = val;
 }
+
+void QuotaDemand::__set_waiting(const int64_t val) {
+  this->waiting = val;
+}
 std::ostream& operator<<(std::ostream& out, const QuotaDemand& obj)
 {
   obj.printTo(out);
@@ -93,6 +97,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -126,6 +138,10 @@
   xfer += oprot->writeI64(this->wanted);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->waiting);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -137,6 +153,7 @@
   swap(a.held, b.held);
   swap(a.spent, b.spent);
   swap(a.wanted, b.wanted);
+  swap(a.waiting, b.waiting);
   swap(a.__isset, b.__isset);
 }
 
@@ -145,6 +162,7 @@
   held = other0.held;
   spent = other0.spent;
   wanted = other0.wanted;
+  waiting = other0.waiting;
   __isset = other0.__isset;
 }
 QuotaDemand::QuotaDemand(QuotaDemand&& other1) noexcept {
@@ -152,6 +170,7 @@
   held = other1.held;
   spent = other1.spent;
   wanted = other1.wanted;
+  waiting = other1.waiting;
   __isset = other1.__isset;
 }
 QuotaDemand& QuotaDemand::operator=(const QuotaDemand& other2) {
@@ -159,6 +178,7 @@
   held = other2.held;
   spent = other2.spent;
   wanted = other2.wanted;
+  waiting = other2.waiting;
   __isset = other2.__isset;
   return *this;
 }
@@ -167,6 +187,7 @@
   held = other3.held;
   spent = other3.spent;
   wanted = other3.wanted;
+  waiting = other3.waiting;
   __isset = other3.__isset;
   return *this;
 }
@@ -177,6 +198,7 @@
   out << ", " << "held=" << to_string(held);
   out << ", " << "spent=" << to_string(spent);
   out << ", " << "wanted=" << to_string(wanted);
+  out << ", " << "waiting=" << to_string(waiting);
   out << ")";
 }
 
@@ -200,6 +222,14 @@
 void QuotaReport::__set_demands(const std::vector<QuotaDemand> & val) {
   this->demands = val;
 }
+
+void QuotaReport::__set_ageMilliseconds(const int64_t val) {
+  this->ageMilliseconds = val;
+}
+
+void QuotaReport::__set_isComplete(const bool val) {
+  this->isComplete = val;
+}
 std::ostream& operator<<(std::ostream& out, const QuotaReport& obj)
 {
   obj.printTo(out);
@@ -272,6 +302,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMilliseconds);
+          this->__isset.ageMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isComplete);
+          this->__isset.isComplete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -313,6 +359,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ageMilliseconds", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->ageMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isComplete", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->isComplete);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -324,6 +378,8 @@
   swap(a.life, b.life);
   swap(a.number, b.number);
   swap(a.demands, b.demands);
+  swap(a.ageMilliseconds, b.ageMilliseconds);
+  swap(a.isComplete, b.isComplete);
   swap(a.__isset, b.__isset);
 }
 
@@ -332,6 +388,8 @@
   life = other10.life;
   number = other10.number;
   demands = other10.demands;
+  ageMilliseconds = other10.ageMilliseconds;
+  isComplete = other10.isComplete;
   __isset = other10.__isset;
 }
 QuotaReport::QuotaReport(QuotaReport&& other11) noexcept {
@@ -339,6 +397,8 @@
   life = other11.life;
   number = other11.number;
   demands = std::move(other11.demands);
+  ageMilliseconds = other11.ageMilliseconds;
+  isComplete = other11.isComplete;
   __isset = other11.__isset;
 }
 QuotaReport& QuotaReport::operator=(const QuotaReport& other12) {
@@ -346,6 +406,8 @@
   life = other12.life;
   number = other12.number;
   demands = other12.demands;
+  ageMilliseconds = other12.ageMilliseconds;
+  isComplete = other12.isComplete;
   __isset = other12.__isset;
   return *this;
 }
@@ -354,6 +416,8 @@
   life = other13.life;
   number = other13.number;
   demands = std::move(other13.demands);
+  ageMilliseconds = other13.ageMilliseconds;
+  isComplete = other13.isComplete;
   __isset = other13.__isset;
   return *this;
 }
@@ -364,6 +428,8 @@
   out << ", " << "life=" << to_string(life);
   out << ", " << "number=" << to_string(number);
   out << ", " << "demands=" << to_string(demands);
+  out << ", " << "ageMilliseconds=" << to_string(ageMilliseconds);
+  out << ", " << "isComplete=" << to_string(isComplete);
   out << ")";
 }
 
@@ -529,8 +595,8 @@
   this->number = val;
 }
 
-void QuotaGrant::__set_revision(const int64_t val) {
-  this->revision = val;
+void QuotaGrant::__set_needsComplete(const bool val) {
+  this->needsComplete = val;
 }
 
 void QuotaGrant::__set_allowances(const std::vector<QuotaAllowance> & val) {
@@ -589,9 +655,9 @@
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->revision);
-          this->__isset.revision = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->needsComplete);
+          this->__isset.needsComplete = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -645,8 +711,8 @@
   xfer += oprot->writeI64(this->number);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldBegin("needsComplete", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->needsComplete);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("allowances", ::apache::thrift::protocol::T_LIST, 5);
@@ -671,7 +737,7 @@
   swap(a.term, b.term);
   swap(a.life, b.life);
   swap(a.number, b.number);
-  swap(a.revision, b.revision);
+  swap(a.needsComplete, b.needsComplete);
   swap(a.allowances, b.allowances);
   swap(a.__isset, b.__isset);
 }
@@ -680,7 +746,7 @@
   term = other24.term;
   life = other24.life;
   number = other24.number;
-  revision = other24.revision;
+  needsComplete = other24.needsComplete;
   allowances = other24.allowances;
   __isset = other24.__isset;
 }
@@ -688,7 +754,7 @@
   term = other25.term;
   life = other25.life;
   number = other25.number;
-  revision = other25.revision;
+  needsComplete = other25.needsComplete;
   allowances = std::move(other25.allowances);
   __isset = other25.__isset;
 }
@@ -696,7 +762,7 @@
   term = other26.term;
   life = other26.life;
   number = other26.number;
-  revision = other26.revision;
+  needsComplete = other26.needsComplete;
   allowances = other26.allowances;
   __isset = other26.__isset;
   return *this;
@@ -705,7 +771,7 @@
   term = other27.term;
   life = other27.life;
   number = other27.number;
-  revision = other27.revision;
+  needsComplete = other27.needsComplete;
   allowances = std::move(other27.allowances);
   __isset = other27.__isset;
   return *this;
@@ -716,320 +782,12 @@
   out << "term=" << to_string(term);
   out << ", " << "life=" << to_string(life);
   out << ", " << "number=" << to_string(number);
-  out << ", " << "revision=" << to_string(revision);
-  out << ", " << "allowances=" << to_string(allowances);
-  out << ")";
-}
-
-
-QuotaHolding::~QuotaHolding() noexcept {
-}
-
-
-void QuotaHolding::__set_host(const std::string& val) {
-  this->host = val;
-}
-
-void QuotaHolding::__set_life(const int64_t val) {
-  this->life = val;
-}
-
-void QuotaHolding::__set_allowances(const std::vector<QuotaAllowance> & val) {
-  this->allowances = val;
-}
-std::ostream& operator<<(std::ostream& out, const QuotaHolding& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t QuotaHolding::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->host);
-          this->__isset.host = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->life);
-          this->__isset.life = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->allowances.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->allowances.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
-            {
-              xfer += this->allowances[_i32].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.allowances = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t QuotaHolding::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("QuotaHolding");
-
-  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->host);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("life", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->life);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("allowances", ::apache::thrift::protocol::T_LIST, 3);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->allowances.size()));
-    std::vector<QuotaAllowance> ::const_iterator _iter33;
-    for (_iter33 = this->allowances.begin(); _iter33 != this->allowances.end(); ++_iter33)
-    {
-      xfer += (*_iter33).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(QuotaHolding &a, QuotaHolding &b) {
-  using ::std::swap;
-  swap(a.host, b.host);
-  swap(a.life, b.life);
-  swap(a.allowances, b.allowances);
-  swap(a.__isset, b.__isset);
-}
-
-QuotaHolding::QuotaHolding(const QuotaHolding& other34) {
-  host = other34.host;
-  life = other34.life;
-  allowances = other34.allowances;
-  __isset = other34.__isset;
-}
-QuotaHolding::QuotaHolding(QuotaHolding&& other35) noexcept {
-  host = std::move(other35.host);
-  life = other35.life;
-  allowances = std::move(other35.allowances);
-  __isset = other35.__isset;
-}
-QuotaHolding& QuotaHolding::operator=(const QuotaHolding& other36) {
-  host = other36.host;
-  life = other36.life;
-  allowances = other36.allowances;
-  __isset = other36.__isset;
-  return *this;
-}
-QuotaHolding& QuotaHolding::operator=(QuotaHolding&& other37) noexcept {
-  host = std::move(other37.host);
-  life = other37.life;
-  allowances = std::move(other37.allowances);
-  __isset = other37.__isset;
-  return *this;
-}
-void QuotaHolding::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "QuotaHolding(";
-  out << "host=" << to_string(host);
-  out << ", " << "life=" << to_string(life);
+  out << ", " << "needsComplete=" << to_string(needsComplete);
   out << ", " << "allowances=" << to_string(allowances);
   out << ")";
 }
 
 
-QuotaTable::~QuotaTable() noexcept {
-}
-
-
-void QuotaTable::__set_term(const int64_t val) {
-  this->term = val;
-}
-
-void QuotaTable::__set_holdings(const std::vector<QuotaHolding> & val) {
-  this->holdings = val;
-}
-std::ostream& operator<<(std::ostream& out, const QuotaTable& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t QuotaTable::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->holdings.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->holdings.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
-            {
-              xfer += this->holdings[_i42].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.holdings = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t QuotaTable::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("QuotaTable");
-
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->term);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("holdings", ::apache::thrift::protocol::T_LIST, 2);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holdings.size()));
-    std::vector<QuotaHolding> ::const_iterator _iter43;
-    for (_iter43 = this->holdings.begin(); _iter43 != this->holdings.end(); ++_iter43)
-    {
-      xfer += (*_iter43).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(QuotaTable &a, QuotaTable &b) {
-  using ::std::swap;
-  swap(a.term, b.term);
-  swap(a.holdings, b.holdings);
-  swap(a.__isset, b.__isset);
-}
-
-QuotaTable::QuotaTable(const QuotaTable& other44) {
-  term = other44.term;
-  holdings = other44.holdings;
-  __isset = other44.__isset;
-}
-QuotaTable::QuotaTable(QuotaTable&& other45) noexcept {
-  term = other45.term;
-  holdings = std::move(other45.holdings);
-  __isset = other45.__isset;
-}
-QuotaTable& QuotaTable::operator=(const QuotaTable& other46) {
-  term = other46.term;
-  holdings = other46.holdings;
-  __isset = other46.__isset;
-  return *this;
-}
-QuotaTable& QuotaTable::operator=(QuotaTable&& other47) noexcept {
-  term = other47.term;
-  holdings = std::move(other47.holdings);
-  __isset = other47.__isset;
-  return *this;
-}
-void QuotaTable::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "QuotaTable(";
-  out << "term=" << to_string(term);
-  out << ", " << "holdings=" << to_string(holdings);
-  out << ")";
-}
-
-
 QuotaMessage::~QuotaMessage() noexcept {
 }
 
@@ -1043,11 +801,6 @@
   this->grant = val;
 __isset.grant = true;
 }
-
-void QuotaMessage::__set_table(const QuotaTable& val) {
-  this->table = val;
-__isset.table = true;
-}
 std::ostream& operator<<(std::ostream& out, const QuotaMessage& obj)
 {
   obj.printTo(out);
@@ -1092,14 +845,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->table.read(iprot);
-          this->__isset.table = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1127,11 +872,6 @@
     xfer += this->grant.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.table) {
-    xfer += oprot->writeFieldBegin("table", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->table.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1141,34 +881,29 @@
   using ::std::swap;
   swap(a.report, b.report);
   swap(a.grant, b.grant);
-  swap(a.table, b.table);
   swap(a.__isset, b.__isset);
 }
 
-QuotaMessage::QuotaMessage(const QuotaMessage& other48) {
-  report = other48.report;
-  grant = other48.grant;
-  table = other48.table;
-  __isset = other48.__isset;
+QuotaMessage::QuotaMessage(const QuotaMessage& other28) {
+  report = other28.report;
+  grant = other28.grant;
+  __isset = other28.__isset;
 }
-QuotaMessage::QuotaMessage(QuotaMessage&& other49) noexcept {
-  report = std::move(other49.report);
-  grant = std::move(other49.grant);
-  table = std::move(other49.table);
-  __isset = other49.__isset;
+QuotaMessage::QuotaMessage(QuotaMessage&& other29) noexcept {
+  report = std::move(other29.report);
+  grant = std::move(other29.grant);
+  __isset = other29.__isset;
 }
-QuotaMessage& QuotaMessage::operator=(const QuotaMessage& other50) {
-  report = other50.report;
-  grant = other50.grant;
-  table = other50.table;
-  __isset = other50.__isset;
+QuotaMessage& QuotaMessage::operator=(const QuotaMessage& other30) {
+  report = other30.report;
+  grant = other30.grant;
+  __isset = other30.__isset;
   return *this;
 }
-QuotaMessage& QuotaMessage::operator=(QuotaMessage&& other51) noexcept {
-  report = std::move(other51.report);
-  grant = std::move(other51.grant);
-  table = std::move(other51.table);
-  __isset = other51.__isset;
+QuotaMessage& QuotaMessage::operator=(QuotaMessage&& other31) noexcept {
+  report = std::move(other31.report);
+  grant = std::move(other31.grant);
+  __isset = other31.__isset;
   return *this;
 }
 void QuotaMessage::printTo(std::ostream& out) const {
@@ -1176,7 +911,6 @@
   out << "QuotaMessage(";
   out << "report="; (__isset.report ? (out << to_string(report)) : (out << "<null>"));
   out << ", " << "grant="; (__isset.grant ? (out << to_string(grant)) : (out << "<null>"));
-  out << ", " << "table="; (__isset.table ? (out << to_string(table)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen-cpp/quota_types.h
+++ b/gen-cpp/quota_types.h
@@ -29,18 +29,15 @@
 
 class QuotaGrant;
 
-class QuotaHolding;
-
-class QuotaTable;
-
 class QuotaMessage;
 
 typedef struct _QuotaDemand__isset {
-  _QuotaDemand__isset() : tenant(false), held(false), spent(false), wanted(false) {}
+  _QuotaDemand__isset() : tenant(false), held(false), spent(false), wanted(false), waiting(false) {}
   bool tenant :1;
   bool held :1;
   bool spent :1;
   bool wanted :1;
+  bool waiting :1;
 } _QuotaDemand__isset;
 
 class QuotaDemand : public virtual ::apache::thrift::TBase {
@@ -54,7 +51,8 @@
               : tenant(),
                 held(0),
                 spent(0),
-                wanted(0) {
+                wanted(0),
+                waiting(0) {
   }
 
   virtual ~QuotaDemand() noexcept;
@@ -62,6 +60,7 @@
   int64_t held;
   int64_t spent;
   int64_t wanted;
+  int64_t waiting;
 
   _QuotaDemand__isset __isset;
 
@@ -73,6 +72,8 @@
 
   void __set_wanted(const int64_t val);
 
+  void __set_waiting(const int64_t val);
+
   bool operator == (const QuotaDemand & rhs) const
   {
     if (!(tenant == rhs.tenant))
@@ -83,6 +84,8 @@
       return false;
     if (!(wanted == rhs.wanted))
       return false;
+    if (!(waiting == rhs.waiting))
+      return false;
     return true;
   }
   bool operator != (const QuotaDemand &rhs) const {
@@ -102,11 +105,13 @@
 std::ostream& operator<<(std::ostream& out, const QuotaDemand& obj);
 
 typedef struct _QuotaReport__isset {
-  _QuotaReport__isset() : host(false), life(false), number(false), demands(false) {}
+  _QuotaReport__isset() : host(false), life(false), number(false), demands(false), ageMilliseconds(false), isComplete(false) {}
   bool host :1;
   bool life :1;
   bool number :1;
   bool demands :1;
+  bool ageMilliseconds :1;
+  bool isComplete :1;
 } _QuotaReport__isset;
 
 class QuotaReport : public virtual ::apache::thrift::TBase {
@@ -119,7 +124,9 @@
   QuotaReport() noexcept
               : host(),
                 life(0),
-                number(0) {
+                number(0),
+                ageMilliseconds(0),
+                isComplete(0) {
   }
 
   virtual ~QuotaReport() noexcept;
@@ -127,6 +134,8 @@
   int64_t life;
   int64_t number;
   std::vector<QuotaDemand>  demands;
+  int64_t ageMilliseconds;
+  bool isComplete;
 
   _QuotaReport__isset __isset;
 
@@ -138,6 +147,10 @@
 
   void __set_demands(const std::vector<QuotaDemand> & val);
 
+  void __set_ageMilliseconds(const int64_t val);
+
+  void __set_isComplete(const bool val);
+
   bool operator == (const QuotaReport & rhs) const
   {
     if (!(host == rhs.host))
@@ -148,6 +161,10 @@
       return false;
     if (!(demands == rhs.demands))
       return false;
+    if (!(ageMilliseconds == rhs.ageMilliseconds))
+      return false;
+    if (!(isComplete == rhs.isComplete))
+      return false;
     return true;
   }
   bool operator != (const QuotaReport &rhs) const {
@@ -226,11 +243,11 @@
 std::ostream& operator<<(std::ostream& out, const QuotaAllowance& obj);
 
 typedef struct _QuotaGrant__isset {
-  _QuotaGrant__isset() : term(false), life(false), number(false), revision(false), allowances(false) {}
+  _QuotaGrant__isset() : term(false), life(false), number(false), needsComplete(false), allowances(false) {}
   bool term :1;
   bool life :1;
   bool number :1;
-  bool revision :1;
+  bool needsComplete :1;
   bool allowances :1;
 } _QuotaGrant__isset;
 
@@ -245,14 +262,14 @@
              : term(0),
                life(0),
                number(0),
-               revision(0) {
+               needsComplete(0) {
   }
 
   virtual ~QuotaGrant() noexcept;
   int64_t term;
   int64_t life;
   int64_t number;
-  int64_t revision;
+  bool needsComplete;
   std::vector<QuotaAllowance>  allowances;
 
   _QuotaGrant__isset __isset;
@@ -263,7 +280,7 @@
 
   void __set_number(const int64_t val);
 
-  void __set_revision(const int64_t val);
+  void __set_needsComplete(const bool val);
 
   void __set_allowances(const std::vector<QuotaAllowance> & val);
 
@@ -275,7 +292,7 @@
       return false;
     if (!(number == rhs.number))
       return false;
-    if (!(revision == rhs.revision))
+    if (!(needsComplete == rhs.needsComplete))
       return false;
     if (!(allowances == rhs.allowances))
       return false;
@@ -297,120 +314,10 @@
 
 std::ostream& operator<<(std::ostream& out, const QuotaGrant& obj);
 
-typedef struct _QuotaHolding__isset {
-  _QuotaHolding__isset() : host(false), life(false), allowances(false) {}
-  bool host :1;
-  bool life :1;
-  bool allowances :1;
-} _QuotaHolding__isset;
-
-class QuotaHolding : public virtual ::apache::thrift::TBase {
- public:
-
-  QuotaHolding(const QuotaHolding&);
-  QuotaHolding(QuotaHolding&&) noexcept;
-  QuotaHolding& operator=(const QuotaHolding&);
-  QuotaHolding& operator=(QuotaHolding&&) noexcept;
-  QuotaHolding() noexcept
-               : host(),
-                 life(0) {
-  }
-
-  virtual ~QuotaHolding() noexcept;
-  std::string host;
-  int64_t life;
-  std::vector<QuotaAllowance>  allowances;
-
-  _QuotaHolding__isset __isset;
-
-  void __set_host(const std::string& val);
-
-  void __set_life(const int64_t val);
-
-  void __set_allowances(const std::vector<QuotaAllowance> & val);
-
-  bool operator == (const QuotaHolding & rhs) const
-  {
-    if (!(host == rhs.host))
-      return false;
-    if (!(life == rhs.life))
-      return false;
-    if (!(allowances == rhs.allowances))
-      return false;
-    return true;
-  }
-  bool operator != (const QuotaHolding &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const QuotaHolding & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(QuotaHolding &a, QuotaHolding &b);
-
-std::ostream& operator<<(std::ostream& out, const QuotaHolding& obj);
-
-typedef struct _QuotaTable__isset {
-  _QuotaTable__isset() : term(false), holdings(false) {}
-  bool term :1;
-  bool holdings :1;
-} _QuotaTable__isset;
-
-class QuotaTable : public virtual ::apache::thrift::TBase {
- public:
-
-  QuotaTable(const QuotaTable&);
-  QuotaTable(QuotaTable&&) noexcept;
-  QuotaTable& operator=(const QuotaTable&);
-  QuotaTable& operator=(QuotaTable&&) noexcept;
-  QuotaTable() noexcept
-             : term(0) {
-  }
-
-  virtual ~QuotaTable() noexcept;
-  int64_t term;
-  std::vector<QuotaHolding>  holdings;
-
-  _QuotaTable__isset __isset;
-
-  void __set_term(const int64_t val);
-
-  void __set_holdings(const std::vector<QuotaHolding> & val);
-
-  bool operator == (const QuotaTable & rhs) const
-  {
-    if (!(term == rhs.term))
-      return false;
-    if (!(holdings == rhs.holdings))
-      return false;
-    return true;
-  }
-  bool operator != (const QuotaTable &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const QuotaTable & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(QuotaTable &a, QuotaTable &b);
-
-std::ostream& operator<<(std::ostream& out, const QuotaTable& obj);
-
 typedef struct _QuotaMessage__isset {
-  _QuotaMessage__isset() : report(false), grant(false), table(false) {}
+  _QuotaMessage__isset() : report(false), grant(false) {}
   bool report :1;
   bool grant :1;
-  bool table :1;
 } _QuotaMessage__isset;
 
 class QuotaMessage : public virtual ::apache::thrift::TBase {
@@ -426,7 +333,6 @@
   virtual ~QuotaMessage() noexcept;
   QuotaReport report;
   QuotaGrant grant;
-  QuotaTable table;
 
   _QuotaMessage__isset __isset;
 
@@ -434,8 +340,6 @@
 
   void __set_grant(const QuotaGrant& val);
 
-  void __set_table(const QuotaTable& val);
-
   bool operator == (const QuotaMessage & rhs) const
   {
     if (__isset.report != rhs.__isset.report)
@@ -446,10 +350,6 @@
       return false;
     else if (__isset.grant && !(grant == rhs.grant))
       return false;
-    if (__isset.table != rhs.__isset.table)
-      return false;
-    else if (__isset.table && !(table == rhs.table))
-      return false;
     return true;
   }
   bool operator != (const QuotaMessage &rhs) const {
--- a/wire/quota.thrift
+++ b/wire/quota.thrift
@@ -7,45 +7,40 @@
   2: i64 held
   3: i64 spent
   4: i64 wanted
+  5: i64 waiting
 }
 
+// `life` identifies the daemon process and `number` the report. `ageMilliseconds` is the uptime of the process. A
+// complete report names each tenant of which the daemon holds or needs anything.
 struct QuotaReport {
   1: string host
   2: i64 life
   3: i64 number
   4: list<QuotaDemand> demands
+  5: i64 ageMilliseconds
+  6: bool isComplete
 }
 
-// `allowance` replaces what the daemon holds of the tenant's allotment.
+// `allowance` replaces what the daemon holds of the tenant's allotment. A time to retry after that isn't zero means that
+// the tenant asks for more than its allotment, or that nothing is left.
 struct QuotaAllowance {
   1: string tenant
   2: i64 allowance
   3: i64 retryAfterMilliseconds
 }
 
+// Answer to the report with the same life and number. If `needsComplete` is set, the grant gives nothing and renews no
+// lease: the leader doesn't know yet what the daemon holds.
 struct QuotaGrant {
   1: i64 term
   2: i64 life
   3: i64 number
-  4: i64 revision
+  4: bool needsComplete
   5: list<QuotaAllowance> allowances
 }
 
-// What one daemon holds, as the dividing host reports it to the hosts that may replace it.
-struct QuotaHolding {
-  1: string host
-  2: i64 life
-  3: list<QuotaAllowance> allowances
-}
-
-struct QuotaTable {
-  1: i64 term
-  2: list<QuotaHolding> holdings
-}
-
 // Exactly one field is set.
 struct QuotaMessage {
   1: optional QuotaReport report
   2: optional QuotaGrant grant
-  3: optional QuotaTable table
 }
