--- a/dragonflylane/CallHeaders.h
+++ b/dragonflylane/CallHeaders.h
@@ -2,6 +2,7 @@
 
 // HTTP headers with the metadata of a call, and the responses that a daemon generates itself.
 
+#include "dragonflylane/ApiKeyHash.h"
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/HttpMessage.h"
 #include "dragonflylane/Ids.h"
@@ -10,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace dragonflylane {
 
@@ -28,6 +30,14 @@
     /// Id of the upstream that the request is for. A different upstream at the same address refuses the request.
     std::string expectedUpstream {};
 
+    /// Credentials of the caller: "Bearer" and an API key. Sent on only in a mesh that requires no API keys.
+    std::string apiKey { "Authorization" };
+    /// Name of the tenant, for the upstream. Removed from the requests of callers.
+    std::string tenant { "Dragonflylane-Tenant" };
+    /// Separates the request id of a nested call from the suffix that its upstream has added to the id of the call that
+    /// it is running. 0: request ids do not show nesting.
+    char nestedIdSeparator { 0 };
+
     // On responses.
     std::string code { "Dragonflylane-Code" };
     /// Whether the request ran: "not-run" or "unknown".
@@ -59,6 +69,8 @@
     uint32_t hops { 0 };
     /// Request id chosen by the caller; empty if absent or invalid.
     RequestId requestId;
+    /// Hash of the API key that the caller presented; empty if there is none.
+    std::optional<ApiKeyHash> apiKey;
     /// The call was transferred by another entry daemon that may not serve routes yet.
     bool isTransferred { false };
 };
@@ -67,6 +79,9 @@
 /// 128 bytes.
 std::error_code parseCallHeaders(const HttpRequest&, const CallHeaderNames&, CallHeaders&);
 
+/// Request id of the call that a call with this id is nested in, according to the id itself; empty if it is not nested.
+std::string_view parentRequestId(const RequestId&, const CallHeaderNames&);
+
 /// Response for a refusal. States the result code and whether the request ran in headers, and the message of the code
 /// in the body. If `retryAfter` is above zero, it is sent as Retry-After.
 HttpResponse makeRefusal(ResultCode, const RequestId&, const CallHeaderNames& = {}, Duration retryAfter = {});
--- a/dragonflylane/ForwardWire.h
+++ b/dragonflylane/ForwardWire.h
@@ -14,6 +14,7 @@
 namespace dragonflylane {
 
 struct CallHeaderNames;
+struct CallOrigin;
 struct EntryCall;
 struct ProcessStatement;
 struct UpstreamEntry;
@@ -37,8 +38,14 @@
 /// A response that consists of a result code only.
 wire::ForwardResponse makeResponse(uint64_t attemptId, ResultCode);
 HttpResponse toHttpResponse(wire::ForwardResponse);
-
-wire::CallTransfer makeTransfer(const EntryCall&, uint64_t id);
+/// Replaces a response whose status is not that of a final response by the code MalformedAnswer. A daemon of an earlier
+/// build passes on any status of three digits.
+void rejectInvalidStatus(wire::ForwardResponse&);
+
+/// Instead of an API key, the message holds its hash.
+wire::CallTransfer makeTransfer(const EntryCall&, const CallHeaderNames&, uint64_t id);
+/// Where a call that was transferred has entered the mesh, according to the daemon that transferred it.
+CallOrigin originOf(const wire::CallTransfer&);
 HttpRequest toHttpRequest(wire::CallTransfer, const CallHeaderNames&);
 /// Reads the result code from the response header in which a refusal states it.
 wire::ForwardResponse toForwardResponse(HttpResponse);
