--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -44,6 +44,7 @@
     // keeps calls in their data centre. The owners asked after it may queue it for an eighth.
     constexpr int firstOwnerWaitDivisor = 4;
     constexpr int nextOwnerWaitDivisor = 8;
+    constexpr int allotmentWaitDivisor = 8;
     // Lower bound of the allowed wait: asking another owner hardly takes less time.
     constexpr std::chrono::milliseconds minOwnerWait { 3 };
     // Lower bound of Retry-After, unless the caller's deadline is near.
@@ -165,6 +166,31 @@
         detectCallerRetry(call);
         if (m_parts.crash.stateOf(call->fingerprint) == CrashState::Quarantined)
             return refuse(call, ResultCode::RequestQuarantined);
+        checkAllotment(call);
+    }
+
+    // Calls that upstreams make count as part of the request that they belong to. The wait for the leader's answer may
+    // take an eighth of the time to the target, or to the deadline if the target has passed.
+    void checkAllotment(const CallPtr& call)
+    {
+        if (call->tenant.isEmpty() || call->isNested || !m_hooks.admitTenant)
+            return startAdmitted(call);
+        TimePoint now = BootClock::now();
+        TimePoint end = call->target > now ? call->target : call->deadline;
+        Duration maxWait = (end - now) / allotmentWaitDivisor;
+        m_hooks.admitTenant(call->tenant, maxWait, [this, call](QuotaVerdict verdict, Duration retryAfter) {
+            if (call->isFinished)
+                return;
+            if (verdict == QuotaVerdict::Admitted)
+                return startAdmitted(call);
+            call->retryAfter = retryAfter;
+            bool isExceeded = verdict == QuotaVerdict::Exceeded;
+            refuse(call, isExceeded ? ResultCode::AllotmentExceeded : ResultCode::ConfigNotProven);
+        });
+    }
+
+    void startAdmitted(const CallPtr& call)
+    {
         serviceOf(call).policy().budget().recordRequest(BootClock::now());
         if (call->isIdempotent || call->headers.key.isEmpty() || !m_options.usesIdempotencyRecords)
             return startAttempt(call);
@@ -531,6 +557,9 @@
     // callers that are refused at the same time.
     Duration callerRetryAfter(const CallPtr& call, ResultCode code)
     {
+        // Exact, since it depends on the tenant alone.
+        if (code == ResultCode::AllotmentExceeded)
+            return call->retryAfter;
         bool mayRetry = runState(code) == RunState::NotRun && httpStatus(code) == statusServiceUnavailable;
         Duration left = call->callerDeadline - BootClock::now();
         if (!mayRetry || left <= Duration::zero())
--- a/dragonflylane/EntryTask.h
+++ b/dragonflylane/EntryTask.h
@@ -12,6 +12,7 @@
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/CallHeaders.h"
 #include "dragonflylane/Ids.h"
+#include "dragonflylane/QuotaShare.h"
 #include "dragonflylane/ResultCode.h"
 #include "dragonflylane/RetryBudget.h"
 #include "dragonflylane/RoutingTable.h"
@@ -73,6 +74,10 @@
         /// True if the configuration was proven current a moment ago. Without that, a version that is being rolled out
         /// gets no calls, since it may have been rolled back.
         std::function<bool()> isConfigRecent;
+        /// Answers whether the allotment of the tenant admits a request, see QuotaTask::admit(). Not set: no
+        /// allotments.
+        std::function<void(const TenantName&, Duration maxWait, std::function<void(QuotaVerdict, Duration retryAfter)>)>
+            admitTenant {};
     };
     /// Other components of this daemon that the task uses.
     struct Parts {
