--- a/dragonflylane/UpstreamSelector.cpp
+++ b/dragonflylane/UpstreamSelector.cpp
@@ -389,6 +389,7 @@
     return static_cast<size_t>(own - m_entries.begin());
 }
 
+// Compares the service time of the local upstream, without the wait: it is asked only while it has spare capacity.
 bool UpstreamSelector::isMuchFaster(size_t other, size_t local, TimePoint now) const
 {
     if (other == local)
--- a/dragonflylane/UpstreamSelector.h
+++ b/dragonflylane/UpstreamSelector.h
@@ -7,10 +7,10 @@
 //     std::optional<Choice> choice = selector.choose(triedHosts, now);
 //     selector.finished(*choice, SelectionOutcome::Success, load, now);   // exactly once for each choice
 //
-// The local upstream (the one of this daemon) is preferred while it has spare capacity. Otherwise two random candidates
-// of the nearest data centre are compared by their expected finish (power of two choices, Mitzenmacher 2001): their
-// service time relative to that of their peers, plus the wait that their load per slot causes. Upstreams that state no
-// load count as equally fast, which leaves the load per slot.
+// The local upstream (the one of this daemon) is preferred while it has spare capacity and no other is much faster.
+// Otherwise random candidates of the nearest data centre are compared by their expected finish (power of two choices,
+// Mitzenmacher 2001): their service time relative to that of their peers, plus the wait that their load per slot
+// causes. Upstreams that report no speed count as equally fast, which leaves the load per slot.
 //
 // Only a subset of the candidates is used, which rebuild() selects by rendezvous hashing with the host id of the
 // daemon. choose() costs at most O(subset); rebuild() costs O(candidates) for the hashes and O(subset) for the rest.
@@ -107,7 +107,7 @@
     double localUpstreamMaxSlowness { 1.25 };
     /// A pace limit holds for this long after its report.
     Duration paceLimitHold { std::chrono::seconds(1) };
-    /// Upstreams that are compared once their speeds are known.
+    /// Random candidates that are compared once any speed is known; two until then.
     uint32_t samplesWithSpeeds { 3 };
 
     // Switches that disable a mechanism for a test.
@@ -181,6 +181,7 @@
     void recordResult(Entry&, bool isSuccess, TimePoint now);
     void recordReport(Entry&, const LoadReport&, TimePoint now);
     void recordSpeed(Entry&, const SpeedReport&, TimePoint now);
+    /// Without any report of a speed, the choice is by load per slot alone.
     bool comparesSpeeds() const { return m_hasSpeeds && m_options.useSpeeds; }
     double loadPerSlot(const Entry&, TimePoint now) const;
     /// Service time relative to the typical one, including the momentary slowness.
@@ -212,7 +213,6 @@
     std::array<std::vector<size_t>, tierCount> m_tiers;
     std::unordered_map<UpstreamId, size_t> m_index;
     TypicalServiceTimes m_typicalServiceTimes;
-    /// Whether any upstream has reported its speed.
     bool m_hasSpeeds { false };
     /// Route of the latest speed report. Its typical service time is the unit of the network delay.
     uint64_t m_latestRoute { 0 };
--- a/dragonflylane/WarmupPace.h
+++ b/dragonflylane/WarmupPace.h
@@ -11,10 +11,10 @@
 //
 // Response times are taken relative to what peers need for the same route, and averaged over a round of responses at
 // one limit. After each round:
-//   * as fast as the peers: the limit doubles;
-//   * slower than the peers, but no slower than in the round before: the limit grows by a quarter, so that an upstream
-//     that is slower for good reaches its slots;
-//   * slower than in the round before, or any trouble: the limit halves.
+//   * in time: the limit doubles;
+//   * much slower than the peers, but no slower than in the round before: the limit grows by a quarter, so that an
+//     upstream that is slower for good reaches its slots;
+//   * much slower than the peers and slower than in the round before, or any trouble: the limit halves.
 // The warm-up ends once the limit has reached the slots.
 //
 // The peers must be able to serve the other calls meanwhile. The warm-up therefore starts with the first request that
@@ -33,8 +33,8 @@
     uint32_t initialLimit { 2 };
     /// Responses that a round needs at least.
     uint32_t minRound { 4 };
-    /// An upstream counts as fast as its peers up to this ratio of service times.
-    double inTimeRatio { 1.5 };
+    /// Responses are in time up to this ratio to the service time of the peers. Healthy peers differ almost as much.
+    double inTimeRatio { 2.5 };
     /// A round counts as slower than the one before from this ratio on.
     double slowdownRatio { 1.4 };
 };
