Watch the full share before a late completion

A mesh without a leader until late in the duration went from the first share to the full one and completed at once, without having watched the version there.

--- a/dragonflylane/EntryServiceState.cpp
+++ b/dragonflylane/EntryServiceState.cpp
@@ -13,11 +13,17 @@
     // Independent of the hash that divides the requests of a route among services.
     constexpr uint64_t shareSeed = 2;
 
+    // A completed roll-out restricts nothing: later releases may bring other versions.
     bool separates(const RolloutItem* rollout)
     {
         return rollout && rollout->state != RolloutState::Completed;
     }
 
+    bool usesTarget(VersionGroup group)
+    {
+        return group == VersionGroup::TargetFirst || group == VersionGroup::Target;
+    }
+
     std::optional<Choice> markTarget(std::optional<Choice> choice)
     {
         if (choice)
@@ -77,8 +83,7 @@
 
 std::optional<Choice> EntryServiceState::choose(VersionGroup group, std::span<const HostId> tried, TimePoint now)
 {
-    bool usesTarget = group == VersionGroup::TargetFirst || group == VersionGroup::Target;
-    if (usesTarget && m_targetSelector) {
+    if (usesTarget(group) && m_targetSelector) {
         auto choice = markTarget(m_targetSelector->choose(tried, now));
         if (choice || group == VersionGroup::Target)
             return choice;
@@ -88,8 +93,7 @@
 
 std::optional<Choice> EntryServiceState::chooseOwner(VersionGroup group, const HostId& owner, TimePoint now)
 {
-    bool usesTarget = group == VersionGroup::TargetFirst || group == VersionGroup::Target;
-    if (usesTarget && m_targetSelector) {
+    if (usesTarget(group) && m_targetSelector) {
         if (auto choice = markTarget(m_targetSelector->chooseOwner(owner, now)))
             return choice;
     }
--- a/dragonflylane/RolloutDecider.cpp
+++ b/dragonflylane/RolloutDecider.cpp
@@ -102,10 +102,11 @@
 {
     if (!m_fullSince || isInDoubt(now) || m_evidence.targetAnswers() < m_options.minAnswers)
         return false;
+    Duration fullShareTime = now - *m_fullSince;
     if (progress(now) >= completeInAnyCaseFrom)
-        return true;
+        return fullShareTime >= m_options.minLateFullShareTime;
     auto watchTime = std::chrono::duration_cast<Duration>(m_item.duration * m_options.minFullSharePart);
-    bool isWatched = now - *m_fullSince >= std::max(m_options.minFullShareTime, watchTime);
+    bool isWatched = fullShareTime >= std::max(m_options.minFullShareTime, watchTime);
     return isWatched && !m_evidence.hasRequestsAtOthers(now);
 }
 
--- a/dragonflylane/RolloutDecider.h
+++ b/dragonflylane/RolloutDecider.h
@@ -34,6 +34,8 @@
     /// Least time at the full share before completion, and its least part of the duration.
     Duration minFullShareTime { std::chrono::seconds(1) };
     double minFullSharePart { 0.05 };
+    /// Least time at the full share when the duration is nearly over, for example because there was no leader for long.
+    Duration minLateFullShareTime { std::chrono::milliseconds(500) };
     /// Least number of answers of the target for completion.
     uint64_t minAnswers { 20 };
     /// Part of the requests, and a number of requests beyond it, that the target may get before the second step.
--- a/tests/RolloutDeciderTest.cpp
+++ b/tests/RolloutDeciderTest.cpp
@@ -274,6 +274,23 @@
     }
 }
 
+// The mesh has no leader for most of the duration: what is left is too short to watch the version.
+TEST(RolloutDeciderTest, FullShareIsWatchedBeforeALateCompletion)
+{
+    RolloutItem item { .service = ServiceName("orders"), .target = target, .duration = seconds(12) };
+    RolloutDecider decider(item, start);
+    RolloutReport report { HostId("h"), 1, 1, { { ServiceName("orders"), target, 7, { .sent = 90, .ended = 90 } } } };
+    TimePoint late = start + milliseconds(10800);
+    decider.add(report, late);
+    auto command = decider.decide(late);
+    ASSERT_TRUE(command);
+    EXPECT_EQ(command->state, RolloutState::Running);
+    item.sharePermille = command->sharePermille;
+    item.elapsed = command->elapsed;
+    decider.follow(item, late);
+    EXPECT_FALSE(decider.decide(late + milliseconds(100)));
+}
+
 // The new version has no upstream until the end, or nobody calls the service: the old upstreams must stay.
 TEST(RolloutDeciderTest, VersionWithoutAnswersIsRolledBackAtTheEnd)
 {
