--- a/dragonflylane/Admission.h
+++ b/dragonflylane/Admission.h
@@ -43,6 +43,8 @@
     uint64_t tenantKey { 0 };
     /// Priority of the tenant, which goes before that of the route; 0 is served first.
     uint32_t tenantPriority { 0 };
+    /// Made by an upstream for a call that it is running. Its priorities are those of that parent call.
+    bool isNested { false };
     /// Latency objective: the time by which the response should be ready. Not set: the deadline.
     TimePoint target {};
     /// Refuse the ticket if its expected wait is longer than this, so that the caller can try another upstream.
@@ -51,6 +53,10 @@
     bool isLate { false };
     /// Set by RankedAdmission::offer(): the ticket is refused if it is still queued after this time.
     TimePoint queueDeadline { TimePoint::max() };
+    /// Set by RankedAdmission::offer(): see TenantFairness.
+    Duration startTag { 0 };
+    /// Set by RankedAdmission::offer(): service time that is charged to the tenant.
+    Duration chargedServiceTime { 0 };
     /// Expected queueing delay of the response at the network link of this host. OwnerAdmission does not use it.
     Duration answerDelay { 0 };
 };
--- a/dragonflylane/EntryCall.h
+++ b/dragonflylane/EntryCall.h
@@ -4,6 +4,7 @@
 
 #include "dragonflylane/CallHeaders.h"
 #include "dragonflylane/HttpExchange.h"
+#include "dragonflylane/ParentCall.h"
 #include "dragonflylane/PeerHub.h"
 #include "dragonflylane/RoutingTable.h"
 #include "dragonflylane/UpstreamSelector.h"
@@ -51,6 +52,10 @@
     /// Tenant whose API key the caller presented; empty if none.
     TenantName tenant;
     uint32_t tenantPriority { 0 };
+    /// The call that the upstream of this host was running when it made this one; empty if this is not a nested call.
+    std::optional<ParentCall> parent;
+    /// How often this daemon has refused the caller's earlier attempts.
+    uint32_t earlierRefusals { 0 };
     /// Hash of the route's name. Service times are estimated per route, since requests of one route take about the same
     /// time.
     uint64_t routeKey { 0 };
--- a/dragonflylane/EntryServiceState.cpp
+++ b/dragonflylane/EntryServiceState.cpp
@@ -1,7 +1,19 @@
 #include "dragonflylane/EntryServiceState.h"
 
+#include <random>
+
 namespace dragonflylane {
 
+namespace {
+
+    std::function<double()> randomFraction(uint64_t seed)
+    {
+        return
+            [engine = std::mt19937_64(seed)]() mutable { return std::uniform_real_distribution<double>(0, 1)(engine); };
+    }
+
+} // namespace
+
 EntryServiceState::EntryServiceState(const EntryServiceStateOptions& options, TimePoint now)
     : m_selector({ .self = options.self,
         .dataCentre = options.dataCentre,
@@ -9,6 +21,7 @@
         .seed = options.seed,
         .spillLoad = options.spillLoad })
     , m_policy({ .budget = options.retryBudget, .seed = options.seed }, now)
+    , m_retryAfter({ .random = randomFraction(options.seed) })
 {
 }
 
--- a/dragonflylane/EntryServiceState.h
+++ b/dragonflylane/EntryServiceState.h
@@ -1,9 +1,10 @@
 #pragma once
 
 // State that an entry daemon keeps for each service that it calls: the candidate upstreams, the retry budget, the
-// success rate of redirects, and the network delay to owner daemons.
+// success rate of redirects, the schedule of retries by callers, and the network delay to owner daemons.
 
 #include "dragonflylane/RedirectSuccessRate.h"
+#include "dragonflylane/RetryAfterPolicy.h"
 #include "dragonflylane/RetryPolicy.h"
 #include "dragonflylane/RoutingTable.h"
 #include "dragonflylane/ServiceTimeEstimate.h"
@@ -34,6 +35,7 @@
     UpstreamSelector& selector() { return m_selector; }
     RetryPolicy& policy() { return m_policy; }
     RedirectSuccessRate& redirectSuccessRate() { return m_redirectSuccessRate; }
+    RetryAfterPolicy& retryAfter() { return m_retryAfter; }
     /// Records the network delay of a call to another host: its total latency less the time that the owner daemon
     /// reported to have held it.
     void recordNetworkDelay(Duration total, Duration heldByOwner, TimePoint now);
@@ -52,6 +54,7 @@
     UpstreamSelector m_selector;
     RetryPolicy m_policy;
     RedirectSuccessRate m_redirectSuccessRate;
+    RetryAfterPolicy m_retryAfter;
     ServiceTimeEstimate m_networkDelay;
     std::shared_ptr<const ServiceEntry> m_service;
     std::map<UpstreamId, ReadyUpstream> m_readyUpstreams;
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflylane/CallLog.h"
 #include "dragonflylane/CallTransfers.h"
+#include "dragonflylane/CallerRetries.h"
 #include "dragonflylane/ClaimTask.h"
 #include "dragonflylane/CrashTask.h"
 #include "dragonflylane/EntryCall.h"
@@ -15,7 +16,6 @@
 #include "dragonflylane/Metrics.h"
 #include "dragonflylane/OwnerTask.h"
 #include "dragonflylane/PeerHub.h"
-#include "dragonflylane/RefusedCalls.h"
 #include "dragonflylane/Wire.h"
 #include "gen-cpp/peer_types.h"
 
@@ -23,7 +23,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cctype>
-#include <random>
 #include <set>
 #include <tuple>
 #include <unordered_map>
@@ -58,6 +57,7 @@
             return SelectionOutcome::Unavailable;
         case ResultCode::DeadlineExceeded:
         case ResultCode::RequestQuarantined:
+        case ResultCode::NestedCallsRefused:
         case ResultCode::CallerGone:
             return SelectionOutcome::Ignored;
         default:
@@ -65,7 +65,6 @@
         }
     }
 
-    constexpr unsigned statusServiceUnavailable = 503;
     constexpr unsigned firstServerError = 500;
     // The first owner, usually one in the same data centre, may queue a call for a quarter of its target latency, which
     // keeps calls in their data centre. The owners asked after it may queue it for an eighth.
@@ -73,12 +72,6 @@
     constexpr int nextOwnerWaitDivisor = 8;
     // Lower bound of the allowed wait: asking another owner hardly takes less time.
     constexpr std::chrono::milliseconds minOwnerWait { 3 };
-    // Lower bound of Retry-After, unless the caller's deadline is near.
-    constexpr std::chrono::milliseconds minRetryAfter { 20 };
-    // Upper bound of Retry-After in percent of the time until the caller's deadline. A later retry would leave too
-    // little time to serve the call.
-    constexpr int maxRetryAfterPercent = 30;
-    constexpr double retryAfterJitter = 0.5;
 
     // Host header without the port, in lower case.
     std::string hostName(const HttpRequest& request)
@@ -114,6 +107,7 @@
                   = [this](const CallPtr& call, ResultCode code,
                         std::optional<HttpResponse> response) { finishTransfer(call, code, std::move(response)); },
                   .serve = [this](std::shared_ptr<HttpExchange> exchange) { handle(std::move(exchange)); } })
+        , m_callerRetries(m_parts.metrics)
     {
     }
 
@@ -201,7 +195,8 @@
             return refuse(call, code);
         watchDeadline(call);
         call->fingerprint = requestFingerprint(host, request.method, request.target, request.body);
-        detectCallerRetry(call);
+        m_callerRetries.recognise(*call);
+        call->parent = m_parts.owner.findRunning(parentRequestId(call->requestId, m_options.headerNames));
         if (m_parts.crash.stateOf(call->fingerprint) == CrashState::Quarantined)
             return refuse(call, ResultCode::RequestQuarantined);
         serviceOf(call).policy().budget().recordRequest(BootClock::now());
@@ -242,17 +237,6 @@
         return ResultCode::Ok;
     }
 
-    // If the caller retries a request that was refused, the target latency counts from its first request.
-    void detectCallerRetry(const CallPtr& call)
-    {
-        TimePoint received = call->exchange->received();
-        call->firstReceived = m_refusedCalls.matchRetry(call->fingerprint, received).value_or(received);
-        if (call->firstReceived == received)
-            return;
-        m_parts.metrics.add("calls_returned");
-        call->target -= received - call->firstReceived;
-    }
-
     // The key is scoped by method and target instead of by service. A plan may change a traffic split between a request
     // and its retry, and the retry must still be recognised as a duplicate.
     void claim(const CallPtr& call)
@@ -288,6 +272,13 @@
     EntryServiceState& serviceOf(const CallPtr& call) { return *m_services.at(call->serviceName); }
     EntryServiceState& serviceOf(const EntryCall& call) const { return *m_services.at(call.serviceName); }
 
+    /// Null if the service of the call is not known.
+    RetryAfterPolicy* retryAfterPolicy(const EntryCall& call) const
+    {
+        auto service = m_services.find(call.serviceName);
+        return service == m_services.end() ? nullptr : &service->second->retryAfter();
+    }
+
     void startAttempt(const CallPtr& call)
     {
         if (call->isFinished)
@@ -432,6 +423,7 @@
             serviceOf(call).redirectSuccessRate().record(!isCapacityRefusal(code), now);
         if (code == ResultCode::Ok) {
             serviceOf(call).policy().recordSuccess(now - done.startedAt);
+            serviceOf(call).retryAfter().recordServed(now);
             return answer(call, done, std::move(response));
         }
         handleFailedAttempt(call, done, code, std::move(response), now);
@@ -556,31 +548,11 @@
             .cause = call->requestId.value(),
             .code = code,
             .detail = "attempts " + std::to_string(call->attempts) });
-        Duration retryAfter = callerRetryAfter(call, code);
+        Duration retryAfter = m_callerRetries.refuse(*call, code, retryAfterPolicy(*call), BootClock::now());
         m_log.refused(*call, code, retryAfter, m_routingTable->revision());
-        bool mayRetry = retryAfter > Duration::zero() && call->firstReceived != TimePoint();
-        if (mayRetry)
-            m_refusedCalls.recordRefusal(
-                call->fingerprint, call->firstReceived, call->callerDeadline, BootClock::now());
         respond(call, code, makeRefusal(code, call->requestId, m_options.headerNames, retryAfter));
     }
 
-    // Retry-After for a caller whose request did not run; zero if it should not retry. Jitter spreads the retries of
-    // callers that are refused at the same time.
-    Duration callerRetryAfter(const CallPtr& call, ResultCode code)
-    {
-        bool mayRetry = runState(code) == RunState::NotRun && httpStatus(code) == statusServiceUnavailable;
-        Duration left = call->callerDeadline - BootClock::now();
-        if (!mayRetry || left <= Duration::zero())
-            return Duration::zero();
-        // No estimate exists while this daemon may not serve routes, or while the owner daemon cannot be reached. The
-        // upper bound is used then.
-        bool isUnknown = code == ResultCode::ConfigNotProven || code == ResultCode::OwnerUnreachable;
-        Duration base = isUnknown ? left : std::max<Duration>(call->retryAfter, minRetryAfter);
-        double jitter = std::uniform_real_distribution<double>(1, 1 + retryAfterJitter)(m_random);
-        return std::min(std::chrono::duration_cast<Duration>(base * jitter), left * maxRetryAfterPercent / 100);
-    }
-
     CallOrigin originOf(const HttpExchange& exchange) const
     {
         if (exchange.origin())
@@ -591,6 +563,8 @@
     void respond(const CallPtr& call, ResultCode code, HttpResponse response)
     {
         m_parts.metrics.countCall(code);
+        if (call->parent && isLackOfCapacity(code))
+            m_parts.owner.nestedCallRefused(*call->parent);
         m_parts.metrics.observe("call_latency", BootClock::now() - call->exchange->received());
         finish(call);
         call->exchange->respond(std::move(response));
@@ -752,11 +726,10 @@
     std::unordered_map<uint64_t, CallPtr> m_attempts;
     ForwardServer m_forwardServer;
     CallTransfers m_transfers;
-    RefusedCalls m_refusedCalls;
+    CallerRetries m_callerRetries;
     EntryStatements m_statements;
     std::set<std::pair<TimePoint, uint64_t>> m_deadlines;
     bool m_isDeadlineArmed { false };
-    std::mt19937_64 m_random { m_options.bootId };
     CallLog m_log;
     TimePoint m_lastAnswer { TimePoint::max() };
 };
--- a/dragonflylane/ForwardWire.cpp
+++ b/dragonflylane/ForwardWire.cpp
@@ -131,6 +131,14 @@
         request.__set_tenant(call.tenant.value());
         request.__set_tenantPriority(static_cast<int32_t>(call.tenantPriority));
     }
+    if (call.parent) {
+        wire::ParentOfCall parent;
+        parent.priority = static_cast<int32_t>(call.parent->priority);
+        parent.tenantPriority = static_cast<int32_t>(call.parent->tenantPriority);
+        request.__set_parent(parent);
+    }
+    if (call.earlierRefusals > 0)
+        request.__set_earlierRefusals(static_cast<int32_t>(call.earlierRefusals));
     request.body = source.body;
     return request;
 }
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -39,13 +39,15 @@
             .routeKey = static_cast<uint64_t>(request.routeKey),
             .priority = static_cast<uint32_t>(request.priority),
             .target = receivedAt + std::chrono::microseconds(request.targetMicroseconds),
-            .deadline = deadline };
+            .deadline = deadline,
+            .startedAt = sentAt };
     }
     Fingerprint fingerprint() const { return Fingerprint(static_cast<uint64_t>(request.fingerprint)); }
 };
 
 namespace {
 
+    constexpr unsigned firstServerError = 500;
     constexpr unsigned statusServiceUnavailable = 503;
     constexpr std::chrono::milliseconds probeTimeout { 200 };
     // An announcement shows that the upstream was alive this long ago, since it may have been delayed on its way.
@@ -366,6 +368,11 @@
         ticket.tenantKey = stableHash(call.request.tenant);
         ticket.tenantPriority = static_cast<uint32_t>(std::max(call.request.tenantPriority, 0));
     }
+    if (call.request.__isset.parent) {
+        ticket.isNested = true;
+        ticket.priority = static_cast<uint32_t>(std::max(call.request.parent.priority, 0));
+        ticket.tenantPriority = static_cast<uint32_t>(std::max(call.request.parent.tenantPriority, 0));
+    }
     if (call.request.maxWaitMicroseconds > 0)
         ticket.maxWait = std::chrono::microseconds(call.request.maxWaitMicroseconds);
     if (call.source == CallSource::Peer)
@@ -405,6 +412,8 @@
     ResultCode refusal = checkRequest(call->request);
     if (refusal == ResultCode::Ok)
         refusal = checkCrashState(*call);
+    if (refusal == ResultCode::Ok && !passesThrottle(*call))
+        refusal = ResultCode::NestedCallsRefused;
     if (refusal != ResultCode::Ok) {
         answer(call, refusal, {});
         return call->id;
@@ -445,6 +454,21 @@
     return m_runningCalls.find(requestId, BootClock::now());
 }
 
+void OwnerTask::nestedCallRefused(const ParentCall& parent)
+{
+    m_metrics.add("nested_calls_refused_at_entry");
+    m_throttle.nestedCallRefused(parent.routeKey, parent.startedAt, BootClock::now());
+}
+
+// Nested calls are not throttled, since work that waits for them is running already.
+bool OwnerTask::passesThrottle(const Call& call)
+{
+    if (!m_options.usesRankedAdmission || call.request.__isset.parent)
+        return true;
+    auto earlierRefusals = static_cast<uint32_t>(std::max(call.request.earlierRefusals, 0));
+    return m_throttle.admit(static_cast<uint64_t>(call.request.routeKey), earlierRefusals, call.receivedAt);
+}
+
 void OwnerTask::dispatch(const CallPtr& call)
 {
     ResultCode refusal = checkCrashState(*call);
@@ -542,6 +566,8 @@
     if (result.code == ResultCode::Ok) {
         m_metrics.observe("upstream_latency", now - call->sentAt);
         m_crash.completed(call->fingerprint());
+        if (result.response.status < firstServerError)
+            m_throttle.parentServed(static_cast<uint64_t>(call->request.routeKey), now);
         if (call->incarnation == m_incarnation)
             m_completions.record(call->fingerprint(), now);
     } else {
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -11,6 +11,7 @@
 #include "dragonflylane/Ids.h"
 #include "dragonflylane/LogRateLimiter.h"
 #include "dragonflylane/MemberRecord.h"
+#include "dragonflylane/NestedCallThrottle.h"
 #include "dragonflylane/OwnerStatements.h"
 #include "dragonflylane/ParentCall.h"
 #include "dragonflylane/RecentCompletions.h"
@@ -130,6 +131,8 @@
     /// The call with this request id that the upstream is running. A call that was cancelled is found until its
     /// deadline, since the upstream may go on with it. O(1).
     std::optional<ParentCall> findRunning(std::string_view requestId) const;
+    /// A nested call of this running call was refused for lack of capacity or not served in time.
+    void nestedCallRefused(const ParentCall&);
 
     /// Removes the upstream from the membership record, or marks it as stopped if it is leaving, so that it gets no new
     /// calls. Calls that still arrive are served.
@@ -182,6 +185,7 @@
     ResultCode checkRequest(const wire::ForwardRequest&) const;
     ResultCode checkCrashState(Call&) const;
     bool isSuspectRunning() const;
+    bool passesThrottle(const Call&);
     void dispatch(const CallPtr&);
     void sendToUpstream(const CallPtr&);
     void finish(const CallPtr&, UpstreamResult);
@@ -225,6 +229,7 @@
     CallId m_nextCall { 1 };
     std::unordered_map<CallId, CallPtr> m_calls;
     RunningCalls m_runningCalls;
+    NestedCallThrottle m_throttle;
     UnansweredRequests m_unanswered;
     RecentCompletions m_completions;
     bool m_isProbing { false };
--- a/dragonflylane/ParentCall.h
+++ b/dragonflylane/ParentCall.h
@@ -21,6 +21,8 @@
     /// Target latency of the route, as a point in time.
     TimePoint target;
     TimePoint deadline;
+    /// When it was sent to the upstream.
+    TimePoint startedAt {};
 };
 
 } // namespace dragonflylane
--- a/dragonflylane/RankedAdmission.cpp
+++ b/dragonflylane/RankedAdmission.cpp
@@ -17,6 +17,10 @@
     // calls, because only first attempts have the whole time; retries have a part of it left.
     constexpr double timeToTargetDecay = 0.98;
 
+    // A tenant that is ahead of its share is queued only if its expected wait is this many times shorter than it may
+    // be.
+    constexpr int overtakenWaitDivisor = 2;
+
     double nanosecondsOf(Duration duration)
     {
         return static_cast<double>(duration.count());
@@ -56,14 +60,22 @@
     if (ticket.isSuspect && isSuspectAdmitted())
         return refuse(ResultCode::SuspectAlreadyRunning);
     recordOffer(ticket, now);
-    // A call of higher rank is not marked late, since other calls wait for it.
-    ticket.isLate = now + serviceTime(ticket, now) > targetOf(ticket) && !outranksActiveRoute(ticket, now);
+    // A call for which others wait is not marked late.
+    ticket.isLate = now + serviceTime(ticket, now) > targetOf(ticket) && !isAwaited(ticket, now);
+    if (m_options.sharesBetweenTenants)
+        ticket.startTag = m_fairness.startTag(ticket.tenantKey);
+    ticket.chargedServiceTime = serviceTime(ticket, now);
     TimePoint startBy = m_options.refuseLate ? latestStart(ticket, now) : ticket.deadline;
-    // Without a queue deadline, a late ticket could wait until its deadline while newer tickets are served before it.
-    ticket.queueDeadline = ticket.isLate ? startBy : ticket.deadline;
+    bool isOvertakenByTenants = ticket.tenantKey != 0 && m_options.sharesBetweenTenants && !isAwaited(ticket, now);
+    // Without a queue deadline, a ticket could wait until its deadline while newer tickets are served before it.
+    ticket.queueDeadline = ticket.isLate || isOvertakenByTenants ? startBy : ticket.deadline;
+    // The expected wait doesn't include calls of other tenants that are still to come.
+    if (isOvertakenByTenants && m_fairness.isAheadOfShare(ticket.tenantKey) && startBy > now)
+        startBy = now + (startBy - now) / overtakenWaitDivisor;
     bool isFirst = m_queue.empty() || precedes(ticket, m_queue.front());
     bool canStartNow = isFirst && mayStart(now);
     if (canStartNow && ticket.answerDelay == Duration::zero()) {
+        charge(ticket);
         start(ticket, now);
         return { AdmitAction::Admit, ResultCode::Ok };
     }
@@ -72,6 +84,7 @@
         return refuse(ResultCode::WouldMissDeadline, wait);
     if (now + wait > startBy || wait > ticket.maxWait || m_queue.size() >= capacity())
         return refuse(ResultCode::QueueFull, wait);
+    charge(ticket);
     if (canStartNow) {
         start(ticket, now);
         return { AdmitAction::Admit, ResultCode::Ok };
@@ -94,7 +107,13 @@
 
 bool RankedAdmission::cancel(uint64_t id)
 {
-    return std::erase_if(m_queue, [id](const CallTicket& ticket) { return ticket.id == id; }) > 0;
+    auto found
+        = std::find_if(m_queue.begin(), m_queue.end(), [id](const CallTicket& ticket) { return ticket.id == id; });
+    if (found == m_queue.end())
+        return false;
+    m_fairness.withdrawn(found->tenantKey, found->chargedServiceTime);
+    m_queue.erase(found);
+    return true;
 }
 
 AdmissionChanges RankedAdmission::setSlots(uint32_t slots, TimePoint now)
@@ -119,11 +138,11 @@
 
 std::vector<RefusedTicket> RankedAdmission::refuseQueued(ResultCode code)
 {
-    std::vector<RefusedTicket> refused;
+    AdmissionChanges changes;
     for (const CallTicket& ticket : m_queue)
-        refused.push_back({ ticket, code });
+        refuseTicket(changes, ticket, code);
     m_queue.clear();
-    return refused;
+    return std::move(changes.refused);
 }
 
 AdmissionChanges RankedAdmission::tick(TimePoint now)
@@ -176,6 +195,8 @@
     Duration decayed = durationOf(nanosecondsOf(route.timeToTarget) * timeToTargetDecay);
     route.timeToTarget = std::max(targetOf(ticket) - now, decayed);
     route.offeredAt = now;
+    if (ticket.isNested)
+        m_nestedOfferedAt = now;
 }
 
 bool RankedAdmission::outranksActiveRoute(const CallTicket& ticket, TimePoint now) const
@@ -197,8 +218,11 @@
 {
     if (!m_options.orderByRank)
         return false;
-    return std::tuple(left.priority, left.isLate, targetOf(left))
-        < std::tuple(right.priority, right.isLate, targetOf(right));
+    auto rankOf = [](const CallTicket& ticket) {
+        return std::tuple(
+            ticket.tenantPriority, ticket.priority, !ticket.isNested, ticket.isLate, ticket.startTag, targetOf(ticket));
+    };
+    return rankOf(left) < rankOf(right);
 }
 
 bool RankedAdmission::isSuspectAdmitted() const
@@ -256,14 +280,26 @@
     Duration service = serviceTime(ticket, now);
     Duration margin = route.serviceTime.margin(marginInDeviations, now, m_estimateOptions);
     TimePoint target = targetOf(ticket);
-    // A call of higher rank may finish after its target, but no later than halfway from there to its deadline.
-    if (outranksActiveRoute(ticket, now))
+    // A call for which others wait may finish after its target, but no later than halfway from there to its deadline.
+    if (isAwaited(ticket, now))
         return target + (ticket.deadline - target) / 2 - service;
     // A call that cannot meet its target even on an idle upstream is still useful until its deadline, so it may wait
     // for a short time.
     return ticket.isLate ? now + service / 4 : target - service - margin;
 }
 
+bool RankedAdmission::isAwaited(const CallTicket& ticket, TimePoint now) const
+{
+    bool hasNestedCalls = m_nestedOfferedAt != TimePoint() && now - m_nestedOfferedAt < m_options.routeIdleAfter;
+    return ticket.isNested || (!hasNestedCalls && outranksActiveRoute(ticket, now));
+}
+
+void RankedAdmission::charge(CallTicket& ticket)
+{
+    if (m_options.sharesBetweenTenants)
+        ticket.startTag = m_fairness.enqueue(ticket.tenantKey, ticket.chargedServiceTime);
+}
+
 void RankedAdmission::enqueue(const CallTicket& ticket)
 {
     auto position = std::upper_bound(m_queue.begin(), m_queue.end(), ticket,
@@ -275,6 +311,14 @@
 {
     m_running[ticket.id] = { ticket, now };
     m_rateLimiter.recordSent(now);
+    m_fairness.started(ticket.startTag);
+}
+
+void RankedAdmission::refuseTicket(
+    AdmissionChanges& changes, const CallTicket& ticket, ResultCode code, Duration expectedWait)
+{
+    m_fairness.withdrawn(ticket.tenantKey, ticket.chargedServiceTime);
+    changes.refused.push_back({ ticket, code, expectedWait });
 }
 
 // Refuses the queued tickets that are not expected to start before the drain window ends, so that they can be served by
@@ -288,7 +332,7 @@
         && m_drain.maySend(now + std::max(expectedSlotWait(kept, now), m_rateLimiter.wait(kept, now))))
         ++kept;
     for (size_t i = kept; i < m_queue.size(); ++i)
-        changes.refused.push_back({ m_queue[i], ResultCode::UpstreamDraining });
+        refuseTicket(changes, m_queue[i], ResultCode::UpstreamDraining);
     m_queue.resize(kept);
 }
 
@@ -301,7 +345,7 @@
         bool isExpired = ticket.deadline <= now;
         bool isPastQueueDeadline = !isExpired && !mayStart(now) && now > ticket.queueDeadline;
         if (isPastQueueDeadline) {
-            changes.refused.push_back({ ticket, ResultCode::QueueFull, expectedWait(ticket, now) });
+            refuseTicket(changes, ticket, ResultCode::QueueFull, expectedWait(ticket, now));
             continue;
         }
         if (!isExpired && !mayStart(now)) {
@@ -311,8 +355,7 @@
         // Do not spend a slot on a call that would miss its deadline.
         bool wouldMissDeadline = !isExpired && now + serviceTime(ticket, now) > ticket.deadline;
         if (isExpired || wouldMissDeadline) {
-            changes.refused.push_back(
-                { ticket, isExpired ? ResultCode::DeadlineExceeded : ResultCode::WouldMissDeadline, Duration::zero() });
+            refuseTicket(changes, ticket, isExpired ? ResultCode::DeadlineExceeded : ResultCode::WouldMissDeadline);
             continue;
         }
         start(ticket, now);
--- a/dragonflylane/RankedAdmission.h
+++ b/dragonflylane/RankedAdmission.h
@@ -2,8 +2,9 @@
 
 // Admission control that orders calls by rank, for upstreams that call one another and run near their capacity.
 //
-// Order of service: route priority, then tickets (see CallTicket) that can still meet their target, then earliest
-// target first.
+// Order of service: priority of the tenant, priority of the route, nested calls before others, tickets (see CallTicket)
+// that can still meet their target before late ones, then the tenant that is owed the most service (TenantFairness),
+// and at last the earliest target. A nested call has the priorities of the call that its upstream is running.
 //
 // This avoids the following failure mode. Under load a parent call holds its slot while its nested calls are queued
 // behind new calls at the next service, so the slots of every service fill with parents that wait for one another.
@@ -12,10 +13,13 @@
 // Routes are ranked by priority and, at equal priority, by the time that their calls have until the target: a route
 // with much more time ranks lower, since its callers have more time to retry.
 //
+// Without tenants and nested calls, the order is thus priority, lateness and target.
+//
 // A ticket of the lowest rank is queued only if it is expected to finish by its target, with a margin for the variation
 // of service times. Under overload this keeps the queue as short as the targets allow: a call that cannot be served in
-// time is refused at once instead of taking a slot from one that can. A ticket of a higher rank waits only until a slot
-// is freed, and may finish after its target, since the parent call that waits for it has a target of its own.
+// time is refused at once instead of taking a slot from one that can. A nested call waits only until a slot is freed,
+// and may finish after its target, since the parent call that waits for it has a target of its own. While no nested
+// calls are seen, that holds for tickets of a higher rank, which are then likely to be nested.
 //
 // A ticket that can no longer meet its target is queued behind those that can, and is refused soon if they take all
 // slots.
@@ -24,6 +28,7 @@
 
 #include "dragonflylane/DrainWindow.h"
 #include "dragonflylane/ServiceTimeEstimate.h"
+#include "dragonflylane/TenantFairness.h"
 #include "dragonflylane/UpstreamRateLimiter.h"
 
 #include <unordered_map>
@@ -49,6 +54,7 @@
     bool orderByRank { true };
     bool refuseLate { true };
     bool reportsRateWait { true };
+    bool sharesBetweenTenants { true };
 };
 
 class RankedAdmission final : public Admission {
@@ -99,8 +105,14 @@
     void recordOffer(const CallTicket&, TimePoint now);
     /// True if some route in use has a lower rank than the route of the ticket.
     bool outranksActiveRoute(const CallTicket&, TimePoint now) const;
+    /// True if another call is likely to wait for this one, so that it is useful even after its target. Where no nested
+    /// calls are seen, as in meshes whose request ids don't show them, the rank of the route decides.
+    bool isAwaited(const CallTicket&, TimePoint now) const;
+    /// Sets the tags of a ticket that is about to be queued or started.
+    void charge(CallTicket&);
     void enqueue(const CallTicket&);
     void start(const CallTicket&, TimePoint now);
+    void refuseTicket(AdmissionChanges&, const CallTicket&, ResultCode, Duration expectedWait = {});
     void dispatchQueued(AdmissionChanges&, TimePoint now);
     void refuseAfterDrain(AdmissionChanges&, TimePoint now);
     void recordOutcome(const RunningCall&, CallOutcome, TimePoint now);
@@ -113,6 +125,9 @@
     UpstreamRateLimiter m_rateLimiter;
     /// By route key.
     std::unordered_map<uint64_t, Route> m_routes;
+    /// When a nested call was offered last.
+    TimePoint m_nestedOfferedAt;
+    TenantFairness m_fairness;
     DrainWindow m_drain;
     bool m_isLeaving { false };
 };
--- a/dragonflylane/RefusedCalls.cpp
+++ b/dragonflylane/RefusedCalls.cpp
@@ -5,24 +5,25 @@
 namespace dragonflylane {
 
 void RefusedCalls::recordRefusal(
-    Fingerprint fingerprint, TimePoint firstReceived, TimePoint callerDeadline, TimePoint now)
+    Fingerprint fingerprint, const EarlierAttempts& attempts, TimePoint callerDeadline, TimePoint now)
 {
     evict(now);
-    m_calls.emplace(fingerprint, Call { firstReceived, callerDeadline });
-    m_order.push_back({ fingerprint, firstReceived });
+    m_calls.emplace(fingerprint, Call { attempts, callerDeadline });
+    m_order.push_back({ fingerprint, attempts.firstReceived });
 }
 
-std::optional<TimePoint> RefusedCalls::matchRetry(Fingerprint fingerprint, TimePoint now)
+std::optional<EarlierAttempts> RefusedCalls::matchRetry(Fingerprint fingerprint, TimePoint now)
 {
     auto [begin, end] = m_calls.equal_range(fingerprint);
     // Of equal requests, the one received first is likely to be retried first.
-    auto found = std::min_element(begin, end,
-        [](const auto& left, const auto& right) { return left.second.firstReceived < right.second.firstReceived; });
+    auto found = std::min_element(begin, end, [](const auto& left, const auto& right) {
+        return left.second.attempts.firstReceived < right.second.attempts.firstReceived;
+    });
     if (found == end)
         return std::nullopt;
     Call call = found->second;
     m_calls.erase(found);
-    return call.deadline > now ? std::optional(call.firstReceived) : std::nullopt;
+    return call.deadline > now ? std::optional(call.attempts) : std::nullopt;
 }
 
 // Entries are removed from the front only, so one that expires earlier than those before it may be kept longer.
@@ -32,7 +33,7 @@
         const Refusal oldest = m_order.front();
         auto [begin, end] = m_calls.equal_range(oldest.fingerprint);
         auto found = std::find_if(
-            begin, end, [&](const auto& item) { return item.second.firstReceived == oldest.firstReceived; });
+            begin, end, [&](const auto& item) { return item.second.attempts.firstReceived == oldest.firstReceived; });
         bool isGone = found == end;
         bool isExpired = !isGone && found->second.deadline <= now;
         if (!isGone && !isExpired && m_order.size() < m_options.maxCalls)
--- a/dragonflylane/RefusedCalls.h
+++ b/dragonflylane/RefusedCalls.h
@@ -3,8 +3,8 @@
 // Recognises retries by callers whose earlier attempts were refused, at one entry daemon.
 //
 //     RefusedCalls refused(options);
-//     refused.recordRefusal(fingerprint, received, deadline, now);
-//     std::optional<TimePoint> first = refused.matchRetry(fingerprint, now);    // when its first attempt was received
+//     refused.recordRefusal(fingerprint, { .firstReceived = received, .refusals = 1 }, deadline, now);
+//     std::optional<EarlierAttempts> earlier = refused.matchRetry(fingerprint, now);
 //
 // Prevents the following failure mode. An overloaded service refuses half of its calls, and their callers retry. Each
 // retry looks like a new call with its whole target time left, so it is queued for longer than its caller will wait and
@@ -18,6 +18,7 @@
 #include "dragonflylane/Ids.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -28,6 +29,15 @@
     size_t maxCalls { 4096 };
 };
 
+/// The attempts of one caller that were refused.
+struct EarlierAttempts {
+    /// When the first attempt was received.
+    TimePoint firstReceived;
+    uint32_t refusals { 0 };
+
+    bool operator==(const EarlierAttempts&) const = default;
+};
+
 class RefusedCalls {
 public:
     explicit RefusedCalls(RefusedCallsOptions options = {})
@@ -36,15 +46,15 @@
     }
 
     /// Records that a call was refused with a request to retry later. The entry expires at the deadline of the caller.
-    void recordRefusal(Fingerprint, TimePoint firstReceived, TimePoint callerDeadline, TimePoint now);
-    /// If this request is a retry of a call that was refused here, returns when the first attempt of that call was
-    /// received and removes the entry.
-    std::optional<TimePoint> matchRetry(Fingerprint, TimePoint now);
+    void recordRefusal(Fingerprint, const EarlierAttempts&, TimePoint callerDeadline, TimePoint now);
+    /// If this request is a retry of a call that was refused here, returns the earlier attempts of that call and
+    /// removes the entry.
+    std::optional<EarlierAttempts> matchRetry(Fingerprint, TimePoint now);
     size_t size() const { return m_calls.size(); }
 
 private:
     struct Call {
-        TimePoint firstReceived;
+        EarlierAttempts attempts;
         TimePoint deadline;
     };
     struct Refusal {
--- a/dragonflylane/ResultCode.cpp
+++ b/dragonflylane/ResultCode.cpp
@@ -45,6 +45,8 @@
         { ResultCode::BodyMemoryFull, "body_memory_full", "The memory for request and answer bodies is used up." },
         { ResultCode::ApiKeyUnknown, "api_key_unknown", "The request has no API key of a tenant." },
         { ResultCode::AllotmentExceeded, "allotment_exceeded", "The tenant has used up its allotment of requests." },
+        { ResultCode::NestedCallsRefused, "nested_calls_refused",
+            "Services that this request would call have no capacity." },
         { ResultCode::OwnerLost, "owner_lost",
             "The connection to the owner daemon was lost after the request was sent." },
         { ResultCode::UpstreamLost, "upstream_lost", "The upstream closed the connection before it answered." },
--- a/dragonflylane/ResultCode.h
+++ b/dragonflylane/ResultCode.h
@@ -44,6 +44,7 @@
     BodyMemoryFull = 127,
     ApiKeyUnknown = 128,
     AllotmentExceeded = 129,
+    NestedCallsRefused = 130,
 
     // A call may or may not have run.
     OwnerLost = 201,
--- a/dragonflylane/RetryPolicy.cpp
+++ b/dragonflylane/RetryPolicy.cpp
@@ -130,4 +130,19 @@
     return code == ResultCode::QueueFull || code == ResultCode::WouldMissDeadline;
 }
 
+bool isLackOfCapacity(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::QueueFull:
+    case ResultCode::WouldMissDeadline:
+    case ResultCode::DeadlineExceeded:
+    case ResultCode::NestedCallsRefused:
+    case ResultCode::UpstreamShed:
+    case ResultCode::UpstreamTimeout:
+        return true;
+    default:
+        return false;
+    }
+}
+
 } // namespace dragonflylane
--- a/dragonflylane/RetryPolicy.h
+++ b/dragonflylane/RetryPolicy.h
@@ -103,4 +103,7 @@
 /// after other refusals they are not, since those depend on the owner and not on the load of the service.
 bool isCapacityRefusal(ResultCode);
 
+/// True if a call was refused for lack of capacity or not served in time.
+bool isLackOfCapacity(ResultCode);
+
 } // namespace dragonflylane
--- a/gen-cpp/peer_types.cpp
+++ b/gen-cpp/peer_types.cpp
@@ -530,6 +530,129 @@
 }
 
 
+ParentOfCall::~ParentOfCall() noexcept {
+}
+
+
+void ParentOfCall::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void ParentOfCall::__set_tenantPriority(const int32_t val) {
+  this->tenantPriority = val;
+}
+std::ostream& operator<<(std::ostream& out, const ParentOfCall& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ParentOfCall::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tenantPriority);
+          this->__isset.tenantPriority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ParentOfCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ParentOfCall");
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tenantPriority", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->tenantPriority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ParentOfCall &a, ParentOfCall &b) {
+  using ::std::swap;
+  swap(a.priority, b.priority);
+  swap(a.tenantPriority, b.tenantPriority);
+  swap(a.__isset, b.__isset);
+}
+
+ParentOfCall::ParentOfCall(const ParentOfCall& other16) noexcept {
+  priority = other16.priority;
+  tenantPriority = other16.tenantPriority;
+  __isset = other16.__isset;
+}
+ParentOfCall::ParentOfCall(ParentOfCall&& other17) noexcept {
+  priority = other17.priority;
+  tenantPriority = other17.tenantPriority;
+  __isset = other17.__isset;
+}
+ParentOfCall& ParentOfCall::operator=(const ParentOfCall& other18) noexcept {
+  priority = other18.priority;
+  tenantPriority = other18.tenantPriority;
+  __isset = other18.__isset;
+  return *this;
+}
+ParentOfCall& ParentOfCall::operator=(ParentOfCall&& other19) noexcept {
+  priority = other19.priority;
+  tenantPriority = other19.tenantPriority;
+  __isset = other19.__isset;
+  return *this;
+}
+void ParentOfCall::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ParentOfCall(";
+  out << "priority=" << to_string(priority);
+  out << ", " << "tenantPriority=" << to_string(tenantPriority);
+  out << ")";
+}
+
+
 ForwardRequest::~ForwardRequest() noexcept {
 }
 
@@ -628,6 +751,16 @@
   this->tenantPriority = val;
 __isset.tenantPriority = true;
 }
+
+void ForwardRequest::__set_parent(const ParentOfCall& val) {
+  this->parent = val;
+__isset.parent = true;
+}
+
+void ForwardRequest::__set_earlierRefusals(const int32_t val) {
+  this->earlierRefusals = val;
+__isset.earlierRefusals = true;
+}
 std::ostream& operator<<(std::ostream& out, const ForwardRequest& obj)
 {
   obj.printTo(out);
@@ -764,14 +897,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _etype19;
-            xfer += iprot->readListBegin(_etype19, _size16);
-            this->headers.resize(_size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->headers.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              xfer += this->headers[_i20].read(iprot);
+              xfer += this->headers[_i24].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -852,6 +985,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->parent.read(iprot);
+          this->__isset.parent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 26:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->earlierRefusals);
+          this->__isset.earlierRefusals = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -924,10 +1073,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter21;
-    for (_iter21 = this->headers.begin(); _iter21 != this->headers.end(); ++_iter21)
+    std::vector<Header> ::const_iterator _iter25;
+    for (_iter25 = this->headers.begin(); _iter25 != this->headers.end(); ++_iter25)
     {
-      xfer += (*_iter21).write(oprot);
+      xfer += (*_iter25).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -972,6 +1121,16 @@
     xfer += oprot->writeI32(this->tenantPriority);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.parent) {
+    xfer += oprot->writeFieldBegin("parent", ::apache::thrift::protocol::T_STRUCT, 25);
+    xfer += this->parent.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.earlierRefusals) {
+    xfer += oprot->writeFieldBegin("earlierRefusals", ::apache::thrift::protocol::T_I32, 26);
+    xfer += oprot->writeI32(this->earlierRefusals);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1002,113 +1161,123 @@
   swap(a.known, b.known);
   swap(a.tenant, b.tenant);
   swap(a.tenantPriority, b.tenantPriority);
+  swap(a.parent, b.parent);
+  swap(a.earlierRefusals, b.earlierRefusals);
   swap(a.__isset, b.__isset);
 }
 
-ForwardRequest::ForwardRequest(const ForwardRequest& other22) {
-  requestId = other22.requestId;
-  traceId = other22.traceId;
-  serviceName = other22.serviceName;
-  upstreamId = other22.upstreamId;
-  upstreamIncarnation = other22.upstreamIncarnation;
-  remainingMicroseconds = other22.remainingMicroseconds;
-  attempt = other22.attempt;
-  hops = other22.hops;
-  idempotent = other22.idempotent;
-  order = other22.order;
-  fingerprint = other22.fingerprint;
-  method = other22.method;
-  target = other22.target;
-  headers = other22.headers;
-  body = other22.body;
-  callerService = other22.callerService;
-  priority = other22.priority;
-  routeKey = other22.routeKey;
-  targetMicroseconds = other22.targetMicroseconds;
-  maxWaitMicroseconds = other22.maxWaitMicroseconds;
-  known = other22.known;
-  tenant = other22.tenant;
-  tenantPriority = other22.tenantPriority;
-  __isset = other22.__isset;
-}
-ForwardRequest::ForwardRequest(ForwardRequest&& other23) noexcept {
-  requestId = other23.requestId;
-  traceId = std::move(other23.traceId);
-  serviceName = std::move(other23.serviceName);
-  upstreamId = std::move(other23.upstreamId);
-  upstreamIncarnation = other23.upstreamIncarnation;
-  remainingMicroseconds = other23.remainingMicroseconds;
-  attempt = other23.attempt;
-  hops = other23.hops;
-  idempotent = other23.idempotent;
-  order = other23.order;
-  fingerprint = other23.fingerprint;
-  method = std::move(other23.method);
-  target = std::move(other23.target);
-  headers = std::move(other23.headers);
-  body = std::move(other23.body);
-  callerService = std::move(other23.callerService);
-  priority = other23.priority;
-  routeKey = other23.routeKey;
-  targetMicroseconds = other23.targetMicroseconds;
-  maxWaitMicroseconds = other23.maxWaitMicroseconds;
-  known = std::move(other23.known);
-  tenant = std::move(other23.tenant);
-  tenantPriority = other23.tenantPriority;
-  __isset = other23.__isset;
-}
-ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other24) {
-  requestId = other24.requestId;
-  traceId = other24.traceId;
-  serviceName = other24.serviceName;
-  upstreamId = other24.upstreamId;
-  upstreamIncarnation = other24.upstreamIncarnation;
-  remainingMicroseconds = other24.remainingMicroseconds;
-  attempt = other24.attempt;
-  hops = other24.hops;
-  idempotent = other24.idempotent;
-  order = other24.order;
-  fingerprint = other24.fingerprint;
-  method = other24.method;
-  target = other24.target;
-  headers = other24.headers;
-  body = other24.body;
-  callerService = other24.callerService;
-  priority = other24.priority;
-  routeKey = other24.routeKey;
-  targetMicroseconds = other24.targetMicroseconds;
-  maxWaitMicroseconds = other24.maxWaitMicroseconds;
-  known = other24.known;
-  tenant = other24.tenant;
-  tenantPriority = other24.tenantPriority;
-  __isset = other24.__isset;
+ForwardRequest::ForwardRequest(const ForwardRequest& other26) {
+  requestId = other26.requestId;
+  traceId = other26.traceId;
+  serviceName = other26.serviceName;
+  upstreamId = other26.upstreamId;
+  upstreamIncarnation = other26.upstreamIncarnation;
+  remainingMicroseconds = other26.remainingMicroseconds;
+  attempt = other26.attempt;
+  hops = other26.hops;
+  idempotent = other26.idempotent;
+  order = other26.order;
+  fingerprint = other26.fingerprint;
+  method = other26.method;
+  target = other26.target;
+  headers = other26.headers;
+  body = other26.body;
+  callerService = other26.callerService;
+  priority = other26.priority;
+  routeKey = other26.routeKey;
+  targetMicroseconds = other26.targetMicroseconds;
+  maxWaitMicroseconds = other26.maxWaitMicroseconds;
+  known = other26.known;
+  tenant = other26.tenant;
+  tenantPriority = other26.tenantPriority;
+  parent = other26.parent;
+  earlierRefusals = other26.earlierRefusals;
+  __isset = other26.__isset;
+}
+ForwardRequest::ForwardRequest(ForwardRequest&& other27) noexcept {
+  requestId = other27.requestId;
+  traceId = std::move(other27.traceId);
+  serviceName = std::move(other27.serviceName);
+  upstreamId = std::move(other27.upstreamId);
+  upstreamIncarnation = other27.upstreamIncarnation;
+  remainingMicroseconds = other27.remainingMicroseconds;
+  attempt = other27.attempt;
+  hops = other27.hops;
+  idempotent = other27.idempotent;
+  order = other27.order;
+  fingerprint = other27.fingerprint;
+  method = std::move(other27.method);
+  target = std::move(other27.target);
+  headers = std::move(other27.headers);
+  body = std::move(other27.body);
+  callerService = std::move(other27.callerService);
+  priority = other27.priority;
+  routeKey = other27.routeKey;
+  targetMicroseconds = other27.targetMicroseconds;
+  maxWaitMicroseconds = other27.maxWaitMicroseconds;
+  known = std::move(other27.known);
+  tenant = std::move(other27.tenant);
+  tenantPriority = other27.tenantPriority;
+  parent = std::move(other27.parent);
+  earlierRefusals = other27.earlierRefusals;
+  __isset = other27.__isset;
+}
+ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other28) {
+  requestId = other28.requestId;
+  traceId = other28.traceId;
+  serviceName = other28.serviceName;
+  upstreamId = other28.upstreamId;
+  upstreamIncarnation = other28.upstreamIncarnation;
+  remainingMicroseconds = other28.remainingMicroseconds;
+  attempt = other28.attempt;
+  hops = other28.hops;
+  idempotent = other28.idempotent;
+  order = other28.order;
+  fingerprint = other28.fingerprint;
+  method = other28.method;
+  target = other28.target;
+  headers = other28.headers;
+  body = other28.body;
+  callerService = other28.callerService;
+  priority = other28.priority;
+  routeKey = other28.routeKey;
+  targetMicroseconds = other28.targetMicroseconds;
+  maxWaitMicroseconds = other28.maxWaitMicroseconds;
+  known = other28.known;
+  tenant = other28.tenant;
+  tenantPriority = other28.tenantPriority;
+  parent = other28.parent;
+  earlierRefusals = other28.earlierRefusals;
+  __isset = other28.__isset;
   return *this;
 }
-ForwardRequest& ForwardRequest::operator=(ForwardRequest&& other25) noexcept {
-  requestId = other25.requestId;
-  traceId = std::move(other25.traceId);
-  serviceName = std::move(other25.serviceName);
-  upstreamId = std::move(other25.upstreamId);
-  upstreamIncarnation = other25.upstreamIncarnation;
-  remainingMicroseconds = other25.remainingMicroseconds;
-  attempt = other25.attempt;
-  hops = other25.hops;
-  idempotent = other25.idempotent;
-  order = other25.order;
-  fingerprint = other25.fingerprint;
-  method = std::move(other25.method);
-  target = std::move(other25.target);
-  headers = std::move(other25.headers);
-  body = std::move(other25.body);
-  callerService = std::move(other25.callerService);
-  priority = other25.priority;
-  routeKey = other25.routeKey;
-  targetMicroseconds = other25.targetMicroseconds;
-  maxWaitMicroseconds = other25.maxWaitMicroseconds;
-  known = std::move(other25.known);
-  tenant = std::move(other25.tenant);
-  tenantPriority = other25.tenantPriority;
-  __isset = other25.__isset;
+ForwardRequest& ForwardRequest::operator=(ForwardRequest&& other29) noexcept {
+  requestId = other29.requestId;
+  traceId = std::move(other29.traceId);
+  serviceName = std::move(other29.serviceName);
+  upstreamId = std::move(other29.upstreamId);
+  upstreamIncarnation = other29.upstreamIncarnation;
+  remainingMicroseconds = other29.remainingMicroseconds;
+  attempt = other29.attempt;
+  hops = other29.hops;
+  idempotent = other29.idempotent;
+  order = other29.order;
+  fingerprint = other29.fingerprint;
+  method = std::move(other29.method);
+  target = std::move(other29.target);
+  headers = std::move(other29.headers);
+  body = std::move(other29.body);
+  callerService = std::move(other29.callerService);
+  priority = other29.priority;
+  routeKey = other29.routeKey;
+  targetMicroseconds = other29.targetMicroseconds;
+  maxWaitMicroseconds = other29.maxWaitMicroseconds;
+  known = std::move(other29.known);
+  tenant = std::move(other29.tenant);
+  tenantPriority = other29.tenantPriority;
+  parent = std::move(other29.parent);
+  earlierRefusals = other29.earlierRefusals;
+  __isset = other29.__isset;
   return *this;
 }
 void ForwardRequest::printTo(std::ostream& out) const {
@@ -1137,6 +1306,8 @@
   out << ", " << "known="; (__isset.known ? (out << to_string(known)) : (out << "<null>"));
   out << ", " << "tenant="; (__isset.tenant ? (out << to_string(tenant)) : (out << "<null>"));
   out << ", " << "tenantPriority="; (__isset.tenantPriority ? (out << to_string(tenantPriority)) : (out << "<null>"));
+  out << ", " << "parent="; (__isset.parent ? (out << to_string(parent)) : (out << "<null>"));
+  out << ", " << "earlierRefusals="; (__isset.earlierRefusals ? (out << to_string(earlierRefusals)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1259,14 +1430,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->headers.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->headers.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += this->headers[_i30].read(iprot);
+              xfer += this->headers[_i34].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1387,10 +1558,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter31;
-    for (_iter31 = this->headers.begin(); _iter31 != this->headers.end(); ++_iter31)
+    std::vector<Header> ::const_iterator _iter35;
+    for (_iter35 = this->headers.begin(); _iter35 != this->headers.end(); ++_iter35)
     {
-      xfer += (*_iter31).write(oprot);
+      xfer += (*_iter35).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1463,74 +1634,74 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardResponse::ForwardResponse(const ForwardResponse& other32) {
-  requestId = other32.requestId;
-  code = other32.code;
-  status = other32.status;
-  headers = other32.headers;
-  body = other32.body;
-  running = other32.running;
-  queued = other32.queued;
-  limit = other32.limit;
-  serviceMicroseconds = other32.serviceMicroseconds;
-  retryAfterMicroseconds = other32.retryAfterMicroseconds;
-  heldMicroseconds = other32.heldMicroseconds;
-  statement = other32.statement;
-  slownessPercent = other32.slownessPercent;
-  paceLimit = other32.paceLimit;
-  __isset = other32.__isset;
-}
-ForwardResponse::ForwardResponse(ForwardResponse&& other33) noexcept {
-  requestId = other33.requestId;
-  code = other33.code;
-  status = other33.status;
-  headers = std::move(other33.headers);
-  body = std::move(other33.body);
-  running = other33.running;
-  queued = other33.queued;
-  limit = other33.limit;
-  serviceMicroseconds = other33.serviceMicroseconds;
-  retryAfterMicroseconds = other33.retryAfterMicroseconds;
-  heldMicroseconds = other33.heldMicroseconds;
-  statement = std::move(other33.statement);
-  slownessPercent = other33.slownessPercent;
-  paceLimit = other33.paceLimit;
-  __isset = other33.__isset;
-}
-ForwardResponse& ForwardResponse::operator=(const ForwardResponse& other34) {
-  requestId = other34.requestId;
-  code = other34.code;
-  status = other34.status;
-  headers = other34.headers;
-  body = other34.body;
-  running = other34.running;
-  queued = other34.queued;
-  limit = other34.limit;
-  serviceMicroseconds = other34.serviceMicroseconds;
-  retryAfterMicroseconds = other34.retryAfterMicroseconds;
-  heldMicroseconds = other34.heldMicroseconds;
-  statement = other34.statement;
-  slownessPercent = other34.slownessPercent;
-  paceLimit = other34.paceLimit;
-  __isset = other34.__isset;
+ForwardResponse::ForwardResponse(const ForwardResponse& other36) {
+  requestId = other36.requestId;
+  code = other36.code;
+  status = other36.status;
+  headers = other36.headers;
+  body = other36.body;
+  running = other36.running;
+  queued = other36.queued;
+  limit = other36.limit;
+  serviceMicroseconds = other36.serviceMicroseconds;
+  retryAfterMicroseconds = other36.retryAfterMicroseconds;
+  heldMicroseconds = other36.heldMicroseconds;
+  statement = other36.statement;
+  slownessPercent = other36.slownessPercent;
+  paceLimit = other36.paceLimit;
+  __isset = other36.__isset;
+}
+ForwardResponse::ForwardResponse(ForwardResponse&& other37) noexcept {
+  requestId = other37.requestId;
+  code = other37.code;
+  status = other37.status;
+  headers = std::move(other37.headers);
+  body = std::move(other37.body);
+  running = other37.running;
+  queued = other37.queued;
+  limit = other37.limit;
+  serviceMicroseconds = other37.serviceMicroseconds;
+  retryAfterMicroseconds = other37.retryAfterMicroseconds;
+  heldMicroseconds = other37.heldMicroseconds;
+  statement = std::move(other37.statement);
+  slownessPercent = other37.slownessPercent;
+  paceLimit = other37.paceLimit;
+  __isset = other37.__isset;
+}
+ForwardResponse& ForwardResponse::operator=(const ForwardResponse& other38) {
+  requestId = other38.requestId;
+  code = other38.code;
+  status = other38.status;
+  headers = other38.headers;
+  body = other38.body;
+  running = other38.running;
+  queued = other38.queued;
+  limit = other38.limit;
+  serviceMicroseconds = other38.serviceMicroseconds;
+  retryAfterMicroseconds = other38.retryAfterMicroseconds;
+  heldMicroseconds = other38.heldMicroseconds;
+  statement = other38.statement;
+  slownessPercent = other38.slownessPercent;
+  paceLimit = other38.paceLimit;
+  __isset = other38.__isset;
   return *this;
 }
-ForwardResponse& ForwardResponse::operator=(ForwardResponse&& other35) noexcept {
-  requestId = other35.requestId;
-  code = other35.code;
-  status = other35.status;
-  headers = std::move(other35.headers);
-  body = std::move(other35.body);
-  running = other35.running;
-  queued = other35.queued;
-  limit = other35.limit;
-  serviceMicroseconds = other35.serviceMicroseconds;
-  retryAfterMicroseconds = other35.retryAfterMicroseconds;
-  heldMicroseconds = other35.heldMicroseconds;
-  statement = std::move(other35.statement);
-  slownessPercent = other35.slownessPercent;
-  paceLimit = other35.paceLimit;
-  __isset = other35.__isset;
+ForwardResponse& ForwardResponse::operator=(ForwardResponse&& other39) noexcept {
+  requestId = other39.requestId;
+  code = other39.code;
+  status = other39.status;
+  headers = std::move(other39.headers);
+  body = std::move(other39.body);
+  running = other39.running;
+  queued = other39.queued;
+  limit = other39.limit;
+  serviceMicroseconds = other39.serviceMicroseconds;
+  retryAfterMicroseconds = other39.retryAfterMicroseconds;
+  heldMicroseconds = other39.heldMicroseconds;
+  statement = std::move(other39.statement);
+  slownessPercent = other39.slownessPercent;
+  paceLimit = other39.paceLimit;
+  __isset = other39.__isset;
   return *this;
 }
 void ForwardResponse::printTo(std::ostream& out) const {
@@ -1629,22 +1800,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardCancel::ForwardCancel(const ForwardCancel& other36) noexcept {
-  requestId = other36.requestId;
-  __isset = other36.__isset;
+ForwardCancel::ForwardCancel(const ForwardCancel& other40) noexcept {
+  requestId = other40.requestId;
+  __isset = other40.__isset;
 }
-ForwardCancel::ForwardCancel(ForwardCancel&& other37) noexcept {
-  requestId = other37.requestId;
-  __isset = other37.__isset;
+ForwardCancel::ForwardCancel(ForwardCancel&& other41) noexcept {
+  requestId = other41.requestId;
+  __isset = other41.__isset;
 }
-ForwardCancel& ForwardCancel::operator=(const ForwardCancel& other38) noexcept {
-  requestId = other38.requestId;
-  __isset = other38.__isset;
+ForwardCancel& ForwardCancel::operator=(const ForwardCancel& other42) noexcept {
+  requestId = other42.requestId;
+  __isset = other42.__isset;
   return *this;
 }
-ForwardCancel& ForwardCancel::operator=(ForwardCancel&& other39) noexcept {
-  requestId = other39.requestId;
-  __isset = other39.__isset;
+ForwardCancel& ForwardCancel::operator=(ForwardCancel&& other43) noexcept {
+  requestId = other43.requestId;
+  __isset = other43.__isset;
   return *this;
 }
 void ForwardCancel::printTo(std::ostream& out) const {
@@ -1762,14 +1933,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->headers.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->headers.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += this->headers[_i44].read(iprot);
+              xfer += this->headers[_i48].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1834,10 +2005,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter45;
-    for (_iter45 = this->headers.begin(); _iter45 != this->headers.end(); ++_iter45)
+    std::vector<Header> ::const_iterator _iter49;
+    for (_iter49 = this->headers.begin(); _iter49 != this->headers.end(); ++_iter49)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter49).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1869,50 +2040,50 @@
   swap(a.__isset, b.__isset);
 }
 
-CallTransfer::CallTransfer(const CallTransfer& other46) {
-  requestId = other46.requestId;
-  traceId = other46.traceId;
-  remainingMicroseconds = other46.remainingMicroseconds;
-  method = other46.method;
-  target = other46.target;
-  headers = other46.headers;
-  body = other46.body;
-  callerService = other46.callerService;
-  __isset = other46.__isset;
-}
-CallTransfer::CallTransfer(CallTransfer&& other47) noexcept {
-  requestId = other47.requestId;
-  traceId = std::move(other47.traceId);
-  remainingMicroseconds = other47.remainingMicroseconds;
-  method = std::move(other47.method);
-  target = std::move(other47.target);
-  headers = std::move(other47.headers);
-  body = std::move(other47.body);
-  callerService = std::move(other47.callerService);
-  __isset = other47.__isset;
-}
-CallTransfer& CallTransfer::operator=(const CallTransfer& other48) {
-  requestId = other48.requestId;
-  traceId = other48.traceId;
-  remainingMicroseconds = other48.remainingMicroseconds;
-  method = other48.method;
-  target = other48.target;
-  headers = other48.headers;
-  body = other48.body;
-  callerService = other48.callerService;
-  __isset = other48.__isset;
+CallTransfer::CallTransfer(const CallTransfer& other50) {
+  requestId = other50.requestId;
+  traceId = other50.traceId;
+  remainingMicroseconds = other50.remainingMicroseconds;
+  method = other50.method;
+  target = other50.target;
+  headers = other50.headers;
+  body = other50.body;
+  callerService = other50.callerService;
+  __isset = other50.__isset;
+}
+CallTransfer::CallTransfer(CallTransfer&& other51) noexcept {
+  requestId = other51.requestId;
+  traceId = std::move(other51.traceId);
+  remainingMicroseconds = other51.remainingMicroseconds;
+  method = std::move(other51.method);
+  target = std::move(other51.target);
+  headers = std::move(other51.headers);
+  body = std::move(other51.body);
+  callerService = std::move(other51.callerService);
+  __isset = other51.__isset;
+}
+CallTransfer& CallTransfer::operator=(const CallTransfer& other52) {
+  requestId = other52.requestId;
+  traceId = other52.traceId;
+  remainingMicroseconds = other52.remainingMicroseconds;
+  method = other52.method;
+  target = other52.target;
+  headers = other52.headers;
+  body = other52.body;
+  callerService = other52.callerService;
+  __isset = other52.__isset;
   return *this;
 }
-CallTransfer& CallTransfer::operator=(CallTransfer&& other49) noexcept {
-  requestId = other49.requestId;
-  traceId = std::move(other49.traceId);
-  remainingMicroseconds = other49.remainingMicroseconds;
-  method = std::move(other49.method);
-  target = std::move(other49.target);
-  headers = std::move(other49.headers);
-  body = std::move(other49.body);
-  callerService = std::move(other49.callerService);
-  __isset = other49.__isset;
+CallTransfer& CallTransfer::operator=(CallTransfer&& other53) noexcept {
+  requestId = other53.requestId;
+  traceId = std::move(other53.traceId);
+  remainingMicroseconds = other53.remainingMicroseconds;
+  method = std::move(other53.method);
+  target = std::move(other53.target);
+  headers = std::move(other53.headers);
+  body = std::move(other53.body);
+  callerService = std::move(other53.callerService);
+  __isset = other53.__isset;
   return *this;
 }
 void CallTransfer::printTo(std::ostream& out) const {
--- a/gen-cpp/peer_types.h
+++ b/gen-cpp/peer_types.h
@@ -29,6 +29,8 @@
 
 class UpstreamStatement;
 
+class ParentOfCall;
+
 class ForwardRequest;
 
 class ForwardResponse;
@@ -254,8 +256,60 @@
 
 std::ostream& operator<<(std::ostream& out, const UpstreamStatement& obj);
 
+typedef struct _ParentOfCall__isset {
+  _ParentOfCall__isset() : priority(false), tenantPriority(false) {}
+  bool priority :1;
+  bool tenantPriority :1;
+} _ParentOfCall__isset;
+
+class ParentOfCall : public virtual ::apache::thrift::TBase {
+ public:
+
+  ParentOfCall(const ParentOfCall&) noexcept;
+  ParentOfCall(ParentOfCall&&) noexcept;
+  ParentOfCall& operator=(const ParentOfCall&) noexcept;
+  ParentOfCall& operator=(ParentOfCall&&) noexcept;
+  ParentOfCall() noexcept
+               : priority(0),
+                 tenantPriority(0) {
+  }
+
+  virtual ~ParentOfCall() noexcept;
+  int32_t priority;
+  int32_t tenantPriority;
+
+  _ParentOfCall__isset __isset;
+
+  void __set_priority(const int32_t val);
+
+  void __set_tenantPriority(const int32_t val);
+
+  bool operator == (const ParentOfCall & rhs) const
+  {
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(tenantPriority == rhs.tenantPriority))
+      return false;
+    return true;
+  }
+  bool operator != (const ParentOfCall &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ParentOfCall & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ParentOfCall &a, ParentOfCall &b);
+
+std::ostream& operator<<(std::ostream& out, const ParentOfCall& obj);
+
 typedef struct _ForwardRequest__isset {
-  _ForwardRequest__isset() : requestId(false), traceId(false), serviceName(false), upstreamId(false), upstreamIncarnation(false), remainingMicroseconds(false), attempt(false), hops(false), idempotent(false), order(false), fingerprint(false), method(false), target(false), headers(false), body(false), callerService(false), priority(false), routeKey(false), targetMicroseconds(false), maxWaitMicroseconds(false), known(false), tenant(false), tenantPriority(false) {}
+  _ForwardRequest__isset() : requestId(false), traceId(false), serviceName(false), upstreamId(false), upstreamIncarnation(false), remainingMicroseconds(false), attempt(false), hops(false), idempotent(false), order(false), fingerprint(false), method(false), target(false), headers(false), body(false), callerService(false), priority(false), routeKey(false), targetMicroseconds(false), maxWaitMicroseconds(false), known(false), tenant(false), tenantPriority(false), parent(false), earlierRefusals(false) {}
   bool requestId :1;
   bool traceId :1;
   bool serviceName :1;
@@ -279,6 +333,8 @@
   bool known :1;
   bool tenant :1;
   bool tenantPriority :1;
+  bool parent :1;
+  bool earlierRefusals :1;
 } _ForwardRequest__isset;
 
 class ForwardRequest : public virtual ::apache::thrift::TBase {
@@ -309,7 +365,8 @@
                    targetMicroseconds(0),
                    maxWaitMicroseconds(0),
                    tenant(),
-                   tenantPriority(0) {
+                   tenantPriority(0),
+                   earlierRefusals(0) {
   }
 
   virtual ~ForwardRequest() noexcept;
@@ -336,6 +393,8 @@
   UpstreamStatement known;
   std::string tenant;
   int32_t tenantPriority;
+  ParentOfCall parent;
+  int32_t earlierRefusals;
 
   _ForwardRequest__isset __isset;
 
@@ -385,6 +444,10 @@
 
   void __set_tenantPriority(const int32_t val);
 
+  void __set_parent(const ParentOfCall& val);
+
+  void __set_earlierRefusals(const int32_t val);
+
   bool operator == (const ForwardRequest & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -439,6 +502,14 @@
       return false;
     else if (__isset.tenantPriority && !(tenantPriority == rhs.tenantPriority))
       return false;
+    if (__isset.parent != rhs.__isset.parent)
+      return false;
+    else if (__isset.parent && !(parent == rhs.parent))
+      return false;
+    if (__isset.earlierRefusals != rhs.__isset.earlierRefusals)
+      return false;
+    else if (__isset.earlierRefusals && !(earlierRefusals == rhs.earlierRefusals))
+      return false;
     return true;
   }
   bool operator != (const ForwardRequest &rhs) const {
--- a/tests/OwnerTaskTest.cpp
+++ b/tests/OwnerTaskTest.cpp
@@ -441,4 +441,29 @@
     EXPECT_EQ(fixture.upstream().arrivals().size(), slots);
 }
 
+// Load: the nested calls of a route are refused elsewhere. Guards against parents that run although their nested calls
+// find no capacity, and against refusing nested calls of work that is running already.
+TEST(OwnerTaskTest, RefusesOnlyNewParentsWhileNestedCallsFindNoCapacity)
+{
+    OwnerFixture fixture;
+    fixture.announce();
+    constexpr uint64_t routeKey = 7;
+    for (int i = 0; i < 8; ++i)
+        fixture.owner().nestedCallRefused({ .routeKey = routeKey, .startedAt = BootClock::now() });
+    wire::ForwardRequest parent = fixture.makeRequest();
+    parent.routeKey = routeKey;
+    fixture.call(parent);
+    EXPECT_EQ(fixture.count(ResultCode::NestedCallsRefused), 1U);
+    wire::ForwardRequest nested = fixture.makeRequest();
+    nested.routeKey = routeKey;
+    nested.__set_parent({});
+    fixture.call(nested);
+    wire::ForwardRequest otherRoute = fixture.makeRequest();
+    otherRoute.routeKey = routeKey + 1;
+    fixture.call(otherRoute);
+    fixture.runFor(milliseconds(500));
+    EXPECT_EQ(fixture.count(ResultCode::Ok), 2U);
+    EXPECT_EQ(fixture.count(ResultCode::NestedCallsRefused), 1U);
+}
+
 } // namespace dragonflylane
--- a/tests/RankedAdmissionTest.cpp
+++ b/tests/RankedAdmissionTest.cpp
@@ -239,8 +239,113 @@
         return static_cast<double>(inTime) / static_cast<double>(callers);
     }
 
+    /// Served shares while one tenant sends much more than the others.
+    struct TenantShares {
+        double quiet { 0 };
+        double busy { 0 };
+    };
+
+    /// Offers calls of 20 tenants that together need half of the capacity of 12 slots, and of one tenant that alone
+    /// needs 1.5 times the capacity.
+    TenantShares runWithBusyTenant(bool sharesBetweenTenants)
+    {
+        constexpr Duration service = milliseconds(60);
+        constexpr uint64_t quietTenants = 20;
+        constexpr uint64_t busyTenant = quietTenants + 1;
+        RankedAdmission admission({ .slots = 12, .sharesBetweenTenants = sharesBetweenTenants });
+        Timeline timeline(start);
+        std::mt19937_64 random(1);
+        std::map<bool, double> offered;
+        std::map<bool, double> inTime;
+        uint64_t nextId = 1;
+        std::function<void(const CallTicket&)> begin = [&](const CallTicket& started) {
+            timeline.at(timeline.now() + jittered(service, random), [&, started] {
+                inTime[started.tenantKey == busyTenant] += timeline.now() <= started.target ? 1 : 0;
+                for (const CallTicket& next :
+                    admission.finished(started.id, CallOutcome::Success, timeline.now()).dispatched)
+                    begin(next);
+            });
+        };
+        for (Duration t {}; t < seconds(20); t += service / 24) {
+            timeline.at(start + t, [&] {
+                CallTicket call = ticket(nextId++, timeline.now(), milliseconds(200), milliseconds(800));
+                call.tenantKey = call.id % 4 == 0 ? 1 + call.id / 4 % quietTenants : busyTenant;
+                offered[call.tenantKey == busyTenant] += 1;
+                if (admission.offer(call, timeline.now()).action == AdmitAction::Admit)
+                    begin(call);
+            });
+        }
+        timeline.run(start + seconds(20));
+        return { .quiet = inTime[false] / offered[false], .busy = inTime[true] / offered[true] };
+    }
+
 } // namespace
 
+// Guards against a tenant that starves the others by sending more than all of them, and against one that gets nothing
+// for having sent more than its share: the capacity that the others leave is a third of what it sends.
+TEST(RankedAdmissionTest, BusyTenantGetsWhatTheOthersLeave)
+{
+    TenantShares fair = runWithBusyTenant(true);
+    EXPECT_GT(fair.quiet, 0.95);
+    EXPECT_GT(fair.busy, 0.28);
+    EXPECT_LT(runWithBusyTenant(false).quiet, 0.6);
+}
+
+// Load: a full upstream with a queue of calls of each kind.
+TEST(RankedAdmissionTest, QueueIsOrderedByTenantThenRouteThenNesting)
+{
+    RankedAdmission admission({ .slots = 1 });
+    ASSERT_EQ(admission.offer(ticket(1, start, seconds(1), seconds(5)), start).action, AdmitAction::Admit);
+    auto offer = [&](uint64_t id, uint32_t tenantPriority, uint32_t priority, bool isNested) {
+        CallTicket call = ticket(id, start, seconds(1), seconds(5), priority);
+        call.tenantPriority = tenantPriority;
+        call.isNested = isNested;
+        ASSERT_EQ(admission.offer(call, start).action, AdmitAction::Queue);
+    };
+    offer(2, 1, 0, true);
+    offer(3, 0, 2, false);
+    offer(4, 0, 1, false);
+    offer(5, 0, 1, true);
+    for (uint64_t running : { 1, 5, 4, 3 }) {
+        AdmissionChanges changes = admission.finished(running, CallOutcome::Success, start + milliseconds(10));
+        ASSERT_EQ(changes.dispatched.size(), 1U);
+        uint64_t next = running == 1 ? 5 : running - 1;
+        EXPECT_EQ(changes.dispatched[0].id, next);
+    }
+}
+
+// Guards against a queue of urgent first calls that are served late, beside nested calls of less urgent parents.
+TEST(RankedAdmissionTest, UrgentFirstCallIsLimitedByItsTargetBesideNestedCalls)
+{
+    for (bool hasNestedCalls : { true, false }) {
+        RankedAdmission admission({ .slots = 1 });
+        ASSERT_EQ(admission.offer(ticket(1, start, seconds(1), seconds(5), 0), start).action, AdmitAction::Admit);
+        TimePoint now = start + milliseconds(100);
+        admission.finished(1, CallOutcome::Success, now);
+        ASSERT_EQ(admission.offer(ticket(2, now, seconds(1), seconds(5), 0), now).action, AdmitAction::Admit);
+        CallTicket other = ticket(3, now, seconds(1), seconds(5), 1);
+        other.isNested = hasNestedCalls;
+        ASSERT_EQ(admission.offer(other, now).action, AdmitAction::Queue);
+        AdmitDecision urgent = admission.offer(ticket(4, now, milliseconds(150), seconds(5), 0), now);
+        EXPECT_EQ(urgent.action, hasNestedCalls ? AdmitAction::Refuse : AdmitAction::Queue);
+    }
+}
+
+// A parent that has done its work waits for its nested call, so that is useful after its own target.
+TEST(RankedAdmissionTest, NestedCallMayWaitBeyondItsTarget)
+{
+    for (bool isNested : { true, false }) {
+        RankedAdmission admission({ .slots = 1 });
+        ASSERT_EQ(admission.offer(ticket(1, start, seconds(1), seconds(5)), start).action, AdmitAction::Admit);
+        TimePoint now = start + milliseconds(100);
+        admission.finished(1, CallOutcome::Success, now);
+        ASSERT_EQ(admission.offer(ticket(2, now, seconds(1), seconds(5)), now).action, AdmitAction::Admit);
+        CallTicket call = ticket(3, now, milliseconds(150), milliseconds(800));
+        call.isNested = isNested;
+        EXPECT_EQ(admission.offer(call, now).action, isNested ? AdmitAction::Queue : AdmitAction::Refuse);
+    }
+}
+
 // Guards against a congestion collapse in which parents hold their slots while their nested calls are queued behind new
 // calls at the next service: without ranks, a service far below its capacity serves few calls in time.
 TEST(RankedAdmissionTest, NestedCallsPrecedeNewCalls)
--- a/wire/peer.thrift
+++ b/wire/peer.thrift
@@ -26,6 +26,13 @@
   3: bool leaving
 }
 
+// The running call of an upstream that makes a nested call.
+struct ParentOfCall {
+  // Priority of its route.
+  1: i32 priority
+  2: i32 tenantPriority
+}
+
 struct ForwardRequest {
   1: i64 requestId
   2: string traceId
@@ -52,6 +59,10 @@
   // Tenant whose key the caller presented. Not set: calls of upstreams, and meshes without tenants.
   22: optional string tenant
   23: optional i32 tenantPriority
+  // Not set: not a nested call.
+  25: optional ParentOfCall parent
+  // How often the caller was refused before. Not set: never.
+  26: optional i32 earlierRefusals
 }
 
 struct ForwardResponse {
