--- a/dragonflylane/AttemptOutcome.cpp
+++ b/dragonflylane/AttemptOutcome.cpp
@@ -30,6 +30,7 @@
         return SelectionOutcome::Unavailable;
     case ResultCode::DeadlineExceeded:
     case ResultCode::RequestQuarantined:
+    case ResultCode::NestedCallsRefused:
     case ResultCode::CallerGone:
         return SelectionOutcome::Ignored;
     default:
--- a/dragonflylane/EntryCall.h
+++ b/dragonflylane/EntryCall.h
@@ -4,6 +4,7 @@
 
 #include "dragonflylane/CallHeaders.h"
 #include "dragonflylane/HttpExchange.h"
+#include "dragonflylane/ParentCall.h"
 #include "dragonflylane/PeerHub.h"
 #include "dragonflylane/RolloutRecorder.h"
 #include "dragonflylane/RoutingTable.h"
@@ -58,6 +59,10 @@
     /// The call was made by an upstream for a call that it is running, so it is part of that call.
     bool isNested { false };
     bool isPublicRoute { false };
+    /// The call that the upstream of this host was running when it made this one; empty if this is not a nested call.
+    std::optional<ParentCall> parent;
+    /// How often this daemon has refused the caller's earlier attempts.
+    uint32_t earlierRefusals { 0 };
     /// Hash of the route's name. Service times are estimated per route, since requests of one route take about the same
     /// time.
     uint64_t routeKey { 0 };
--- a/dragonflylane/EntryServiceState.cpp
+++ b/dragonflylane/EntryServiceState.cpp
@@ -3,6 +3,7 @@
 #include "dragonflylane/Digest.h"
 
 #include <algorithm>
+#include <random>
 
 namespace dragonflylane {
 
@@ -31,6 +32,12 @@
         return choice;
     }
 
+    std::function<double()> randomFraction(uint64_t seed)
+    {
+        return
+            [engine = std::mt19937_64(seed)]() mutable { return std::uniform_real_distribution<double>(0, 1)(engine); };
+    }
+
 } // namespace
 
 EntryServiceState::EntryServiceState(const EntryServiceStateOptions& options, TimePoint now)
@@ -41,6 +48,7 @@
         .spillLoad = options.spillLoad })
     , m_selector(m_selectorOptions)
     , m_policy({ .budget = options.retryBudget, .seed = options.seed }, now)
+    , m_retryAfter({ .random = randomFraction(options.seed) })
 {
 }
 
--- a/dragonflylane/EntryServiceState.h
+++ b/dragonflylane/EntryServiceState.h
@@ -1,12 +1,13 @@
 #pragma once
 
 // State that an entry daemon keeps for each service that it calls: the candidate upstreams, the retry budget, the
-// success rate of redirects, and the network delay to owner daemons.
+// success rate of redirects, the schedule of retries by callers, and the network delay to owner daemons.
 //
 // While a roll-out is running or after it was rolled back, the upstreams of its target version and those of the other
 // versions have selectors of their own: a subset that is chosen from all of them could leave out one of the two.
 
 #include "dragonflylane/RedirectSuccessRate.h"
+#include "dragonflylane/RetryAfterPolicy.h"
 #include "dragonflylane/RetryPolicy.h"
 #include "dragonflylane/RoutingTable.h"
 #include "dragonflylane/ServiceTimeEstimate.h"
@@ -70,6 +71,7 @@
 
     RetryPolicy& policy() { return m_policy; }
     RedirectSuccessRate& redirectSuccessRate() { return m_redirectSuccessRate; }
+    RetryAfterPolicy& retryAfter() { return m_retryAfter; }
     /// Records the network delay of a call to another host: its total latency less the time that the owner daemon
     /// reported to have held it.
     void recordNetworkDelay(Duration total, Duration heldByOwner, TimePoint now);
@@ -99,6 +101,7 @@
     bool m_hasOtherVersions { false };
     RetryPolicy m_policy;
     RedirectSuccessRate m_redirectSuccessRate;
+    RetryAfterPolicy m_retryAfter;
     ServiceTimeEstimate m_networkDelay;
     std::shared_ptr<const ServiceEntry> m_service;
     std::map<UpstreamId, ReadyUpstream> m_readyUpstreams;
