--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -60,7 +60,6 @@
 
 namespace {
 
-    constexpr unsigned firstServerError = 500;
     constexpr unsigned statusServiceUnavailable = 503;
     constexpr unsigned firstServerError = 500;
     constexpr std::chrono::milliseconds probeTimeout { 200 };
