Build the request to an upstream beside the frames it is made from

OwnerTask had grown; its conversion of a forwarded request needs none of its state and moves to ForwardWire as takeUpstreamRequest(), where a test shows that the upstream gets the tenant's name, or no tenant header.

--- a/dragonflylane/ForwardWire.cpp
+++ b/dragonflylane/ForwardWire.cpp
@@ -154,6 +154,26 @@
     return request;
 }
 
+HttpRequest takeUpstreamRequest(wire::ForwardRequest& request, const CallHeaderNames& names, Duration remaining)
+{
+    HttpRequest http { .method = request.method, .target = request.target };
+    http.headers = fromWire(request.headers);
+    auto add = [&](const std::string& name, std::string value) {
+        if (!name.empty() && !value.empty())
+            http.headers.push_back({ name, std::move(value) });
+    };
+    auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
+    add(names.deadline, std::to_string(std::max<int64_t>(milliseconds, 1)));
+    add(names.hops, std::to_string(request.hops));
+    if (http.header(names.requestId).empty())
+        add(names.requestId, request.traceId);
+    add(names.caller, request.callerService);
+    add(names.tenant, request.tenant);
+    add(names.expectedUpstream, request.upstreamId);
+    http.body = std::move(request.body);
+    return http;
+}
+
 std::vector<wire::Header> toAnswerHeaders(
     const HttpResponse& answer, const CallHeaderNames& names, std::string_view requestId)
 {
--- a/dragonflylane/ForwardWire.h
+++ b/dragonflylane/ForwardWire.h
@@ -32,6 +32,9 @@
 
 wire::ForwardRequest makeForwardRequest(
     const EntryCall&, const CallHeaderNames&, uint64_t attemptId, const UpstreamEntry&, TimePoint now);
+/// The request as the owner daemon sends it to the upstream, with the time that remains until its deadline. Moves the
+/// body out of the message.
+HttpRequest takeUpstreamRequest(wire::ForwardRequest&, const CallHeaderNames&, Duration remaining);
 /// Selects the response headers that are sent to the entry daemon. Leaves out the request id and the length of the
 /// body, which the entry daemon restores, and the load header and hop-by-hop headers, which the caller does not need.
 std::vector<wire::Header> toAnswerHeaders(const HttpResponse&, const CallHeaderNames&, std::string_view requestId);
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -471,7 +471,7 @@
             .routeKey = static_cast<uint64_t>(call->request.routeKey) };
         m_responseDelay.started(call->id, ticket.routeKey, m_admission->serviceTime(ticket, call->sentAt));
     }
-    HttpRequest request = toHttp(call->request, call->deadline - call->sentAt);
+    HttpRequest request = takeUpstreamRequest(call->request, m_options.headerNames, call->deadline - call->sentAt);
     std::weak_ptr<Call> weak = call;
     call->cancel = m_client->send(
         std::move(request), call->request.idempotent, call->deadline, [this, weak](UpstreamResult result) {
@@ -480,27 +480,6 @@
         });
 }
 
-HttpRequest OwnerTask::toHttp(wire::ForwardRequest& request, Duration remaining) const
-{
-    const CallHeaderNames& names = m_options.headerNames;
-    HttpRequest http { .method = request.method, .target = request.target };
-    http.headers = fromWire(request.headers);
-    auto add = [&](const std::string& name, std::string value) {
-        if (!name.empty() && !value.empty())
-            http.headers.push_back({ name, std::move(value) });
-    };
-    auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
-    add(names.deadline, std::to_string(std::max<int64_t>(milliseconds, 1)));
-    add(names.hops, std::to_string(request.hops));
-    if (http.header(names.requestId).empty())
-        add(names.requestId, request.traceId);
-    add(names.caller, request.callerService);
-    add(names.tenant, request.tenant);
-    add(names.expectedUpstream, request.upstreamId);
-    http.body = std::move(request.body);
-    return http;
-}
-
 // An upstream states by status 421 or by the notRun header that it did not run the request. Ignored unless the
 // configuration names that header.
 bool OwnerTask::statesNotRun(const HttpResponse& response) const
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -170,7 +170,6 @@
     bool statesNotRun(const HttpResponse&) const;
     void recordStatements(const HttpResponse&, TimePoint now);
     void applyStatements(const StatementChange&, TimePoint now);
-    HttpRequest toHttp(wire::ForwardRequest&, Duration remaining) const;
     void startIncarnation(const Announcement&);
     void raiseIncarnation();
     Incarnation minIncarnation() const;
--- a/tests/ForwardWireTest.cpp
+++ b/tests/ForwardWireTest.cpp
@@ -114,6 +114,18 @@
     EXPECT_EQ(request.tenantPriority, 2);
 }
 
+TEST(ForwardWireTest, UpstreamGetsTheNameOfTheTenant)
+{
+    EntryCall call = makeCall(routingTable(true));
+    wire::ForwardRequest message = makeForwardRequest(call, names(), 1, {}, TimePoint());
+    HttpRequest request = takeUpstreamRequest(message, names(), std::chrono::seconds(1));
+    EXPECT_EQ(request.header("Dragonflylane-Tenant"), "north");
+    call.tenant = {};
+    message = makeForwardRequest(call, names(), 1, {}, TimePoint());
+    request = takeUpstreamRequest(message, names(), std::chrono::seconds(1));
+    EXPECT_EQ(request.header("Dragonflylane-Tenant"), "");
+}
+
 // A mesh that requires no API keys does not know what the header is for, so it reaches the upstream.
 TEST(ForwardWireTest, CredentialsAreSentOnInAMeshWithoutApiKeys)
 {
