--- a/dragonflylane/WarmupPace.cpp
+++ b/dragonflylane/WarmupPace.cpp
@@ -96,7 +96,7 @@
     return PaceChange::Halved;
 }
 
-const char* name(PaceChange change)
+std::string_view name(PaceChange change)
 {
     switch (change) {
     case PaceChange::None:
--- a/dragonflylane/WarmupPace.h
+++ b/dragonflylane/WarmupPace.h
@@ -25,6 +25,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 
 namespace dragonflylane {
 
@@ -97,6 +98,6 @@
 };
 
 /// Name for logs, such as "doubled".
-const char* name(PaceChange);
+std::string_view name(PaceChange);
 
 } // namespace dragonflylane
