Read the diff of the roll-outs once more

The linter found callbacks that were copied; the answer that another daemon leads stood three times.

Measured: RolloutProcessTest (1), RolloutDeciderTest (7) and PlatformTest (14) pass.

--- a/dragonflylane/ApiTask.cpp
+++ b/dragonflylane/ApiTask.cpp
@@ -91,6 +91,15 @@
         return isVersionValid && isValidName(announcement.id.value()) && isValidName(announcement.service.value());
     }
 
+    // Answers that another daemon leads, with its API address if it is known.
+    template <typename Answer>
+    std::function<void(std::optional<Endpoint>)> answerNotLeader(std::function<void(Answer)> callback)
+    {
+        return [callback = std::move(callback)](const std::optional<Endpoint>& leader) {
+            callback({ .code = ResultCode::NotLeader, .leader = leader });
+        };
+    }
+
     // Takes the upstreams from the membership rather than the routing table: the latter lists upstreams of configured
     // services only, and a plan may add a service that upstreams already announce.
     FleetView fleetView(const ApiParts& parts)
@@ -347,30 +356,22 @@
     hooks.isReady = m_parts.isReady;
     hooks.announce = [this](const Announcement& announcement) { m_parts.owner.announce(announcement); };
     hooks.withdraw = [this](const UpstreamId& id, uint64_t startedAt) { m_parts.owner.withdraw(id, startedAt); };
-    hooks.replaceConfiguration = [this](ReplaceCommand command, ReplaceCallback callback) {
+    hooks.replaceConfiguration = [this](ReplaceCommand command, const ReplaceCallback& callback) {
         if (command.operatorName.isEmpty())
             command.operatorName = OperatorName(trustedOperator);
         auto sharedCommand = std::make_shared<ReplaceCommand>(std::move(command));
         runAtLeader([this, sharedCommand, callback] { replaceConfiguration(*sharedCommand, callback); },
-            [callback](const std::optional<Endpoint>& leader) {
-                callback({ .code = ResultCode::NotLeader, .leader = leader });
-            });
+            answerNotLeader(callback));
     };
-    hooks.startRollout = [this](StartRolloutCommand command, RolloutCallback callback) {
+    hooks.startRollout = [this](StartRolloutCommand command, const RolloutCallback& callback) {
         if (command.operatorName.isEmpty())
             command.operatorName = OperatorName(trustedOperator);
-        runAtLeader([this, command, callback] { startRollout(command, callback); },
-            [callback](const std::optional<Endpoint>& leader) {
-                callback({ .code = ResultCode::NotLeader, .leader = leader });
-            });
+        runAtLeader([this, command, callback] { startRollout(command, callback); }, answerNotLeader(callback));
     };
-    hooks.readRollout = [this](const ServiceName& service, RolloutCallback callback) {
+    hooks.readRollout = [this](const ServiceName& service, const RolloutCallback& callback) {
         if (m_parts.log && m_parts.log->isCurrent(BootClock::now()))
             return readRollout(service, callback);
-        runAtLeader([this, service, callback] { readRollout(service, callback); },
-            [callback](const std::optional<Endpoint>& leader) {
-                callback({ .code = ResultCode::NotLeader, .leader = leader });
-            });
+        runAtLeader([this, service, callback] { readRollout(service, callback); }, answerNotLeader(callback));
     };
     hooks.readDocument
         = [this](const DocumentCallback& callback) { readDocument(callback, BootClock::now() + leaderLookupTimeout); };
--- a/tests/RolloutDeciderTest.cpp
+++ b/tests/RolloutDeciderTest.cpp
@@ -153,8 +153,7 @@
         Scenario scenario;
     };
 
-    // Trouble of single hosts makes a few answers of every version slow or failed; `x` of both versions from 7 s to 9
-    // s.
+    // Rate of bad answers of a version; a data centre has trouble from 7 s to 9 s.
     BadRate sharedTrouble(double usually, double meanwhile)
     {
         return [=](Duration elapsed, uint32_t) {
