Say that an allotment is used up only if nothing is left

A tenant whose callers sent 60 requests at once to two daemons was served 4 of the 10 in its limit: the leader called the allotment used up as soon as the demand was above it, though some was left. It now says so only if nothing is left. The divider also follows the leadership while no tenant has a limit, so that it knows a tenant that gets its first limit as new, and a daemon counts the leader as lost only from its first unanswered report on.

--- a/dragonflylane/QuotaDivider.cpp
+++ b/dragonflylane/QuotaDivider.cpp
@@ -308,7 +308,7 @@
     holding.granted = std::max(allowance, holding.granted);
     tenant.committed += holding.committed();
     Duration retryAfter = allowance < wished ? Duration(returnTime) : Duration::zero();
-    if (tenant.isOverLimit())
+    if (tenant.isOverLimit() && available(tenant, now) == 0)
         retryAfter = excessTime(tenant);
     return { .tenant = name, .allowance = allowance, .retryAfter = retryAfter };
 }
--- a/dragonflylane/QuotaMessages.h
+++ b/dragonflylane/QuotaMessages.h
@@ -39,7 +39,7 @@
 struct QuotaAllowance {
     TenantName tenant;
     uint32_t allowance { 0 };
-    /// Not zero: the tenant asks for more than its allotment, or nothing is left.
+    /// Not zero: nothing is left for now.
     Duration retryAfter { 0 };
 };
 
--- a/dragonflylane/QuotaShare.cpp
+++ b/dragonflylane/QuotaShare.cpp
@@ -26,7 +26,7 @@
     constexpr std::chrono::milliseconds shortRefusalLifetime { 50 };
     constexpr std::chrono::seconds leaderSilence { 3 };
     constexpr std::chrono::milliseconds minRetryAfter { 100 };
-    constexpr uint32_t recentPart = 5;
+    constexpr int64_t recentPart = 5;
     // Smaller changes of the figures wait for the next complete report.
     constexpr uint32_t minReportedChange = 2;
     constexpr uint32_t reportedChangePercent = 10;
@@ -42,7 +42,7 @@
     uint32_t presentDemand(WindowCount& demand, TimePoint now)
     {
         uint32_t total = demand.total(now);
-        uint32_t extrapolated = demand.recent(now, recentPart) * recentPart;
+        uint32_t extrapolated = demand.recent(now, recentPart) * static_cast<uint32_t>(recentPart);
         return (total + extrapolated + 1) / 2;
     }
 
@@ -59,7 +59,6 @@
 
 QuotaShare::QuotaShare(QuotaShareOptions options)
     : m_options(std::move(options))
-    , m_answeredAt(m_options.startedAt)
 {
 }
 
@@ -109,15 +108,14 @@
         return QuotaVerdict::Exceeded;
     ++tenant.waiting;
     m_isUrgent = true;
-    bool isLeaderLost = now - m_answeredAt > leaderSilence;
-    return isLeaderLost ? finalVerdict(name, now) : QuotaVerdict::Pending;
+    return isLeaderLost(now) ? finalVerdict(name, now) : QuotaVerdict::Pending;
 }
 
 QuotaVerdict QuotaShare::finalVerdict(const TenantName& name, TimePoint now) const
 {
     auto it = m_tenants.find(name);
     bool holdsSome = it != m_tenants.end() && allowanceOf(it->second, now) > 0;
-    bool isLeaderKnown = now - m_answeredAt <= leaderSilence && it != m_tenants.end() && now < m_leaseEnd;
+    bool isLeaderKnown = !isLeaderLost(now) && now < m_leaseEnd;
     return holdsSome || isLeaderKnown ? QuotaVerdict::Exceeded : QuotaVerdict::Unavailable;
 }
 
@@ -166,6 +164,8 @@
         m_completeAt = now;
     m_needsComplete = false;
     m_isUrgent = false;
+    if (m_isAnswered)
+        m_unansweredSince = now;
     m_isAnswered = false;
     m_sentAt = now;
     m_number = m_number.next();
@@ -188,7 +188,6 @@
         return false;
     m_term = grant.term;
     m_isAnswered = true;
-    m_answeredAt = now;
     // Requests that still wait are counted again when they try again, as they do now.
     m_isUrgent = false;
     for (auto& [name, tenant] : m_tenants)
@@ -232,6 +231,11 @@
     return now < m_leaseEnd ? tenant.allowance : 0;
 }
 
+bool QuotaShare::isLeaderLost(TimePoint now) const
+{
+    return !m_isAnswered && now - m_unansweredSince > leaderSilence;
+}
+
 bool QuotaShare::hasRoom(Tenant& tenant, TimePoint now) const
 {
     return tenant.spends.total(now) < allowanceOf(tenant, now);
--- a/dragonflylane/QuotaShare.h
+++ b/dragonflylane/QuotaShare.h
@@ -105,6 +105,7 @@
 
     void lowerAllowance(Tenant&, uint32_t limit);
     uint32_t allowanceOf(const Tenant&, TimePoint now) const;
+    bool isLeaderLost(TimePoint now) const;
     bool hasRoom(Tenant&, TimePoint now) const;
     bool wasRefusedByLeader(const Tenant&, TimePoint now) const;
     QuotaDemand figuresOf(const TenantName&, Tenant&, TimePoint now) const;
@@ -118,7 +119,8 @@
     TimePoint m_checkedAt;
     TimePoint m_completeAt;
     TimePoint m_leaseEnd;
-    TimePoint m_answeredAt;
+    /// When the first report since the last answer was sent.
+    TimePoint m_unansweredSince;
     bool m_isAnswered { true };
     bool m_isUrgent { false };
     bool m_needsComplete { true };
--- a/dragonflylane/QuotaTask.cpp
+++ b/dragonflylane/QuotaTask.cpp
@@ -10,6 +10,12 @@
 
 namespace dragonflylane {
 
+namespace {
+
+    constexpr std::chrono::milliseconds leadershipInterval { 500 };
+
+} // namespace
+
 QuotaTask::QuotaTask(
     boost::asio::io_context& context, QuotaTaskOptions options, PeerHub& hub, Metrics& metrics, Hooks hooks)
     : m_options(std::move(options))
@@ -26,6 +32,7 @@
 void QuotaTask::start()
 {
     m_hub.subscribe(FrameKind::Quota, [this](const PeerFrame& frame) { handleFrame(frame); });
+    armTimer();
 }
 
 void QuotaTask::stop()
@@ -39,6 +46,7 @@
     if (routingTable.revision() == m_revision)
         return;
     m_revision = routingTable.revision();
+    followLeadership();
     m_share.setTenants(routingTable.tenants());
     m_divider.setLimits(routingTable.tenants(), BootClock::now());
     work();
@@ -111,13 +119,17 @@
 }
 
 std::optional<QuotaGrant> QuotaTask::divide(const QuotaReport& report)
+{
+    return followLeadership() ? m_divider.receive(report, BootClock::now()) : std::nullopt;
+}
+
+// Returns true if this host leads now. What was granted in the present term stays known while its lease is interrupted.
+bool QuotaTask::followLeadership()
 {
     auto term = m_hooks.leadingTerm();
-    if (!term)
-        return std::nullopt;
-    TimePoint now = BootClock::now();
-    m_divider.lead(*term, now);
-    return m_divider.receive(report, now);
+    if (term)
+        m_divider.lead(*term, BootClock::now());
+    return term.has_value();
 }
 
 void QuotaTask::sendReport()
@@ -196,17 +208,18 @@
         = std::any_of(m_waiters.begin(), m_waiters.end(), [now](const Waiter& waiter) { return waiter.until <= now; });
     if (isOverdue)
         answerWaiters();
+    followLeadership();
     sendReport();
     armTimer();
 }
 
 void QuotaTask::armTimer()
 {
-    TimePoint next = m_share.nextReport();
+    // The divider has to know since when this host leads, also while no tenant has a limit.
+    TimePoint next = std::min<TimePoint>(m_share.nextReport(), BootClock::now() + leadershipInterval);
     for (const Waiter& waiter : m_waiters)
         next = std::min(next, waiter.until);
-    if (next != TimePoint::max())
-        m_timer.arm(next);
+    m_timer.arm(next);
 }
 
 } // namespace dragonflylane
--- a/dragonflylane/QuotaTask.h
+++ b/dragonflylane/QuotaTask.h
@@ -66,6 +66,7 @@
     void handleReport(const PeerFrame&, const QuotaReport&);
     void handleGrant(const HostId& from, const QuotaGrant&);
     std::optional<QuotaGrant> divide(const QuotaReport&);
+    bool followLeadership();
     void sendReport();
     void send(const HostId&, std::string payload);
     void answerWaiters();
--- a/tests/TenantProcessTest.cpp
+++ b/tests/TenantProcessTest.cpp
@@ -19,7 +19,7 @@
     const std::string firstKey = "first-secret-key";
     const std::string secondKey = "second-secret-key";
 
-    std::string documentWith(int version, int base, const std::string& key)
+    std::string documentWith(int version, int base, const std::string& key, const std::string& allotment = {})
     {
         return R"({"version":"r)" + std::to_string(version) + R"(","base_version":)"
             + (base == 0 ? "null" : "\"r" + std::to_string(base) + "\"")
@@ -28,7 +28,7 @@
               R"("path_prefix":"/open","kind":"safe","timeout_s":4,"priority":1,"service":"catalogue",)"
               R"("max_attempts":1,"public":true}],"services":[{"name":"catalogue"}],"limits":{},)"
               R"("tenants":[{"name":"north","api_keys":[")"
-            + key + R"("],"priority":2}]})";
+            + key + R"("],"priority":2)" + allotment + "}]}";
     }
 
     std::string bearer(const std::string& key)
@@ -131,6 +131,34 @@
         }
     }
 
+    // Guards against a limit that holds for each daemon alone, and against callers who aren't told when to return.
+    TEST_F(TenantProcessTest, AllotmentHoldsForAllDaemonsTogether)
+    {
+        constexpr int limit = 10;
+        constexpr int requests = 60;
+        ASSERT_TRUE(startMesh());
+        ASSERT_TRUE(put(documentWith(2, 1, secondKey, R"(,"rate_per_s":1,"burst":5)")));
+        ASSERT_TRUE(waitUntil([&] { return status(control, bearer(firstKey)) == 401; }, seconds(2)));
+        ASSERT_TRUE(waitUntil([&] { return status(owner, bearer(firstKey)) == 401; }, seconds(2)));
+        // A leader that has just started waits one window before it grants anything.
+        ASSERT_TRUE(waitUntil([&] { return report() && status(control, bearer(secondKey)) == 200; }, seconds(10)));
+        int served = 1;
+        int refused = 0;
+        TimePoint start = BootClock::now();
+        for (int number = 0; number < requests; ++number) {
+            int code = status(number % 2 == 0 ? control : owner, bearer(secondKey));
+            served += code == 200 ? 1 : 0;
+            refused += code == 429 ? 1 : 0;
+        }
+        ASSERT_LT(BootClock::now() - start, seconds(5)) << "all in one window";
+        EXPECT_LE(served, limit);
+        EXPECT_GE(served, limit - 1) << "rounding of two shares";
+        EXPECT_EQ(served + refused, requests + 1);
+        RawSocket socket = RawSocket::connectTo(m_mesh.ports(owner).callers);
+        socket.write("GET /title HTTP/1.1\r\nHost: localhost\r\nConnection: close\r\n" + bearer(secondKey) + "\r\n");
+        EXPECT_NE(socket.readUntilClosed().find("Retry-After: "), std::string::npos);
+    }
+
     // Guards against a nested call that is refused although its parent runs, and one that is let in without a parent.
     TEST_F(TenantProcessTest, NestedCallIsLetInOnlyWhileItsParentRunsAtThisHost)
     {
--- a/wire/quota.thrift
+++ b/wire/quota.thrift
@@ -22,7 +22,7 @@
 }
 
 // `allowance` replaces what the daemon holds of the tenant's allotment. A time to retry after that isn't zero means that
-// the tenant asks for more than its allotment, or that nothing is left.
+// nothing is left for now.
 struct QuotaAllowance {
   1: string tenant
   2: i64 allowance
