Let refused callers keep their places, however near their target is

Callers that came back halfway to their target were refused again more often than they were served in time.

--- a/dragonflylane/CallerRetries.cpp
+++ b/dragonflylane/CallerRetries.cpp
@@ -54,7 +54,7 @@
     bool mayRetry = runState(code) == RunState::NotRun && httpStatus(code) == statusServiceUnavailable;
     if (!mayRetry)
         return Duration::zero();
-    RefusedAttempt attempt { .left = call.callerDeadline - now, .leftToTarget = call.target - now };
+    RefusedAttempt attempt { .left = call.callerDeadline - now };
     if (!isWaitUnknown(code))
         attempt.expectedWait = call.retryAfter;
     return (policy ? *policy : m_defaultPolicy).schedule(attempt, now);
--- a/dragonflylane/RetryAfterPolicy.cpp
+++ b/dragonflylane/RetryAfterPolicy.cpp
@@ -23,7 +23,7 @@
 {
     if (attempt.left <= Duration::zero())
         return Duration::zero();
-    Duration longest = longestWait(attempt);
+    Duration longest = attempt.left * m_options.maxPercentOfTimeLeft / 100;
     std::optional<Duration> interval = servedInterval(now);
     if (!attempt.expectedWait || !interval)
         return longest;
@@ -37,15 +37,6 @@
     return std::min(place - now + variation, longest);
 }
 
-Duration RetryAfterPolicy::longestWait(const RefusedAttempt& attempt) const
-{
-    constexpr int targetDivisor = 2;
-    Duration longest = attempt.left * m_options.maxPercentOfTimeLeft / 100;
-    Duration halfwayToTarget = attempt.leftToTarget / targetDivisor;
-    bool canMeetTarget = attempt.expectedWait && *attempt.expectedWait < halfwayToTarget;
-    return canMeetTarget ? std::min(longest, halfwayToTarget) : longest;
-}
-
 std::optional<Duration> RetryAfterPolicy::servedInterval(TimePoint now) const
 {
     // Fewer calls than this in the half-life say little about the rate.
--- a/dragonflylane/RetryAfterPolicy.h
+++ b/dragonflylane/RetryAfterPolicy.h
@@ -12,9 +12,7 @@
 //
 // Each refused call gets a place behind those that were refused before it. The places are one interval apart in which
 // this daemon has recently had one call of the service served, so the callers return no faster than they can be served.
-// A place is never later than a share of the time until the caller's deadline, since callers do not wait longer. While
-// the call can still meet its target, the place is no later than halfway to the target: a call that is served after its
-// target is worth less to its caller, so it should not wait behind others until then.
+// A place is never later than a share of the time until the caller's deadline, since callers do not wait longer.
 //
 // All operations are O(1).
 
@@ -46,8 +44,6 @@
     std::optional<Duration> expectedWait;
     /// Time until the caller's deadline.
     Duration left { 0 };
-    /// Time until the target of the call; zero or less if it has passed or is not known.
-    Duration leftToTarget { 0 };
 };
 
 class RetryAfterPolicy {
@@ -59,7 +55,6 @@
     Duration schedule(const RefusedAttempt&, TimePoint now);
 
 private:
-    Duration longestWait(const RefusedAttempt&) const;
     /// Mean time between two served calls; empty if none was served recently.
     std::optional<Duration> servedInterval(TimePoint now) const;
     double servedCount(TimePoint now) const;
