--- a/tests/QuotaDividerTest.cpp
+++ b/tests/QuotaDividerTest.cpp
@@ -78,7 +78,8 @@
     void setRandomDemand(QuotaFleet& fleet, double rate)
     {
         for (size_t index = 0; index < fleet.size(); ++index)
-            fleet.daemon(index).demandPerSecond = fleet.chance(0.5) ? rate * (1 + fleet.random()() % 3) : 0;
+            fleet.daemon(index).demandPerSecond
+                = fleet.chance(0.5) ? rate * static_cast<double>(1 + fleet.random()() % 3) : 0;
     }
 
     // One random schedule with one fault, during which demand moves.
