--- a/dragonflylane/WarmupPace.cpp
+++ b/dragonflylane/WarmupPace.cpp
@@ -20,19 +20,17 @@
 
 PaceChange WarmupPace::recordRequest(Duration typical, uint32_t running)
 {
-    bool hasPeers = typical > Duration::zero();
-    if (m_state != State::Pending || !hasPeers)
+    if (m_state != State::Pending)
         return PaceChange::None;
+    bool hasPeers = typical > Duration::zero();
     m_limit = std::max(m_options.initialLimit, running);
-    m_state = m_limit < m_slots ? State::WarmingUp : State::Done;
+    m_state = hasPeers && m_limit < m_slots ? State::WarmingUp : State::Done;
     startRound();
     return isWarmingUp() ? PaceChange::Started : PaceChange::None;
 }
 
 PaceChange WarmupPace::recordResponse(Duration serviceTime, Duration typical)
 {
-    if (m_state == State::Pending)
-        recordResponseWithoutPeers();
     if (!isWarmingUp() || typical <= Duration::zero())
         return PaceChange::None;
     double ratio
@@ -54,13 +52,6 @@
     return isWarmingUp() ? std::min(m_limit, m_slots) : m_slots;
 }
 
-void WarmupPace::recordResponseWithoutPeers()
-{
-    ++m_responses;
-    if (m_responses >= m_options.minRound)
-        m_state = State::Done;
-}
-
 void WarmupPace::startRound()
 {
     m_responses = 0;
--- a/dragonflylane/WarmupPace.h
+++ b/dragonflylane/WarmupPace.h
@@ -17,9 +17,8 @@
 //   * much slower than the peers and slower than in the round before, or any trouble: the limit halves.
 // The warm-up ends once the limit has reached the slots.
 //
-// The peers must be able to serve the other calls meanwhile. The warm-up therefore starts with the first request that
-// carries their service time, at no less than the calls that run at that moment. If the upstream has answered a round
-// of calls by then, as when all upstreams of a service start together, there is no warm-up.
+// The peers must be able to serve the other calls meanwhile. If the first request after the start carries no service
+// time of peers, as when all upstreams of a service start together, there is no warm-up.
 
 #include "dragonflylane/BootClock.h"
 
@@ -57,7 +56,7 @@
     {
     }
 
-    /// The upstream has started or recovered. The warm-up starts with a request that carries the peers' service time.
+    /// The upstream has started or recovered. The next request decides whether it warms up.
     void begin();
     /// Sets the slots that the upstream announced.
     void setSlots(uint32_t slots);
@@ -75,14 +74,12 @@
 
 private:
     enum class State : uint8_t {
-        /// Waits for a request that carries the peers' service time.
+        /// Waits for the first request.
         Pending,
         WarmingUp,
         Done,
     };
 
-    /// Counts a response that arrived before any request carried the peers' service time.
-    void recordResponseWithoutPeers();
     void startRound();
     PaceChange finishRound();
     PaceChange halve();
