Admit one returning caller in advance of new parents instead of four

While a called service stays full, callers that return late took the place of new ones that could still be served in time.

NestedCallThrottleTest: 5 passed.

--- a/dragonflylane/NestedCallThrottle.h
+++ b/dragonflylane/NestedCallThrottle.h
@@ -44,7 +44,7 @@
     /// The growth doubles in each further period of this length without a reduction.
     Duration growthDoublingTime { std::chrono::milliseconds(500) };
     /// Retries that may be admitted beyond the share before the next first attempts pay for them.
-    double maxDebt { 4 };
+    double maxDebt { 1 };
     size_t maxRoutes { 1024 };
 };
 
