Switch speeds, pace and throttle by settings, and use the tolerance of allotments

So each of the three is switched by a setting of its own, off by default. Without pacing, entry daemons keep their fixed slow start.

Allotments: after a restart of all daemons nothing was granted for a window. The operator's tolerance (allotment-overage, allotment-slack) is used now: half adds to the limit, half is kept for such a restart.

--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -108,6 +108,8 @@
                   .acceptsCloseDelimitedResponses = m_options.acceptsCloseDelimitedResponses,
                   .bodies = &m_bodyBudget,
                   .usesRankedAdmission = m_settings.usesRankedAdmission,
+                  .pacesUpstream = m_settings.pacesUpstream,
+                  .throttlesNestedCalls = m_settings.throttlesNestedCalls,
                   .upstreamDrainTime = upstreamDrainTime() },
               m_hub.pacer(), m_crash, m_metrics, m_journal,
               { .publishUpstream
@@ -257,8 +259,10 @@
     void makeQuota()
     {
         m_quota = std::make_unique<QuotaTask>(m_context,
-            QuotaTaskOptions {
-                .self = m_settings.hostId, .life = BootId(m_bootId), .window = m_settings.allotmentWindow },
+            QuotaTaskOptions { .self = m_settings.hostId,
+                .life = BootId(m_bootId),
+                .window = m_settings.allotmentWindow,
+                .tolerance = { m_settings.allotmentOverage, m_settings.allotmentSlack } },
             m_hub, m_metrics,
             QuotaTask::Hooks { .leadingTerm = [this] { return leadingTerm(); },
                 .knownLeader = [this] { return m_log ? m_log->replica().leader().host : HostId(); } });
@@ -287,6 +291,7 @@
             .service = m_settings.service,
             .isHedging = m_settings.isHedging,
             .usesIdempotencyRecords = m_settings.usesIdempotencyRecords };
+        options.usesUpstreamSpeeds = m_settings.usesUpstreamSpeeds;
         if (m_settings.usesRankedAdmission)
             options.spillLoad = rankedAdmissionSpillLoad;
         options.retryBudget.perSuccess = m_settings.retryRatio;
--- a/dragonflylane/EntryServiceState.cpp
+++ b/dragonflylane/EntryServiceState.cpp
@@ -45,7 +45,8 @@
         .dataCentre = options.dataCentre,
         .region = options.region,
         .seed = options.seed,
-        .spillLoad = options.spillLoad })
+        .spillLoad = options.spillLoad,
+        .useSpeeds = options.usesUpstreamSpeeds })
     , m_selector(m_selectorOptions)
     , m_policy({ .budget = options.retryBudget, .seed = options.seed }, now)
     , m_retryAfter({ .random = randomFraction(options.seed) })
--- a/dragonflylane/EntryServiceState.h
+++ b/dragonflylane/EntryServiceState.h
@@ -27,6 +27,7 @@
     uint64_t seed { 1 };
     RetryBudgetOptions retryBudget {};
     double spillLoad { UpstreamSelectorOptions().spillLoad };
+    bool usesUpstreamSpeeds { true };
 };
 
 /// Versions of upstreams to which a request may be sent.
--- a/dragonflylane/EntryTask.cpp
+++ b/dragonflylane/EntryTask.cpp
@@ -700,7 +700,8 @@
             .region = m_options.region,
             .seed = m_options.bootId ^ stableHash(service.value()),
             .retryBudget = m_options.retryBudget,
-            .spillLoad = m_options.spillLoad };
+            .spillLoad = m_options.spillLoad,
+            .usesUpstreamSpeeds = m_options.usesUpstreamSpeeds };
     }
 
     RequestId makeRequestId(uint64_t id) const
--- a/dragonflylane/EntryTask.h
+++ b/dragonflylane/EntryTask.h
@@ -57,6 +57,8 @@
     /// Load per slot of the nearest data centre above which calls are also sent to other data centres. May be above 1
     /// if owners refuse calls that would be queued for too long.
     double spillLoad { UpstreamSelectorOptions().spillLoad };
+    /// See UpstreamSelectorOptions::useSpeeds.
+    bool usesUpstreamSpeeds { true };
     /// Retry budget of this daemon for each service.
     RetryBudgetOptions retryBudget {};
 };
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -123,7 +123,7 @@
     , m_admission(makeAdmission(m_options))
     , m_responseDelay(pacer)
     , m_unanswered({ .window = m_options.crashWindow })
-    , m_performance(metrics)
+    , m_performance(metrics, { .isPaced = m_options.pacesUpstream })
     , m_timer(context, [this] {
         checkLease();
         applyChanges(m_admission->tick(BootClock::now()));
@@ -493,7 +493,8 @@
 // Nested calls are not throttled, since work that waits for them is running already.
 bool OwnerTask::passesThrottle(const Call& call)
 {
-    if (!m_options.usesRankedAdmission || call.request.__isset.parent)
+    bool isThrottled = m_options.usesRankedAdmission && m_options.throttlesNestedCalls;
+    if (!isThrottled || call.request.__isset.parent)
         return true;
     auto earlierRefusals = static_cast<uint32_t>(std::max(call.request.earlierRefusals, 0));
     return m_throttle.admit(static_cast<uint64_t>(call.request.routeKey), earlierRefusals, call.receivedAt);
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -76,6 +76,10 @@
     /// Selects RankedAdmission (by priority and target latency) instead of OwnerAdmission (slots shared between
     /// idempotent and non-idempotent requests).
     bool usesRankedAdmission { false };
+    /// See UpstreamPerformanceOptions::isPaced.
+    bool pacesUpstream { true };
+    /// With ranked admission: refuses calls whose nested calls find no capacity, see NestedCallThrottle.
+    bool throttlesNestedCalls { true };
     /// An upstream that drains serves calls for at least this long after the drain was acknowledged.
     Duration upstreamDrainTime { std::chrono::seconds(2) };
     /// An upstream that has not announced itself for this long is considered stopped.
--- a/dragonflylane/QuotaDivider.cpp
+++ b/dragonflylane/QuotaDivider.cpp
@@ -1,6 +1,5 @@
 #include "dragonflylane/QuotaDivider.h"
 
-#include "dragonflylane/QuotaShare.h"
 #include "dragonflylane/RoutingTable.h"
 
 #include <algorithm>
@@ -34,14 +33,18 @@
 void QuotaDivider::setLimits(const std::vector<TenantEntry>& entries, TimePoint now)
 {
     std::unordered_map<TenantName, uint32_t> limits;
-    for (const TenantEntry& entry : entries)
-        limits[entry.name] = quotaLimit(entry, m_options.window);
+    std::unordered_map<TenantName, uint32_t> reserves;
+    for (const TenantEntry& entry : entries) {
+        limits[entry.name] = quotaLimit(entry, m_options.window, m_options.tolerance);
+        reserves[entry.name] = quotaReserve(entry, m_options.window, m_options.tolerance);
+    }
     bool isSettled = m_isLeading && now - m_leadsSince >= takeoverTime;
     for (const auto& [name, limit] : limits) {
         if (limit == 0)
             continue;
         auto [it, isInserted] = m_tenants.try_emplace(name);
         it->second.limit = limit;
+        it->second.reserve = reserves[name];
         if (isInserted)
             it->second.isNew = isSettled;
     }
@@ -90,7 +93,7 @@
     m_hosts.clear();
     m_awaited.clear();
     for (auto& [name, tenant] : m_tenants)
-        tenant = { .limit = tenant.limit };
+        tenant = { .limit = tenant.limit, .reserve = tenant.reserve };
 }
 
 std::optional<QuotaGrant> QuotaDivider::receive(const QuotaReport& report, TimePoint now)
@@ -266,12 +269,21 @@
     return isWithinLimit && difference <= held * steadyPercent / 100 ? held : goal;
 }
 
+// What may be committed, as far as this leader knows of what was granted before it.
+uint64_t QuotaDivider::knownLimit(const Tenant& tenant, TimePoint now)
+{
+    if (tenant.isNew || !isWaitingForHosts(now))
+        return tenant.limit;
+    uint64_t known = tenant.firstReported;
+    if (now < m_options.startedAt + m_options.window)
+        known += tenant.reserve;
+    return std::min<uint64_t>(tenant.limit, known);
+}
+
 uint64_t QuotaDivider::available(const Tenant& tenant, TimePoint now)
 {
     uint64_t used = tenant.committed + tenant.expiringTotal;
-    uint64_t limit = tenant.limit;
-    if (!tenant.isNew && isWaitingForHosts(now))
-        limit = std::min(limit, tenant.firstReported);
+    uint64_t limit = knownLimit(tenant, now);
     return limit > used ? limit - used : 0;
 }
 
--- a/dragonflylane/QuotaDivider.h
+++ b/dragonflylane/QuotaDivider.h
@@ -22,6 +22,7 @@
 // lease, since it also lowers allowances that the report doesn't name.
 
 #include "dragonflylane/QuotaMessages.h"
+#include "dragonflylane/QuotaShare.h"
 
 #include <algorithm>
 #include <chrono>
@@ -39,6 +40,7 @@
     /// As in QuotaShareOptions.
     Duration window { std::chrono::seconds(5) };
     Duration lease { std::chrono::seconds(15) };
+    QuotaTolerance tolerance {};
     /// Start of this process, which may not yet know all hosts.
     TimePoint startedAt;
 };
@@ -79,6 +81,10 @@
 
     struct Tenant {
         uint32_t limit { 0 };
+        /// What may be granted beyond what is known while this process is younger than a window: then all daemons have
+        /// most likely been restarted together, and what they admitted before is not known. Without this, tenants would
+        /// get nothing until a window has passed.
+        uint32_t reserve { 0 };
         std::unordered_map<HostId, Holding> holdings;
         std::deque<Expiring> expiring;
         /// Sums over the holdings.
@@ -113,6 +119,7 @@
     uint32_t steadyTarget(const Tenant&, const Holding&) const;
     uint32_t wishedAllowance(const Tenant&, const Holding&, uint64_t unused) const;
     Duration excessTime(const Tenant&) const;
+    uint64_t knownLimit(const Tenant&, TimePoint now);
     uint64_t available(const Tenant&, TimePoint now);
     QuotaAllowance grant(const TenantName&, Tenant&, Holding&, TimePoint now);
     void appendReductions(const HostId&, QuotaGrant&, TimePoint now);
--- a/dragonflylane/QuotaShare.cpp
+++ b/dragonflylane/QuotaShare.cpp
@@ -11,6 +11,16 @@
 
 namespace {
 
+    double stipulatedLimit(const TenantEntry& tenant, Duration window)
+    {
+        return tenant.ratePerSecond * std::chrono::duration<double>(window).count() + tenant.burst;
+    }
+
+    double halfTolerance(double limit, const QuotaTolerance& tolerance)
+    {
+        return (limit * tolerance.overage + tolerance.slack) / 2;
+    }
+
     constexpr std::chrono::milliseconds urgentInterval { 20 };
     constexpr std::chrono::milliseconds changeInterval { 100 };
     // Shorter than LeaderAddress::answerLifetime, so that renewals keep the leader known.
@@ -48,15 +58,21 @@
 
 } // namespace
 
-uint32_t quotaLimit(const TenantEntry& tenant, Duration window)
+uint32_t quotaLimit(const TenantEntry& tenant, Duration window, const QuotaTolerance& tolerance)
 {
     constexpr double maxLimit = 1e9;
     if (tenant.ratePerSecond <= 0)
         return 0;
-    double limit = tenant.ratePerSecond * std::chrono::duration<double>(window).count() + tenant.burst;
+    double limit = stipulatedLimit(tenant, window);
+    limit += halfTolerance(limit, tolerance);
     return static_cast<uint32_t>(std::clamp(std::floor(limit), 1.0, maxLimit));
 }
 
+uint32_t quotaReserve(const TenantEntry& tenant, Duration window, const QuotaTolerance& tolerance)
+{
+    return static_cast<uint32_t>(halfTolerance(stipulatedLimit(tenant, window), tolerance));
+}
+
 QuotaShare::QuotaShare(QuotaShareOptions options)
     : m_options(std::move(options))
 {
@@ -66,7 +82,7 @@
 {
     std::unordered_set<TenantName> limited;
     for (const TenantEntry& entry : entries) {
-        uint32_t limit = quotaLimit(entry, m_options.window);
+        uint32_t limit = quotaLimit(entry, m_options.window, m_options.tolerance);
         if (limit == 0)
             continue;
         limited.insert(entry.name);
--- a/dragonflylane/QuotaShare.h
+++ b/dragonflylane/QuotaShare.h
@@ -31,12 +31,20 @@
 
 struct TenantEntry;
 
+/// By how much a window may exceed rate * window + burst: a share of it, and requests. Half of this adds to the limit
+/// of a tenant. The other half is kept for the time after a restart of all daemons, see QuotaDivider.
+struct QuotaTolerance {
+    double overage { 0 };
+    double slack { 0 };
+};
+
 struct QuotaShareOptions {
     HostId self;
     BootId life;
     TimePoint startedAt;
     /// Window of the limit: a tenant may make rate * window + burst requests in each one.
     Duration window { std::chrono::seconds(5) };
+    QuotaTolerance tolerance {};
     Duration lease { std::chrono::seconds(15) };
 };
 
@@ -126,7 +134,9 @@
     bool m_needsComplete { true };
 };
 
-/// Requests that a tenant may make in one window; zero: not limited.
-uint32_t quotaLimit(const TenantEntry&, Duration window);
+/// Requests that a tenant may make in one window, with half of the tolerance; zero: not limited.
+uint32_t quotaLimit(const TenantEntry&, Duration window, const QuotaTolerance& = {});
+/// The other half of the tolerance.
+uint32_t quotaReserve(const TenantEntry&, Duration window, const QuotaTolerance&);
 
 } // namespace dragonflylane
--- a/dragonflylane/QuotaTask.cpp
+++ b/dragonflylane/QuotaTask.cpp
@@ -22,9 +22,12 @@
     , m_hub(hub)
     , m_metrics(metrics)
     , m_hooks(std::move(hooks))
-    , m_share(
-          { .self = m_options.self, .life = m_options.life, .startedAt = BootClock::now(), .window = m_options.window })
-    , m_divider({ .window = m_options.window, .startedAt = BootClock::now() })
+    , m_share({ .self = m_options.self,
+          .life = m_options.life,
+          .startedAt = BootClock::now(),
+          .window = m_options.window,
+          .tolerance = m_options.tolerance })
+    , m_divider({ .window = m_options.window, .tolerance = m_options.tolerance, .startedAt = BootClock::now() })
     , m_timer(context, [this] { work(); })
 {
 }
--- a/dragonflylane/QuotaTask.h
+++ b/dragonflylane/QuotaTask.h
@@ -26,6 +26,7 @@
     BootId life;
     /// Window in which the limits of tenants hold.
     Duration window { QuotaShareOptions().window };
+    QuotaTolerance tolerance {};
     /// Longest wait of a request for the leader's answer.
     Duration maxWait { std::chrono::milliseconds(150) };
 };
--- a/dragonflylane/Settings.cpp
+++ b/dragonflylane/Settings.cpp
@@ -67,6 +67,13 @@
         { "calls", "hedging", "", "yes", "yes, no", "A second copy of a late idempotent call is sent." },
         { "calls", "admission", "", "shares", "shares, ranks",
             "Order in which an upstream gets calls: non-idempotent and idempotent calls by shares, or all by rank." },
+        { "calls", "upstream-speeds", "", "no", "yes, no",
+            "Upstreams are chosen by their speed and momentary slowness besides their load." },
+        { "calls", "upstream-pace", "", "no", "yes, no",
+            "The daemon of an upstream that starts or recovers finds the pace of its calls from its answers. no: its "
+            "share grows over 10 s." },
+        { "calls", "nested-call-throttle", "", "no", "yes, no",
+            "With admission = ranks: calls whose nested calls find no capacity are refused before they run." },
         { "calls", "retry-ratio", "", "0.1", "0 to 1", "Retries to a service as a share of the requests for it." },
         { "calls", "retry-window-s", "s", "0", "0 to 600",
             "Window in which the retries of all daemons are bounded; 0: each daemon has a budget of its own." },
@@ -75,6 +82,10 @@
         { "calls", "allotment-window-s", "s", "5", "empty or 0.1 to 600",
             "Window in which the rate and burst of each tenant bound its requests at all daemons together; the same on "
             "every host. Empty: the default." },
+        { "calls", "allotment-overage", "", "0", "empty or 0 to 1",
+            "Share of a tenant's limit by which a window may exceed it. Empty: the default." },
+        { "calls", "allotment-slack", "requests", "0", "empty or 0 to 1000000",
+            "Requests by which a window may exceed the limit of a tenant in addition. Empty: the default." },
         { "log", "level", "", "info", "debug, info, warning, error", "Lowest level that is logged." },
     };
 
@@ -343,11 +354,18 @@
         if (!settings.usesRankedAdmission && reader.text("calls", "admission") != "shares")
             reader.fail(ResultCode::SettingInvalid, "calls", "admission",
                 "'" + reader.text("calls", "admission") + "' is not shares or ranks");
+        settings.usesUpstreamSpeeds = reader.flag("calls", "upstream-speeds");
+        settings.pacesUpstream = reader.flag("calls", "upstream-pace");
+        settings.throttlesNestedCalls = reader.flag("calls", "nested-call-throttle");
         settings.retryRatio = reader.decimal("calls", "retry-ratio", 0, 1);
         settings.retryWindow = reader.seconds("calls", "retry-window-s", 0, 600);
         settings.retrySlack = reader.decimal("calls", "retry-slack", 0, 1000000);
         if (!reader.text("calls", "allotment-window-s").empty())
             settings.allotmentWindow = reader.seconds("calls", "allotment-window-s", 0.1, 600);
+        if (!reader.text("calls", "allotment-overage").empty())
+            settings.allotmentOverage = reader.decimal("calls", "allotment-overage", 0, 1);
+        if (!reader.text("calls", "allotment-slack").empty())
+            settings.allotmentSlack = reader.decimal("calls", "allotment-slack", 0, 1000000);
         settings.electionTimeout
             = std::chrono::milliseconds(reader.number("control", "election-timeout-ms", 100, 10000));
         settings.toleratedLosses = reader.number("control", "tolerated-losses", 0, 4);
--- a/dragonflylane/Settings.h
+++ b/dragonflylane/Settings.h
@@ -73,12 +73,19 @@
     bool isHedging { true };
     /// True for "admission = ranks" in section [calls]. See OwnerTaskOptions.
     bool usesRankedAdmission { false };
+    /// See EntryTaskOptions and OwnerTaskOptions.
+    bool usesUpstreamSpeeds { false };
+    bool pacesUpstream { false };
+    bool throttlesNestedCalls { false };
     /// Mesh-wide retry budget for each service. With a window of zero, each daemon has its own budget.
     double retryRatio { 0 };
     std::chrono::milliseconds retryWindow;
     double retrySlack { 0 };
     /// Window in which the rate and burst of a tenant hold.
     std::chrono::milliseconds allotmentWindow { std::chrono::seconds(5) };
+    /// See QuotaTolerance.
+    double allotmentOverage { 0 };
+    double allotmentSlack { 0 };
 
     std::string logLevel;
 
--- a/dragonflylane/UpstreamPerformance.cpp
+++ b/dragonflylane/UpstreamPerformance.cpp
@@ -13,12 +13,18 @@
     m_speed = UpstreamSpeed();
     m_pace = WarmupPace();
     if (need == WarmupNeed::Needed)
-        m_pace.begin();
+        beginWarmup();
 }
 
 void UpstreamPerformance::resume()
 {
-    m_pace.begin();
+    beginWarmup();
+}
+
+void UpstreamPerformance::beginWarmup()
+{
+    if (m_options.isPaced)
+        m_pace.begin();
 }
 
 void UpstreamPerformance::setSlots(uint32_t slots)
@@ -50,7 +56,8 @@
     if (!isActive())
         return;
     report.speed = m_speed.report(routeKey, now);
-    report.paceLimit = m_pace.limit();
+    if (m_options.isPaced)
+        report.paceLimit = m_pace.limit();
 }
 
 void UpstreamPerformance::recordLoad(std::string_view header, TimePoint now)
--- a/dragonflylane/UpstreamPerformance.h
+++ b/dragonflylane/UpstreamPerformance.h
@@ -36,10 +36,16 @@
     Needed,
 };
 
+struct UpstreamPerformanceOptions {
+    /// An upstream that starts or recovers is paced. Otherwise entry daemons raise its share over a fixed time.
+    bool isPaced { true };
+};
+
 class UpstreamPerformance {
 public:
-    explicit UpstreamPerformance(Metrics& metrics)
+    explicit UpstreamPerformance(Metrics& metrics, UpstreamPerformanceOptions options = {})
         : m_metrics(metrics)
+        , m_options(options)
     {
     }
 
@@ -66,7 +72,10 @@
     void recordLoad(std::string_view header, TimePoint now);
     void logChange(PaceChange, TimePoint now);
 
+    void beginWarmup();
+
     Metrics& m_metrics;
+    UpstreamPerformanceOptions m_options;
     UpstreamId m_upstream;
     UpstreamSpeed m_speed;
     WarmupPace m_pace;
--- a/tests/QuotaDividerTest.cpp
+++ b/tests/QuotaDividerTest.cpp
@@ -226,6 +226,30 @@
     EXPECT_GE(fleet.admittedBetween(start, fleet.now()), 0.97 * 100 * 60);
 }
 
+// All processes are killed at once: only half of what a window may exceed the limit by is granted until a window has
+// passed. The other half adds to the limit.
+TEST(QuotaDividerTest, RestartOfAllGrantsNoMoreThanTheReserve)
+{
+    TimePoint start(std::chrono::hours(1));
+    QuotaDivider divider({ .tolerance = { .overage = 0.1, .slack = 4 }, .startedAt = start });
+    divider.setLimits({ tenant(10, 10) }, start);
+    divider.setHost(HostId("a"), true, start);
+    divider.lead(Term(1), start);
+    uint64_t number = 1;
+    auto ask = [&](TimePoint now) {
+        QuotaReport report {
+            .host = HostId("a"), .life = BootId(1), .number = Sequence(number++), .age = now - start, .isComplete = true
+        };
+        report.demands.push_back({ .tenant = reader, .wanted = 70, .waiting = 70 });
+        return divider.receive(report, now)->allowances.at(0).allowance;
+    };
+    // Half of 0.1 * 60 + 4.
+    constexpr uint32_t allowed = 5;
+    EXPECT_EQ(ask(start + seconds(1)), allowed);
+    EXPECT_EQ(ask(start + seconds(4)), allowed);
+    EXPECT_EQ(ask(start + usualWindow + seconds(1)), 65U);
+}
+
 // A configuration adds a tenant: it is served at once, since nobody can hold any of its allotment.
 TEST(QuotaDividerTest, NewTenantIsServedAtOnce)
 {
