Take back the shorter first timeouts of a join

Daemons that are joining themselves answer with incomplete pages, and more attempts mean longer pauses between them. So the half second between the proven configuration and readiness after a restart of everything has another cause, which is still to be found.

--- a/dragonflylane/Membership.cpp
+++ b/dragonflylane/Membership.cpp
@@ -102,10 +102,7 @@
     , m_random(options.seed)
     , m_updates(options.seed)
     , m_broadcasts({ .maxQueued = options.maxBroadcasts, .maxIdentities = options.maxBroadcastIdentities })
-    , m_pageOptions { .maxInFlight = options.maxPagesInFlight,
-        .firstTimeout = options.firstPageTimeout,
-        .timeout = options.pageTimeout }
-    , m_pages(m_pageOptions)
+    , m_pages({ .maxInFlight = options.maxPagesInFlight, .timeout = options.pageTimeout })
     , m_transferTokens(options.transferBurst)
     , m_transferTokensAt(now)
     , m_antiEntropyPeriod(options.antiEntropyPeriod)
@@ -1231,8 +1228,7 @@
 {
     ++m_counters.joinAttempts;
     m_contactNumber = nextNumber();
-    m_nextJoin = now + responseTimeout(m_joinAttempts, m_pageOptions) + joinBackoff(m_joinAttempts);
-    ++m_joinAttempts;
+    m_nextJoin = now + m_options.pageTimeout + joinBackoff(m_joinAttempts++);
     GossipPageRequest page { .number = m_contactNumber, .contactsOnly = true };
     send(m_seeds[randomBelow(m_seeds.size())], GossipDigestRequest { .page = page, .sender = self() });
 }
--- a/dragonflylane/Membership.h
+++ b/dragonflylane/Membership.h
@@ -280,7 +280,6 @@
     JoinStage m_joinStage { JoinStage::Done };
     unsigned m_joinAttempts { 0 };
     uint32_t m_contactNumber { 0 };
-    PageTransferOptions m_pageOptions;
     PageTransfer m_pages;
     // Members of our data centre that were known when the first pages were requested.
     std::vector<HostHash> m_pageSources;
--- a/dragonflylane/MembershipOptions.h
+++ b/dragonflylane/MembershipOptions.h
@@ -63,10 +63,6 @@
     /// of the member list.
     Duration joinBackoffBase { std::chrono::milliseconds(50) };
     Duration joinBackoffLimit { std::chrono::seconds(10) };
-    /// A request of contacts or of a page that has had no response for this long has failed. The first request waits
-    /// for firstPageTimeout, each further one twice as long as the one before, up to pageTimeout. The first one exceeds
-    /// a round trip between regions. When a whole mesh starts, many requests reach daemons that do not listen yet.
-    Duration firstPageTimeout { std::chrono::milliseconds(150) };
     Duration pageTimeout { std::chrono::milliseconds(500) };
     size_t maxPagesInFlight { 4 };
     /// Rate limit, per second, for datagrams of records and digests sent on request.
--- a/dragonflylane/PageTransfer.cpp
+++ b/dragonflylane/PageTransfer.cpp
@@ -4,14 +4,6 @@
 
 namespace dragonflylane {
 
-Duration responseTimeout(unsigned attempts, const PageTransferOptions& options)
-{
-    Duration timeout = options.firstTimeout;
-    for (unsigned i = 0; i < attempts && timeout < options.timeout; ++i)
-        timeout *= 2;
-    return std::min(timeout, options.timeout);
-}
-
 namespace {
 
     constexpr uint64_t rangeCount = 8;
@@ -58,7 +50,7 @@
 void PageTransfer::setRequested(Range& range, uint32_t number, TimePoint now)
 {
     range.number = number;
-    range.due = now + responseTimeout(range.attempts, m_options);
+    range.due = now + m_options.timeout;
 }
 
 bool PageTransfer::finish(const GossipPageEnd& page, const Backoff& backoff, TimePoint now)
--- a/dragonflylane/PageTransfer.h
+++ b/dragonflylane/PageTransfer.h
@@ -22,15 +22,10 @@
 
 struct PageTransferOptions {
     size_t maxInFlight { 1 };
-    /// A request that has had no response for this long has failed: the first one of a range, and the upper bound. The
-    /// time doubles with each request in between.
-    Duration firstTimeout { 0 };
+    /// A request that has had no response for this long has failed.
     Duration timeout { 0 };
 };
 
-/// Time to wait for the response to a request after so many failed ones.
-Duration responseTimeout(unsigned attempts, const PageTransferOptions&);
-
 class PageTransfer {
 public:
     /// A range of host hashes whose records must still be fetched.
--- a/dragonflylane/UpstreamSelector.cpp
+++ b/dragonflylane/UpstreamSelector.cpp
@@ -302,7 +302,10 @@
 
 double UpstreamSelector::expectedFinish(const Entry& entry, TimePoint now) const
 {
-    return relativeServiceTime(entry, now) * (1 + loadPerSlot(entry, now));
+    double load = loadPerSlot(entry, now);
+    // A call waits for a slot of a full upstream, however fast it is: the speed counts only while slots are free.
+    double freeShare = std::clamp(1 - load, 0.0, 1.0);
+    return std::pow(relativeServiceTime(entry, now), freeShare) * (1 + load);
 }
 
 double UpstreamSelector::loadPerSlot(const Entry& entry, TimePoint now) const
