--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -471,6 +471,10 @@
     // The limits of the configuration hold within those that protect the memory of this host.
     void applyCallerLimits(const MeshPolicyItem* policy)
     {
+        MeshPolicyItem current = policy ? *policy : MeshPolicyItem();
+        if (m_callerPolicy == current)
+            return;
+        m_callerPolicy = current;
         constexpr uint32_t maxHeaderBytes = 1 << 20;
         HttpServerOptions options = callerServerOptions();
         if (policy && policy->maxHeaderBytes > 0)
@@ -817,6 +821,8 @@
     Revision m_appliedRevision;
     Digest m_appliedDigest;
     Epoch m_keeperEpoch;
+    /// The policy whose limits apply to callers; empty before the first configuration.
+    std::optional<MeshPolicyItem> m_callerPolicy;
     uint64_t m_incarnationsRaised { 0 };
     uint64_t m_hostGeneration { 0 };
     std::mt19937_64 m_random { m_bootId };
