--- a/dragonflylane/EntryServiceState.h
+++ b/dragonflylane/EntryServiceState.h
@@ -78,7 +78,7 @@
     void recordNetworkDelay(Duration total, Duration heldByOwner, TimePoint now);
     /// Mean network delay of calls to other hosts, both ways together.
     Duration networkDelay(TimePoint now) const { return m_networkDelay.mean(now, {}); }
-    /// Never null for a choice of selector().
+    /// Never null for a choice of choose().
     const UpstreamEntry* find(const UpstreamId& id) const { return m_service->find(id); }
     uint32_t maxAttempts() const { return m_service->maxAttempts; }
 
