--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -109,6 +109,8 @@
                   .bodies = &m_bodyBudget,
                   .usesRankedAdmission = m_settings.usesRankedAdmission,
                   .pacesUpstream = m_settings.pacesUpstream,
+                  .reportsSpeed = m_settings.usesUpstreamSpeeds,
+                  .ordersNestedCalls = m_settings.ordersNestedCalls,
                   .throttlesNestedCalls = m_settings.throttlesNestedCalls,
                   .upstreamDrainTime = upstreamDrainTime() },
               m_hub.pacer(), m_crash, m_metrics, m_journal,
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -123,7 +123,7 @@
     , m_admission(makeAdmission(m_options))
     , m_responseDelay(pacer)
     , m_unanswered({ .window = m_options.crashWindow })
-    , m_performance(metrics, { .isPaced = m_options.pacesUpstream })
+    , m_performance(metrics, { .isPaced = m_options.pacesUpstream, .reportsSpeed = m_options.reportsSpeed })
     , m_timer(context, [this] {
         checkLease();
         applyChanges(m_admission->tick(BootClock::now()));
@@ -395,7 +395,7 @@
         ticket.tenantKey = stableHash(call.request.tenant);
         ticket.tenantPriority = static_cast<uint32_t>(std::max(call.request.tenantPriority, 0));
     }
-    if (call.request.__isset.parent) {
+    if (call.request.__isset.parent && m_options.ordersNestedCalls) {
         ticket.isNested = true;
         ticket.priority = static_cast<uint32_t>(std::max(call.request.parent.priority, 0));
         ticket.tenantPriority = static_cast<uint32_t>(std::max(call.request.parent.tenantPriority, 0));
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -76,8 +76,11 @@
     /// Selects RankedAdmission (by priority and target latency) instead of OwnerAdmission (slots shared between
     /// idempotent and non-idempotent requests).
     bool usesRankedAdmission { false };
-    /// See UpstreamPerformanceOptions::isPaced.
+    /// See UpstreamPerformanceOptions.
     bool pacesUpstream { true };
+    bool reportsSpeed { true };
+    /// Nested calls have the priority of their parent calls and go first within it, see RankedAdmission.
+    bool ordersNestedCalls { true };
     /// With ranked admission: refuses calls whose nested calls find no capacity, see NestedCallThrottle.
     bool throttlesNestedCalls { true };
     /// An upstream that drains serves calls for at least this long after the drain was acknowledged.
--- a/dragonflylane/QuotaDivider.cpp
+++ b/dragonflylane/QuotaDivider.cpp
@@ -277,9 +277,23 @@
     uint64_t known = tenant.firstReported;
     if (now < m_options.startedAt + m_options.window)
         known += tenant.reserve;
+    else
+        known = std::max(known, limitWithoutAwaited(tenant));
     return std::min<uint64_t>(tenant.limit, known);
 }
 
+// In a large mesh a host that has gone holds about as much as any other, and the reserve covers some more. Otherwise
+// the loss of one host together with the leader would stop all tenants until the lease of that host has ended.
+uint64_t QuotaDivider::limitWithoutAwaited(const Tenant& tenant) const
+{
+    constexpr size_t largeMesh = 20;
+    size_t hosts = m_hosts.size() + m_awaited.size();
+    if (hosts < largeMesh)
+        return 0;
+    uint64_t awaitedShare = tenant.limit * m_awaited.size() / hosts;
+    return tenant.limit - awaitedShare;
+}
+
 uint64_t QuotaDivider::available(const Tenant& tenant, TimePoint now)
 {
     uint64_t used = tenant.committed + tenant.expiringTotal;
--- a/dragonflylane/QuotaDivider.h
+++ b/dragonflylane/QuotaDivider.h
@@ -120,6 +120,7 @@
     uint32_t wishedAllowance(const Tenant&, const Holding&, uint64_t unused) const;
     Duration excessTime(const Tenant&) const;
     uint64_t knownLimit(const Tenant&, TimePoint now);
+    uint64_t limitWithoutAwaited(const Tenant&) const;
     uint64_t available(const Tenant&, TimePoint now);
     QuotaAllowance grant(const TenantName&, Tenant&, Holding&, TimePoint now);
     void appendReductions(const HostId&, QuotaGrant&, TimePoint now);
--- a/dragonflylane/Settings.cpp
+++ b/dragonflylane/Settings.cpp
@@ -72,6 +72,8 @@
         { "calls", "upstream-pace", "", "no", "yes, no",
             "The daemon of an upstream that starts or recovers finds the pace of its calls from its answers. no: its "
             "share grows over 10 s." },
+        { "calls", "nested-calls-first", "", "no", "yes, no",
+            "With admission = ranks: nested calls have the priority of their parent calls and go first within it." },
         { "calls", "nested-call-throttle", "", "no", "yes, no",
             "With admission = ranks: calls whose nested calls find no capacity are refused before they run." },
         { "calls", "retry-ratio", "", "0.1", "0 to 1", "Retries to a service as a share of the requests for it." },
@@ -356,6 +358,7 @@
                 "'" + reader.text("calls", "admission") + "' is not shares or ranks");
         settings.usesUpstreamSpeeds = reader.flag("calls", "upstream-speeds");
         settings.pacesUpstream = reader.flag("calls", "upstream-pace");
+        settings.ordersNestedCalls = reader.flag("calls", "nested-calls-first");
         settings.throttlesNestedCalls = reader.flag("calls", "nested-call-throttle");
         settings.retryRatio = reader.decimal("calls", "retry-ratio", 0, 1);
         settings.retryWindow = reader.seconds("calls", "retry-window-s", 0, 600);
--- a/dragonflylane/Settings.h
+++ b/dragonflylane/Settings.h
@@ -76,6 +76,7 @@
     /// See EntryTaskOptions and OwnerTaskOptions.
     bool usesUpstreamSpeeds { false };
     bool pacesUpstream { false };
+    bool ordersNestedCalls { false };
     bool throttlesNestedCalls { false };
     /// Mesh-wide retry budget for each service. With a window of zero, each daemon has its own budget.
     double retryRatio { 0 };
--- a/dragonflylane/UpstreamPerformance.cpp
+++ b/dragonflylane/UpstreamPerformance.cpp
@@ -55,7 +55,8 @@
 {
     if (!isActive())
         return;
-    report.speed = m_speed.report(routeKey, now);
+    if (m_options.reportsSpeed)
+        report.speed = m_speed.report(routeKey, now);
     if (m_options.isPaced)
         report.paceLimit = m_pace.limit();
 }
--- a/dragonflylane/UpstreamPerformance.h
+++ b/dragonflylane/UpstreamPerformance.h
@@ -39,6 +39,8 @@
 struct UpstreamPerformanceOptions {
     /// An upstream that starts or recovers is paced. Otherwise entry daemons raise its share over a fixed time.
     bool isPaced { true };
+    /// Adds the speed to load reports. Otherwise entry daemons choose by load only.
+    bool reportsSpeed { true };
 };
 
 class UpstreamPerformance {
--- a/tests/QuotaDividerTest.cpp
+++ b/tests/QuotaDividerTest.cpp
@@ -250,6 +250,34 @@
     EXPECT_EQ(ask(start + usualWindow + seconds(1)), 65U);
 }
 
+// All processes are killed at once, and one of many hosts doesn't come back: the others are served once a window has
+// passed, and not only when the lease of the lost host has ended.
+TEST(QuotaDividerTest, LostHostDoesNotStopTenantsOfALargeMesh)
+{
+    constexpr size_t hosts = 40;
+    TimePoint start(std::chrono::hours(1));
+    QuotaDivider divider({ .startedAt = start });
+    divider.setLimits({ tenant(100, 100) }, start);
+    for (size_t i = 0; i < hosts; ++i)
+        divider.setHost(HostId("host-" + std::to_string(i)), true, start);
+    divider.setHost(HostId("host-0"), false, start + seconds(1));
+    divider.lead(Term(1), start + seconds(1));
+    TimePoint now = start + usualWindow + seconds(2);
+    uint32_t granted = 0;
+    for (size_t i = 1; i < hosts; ++i) {
+        QuotaReport report { .host = HostId("host-" + std::to_string(i)),
+            .life = BootId(1),
+            .number = Sequence(1),
+            .age = now - start,
+            .isComplete = true };
+        report.demands.push_back({ .tenant = reader, .wanted = 20, .waiting = 20 });
+        granted += divider.receive(report, now)->allowances.at(0).allowance;
+    }
+    // 600 in a window, less the share of the lost host.
+    EXPECT_GT(granted, 500U);
+    EXPECT_LE(granted, 585U);
+}
+
 // A configuration adds a tenant: it is served at once, since nobody can hold any of its allotment.
 TEST(QuotaDividerTest, NewTenantIsServedAtOnce)
 {
