--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,6 +1,6 @@
 // Case 10: a backend that leaves has told so, and its daemon has acknowledged it. All processes are killed at the same
-// moment and are back a second later. A status report that the backend had sent before arrives late, and the backend
-// gets requests again.
+// moment and are back a second later. A status report that the backend had sent before arrives late: the backend gets
+// orders again, and its exit cuts those that it runs.
 
 #include "review/common-2/Harness.h"
 
@@ -11,19 +11,27 @@
 constexpr double drain = 2;
 constexpr double contact = 3;
 constexpr double reportDelay = 7;
+constexpr double exitAfterReport = 2.5;
 
 std::atomic<bool> isOver { false };
+std::mutex resultMutex;
+std::map<std::string, std::string> resultOfOrder;
 
-// Looks up titles one after the other.
-void lookUp(const Address& entry)
+// Sends orders one after the other.
+void sendOrders(const Address& entry)
 {
     Message answer;
     while (!isOver) {
         std::string id = newRequestId();
-        std::string request = "GET /titles/" + id + " HTTP/1.1\r\nHost: catalogue.example\r\nX-Request-Id: " + id
-            + "\r\nX-Deadline-Ms: 1000\r\nConnection: close\r\n\r\n";
-        Io io = call(entry, request, answer, 1.2);
-        if (io != Io::Ok || answer.status() != 200)
+        std::string request = "POST /parcels/" + id + " HTTP/1.1\r\nHost: orders.example\r\nX-Request-Id: " + id
+            + "\r\nX-Deadline-Ms: 2000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+        Io io = call(entry, request, answer, 2.2);
+        std::string result = io == Io::Ok ? std::to_string(answer.status()) : name(io);
+        {
+            std::lock_guard lock(resultMutex);
+            resultOfOrder[id] = result;
+        }
+        if (result != "200")
             sleepFor(0.1);
     }
 }
@@ -34,14 +42,14 @@
 {
     Record::open(std::string(argv[1]) + "/record.txt");
     Deployment deployment("review-10");
-    deployment.add(6, 0);
-    if (!deployment.start([](size_t) { return Backend::Options { .work = [] { return 0.05; } }; }))
+    deployment.add(6, 6);
+    if (!deployment.start([](size_t) { return Backend::Options { .work = [] { return 0.3; } }; }))
         deployment.finish(2);
     Platform& platform = deployment.platform;
     Backend& leaving = *deployment.backends[0];
     std::vector<std::thread> threads;
     for (size_t i = 0; i < 24; ++i)
-        threads.emplace_back([&, i] { lookUp(deployment.entry(i % 6)); });
+        threads.emplace_back([&, i] { sendOrders(deployment.entry(i % 6)); });
     sleepFor(4);
     leaving.isSilent = true;
     std::string lateReport = leaving.makeReport("ready");
@@ -68,24 +76,26 @@
     sleepUntil(sentAt + reportDelay);
     int lateStatus = leaving.sendReport(lateReport);
     Record::line("the late status report arrives and is answered %d", lateStatus);
-    sleepFor(6);
+    sleepFor(exitAfterReport);
+    leaving.exit();
+    Record::line("%s exits, %.1f s after the ack", leaving.id().c_str(), now() - ackAt);
+    sleepFor(3);
     isOver = true;
     double from = std::max(ackAt + drain, backAt + contact);
     int late = 0;
-    int total = 0;
-    double last = 0;
+    int cut = 0;
+    std::lock_guard lock(resultMutex);
     for (const Run& run : leaving.runs()) {
-        ++total;
         if (run.arrivedAt <= from)
             continue;
         ++late;
-        last = run.arrivedAt - ackAt;
-        Record::line("run: %s request %s arrived %.3f s after the ack", leaving.id().c_str(), run.requestId.c_str(),
-            run.arrivedAt - ackAt);
+        cut += run.isComplete ? 0 : 1;
+        Record::line("run: %s order %s arrived %.3f s after the ack, %s, answered %s", leaving.id().c_str(),
+            run.requestId.c_str(), run.arrivedAt - ackAt, run.isComplete ? "ended" : "cut by the exit",
+            resultOfOrder[run.requestId].c_str());
     }
     Record::line(
-        "%s ran %d requests, %d of them later than %.0f s after the ack and %.0f s after the start, the last %.2f s "
-        "after the ack",
-        leaving.id().c_str(), total, late, drain, contact, last);
+        "orders that reached %s later than %.0f s after the ack and %.0f s after the start: %d, cut by its exit: %d",
+        leaving.id().c_str(), drain, contact, late, cut);
     deployment.finish(late > 0 ? 1 : 0);
 }
--- a/review/common-2/Harness.h
+++ b/review/common-2/Harness.h
@@ -647,6 +647,14 @@
     /// Returns the status of the answer; 0 if there was none within a second.
     int sendReport(const std::string& report) { return post("/v1/Instances.Heartbeat/", report); }
     int deregister() { return post("/v1/Instances.Deregister/", "{\"born\":" + m_born + "}"); }
+    /// Ends like a process: all connections are closed, and no new one is accepted.
+    void exit()
+    {
+        m_isStopped = true;
+        ::shutdown(m_listener, SHUT_RDWR);
+        ::close(m_listener);
+        m_changed.notify_all();
+    }
 
 private:
     int post(const std::string& path, const std::string& body)
@@ -704,7 +712,9 @@
         while (m_running >= m_options.slots && now() < until && !m_isStopped)
             m_changed.wait_for(lock, std::chrono::milliseconds(20));
         --m_waiting;
-        if (now() >= until || m_isStopped) {
+        if (m_isStopped)
+            return false;
+        if (now() >= until) {
             lock.unlock();
             return respond(connection, run, "503 Service Unavailable", "X-Not-Executed: 1\r\n", "");
         }
@@ -721,6 +731,8 @@
         m_runs.push_back(run);
         lock.unlock();
         m_changed.notify_all();
+        if (m_isStopped)
+            return false;
         std::string seal = "X-Response-Seal: " + m_id + "." + run.requestId + "\r\n";
         if (!run.isComplete)
             return respond(connection, run, "504 Gateway Timeout", seal, "");
