--- a/dragonflylane/ApiTask.cpp
+++ b/dragonflylane/ApiTask.cpp
@@ -355,8 +355,12 @@
 {
     DaemonHooks hooks { .service = m_parts.settings.service, .upstream = m_parts.settings.upstream };
     hooks.isReady = m_parts.isReady;
-    hooks.announce = [this](const Announcement& announcement) { m_parts.owner.announce(announcement); };
-    hooks.withdraw = [this](const UpstreamId& id, uint64_t startedAt) { m_parts.owner.withdraw(id, startedAt); };
+    hooks.announce = [this](const Announcement& announcement, const OwnerTask::Acknowledge& acknowledge) {
+        m_parts.owner.announce(announcement, acknowledge);
+    };
+    hooks.withdraw = [this](const LeavingProcess& leaving, const OwnerTask::Acknowledge& acknowledge) {
+        m_parts.owner.withdraw(leaving, acknowledge);
+    };
     hooks.replaceConfiguration = [this](ReplaceCommand command, const ReplaceCallback& callback) {
         if (command.operatorName.isEmpty())
             command.operatorName = OperatorName(trustedOperator);
@@ -549,8 +553,11 @@
     Announcement announcement;
     if (request.isForwarded || !parseAnnouncement(request.http.body, announcement))
         return request.respondError(ResultCode::InvalidValue, "announcement");
-    m_parts.owner.announce(announcement);
-    request.respondJson("{}\n");
+    m_parts.owner.announce(announcement, [request](ResultCode code) {
+        if (code != ResultCode::Ok)
+            return request.respondError(code, "the drain isn't recorded yet");
+        request.respondJson("{}\n");
+    });
 }
 
 void ApiTask::showStatus(const ApiRequest& request)
--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -5,6 +5,8 @@
 #include "dragonflylane/ClaimTask.h"
 #include "dragonflylane/CrashSyncTask.h"
 #include "dragonflylane/CrashTask.h"
+#include "dragonflylane/DepartureTask.h"
+#include "dragonflylane/Digest.h"
 #include "dragonflylane/EntryTask.h"
 #include "dragonflylane/Event.h"
 #include "dragonflylane/Frame.h"
@@ -117,7 +119,12 @@
               { .publishUpstream
                   = [this](std::optional<UpstreamRecord> record) { m_membership->setUpstream(std::move(record)); },
                   .knownIncarnation = [this](const UpstreamId& id) { return knownIncarnation(id); },
-                  .hostGeneration = [this] { return hostGeneration(); } })
+                  .hostGeneration = [this] { return hostGeneration(); },
+                  .areDeparturesKnown = [this] { return m_departures->isInformed(); },
+                  .recordDeparture =
+                      [this](const DepartedProcess& departed, OwnerTask::Acknowledge acknowledge) {
+                          m_departures->record(departed, std::move(acknowledge));
+                      } })
         , m_rollouts(m_settings.hostId, m_bootId)
         , m_routing(
               m_context, [this](const auto& routingTable) { applyRoutingTable(routingTable); },
@@ -125,6 +132,7 @@
     {
         makeMembership();
         makeLog();
+        makeDepartures();
         makeRelay();
         makeQuota();
         makeEntry();
@@ -160,6 +168,7 @@
             if (auto error = m_log->start(m_settings.dataFolder, detail))
                 return error;
         }
+        m_departures->start();
         m_relay->start();
         // Membership reports changes only, so the initial record of this host is passed here. Without it, the tree
         // index would keep this host at level 1 with the control hosts as its only candidates.
@@ -246,6 +255,16 @@
                 .failed = [this](std::error_code error) { stopOnStorageFailure(error); } });
     }
 
+    void makeDepartures()
+    {
+        m_departures = std::make_unique<DepartureTask>(m_context, m_settings.hostId, BootId(m_bootId), m_hub,
+            m_log.get(), m_metrics,
+            DepartureTask::Hooks { .controlHosts = [this] { return nearestControlHosts(); },
+                .recorded
+                = [this](const std::vector<DepartedProcess>& departures) { m_owner.adoptDepartures(departures); },
+                .answerTimedOut = [this] { m_owner.applyHeldAnnouncement(); } });
+    }
+
     void makeRelay()
     {
         RelayOptions options { .self = m_settings.hostId, .isControl = m_settings.isControl(), .seed = m_bootId };
@@ -277,7 +296,7 @@
     // Term of the replicated log if this host leads it and its lease holds.
     std::optional<Term> leadingTerm() const
     {
-        if (!m_log || m_log->replica().role() != LogRole::Leader || !m_log->isCurrent(BootClock::now()))
+        if (!m_log || !m_log->isLeading(BootClock::now()))
             return std::nullopt;
         return m_log->replica().term();
     }
@@ -545,6 +564,22 @@
         return hosts;
     }
 
+    // Those of the own data centre first. Daemons prefer different ones of them, so that the load is shared.
+    std::vector<HostId> nearestControlHosts() const
+    {
+        const auto& members = m_membership->view().members();
+        auto rank = [&](const HostId& host) {
+            auto member = members.find(host);
+            bool isNear = member != members.end() && member->second.dataCentre == m_settings.dataCentre;
+            return std::pair(!isNear, stableHash(host.value(), stableHash(m_settings.hostId.value())));
+        };
+        std::vector<HostId> hosts = controlHosts();
+        std::erase(hosts, m_settings.hostId);
+        std::sort(hosts.begin(), hosts.end(),
+            [&](const HostId& left, const HostId& right) { return rank(left) < rank(right); });
+        return hosts;
+    }
+
     void logUpstreamConflict(const UpstreamConflict& conflict)
     {
         m_metrics.add("upstream_id_conflicts");
@@ -748,6 +783,7 @@
         Event("daemon_drained").with("complete", static_cast<int>(isDone));
         if (m_log)
             m_log->stop();
+        m_departures->stop();
         m_relay->stop();
         m_claims.stop();
         m_crashSync.stop();
@@ -811,6 +847,7 @@
     RolloutRecorder m_rollouts;
     RoutingTableTask m_routing;
     std::unique_ptr<LogTask> m_log;
+    std::unique_ptr<DepartureTask> m_departures;
     std::unique_ptr<RelayTask> m_relay;
     std::unique_ptr<QuotaTask> m_quota;
     std::unique_ptr<EntryTask> m_entry;
--- a/dragonflylane/DaemonHooks.h
+++ b/dragonflylane/DaemonHooks.h
@@ -16,6 +16,7 @@
 namespace dragonflylane {
 
 struct Announcement;
+struct LeavingProcess;
 struct ReplaceCommand;
 struct StartRolloutCommand;
 
@@ -59,8 +60,11 @@
 
     /// Whether this daemon can serve callers.
     std::function<bool()> isReady {};
-    std::function<void(const Announcement&)> announce {};
-    std::function<void(const UpstreamId&, uint64_t startedAt)> withdraw {};
+    /// Calls back with Ok when the announcement may be acknowledged, see OwnerTask::announce(). Any other code: the
+    /// upstream should announce itself again.
+    std::function<void(const Announcement&, std::function<void(ResultCode)>)> announce {};
+    /// The same for a process that is about to stop.
+    std::function<void(const LeavingProcess&, std::function<void(ResultCode)>)> withdraw {};
     std::function<void(ReplaceCommand, std::function<void(ReplaceAnswer)>)> replaceConfiguration {};
     std::function<void(std::function<void(DocumentAnswer)>)> readDocument {};
     std::function<void(StartRolloutCommand, std::function<void(RolloutAnswer)>)> startRollout {};
--- a/dragonflylane/Frame.h
+++ b/dragonflylane/Frame.h
@@ -32,6 +32,7 @@
     ApiRequest = 25,
     ApiResponse = 26,
     Rollout = 27,
+    Departure = 28,
 };
 
 inline constexpr size_t frameHeaderBytes = 5;
--- a/dragonflylane/FrameQueue.h
+++ b/dragonflylane/FrameQueue.h
@@ -110,6 +110,7 @@
         case FrameKind::CrashSync:
         case FrameKind::Quota:
         case FrameKind::Rollout:
+        case FrameKind::Departure:
             return FrameLane::Control;
         case FrameKind::ForwardRequest:
             return bytes <= maxShortRequestBytes ? FrameLane::Short : FrameLane::Bulk;
--- a/dragonflylane/LogTask.cpp
+++ b/dragonflylane/LogTask.cpp
@@ -154,6 +154,11 @@
     return proof && now - *proof < followerFreshness;
 }
 
+bool LogTask::isLeading(TimePoint now) const
+{
+    return m_replica->role() == LogRole::Leader && isCurrent(now);
+}
+
 void LogTask::exportMetrics() const
 {
     m_metrics.set("log_term", m_replica->term().value());
--- a/dragonflylane/LogTask.h
+++ b/dragonflylane/LogTask.h
@@ -61,6 +61,8 @@
     /// True if reads of the state machine are current: all committed entries are applied, and this replica is a leader
     /// with a lease or a follower with a recent proof of freshness (LogReplica::provenAt()).
     bool isCurrent(TimePoint now) const;
+    /// True if this replica leads and reads of the state machine are current.
+    bool isLeading(TimePoint now) const;
     void exportMetrics() const;
 
 private:
--- a/dragonflylane/OwnerTask.cpp
+++ b/dragonflylane/OwnerTask.cpp
@@ -112,6 +112,11 @@
     return ProcessId(stableHash(instance, startedAt));
 }
 
+ProcessId LeavingProcess::process() const
+{
+    return ProcessId(stableHash(instance, startedAt));
+}
+
 OwnerTask::OwnerTask(asio::io_context& context, OwnerTaskOptions options, const LinkPacer& pacer, CrashTask& crash,
     Metrics& metrics, Journal& journal, Hooks hooks)
     : m_context(context)
@@ -138,23 +143,14 @@
     return m_announcement && (m_announcement->phase == UpstreamPhase::Draining || m_statements.isLeaving());
 }
 
-bool OwnerTask::isWithdrawn(const UpstreamId& id, uint64_t startedAt) const
-{
-    return std::any_of(m_withdrawn.begin(), m_withdrawn.end(),
-        [&](const WithdrawnProcess& process) { return process.id == id && process.startedAt == startedAt; });
-}
-
-bool OwnerTask::hasDepartedEarlier(const Announcement& announcement) const
+const UpstreamDeparture* OwnerTask::departureBefore(const Announcement& announcement) const
 {
-    if (!m_earlierRecord || m_earlierRecord->id != announcement.id)
-        return false;
-    const UpstreamDeparture& earlier = *m_earlierRecord->departure;
-    return earlier.process == announcement.process() && (earlier.isFinal || announcement.sequence < earlier.sequence);
+    return m_departures.find(announcement.id, announcement.process(), announcement.sequence);
 }
 
 bool OwnerTask::isOutdated(const Announcement& announcement) const
 {
-    if (isWithdrawn(announcement.id, announcement.startedAt) || hasDepartedEarlier(announcement))
+    if (departureBefore(announcement))
         return true;
     if (!m_announcement)
         return false;
@@ -163,45 +159,108 @@
     return announcement.id == m_announcement->id && announcement.sequence < m_announcement->sequence;
 }
 
-void OwnerTask::withdraw(const UpstreamId& id, uint64_t startedAt)
+void OwnerTask::withdraw(const LeavingProcess& leaving, const Acknowledge& acknowledge)
 {
-    constexpr size_t maxWithdrawn = 64;
-    bool isCurrent
-        = m_announcement && m_announcement->id == id && (startedAt == 0 || startedAt == m_announcement->startedAt);
-    uint64_t process = isCurrent ? m_announcement->startedAt : startedAt;
-    if (!isWithdrawn(id, process))
-        m_withdrawn.push_back({ id, process });
-    if (m_withdrawn.size() > maxWithdrawn)
-        m_withdrawn.pop_front();
-    if (!isCurrent)
+    auto isLeaving = [&](const Announcement& announcement) {
+        bool isSameStart = leaving.startedAt == 0 || leaving.startedAt == announcement.startedAt;
+        return announcement.id == leaving.id && isSameStart;
+    };
+    DepartedProcess departed { .upstream = leaving.id, .departure = { .process = leaving.process(), .isFinal = true } };
+    if (m_held && isLeaving(m_held->announcement)) {
+        departed.departure.process = m_held->announcement.process();
+        m_held.reset();
+    }
+    bool isCurrent = m_announcement && isLeaving(*m_announcement);
+    if (isCurrent)
+        departed.departure.process = m_announcement->process();
+    m_departures.add(departed);
+    if (isCurrent) {
+        m_announcement->phase = UpstreamPhase::Draining;
+        applyStatements(m_statements.withdraw(), BootClock::now());
+        departed = drainOf(*m_announcement);
+    }
+    m_hooks.recordDeparture(departed, acknowledge);
+}
+
+// An announcement may have been accepted before its departure was known. It was outdated then, so the process drains.
+void OwnerTask::drainIfDeparted()
+{
+    const UpstreamDeparture* departure = m_announcement ? departureBefore(*m_announcement) : nullptr;
+    if (!departure || isAnnouncedDrain())
         return;
     m_announcement->phase = UpstreamPhase::Draining;
-    applyStatements(m_statements.withdraw(), BootClock::now());
+    m_departure = *departure;
+    if (departure->isFinal)
+        applyStatements(m_statements.withdraw(), BootClock::now());
+    applyDrain();
+    publish();
+}
+
+void OwnerTask::adoptDepartures(const std::vector<DepartedProcess>& departures)
+{
+    for (const DepartedProcess& departed : departures)
+        m_departures.add(departed);
+    drainIfDeparted();
+    applyHeldAnnouncement();
+}
+
+void OwnerTask::hold(const Announcement& announcement)
+{
+    bool isOlder = m_held && m_held->announcement.startedAt == announcement.startedAt
+        && announcement.sequence < m_held->announcement.sequence;
+    if (!isOlder)
+        m_held = HeldAnnouncement { .announcement = announcement, .arrivedAt = BootClock::now() };
+}
+
+void OwnerTask::applyHeldAnnouncement()
+{
+    std::optional<HeldAnnouncement> held = std::exchange(m_held, std::nullopt);
+    if (held && BootClock::now() - held->arrivedAt < m_options.lease)
+        apply(held->announcement);
 }
 
-// The announcement may have been accepted before the record arrived. It was outdated then, so the process drains.
 void OwnerTask::adoptEarlierRecord(const UpstreamRecord& record)
 {
     if (!record.departure || m_earlierRecord == record)
         return;
     m_earlierRecord = record;
+    m_departures.add({ .upstream = record.id, .departure = *record.departure });
     Event("upstream_departure_adopted")
         .with("upstream", record.id)
         .with("final", static_cast<int>(record.departure->isFinal))
         .with("sequence", record.departure->sequence);
     if (!m_announcement)
         return publish();
-    if (!hasDepartedEarlier(*m_announcement))
-        return;
-    m_announcement->phase = UpstreamPhase::Draining;
-    m_departure = record.departure;
-    if (record.departure->isFinal)
-        applyStatements(m_statements.withdraw(), BootClock::now());
-    applyDrain();
-    publish();
+    drainIfDeparted();
+}
+
+void OwnerTask::announce(const Announcement& announcement, const Acknowledge& acknowledge)
+{
+    if (m_hooks.areDeparturesKnown())
+        apply(announcement);
+    else
+        hold(announcement);
+    if (announcement.phase != UpstreamPhase::Draining)
+        return acknowledge(ResultCode::Ok);
+    m_hooks.recordDeparture(drainOf(announcement), acknowledge);
+}
+
+// The departure of the current process stays as it was when its drain began, so it is recorded only once. A withdrawal
+// adds nothing to it, since a process that drains announces no other phase later. Without a sequence, only the
+// withdrawal tells which announcements are older.
+DepartedProcess OwnerTask::drainOf(const Announcement& announcement) const
+{
+    DepartedProcess drain { .upstream = announcement.id,
+        .departure = { .process = announcement.process(), .sequence = announcement.sequence } };
+    bool isCurrent = m_departure && m_announcement && m_announcement->id == announcement.id
+        && m_departure->process == announcement.process();
+    if (isCurrent)
+        drain.departure = *m_departure;
+    drain.departure.isFinal |= m_statements.isLeaving() && isCurrent && drain.departure.sequence == Sequence();
+    return drain;
 }
 
-void OwnerTask::announce(const Announcement& announcement)
+void OwnerTask::apply(const Announcement& announcement)
 {
     if (isOutdated(announcement)) {
         m_metrics.add("announcements_outdated");
@@ -560,6 +619,7 @@
         return;
     applyDrain();
     publish();
+    m_hooks.recordDeparture(drainOf(*m_announcement), [](ResultCode) {});
 }
 
 void OwnerTask::finish(const CallPtr& call, UpstreamResult result)
--- a/dragonflylane/OwnerTask.h
+++ b/dragonflylane/OwnerTask.h
@@ -7,6 +7,7 @@
 #include "dragonflylane/Admission.h"
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/CallHeaders.h"
+#include "dragonflylane/DepartureList.h"
 #include "dragonflylane/Endpoint.h"
 #include "dragonflylane/Ids.h"
 #include "dragonflylane/LogRateLimiter.h"
@@ -16,6 +17,7 @@
 #include "dragonflylane/ParentCall.h"
 #include "dragonflylane/RecentCompletions.h"
 #include "dragonflylane/ResponseDelayEstimator.h"
+#include "dragonflylane/ResultCode.h"
 #include "dragonflylane/RunningCalls.h"
 #include "dragonflylane/UnansweredRequests.h"
 #include "dragonflylane/UpstreamClient.h"
@@ -24,7 +26,6 @@
 #include "dragonflylane/WakeupTimer.h"
 
 #include <boost/asio/io_context.hpp>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -65,6 +66,16 @@
     ProcessId process() const;
 };
 
+/// A process of an upstream as it names itself when it leaves; see Announcement.
+struct LeavingProcess {
+    UpstreamId id;
+    std::string instance;
+    /// Zero if not stated: the process that was announced last.
+    uint64_t startedAt { 0 };
+
+    ProcessId process() const;
+};
+
 struct OwnerTaskOptions {
     HostId self;
     CallHeaderNames headerNames {};
@@ -98,6 +109,10 @@
 /// Owns the admission queue and the connections of one upstream.
 class OwnerTask {
 public:
+    /// Receives Ok once what was acknowledged outlasts a restart of every daemon, or QuorumLost if that wasn't possible
+    /// in time. It holds in this process in either case.
+    using Acknowledge = std::function<void(ResultCode)>;
+
     /// Functions of the daemon that the task calls.
     struct Hooks {
         /// Publishes the record of the upstream to the mesh; empty if there is no upstream.
@@ -108,6 +123,10 @@
         /// Announcements may arrive before the daemon has joined, so the upstream's incarnation is raised afterwards if
         /// the generation has increased.
         std::function<uint64_t()> hostGeneration;
+        /// True once the departures that were recorded before the start of this process are known.
+        std::function<bool()> areDeparturesKnown;
+        /// Has a departure recorded.
+        std::function<void(const DepartedProcess&, Acknowledge)> recordDeparture;
     };
     using Responder = std::function<void(wire::ForwardResponse)>;
     using CallId = uint64_t;
@@ -123,10 +142,15 @@
     OwnerTask& operator=(const OwnerTask&) = delete;
 
     /// Applies an announcement and renews the lease. An announcement that is older than the current one (by process
-    /// start, then by sequence) is ignored.
-    void announce(const Announcement&);
+    /// start, then by sequence) is ignored. The latest one waits until the recorded departures are known, since its
+    /// process may have left. Acknowledged at once unless the upstream is draining.
+    void announce(const Announcement&, const Acknowledge&);
     /// Drains the upstream because its process is about to stop. Later announcements of that process are ignored.
-    void withdraw(const UpstreamId&, uint64_t startedAt);
+    void withdraw(const LeavingProcess&, const Acknowledge&);
+    /// The departures that are recorded at this host: announcements from before them are ignored.
+    void adoptDepartures(const std::vector<DepartedProcess>&);
+    /// Applies the announcement that has waited for the recorded departures.
+    void applyHeldAnnouncement();
     /// An earlier process of this daemon has published this record. Its departure, if any, holds again: later
     /// announcements of that process are ignored as they would have been before the restart.
     void adoptEarlierRecord(const UpstreamRecord&);
@@ -168,14 +192,18 @@
         Unsuspected,
     };
 
-    struct WithdrawnProcess {
-        UpstreamId id;
-        uint64_t startedAt { 0 };
+    /// An announcement that waits until the recorded departures are known.
+    struct HeldAnnouncement {
+        Announcement announcement;
+        TimePoint arrivedAt;
     };
 
     bool isAnnouncedDrain() const;
-    bool isWithdrawn(const UpstreamId&, uint64_t startedAt) const;
-    bool hasDepartedEarlier(const Announcement&) const;
+    const UpstreamDeparture* departureBefore(const Announcement&) const;
+    void apply(const Announcement&);
+    void hold(const Announcement&);
+    void drainIfDeparted();
+    DepartedProcess drainOf(const Announcement&) const;
     void updateDeparture();
     std::optional<UpstreamRecord> makeRecord() const;
     bool isOutdated(const Announcement&) const;
@@ -226,8 +254,9 @@
     bool m_isUnpublished { false };
     bool m_refusesNewCalls { false };
     TimePoint m_leaseEnd;
-    /// Upstream processes that have withdrawn, oldest first.
-    std::deque<WithdrawnProcess> m_withdrawn;
+    std::optional<HeldAnnouncement> m_held;
+    /// Processes that have withdrawn, or whose departure an earlier process of this daemon has acknowledged.
+    DepartureList m_departures;
     /// Set while the current process drains.
     std::optional<UpstreamDeparture> m_departure;
     /// The latest record with a departure that an earlier process of this daemon has published. Published again until
--- a/dragonflylane/PlanStateMachine.cpp
+++ b/dragonflylane/PlanStateMachine.cpp
@@ -62,6 +62,8 @@
         return changeRollout(applyRolloutCommand(*start, state()));
     if (const auto* advance = std::get_if<AdvanceRolloutCommand>(&command))
         return changeRollout(applyRolloutCommand(*advance, state()));
+    if (const auto* departures = std::get_if<RecordDeparturesCommand>(&command))
+        return recordDepartures(*departures);
     return setKeepers(std::get<SetKeepersCommand>(command));
 }
 
@@ -174,6 +176,15 @@
     return change.item ? storeItem(*change.item) : unchanged();
 }
 
+ApplyOutcome PlanStateMachine::recordDepartures(const RecordDeparturesCommand& command)
+{
+    if (!isValidName(command.host.value()))
+        return rejection({}, ResultCode::InvalidName, "the host id is not valid");
+    ApplyOutcome outcome = unchanged();
+    outcome.repeated = !m_departures.add(command.host, command.departures);
+    return outcome;
+}
+
 ApplyOutcome PlanStateMachine::unchanged() const
 {
     ApplyOutcome outcome;
@@ -443,6 +454,7 @@
         snapshot.plans.push_back(entry.record);
     snapshot.document = m_document;
     snapshot.accepted.assign(m_acceptedDocuments.begin(), m_acceptedDocuments.end());
+    snapshot.departures = m_departures.all();
     return encodePlanSnapshot(snapshot);
 }
 
@@ -463,6 +475,8 @@
     }
     restored.m_document = std::move(snapshot.document);
     restored.m_acceptedDocuments.assign(snapshot.accepted.begin(), snapshot.accepted.end());
+    for (const HostDepartures& host : snapshot.departures)
+        restored.m_departures.add(host.host, host.departures.all());
     *this = std::move(restored);
     return {};
 }
--- a/dragonflylane/PlanStateMachine.h
+++ b/dragonflylane/PlanStateMachine.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// The replicated state machine: plans by id, and the configuration that confirmed plans and accepted documents produce.
+// The replicated state machine: plans by id, the configuration that confirmed plans and accepted documents produce, and
+// the departures of upstreams.
 // Every replica applies the same commands in the same order and must get the same outcomes, so nothing here depends on
 // time, random numbers or the upstreams and daemons that a host currently sees.
 //
@@ -10,6 +11,7 @@
 //     if (outcome.delta) relay.publish(*outcome.delta, ...);
 
 #include "dragonflylane/ConfigHistory.h"
+#include "dragonflylane/DepartureHistory.h"
 #include "dragonflylane/Plan.h"
 #include "dragonflylane/ResultCode.h"
 #include "dragonflylane/RolloutCommands.h"
@@ -77,6 +79,16 @@
     bool operator==(const PatchCommand&) const = default;
 };
 
+/// Records departures of upstream processes at one host, so that they outlast the daemons. Recording them again has no
+/// effect. The configuration and its revision stay as they are.
+struct RecordDeparturesCommand {
+    HostId host;
+    /// At most DepartureList::maxProcesses.
+    std::vector<DepartedProcess> departures;
+
+    bool operator==(const RecordDeparturesCommand&) const = default;
+};
+
 /// Identifies an accepted document, so that retries are recognised.
 struct AcceptedDocument {
     DocumentVersion version;
@@ -88,7 +100,7 @@
 };
 
 using PlanCommand = std::variant<ProposeCommand, ConfirmCommand, SetKeepersCommand, ReplaceCommand, PatchCommand,
-    StartRolloutCommand, AdvanceRolloutCommand>;
+    StartRolloutCommand, AdvanceRolloutCommand, RecordDeparturesCommand>;
 
 /// Status of a plan.
 enum class PlanStatus : uint8_t {
@@ -151,7 +163,7 @@
     bool deduplicateCommands { true };
 };
 
-/// The state machine of the log: plans and configuration.
+/// The state machine of the log: plans, configuration and departures.
 class PlanStateMachine {
 public:
     explicit PlanStateMachine(PlanStateMachineOptions = {});
@@ -181,6 +193,7 @@
     DocumentVersion documentVersion() const;
     /// The current document as the operator wrote it.
     const std::string& document() const { return m_document; }
+    const DepartureHistory& departures() const { return m_departures; }
 
     /// The whole state for a snapshot of the log. Equal states give equal bytes.
     std::string serialise() const;
@@ -198,6 +211,7 @@
     ApplyOutcome confirm(const ConfirmCommand&);
     ApplyOutcome setKeepers(const SetKeepersCommand&);
     ApplyOutcome changeRollout(const RolloutChange&);
+    ApplyOutcome recordDepartures(const RecordDeparturesCommand&);
     /// Outcome of a command that has no effect.
     ApplyOutcome unchanged() const;
     /// Creates a revision with this item.
@@ -232,6 +246,7 @@
     std::string m_document;
     /// Oldest first; the last one is the current document.
     std::deque<AcceptedDocument> m_acceptedDocuments;
+    DepartureHistory m_departures;
 };
 
 } // namespace dragonflylane
--- a/dragonflylane/PlanWire.cpp
+++ b/dragonflylane/PlanWire.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflylane/ConfigThrift.h"
 #include "dragonflylane/ConfigWire.h"
+#include "dragonflylane/DepartureWire.h"
 #include "dragonflylane/ThriftCodec.h"
 #include "gen-cpp/plan_types.h"
 
@@ -43,6 +44,14 @@
         return true;
     }
 
+    wire::PlanRecordDepartures departuresToWire(const HostId& host, const std::vector<DepartedProcess>& departures)
+    {
+        wire::PlanRecordDepartures result;
+        result.host = host.value();
+        result.departures = toWire(departures);
+        return result;
+    }
+
     struct CommandWriter {
         wire::PlanCommand* out;
 
@@ -120,8 +129,22 @@
             advance.elapsed = command.elapsed.count();
             out->__set_advanceRollout(advance);
         }
+
+        void operator()(const RecordDeparturesCommand& command) const
+        {
+            out->__set_recordDepartures(departuresToWire(command.host, command.departures));
+        }
     };
 
+    bool readRecordDepartures(const wire::PlanRecordDepartures& record, PlanCommand* command)
+    {
+        RecordDeparturesCommand result { .host = HostId(record.host) };
+        if (!readDepartures(record.departures, result.departures))
+            return false;
+        *command = std::move(result);
+        return true;
+    }
+
     bool readPatch(const wire::PlanPatch& patch, PlanCommand* command)
     {
         PatchCommand result;
@@ -244,7 +267,7 @@
     const auto& isFieldSet = wireCommand.__isset;
     if (int { isFieldSet.propose } + int { isFieldSet.confirm } + int { isFieldSet.setKeepers }
             + int { isFieldSet.replace } + int { isFieldSet.patch } + int { isFieldSet.startRollout }
-            + int { isFieldSet.advanceRollout }
+            + int { isFieldSet.advanceRollout } + int { isFieldSet.recordDepartures }
         != 1)
         return ResultCode::MalformedFrame;
     if (isFieldSet.propose && !readPropose(wireCommand.propose, command))
@@ -257,6 +280,8 @@
         *command = readStartRollout(wireCommand.startRollout);
     if (isFieldSet.advanceRollout && !readAdvanceRollout(wireCommand.advanceRollout, command))
         return ResultCode::MalformedFrame;
+    if (isFieldSet.recordDepartures && !readRecordDepartures(wireCommand.recordDepartures, command))
+        return ResultCode::MalformedFrame;
     if (isFieldSet.confirm)
         *command
             = ConfirmCommand { PlanId(wireCommand.confirm.planId), OperatorName(wireCommand.confirm.operatorName) };
@@ -290,6 +315,8 @@
         document.digest = digestBytes(accepted.digest);
         document.revision = static_cast<int64_t>(accepted.revision.value());
     }
+    for (const HostDepartures& host : snapshot.departures)
+        result.departures.push_back(departuresToWire(host.host, host.departures.all()));
     return compress(encodeThrift(result));
 }
 
@@ -322,6 +349,14 @@
         if (!readDigest(document.digest, &accepted.digest))
             return ResultCode::MalformedFrame;
     }
+    for (const wire::PlanRecordDepartures& host : wireSnapshot.departures) {
+        std::vector<DepartedProcess> departures;
+        if (!readDepartures(host.departures, departures))
+            return ResultCode::MalformedFrame;
+        HostDepartures& known = result.departures.emplace_back(HostDepartures { .host = HostId(host.host) });
+        for (const DepartedProcess& departed : departures)
+            known.departures.add(departed);
+    }
     *snapshot = std::move(result);
     return {};
 }
--- a/dragonflylane/PlanWire.h
+++ b/dragonflylane/PlanWire.h
@@ -15,6 +15,8 @@
     std::string document;
     /// Oldest first.
     std::vector<AcceptedDocument> accepted;
+    /// The host with the latest departure comes last.
+    std::vector<HostDepartures> departures;
 };
 
 /// Limits on decoding.
--- a/dragonflylane/RolloutTask.cpp
+++ b/dragonflylane/RolloutTask.cpp
@@ -134,7 +134,7 @@
 
 bool RolloutTask::isLeader(TimePoint now) const
 {
-    return m_log && m_log->replica().role() == LogRole::Leader && m_log->isCurrent(now);
+    return m_log && m_log->isLeading(now);
 }
 
 void RolloutTask::decideAll(TimePoint now)
--- a/gen-cpp/plan_types.cpp
+++ b/gen-cpp/plan_types.cpp
@@ -1394,6 +1394,149 @@
 }
 
 
+PlanRecordDepartures::~PlanRecordDepartures() noexcept {
+}
+
+
+void PlanRecordDepartures::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void PlanRecordDepartures::__set_departures(const std::vector< ::dragonflylane::wire::DepartedProcess> & val) {
+  this->departures = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlanRecordDepartures& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlanRecordDepartures::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->departures.clear();
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->departures.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
+            {
+              xfer += this->departures[_i54].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.departures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlanRecordDepartures::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlanRecordDepartures");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
+    std::vector< ::dragonflylane::wire::DepartedProcess> ::const_iterator _iter55;
+    for (_iter55 = this->departures.begin(); _iter55 != this->departures.end(); ++_iter55)
+    {
+      xfer += (*_iter55).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlanRecordDepartures &a, PlanRecordDepartures &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.departures, b.departures);
+  swap(a.__isset, b.__isset);
+}
+
+PlanRecordDepartures::PlanRecordDepartures(const PlanRecordDepartures& other56) {
+  host = other56.host;
+  departures = other56.departures;
+  __isset = other56.__isset;
+}
+PlanRecordDepartures::PlanRecordDepartures(PlanRecordDepartures&& other57) noexcept {
+  host = std::move(other57.host);
+  departures = std::move(other57.departures);
+  __isset = other57.__isset;
+}
+PlanRecordDepartures& PlanRecordDepartures::operator=(const PlanRecordDepartures& other58) {
+  host = other58.host;
+  departures = other58.departures;
+  __isset = other58.__isset;
+  return *this;
+}
+PlanRecordDepartures& PlanRecordDepartures::operator=(PlanRecordDepartures&& other59) noexcept {
+  host = std::move(other59.host);
+  departures = std::move(other59.departures);
+  __isset = other59.__isset;
+  return *this;
+}
+void PlanRecordDepartures::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlanRecordDepartures(";
+  out << "host=" << to_string(host);
+  out << ", " << "departures=" << to_string(departures);
+  out << ")";
+}
+
+
 PlanCommand::~PlanCommand() noexcept {
 }
 
@@ -1432,6 +1575,11 @@
   this->advanceRollout = val;
 __isset.advanceRollout = true;
 }
+
+void PlanCommand::__set_recordDepartures(const PlanRecordDepartures& val) {
+  this->recordDepartures = val;
+__isset.recordDepartures = true;
+}
 std::ostream& operator<<(std::ostream& out, const PlanCommand& obj)
 {
   obj.printTo(out);
@@ -1516,6 +1664,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->recordDepartures.read(iprot);
+          this->__isset.recordDepartures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1568,6 +1724,11 @@
     xfer += this->advanceRollout.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.recordDepartures) {
+    xfer += oprot->writeFieldBegin("recordDepartures", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->recordDepartures.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1582,49 +1743,54 @@
   swap(a.patch, b.patch);
   swap(a.startRollout, b.startRollout);
   swap(a.advanceRollout, b.advanceRollout);
+  swap(a.recordDepartures, b.recordDepartures);
   swap(a.__isset, b.__isset);
 }
 
-PlanCommand::PlanCommand(const PlanCommand& other50) {
-  propose = other50.propose;
-  confirm = other50.confirm;
-  setKeepers = other50.setKeepers;
-  replace = other50.replace;
-  patch = other50.patch;
-  startRollout = other50.startRollout;
-  advanceRollout = other50.advanceRollout;
-  __isset = other50.__isset;
-}
-PlanCommand::PlanCommand(PlanCommand&& other51) noexcept {
-  propose = std::move(other51.propose);
-  confirm = std::move(other51.confirm);
-  setKeepers = std::move(other51.setKeepers);
-  replace = std::move(other51.replace);
-  patch = std::move(other51.patch);
-  startRollout = std::move(other51.startRollout);
-  advanceRollout = std::move(other51.advanceRollout);
-  __isset = other51.__isset;
-}
-PlanCommand& PlanCommand::operator=(const PlanCommand& other52) {
-  propose = other52.propose;
-  confirm = other52.confirm;
-  setKeepers = other52.setKeepers;
-  replace = other52.replace;
-  patch = other52.patch;
-  startRollout = other52.startRollout;
-  advanceRollout = other52.advanceRollout;
-  __isset = other52.__isset;
+PlanCommand::PlanCommand(const PlanCommand& other60) {
+  propose = other60.propose;
+  confirm = other60.confirm;
+  setKeepers = other60.setKeepers;
+  replace = other60.replace;
+  patch = other60.patch;
+  startRollout = other60.startRollout;
+  advanceRollout = other60.advanceRollout;
+  recordDepartures = other60.recordDepartures;
+  __isset = other60.__isset;
+}
+PlanCommand::PlanCommand(PlanCommand&& other61) noexcept {
+  propose = std::move(other61.propose);
+  confirm = std::move(other61.confirm);
+  setKeepers = std::move(other61.setKeepers);
+  replace = std::move(other61.replace);
+  patch = std::move(other61.patch);
+  startRollout = std::move(other61.startRollout);
+  advanceRollout = std::move(other61.advanceRollout);
+  recordDepartures = std::move(other61.recordDepartures);
+  __isset = other61.__isset;
+}
+PlanCommand& PlanCommand::operator=(const PlanCommand& other62) {
+  propose = other62.propose;
+  confirm = other62.confirm;
+  setKeepers = other62.setKeepers;
+  replace = other62.replace;
+  patch = other62.patch;
+  startRollout = other62.startRollout;
+  advanceRollout = other62.advanceRollout;
+  recordDepartures = other62.recordDepartures;
+  __isset = other62.__isset;
   return *this;
 }
-PlanCommand& PlanCommand::operator=(PlanCommand&& other53) noexcept {
-  propose = std::move(other53.propose);
-  confirm = std::move(other53.confirm);
-  setKeepers = std::move(other53.setKeepers);
-  replace = std::move(other53.replace);
-  patch = std::move(other53.patch);
-  startRollout = std::move(other53.startRollout);
-  advanceRollout = std::move(other53.advanceRollout);
-  __isset = other53.__isset;
+PlanCommand& PlanCommand::operator=(PlanCommand&& other63) noexcept {
+  propose = std::move(other63.propose);
+  confirm = std::move(other63.confirm);
+  setKeepers = std::move(other63.setKeepers);
+  replace = std::move(other63.replace);
+  patch = std::move(other63.patch);
+  startRollout = std::move(other63.startRollout);
+  advanceRollout = std::move(other63.advanceRollout);
+  recordDepartures = std::move(other63.recordDepartures);
+  __isset = other63.__isset;
   return *this;
 }
 void PlanCommand::printTo(std::ostream& out) const {
@@ -1637,6 +1803,7 @@
   out << ", " << "patch="; (__isset.patch ? (out << to_string(patch)) : (out << "<null>"));
   out << ", " << "startRollout="; (__isset.startRollout ? (out << to_string(startRollout)) : (out << "<null>"));
   out << ", " << "advanceRollout="; (__isset.advanceRollout ? (out << to_string(advanceRollout)) : (out << "<null>"));
+  out << ", " << "recordDepartures="; (__isset.recordDepartures ? (out << to_string(recordDepartures)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1738,14 +1905,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->changes.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->changes.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += this->changes[_i58].read(iprot);
+              xfer += this->changes[_i68].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1806,14 +1973,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->conflictItems.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->conflictItems.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->conflictItems.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
             {
-              xfer += this->conflictItems[_i63].read(iprot);
+              xfer += this->conflictItems[_i73].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1858,10 +2025,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<PlanChange> ::const_iterator _iter64;
-    for (_iter64 = this->changes.begin(); _iter64 != this->changes.end(); ++_iter64)
+    std::vector<PlanChange> ::const_iterator _iter74;
+    for (_iter74 = this->changes.begin(); _iter74 != this->changes.end(); ++_iter74)
     {
-      xfer += (*_iter64).write(oprot);
+      xfer += (*_iter74).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1895,10 +2062,10 @@
     xfer += oprot->writeFieldBegin("conflictItems", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->conflictItems.size()));
-      std::vector< ::dragonflylane::wire::ConfigItemKey> ::const_iterator _iter65;
-      for (_iter65 = this->conflictItems.begin(); _iter65 != this->conflictItems.end(); ++_iter65)
+      std::vector< ::dragonflylane::wire::ConfigItemKey> ::const_iterator _iter75;
+      for (_iter75 = this->conflictItems.begin(); _iter75 != this->conflictItems.end(); ++_iter75)
       {
-        xfer += (*_iter65).write(oprot);
+        xfer += (*_iter75).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1930,62 +2097,62 @@
   swap(a.__isset, b.__isset);
 }
 
-PlanRecord::PlanRecord(const PlanRecord& other66) {
-  planId = other66.planId;
-  base = other66.base;
-  changes = other66.changes;
-  proposedBy = other66.proposedBy;
-  confirmedBy = other66.confirmedBy;
-  status = other66.status;
-  revision = other66.revision;
-  code = other66.code;
-  detail = other66.detail;
-  conflictItems = other66.conflictItems;
-  conflictCount = other66.conflictCount;
-  __isset = other66.__isset;
-}
-PlanRecord::PlanRecord(PlanRecord&& other67) noexcept {
-  planId = std::move(other67.planId);
-  base = other67.base;
-  changes = std::move(other67.changes);
-  proposedBy = std::move(other67.proposedBy);
-  confirmedBy = std::move(other67.confirmedBy);
-  status = other67.status;
-  revision = other67.revision;
-  code = other67.code;
-  detail = std::move(other67.detail);
-  conflictItems = std::move(other67.conflictItems);
-  conflictCount = other67.conflictCount;
-  __isset = other67.__isset;
-}
-PlanRecord& PlanRecord::operator=(const PlanRecord& other68) {
-  planId = other68.planId;
-  base = other68.base;
-  changes = other68.changes;
-  proposedBy = other68.proposedBy;
-  confirmedBy = other68.confirmedBy;
-  status = other68.status;
-  revision = other68.revision;
-  code = other68.code;
-  detail = other68.detail;
-  conflictItems = other68.conflictItems;
-  conflictCount = other68.conflictCount;
-  __isset = other68.__isset;
+PlanRecord::PlanRecord(const PlanRecord& other76) {
+  planId = other76.planId;
+  base = other76.base;
+  changes = other76.changes;
+  proposedBy = other76.proposedBy;
+  confirmedBy = other76.confirmedBy;
+  status = other76.status;
+  revision = other76.revision;
+  code = other76.code;
+  detail = other76.detail;
+  conflictItems = other76.conflictItems;
+  conflictCount = other76.conflictCount;
+  __isset = other76.__isset;
+}
+PlanRecord::PlanRecord(PlanRecord&& other77) noexcept {
+  planId = std::move(other77.planId);
+  base = other77.base;
+  changes = std::move(other77.changes);
+  proposedBy = std::move(other77.proposedBy);
+  confirmedBy = std::move(other77.confirmedBy);
+  status = other77.status;
+  revision = other77.revision;
+  code = other77.code;
+  detail = std::move(other77.detail);
+  conflictItems = std::move(other77.conflictItems);
+  conflictCount = other77.conflictCount;
+  __isset = other77.__isset;
+}
+PlanRecord& PlanRecord::operator=(const PlanRecord& other78) {
+  planId = other78.planId;
+  base = other78.base;
+  changes = other78.changes;
+  proposedBy = other78.proposedBy;
+  confirmedBy = other78.confirmedBy;
+  status = other78.status;
+  revision = other78.revision;
+  code = other78.code;
+  detail = other78.detail;
+  conflictItems = other78.conflictItems;
+  conflictCount = other78.conflictCount;
+  __isset = other78.__isset;
   return *this;
 }
-PlanRecord& PlanRecord::operator=(PlanRecord&& other69) noexcept {
-  planId = std::move(other69.planId);
-  base = other69.base;
-  changes = std::move(other69.changes);
-  proposedBy = std::move(other69.proposedBy);
-  confirmedBy = std::move(other69.confirmedBy);
-  status = other69.status;
-  revision = other69.revision;
-  code = other69.code;
-  detail = std::move(other69.detail);
-  conflictItems = std::move(other69.conflictItems);
-  conflictCount = other69.conflictCount;
-  __isset = other69.__isset;
+PlanRecord& PlanRecord::operator=(PlanRecord&& other79) noexcept {
+  planId = std::move(other79.planId);
+  base = other79.base;
+  changes = std::move(other79.changes);
+  proposedBy = std::move(other79.proposedBy);
+  confirmedBy = std::move(other79.confirmedBy);
+  status = other79.status;
+  revision = other79.revision;
+  code = other79.code;
+  detail = std::move(other79.detail);
+  conflictItems = std::move(other79.conflictItems);
+  conflictCount = other79.conflictCount;
+  __isset = other79.__isset;
   return *this;
 }
 void PlanRecord::printTo(std::ostream& out) const {
@@ -2115,30 +2282,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PlanAcceptedDocument::PlanAcceptedDocument(const PlanAcceptedDocument& other70) {
-  version = other70.version;
-  digest = other70.digest;
-  revision = other70.revision;
-  __isset = other70.__isset;
+PlanAcceptedDocument::PlanAcceptedDocument(const PlanAcceptedDocument& other80) {
+  version = other80.version;
+  digest = other80.digest;
+  revision = other80.revision;
+  __isset = other80.__isset;
 }
-PlanAcceptedDocument::PlanAcceptedDocument(PlanAcceptedDocument&& other71) noexcept {
-  version = other71.version;
-  digest = std::move(other71.digest);
-  revision = other71.revision;
-  __isset = other71.__isset;
+PlanAcceptedDocument::PlanAcceptedDocument(PlanAcceptedDocument&& other81) noexcept {
+  version = other81.version;
+  digest = std::move(other81.digest);
+  revision = other81.revision;
+  __isset = other81.__isset;
 }
-PlanAcceptedDocument& PlanAcceptedDocument::operator=(const PlanAcceptedDocument& other72) {
-  version = other72.version;
-  digest = other72.digest;
-  revision = other72.revision;
-  __isset = other72.__isset;
+PlanAcceptedDocument& PlanAcceptedDocument::operator=(const PlanAcceptedDocument& other82) {
+  version = other82.version;
+  digest = other82.digest;
+  revision = other82.revision;
+  __isset = other82.__isset;
   return *this;
 }
-PlanAcceptedDocument& PlanAcceptedDocument::operator=(PlanAcceptedDocument&& other73) noexcept {
-  version = other73.version;
-  digest = std::move(other73.digest);
-  revision = other73.revision;
-  __isset = other73.__isset;
+PlanAcceptedDocument& PlanAcceptedDocument::operator=(PlanAcceptedDocument&& other83) noexcept {
+  version = other83.version;
+  digest = std::move(other83.digest);
+  revision = other83.revision;
+  __isset = other83.__isset;
   return *this;
 }
 void PlanAcceptedDocument::printTo(std::ostream& out) const {
@@ -2175,6 +2342,10 @@
 void PlanBookSnapshot::__set_acceptedDocuments(const std::vector<PlanAcceptedDocument> & val) {
   this->acceptedDocuments = val;
 }
+
+void PlanBookSnapshot::__set_departures(const std::vector<PlanRecordDepartures> & val) {
+  this->departures = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlanBookSnapshot& obj)
 {
   obj.printTo(out);
@@ -2215,14 +2386,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deltas.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->deltas.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->deltas.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->deltas[_i78].read(iprot);
+              xfer += this->deltas[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2235,14 +2406,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->plans.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _etype82;
-            xfer += iprot->readListBegin(_etype82, _size79);
-            this->plans.resize(_size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->plans.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              xfer += this->plans[_i83].read(iprot);
+              xfer += this->plans[_i93].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2263,14 +2434,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->acceptedDocuments.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->acceptedDocuments.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->acceptedDocuments.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += this->acceptedDocuments[_i88].read(iprot);
+              xfer += this->acceptedDocuments[_i98].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2279,6 +2450,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->departures.clear();
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->departures.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
+            {
+              xfer += this->departures[_i103].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.departures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2303,10 +2494,10 @@
   xfer += oprot->writeFieldBegin("deltas", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deltas.size()));
-    std::vector< ::dragonflylane::wire::ConfigDelta> ::const_iterator _iter89;
-    for (_iter89 = this->deltas.begin(); _iter89 != this->deltas.end(); ++_iter89)
+    std::vector< ::dragonflylane::wire::ConfigDelta> ::const_iterator _iter104;
+    for (_iter104 = this->deltas.begin(); _iter104 != this->deltas.end(); ++_iter104)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter104).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2315,10 +2506,10 @@
   xfer += oprot->writeFieldBegin("plans", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->plans.size()));
-    std::vector<PlanRecord> ::const_iterator _iter90;
-    for (_iter90 = this->plans.begin(); _iter90 != this->plans.end(); ++_iter90)
+    std::vector<PlanRecord> ::const_iterator _iter105;
+    for (_iter105 = this->plans.begin(); _iter105 != this->plans.end(); ++_iter105)
     {
-      xfer += (*_iter90).write(oprot);
+      xfer += (*_iter105).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2332,10 +2523,22 @@
   xfer += oprot->writeFieldBegin("acceptedDocuments", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acceptedDocuments.size()));
-    std::vector<PlanAcceptedDocument> ::const_iterator _iter91;
-    for (_iter91 = this->acceptedDocuments.begin(); _iter91 != this->acceptedDocuments.end(); ++_iter91)
+    std::vector<PlanAcceptedDocument> ::const_iterator _iter106;
+    for (_iter106 = this->acceptedDocuments.begin(); _iter106 != this->acceptedDocuments.end(); ++_iter106)
+    {
+      xfer += (*_iter106).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
+    std::vector<PlanRecordDepartures> ::const_iterator _iter107;
+    for (_iter107 = this->departures.begin(); _iter107 != this->departures.end(); ++_iter107)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter107).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2353,41 +2556,46 @@
   swap(a.plans, b.plans);
   swap(a.document, b.document);
   swap(a.acceptedDocuments, b.acceptedDocuments);
+  swap(a.departures, b.departures);
   swap(a.__isset, b.__isset);
 }
 
-PlanBookSnapshot::PlanBookSnapshot(const PlanBookSnapshot& other92) {
-  state = other92.state;
-  deltas = other92.deltas;
-  plans = other92.plans;
-  document = other92.document;
-  acceptedDocuments = other92.acceptedDocuments;
-  __isset = other92.__isset;
-}
-PlanBookSnapshot::PlanBookSnapshot(PlanBookSnapshot&& other93) noexcept {
-  state = std::move(other93.state);
-  deltas = std::move(other93.deltas);
-  plans = std::move(other93.plans);
-  document = std::move(other93.document);
-  acceptedDocuments = std::move(other93.acceptedDocuments);
-  __isset = other93.__isset;
-}
-PlanBookSnapshot& PlanBookSnapshot::operator=(const PlanBookSnapshot& other94) {
-  state = other94.state;
-  deltas = other94.deltas;
-  plans = other94.plans;
-  document = other94.document;
-  acceptedDocuments = other94.acceptedDocuments;
-  __isset = other94.__isset;
+PlanBookSnapshot::PlanBookSnapshot(const PlanBookSnapshot& other108) {
+  state = other108.state;
+  deltas = other108.deltas;
+  plans = other108.plans;
+  document = other108.document;
+  acceptedDocuments = other108.acceptedDocuments;
+  departures = other108.departures;
+  __isset = other108.__isset;
+}
+PlanBookSnapshot::PlanBookSnapshot(PlanBookSnapshot&& other109) noexcept {
+  state = std::move(other109.state);
+  deltas = std::move(other109.deltas);
+  plans = std::move(other109.plans);
+  document = std::move(other109.document);
+  acceptedDocuments = std::move(other109.acceptedDocuments);
+  departures = std::move(other109.departures);
+  __isset = other109.__isset;
+}
+PlanBookSnapshot& PlanBookSnapshot::operator=(const PlanBookSnapshot& other110) {
+  state = other110.state;
+  deltas = other110.deltas;
+  plans = other110.plans;
+  document = other110.document;
+  acceptedDocuments = other110.acceptedDocuments;
+  departures = other110.departures;
+  __isset = other110.__isset;
   return *this;
 }
-PlanBookSnapshot& PlanBookSnapshot::operator=(PlanBookSnapshot&& other95) noexcept {
-  state = std::move(other95.state);
-  deltas = std::move(other95.deltas);
-  plans = std::move(other95.plans);
-  document = std::move(other95.document);
-  acceptedDocuments = std::move(other95.acceptedDocuments);
-  __isset = other95.__isset;
+PlanBookSnapshot& PlanBookSnapshot::operator=(PlanBookSnapshot&& other111) noexcept {
+  state = std::move(other111.state);
+  deltas = std::move(other111.deltas);
+  plans = std::move(other111.plans);
+  document = std::move(other111.document);
+  acceptedDocuments = std::move(other111.acceptedDocuments);
+  departures = std::move(other111.departures);
+  __isset = other111.__isset;
   return *this;
 }
 void PlanBookSnapshot::printTo(std::ostream& out) const {
@@ -2398,6 +2606,7 @@
   out << ", " << "plans=" << to_string(plans);
   out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
   out << ", " << "acceptedDocuments=" << to_string(acceptedDocuments);
+  out << ", " << "departures=" << to_string(departures);
   out << ")";
 }
 
--- a/gen-cpp/plan_types.h
+++ b/gen-cpp/plan_types.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include "config_types.h"
+#include "departure_types.h"
 
 
 namespace dragonflylane { namespace wire {
@@ -38,6 +39,8 @@
 
 class PlanAdvanceRollout;
 
+class PlanRecordDepartures;
+
 class PlanCommand;
 
 class PlanRecord;
@@ -566,8 +569,59 @@
 
 std::ostream& operator<<(std::ostream& out, const PlanAdvanceRollout& obj);
 
+typedef struct _PlanRecordDepartures__isset {
+  _PlanRecordDepartures__isset() : host(false), departures(false) {}
+  bool host :1;
+  bool departures :1;
+} _PlanRecordDepartures__isset;
+
+class PlanRecordDepartures : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlanRecordDepartures(const PlanRecordDepartures&);
+  PlanRecordDepartures(PlanRecordDepartures&&) noexcept;
+  PlanRecordDepartures& operator=(const PlanRecordDepartures&);
+  PlanRecordDepartures& operator=(PlanRecordDepartures&&) noexcept;
+  PlanRecordDepartures() noexcept
+                       : host() {
+  }
+
+  virtual ~PlanRecordDepartures() noexcept;
+  std::string host;
+  std::vector< ::dragonflylane::wire::DepartedProcess>  departures;
+
+  _PlanRecordDepartures__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_departures(const std::vector< ::dragonflylane::wire::DepartedProcess> & val);
+
+  bool operator == (const PlanRecordDepartures & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(departures == rhs.departures))
+      return false;
+    return true;
+  }
+  bool operator != (const PlanRecordDepartures &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlanRecordDepartures & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlanRecordDepartures &a, PlanRecordDepartures &b);
+
+std::ostream& operator<<(std::ostream& out, const PlanRecordDepartures& obj);
+
 typedef struct _PlanCommand__isset {
-  _PlanCommand__isset() : propose(false), confirm(false), setKeepers(false), replace(false), patch(false), startRollout(false), advanceRollout(false) {}
+  _PlanCommand__isset() : propose(false), confirm(false), setKeepers(false), replace(false), patch(false), startRollout(false), advanceRollout(false), recordDepartures(false) {}
   bool propose :1;
   bool confirm :1;
   bool setKeepers :1;
@@ -575,6 +629,7 @@
   bool patch :1;
   bool startRollout :1;
   bool advanceRollout :1;
+  bool recordDepartures :1;
 } _PlanCommand__isset;
 
 class PlanCommand : public virtual ::apache::thrift::TBase {
@@ -595,6 +650,7 @@
   PlanPatch patch;
   PlanStartRollout startRollout;
   PlanAdvanceRollout advanceRollout;
+  PlanRecordDepartures recordDepartures;
 
   _PlanCommand__isset __isset;
 
@@ -612,6 +668,8 @@
 
   void __set_advanceRollout(const PlanAdvanceRollout& val);
 
+  void __set_recordDepartures(const PlanRecordDepartures& val);
+
   bool operator == (const PlanCommand & rhs) const
   {
     if (__isset.propose != rhs.__isset.propose)
@@ -642,6 +700,10 @@
       return false;
     else if (__isset.advanceRollout && !(advanceRollout == rhs.advanceRollout))
       return false;
+    if (__isset.recordDepartures != rhs.__isset.recordDepartures)
+      return false;
+    else if (__isset.recordDepartures && !(recordDepartures == rhs.recordDepartures))
+      return false;
     return true;
   }
   bool operator != (const PlanCommand &rhs) const {
@@ -837,12 +899,13 @@
 std::ostream& operator<<(std::ostream& out, const PlanAcceptedDocument& obj);
 
 typedef struct _PlanBookSnapshot__isset {
-  _PlanBookSnapshot__isset() : state(false), deltas(false), plans(false), document(false), acceptedDocuments(false) {}
+  _PlanBookSnapshot__isset() : state(false), deltas(false), plans(false), document(false), acceptedDocuments(false), departures(false) {}
   bool state :1;
   bool deltas :1;
   bool plans :1;
   bool document :1;
   bool acceptedDocuments :1;
+  bool departures :1;
 } _PlanBookSnapshot__isset;
 
 class PlanBookSnapshot : public virtual ::apache::thrift::TBase {
@@ -862,6 +925,7 @@
   std::vector<PlanRecord>  plans;
   std::string document;
   std::vector<PlanAcceptedDocument>  acceptedDocuments;
+  std::vector<PlanRecordDepartures>  departures;
 
   _PlanBookSnapshot__isset __isset;
 
@@ -875,6 +939,8 @@
 
   void __set_acceptedDocuments(const std::vector<PlanAcceptedDocument> & val);
 
+  void __set_departures(const std::vector<PlanRecordDepartures> & val);
+
   bool operator == (const PlanBookSnapshot & rhs) const
   {
     if (!(state == rhs.state))
@@ -889,6 +955,8 @@
       return false;
     if (!(acceptedDocuments == rhs.acceptedDocuments))
       return false;
+    if (!(departures == rhs.departures))
+      return false;
     return true;
   }
   bool operator != (const PlanBookSnapshot &rhs) const {
--- a/tests/LoopbackMesh.h
+++ b/tests/LoopbackMesh.h
@@ -85,6 +85,15 @@
         wait(host, processLimit);
     }
 
+    /// Ends all processes at the same moment and waits until they are gone.
+    void killAll()
+    {
+        for (size_t host = 0; host < size(); ++host)
+            signal(host, SIGKILL);
+        for (size_t host = 0; host < size(); ++host)
+            wait(host, processLimit);
+    }
+
     /// Confirms a plan at the control host, retrying until the mesh has a leader.
     bool confirm(const std::string& plan)
     {
--- a/tests/OwnerTaskTest.cpp
+++ b/tests/OwnerTaskTest.cpp
@@ -51,20 +51,54 @@
                 OwnerTask::Hooks {
                     .publishUpstream = [this](std::optional<UpstreamRecord> record) { m_record = std::move(record); },
                     .knownIncarnation = [](const UpstreamId&) { return Incarnation(); },
-                    .hostGeneration = [this] { return m_generation; } });
+                    .hostGeneration = [this] { return m_generation; },
+                    .areDeparturesKnown = [this] { return m_areDeparturesKnown; },
+                    .recordDeparture =
+                        [this](const DepartedProcess& departed, const OwnerTask::Acknowledge& acknowledge) {
+                            m_unrecorded.push_back({ departed, acknowledge });
+                            if (m_recordsAtOnce)
+                                recordDepartures();
+                        } });
         }
 
-        void announce(UpstreamPhase phase = UpstreamPhase::Ready, const std::string& instance = "1")
+        /// Records what the task wants to have recorded, as a control leader would, and tells the task.
+        void recordDepartures()
+        {
+            for (const auto& [departed, acknowledge] : std::exchange(m_unrecorded, {})) {
+                m_recorded.add(departed);
+                acknowledge(ResultCode::Ok);
+            }
+        }
+
+        /// Departures are recorded by recordDepartures() only.
+        void recordLater() { m_recordsAtOnce = false; }
+        /// From now on, a restarted task knows no recorded departure before learnDepartures().
+        void forgetDepartures() { m_areDeparturesKnown = false; }
+        void learnDepartures()
+        {
+            m_areDeparturesKnown = true;
+            m_owner->adoptDepartures(m_recorded.all());
+        }
+        const DepartureList& recorded() const { return m_recorded; }
+
+        void announce(
+            UpstreamPhase phase = UpstreamPhase::Ready, const std::string& instance = "1", Sequence sequence = {})
         {
             m_owner->announce({ .id = UpstreamId(upstreamName),
-                .service = ServiceName("catalogue"),
-                .address = m_upstream.endpoint(),
-                .slots = 12,
-                .phase = phase,
-                .instance = instance });
+                                  .service = ServiceName("catalogue"),
+                                  .address = m_upstream.endpoint(),
+                                  .slots = 12,
+                                  .phase = phase,
+                                  .instance = instance,
+                                  .sequence = sequence },
+                [this](ResultCode) { ++m_acknowledgements; });
         }
 
-        void withdraw() { m_owner->withdraw(UpstreamId(upstreamName), 0); }
+        void withdraw()
+        {
+            m_owner->withdraw({ .id = UpstreamId(upstreamName) }, [this](ResultCode) { ++m_acknowledgements; });
+        }
+        size_t acknowledgements() const { return m_acknowledgements; }
 
         /// Offers one call every `gap` for this long, announces the upstream every second and runs all of them.
         void offerCalls(Duration gap, Duration length)
@@ -166,6 +200,15 @@
         std::map<ResultCode, size_t> m_codes;
         wire::ForwardResponse m_lastResponse;
         std::optional<ProcessStatement> m_known;
+        struct UnrecordedDeparture {
+            DepartedProcess departed;
+            OwnerTask::Acknowledge acknowledge;
+        };
+        std::vector<UnrecordedDeparture> m_unrecorded;
+        DepartureList m_recorded;
+        bool m_recordsAtOnce { true };
+        bool m_areDeparturesKnown { true };
+        size_t m_acknowledgements { 0 };
     };
 
     HttpHeader rateLimit(const std::string& perSecond)
@@ -307,6 +350,98 @@
     EXPECT_EQ(fixture.record(), before);
 }
 
+// Guards against an acknowledgement that a kill of every daemon in the next moment would make untrue (review/10).
+TEST(OwnerTaskTest, DepartureIsAcknowledgedOnceItIsRecorded)
+{
+    OwnerFixture fixture;
+    fixture.recordLater();
+    fixture.announce(UpstreamPhase::Ready, "1", Sequence(1));
+    EXPECT_EQ(fixture.acknowledgements(), 1U) << "nothing has to be recorded";
+    fixture.announce(UpstreamPhase::Draining, "1", Sequence(2));
+    EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Draining) << "the drain itself doesn't wait";
+    EXPECT_EQ(fixture.acknowledgements(), 1U);
+    fixture.recordDepartures();
+    EXPECT_EQ(fixture.acknowledgements(), 2U);
+    fixture.announce(UpstreamPhase::Ready, "2", Sequence(1));
+    fixture.withdraw();
+    EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Draining);
+    EXPECT_EQ(fixture.acknowledgements(), 3U);
+    fixture.recordDepartures();
+    EXPECT_EQ(fixture.acknowledgements(), 4U);
+}
+
+// Guards against a further entry in the log for each report of a draining upstream, and for its withdrawal.
+TEST(OwnerTaskTest, DrainIsRecordedOnce)
+{
+    OwnerFixture fixture;
+    fixture.announce(UpstreamPhase::Draining, "1", Sequence(2));
+    DepartureList before = fixture.recorded();
+    ASSERT_EQ(before.all().size(), 1U);
+    fixture.announce(UpstreamPhase::Draining, "1", Sequence(3));
+    fixture.withdraw();
+    EXPECT_EQ(fixture.recorded(), before);
+    EXPECT_EQ(fixture.acknowledgements(), 3U);
+}
+
+// Guards against an upstream that was told that its departure is known and is used again, because a late announcement
+// reaches a new process of its owner daemon before the recorded departures do (review/10).
+TEST(OwnerTaskTest, RestartedOwnerUsesNoUpstreamBeforeItKnowsTheRecordedDepartures)
+{
+    OwnerFixture fixture;
+    fixture.announce(UpstreamPhase::Ready, "1", Sequence(1));
+    fixture.withdraw();
+    fixture.forgetDepartures();
+    fixture.restart();
+    fixture.announce(UpstreamPhase::Ready, "1", Sequence(2));
+    EXPECT_NE(fixture.callAndWait(), ResultCode::Ok);
+    fixture.learnDepartures();
+    EXPECT_NE(fixture.callAndWait(), ResultCode::Ok);
+    EXPECT_EQ(fixture.upstream().arrivals().size(), 0U);
+    fixture.announce(UpstreamPhase::Ready, "2", Sequence(1));
+    EXPECT_EQ(fixture.callAndWait(), ResultCode::Ok) << "the next process is used";
+}
+
+// Guards against an upstream that stays unused until its next announcement.
+TEST(OwnerTaskTest, AnnouncementThatHasWaitedForTheDeparturesIsApplied)
+{
+    OwnerFixture fixture;
+    fixture.forgetDepartures();
+    fixture.restart();
+    fixture.announce(UpstreamPhase::Ready, "1", Sequence(2));
+    fixture.announce(UpstreamPhase::Ready, "1", Sequence(1));
+    EXPECT_EQ(fixture.acknowledgements(), 2U);
+    EXPECT_FALSE(fixture.record());
+    fixture.learnDepartures();
+    ASSERT_TRUE(fixture.record());
+    EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Ready);
+    EXPECT_EQ(fixture.callAndWait(), ResultCode::Ok);
+}
+
+// Guards against an upstream that stays in use although its departure becomes known: without an answer of the control
+// leader, its announcement was believed.
+TEST(OwnerTaskTest, UpstreamDrainsWhenItsRecordedDepartureBecomesKnownLate)
+{
+    OwnerFixture fixture;
+    fixture.announce(UpstreamPhase::Draining, "1", Sequence(5));
+    fixture.restart();
+    fixture.announce(UpstreamPhase::Ready, "1", Sequence(4));
+    EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Ready);
+    fixture.learnDepartures();
+    EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Draining);
+    fixture.announce(UpstreamPhase::Ready, "1", Sequence(6));
+    EXPECT_EQ(fixture.record()->phase, UpstreamPhase::Ready) << "a later announcement ends the drain";
+}
+
+// Guards against a withdrawal that names a process which no announcement has named, after a restart of the daemon.
+TEST(OwnerTaskTest, WithdrawalOfAnUnknownProcessIsRecorded)
+{
+    OwnerFixture fixture;
+    fixture.withdraw();
+    EXPECT_EQ(fixture.acknowledgements(), 1U);
+    ASSERT_EQ(fixture.recorded().all().size(), 1U);
+    EXPECT_TRUE(fixture.recorded().all().front().departure.isFinal);
+}
+
 // Guards against a drain or a limit that outlasts the process of the upstream that stated it.
 TEST(OwnerTaskTest, StatementsOfThePreviousProcessDoNotHoldForTheNextOne)
 {
--- a/tests/PlanStateMachineTest.cpp
+++ b/tests/PlanStateMachineTest.cpp
@@ -498,4 +498,61 @@
     EXPECT_EQ(stateMachine.document(), command.document);
 }
 
+namespace {
+
+    DepartedProcess departure(uint64_t process)
+    {
+        return { .upstream = UpstreamId("catalogue-1"),
+            .departure = { .process = ProcessId(process), .sequence = Sequence(3), .isFinal = true } };
+    }
+
+    std::string recordDepartures(const std::string& host, std::vector<DepartedProcess> departures)
+    {
+        return PlanStateMachine::encode(RecordDeparturesCommand { HostId(host), std::move(departures) });
+    }
+
+} // namespace
+
+// Guards against a departure that is lost with a restart of the control hosts, or when the log is compacted
+// (review/10).
+TEST(PlanStateMachineTest, DeparturesAreInTheSnapshot)
+{
+    PlanStateMachine stateMachine;
+    ApplyOutcome outcome = stateMachine.apply(recordDepartures("host-2", { departure(1) }));
+    EXPECT_EQ(outcome.code, ResultCode::Ok);
+    EXPECT_FALSE(outcome.repeated);
+    stateMachine.apply(recordDepartures("host-1", { departure(2), departure(3) }));
+    EXPECT_TRUE(stateMachine.apply(recordDepartures("host-2", { departure(1) })).repeated);
+    PlanStateMachine restored;
+    ASSERT_FALSE(restored.restore(stateMachine.serialise()));
+    EXPECT_EQ(restored.departures().at(HostId("host-2")).all(), std::vector { departure(1) });
+    EXPECT_EQ(restored.departures().at(HostId("host-1")).all().size(), 2U);
+    EXPECT_EQ(restored.serialise(), stateMachine.serialise());
+}
+
+// Guards against plans that conflict, and configurations that are distributed, because an upstream has left.
+TEST(PlanStateMachineTest, DeparturesChangeNoRevision)
+{
+    PlanStateMachine stateMachine;
+    stateMachine.apply(proposal("p", { setService("catalogue") }));
+    EXPECT_FALSE(stateMachine.apply(recordDepartures("host-1", { departure(1) })).delta);
+    EXPECT_EQ(stateMachine.state().revision(), Revision());
+    EXPECT_EQ(stateMachine.apply(confirmation("p")).status, PlanStatus::Confirmed);
+}
+
+// Guards against a log whose snapshot grows with each host that has ever been in the mesh.
+TEST(PlanStateMachineTest, DeparturesOfTheLatestHostsAreKept)
+{
+    DepartureHistory history;
+    for (size_t i = 0; i < DepartureHistory::maxHosts; ++i)
+        history.add(HostId("host-" + std::to_string(i)), { departure(1) });
+    history.add(HostId("host-0"), { departure(2) });
+    history.add(HostId("one-more"), { departure(1) });
+    EXPECT_EQ(history.hostCount(), DepartureHistory::maxHosts);
+    EXPECT_EQ(history.at(HostId("host-0")).all().size(), 2U);
+    EXPECT_TRUE(history.at(HostId("host-1")).isEmpty());
+    EXPECT_FALSE(history.at(HostId("one-more")).isEmpty());
+    EXPECT_EQ(history.all().back().host, HostId("one-more"));
+}
+
 } // namespace dragonflylane
--- a/tests/PlatformDepartureTest.cpp
+++ b/tests/PlatformDepartureTest.cpp
@@ -78,6 +78,18 @@
             EXPECT_EQ(m_upstream.arrivals(), before);
         }
 
+        /// Starts all daemons again and waits until each of them is ready.
+        bool startAll()
+        {
+            return waitUntil([this] { return m_mesh.keepAllRunning() && isReady(entry) && isReady(owner); },
+                LoopbackMesh::processLimit);
+        }
+
+        bool isReady(size_t host) const
+        {
+            return statusOf(exchange(m_mesh.ports(host).api, "GET", "/v1/ready", "")) == 200;
+        }
+
         uint16_t api() const { return m_mesh.ports(owner).api; }
 
         LoopbackMesh m_mesh { { .hosts = { "entry", "owner" }, .program = BINARY_DIR "/dragonflylane-platform" } };
@@ -136,5 +148,70 @@
         expectNoRequests();
     }
 
+    // Guards against a backend that has deregistered and is used again after a kill of every daemon, since the
+    // departure that was acknowledged was only known to processes (review/10). The kill comes right behind the
+    // acknowledgement.
+    TEST_F(PlatformDepartureTest, DepartureOutlastsTheKillOfEveryDaemon)
+    {
+        ASSERT_TRUE(startMesh());
+        ASSERT_TRUE(deregister());
+        m_mesh.killAll();
+        ASSERT_TRUE(startAll());
+        report("ready", 5);
+        expectNoRequests();
+        EXPECT_TRUE(report("ready", 1, "1760000009999") && waitUntil([this] { return isServed(); }, seconds(10)))
+            << "the next process of the backend is used";
+    }
+
+    // Guards against the same for a backend that drains: a report that is older than the drain arrives late.
+    TEST_F(PlatformDepartureTest, DrainOutlastsTheKillOfEveryDaemon)
+    {
+        ASSERT_TRUE(startMesh());
+        ASSERT_TRUE(report("draining", 6));
+        m_mesh.killAll();
+        ASSERT_TRUE(startAll());
+        report("ready", 5);
+        expectNoRequests();
+        EXPECT_TRUE(report("ready", 7) && waitUntil([this] { return isServed(); }, seconds(10)))
+            << "a later report ends the drain";
+    }
+
+    // Guards against the kill of a daemon right behind its acknowledgement, before the membership has passed it on.
+    TEST_F(PlatformDepartureTest, DepartureOutlastsAKillRightBehindItsAcknowledgement)
+    {
+        ASSERT_TRUE(startMesh());
+        ASSERT_TRUE(deregister());
+        m_mesh.kill(owner);
+        ASSERT_TRUE(startOwner());
+        report("ready", 5);
+        expectNoRequests();
+    }
+
+    // Guards against a departure that is forgotten because it reached a daemon that had just been started and knew
+    // nothing of the backend.
+    TEST_F(PlatformDepartureTest, DepartureOfABackendThatTheDaemonDoesNotKnowOutlastsTheKillOfEveryDaemon)
+    {
+        ASSERT_TRUE(startMesh());
+        m_mesh.killAll();
+        ASSERT_TRUE(startAll());
+        ASSERT_TRUE(deregister());
+        m_mesh.killAll();
+        ASSERT_TRUE(startAll());
+        report("ready", 5);
+        expectNoRequests();
+    }
+
+    // Guards against an acknowledgement that can't be kept: without a control host nothing is stored.
+    TEST_F(PlatformDepartureTest, DepartureIsNotAcknowledgedWhileItCannotBeStored)
+    {
+        ASSERT_TRUE(startMesh());
+        m_mesh.kill(entry);
+        EXPECT_FALSE(deregister());
+        ASSERT_TRUE(startAll());
+        EXPECT_TRUE(waitUntil([this] { return deregister(); }, seconds(10))) << "stored once the control host is back";
+        report("ready", 5);
+        expectNoRequests();
+    }
+
 } // namespace
 } // namespace dragonflylane
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -176,8 +176,9 @@
     for (const auto& [from, to] : malformed)
         EXPECT_FALSE(report(replaced(reportText, from, to))) << to;
     EXPECT_FALSE(report("\xff\xfe"));
-    EXPECT_EQ(readStartTime(R"({"born":5})"), 5U);
-    EXPECT_EQ(readStartTime(""), 0U);
+    EXPECT_EQ(readDeregistration(UpstreamId("i-1"), R"({"born":5})")->startedAt, 5U);
+    EXPECT_EQ(readDeregistration(UpstreamId("i-1"), "")->startedAt, 0U);
+    EXPECT_FALSE(readDeregistration(UpstreamId("i 1"), ""));
 }
 
 // Guards against a report of another writer that ends the daemon, or names a backend that can't exist.
@@ -347,7 +348,10 @@
 
     int announced = 0;
     DaemonHooks local { .service = ServiceName("huvo11a"), .upstream = Endpoint { "10.128.0.9", 8080 } };
-    local.announce = [&](const Announcement&) { ++announced; };
+    local.announce = [&](const Announcement&, const std::function<void(ResultCode)>& acknowledge) {
+        ++announced;
+        acknowledge(ResultCode::Ok);
+    };
     EXPECT_EQ(serve("POST", "/v1/Instances.Heartbeat/i-1", reportText, local).status, 200U);
     local.service = ServiceName("other");
     EXPECT_EQ(serve("POST", "/v1/Instances.Heartbeat/i-1", reportText, local).status, 400U);
--- a/wire/plan.thrift
+++ b/wire/plan.thrift
@@ -2,6 +2,7 @@
 namespace cpp dragonflylane.wire
 
 include "config.thrift"
+include "departure.thrift"
 
 // Exactly one field is set, and `item` contains exactly one item.
 struct PlanChange {
@@ -64,6 +65,12 @@
   5: i64 elapsed
 }
 
+// Records departures of upstream processes at one host.
+struct PlanRecordDepartures {
+  1: string host
+  2: list<departure.DepartedProcess> departures
+}
+
 // Exactly one field is set.
 struct PlanCommand {
   1: optional PlanPropose propose
@@ -73,6 +80,7 @@
   5: optional PlanPatch patch
   6: optional PlanStartRollout startRollout
   7: optional PlanAdvanceRollout advanceRollout
+  8: optional PlanRecordDepartures recordDepartures
 }
 
 struct PlanRecord {
@@ -101,4 +109,6 @@
   3: list<PlanRecord> plans
   4: optional binary document
   5: list<PlanAcceptedDocument> acceptedDocuments
+  // The host with the latest departure comes last.
+  6: list<PlanRecordDepartures> departures
 }
