--- a/dragonflylane/ApiTask.cpp
+++ b/dragonflylane/ApiTask.cpp
@@ -12,6 +12,7 @@
 #include "dragonflylane/OwnerTask.h"
 #include "dragonflylane/PlanJson.h"
 #include "dragonflylane/PlanReview.h"
+#include "dragonflylane/QuarantineTask.h"
 #include "dragonflylane/QuotaTask.h"
 #include "dragonflylane/RelayTask.h"
 #include "dragonflylane/RolloutJson.h"
@@ -652,13 +653,19 @@
     uint64_t fingerprint = 0;
     if (request.path[2] != "release" || !parseNumber(request.path[1], fingerprint))
         return request.respondError(ResultCode::InvalidValue, request.http.target);
-    if (!m_parts.crash.release(Fingerprint(fingerprint)))
-        return request.respondError(ResultCode::NotFound);
-    m_parts.journal.record({ .event = "quarantine_released",
-        .subjects = { "fingerprint-" + request.path[1], request.operatorName.value() },
-        .cause = request.operatorName.value() });
-    Event("quarantine_released").with("fingerprint", fingerprint).with("operator", request.operatorName);
-    request.respondJson("{}\n");
+    if (!m_parts.log || !m_parts.log->isLeading(BootClock::now()))
+        return forwardToLeader(request);
+    m_parts.quarantine->release(Fingerprint(fingerprint), [this, request](std::optional<std::error_code> error) {
+        if (!error)
+            return request.respondError(ResultCode::NotFound);
+        if (*error)
+            return request.respondError(resultCode(*error), "the quarantine has ended, but isn't stored as ended yet");
+        m_parts.journal.record({ .event = "quarantine_released",
+            .subjects = { "fingerprint-" + request.path[1], request.operatorName.value() },
+            .cause = request.operatorName.value() });
+        Event("quarantine_released").with("fingerprint", request.path[1]).with("operator", request.operatorName);
+        request.respondJson("{}\n");
+    });
 }
 
 } // namespace dragonflylane
--- a/dragonflylane/ApiTask.h
+++ b/dragonflylane/ApiTask.h
@@ -28,12 +28,13 @@
 class Metrics;
 class OwnerTask;
 class RoutingTableTask;
+class QuarantineTask;
 class QuotaTask;
 class RelayTask;
 struct ApiRequest;
 struct ApplyOutcome;
 
-/// Components of the daemon that the API uses. The log is null on hosts without a control role.
+/// Components of the daemon that the API uses. Log and quarantine are null on hosts without a control role.
 struct ApiParts {
     const Settings& settings;
     PeerHub& hub;
@@ -47,6 +48,7 @@
     CrashTask& crash;
     QuotaTask& quota;
     LogTask* log;
+    QuarantineTask* quarantine;
     /// Whether this daemon can serve callers.
     std::function<bool()> isReady;
 };
--- a/dragonflylane/CrashTask.cpp
+++ b/dragonflylane/CrashTask.cpp
@@ -86,6 +86,24 @@
     return true;
 }
 
+void CrashTask::merge(const CrashRecord& record)
+{
+    if (m_quarantine.merge(record, BootClock::now()))
+        logMerged(record.fingerprint);
+}
+
+std::vector<CrashRecord> CrashTask::quarantined() const
+{
+    TimePoint now = BootClock::now();
+    std::vector<CrashRecord> records;
+    for (const CrashEntry& entry : m_quarantine.list(now)) {
+        if (entry.state == CrashState::Quarantined)
+            records.push_back(
+                { .fingerprint = entry.fingerprint, .deaths = entry.deaths, .remaining = entry.expiresAt - now });
+    }
+    return records;
+}
+
 CrashState CrashTask::stateOf(Fingerprint fingerprint) const
 {
     // The quarantine is nearly always empty. Skips the lookup on the path of every call.
--- a/dragonflylane/CrashTask.h
+++ b/dragonflylane/CrashTask.h
@@ -32,7 +32,12 @@
     /// quarantined.
     bool release(Fingerprint);
 
+    /// Adds what another daemon or the replicated log knows.
+    void merge(const CrashRecord&);
+
     CrashState stateOf(Fingerprint) const;
+    /// The requests in quarantine, for a daemon that has been started.
+    std::vector<CrashRecord> quarantined() const;
     std::vector<CrashEntry> list() const;
     /// The table, for the comparison with other daemons.
     CrashQuarantine& quarantine() { return m_quarantine; }
--- a/dragonflylane/CrashWire.cpp
+++ b/dragonflylane/CrashWire.cpp
@@ -50,30 +50,12 @@
         notice.__set_clear(result);
     }
 
-    std::vector<wire::CrashDeath> toWire(const std::vector<CrashDeath>& deaths)
-    {
-        std::vector<wire::CrashDeath> result;
-        result.reserve(deaths.size());
-        for (const CrashDeath& death : deaths)
-            result.push_back(toWire(death));
-        return result;
-    }
-
-    std::vector<CrashDeath> fromWire(const std::vector<wire::CrashDeath>& deaths)
-    {
-        std::vector<CrashDeath> result;
-        result.reserve(deaths.size());
-        for (const wire::CrashDeath& death : deaths)
-            result.push_back(fromWire(death));
-        return result;
-    }
-
     wire::CrashRecord toWire(const CrashRecord& record)
     {
         wire::CrashRecord result;
         result.__set_fingerprint(static_cast<int64_t>(record.fingerprint.value()));
-        result.__set_deaths(toWire(record.deaths));
-        result.__set_cleared(toWire(record.cleared));
+        result.__set_deaths(dragonflylane::toWire(record.deaths));
+        result.__set_cleared(dragonflylane::toWire(record.cleared));
         result.__set_remaining(std::chrono::ceil<std::chrono::milliseconds>(record.remaining).count());
         return result;
     }
@@ -82,13 +64,49 @@
     {
         constexpr int64_t longest = int64_t { 24 } * 3600 * 1000;
         return { .fingerprint = Fingerprint(static_cast<uint64_t>(record.fingerprint)),
-            .deaths = fromWire(record.deaths),
-            .cleared = fromWire(record.cleared),
+            .deaths = dragonflylane::fromWire(record.deaths),
+            .cleared = dragonflylane::fromWire(record.cleared),
             .remaining = std::chrono::milliseconds(std::clamp<int64_t>(record.remaining, 0, longest)) };
     }
 
 } // namespace
 
+std::vector<wire::CrashDeath> toWire(const std::vector<CrashDeath>& deaths)
+{
+    std::vector<wire::CrashDeath> result;
+    result.reserve(deaths.size());
+    for (const CrashDeath& death : deaths)
+        result.push_back(toWire(death));
+    return result;
+}
+
+std::vector<CrashDeath> fromWire(const std::vector<wire::CrashDeath>& deaths)
+{
+    std::vector<CrashDeath> result;
+    result.reserve(deaths.size());
+    for (const wire::CrashDeath& death : deaths)
+        result.push_back(fromWire(death));
+    return result;
+}
+
+std::vector<wire::CrashRecord> toWire(const std::vector<CrashRecord>& records)
+{
+    std::vector<wire::CrashRecord> result;
+    result.reserve(records.size());
+    for (const CrashRecord& record : records)
+        result.push_back(toWire(record));
+    return result;
+}
+
+std::vector<CrashRecord> fromWire(const std::vector<wire::CrashRecord>& records)
+{
+    std::vector<CrashRecord> result;
+    result.reserve(records.size());
+    for (const wire::CrashRecord& record : records)
+        result.push_back(fromWire(record));
+    return result;
+}
+
 std::string encode(const CrashSyncMessage& message)
 {
     wire::CrashSync result;
@@ -96,12 +114,8 @@
         result.__set_digest(static_cast<int64_t>(*message.root));
     if (message.digest)
         result.__set_buckets({ message.digest->buckets.begin(), message.digest->buckets.end() });
-    if (message.records) {
-        std::vector<wire::CrashRecord> records;
-        for (const CrashRecord& record : *message.records)
-            records.push_back(toWire(record));
-        result.__set_records(records);
-    }
+    if (message.records)
+        result.__set_records(toWire(*message.records));
     return encodeThrift(result);
 }
 
@@ -118,11 +132,8 @@
         message.root = static_cast<uint64_t>(decoded.digest);
     if (decoded.__isset.buckets)
         std::copy(decoded.buckets.begin(), decoded.buckets.end(), message.digest.emplace().buckets.begin());
-    if (!decoded.__isset.records)
-        return {};
-    message.records.emplace();
-    for (const wire::CrashRecord& record : decoded.records)
-        message.records->push_back(fromWire(record));
+    if (decoded.__isset.records)
+        message.records = fromWire(decoded.records);
     return {};
 }
 
--- a/dragonflylane/CrashWire.h
+++ b/dragonflylane/CrashWire.h
@@ -9,9 +9,15 @@
 #include <string>
 #include <string_view>
 #include <system_error>
+#include <vector>
 
 namespace dragonflylane {
 
+namespace wire {
+    class CrashDeath;
+    class CrashRecord;
+}
+
 std::string encode(const CrashNotice&);
 /// Decodes exactly one notice. Returns FrameTooLarge if the input exceeds the limit of a frame payload, and
 /// MalformedFrame if it is not one report or one clear, has trailing bytes, or has strings or lists over their limits.
@@ -22,4 +28,9 @@
 /// each bucket.
 std::error_code decode(std::string_view, CrashSyncMessage&);
 
+std::vector<wire::CrashDeath> toWire(const std::vector<CrashDeath>&);
+std::vector<CrashDeath> fromWire(const std::vector<wire::CrashDeath>&);
+std::vector<wire::CrashRecord> toWire(const std::vector<CrashRecord>&);
+std::vector<CrashRecord> fromWire(const std::vector<wire::CrashRecord>&);
+
 } // namespace dragonflylane
--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -21,6 +21,7 @@
 #include "dragonflylane/Metrics.h"
 #include "dragonflylane/OwnerTask.h"
 #include "dragonflylane/PeerHub.h"
+#include "dragonflylane/QuarantineTask.h"
 #include "dragonflylane/QuotaTask.h"
 #include "dragonflylane/RelayTask.h"
 #include "dragonflylane/RolloutRecorder.h"
@@ -168,6 +169,8 @@
             if (auto error = m_log->start(m_settings.dataFolder, detail))
                 return error;
         }
+        if (m_quarantine)
+            m_quarantine->start();
         m_departures->start();
         m_relay->start();
         // Membership reports changes only, so the initial record of this host is passed here. Without it, the tree
@@ -257,11 +260,19 @@
 
     void makeDepartures()
     {
+        if (m_log)
+            m_quarantine = std::make_unique<QuarantineTask>(m_context, *m_log, m_crash);
         m_departures = std::make_unique<DepartureTask>(m_context, m_settings.hostId, BootId(m_bootId), m_hub,
             m_log.get(), m_metrics,
             DepartureTask::Hooks { .controlHosts = [this] { return nearestControlHosts(); },
                 .recorded
                 = [this](const std::vector<DepartedProcess>& departures) { m_owner.adoptDepartures(departures); },
+                .quarantined = [this] { return m_quarantine->quarantined(); },
+                .quarantineKnown =
+                    [this](const std::vector<CrashRecord>& records) {
+                        for (const CrashRecord& record : records)
+                            m_crash.merge(record);
+                    },
                 .answerTimedOut = [this] { m_owner.applyHeldAnnouncement(); } });
     }
 
@@ -341,7 +352,7 @@
     {
         m_api = std::make_unique<ApiTask>(m_context,
             ApiParts { m_settings, m_hub, m_metrics, m_journal, *m_membership, *m_relay, m_routing, m_owner, m_claims,
-                m_crash, *m_quota, m_log.get(),
+                m_crash, *m_quota, m_log.get(), m_quarantine.get(),
                 [this] {
                     logReadinessChange();
                     return m_isReady;
@@ -783,6 +794,8 @@
         Event("daemon_drained").with("complete", static_cast<int>(isDone));
         if (m_log)
             m_log->stop();
+        if (m_quarantine)
+            m_quarantine->stop();
         m_departures->stop();
         m_relay->stop();
         m_claims.stop();
@@ -847,6 +860,7 @@
     RolloutRecorder m_rollouts;
     RoutingTableTask m_routing;
     std::unique_ptr<LogTask> m_log;
+    std::unique_ptr<QuarantineTask> m_quarantine;
     std::unique_ptr<DepartureTask> m_departures;
     std::unique_ptr<RelayTask> m_relay;
     std::unique_ptr<QuotaTask> m_quota;
--- a/dragonflylane/DepartureMessages.h
+++ b/dragonflylane/DepartureMessages.h
@@ -2,6 +2,7 @@
 
 // Messages between the daemon that owns an upstream and the control leader.
 
+#include "dragonflylane/CrashQuarantine.h"
 #include "dragonflylane/DepartedProcess.h"
 
 #include <variant>
@@ -16,13 +17,19 @@
     BootId bootId {};
     /// Empty if there is nothing to record.
     std::vector<DepartedProcess> departures {};
+
+    bool operator==(const DepartureRequest&) const = default;
 };
 
-/// All departures that are recorded at the host that asked.
+/// All departures that are recorded at the host that asked. Also the requests in quarantine, which must not reach its
+/// upstream either.
 struct DepartureAnswer {
     HostId host {};
     BootId bootId {};
     std::vector<DepartedProcess> departures {};
+    std::vector<CrashRecord> quarantine {};
+
+    bool operator==(const DepartureAnswer&) const = default;
 };
 
 using DepartureMessage = std::variant<DepartureRequest, DepartureAnswer>;
--- a/dragonflylane/DepartureTask.cpp
+++ b/dragonflylane/DepartureTask.cpp
@@ -136,7 +136,8 @@
 {
     DepartureAnswer result { .host = request.host,
         .bootId = request.bootId,
-        .departures = m_log->stateMachine().departures().at(request.host).all() };
+        .departures = m_log->stateMachine().departures().at(request.host).all(),
+        .quarantine = m_hooks.quarantined() };
     if (requester.link == LinkId())
         return handleAnswer(result);
     m_hub.send(requester.link, FrameKind::Departure, encode(result));
@@ -161,6 +162,7 @@
         if (!isFirst && !before.covers(departed))
             logDeparture("departure_recorded", departed);
     }
+    m_hooks.quarantineKnown(answer.quarantine);
     m_hooks.recorded(m_recorder.recorded().all());
     work();
 }
--- a/dragonflylane/DepartureTask.h
+++ b/dragonflylane/DepartureTask.h
@@ -27,6 +27,10 @@
         std::function<std::vector<HostId>()> controlHosts;
         /// The recorded departures at this host have become known, or more of them have.
         std::function<void(const std::vector<DepartedProcess>&)> recorded;
+        /// On a control host: the requests in quarantine; called while this host leads.
+        std::function<std::vector<CrashRecord>()> quarantined;
+        /// The leader's answer to `quarantined`.
+        std::function<void(const std::vector<CrashRecord>&)> quarantineKnown;
         /// What is recorded can't be learned for now: DepartureRecorder::isInformed() holds without an answer.
         std::function<void()> answerTimedOut;
     };
--- a/dragonflylane/DepartureWire.cpp
+++ b/dragonflylane/DepartureWire.cpp
@@ -1,6 +1,7 @@
 #include "dragonflylane/DepartureWire.h"
 
 #include "dragonflylane/ConfigItem.h"
+#include "dragonflylane/CrashWire.h"
 #include "dragonflylane/DepartureList.h"
 #include "dragonflylane/ThriftCodec.h"
 #include "gen-cpp/departure_types.h"
@@ -9,7 +10,7 @@
 
 namespace {
 
-    constexpr size_t maxMessageBytes = size_t { 16 } << 10;
+    constexpr size_t maxMessageBytes = size_t { 1 } << 20;
 
     template <typename WireMessage, typename Message> WireMessage partToWire(const Message& message)
     {
@@ -64,8 +65,10 @@
     wire::DepartureMessage result;
     if (const auto* request = std::get_if<DepartureRequest>(&message))
         result.__set_request(partToWire<wire::DepartureRequest>(*request));
-    else
-        result.__set_answer(partToWire<wire::DepartureAnswer>(std::get<DepartureAnswer>(message)));
+    if (const auto* answer = std::get_if<DepartureAnswer>(&message)) {
+        result.__set_answer(partToWire<wire::DepartureAnswer>(*answer));
+        result.answer.quarantine = toWire(answer->quarantine);
+    }
     return encodeThrift(result);
 }
 
@@ -78,7 +81,11 @@
         return ResultCode::MalformedFrame;
     bool isValid = in.__isset.request ? readPart<DepartureRequest>(in.request, message)
                                       : readPart<DepartureAnswer>(in.answer, message);
-    return isValid ? std::error_code() : make_error_code(ResultCode::MalformedFrame);
+    if (!isValid)
+        return ResultCode::MalformedFrame;
+    if (auto* answer = std::get_if<DepartureAnswer>(&message))
+        answer->quarantine = fromWire(in.answer.quarantine);
+    return {};
 }
 
 } // namespace dragonflylane
--- a/dragonflylane/PlanStateMachine.cpp
+++ b/dragonflylane/PlanStateMachine.cpp
@@ -64,6 +64,11 @@
         return changeRollout(applyRolloutCommand(*advance, state()));
     if (const auto* departures = std::get_if<RecordDeparturesCommand>(&command))
         return recordDepartures(*departures);
+    if (const auto* quarantine = std::get_if<ChangeQuarantineCommand>(&command)) {
+        ApplyOutcome outcome = unchanged();
+        outcome.repeated = !m_quarantine.apply(*quarantine);
+        return outcome;
+    }
     return setKeepers(std::get<SetKeepersCommand>(command));
 }
 
@@ -455,6 +460,7 @@
     snapshot.document = m_document;
     snapshot.accepted.assign(m_acceptedDocuments.begin(), m_acceptedDocuments.end());
     snapshot.departures = m_departures.all();
+    snapshot.quarantine = m_quarantine.all();
     return encodePlanSnapshot(snapshot);
 }
 
@@ -477,6 +483,7 @@
     restored.m_acceptedDocuments.assign(snapshot.accepted.begin(), snapshot.accepted.end());
     for (const HostDepartures& host : snapshot.departures)
         restored.m_departures.add(host.host, host.departures.all());
+    restored.m_quarantine.apply({ .added = std::move(snapshot.quarantine) });
     *this = std::move(restored);
     return {};
 }
--- a/dragonflylane/PlanStateMachine.h
+++ b/dragonflylane/PlanStateMachine.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// The replicated state machine: plans by id, the configuration that confirmed plans and accepted documents produce, and
-// the departures of upstreams.
+// The replicated state machine: plans by id, the configuration that confirmed plans and accepted documents produce, the
+// departures of upstreams and the requests in quarantine.
 // Every replica applies the same commands in the same order and must get the same outcomes, so nothing here depends on
 // time, random numbers or the upstreams and daemons that a host currently sees.
 //
@@ -15,6 +15,7 @@
 #include "dragonflylane/Plan.h"
 #include "dragonflylane/ResultCode.h"
 #include "dragonflylane/RolloutCommands.h"
+#include "dragonflylane/StoredQuarantine.h"
 
 #include <deque>
 #include <list>
@@ -100,7 +101,7 @@
 };
 
 using PlanCommand = std::variant<ProposeCommand, ConfirmCommand, SetKeepersCommand, ReplaceCommand, PatchCommand,
-    StartRolloutCommand, AdvanceRolloutCommand, RecordDeparturesCommand>;
+    StartRolloutCommand, AdvanceRolloutCommand, RecordDeparturesCommand, ChangeQuarantineCommand>;
 
 /// Status of a plan.
 enum class PlanStatus : uint8_t {
@@ -163,7 +164,7 @@
     bool deduplicateCommands { true };
 };
 
-/// The state machine of the log: plans, configuration and departures.
+/// The state machine of the log: plans, configuration, departures and quarantine.
 class PlanStateMachine {
 public:
     explicit PlanStateMachine(PlanStateMachineOptions = {});
@@ -194,6 +195,7 @@
     /// The current document as the operator wrote it.
     const std::string& document() const { return m_document; }
     const DepartureHistory& departures() const { return m_departures; }
+    const StoredQuarantine& quarantine() const { return m_quarantine; }
 
     /// The whole state for a snapshot of the log. Equal states give equal bytes.
     std::string serialise() const;
@@ -247,6 +249,7 @@
     /// Oldest first; the last one is the current document.
     std::deque<AcceptedDocument> m_acceptedDocuments;
     DepartureHistory m_departures;
+    StoredQuarantine m_quarantine;
 };
 
 } // namespace dragonflylane
--- a/dragonflylane/PlanWire.cpp
+++ b/dragonflylane/PlanWire.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflylane/ConfigThrift.h"
 #include "dragonflylane/ConfigWire.h"
+#include "dragonflylane/CrashWire.h"
 #include "dragonflylane/DepartureWire.h"
 #include "dragonflylane/ThriftCodec.h"
 #include "gen-cpp/plan_types.h"
@@ -52,6 +53,27 @@
         return result;
     }
 
+    std::vector<wire::PlanQuarantinedRequest> quarantineToWire(const std::vector<QuarantinedRequest>& requests)
+    {
+        std::vector<wire::PlanQuarantinedRequest> result;
+        for (const QuarantinedRequest& request : requests) {
+            wire::PlanQuarantinedRequest& out = result.emplace_back();
+            out.fingerprint = static_cast<int64_t>(request.fingerprint.value());
+            out.deaths = toWire(request.deaths);
+        }
+        return result;
+    }
+
+    std::vector<QuarantinedRequest> readQuarantine(const std::vector<wire::PlanQuarantinedRequest>& requests)
+    {
+        std::vector<QuarantinedRequest> result;
+        for (const wire::PlanQuarantinedRequest& request : requests) {
+            result.push_back({ .fingerprint = Fingerprint(static_cast<uint64_t>(request.fingerprint)),
+                .deaths = fromWire(request.deaths) });
+        }
+        return result;
+    }
+
     struct CommandWriter {
         wire::PlanCommand* out;
 
@@ -134,6 +156,15 @@
         {
             out->__set_recordDepartures(departuresToWire(command.host, command.departures));
         }
+
+        void operator()(const ChangeQuarantineCommand& command) const
+        {
+            wire::PlanChangeQuarantine change;
+            change.added = quarantineToWire(command.added);
+            for (Fingerprint fingerprint : command.removed)
+                change.removed.push_back(static_cast<int64_t>(fingerprint.value()));
+            out->__set_changeQuarantine(change);
+        }
     };
 
     bool readRecordDepartures(const wire::PlanRecordDepartures& record, PlanCommand* command)
@@ -145,6 +176,14 @@
         return true;
     }
 
+    ChangeQuarantineCommand readChangeQuarantine(const wire::PlanChangeQuarantine& change)
+    {
+        ChangeQuarantineCommand result { .added = readQuarantine(change.added) };
+        for (int64_t fingerprint : change.removed)
+            result.removed.emplace_back(static_cast<uint64_t>(fingerprint));
+        return result;
+    }
+
     bool readPatch(const wire::PlanPatch& patch, PlanCommand* command)
     {
         PatchCommand result;
@@ -268,6 +307,7 @@
     if (int { isFieldSet.propose } + int { isFieldSet.confirm } + int { isFieldSet.setKeepers }
             + int { isFieldSet.replace } + int { isFieldSet.patch } + int { isFieldSet.startRollout }
             + int { isFieldSet.advanceRollout } + int { isFieldSet.recordDepartures }
+            + int { isFieldSet.changeQuarantine }
         != 1)
         return ResultCode::MalformedFrame;
     if (isFieldSet.propose && !readPropose(wireCommand.propose, command))
@@ -280,6 +320,8 @@
         *command = readStartRollout(wireCommand.startRollout);
     if (isFieldSet.advanceRollout && !readAdvanceRollout(wireCommand.advanceRollout, command))
         return ResultCode::MalformedFrame;
+    if (isFieldSet.changeQuarantine)
+        *command = readChangeQuarantine(wireCommand.changeQuarantine);
     if (isFieldSet.recordDepartures && !readRecordDepartures(wireCommand.recordDepartures, command))
         return ResultCode::MalformedFrame;
     if (isFieldSet.confirm)
@@ -317,6 +359,7 @@
     }
     for (const HostDepartures& host : snapshot.departures)
         result.departures.push_back(departuresToWire(host.host, host.departures.all()));
+    result.quarantine = quarantineToWire(snapshot.quarantine);
     return compress(encodeThrift(result));
 }
 
@@ -357,6 +400,7 @@
         for (const DepartedProcess& departed : departures)
             known.departures.add(departed);
     }
+    result.quarantine = readQuarantine(wireSnapshot.quarantine);
     *snapshot = std::move(result);
     return {};
 }
--- a/dragonflylane/PlanWire.h
+++ b/dragonflylane/PlanWire.h
@@ -17,6 +17,7 @@
     std::vector<AcceptedDocument> accepted;
     /// The host with the latest departure comes last.
     std::vector<HostDepartures> departures;
+    std::vector<QuarantinedRequest> quarantine;
 };
 
 /// Limits on decoding.
--- a/fuzz/DecodersFuzz.cpp
+++ b/fuzz/DecodersFuzz.cpp
@@ -6,6 +6,7 @@
 #include "dragonflylane/ConfigState.h"
 #include "dragonflylane/ConfigWire.h"
 #include "dragonflylane/CrashWire.h"
+#include "dragonflylane/DepartureWire.h"
 #include "dragonflylane/Frame.h"
 #include "dragonflylane/FrameSegments.h"
 #include "dragonflylane/GossipMessages.h"
@@ -175,6 +176,7 @@
             { "claim", roundTrip<ClaimMessage> },
             { "crash", roundTrip<CrashNotice> },
             { "crash-sync", roundTrip<CrashSyncMessage> },
+            { "departure", roundTrip<DepartureMessage> },
             { "rollout", roundTrip<RolloutReport> },
             { "config", fuzzConfig },
             { "plan", fuzzPlan },
--- a/gen-cpp/departure_types.cpp
+++ b/gen-cpp/departure_types.cpp
@@ -361,6 +361,10 @@
 void DepartureAnswer::__set_departures(const std::vector<DepartedProcess> & val) {
   this->departures = val;
 }
+
+void DepartureAnswer::__set_quarantine(const std::vector< ::dragonflylane::wire::CrashRecord> & val) {
+  this->quarantine = val;
+}
 std::ostream& operator<<(std::ostream& out, const DepartureAnswer& obj)
 {
   obj.printTo(out);
@@ -425,6 +429,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quarantine.clear();
+            uint32_t _size19;
+            ::apache::thrift::protocol::TType _etype22;
+            xfer += iprot->readListBegin(_etype22, _size19);
+            this->quarantine.resize(_size19);
+            uint32_t _i23;
+            for (_i23 = 0; _i23 < _size19; ++_i23)
+            {
+              xfer += this->quarantine[_i23].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quarantine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -453,10 +477,22 @@
   xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
-    std::vector<DepartedProcess> ::const_iterator _iter19;
-    for (_iter19 = this->departures.begin(); _iter19 != this->departures.end(); ++_iter19)
+    std::vector<DepartedProcess> ::const_iterator _iter24;
+    for (_iter24 = this->departures.begin(); _iter24 != this->departures.end(); ++_iter24)
+    {
+      xfer += (*_iter24).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantine", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantine.size()));
+    std::vector< ::dragonflylane::wire::CrashRecord> ::const_iterator _iter25;
+    for (_iter25 = this->quarantine.begin(); _iter25 != this->quarantine.end(); ++_iter25)
     {
-      xfer += (*_iter19).write(oprot);
+      xfer += (*_iter25).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -472,33 +508,38 @@
   swap(a.host, b.host);
   swap(a.life, b.life);
   swap(a.departures, b.departures);
+  swap(a.quarantine, b.quarantine);
   swap(a.__isset, b.__isset);
 }
 
-DepartureAnswer::DepartureAnswer(const DepartureAnswer& other20) {
-  host = other20.host;
-  life = other20.life;
-  departures = other20.departures;
-  __isset = other20.__isset;
+DepartureAnswer::DepartureAnswer(const DepartureAnswer& other26) {
+  host = other26.host;
+  life = other26.life;
+  departures = other26.departures;
+  quarantine = other26.quarantine;
+  __isset = other26.__isset;
 }
-DepartureAnswer::DepartureAnswer(DepartureAnswer&& other21) noexcept {
-  host = std::move(other21.host);
-  life = other21.life;
-  departures = std::move(other21.departures);
-  __isset = other21.__isset;
+DepartureAnswer::DepartureAnswer(DepartureAnswer&& other27) noexcept {
+  host = std::move(other27.host);
+  life = other27.life;
+  departures = std::move(other27.departures);
+  quarantine = std::move(other27.quarantine);
+  __isset = other27.__isset;
 }
-DepartureAnswer& DepartureAnswer::operator=(const DepartureAnswer& other22) {
-  host = other22.host;
-  life = other22.life;
-  departures = other22.departures;
-  __isset = other22.__isset;
+DepartureAnswer& DepartureAnswer::operator=(const DepartureAnswer& other28) {
+  host = other28.host;
+  life = other28.life;
+  departures = other28.departures;
+  quarantine = other28.quarantine;
+  __isset = other28.__isset;
   return *this;
 }
-DepartureAnswer& DepartureAnswer::operator=(DepartureAnswer&& other23) noexcept {
-  host = std::move(other23.host);
-  life = other23.life;
-  departures = std::move(other23.departures);
-  __isset = other23.__isset;
+DepartureAnswer& DepartureAnswer::operator=(DepartureAnswer&& other29) noexcept {
+  host = std::move(other29.host);
+  life = other29.life;
+  departures = std::move(other29.departures);
+  quarantine = std::move(other29.quarantine);
+  __isset = other29.__isset;
   return *this;
 }
 void DepartureAnswer::printTo(std::ostream& out) const {
@@ -507,6 +548,7 @@
   out << "host=" << to_string(host);
   out << ", " << "life=" << to_string(life);
   out << ", " << "departures=" << to_string(departures);
+  out << ", " << "quarantine=" << to_string(quarantine);
   out << ")";
 }
 
@@ -607,26 +649,26 @@
   swap(a.__isset, b.__isset);
 }
 
-DepartureMessage::DepartureMessage(const DepartureMessage& other24) {
-  request = other24.request;
-  answer = other24.answer;
-  __isset = other24.__isset;
+DepartureMessage::DepartureMessage(const DepartureMessage& other30) {
+  request = other30.request;
+  answer = other30.answer;
+  __isset = other30.__isset;
 }
-DepartureMessage::DepartureMessage(DepartureMessage&& other25) noexcept {
-  request = std::move(other25.request);
-  answer = std::move(other25.answer);
-  __isset = other25.__isset;
+DepartureMessage::DepartureMessage(DepartureMessage&& other31) noexcept {
+  request = std::move(other31.request);
+  answer = std::move(other31.answer);
+  __isset = other31.__isset;
 }
-DepartureMessage& DepartureMessage::operator=(const DepartureMessage& other26) {
-  request = other26.request;
-  answer = other26.answer;
-  __isset = other26.__isset;
+DepartureMessage& DepartureMessage::operator=(const DepartureMessage& other32) {
+  request = other32.request;
+  answer = other32.answer;
+  __isset = other32.__isset;
   return *this;
 }
-DepartureMessage& DepartureMessage::operator=(DepartureMessage&& other27) noexcept {
-  request = std::move(other27.request);
-  answer = std::move(other27.answer);
-  __isset = other27.__isset;
+DepartureMessage& DepartureMessage::operator=(DepartureMessage&& other33) noexcept {
+  request = std::move(other33.request);
+  answer = std::move(other33.answer);
+  __isset = other33.__isset;
   return *this;
 }
 void DepartureMessage::printTo(std::ostream& out) const {
--- a/gen-cpp/departure_types.h
+++ b/gen-cpp/departure_types.h
@@ -17,6 +17,7 @@
 
 #include <functional>
 #include <memory>
+#include "crash_types.h"
 
 
 namespace dragonflylane { namespace wire {
@@ -154,10 +155,11 @@
 std::ostream& operator<<(std::ostream& out, const DepartureRequest& obj);
 
 typedef struct _DepartureAnswer__isset {
-  _DepartureAnswer__isset() : host(false), life(false), departures(false) {}
+  _DepartureAnswer__isset() : host(false), life(false), departures(false), quarantine(false) {}
   bool host :1;
   bool life :1;
   bool departures :1;
+  bool quarantine :1;
 } _DepartureAnswer__isset;
 
 class DepartureAnswer : public virtual ::apache::thrift::TBase {
@@ -176,6 +178,7 @@
   std::string host;
   int64_t life;
   std::vector<DepartedProcess>  departures;
+  std::vector< ::dragonflylane::wire::CrashRecord>  quarantine;
 
   _DepartureAnswer__isset __isset;
 
@@ -185,6 +188,8 @@
 
   void __set_departures(const std::vector<DepartedProcess> & val);
 
+  void __set_quarantine(const std::vector< ::dragonflylane::wire::CrashRecord> & val);
+
   bool operator == (const DepartureAnswer & rhs) const
   {
     if (!(host == rhs.host))
@@ -193,6 +198,8 @@
       return false;
     if (!(departures == rhs.departures))
       return false;
+    if (!(quarantine == rhs.quarantine))
+      return false;
     return true;
   }
   bool operator != (const DepartureAnswer &rhs) const {
--- a/gen-cpp/plan_types.cpp
+++ b/gen-cpp/plan_types.cpp
@@ -1537,6 +1537,312 @@
 }
 
 
+PlanQuarantinedRequest::~PlanQuarantinedRequest() noexcept {
+}
+
+
+void PlanQuarantinedRequest::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void PlanQuarantinedRequest::__set_deaths(const std::vector< ::dragonflylane::wire::CrashDeath> & val) {
+  this->deaths = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlanQuarantinedRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlanQuarantinedRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->deaths.clear();
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->deaths.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
+            {
+              xfer += this->deaths[_i64].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.deaths = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlanQuarantinedRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlanQuarantinedRequest");
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deaths", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deaths.size()));
+    std::vector< ::dragonflylane::wire::CrashDeath> ::const_iterator _iter65;
+    for (_iter65 = this->deaths.begin(); _iter65 != this->deaths.end(); ++_iter65)
+    {
+      xfer += (*_iter65).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlanQuarantinedRequest &a, PlanQuarantinedRequest &b) {
+  using ::std::swap;
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.deaths, b.deaths);
+  swap(a.__isset, b.__isset);
+}
+
+PlanQuarantinedRequest::PlanQuarantinedRequest(const PlanQuarantinedRequest& other66) {
+  fingerprint = other66.fingerprint;
+  deaths = other66.deaths;
+  __isset = other66.__isset;
+}
+PlanQuarantinedRequest::PlanQuarantinedRequest(PlanQuarantinedRequest&& other67) noexcept {
+  fingerprint = other67.fingerprint;
+  deaths = std::move(other67.deaths);
+  __isset = other67.__isset;
+}
+PlanQuarantinedRequest& PlanQuarantinedRequest::operator=(const PlanQuarantinedRequest& other68) {
+  fingerprint = other68.fingerprint;
+  deaths = other68.deaths;
+  __isset = other68.__isset;
+  return *this;
+}
+PlanQuarantinedRequest& PlanQuarantinedRequest::operator=(PlanQuarantinedRequest&& other69) noexcept {
+  fingerprint = other69.fingerprint;
+  deaths = std::move(other69.deaths);
+  __isset = other69.__isset;
+  return *this;
+}
+void PlanQuarantinedRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlanQuarantinedRequest(";
+  out << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "deaths=" << to_string(deaths);
+  out << ")";
+}
+
+
+PlanChangeQuarantine::~PlanChangeQuarantine() noexcept {
+}
+
+
+void PlanChangeQuarantine::__set_added(const std::vector<PlanQuarantinedRequest> & val) {
+  this->added = val;
+}
+
+void PlanChangeQuarantine::__set_removed(const std::vector<int64_t> & val) {
+  this->removed = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlanChangeQuarantine& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlanChangeQuarantine::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->added.clear();
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->added.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
+            {
+              xfer += this->added[_i74].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.added = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed.clear();
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->removed.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
+            {
+              xfer += iprot->readI64(this->removed[_i79]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlanChangeQuarantine::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlanChangeQuarantine");
+
+  xfer += oprot->writeFieldBegin("added", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->added.size()));
+    std::vector<PlanQuarantinedRequest> ::const_iterator _iter80;
+    for (_iter80 = this->added.begin(); _iter80 != this->added.end(); ++_iter80)
+    {
+      xfer += (*_iter80).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->removed.size()));
+    std::vector<int64_t> ::const_iterator _iter81;
+    for (_iter81 = this->removed.begin(); _iter81 != this->removed.end(); ++_iter81)
+    {
+      xfer += oprot->writeI64((*_iter81));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlanChangeQuarantine &a, PlanChangeQuarantine &b) {
+  using ::std::swap;
+  swap(a.added, b.added);
+  swap(a.removed, b.removed);
+  swap(a.__isset, b.__isset);
+}
+
+PlanChangeQuarantine::PlanChangeQuarantine(const PlanChangeQuarantine& other82) {
+  added = other82.added;
+  removed = other82.removed;
+  __isset = other82.__isset;
+}
+PlanChangeQuarantine::PlanChangeQuarantine(PlanChangeQuarantine&& other83) noexcept {
+  added = std::move(other83.added);
+  removed = std::move(other83.removed);
+  __isset = other83.__isset;
+}
+PlanChangeQuarantine& PlanChangeQuarantine::operator=(const PlanChangeQuarantine& other84) {
+  added = other84.added;
+  removed = other84.removed;
+  __isset = other84.__isset;
+  return *this;
+}
+PlanChangeQuarantine& PlanChangeQuarantine::operator=(PlanChangeQuarantine&& other85) noexcept {
+  added = std::move(other85.added);
+  removed = std::move(other85.removed);
+  __isset = other85.__isset;
+  return *this;
+}
+void PlanChangeQuarantine::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlanChangeQuarantine(";
+  out << "added=" << to_string(added);
+  out << ", " << "removed=" << to_string(removed);
+  out << ")";
+}
+
+
 PlanCommand::~PlanCommand() noexcept {
 }
 
@@ -1580,6 +1886,11 @@
   this->recordDepartures = val;
 __isset.recordDepartures = true;
 }
+
+void PlanCommand::__set_changeQuarantine(const PlanChangeQuarantine& val) {
+  this->changeQuarantine = val;
+__isset.changeQuarantine = true;
+}
 std::ostream& operator<<(std::ostream& out, const PlanCommand& obj)
 {
   obj.printTo(out);
@@ -1672,6 +1983,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->changeQuarantine.read(iprot);
+          this->__isset.changeQuarantine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1729,6 +2048,11 @@
     xfer += this->recordDepartures.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.changeQuarantine) {
+    xfer += oprot->writeFieldBegin("changeQuarantine", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->changeQuarantine.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1744,53 +2068,58 @@
   swap(a.startRollout, b.startRollout);
   swap(a.advanceRollout, b.advanceRollout);
   swap(a.recordDepartures, b.recordDepartures);
+  swap(a.changeQuarantine, b.changeQuarantine);
   swap(a.__isset, b.__isset);
 }
 
-PlanCommand::PlanCommand(const PlanCommand& other60) {
-  propose = other60.propose;
-  confirm = other60.confirm;
-  setKeepers = other60.setKeepers;
-  replace = other60.replace;
-  patch = other60.patch;
-  startRollout = other60.startRollout;
-  advanceRollout = other60.advanceRollout;
-  recordDepartures = other60.recordDepartures;
-  __isset = other60.__isset;
-}
-PlanCommand::PlanCommand(PlanCommand&& other61) noexcept {
-  propose = std::move(other61.propose);
-  confirm = std::move(other61.confirm);
-  setKeepers = std::move(other61.setKeepers);
-  replace = std::move(other61.replace);
-  patch = std::move(other61.patch);
-  startRollout = std::move(other61.startRollout);
-  advanceRollout = std::move(other61.advanceRollout);
-  recordDepartures = std::move(other61.recordDepartures);
-  __isset = other61.__isset;
-}
-PlanCommand& PlanCommand::operator=(const PlanCommand& other62) {
-  propose = other62.propose;
-  confirm = other62.confirm;
-  setKeepers = other62.setKeepers;
-  replace = other62.replace;
-  patch = other62.patch;
-  startRollout = other62.startRollout;
-  advanceRollout = other62.advanceRollout;
-  recordDepartures = other62.recordDepartures;
-  __isset = other62.__isset;
+PlanCommand::PlanCommand(const PlanCommand& other86) {
+  propose = other86.propose;
+  confirm = other86.confirm;
+  setKeepers = other86.setKeepers;
+  replace = other86.replace;
+  patch = other86.patch;
+  startRollout = other86.startRollout;
+  advanceRollout = other86.advanceRollout;
+  recordDepartures = other86.recordDepartures;
+  changeQuarantine = other86.changeQuarantine;
+  __isset = other86.__isset;
+}
+PlanCommand::PlanCommand(PlanCommand&& other87) noexcept {
+  propose = std::move(other87.propose);
+  confirm = std::move(other87.confirm);
+  setKeepers = std::move(other87.setKeepers);
+  replace = std::move(other87.replace);
+  patch = std::move(other87.patch);
+  startRollout = std::move(other87.startRollout);
+  advanceRollout = std::move(other87.advanceRollout);
+  recordDepartures = std::move(other87.recordDepartures);
+  changeQuarantine = std::move(other87.changeQuarantine);
+  __isset = other87.__isset;
+}
+PlanCommand& PlanCommand::operator=(const PlanCommand& other88) {
+  propose = other88.propose;
+  confirm = other88.confirm;
+  setKeepers = other88.setKeepers;
+  replace = other88.replace;
+  patch = other88.patch;
+  startRollout = other88.startRollout;
+  advanceRollout = other88.advanceRollout;
+  recordDepartures = other88.recordDepartures;
+  changeQuarantine = other88.changeQuarantine;
+  __isset = other88.__isset;
   return *this;
 }
-PlanCommand& PlanCommand::operator=(PlanCommand&& other63) noexcept {
-  propose = std::move(other63.propose);
-  confirm = std::move(other63.confirm);
-  setKeepers = std::move(other63.setKeepers);
-  replace = std::move(other63.replace);
-  patch = std::move(other63.patch);
-  startRollout = std::move(other63.startRollout);
-  advanceRollout = std::move(other63.advanceRollout);
-  recordDepartures = std::move(other63.recordDepartures);
-  __isset = other63.__isset;
+PlanCommand& PlanCommand::operator=(PlanCommand&& other89) noexcept {
+  propose = std::move(other89.propose);
+  confirm = std::move(other89.confirm);
+  setKeepers = std::move(other89.setKeepers);
+  replace = std::move(other89.replace);
+  patch = std::move(other89.patch);
+  startRollout = std::move(other89.startRollout);
+  advanceRollout = std::move(other89.advanceRollout);
+  recordDepartures = std::move(other89.recordDepartures);
+  changeQuarantine = std::move(other89.changeQuarantine);
+  __isset = other89.__isset;
   return *this;
 }
 void PlanCommand::printTo(std::ostream& out) const {
@@ -1804,6 +2133,7 @@
   out << ", " << "startRollout="; (__isset.startRollout ? (out << to_string(startRollout)) : (out << "<null>"));
   out << ", " << "advanceRollout="; (__isset.advanceRollout ? (out << to_string(advanceRollout)) : (out << "<null>"));
   out << ", " << "recordDepartures="; (__isset.recordDepartures ? (out << to_string(recordDepartures)) : (out << "<null>"));
+  out << ", " << "changeQuarantine="; (__isset.changeQuarantine ? (out << to_string(changeQuarantine)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1905,14 +2235,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->changes.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->changes.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->changes[_i68].read(iprot);
+              xfer += this->changes[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1973,14 +2303,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->conflictItems.clear();
-            uint32_t _size69;
-            ::apache::thrift::protocol::TType _etype72;
-            xfer += iprot->readListBegin(_etype72, _size69);
-            this->conflictItems.resize(_size69);
-            uint32_t _i73;
-            for (_i73 = 0; _i73 < _size69; ++_i73)
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->conflictItems.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
             {
-              xfer += this->conflictItems[_i73].read(iprot);
+              xfer += this->conflictItems[_i99].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2025,10 +2355,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<PlanChange> ::const_iterator _iter74;
-    for (_iter74 = this->changes.begin(); _iter74 != this->changes.end(); ++_iter74)
+    std::vector<PlanChange> ::const_iterator _iter100;
+    for (_iter100 = this->changes.begin(); _iter100 != this->changes.end(); ++_iter100)
     {
-      xfer += (*_iter74).write(oprot);
+      xfer += (*_iter100).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2062,10 +2392,10 @@
     xfer += oprot->writeFieldBegin("conflictItems", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->conflictItems.size()));
-      std::vector< ::dragonflylane::wire::ConfigItemKey> ::const_iterator _iter75;
-      for (_iter75 = this->conflictItems.begin(); _iter75 != this->conflictItems.end(); ++_iter75)
+      std::vector< ::dragonflylane::wire::ConfigItemKey> ::const_iterator _iter101;
+      for (_iter101 = this->conflictItems.begin(); _iter101 != this->conflictItems.end(); ++_iter101)
       {
-        xfer += (*_iter75).write(oprot);
+        xfer += (*_iter101).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2097,62 +2427,62 @@
   swap(a.__isset, b.__isset);
 }
 
-PlanRecord::PlanRecord(const PlanRecord& other76) {
-  planId = other76.planId;
-  base = other76.base;
-  changes = other76.changes;
-  proposedBy = other76.proposedBy;
-  confirmedBy = other76.confirmedBy;
-  status = other76.status;
-  revision = other76.revision;
-  code = other76.code;
-  detail = other76.detail;
-  conflictItems = other76.conflictItems;
-  conflictCount = other76.conflictCount;
-  __isset = other76.__isset;
-}
-PlanRecord::PlanRecord(PlanRecord&& other77) noexcept {
-  planId = std::move(other77.planId);
-  base = other77.base;
-  changes = std::move(other77.changes);
-  proposedBy = std::move(other77.proposedBy);
-  confirmedBy = std::move(other77.confirmedBy);
-  status = other77.status;
-  revision = other77.revision;
-  code = other77.code;
-  detail = std::move(other77.detail);
-  conflictItems = std::move(other77.conflictItems);
-  conflictCount = other77.conflictCount;
-  __isset = other77.__isset;
-}
-PlanRecord& PlanRecord::operator=(const PlanRecord& other78) {
-  planId = other78.planId;
-  base = other78.base;
-  changes = other78.changes;
-  proposedBy = other78.proposedBy;
-  confirmedBy = other78.confirmedBy;
-  status = other78.status;
-  revision = other78.revision;
-  code = other78.code;
-  detail = other78.detail;
-  conflictItems = other78.conflictItems;
-  conflictCount = other78.conflictCount;
-  __isset = other78.__isset;
+PlanRecord::PlanRecord(const PlanRecord& other102) {
+  planId = other102.planId;
+  base = other102.base;
+  changes = other102.changes;
+  proposedBy = other102.proposedBy;
+  confirmedBy = other102.confirmedBy;
+  status = other102.status;
+  revision = other102.revision;
+  code = other102.code;
+  detail = other102.detail;
+  conflictItems = other102.conflictItems;
+  conflictCount = other102.conflictCount;
+  __isset = other102.__isset;
+}
+PlanRecord::PlanRecord(PlanRecord&& other103) noexcept {
+  planId = std::move(other103.planId);
+  base = other103.base;
+  changes = std::move(other103.changes);
+  proposedBy = std::move(other103.proposedBy);
+  confirmedBy = std::move(other103.confirmedBy);
+  status = other103.status;
+  revision = other103.revision;
+  code = other103.code;
+  detail = std::move(other103.detail);
+  conflictItems = std::move(other103.conflictItems);
+  conflictCount = other103.conflictCount;
+  __isset = other103.__isset;
+}
+PlanRecord& PlanRecord::operator=(const PlanRecord& other104) {
+  planId = other104.planId;
+  base = other104.base;
+  changes = other104.changes;
+  proposedBy = other104.proposedBy;
+  confirmedBy = other104.confirmedBy;
+  status = other104.status;
+  revision = other104.revision;
+  code = other104.code;
+  detail = other104.detail;
+  conflictItems = other104.conflictItems;
+  conflictCount = other104.conflictCount;
+  __isset = other104.__isset;
   return *this;
 }
-PlanRecord& PlanRecord::operator=(PlanRecord&& other79) noexcept {
-  planId = std::move(other79.planId);
-  base = other79.base;
-  changes = std::move(other79.changes);
-  proposedBy = std::move(other79.proposedBy);
-  confirmedBy = std::move(other79.confirmedBy);
-  status = other79.status;
-  revision = other79.revision;
-  code = other79.code;
-  detail = std::move(other79.detail);
-  conflictItems = std::move(other79.conflictItems);
-  conflictCount = other79.conflictCount;
-  __isset = other79.__isset;
+PlanRecord& PlanRecord::operator=(PlanRecord&& other105) noexcept {
+  planId = std::move(other105.planId);
+  base = other105.base;
+  changes = std::move(other105.changes);
+  proposedBy = std::move(other105.proposedBy);
+  confirmedBy = std::move(other105.confirmedBy);
+  status = other105.status;
+  revision = other105.revision;
+  code = other105.code;
+  detail = std::move(other105.detail);
+  conflictItems = std::move(other105.conflictItems);
+  conflictCount = other105.conflictCount;
+  __isset = other105.__isset;
   return *this;
 }
 void PlanRecord::printTo(std::ostream& out) const {
@@ -2282,30 +2612,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PlanAcceptedDocument::PlanAcceptedDocument(const PlanAcceptedDocument& other80) {
-  version = other80.version;
-  digest = other80.digest;
-  revision = other80.revision;
-  __isset = other80.__isset;
+PlanAcceptedDocument::PlanAcceptedDocument(const PlanAcceptedDocument& other106) {
+  version = other106.version;
+  digest = other106.digest;
+  revision = other106.revision;
+  __isset = other106.__isset;
 }
-PlanAcceptedDocument::PlanAcceptedDocument(PlanAcceptedDocument&& other81) noexcept {
-  version = other81.version;
-  digest = std::move(other81.digest);
-  revision = other81.revision;
-  __isset = other81.__isset;
+PlanAcceptedDocument::PlanAcceptedDocument(PlanAcceptedDocument&& other107) noexcept {
+  version = other107.version;
+  digest = std::move(other107.digest);
+  revision = other107.revision;
+  __isset = other107.__isset;
 }
-PlanAcceptedDocument& PlanAcceptedDocument::operator=(const PlanAcceptedDocument& other82) {
-  version = other82.version;
-  digest = other82.digest;
-  revision = other82.revision;
-  __isset = other82.__isset;
+PlanAcceptedDocument& PlanAcceptedDocument::operator=(const PlanAcceptedDocument& other108) {
+  version = other108.version;
+  digest = other108.digest;
+  revision = other108.revision;
+  __isset = other108.__isset;
   return *this;
 }
-PlanAcceptedDocument& PlanAcceptedDocument::operator=(PlanAcceptedDocument&& other83) noexcept {
-  version = other83.version;
-  digest = std::move(other83.digest);
-  revision = other83.revision;
-  __isset = other83.__isset;
+PlanAcceptedDocument& PlanAcceptedDocument::operator=(PlanAcceptedDocument&& other109) noexcept {
+  version = other109.version;
+  digest = std::move(other109.digest);
+  revision = other109.revision;
+  __isset = other109.__isset;
   return *this;
 }
 void PlanAcceptedDocument::printTo(std::ostream& out) const {
@@ -2346,6 +2676,10 @@
 void PlanBookSnapshot::__set_departures(const std::vector<PlanRecordDepartures> & val) {
   this->departures = val;
 }
+
+void PlanBookSnapshot::__set_quarantine(const std::vector<PlanQuarantinedRequest> & val) {
+  this->quarantine = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlanBookSnapshot& obj)
 {
   obj.printTo(out);
@@ -2386,14 +2720,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->deltas.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->deltas.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->deltas.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += this->deltas[_i88].read(iprot);
+              xfer += this->deltas[_i114].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2406,14 +2740,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->plans.clear();
-            uint32_t _size89;
-            ::apache::thrift::protocol::TType _etype92;
-            xfer += iprot->readListBegin(_etype92, _size89);
-            this->plans.resize(_size89);
-            uint32_t _i93;
-            for (_i93 = 0; _i93 < _size89; ++_i93)
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->plans.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
             {
-              xfer += this->plans[_i93].read(iprot);
+              xfer += this->plans[_i119].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2434,14 +2768,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->acceptedDocuments.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->acceptedDocuments.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->acceptedDocuments.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += this->acceptedDocuments[_i98].read(iprot);
+              xfer += this->acceptedDocuments[_i124].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2454,14 +2788,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departures.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->departures.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size125;
+            ::apache::thrift::protocol::TType _etype128;
+            xfer += iprot->readListBegin(_etype128, _size125);
+            this->departures.resize(_size125);
+            uint32_t _i129;
+            for (_i129 = 0; _i129 < _size125; ++_i129)
             {
-              xfer += this->departures[_i103].read(iprot);
+              xfer += this->departures[_i129].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2470,6 +2804,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quarantine.clear();
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->quarantine.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
+            {
+              xfer += this->quarantine[_i134].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quarantine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2494,10 +2848,10 @@
   xfer += oprot->writeFieldBegin("deltas", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->deltas.size()));
-    std::vector< ::dragonflylane::wire::ConfigDelta> ::const_iterator _iter104;
-    for (_iter104 = this->deltas.begin(); _iter104 != this->deltas.end(); ++_iter104)
+    std::vector< ::dragonflylane::wire::ConfigDelta> ::const_iterator _iter135;
+    for (_iter135 = this->deltas.begin(); _iter135 != this->deltas.end(); ++_iter135)
     {
-      xfer += (*_iter104).write(oprot);
+      xfer += (*_iter135).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2506,10 +2860,10 @@
   xfer += oprot->writeFieldBegin("plans", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->plans.size()));
-    std::vector<PlanRecord> ::const_iterator _iter105;
-    for (_iter105 = this->plans.begin(); _iter105 != this->plans.end(); ++_iter105)
+    std::vector<PlanRecord> ::const_iterator _iter136;
+    for (_iter136 = this->plans.begin(); _iter136 != this->plans.end(); ++_iter136)
     {
-      xfer += (*_iter105).write(oprot);
+      xfer += (*_iter136).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2523,10 +2877,10 @@
   xfer += oprot->writeFieldBegin("acceptedDocuments", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acceptedDocuments.size()));
-    std::vector<PlanAcceptedDocument> ::const_iterator _iter106;
-    for (_iter106 = this->acceptedDocuments.begin(); _iter106 != this->acceptedDocuments.end(); ++_iter106)
+    std::vector<PlanAcceptedDocument> ::const_iterator _iter137;
+    for (_iter137 = this->acceptedDocuments.begin(); _iter137 != this->acceptedDocuments.end(); ++_iter137)
     {
-      xfer += (*_iter106).write(oprot);
+      xfer += (*_iter137).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2535,10 +2889,22 @@
   xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
-    std::vector<PlanRecordDepartures> ::const_iterator _iter107;
-    for (_iter107 = this->departures.begin(); _iter107 != this->departures.end(); ++_iter107)
+    std::vector<PlanRecordDepartures> ::const_iterator _iter138;
+    for (_iter138 = this->departures.begin(); _iter138 != this->departures.end(); ++_iter138)
+    {
+      xfer += (*_iter138).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantine", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantine.size()));
+    std::vector<PlanQuarantinedRequest> ::const_iterator _iter139;
+    for (_iter139 = this->quarantine.begin(); _iter139 != this->quarantine.end(); ++_iter139)
     {
-      xfer += (*_iter107).write(oprot);
+      xfer += (*_iter139).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2557,45 +2923,50 @@
   swap(a.document, b.document);
   swap(a.acceptedDocuments, b.acceptedDocuments);
   swap(a.departures, b.departures);
+  swap(a.quarantine, b.quarantine);
   swap(a.__isset, b.__isset);
 }
 
-PlanBookSnapshot::PlanBookSnapshot(const PlanBookSnapshot& other108) {
-  state = other108.state;
-  deltas = other108.deltas;
-  plans = other108.plans;
-  document = other108.document;
-  acceptedDocuments = other108.acceptedDocuments;
-  departures = other108.departures;
-  __isset = other108.__isset;
-}
-PlanBookSnapshot::PlanBookSnapshot(PlanBookSnapshot&& other109) noexcept {
-  state = std::move(other109.state);
-  deltas = std::move(other109.deltas);
-  plans = std::move(other109.plans);
-  document = std::move(other109.document);
-  acceptedDocuments = std::move(other109.acceptedDocuments);
-  departures = std::move(other109.departures);
-  __isset = other109.__isset;
-}
-PlanBookSnapshot& PlanBookSnapshot::operator=(const PlanBookSnapshot& other110) {
-  state = other110.state;
-  deltas = other110.deltas;
-  plans = other110.plans;
-  document = other110.document;
-  acceptedDocuments = other110.acceptedDocuments;
-  departures = other110.departures;
-  __isset = other110.__isset;
+PlanBookSnapshot::PlanBookSnapshot(const PlanBookSnapshot& other140) {
+  state = other140.state;
+  deltas = other140.deltas;
+  plans = other140.plans;
+  document = other140.document;
+  acceptedDocuments = other140.acceptedDocuments;
+  departures = other140.departures;
+  quarantine = other140.quarantine;
+  __isset = other140.__isset;
+}
+PlanBookSnapshot::PlanBookSnapshot(PlanBookSnapshot&& other141) noexcept {
+  state = std::move(other141.state);
+  deltas = std::move(other141.deltas);
+  plans = std::move(other141.plans);
+  document = std::move(other141.document);
+  acceptedDocuments = std::move(other141.acceptedDocuments);
+  departures = std::move(other141.departures);
+  quarantine = std::move(other141.quarantine);
+  __isset = other141.__isset;
+}
+PlanBookSnapshot& PlanBookSnapshot::operator=(const PlanBookSnapshot& other142) {
+  state = other142.state;
+  deltas = other142.deltas;
+  plans = other142.plans;
+  document = other142.document;
+  acceptedDocuments = other142.acceptedDocuments;
+  departures = other142.departures;
+  quarantine = other142.quarantine;
+  __isset = other142.__isset;
   return *this;
 }
-PlanBookSnapshot& PlanBookSnapshot::operator=(PlanBookSnapshot&& other111) noexcept {
-  state = std::move(other111.state);
-  deltas = std::move(other111.deltas);
-  plans = std::move(other111.plans);
-  document = std::move(other111.document);
-  acceptedDocuments = std::move(other111.acceptedDocuments);
-  departures = std::move(other111.departures);
-  __isset = other111.__isset;
+PlanBookSnapshot& PlanBookSnapshot::operator=(PlanBookSnapshot&& other143) noexcept {
+  state = std::move(other143.state);
+  deltas = std::move(other143.deltas);
+  plans = std::move(other143.plans);
+  document = std::move(other143.document);
+  acceptedDocuments = std::move(other143.acceptedDocuments);
+  departures = std::move(other143.departures);
+  quarantine = std::move(other143.quarantine);
+  __isset = other143.__isset;
   return *this;
 }
 void PlanBookSnapshot::printTo(std::ostream& out) const {
@@ -2607,6 +2978,7 @@
   out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
   out << ", " << "acceptedDocuments=" << to_string(acceptedDocuments);
   out << ", " << "departures=" << to_string(departures);
+  out << ", " << "quarantine=" << to_string(quarantine);
   out << ")";
 }
 
--- a/gen-cpp/plan_types.h
+++ b/gen-cpp/plan_types.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include "config_types.h"
+#include "crash_types.h"
 #include "departure_types.h"
 
 
@@ -41,6 +42,10 @@
 
 class PlanRecordDepartures;
 
+class PlanQuarantinedRequest;
+
+class PlanChangeQuarantine;
+
 class PlanCommand;
 
 class PlanRecord;
@@ -620,8 +625,109 @@
 
 std::ostream& operator<<(std::ostream& out, const PlanRecordDepartures& obj);
 
+typedef struct _PlanQuarantinedRequest__isset {
+  _PlanQuarantinedRequest__isset() : fingerprint(false), deaths(false) {}
+  bool fingerprint :1;
+  bool deaths :1;
+} _PlanQuarantinedRequest__isset;
+
+class PlanQuarantinedRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlanQuarantinedRequest(const PlanQuarantinedRequest&);
+  PlanQuarantinedRequest(PlanQuarantinedRequest&&) noexcept;
+  PlanQuarantinedRequest& operator=(const PlanQuarantinedRequest&);
+  PlanQuarantinedRequest& operator=(PlanQuarantinedRequest&&) noexcept;
+  PlanQuarantinedRequest() noexcept
+                         : fingerprint(0) {
+  }
+
+  virtual ~PlanQuarantinedRequest() noexcept;
+  int64_t fingerprint;
+  std::vector< ::dragonflylane::wire::CrashDeath>  deaths;
+
+  _PlanQuarantinedRequest__isset __isset;
+
+  void __set_fingerprint(const int64_t val);
+
+  void __set_deaths(const std::vector< ::dragonflylane::wire::CrashDeath> & val);
+
+  bool operator == (const PlanQuarantinedRequest & rhs) const
+  {
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(deaths == rhs.deaths))
+      return false;
+    return true;
+  }
+  bool operator != (const PlanQuarantinedRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlanQuarantinedRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlanQuarantinedRequest &a, PlanQuarantinedRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const PlanQuarantinedRequest& obj);
+
+typedef struct _PlanChangeQuarantine__isset {
+  _PlanChangeQuarantine__isset() : added(false), removed(false) {}
+  bool added :1;
+  bool removed :1;
+} _PlanChangeQuarantine__isset;
+
+class PlanChangeQuarantine : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlanChangeQuarantine(const PlanChangeQuarantine&);
+  PlanChangeQuarantine(PlanChangeQuarantine&&) noexcept;
+  PlanChangeQuarantine& operator=(const PlanChangeQuarantine&);
+  PlanChangeQuarantine& operator=(PlanChangeQuarantine&&) noexcept;
+  PlanChangeQuarantine() noexcept {
+  }
+
+  virtual ~PlanChangeQuarantine() noexcept;
+  std::vector<PlanQuarantinedRequest>  added;
+  std::vector<int64_t>  removed;
+
+  _PlanChangeQuarantine__isset __isset;
+
+  void __set_added(const std::vector<PlanQuarantinedRequest> & val);
+
+  void __set_removed(const std::vector<int64_t> & val);
+
+  bool operator == (const PlanChangeQuarantine & rhs) const
+  {
+    if (!(added == rhs.added))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    return true;
+  }
+  bool operator != (const PlanChangeQuarantine &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlanChangeQuarantine & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlanChangeQuarantine &a, PlanChangeQuarantine &b);
+
+std::ostream& operator<<(std::ostream& out, const PlanChangeQuarantine& obj);
+
 typedef struct _PlanCommand__isset {
-  _PlanCommand__isset() : propose(false), confirm(false), setKeepers(false), replace(false), patch(false), startRollout(false), advanceRollout(false), recordDepartures(false) {}
+  _PlanCommand__isset() : propose(false), confirm(false), setKeepers(false), replace(false), patch(false), startRollout(false), advanceRollout(false), recordDepartures(false), changeQuarantine(false) {}
   bool propose :1;
   bool confirm :1;
   bool setKeepers :1;
@@ -630,6 +736,7 @@
   bool startRollout :1;
   bool advanceRollout :1;
   bool recordDepartures :1;
+  bool changeQuarantine :1;
 } _PlanCommand__isset;
 
 class PlanCommand : public virtual ::apache::thrift::TBase {
@@ -651,6 +758,7 @@
   PlanStartRollout startRollout;
   PlanAdvanceRollout advanceRollout;
   PlanRecordDepartures recordDepartures;
+  PlanChangeQuarantine changeQuarantine;
 
   _PlanCommand__isset __isset;
 
@@ -670,6 +778,8 @@
 
   void __set_recordDepartures(const PlanRecordDepartures& val);
 
+  void __set_changeQuarantine(const PlanChangeQuarantine& val);
+
   bool operator == (const PlanCommand & rhs) const
   {
     if (__isset.propose != rhs.__isset.propose)
@@ -704,6 +814,10 @@
       return false;
     else if (__isset.recordDepartures && !(recordDepartures == rhs.recordDepartures))
       return false;
+    if (__isset.changeQuarantine != rhs.__isset.changeQuarantine)
+      return false;
+    else if (__isset.changeQuarantine && !(changeQuarantine == rhs.changeQuarantine))
+      return false;
     return true;
   }
   bool operator != (const PlanCommand &rhs) const {
@@ -899,13 +1013,14 @@
 std::ostream& operator<<(std::ostream& out, const PlanAcceptedDocument& obj);
 
 typedef struct _PlanBookSnapshot__isset {
-  _PlanBookSnapshot__isset() : state(false), deltas(false), plans(false), document(false), acceptedDocuments(false), departures(false) {}
+  _PlanBookSnapshot__isset() : state(false), deltas(false), plans(false), document(false), acceptedDocuments(false), departures(false), quarantine(false) {}
   bool state :1;
   bool deltas :1;
   bool plans :1;
   bool document :1;
   bool acceptedDocuments :1;
   bool departures :1;
+  bool quarantine :1;
 } _PlanBookSnapshot__isset;
 
 class PlanBookSnapshot : public virtual ::apache::thrift::TBase {
@@ -926,6 +1041,7 @@
   std::string document;
   std::vector<PlanAcceptedDocument>  acceptedDocuments;
   std::vector<PlanRecordDepartures>  departures;
+  std::vector<PlanQuarantinedRequest>  quarantine;
 
   _PlanBookSnapshot__isset __isset;
 
@@ -941,6 +1057,8 @@
 
   void __set_departures(const std::vector<PlanRecordDepartures> & val);
 
+  void __set_quarantine(const std::vector<PlanQuarantinedRequest> & val);
+
   bool operator == (const PlanBookSnapshot & rhs) const
   {
     if (!(state == rhs.state))
@@ -957,6 +1075,8 @@
       return false;
     if (!(departures == rhs.departures))
       return false;
+    if (!(quarantine == rhs.quarantine))
+      return false;
     return true;
   }
   bool operator != (const PlanBookSnapshot &rhs) const {
--- a/tests/PlanStateMachineTest.cpp
+++ b/tests/PlanStateMachineTest.cpp
@@ -530,6 +530,21 @@
     EXPECT_EQ(restored.serialise(), stateMachine.serialise());
 }
 
+// Guards against a request that crashes upstreams again after a restart of the control hosts.
+TEST(PlanStateMachineTest, QuarantineIsInTheSnapshot)
+{
+    const QuarantinedRequest first { .fingerprint = Fingerprint(1),
+        .deaths = { { UpstreamId("catalogue-1"), Incarnation(2) }, { UpstreamId("catalogue-2"), Incarnation(1) } } };
+    const QuarantinedRequest second { .fingerprint = Fingerprint(2), .deaths = first.deaths };
+    PlanStateMachine stateMachine;
+    stateMachine.apply(PlanStateMachine::encode(ChangeQuarantineCommand { .added = { first, second } }));
+    stateMachine.apply(PlanStateMachine::encode(ChangeQuarantineCommand { .removed = { second.fingerprint } }));
+    PlanStateMachine restored;
+    ASSERT_FALSE(restored.restore(stateMachine.serialise()));
+    EXPECT_EQ(restored.quarantine().all(), std::vector { first });
+    EXPECT_EQ(restored.state().revision(), Revision());
+}
+
 // Guards against plans that conflict, and configurations that are distributed, because an upstream has left.
 TEST(PlanStateMachineTest, DeparturesChangeNoRevision)
 {
--- a/tests/QuarantineProcessTest.cpp
+++ b/tests/QuarantineProcessTest.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <gtest/gtest.h>
+#include <regex>
 #include <set>
 #include <thread>
 
@@ -113,6 +114,17 @@
             ASSERT_TRUE(awaitService());
         }
 
+        /// Ends the quarantine of the crashing request as an operator would. True once it is acknowledged.
+        bool release() const
+        {
+            std::string status = bodyOf(exchange(m_mesh.ports(0).api, "GET", "/v1/status", ""));
+            std::smatch match;
+            if (!std::regex_search(status, match, std::regex(R"("fingerprint":"?(\d+))")))
+                return false;
+            std::string target = "/v1/quarantine/" + match[1].str() + "/release";
+            return statusOf(exchange(m_mesh.ports(0).api, "POST", target, "")) == 200;
+        }
+
         size_t crashes() const
         {
             size_t sum = 0;
@@ -152,6 +164,32 @@
         EXPECT_EQ(crashes(), before);
     }
 
+    // Guards against a quarantine that every daemon has forgotten, because all of them were killed at the same moment:
+    // the request would crash upstreams again.
+    TEST_F(QuarantineProcessTest, QuarantineOutlastsTheKillOfEveryDaemon)
+    {
+        startMesh();
+        sendCrashingRequest(4);
+        size_t before = crashes();
+        m_mesh.killAll();
+        ASSERT_TRUE(m_mesh.keepAllRunning());
+        sendCrashingRequest(3);
+        EXPECT_EQ(crashes(), before);
+    }
+
+    // Guards against a quarantine that an operator has ended and that comes back with a restart.
+    TEST_F(QuarantineProcessTest, ReleaseOutlastsTheKillOfEveryDaemon)
+    {
+        startMesh();
+        sendCrashingRequest(4);
+        size_t before = crashes();
+        ASSERT_TRUE(release());
+        m_mesh.killAll();
+        ASSERT_TRUE(m_mesh.keepAllRunning());
+        sendCrashingRequest(1);
+        EXPECT_GT(crashes(), before);
+    }
+
     // Guards against a request that is quarantined for one service and crashes the upstreams of another one, because
     // its route was moved there.
     TEST_F(QuarantineProcessTest, QuarantineHoldsWhenTheRouteMovesToAnotherService)
--- a/wire/departure.thrift
+++ b/wire/departure.thrift
@@ -1,6 +1,8 @@
 // Departures of upstreams: owner daemons have the control leader record them, and ask for them after a restart.
 namespace cpp dragonflylane.wire
 
+include "crash.thrift"
+
 // A process of an upstream that is leaving or has left. `sequence` is that of the announcement that began the drain.
 struct DepartedProcess {
   1: string upstreamId
@@ -16,11 +18,12 @@
   3: list<DepartedProcess> departures
 }
 
-// All departures that are recorded at `host`.
+// All departures that are recorded at `host`, and the requests in quarantine.
 struct DepartureAnswer {
   1: string host
   2: i64 life
   3: list<DepartedProcess> departures
+  4: list<crash.CrashRecord> quarantine
 }
 
 // Exactly one field is set.
--- a/wire/plan.thrift
+++ b/wire/plan.thrift
@@ -2,6 +2,7 @@
 namespace cpp dragonflylane.wire
 
 include "config.thrift"
+include "crash.thrift"
 include "departure.thrift"
 
 // Exactly one field is set, and `item` contains exactly one item.
@@ -71,6 +72,17 @@
   2: list<departure.DepartedProcess> departures
 }
 
+struct PlanQuarantinedRequest {
+  1: i64 fingerprint
+  2: list<crash.CrashDeath> deaths
+}
+
+// Adds requests to the quarantine and removes others.
+struct PlanChangeQuarantine {
+  1: list<PlanQuarantinedRequest> added
+  2: list<i64> removed
+}
+
 // Exactly one field is set.
 struct PlanCommand {
   1: optional PlanPropose propose
@@ -81,6 +93,7 @@
   6: optional PlanStartRollout startRollout
   7: optional PlanAdvanceRollout advanceRollout
   8: optional PlanRecordDepartures recordDepartures
+  9: optional PlanChangeQuarantine changeQuarantine
 }
 
 struct PlanRecord {
@@ -111,4 +124,5 @@
   5: list<PlanAcceptedDocument> acceptedDocuments
   // The host with the latest departure comes last.
   6: list<PlanRecordDepartures> departures
+  7: list<PlanQuarantinedRequest> quarantine
 }
