Ask one control host for departures, the likely parent in the tree

Callers saw nothing: each daemon opened a link to every control host while no leader was known yet, since each repetition of its first request went to another one.

Change: a daemon asks the control host that its tree position names first, where a link exists or is about to, and turns to another one if that can't be reached or hasn't led to an answer for 1.5 s.

--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -575,19 +575,17 @@
         return hosts;
     }
 
-    // Those of the own data centre first. Daemons prefer different ones of them, so that the load is shared.
-    std::vector<HostId> nearestControlHosts() const
+    // The candidates for the parent in the distribution tree first, since there is a link to one of them.
+    std::vector<HostId> nearestControlHosts()
     {
-        const auto& members = m_membership->view().members();
-        auto rank = [&](const HostId& host) {
-            auto member = members.find(host);
-            bool isNear = member != members.end() && member->second.dataCentre == m_settings.dataCentre;
-            return std::pair(!isNear, stableHash(host.value(), stableHash(m_settings.hostId.value())));
-        };
-        std::vector<HostId> hosts = controlHosts();
-        std::erase(hosts, m_settings.hostId);
-        std::sort(hosts.begin(), hosts.end(),
-            [&](const HostId& left, const HostId& right) { return rank(left) < rank(right); });
+        std::vector<HostId> others = controlHosts();
+        std::erase(others, m_settings.hostId);
+        std::vector<HostId> hosts;
+        for (const ParentCandidate& candidate : m_treeIndex.position().candidates) {
+            if (std::erase(others, candidate.host) > 0)
+                hosts.push_back(candidate.host);
+        }
+        hosts.insert(hosts.end(), others.begin(), others.end());
         return hosts;
     }
 
--- a/dragonflylane/DepartureTask.cpp
+++ b/dragonflylane/DepartureTask.cpp
@@ -5,6 +5,8 @@
 #include "dragonflylane/LogTask.h"
 #include "dragonflylane/Metrics.h"
 
+#include <algorithm>
+
 namespace dragonflylane {
 
 namespace {
@@ -151,7 +153,7 @@
             m_hub.send(link->second, FrameKind::Departure, encode(answer));
         return;
     }
-    m_isAwaitingAnswer = false;
+    m_askedSince.reset();
     bool isFirst = !m_recorder.hasAnswer();
     DepartureList before = m_recorder.recorded();
     if (!m_recorder.accept(answer, BootClock::now()))
@@ -172,19 +174,31 @@
     if (m_log)
         return handleRequest(request, { .link = LinkId(), .host = m_self });
     HostId host = selectControlHost();
-    if (!host.isEmpty())
-        m_hub.sendToHost(host, FrameKind::Departure, encode(request));
+    if (host.isEmpty())
+        return;
+    m_hub.withLink(host, [this, payload = encode(request)](std::error_code error, LinkId link) {
+        if (error || !m_hub.send(link, FrameKind::Departure, payload))
+            m_askedSince = TimePoint();
+    });
 }
 
-// A request that is repeated goes to the next control host, since the one before may be unreachable.
+// Each link that is opened stays open, so another host is asked only if this one can't be reached or doesn't answer.
 HostId DepartureTask::selectControlHost()
 {
+    constexpr std::chrono::milliseconds answerTimeout { 1500 };
     std::vector<HostId> hosts = m_hooks.controlHosts();
     if (hosts.empty())
         return {};
-    if (std::exchange(m_isAwaitingAnswer, true))
-        ++m_controlHost;
-    return hosts[m_controlHost % hosts.size()];
+    TimePoint now = BootClock::now();
+    auto current = std::find(hosts.begin(), hosts.end(), m_controlHost);
+    if (!m_askedSince)
+        m_askedSince = now;
+    if (current != hosts.end() && now - *m_askedSince < answerTimeout)
+        return m_controlHost;
+    bool hasNext = current != hosts.end() && std::next(current) != hosts.end();
+    m_controlHost = hasNext ? *std::next(current) : hosts.front();
+    m_askedSince = now;
+    return m_controlHost;
 }
 
 void DepartureTask::work()
--- a/dragonflylane/DepartureTask.h
+++ b/dragonflylane/DepartureTask.h
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -70,9 +71,10 @@
     Hooks m_hooks;
     DepartureRecorder m_recorder;
     WakeupTimer m_timer;
-    /// Position of the control host that is asked.
-    size_t m_controlHost { 0 };
-    bool m_isAwaitingAnswer { false };
+    /// The control host that is asked.
+    HostId m_controlHost;
+    /// Since when its answer is awaited.
+    std::optional<TimePoint> m_askedSince;
     /// Hosts whose departures are being written to the log.
     std::set<HostId> m_submitted;
     /// On a control host that doesn't lead: the links on which answers are passed back.
