--- a/dragonflylane/DepartureHistory.cpp
+++ b/dragonflylane/DepartureHistory.cpp
@@ -37,6 +37,7 @@
     std::sort(entries.begin(), entries.end(),
         [](const auto& left, const auto& right) { return left->second.changedAt < right->second.changedAt; });
     std::vector<HostDepartures> result;
+    result.reserve(entries.size());
     for (const auto& entry : entries)
         result.push_back({ entry->first, entry->second.departures });
     return result;
--- a/dragonflylane/DepartureTask.cpp
+++ b/dragonflylane/DepartureTask.cpp
@@ -211,7 +211,7 @@
         sendRequest(*request);
     bool isWithoutAnswer = !m_recorder.hasAnswer() && m_recorder.isInformed(now);
     if (isWithoutAnswer && !std::exchange(m_hasTimedOut, true)) {
-        Event("departures_unknown", EventLevel::Warning);
+        Event("departures_unknown", EventLevel::Warning).with("leader", "unreachable");
         m_hooks.answerTimedOut();
     }
     TimePoint next = m_recorder.nextWakeup();
--- a/dragonflylane/PlanWire.cpp
+++ b/dragonflylane/PlanWire.cpp
@@ -67,6 +67,7 @@
     std::vector<QuarantinedRequest> readQuarantine(const std::vector<wire::PlanQuarantinedRequest>& requests)
     {
         std::vector<QuarantinedRequest> result;
+        result.reserve(requests.size());
         for (const wire::PlanQuarantinedRequest& request : requests) {
             result.push_back({ .fingerprint = Fingerprint(static_cast<uint64_t>(request.fingerprint)),
                 .deaths = fromWire(request.deaths) });
