Split the table of members from Membership

Membership kept the records, their six indexes and the digests in step by hand, next to the protocol. MemberTableProperty compares the indexes with the records after random changes.

--- a/dragonflylane/Membership.cpp
+++ b/dragonflylane/Membership.cpp
@@ -43,26 +43,6 @@
     constexpr unsigned completeOnlyAttempts = 2;
     constexpr unsigned maxBackoffDoublings = 16;
 
-    uint64_t hashOf(const HostId& host)
-    {
-        return stableHash(host.value());
-    }
-
-    size_t bucketOf(uint64_t hostHash)
-    {
-        return hostHash >> 56;
-    }
-
-    uint64_t bucketFirst(size_t bucket)
-    {
-        return static_cast<uint64_t>(bucket) << 56;
-    }
-
-    uint64_t bucketLast(size_t bucket)
-    {
-        return bucketFirst(bucket) | 0x00ff'ffff'ffff'ffff;
-    }
-
     // Hashes all fields except host, incarnation, sequence and state.
     // The departure of the upstream is left out: builds that do not know it pass the record on without it.
     uint32_t tieBreakOf(const MemberRecord& record)
@@ -120,11 +100,7 @@
     self.state = MemberState::Alive;
     // Low numbers have short varints; a random start keeps responses to requests of a previous run from matching ours.
     m_lastNumber = static_cast<uint32_t>(m_random() % (1 << 20));
-    m_selfHash = hashOf(self.host);
-    m_selfNode = m_members.emplace(self.host, self).first;
-    Entry entry { .node = m_selfNode, .tieBreak = tieBreakOf(self) };
-    addToDigest(m_selfHash, entry);
-    m_entries.emplace(m_selfHash, entry);
+    m_self = m_table.insertSelf(self, tieBreakOf(self));
     // Random initial delays desynchronise the periodic work of daemons that start together.
     m_nextProbe = now + randomDuration(m_options.probePeriod);
     m_nextAntiEntropy = now + randomDuration(m_options.antiEntropyPeriod);
@@ -178,12 +154,9 @@
 
 void Membership::publishOwnRecord(MemberRecord next)
 {
-    auto it = m_entries.find(m_selfHash);
-    removeFromDigest(m_selfHash, it->second);
-    m_selfNode->second = std::move(next);
-    it->second.tieBreak = tieBreakOf(self());
-    addToDigest(m_selfHash, it->second);
-    queueUpdate(it);
+    uint32_t tieBreak = tieBreakOf(next);
+    m_table.replaceSelf(m_self, std::move(next), tieBreak);
+    queueUpdate(m_self);
     m_outputs.emplace_back(MemberChanged { self().host, self() });
 }
 
@@ -208,8 +181,8 @@
     m_reprobeUntil = now + suspicionTime();
     m_nextProbe = now;
     scheduleEarlyAntiEntropy(now);
-    for (HostHash hash : m_present) {
-        auto it = m_entries.find(hash);
+    for (HostHash hash : m_table.present()) {
+        auto it = m_table.find(hash);
         if (it->second.deadline)
             startSuspicion(it, now);
         // Other daemons may have declared the member dead and erased its record in the meantime.
@@ -244,13 +217,13 @@
         next = m_lastCall + m_options.probePeriod;
     if (m_probe && !m_probe->isIndirect && m_options.indirectProbing)
         next = std::min(next, m_probe->indirectAt);
-    if (!m_deadlines.empty())
-        next = std::min(next, m_deadlines.begin()->first);
-    if (hasUpdates() && !m_present.empty())
+    if (auto deadline = m_table.nextDeadline())
+        next = std::min(next, *deadline);
+    if (hasUpdates() && !m_table.present().empty())
         next = std::min(next, m_nextGossip);
     if (m_hasLeft)
         return next;
-    if (!m_present.empty())
+    if (!m_table.present().empty())
         next = std::min(next, m_nextAntiEntropy);
     if (hasLostProbeCandidates())
         next = std::min({ next, m_nextLostProbe, m_nextDeadProbe });
@@ -266,9 +239,8 @@
 
 void Membership::runDeadlines(TimePoint now)
 {
-    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
-        auto it = m_entries.find(m_deadlines.begin()->second);
-        if (it->second.node->second.state != MemberState::Suspect)
+    for (auto it = m_table.nextDue(); it != m_table.end() && *it->second.deadline <= now; it = m_table.nextDue()) {
+        if (it->second.record().state != MemberState::Suspect)
             eraseMember(it);
         else if (it->second.confirmations > 0)
             confirmSuspicion(it, now);
@@ -280,7 +252,7 @@
 void Membership::startSuspicion(Entries::iterator it, TimePoint now)
 {
     it->second.confirmations = std::min(m_options.suspicionConfirmations, m_options.suspicionPeriods);
-    setDeadline(it, now + m_options.probePeriod * (m_options.suspicionPeriods - it->second.confirmations));
+    m_table.setDeadline(it, now + m_options.probePeriod * (m_options.suspicionPeriods - it->second.confirmations));
 }
 
 // Sends the suspect's record to a random member, which answers with the refutation if it has one. The suspect itself is
@@ -288,11 +260,11 @@
 void Membership::confirmSuspicion(Entries::iterator it, TimePoint now)
 {
     --it->second.confirmations;
-    setDeadline(it, now + m_options.probePeriod);
+    m_table.setDeadline(it, now + m_options.probePeriod);
     HostHash other = *randomPresent();
     if (other != it->first)
-        send(m_entries.find(other)->second.node->second.address,
-            GossipRecords { .piggyback = { .records = { it->second.node->second } } });
+        send(m_table.find(other)->second.record().address,
+            GossipRecords { .piggyback = { .records = { it->second.record() } } });
 }
 
 // Probes
@@ -319,8 +291,8 @@
 {
     Probe probe = *std::exchange(m_probe, std::nullopt);
     ++m_counters.probesFailed;
-    auto it = m_entries.find(probe.target);
-    if (it == m_entries.end() || it->second.node->second.state != MemberState::Alive)
+    auto it = m_table.find(probe.target);
+    if (it == m_table.end() || it->second.record().state != MemberState::Alive)
         return;
     if (now < m_reprobeUntil && !probe.isRepeated) {
         startProbe(probe.target, true, now);
@@ -339,7 +311,7 @@
     m_probe = Probe {
         .target = target, .number = nextNumber(), .indirectAt = now + m_options.probeTimeout, .isRepeated = isRepeated
     };
-    Endpoint address = m_entries.find(target)->second.node->second.address;
+    Endpoint address = m_table.find(target)->second.record().address;
     send(address,
         GossipPing {
             .number = m_probe->number, .target = static_cast<uint32_t>(target), .piggyback = updatesFor(address) });
@@ -350,21 +322,21 @@
     m_probe->isIndirect = true;
     if (!m_options.indirectProbing)
         return;
-    auto target = m_entries.find(m_probe->target);
-    if (target == m_entries.end())
+    auto target = m_table.find(m_probe->target);
+    if (target == m_table.end())
         return;
     ++m_counters.indirectProbes;
     std::set<HostHash> chosen { m_probe->target };
-    size_t wanted = std::min(m_options.indirectProbes + 1, m_present.size());
+    size_t wanted = std::min(m_options.indirectProbes + 1, m_table.present().size());
     for (size_t attempt = 0; chosen.size() < wanted && attempt < wanted + maxChoiceAttempts; ++attempt) {
         HostHash relay = *randomPresent();
         if (!chosen.insert(relay).second)
             continue;
-        send(m_entries.find(relay)->second.node->second.address,
+        send(m_table.find(relay)->second.record().address,
             GossipIndirectPing { .number = m_probe->number,
                 .target = static_cast<uint32_t>(m_probe->target),
-                .targetAddress = target->second.node->second.address,
-                .piggyback = takeUpdates(scopeOf(m_entries.find(relay)->second.node->second.address)) });
+                .targetAddress = target->second.record().address,
+                .piggyback = takeUpdates(scopeOf(m_table.find(relay)->second.record().address)) });
     }
     // Leave the full timeout for indirect acknowledgements even if this tick ran late.
     m_nextProbe = std::max(m_nextProbe, now + m_options.probeTimeout);
@@ -376,11 +348,11 @@
     for (int pass = 0; pass < 2; ++pass) {
         while (m_probePosition < m_probeOrder.size()) {
             HostHash hash = m_probeOrder[m_probePosition++];
-            auto it = m_entries.find(hash);
-            if (it != m_entries.end() && it->second.node->second.isPresent())
+            auto it = m_table.find(hash);
+            if (it != m_table.end() && it->second.record().isPresent())
                 return hash;
         }
-        m_probeOrder = m_present;
+        m_probeOrder = m_table.present();
         m_probePosition = 0;
         std::shuffle(m_probeOrder.begin(), m_probeOrder.end(), m_random);
     }
@@ -390,7 +362,7 @@
 void Membership::handle(const Endpoint& from, const GossipPing& ping, TimePoint now)
 {
     applyPiggyback(ping.piggyback, Disseminate::Yes, now);
-    if (ping.target != static_cast<uint32_t>(m_selfHash)) {
+    if (ping.target != static_cast<uint32_t>(m_self->first)) {
         ++m_counters.misdirectedPings;
         return;
     }
@@ -401,9 +373,9 @@
     if (isAboutUs || m_hasLeft)
         urgent.push_back(self());
     // Return the sender's own record if it is suspected or declared dead, so that it can refute.
-    auto sender = findEntryByAddress(from);
-    if (sender != m_entries.end() && sender->second.node->second.state != MemberState::Alive)
-        urgent.push_back(sender->second.node->second);
+    auto sender = m_table.findByAddress(from);
+    if (sender != m_table.end() && sender->second.record().state != MemberState::Alive)
+        urgent.push_back(sender->second.record());
     answer.piggyback = takeUpdates(scopeOf(from), std::move(urgent));
     send(from, std::move(answer));
 }
@@ -424,8 +396,8 @@
     applyPiggyback(answer.piggyback, Disseminate::Yes, now);
     if (m_probe && m_probe->number == answer.number) {
         ++m_counters.probesAnswered;
-        auto target = m_entries.find(m_probe->target);
-        if (target != m_entries.end())
+        auto target = m_table.find(m_probe->target);
+        if (target != m_table.end())
             target->second.isUnconfirmed = false;
         m_probe.reset();
         return;
@@ -466,16 +438,16 @@
         applyOwnRecord(record, now);
         return;
     }
-    HostHash hash = hashOf(record.host);
+    HostHash hash = MemberTable::hashOf(record.host);
     uint32_t tieBreak = tieBreakOf(record);
     if (now < m_staleDatagramsUntil)
         disseminate = Disseminate::No;
-    auto it = m_entries.find(hash);
-    if (it == m_entries.end()) {
-        insertMember(record, hash, tieBreak, disseminate, now);
+    auto it = m_table.find(hash);
+    if (it == m_table.end()) {
+        insertMember(record, tieBreak, disseminate, now);
         return;
     }
-    const MemberRecord& known = it->second.node->second;
+    const MemberRecord& known = it->second.record();
     if (known.host != record.host) {
         // Two host ids with the same 64-bit hash.
         ++m_counters.recordsRefused;
@@ -498,7 +470,7 @@
 
 void Membership::applyOwnRecord(const MemberRecord& record, TimePoint now)
 {
-    uint32_t ownTieBreak = m_entries.find(m_selfHash)->second.tieBreak;
+    uint32_t ownTieBreak = m_self->second.tieBreak;
     bool isNewer = orderOf(record, tieBreakOf(record)) > orderOf(self(), ownTieBreak);
     bool hasOtherBootId = record.bootId != self().bootId;
     if (hasOtherBootId && !m_hasLeft)
@@ -516,27 +488,25 @@
     publishOwnRecord(std::move(next));
 }
 
-void Membership::insertMember(
-    const MemberRecord& record, HostHash hash, uint32_t tieBreak, Disseminate disseminate, TimePoint now)
+void Membership::insertMember(const MemberRecord& record, uint32_t tieBreak, Disseminate disseminate, TimePoint now)
 {
     // Accepting dead and left records of unknown members would keep these records circulating for ever.
     if (!record.isPresent()) {
         ++m_counters.recordsOutdated;
         return;
     }
-    if (m_members.size() >= m_options.maxMembers) {
+    if (members().size() >= m_options.maxMembers) {
         ++m_counters.recordsRefused;
         return;
     }
-    auto node = m_members.emplace(record.host, record).first;
-    auto it = m_entries.emplace(hash, Entry { .node = node, .tieBreak = tieBreak }).first;
-    it->second.isUnconfirmed = now < m_staleDatagramsUntil;
     if (record.address != self().address)
-        declareAddressPredecessorDead(it, now);
-    addToIndexes(it, now);
+        declareAddressPredecessorDead(record.address, now);
+    auto it = m_table.insert(record, tieBreak);
+    it->second.isUnconfirmed = now < m_staleDatagramsUntil;
+    startState(it, now);
     size_t remaining = m_probeOrder.size() - m_probePosition;
     size_t position = m_probePosition + randomBelow(remaining + 1);
-    m_probeOrder.insert(m_probeOrder.begin() + static_cast<std::ptrdiff_t>(position), hash);
+    m_probeOrder.insert(m_probeOrder.begin() + static_cast<std::ptrdiff_t>(position), it->first);
     ++m_counters.recordsApplied;
     if (disseminate == Disseminate::Yes)
         queueUpdate(it);
@@ -546,12 +516,10 @@
 void Membership::replaceRecord(
     Entries::iterator it, const MemberRecord& record, uint32_t tieBreak, Disseminate disseminate, TimePoint now)
 {
-    MemberState before = it->second.node->second.state;
-    removeFromIndexes(it);
+    MemberState before = it->second.record().state;
+    m_table.replace(it, record, tieBreak);
     it->second.isUnconfirmed = now < m_staleDatagramsUntil;
-    it->second.node->second = record;
-    it->second.tieBreak = tieBreak;
-    addToIndexes(it, now);
+    startState(it, now);
     ++m_counters.recordsApplied;
     if (record.state == MemberState::Alive && (before == MemberState::Suspect || before == MemberState::Dead))
         ++m_counters.recoveries;
@@ -563,140 +531,60 @@
 
 // An address belongs to one host at a time, so the daemon of the previous host at the address of a new member must have
 // stopped.
-void Membership::declareAddressPredecessorDead(Entries::iterator it, TimePoint now)
+void Membership::declareAddressPredecessorDead(const Endpoint& address, TimePoint now)
 {
-    auto addressOwner = m_byAddress.find(it->second.node->second.address);
-    if (addressOwner == m_byAddress.end() || addressOwner->second == it->first)
-        return;
-    auto predecessor = m_entries.find(addressOwner->second);
-    if (predecessor != m_entries.end() && predecessor->second.node->second.isPresent())
+    auto predecessor = m_table.findByAddress(address);
+    if (predecessor != m_table.end() && predecessor->second.record().isPresent())
         declare(predecessor, MemberState::Dead, now);
 }
 
-void Membership::addToIndexes(Entries::iterator it, TimePoint now)
+void Membership::startState(Entries::iterator it, TimePoint now)
 {
-    const MemberRecord& record = it->second.node->second;
-    addToDigest(it->first, it->second);
-    m_byAddress[record.address] = it->first;
-    if (record.isPresent()) {
-        it->second.listIndex = m_present.size();
-        m_present.push_back(it->first);
-        ++m_presentPerDataCentre[record.dataCentre];
-        if (record.state == MemberState::Suspect) {
-            ++m_counters.suspicions;
-            startSuspicion(it, now);
-        }
-        return;
+    const MemberRecord& record = it->second.record();
+    if (record.state == MemberState::Suspect) {
+        ++m_counters.suspicions;
+        startSuspicion(it, now);
     }
-    ++(record.state == MemberState::Dead ? m_counters.deaths : m_counters.departures);
-    if (record.state == MemberState::Dead) {
-        it->second.listIndex = m_dead.size();
-        m_dead.push_back(it->first);
-    }
-    setDeadline(it, m_options.keepDeadRecords ? now + m_options.deadRetention : now);
-}
-
-void Membership::removeFromIndexes(Entries::iterator it)
-{
-    const MemberRecord& record = it->second.node->second;
-    removeFromDigest(it->first, it->second);
-    setDeadline(it, std::nullopt);
-    auto address = m_byAddress.find(record.address);
-    if (address != m_byAddress.end() && address->second == it->first)
-        m_byAddress.erase(address);
-    if (record.state == MemberState::Left)
+    if (record.isPresent())
         return;
-    std::vector<HostHash>& list = record.isPresent() ? m_present : m_dead;
-    auto dataCentre = m_presentPerDataCentre.find(record.dataCentre);
-    if (record.isPresent() && dataCentre != m_presentPerDataCentre.end() && --dataCentre->second == 0)
-        m_presentPerDataCentre.erase(dataCentre);
-    HostHash moved = list.back();
-    list[it->second.listIndex] = moved;
-    m_entries.find(moved)->second.listIndex = it->second.listIndex;
-    list.pop_back();
+    ++(record.state == MemberState::Dead ? m_counters.deaths : m_counters.departures);
+    m_table.setDeadline(it, m_options.keepDeadRecords ? now + m_options.deadRetention : now);
 }
 
 void Membership::eraseMember(Entries::iterator it)
 {
-    const MemberRecord& record = it->second.node->second;
+    const MemberRecord& record = it->second.record();
     if (record.state == MemberState::Dead)
         rememberLostAddress(record.address, m_lastCall);
-    removeFromIndexes(it);
     m_updates.erase(it->first);
     ++m_counters.expirations;
     m_outputs.emplace_back(MemberChanged { record.host, std::nullopt });
-    m_members.erase(it->second.node);
-    m_entries.erase(it);
+    m_table.erase(it);
 }
 
 void Membership::declare(Entries::iterator it, MemberState state, TimePoint now)
 {
-    MemberRecord record = it->second.node->second;
+    MemberRecord record = it->second.record();
     record.state = state;
     replaceRecord(it, record, it->second.tieBreak, Disseminate::Yes, now);
 }
 
-void Membership::setDeadline(Entries::iterator it, std::optional<TimePoint> deadline)
-{
-    if (it->second.deadline)
-        m_deadlines.erase({ *it->second.deadline, it->first });
-    it->second.deadline = deadline;
-    if (deadline)
-        m_deadlines.emplace(*deadline, it->first);
-}
-
-GossipDigestEntry Membership::digestEntry(HostHash hash, const Entry& entry)
-{
-    const MemberRecord& record = entry.node->second;
-    return { .hostHash = hash,
-        .incarnation = record.incarnation,
-        .sequence = record.sequence,
-        .state = record.state,
-        .tieBreak = entry.tieBreak };
-}
-
-static uint64_t versionHash(const GossipDigestEntry& entry)
-{
-    const uint64_t fields[] = { entry.hostHash, entry.incarnation.value(), entry.sequence.value(),
-        static_cast<uint64_t>(entry.state), entry.tieBreak };
-    return stableHash({ reinterpret_cast<const char*>(fields), sizeof(fields) });
-}
-
-// Digests exclude dead and left records: daemons erase them at different times, and such differences need no repair.
-void Membership::addToDigest(HostHash hash, const Entry& entry)
-{
-    if (!entry.node->second.isPresent())
-        return;
-    uint64_t version = versionHash(digestEntry(hash, entry));
-    m_rootDigest += version;
-    m_bucketDigests[bucketOf(hash)] += static_cast<uint32_t>(version);
-}
-
-void Membership::removeFromDigest(HostHash hash, const Entry& entry)
-{
-    if (!entry.node->second.isPresent())
-        return;
-    uint64_t version = versionHash(digestEntry(hash, entry));
-    m_rootDigest -= version;
-    m_bucketDigests[bucketOf(hash)] -= static_cast<uint32_t>(version);
-}
-
 // Dissemination
 
 void Membership::runGossip(TimePoint now)
 {
-    if (now < m_nextGossip || !hasUpdates() || m_present.empty())
+    if (now < m_nextGossip || !hasUpdates() || m_table.present().empty())
         return;
     m_nextGossip = now + m_options.gossipPeriod;
     // Updates for a scope that has no members left would keep the timer running.
-    if (localPresentCount() == m_present.size())
+    if (localPresentCount() == m_table.present().size())
         m_updates.clear(GossipScope::RemoteDataCentres);
     if (localPresentCount() == 0)
         m_updates.clear(GossipScope::LocalDataCentre);
     for (size_t i = 0; i < m_options.gossipFanout && hasUpdates(); ++i) {
         bool anyDataCentre = i == 0 || !m_options.prefersLocalGossip;
         const Endpoint& to
-            = m_entries.find(anyDataCentre ? *randomPresent() : randomPreferablyLocal())->second.node->second.address;
+            = m_table.find(anyDataCentre ? *randomPresent() : randomPreferablyLocal())->second.record().address;
         if (!m_broadcasts.isEmpty() || !m_updates.isEmpty(scopeOf(to)))
             sendUpdates(to);
     }
@@ -710,10 +598,10 @@
 // Includes the recipient's own record if it is suspect, dead or left, because only the recipient can refute it.
 GossipPiggyback Membership::updatesFor(const Endpoint& to)
 {
-    auto it = findEntryByAddress(to);
-    if (it == m_entries.end() || it->second.node->second.state == MemberState::Alive)
+    auto it = m_table.findByAddress(to);
+    if (it == m_table.end() || it->second.record().state == MemberState::Alive)
         return takeUpdates(scopeOf(to));
-    return takeUpdates(scopeOf(to), { it->second.node->second });
+    return takeUpdates(scopeOf(to), { it->second.record() });
 }
 
 GossipPiggyback Membership::takeUpdates(GossipScope scope, std::vector<MemberRecord> urgent)
@@ -728,7 +616,7 @@
     bool recordsFirst = randomBelow(2) == 0;
     if (recordsFirst)
         fillWithRecords(piggyback, scope, budget);
-    m_broadcasts.fill(piggyback, budget, transmissionLimit(m_present.size()));
+    m_broadcasts.fill(piggyback, budget, transmissionLimit(m_table.present().size()));
     if (!recordsFirst)
         fillWithRecords(piggyback, scope, budget);
     return piggyback;
@@ -737,7 +625,7 @@
 void Membership::fillWithRecords(GossipPiggyback& piggyback, GossipScope scope, size_t& budget)
 {
     m_updates.take(scope, maxSkippedRecords, [&](HostHash hash) {
-        const MemberRecord& record = m_entries.find(hash)->second.node->second;
+        const MemberRecord& record = m_table.find(hash)->second.record();
         size_t size = encodedSizeBound(record);
         if (size > budget)
             return false;
@@ -761,21 +649,20 @@
 TransmissionLimits Membership::recordLimits() const
 {
     if (!m_options.prefersLocalGossip)
-        return { .local = transmissionLimit(m_present.size()) };
+        return { .local = transmissionLimit(m_table.present().size()) };
     size_t localCount = localPresentCount();
-    size_t otherDataCentres = m_presentPerDataCentre.size() - (localCount == 0 ? 0 : 1);
+    size_t otherDataCentres = m_table.dataCentreCount() - (localCount == 0 ? 0 : 1);
     double copies = m_options.remoteCopies * static_cast<double>(otherDataCentres);
     return { .local = localCount > 0 ? transmissionLimit(localCount) : 0,
         .remote = std::min<double>(
-            copies / static_cast<double>(localCount + 1), transmissionLimit(m_present.size() - localCount)) };
+            copies / static_cast<double>(localCount + 1), transmissionLimit(m_table.present().size() - localCount)) };
 }
 
 size_t Membership::localPresentCount() const
 {
     if (!m_options.prefersLocalGossip)
-        return m_present.size();
-    auto own = m_presentPerDataCentre.find(self().dataCentre);
-    return own == m_presentPerDataCentre.end() ? 0 : own->second;
+        return m_table.present().size();
+    return m_table.presentIn(self().dataCentre);
 }
 
 // An unknown address counts as outside of our data centre.
@@ -783,8 +670,8 @@
 {
     if (!m_options.prefersLocalGossip)
         return GossipScope::LocalDataCentre;
-    auto it = findEntryByAddress(address);
-    bool isLocal = it != m_entries.end() && it->second.node->second.dataCentre == self().dataCentre;
+    auto it = m_table.findByAddress(address);
+    bool isLocal = it != m_table.end() && it->second.record().dataCentre == self().dataCentre;
     return isLocal ? GossipScope::LocalDataCentre : GossipScope::RemoteDataCentres;
 }
 
@@ -798,7 +685,7 @@
     ++m_counters.broadcastsSent;
     GossipBroadcast item { self().host, self().bootId, ++m_lastBroadcast, std::move(payload) };
     m_broadcasts.remember(item);
-    if (!m_present.empty())
+    if (!m_table.present().empty())
         m_broadcasts.push(std::move(item));
     return true;
 }
@@ -828,29 +715,29 @@
     std::optional<HostHash> target = randomPresent();
     // Prefer alive members, since a suspect probably does not answer.
     for (size_t i = 0; target && i < maxChoiceAttempts; ++i) {
-        if (m_entries.find(*target)->second.node->second.state == MemberState::Alive)
+        if (m_table.find(*target)->second.record().state == MemberState::Alive)
             break;
         target = randomPresent();
     }
     if (!target)
         return;
     ++m_counters.repairs;
-    send(m_entries.find(*target)->second.node->second.address, GossipDigestRequest { .root = m_rootDigest });
+    send(m_table.find(*target)->second.record().address, GossipDigestRequest { .root = m_table.rootDigest() });
 }
 
 void Membership::handle(const Endpoint& from, const GossipDigestRequest& request, TimePoint now)
 {
     if (request.sender) {
         applyRecord(*request.sender, Disseminate::Yes, now);
-        auto it = m_entries.find(hashOf(request.sender->host));
-        bool isOutdated = it != m_entries.end() && it->second.node->second != *request.sender;
-        if (isOutdated && it->first != m_selfHash)
-            sendRecords(from, { it->second.node->second });
+        auto it = m_table.find(MemberTable::hashOf(request.sender->host));
+        bool isOutdated = it != m_table.end() && it->second.record() != *request.sender;
+        if (isOutdated && it->first != m_self->first)
+            sendRecords(from, { it->second.record() });
     }
-    if (request.root && *request.root != m_rootDigest) {
+    if (request.root && *request.root != m_table.rootDigest()) {
         ++m_counters.repairsWithDifference;
         if (consumeTransferToken(now))
-            send(from, GossipDigest { .buckets = { m_bucketDigests.begin(), m_bucketDigests.end() } });
+            send(from, GossipDigest { .buckets = { m_table.bucketDigests().begin(), m_table.bucketDigests().end() } });
     }
     if (!request.wanted.empty())
         sendWantedRecords(from, request.wanted);
@@ -897,11 +784,11 @@
     for (const MemberRecord& record : piggyback.records) {
         if (record.state != MemberState::Suspect && record.state != MemberState::Dead)
             continue;
-        auto it = m_entries.find(hashOf(record.host));
-        if (it == m_entries.end() || it->second.isUnconfirmed)
+        auto it = m_table.find(MemberTable::hashOf(record.host));
+        if (it == m_table.end() || it->second.isUnconfirmed)
             continue;
-        if (orderOf(it->second.node->second, it->second.tieBreak) > orderOf(record, tieBreakOf(record)))
-            newer.push_back(it->second.node->second);
+        if (orderOf(it->second.record(), it->second.tieBreak) > orderOf(record, tieBreakOf(record)))
+            newer.push_back(it->second.record());
     }
     if (!newer.empty())
         sendRecords(from, std::move(newer));
@@ -911,7 +798,7 @@
 {
     std::vector<size_t> differing;
     for (size_t bucket = 0; bucket < gossipBucketCount; ++bucket) {
-        if (digest.buckets[bucket] != m_bucketDigests[bucket])
+        if (digest.buckets[bucket] != m_table.bucketDigests()[bucket])
             differing.push_back(bucket);
     }
     if (differing.empty())
@@ -928,22 +815,22 @@
     for (size_t sent = 0;
          sent < m_options.maxDigestDatagrams && next < buckets.size() && consumeTransferToken(m_lastCall); ++sent) {
         size_t bucket = buckets[next++];
-        GossipDigest digest { .first = bucketFirst(bucket), .last = bucketLast(bucket) };
-        size_t count = countEntries(digest.first, digest.last);
+        GossipDigest digest { .first = MemberTable::bucketFirst(bucket), .last = MemberTable::bucketLast(bucket) };
+        size_t count = m_table.countBetween(digest.first, digest.last);
         if (count > maxEntriesPerDatagram) {
             // Only a part of the bucket fits; a random start lets later comparisons cover the rest.
             size_t skipped = randomBelow(count);
-            auto it = std::next(m_entries.lower_bound(digest.first), static_cast<std::ptrdiff_t>(skipped));
+            auto it = std::next(m_table.lowerBound(digest.first), static_cast<std::ptrdiff_t>(skipped));
             if (skipped > 0)
                 digest.first = it->first;
         }
         count = appendEntries(digest, digest.first, digest.last);
         // Extend the range over the next differing buckets if few entries of matching buckets lie between.
-        while (next < buckets.size() && buckets[next] > bucketOf(digest.last)
-            && digest.last == bucketLast(bucketOf(digest.last))) {
-            HostHash end = bucketLast(buckets[next]);
-            size_t gap = countEntries(digest.last + 1, bucketFirst(buckets[next]) - 1);
-            size_t added = countEntries(digest.last + 1, end);
+        while (next < buckets.size() && buckets[next] > MemberTable::bucketOf(digest.last)
+            && digest.last == MemberTable::bucketLast(MemberTable::bucketOf(digest.last))) {
+            HostHash end = MemberTable::bucketLast(buckets[next]);
+            size_t gap = m_table.countBetween(digest.last + 1, MemberTable::bucketFirst(buckets[next]) - 1);
+            size_t added = m_table.countBetween(digest.last + 1, end);
             if (gap > maxGapEntries || count + added > maxEntriesPerDatagram)
                 break;
             count += appendEntries(digest, digest.last + 1, end);
@@ -959,24 +846,17 @@
 size_t Membership::appendEntries(GossipDigest& digest, HostHash first, HostHash last) const
 {
     size_t count = 0;
-    for (auto it = m_entries.lower_bound(first); it != m_entries.end() && it->first <= last; ++it) {
+    for (auto it = m_table.lowerBound(first); it != m_table.end() && it->first <= last; ++it) {
         if (digest.entries.size() >= maxEntriesPerDatagram) {
             digest.last = digest.entries.back().hostHash;
             break;
         }
-        digest.entries.push_back(digestEntry(it->first, it->second));
+        digest.entries.push_back(MemberTable::digestEntry(it->first, it->second));
         ++count;
     }
     return count;
 }
 
-size_t Membership::countEntries(HostHash first, HostHash last) const
-{
-    if (first > last)
-        return 0;
-    return static_cast<size_t>(std::distance(m_entries.lower_bound(first), m_entries.upper_bound(last)));
-}
-
 void Membership::compareEntries(const Endpoint& from, const GossipDigest& digest)
 {
     if (digest.first > digest.last)
@@ -986,9 +866,9 @@
         remoteEntries[entry.hostHash] = &entry;
     std::vector<MemberRecord> newer;
     std::vector<HostHash> forgotten;
-    for (auto it = m_entries.lower_bound(digest.first); it != m_entries.end() && it->first <= digest.last; ++it) {
+    for (auto it = m_table.lowerBound(digest.first); it != m_table.end() && it->first <= digest.last; ++it) {
         auto remote = remoteEntries.find(it->first);
-        const MemberRecord& record = it->second.node->second;
+        const MemberRecord& record = it->second.record();
         if (it->second.isUnconfirmed && remote == remoteEntries.end()) {
             forgotten.push_back(it->first);
             continue;
@@ -999,13 +879,13 @@
             newer.push_back(record);
     }
     for (HostHash hash : forgotten)
-        eraseMember(m_entries.find(hash));
+        eraseMember(m_table.find(hash));
     GossipDigestRequest request;
     for (const auto& [hash, entry] : remoteEntries) {
-        auto it = m_entries.find(hash);
+        auto it = m_table.find(hash);
         bool isDeadOrLeft = entry->state == MemberState::Dead || entry->state == MemberState::Left;
-        bool isWanted = it == m_entries.end() ? !isDeadOrLeft
-                                              : orderOf(*entry) > orderOf(it->second.node->second, it->second.tieBreak);
+        bool isWanted
+            = it == m_table.end() ? !isDeadOrLeft : orderOf(*entry) > orderOf(it->second.record(), it->second.tieBreak);
         if (isWanted && request.wanted.size() < maxWantedPerDatagram)
             request.wanted.push_back(hash);
     }
@@ -1019,13 +899,13 @@
 {
     std::vector<MemberRecord> records;
     for (uint64_t hash : wanted) {
-        auto it = m_entries.find(hash);
-        if (it == m_entries.end())
+        auto it = m_table.find(hash);
+        if (it == m_table.end())
             continue;
         if (it->second.isUnconfirmed)
             eraseMember(it);
         else
-            records.push_back(it->second.node->second);
+            records.push_back(it->second.record());
     }
     sendRecords(to, std::move(records));
 }
@@ -1079,31 +959,26 @@
         m_lost[randomBelow(m_lost.size())] = std::move(lost);
 }
 
-bool Membership::isPresentAt(const Endpoint& address) const
-{
-    auto it = m_byAddress.find(address);
-    return it != m_byAddress.end() && m_entries.find(it->second)->second.node->second.isPresent();
-}
-
 std::vector<Endpoint> Membership::missingSeeds() const
 {
     std::vector<Endpoint> missing;
     std::copy_if(m_seeds.begin(), m_seeds.end(), std::back_inserter(missing),
-        [&](const Endpoint& seed) { return !isPresentAt(seed); });
+        [&](const Endpoint& seed) { return !m_table.isPresentAt(seed); });
     return missing;
 }
 
 bool Membership::hasLostProbeCandidates() const
 {
     return m_joinStage == JoinStage::Done
-        && (!m_dead.empty() || !m_lost.empty()
-            || std::any_of(m_seeds.begin(), m_seeds.end(), [&](const Endpoint& seed) { return !isPresentAt(seed); }));
+        && (!m_table.dead().empty() || !m_lost.empty()
+            || std::any_of(
+                m_seeds.begin(), m_seeds.end(), [&](const Endpoint& seed) { return !m_table.isPresentAt(seed); }));
 }
 
 // The daemon itself is probably cut off if it lacks most of the mesh.
 bool Membership::isIsolated() const
 {
-    bool lacksMost = m_dead.size() + m_lost.size() > m_present.size();
+    bool lacksMost = m_table.dead().size() + m_lost.size() > m_table.present().size();
     return lacksMost || (!m_seeds.empty() && missingSeeds().size() == m_seeds.size());
 }
 
@@ -1130,8 +1005,8 @@
         contactLostMembers(missingSeeds(), 1);
         return contactLostMembers(lostAddresses(now), m_options.maxDeadProbes - 1);
     }
-    std::vector<Endpoint> dead = deadAddresses();
-    double share = static_cast<double>(dead.size()) / static_cast<double>(m_present.size() + 1);
+    std::vector<Endpoint> dead = m_table.deadAddresses();
+    double share = static_cast<double>(dead.size()) / static_cast<double>(m_table.present().size() + 1);
     double expected = std::min(m_options.deadProbesPerSecond * share, static_cast<double>(m_options.maxDeadProbes));
     constexpr size_t resolution = 1000;
     double fraction = static_cast<double>(randomBelow(resolution)) / resolution;
@@ -1148,19 +1023,12 @@
     }
 }
 
-std::vector<Endpoint> Membership::deadAddresses() const
-{
-    std::vector<Endpoint> addresses;
-    for (HostHash hash : m_dead)
-        addresses.push_back(m_entries.find(hash)->second.node->second.address);
-    return addresses;
-}
-
 // Addresses of the dead members, of those whose dead record has expired, and of the seeds that are not present.
 std::vector<Endpoint> Membership::lostAddresses(TimePoint now)
 {
-    std::erase_if(m_lost, [&](const LostMember& lost) { return lost.expiresAt <= now || isPresentAt(lost.address); });
-    std::vector<Endpoint> addresses = deadAddresses();
+    std::erase_if(
+        m_lost, [&](const LostMember& lost) { return lost.expiresAt <= now || m_table.isPresentAt(lost.address); });
+    std::vector<Endpoint> addresses = m_table.deadAddresses();
     for (const LostMember& lost : m_lost)
         addresses.push_back(lost.address);
     std::vector<Endpoint> seeds = missingSeeds();
@@ -1180,9 +1048,9 @@
 // which records it lacks.
 void Membership::contactLostMember(const Endpoint& address)
 {
-    auto it = findEntryByAddress(address);
-    if (it == m_entries.end()) {
-        send(address, GossipDigestRequest { .root = m_rootDigest, .sender = self() });
+    auto it = m_table.findByAddress(address);
+    if (it == m_table.end()) {
+        send(address, GossipDigestRequest { .root = m_table.rootDigest(), .sender = self() });
         return;
     }
     send(address,
@@ -1207,7 +1075,7 @@
 {
     detectPause(now);
     std::erase(seeds, self().address);
-    bool isFirst = m_seeds.empty() && m_present.empty();
+    bool isFirst = m_seeds.empty() && m_table.present().empty();
     if (isFirst) {
         join(std::move(seeds), now);
         return;
@@ -1240,8 +1108,8 @@
     size_t budget = piggybackBudget;
     std::set<HostHash> chosen;
     auto add = [&](HostHash hash) {
-        const Entry& entry = m_entries.find(hash)->second;
-        const MemberRecord& record = entry.node->second;
+        const Entry& entry = m_table.find(hash)->second;
+        const MemberRecord& record = entry.record();
         size_t size = encodedSizeBound(record);
         if (entry.isUnconfirmed || size > budget || answer.piggyback.records.size() >= maxContacts
             || !chosen.insert(hash).second)
@@ -1249,17 +1117,17 @@
         budget -= size;
         answer.piggyback.records.push_back(record);
     };
-    add(m_selfHash);
-    size_t searched = std::min(m_present.size(), maxContactSearch);
-    size_t start = randomBelow(m_present.size() + 1);
+    add(m_self->first);
+    size_t searched = std::min(m_table.present().size(), maxContactSearch);
+    size_t start = randomBelow(m_table.present().size() + 1);
     for (size_t i = 0; sender && i < searched && chosen.size() <= localContacts; ++i) {
-        HostHash hash = m_present[(start + i) % m_present.size()];
-        if (m_entries.find(hash)->second.node->second.dataCentre == sender->dataCentre)
+        HostHash hash = m_table.present()[(start + i) % m_table.present().size()];
+        if (m_table.find(hash)->second.record().dataCentre == sender->dataCentre)
             add(hash);
     }
-    for (size_t i = 0; i < std::min(m_present.size(), maxContacts); ++i)
-        add(m_present[(start + i) % m_present.size()]);
-    answer.page->isLast = isJoined() && chosen.size() == m_present.size() + 1;
+    for (size_t i = 0; i < std::min(m_table.present().size(), maxContacts); ++i)
+        add(m_table.present()[(start + i) % m_table.present().size()]);
+    answer.page->isLast = isJoined() && chosen.size() == m_table.present().size() + 1;
     ++m_counters.transfersSent;
     send(to, std::move(answer));
 }
@@ -1268,8 +1136,8 @@
 {
     m_joinStage = JoinStage::Pages;
     m_pageSources.clear();
-    for (HostHash hash : m_present) {
-        if (m_entries.find(hash)->second.node->second.dataCentre == self().dataCentre)
+    for (HostHash hash : m_table.present()) {
+        if (m_table.find(hash)->second.record().dataCentre == self().dataCentre)
             m_pageSources.push_back(hash);
     }
     m_pages.start(now);
@@ -1300,12 +1168,12 @@
 Endpoint Membership::choosePageSource(unsigned attempts)
 {
     if (attempts < 2 && !m_pageSources.empty()) {
-        auto it = m_entries.find(m_pageSources[randomBelow(m_pageSources.size())]);
-        if (it != m_entries.end() && it->second.node->second.isPresent())
-            return it->second.node->second.address;
+        auto it = m_table.find(m_pageSources[randomBelow(m_pageSources.size())]);
+        if (it != m_table.end() && it->second.record().isPresent())
+            return it->second.record().address;
     }
     if (std::optional<HostHash> any = randomPresent())
-        return m_entries.find(*any)->second.node->second.address;
+        return m_table.find(*any)->second.record().address;
     return m_seeds[randomBelow(m_seeds.size())];
 }
 
@@ -1315,8 +1183,8 @@
     // Many daemons may join at once. A daemon that is itself joining sends what it has, but marks the page incomplete.
     bool isComplete = isJoined() || request.acceptPartial;
     size_t budget = piggybackBudget;
-    for (auto it = m_entries.lower_bound(request.first); it != m_entries.end() && it->first <= request.last; ++it) {
-        const MemberRecord& record = it->second.node->second;
+    for (auto it = m_table.lowerBound(request.first); it != m_table.end() && it->first <= request.last; ++it) {
+        const MemberRecord& record = it->second.record();
         // After a long pause this daemon knows less than the others until they have confirmed its records.
         isComplete = isComplete && (!it->second.isUnconfirmed || request.acceptPartial);
         if (!record.isPresent() || it->second.isUnconfirmed)
@@ -1364,9 +1232,9 @@
 
 std::optional<Membership::HostHash> Membership::randomPresent()
 {
-    if (m_present.empty())
+    if (m_table.present().empty())
         return std::nullopt;
-    return m_present[randomBelow(m_present.size())];
+    return m_table.present()[randomBelow(m_table.present().size())];
 }
 
 // Returns a random member, of the own data centre if a few samples find one. Requires a present member.
@@ -1374,7 +1242,7 @@
 {
     HostHash found = *randomPresent();
     for (size_t i = 0; i < maxLocalSamples; ++i) {
-        if (m_entries.find(found)->second.node->second.dataCentre == self().dataCentre)
+        if (m_table.find(found)->second.record().dataCentre == self().dataCentre)
             break;
         found = *randomPresent();
     }
@@ -1391,10 +1259,4 @@
     return Duration(std::uniform_int_distribution<Duration::rep>(0, bound.count())(m_random));
 }
 
-Membership::Entries::iterator Membership::findEntryByAddress(const Endpoint& address)
-{
-    auto it = m_byAddress.find(address);
-    return it == m_byAddress.end() ? m_entries.end() : m_entries.find(it->second);
-}
-
 } // namespace dragonflylane
--- a/dragonflylane/Membership.h
+++ b/dragonflylane/Membership.h
@@ -28,6 +28,7 @@
 #include "dragonflylane/BroadcastQueue.h"
 #include "dragonflylane/GossipMessages.h"
 #include "dragonflylane/MemberRecord.h"
+#include "dragonflylane/MemberTable.h"
 #include "dragonflylane/MembershipCounters.h"
 #include "dragonflylane/MembershipOptions.h"
 #include "dragonflylane/MembershipOutput.h"
@@ -83,35 +84,18 @@
     std::vector<MembershipOutput> takeOutputs();
 
     /// All known members by host, including this daemon and retained dead and left members.
-    const std::map<HostId, MemberRecord>& members() const { return m_members; }
-    const MemberRecord& self() const { return m_selfNode->second; }
+    const std::map<HostId, MemberRecord>& members() const { return m_table.members(); }
+    const MemberRecord& self() const { return m_self->second.record(); }
     /// Members that are alive or suspect, including this daemon.
-    size_t presentCount() const { return m_present.size() + (m_hasLeft ? 0 : 1); }
+    size_t presentCount() const { return m_table.present().size() + (m_hasLeft ? 0 : 1); }
     /// Digest of all present records; equal views have equal digests.
-    uint64_t rootDigest() const { return m_rootDigest; }
+    uint64_t rootDigest() const { return m_table.rootDigest(); }
     const MembershipCounters& counters() const { return m_counters; }
 
 private:
-    using HostHash = uint64_t;
-    using Members = std::map<HostId, MemberRecord>;
-
-    // Local state of a member that is not part of its record.
-    struct Entry {
-        Members::iterator node;
-        // Hash of the record's boot ID and content; the last criterion in the order of records.
-        uint32_t tieBreak { 0 };
-        // Position in m_present or m_dead.
-        size_t listIndex { 0 };
-        // When a suspect is declared dead, or a dead or left record expires.
-        std::optional<TimePoint> deadline {};
-        // Number of random members that are still to be asked for a refutation before a suspect is declared dead.
-        unsigned confirmations { 0 };
-        // The record dates from before a pause of this process of at least `deadRetention`, or came in a datagram that
-        // may have been queued during the pause, and has not been confirmed since. It is neither gossiped nor
-        // sent in pages, and is erased when another daemon lacks it or when a probe of the member fails.
-        bool isUnconfirmed { false };
-    };
-    using Entries = std::map<HostHash, Entry>;
+    using HostHash = MemberTable::HostHash;
+    using Entry = MemberTable::Entry;
+    using Entries = MemberTable::Entries;
 
     struct Probe {
         HostHash target { 0 };
@@ -161,18 +145,15 @@
 
     void applyRecord(const MemberRecord&, Disseminate, TimePoint now);
     void applyOwnRecord(const MemberRecord&, TimePoint now);
-    void insertMember(const MemberRecord&, HostHash, uint32_t tieBreak, Disseminate, TimePoint now);
+    void insertMember(const MemberRecord&, uint32_t tieBreak, Disseminate, TimePoint now);
     void replaceRecord(Entries::iterator, const MemberRecord&, uint32_t tieBreak, Disseminate, TimePoint now);
-    void declareAddressPredecessorDead(Entries::iterator, TimePoint now);
-    void addToIndexes(Entries::iterator, TimePoint now);
-    void removeFromIndexes(Entries::iterator);
+    void declareAddressPredecessorDead(const Endpoint&, TimePoint now);
+    /// Counts the state of a record that has become valid, and starts the time after which it ends.
+    void startState(Entries::iterator, TimePoint now);
     void eraseMember(Entries::iterator);
     void publishOwnRecord(MemberRecord);
     void rememberLostAddress(const Endpoint&, TimePoint now);
     void declare(Entries::iterator, MemberState, TimePoint now);
-    void setDeadline(Entries::iterator, std::optional<TimePoint>);
-    void addToDigest(HostHash, const Entry&);
-    void removeFromDigest(HostHash, const Entry&);
 
     void runDeadlines(TimePoint now);
     void startSuspicion(Entries::iterator, TimePoint now);
@@ -190,12 +171,10 @@
     bool isIsolated() const;
     void probeRecentlyDead(TimePoint now);
     void contactLostMembers(const std::vector<Endpoint>&, size_t count);
-    std::vector<Endpoint> deadAddresses() const;
     std::vector<Endpoint> lostAddresses(TimePoint now);
 
     void contactLostMember(const Endpoint&);
     std::vector<Endpoint> missingSeeds() const;
-    bool isPresentAt(const Endpoint&) const;
 
     void runJoin(TimePoint now);
     void requestContacts(TimePoint now);
@@ -214,7 +193,6 @@
     void compareEntries(const Endpoint& from, const GossipDigest&);
     void sendEntries(const Endpoint& to, const std::vector<size_t>& buckets);
     size_t appendEntries(GossipDigest&, HostHash first, HostHash last) const;
-    size_t countEntries(HostHash first, HostHash last) const;
     void sendRecords(const Endpoint& to, std::vector<MemberRecord>);
     bool consumeTransferToken(TimePoint now);
 
@@ -237,8 +215,6 @@
     size_t randomBelow(size_t bound);
     Duration randomDuration(Duration bound);
     uint32_t nextNumber() { return ++m_lastNumber; }
-    Entries::iterator findEntryByAddress(const Endpoint&);
-    static GossipDigestEntry digestEntry(HostHash, const Entry&);
     Duration suspicionTime() const { return m_options.probePeriod * m_options.suspicionPeriods; }
 
     MembershipOptions m_options;
@@ -246,23 +222,9 @@
     MembershipCounters m_counters;
     std::vector<MembershipOutput> m_outputs;
 
-    Members m_members;
-    Members::iterator m_selfNode;
-    HostHash m_selfHash { 0 };
+    MemberTable m_table;
+    Entries::iterator m_self;
     bool m_hasLeft { false };
-    // All members including this daemon, in the order of their hashes, so buckets and pages are ranges.
-    Entries m_entries;
-    // Members other than this daemon that are alive or suspect, for uniform choice.
-    std::vector<HostHash> m_present;
-    // Number of members in m_present for each data centre.
-    std::map<DataCentreName, size_t> m_presentPerDataCentre;
-    std::map<Endpoint, HostHash> m_byAddress;
-    std::set<std::pair<TimePoint, HostHash>> m_deadlines;
-    // Dead members whose records are retained.
-    std::vector<HostHash> m_dead;
-
-    std::array<uint32_t, gossipBucketCount> m_bucketDigests {};
-    uint64_t m_rootDigest { 0 };
 
     UpdateQueue m_updates;
     BroadcastQueue m_broadcasts;
