Refuse requests and responses whose end is ambiguous

Change: HttpFraming states what is unambiguous. RequestParser, which has no I/O, checks the bytes of the head before the parser and takes the headers before the body. HttpSession reads bytes and hands them to it. Anything else is 400 with a close, or no answer (502).

--- /dev/null
+++ b/dragonflylane/HttpFraming.h
@@ -0,0 +1,27 @@
+#pragma once
+
+// Rules about where an HTTP/1.1 message ends, stricter than those of the parser. What two readers might understand
+// differently is refused, since one of them could take a part of a body for another message (RFC 9112, 5 to 7
+// and 11.2).
+
+#include <boost/beast/http/fields.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace dragonflylane {
+
+enum class HeadVerdict : uint8_t {
+    Valid,
+    /// Folded lines, line ends other than CRLF, control characters.
+    Malformed,
+};
+
+/// Checks the first bytes of a message, up to and including the empty line or as far as they have arrived.
+HeadVerdict checkHead(std::string_view);
+
+/// True if the fields state the length of the body in one way only: by one Content-Length of digits, by chunked as the
+/// only transfer coding (not under HTTP/1.0), or not at all. `version` is 10 or 11.
+bool isLengthUnambiguous(const boost::beast::http::fields&, unsigned version);
+
+} // namespace dragonflylane
--- a/dragonflylane/HttpSession.cpp
+++ b/dragonflylane/HttpSession.cpp
@@ -3,7 +3,7 @@
 #include "dragonflylane/CallHeaders.h"
 #include "dragonflylane/HttpReadBuffer.h"
 
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/write.hpp>
 
 namespace dragonflylane {
@@ -20,12 +20,6 @@
     // How long the caller has to close its side after this side has been closed.
     constexpr std::chrono::seconds lingerTime { 2 };
 
-    bool isFramingHeader(http::field field)
-    {
-        return field == http::field::content_length || field == http::field::transfer_encoding
-            || field == http::field::connection || field == http::field::keep_alive;
-    }
-
 } // namespace
 
 HttpSession::HttpSession(asio::ip::tcp::socket socket, const HttpServerOptions& options, const Hooks& hooks)
@@ -89,7 +83,7 @@
         return;
     m_isReading = true;
     if (m_buffer.size() > 0 && !m_hasReadLastRequest)
-        return readHeader();
+        return beginRequest();
     m_stream.socket().async_wait(
         asio::ip::tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
             if (self->hasEndedDuringRead())
@@ -98,7 +92,7 @@
                 return self->handleDisconnect();
             if (self->m_hasReadLastRequest)
                 return self->checkEndOfInput();
-            self->readHeader();
+            self->beginRequest();
         });
 }
 
@@ -118,51 +112,53 @@
         handleDisconnect();
 }
 
-void HttpSession::readHeader()
+void HttpSession::beginRequest()
 {
-    m_parser = std::make_shared<Parser>();
-    m_parser->header_limit(m_options.maxHeaderBytes);
+    m_parser.emplace(RequestParserOptions { .maxHeaderBytes = m_options.maxHeaderBytes,
+        .maxBodyBytes = largestBody(m_options.maxBodyBytes, m_options.bodies) });
     // A caller may have sent several requests ahead, under an earlier and higher limit.
     m_buffer.max_size(std::max(m_options.maxHeaderBytes + maxReadAheadBytes, m_buffer.size()));
-    m_parser->body_limit(largestBody(m_options.maxBodyBytes, m_options.bodies));
     m_stream.expires_after(std::min(m_options.headerTimeout, m_options.requestTimeout));
-    http::async_read_header(
-        m_stream, m_buffer, *m_parser, [self = shared_from_this(), parser = m_parser](beast::error_code error, size_t) {
+    if (m_buffer.size() > 0)
+        return parseInput();
+    readInput();
+}
+
+void HttpSession::readInput()
+{
+    constexpr size_t maxReadBytes = 64 << 10;
+    size_t bytes = beast::read_size(m_buffer, maxReadBytes);
+    if (bytes == 0)
+        return refuseRequest(RequestProgress::Malformed);
+    m_stream.async_read_some(
+        m_buffer.prepare(bytes), [self = shared_from_this()](beast::error_code error, size_t bytesRead) {
+            self->m_buffer.commit(bytesRead);
             if (self->hasEndedDuringRead())
                 return;
             if (error)
                 return self->handleReadError(error);
-            if (parser->is_done())
-                return self->handleRequest();
-            self->readBody();
+            self->parseInput();
         });
 }
 
-void HttpSession::readBody()
+void HttpSession::parseInput()
 {
-    m_stream.expires_after(m_options.requestTimeout);
-    m_body = BodyReservation(m_options.bodies);
-    // A body of known length that exceeds the budget is refused before it is read.
-    uint64_t contentLength = m_parser->content_length().value_or(0);
-    if (!m_body.growTo(contentLength))
+    bool hadHead = m_parser->hasHead();
+    RequestProgress progress = m_parser->parse(m_buffer);
+    if (!hadHead && m_parser->hasHead()) {
+        m_stream.expires_after(m_options.requestTimeout);
+        m_body = BodyReservation(m_options.bodies);
+        // A body of known length that exceeds the budget is refused before it is read.
+        if (!m_body.growTo(m_parser->statedBodyBytes()))
+            return refuseBody();
+    }
+    if (m_parser->hasHead() && !m_body.growTo(m_parser->bodyBytes()))
         return refuseBody();
-    readMoreOfBody();
-}
-
-void HttpSession::readMoreOfBody()
-{
-    http::async_read_some(
-        m_stream, m_buffer, *m_parser, [self = shared_from_this(), parser = m_parser](beast::error_code error, size_t) {
-            if (self->hasEndedDuringRead())
-                return;
-            if (error)
-                return self->handleReadError(error);
-            if (!self->m_body.growTo(parser->get().body().size()))
-                return self->refuseBody();
-            if (parser->is_done())
-                return self->handleRequest();
-            self->readMoreOfBody();
-        });
+    if (progress == RequestProgress::Incomplete)
+        return readInput();
+    if (progress == RequestProgress::Complete)
+        return handleRequest();
+    refuseRequest(progress);
 }
 
 void HttpSession::refuseBody()
@@ -176,18 +172,19 @@
 {
     m_isReading = false;
     m_body = BodyReservation();
+    // tcp_stream closes the socket when it times out, so no response can be sent.
     if (error == beast::error::timeout)
         m_hooks.refused(ResultCode::RequestTimeout);
-    // tcp_stream closes the socket when it times out, so no response can be sent.
-    bool isConnectionLost = error == http::error::end_of_stream || error == asio::error::eof
-        || error == beast::error::timeout || error == asio::error::connection_reset
-        || error == http::error::partial_message;
-    if (isConnectionLost)
-        return handleDisconnect();
+    handleDisconnect();
+}
+
+void HttpSession::refuseRequest(RequestProgress progress)
+{
+    m_isReading = false;
     m_hasReadLastRequest = true;
-    if (error == http::error::body_limit)
+    if (progress == RequestProgress::BodyTooLarge)
         return refuse(statusContentTooLarge, ResultCode::RequestTooLarge);
-    if (error == http::error::header_limit)
+    if (progress == RequestProgress::HeaderTooLarge)
         return refuse(statusHeadersTooLarge, ResultCode::RequestTooLarge);
     refuse(statusBadRequest, ResultCode::MalformedRequest);
 }
@@ -200,14 +197,10 @@
         m_parser.reset();
         return;
     }
-    if (hasContradictoryLengths()) {
-        m_hasReadLastRequest = true;
-        return refuse(statusBadRequest, ResultCode::MalformedRequest);
-    }
     auto slot = std::make_shared<Slot>();
-    slot->version = m_parser->get().version();
-    slot->keepAlive = m_parser->keep_alive();
-    slot->isHead = m_parser->get().method() == http::verb::head;
+    slot->version = m_parser->version();
+    slot->keepAlive = m_parser->keepAlive();
+    slot->isHead = m_parser->isHead();
     slot->body = std::exchange(m_body, BodyReservation());
     m_hasReadLastRequest = !slot->keepAlive;
     // The responder keeps the session alive while the request is in flight, since there may be no pending read that
@@ -216,33 +209,13 @@
         if (auto answered = weakSlot.lock())
             self->respond(*answered, std::move(answer));
     };
-    slot->exchange = std::make_shared<HttpExchange>(takeRequest(), BootClock::now(), std::move(responder));
+    slot->exchange = std::make_shared<HttpExchange>(m_parser->takeRequest(), BootClock::now(), std::move(responder));
     m_parser.reset();
     m_slots.push_back(slot);
     m_hooks.handler(slot->exchange);
     awaitRequest();
 }
 
-bool HttpSession::hasContradictoryLengths() const
-{
-    const auto& message = m_parser->get();
-    bool hasEncoding = message.count(http::field::transfer_encoding) > 0;
-    size_t lengths = message.count(http::field::content_length);
-    return (hasEncoding && lengths > 0) || lengths > 1;
-}
-
-HttpRequest HttpSession::takeRequest()
-{
-    auto& message = m_parser->get();
-    HttpRequest request { .method = std::string(message.method_string()), .target = std::string(message.target()) };
-    for (const auto& field : message) {
-        if (!isFramingHeader(field.name()))
-            request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-    }
-    request.body = std::move(message.body());
-    return request;
-}
-
 // The refusal is written after the responses to earlier requests of the connection.
 void HttpSession::refuse(unsigned status, ResultCode code)
 {
--- a/dragonflylane/HttpSession.h
+++ b/dragonflylane/HttpSession.h
@@ -6,13 +6,14 @@
 #include "dragonflylane/BootClock.h"
 #include "dragonflylane/HttpExchange.h"
 #include "dragonflylane/HttpServer.h"
+#include "dragonflylane/RequestParser.h"
 #include "dragonflylane/ResultCode.h"
 
 #include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <deque>
 #include <memory>
@@ -37,10 +38,9 @@
     void limitsChanged();
     /// Closes the connection if no request is in flight.
     void closeIfIdle();
-    bool isBusy() const { return m_parser != nullptr || !m_slots.empty(); }
+    bool isBusy() const { return m_parser || !m_slots.empty(); }
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
     using Response = boost::beast::http::response<boost::beast::http::string_body>;
 
     /// A request and its place in the order of responses.
@@ -57,14 +57,13 @@
     void checkIdle();
     void awaitRequest();
     void checkEndOfInput();
-    void readHeader();
-    void readBody();
-    void readMoreOfBody();
+    void beginRequest();
+    void readInput();
+    void parseInput();
     void refuseBody();
+    void refuseRequest(RequestProgress);
     void handleReadError(boost::beast::error_code);
     void handleRequest();
-    bool hasContradictoryLengths() const;
-    HttpRequest takeRequest();
     void refuse(unsigned status, ResultCode);
     void respond(Slot&, HttpResponse);
     void writeNext();
@@ -83,9 +82,8 @@
     const HttpServerOptions& m_options;
     const Hooks& m_hooks;
     boost::beast::flat_buffer m_buffer;
-    /// The request that is being read, if any. Each read operation shares the parser: a read that has completed may
-    /// still parse in the turn after close().
-    std::shared_ptr<Parser> m_parser;
+    /// The request that is being read, if any.
+    std::optional<RequestParser> m_parser;
     /// Part of the body budget that the request that is being read uses.
     BodyReservation m_body;
     /// Requests whose response has not been written, oldest first.
--- a/dragonflylane/UpstreamResponse.cpp
+++ b/dragonflylane/UpstreamResponse.cpp
@@ -1,5 +1,6 @@
 #include "dragonflylane/UpstreamResponse.h"
 
+#include "dragonflylane/HttpFraming.h"
 #include "dragonflylane/HttpStatus.h"
 
 namespace dragonflylane {
@@ -37,7 +38,7 @@
 {
     if (isInterimStatus(message.result_int()))
         return ResponseVerdict::Skip;
-    if (!isFinalStatus(message.result_int()))
+    if (!isFinalStatus(message.result_int()) || !isLengthUnambiguous(message, message.version()))
         return ResponseVerdict::Malformed;
     if (belongsToOtherRequest(message, context))
         return ResponseVerdict::Skip;
--- a/fuzz/DecodersFuzz.cpp
+++ b/fuzz/DecodersFuzz.cpp
@@ -19,6 +19,7 @@
 #include "dragonflylane/PlanWire.h"
 #include "dragonflylane/RelayMessages.h"
 #include "dragonflylane/RelayWire.h"
+#include "dragonflylane/RequestParser.h"
 #include "dragonflylane/RolloutWire.h"
 #include "dragonflylane/Settings.h"
 #include "dragonflylane/UpstreamResponse.h"
@@ -28,12 +29,15 @@
 
 #include <algorithm>
 #include <boost/beast/http/parser.hpp>
+#include <cctype>
+#include <charconv>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace dragonflylane {
 
@@ -102,6 +106,107 @@
             std::abort();
     }
 
+    // Where a chunked body ends, read without any leniency; npos if it isn't whole.
+    size_t chunkedEnd(std::string_view body)
+    {
+        constexpr std::string_view digits = "0123456789abcdefABCDEF";
+        constexpr size_t lineEndBytes = 2;
+        size_t at = 0;
+        for (;;) {
+            size_t sizeEnd = std::min(body.find_first_not_of(digits, at), body.size());
+            size_t lineEnd = body.find("\r\n", sizeEnd);
+            if (sizeEnd == at || lineEnd == std::string_view::npos)
+                return std::string_view::npos;
+            uint64_t size = 0;
+            if (std::from_chars(body.data() + at, body.data() + sizeEnd, size, 16).ec != std::errc())
+                return std::string_view::npos;
+            at = lineEnd + lineEndBytes;
+            if (size == 0)
+                break;
+            bool isWhole = size <= body.size() - at && body.substr(at + size).starts_with("\r\n");
+            if (!isWhole)
+                return std::string_view::npos;
+            at += size + lineEndBytes;
+        }
+        // Trailers up to an empty line.
+        while (!body.substr(at).starts_with("\r\n")) {
+            size_t lineEnd = body.find("\r\n", at);
+            if (lineEnd == std::string_view::npos)
+                return std::string_view::npos;
+            at = lineEnd + lineEndBytes;
+        }
+        return at + lineEndBytes;
+    }
+
+    // Where the first request ends, read without any leniency; npos if that is not clear.
+    size_t requestEnd(std::string_view input)
+    {
+        constexpr std::string_view endOfHead = "\r\n\r\n";
+        size_t headEnd = input.find(endOfHead);
+        if (headEnd == std::string_view::npos)
+            return std::string_view::npos;
+        std::string_view lines = input.substr(0, headEnd + 2);
+        size_t bodyStart = headEnd + endOfHead.size();
+        std::vector<std::string> lengths;
+        std::vector<std::string> codings;
+        for (size_t start = lines.find("\r\n") + 2; start < lines.size(); start = lines.find("\r\n", start) + 2) {
+            std::string line(lines.substr(start, lines.find("\r\n", start) - start));
+            std::transform(line.begin(), line.end(), line.begin(), [](unsigned char c) { return std::tolower(c); });
+            size_t colon = line.find(':');
+            if (colon == std::string::npos || line.find_first_of(" \t\r\n") < colon)
+                return std::string_view::npos;
+            std::string value = line.substr(colon + 1);
+            value.erase(0, value.find_first_not_of(" \t"));
+            value.erase(value.find_last_not_of(" \t") + 1);
+            if (line.substr(0, colon) == "content-length")
+                lengths.push_back(value);
+            if (line.substr(0, colon) == "transfer-encoding")
+                codings.push_back(value);
+        }
+        if (lengths.size() + codings.size() > 1 || (!codings.empty() && codings.front() != "chunked"))
+            return std::string_view::npos;
+        if (!codings.empty()) {
+            size_t length = chunkedEnd(input.substr(bodyStart));
+            return length == std::string_view::npos ? length : bodyStart + length;
+        }
+        uint64_t length = 0;
+        if (lengths.empty())
+            return bodyStart;
+        const std::string& digits = lengths.front();
+        auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), length);
+        bool isWhole
+            = error == std::errc() && end == digits.data() + digits.size() && length <= input.size() - bodyStart;
+        return isWhole ? bodyStart + length : std::string_view::npos;
+    }
+
+    // Each request that is passed on must end where a strict reader sees its end, whatever the size of the reads. The
+    // first byte sets that size.
+    void fuzzRequests(std::string_view bytes)
+    {
+        if (bytes.empty())
+            return;
+        size_t readBytes = static_cast<uint8_t>(bytes.front()) + size_t { 1 };
+        bytes.remove_prefix(1);
+        boost::beast::flat_buffer buffer;
+        size_t read = 0;
+        size_t start = 0;
+        for (;;) {
+            RequestParser parser({ .maxHeaderBytes = 1 << 10, .maxBodyBytes = 1 << 10 });
+            RequestProgress progress = parser.parse(buffer);
+            while (progress == RequestProgress::Incomplete && read < bytes.size()) {
+                std::string_view part = bytes.substr(read, readBytes);
+                buffer.commit(boost::asio::buffer_copy(buffer.prepare(part.size()), boost::asio::buffer(part)));
+                read += part.size();
+                progress = parser.parse(buffer);
+            }
+            if (progress != RequestProgress::Complete)
+                return;
+            if (requestEnd(bytes.substr(start)) != read - buffer.size() - start)
+                std::abort();
+            start = read - buffer.size();
+        }
+    }
+
     void fuzzSettings(std::string_view bytes)
     {
         Settings settings;
@@ -183,6 +288,7 @@
             { "plan-json", fuzzPlanJson },
             { "operator-document", fuzzOperatorDocument },
             { "call", fuzzCall },
+            { "request", fuzzRequests },
             { "response", fuzzResponse },
         };
         const char* name = std::getenv("FUZZ_TARGET");
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -111,6 +111,125 @@
     EXPECT_EQ(server.handled, 0);
 }
 
+namespace {
+
+    struct AmbiguousRequest {
+        std::string_view reason;
+        std::string_view version;
+        /// Header lines, each with its end.
+        std::string_view lines;
+    };
+
+    // RFC 9112, 5.1, 5.2, 6.1 to 6.3 and 7.1. What follows the head is the text of another request.
+    constexpr AmbiguousRequest ambiguousRequests[] = {
+        { "unknown coding", "HTTP/1.1", "Transfer-Encoding: identity\r\n" },
+        { "coding that isn't chunked", "HTTP/1.1", "Transfer-Encoding: gzip\r\n" },
+        { "last coding isn't chunked", "HTTP/1.1", "Transfer-Encoding: chunked, identity\r\n" },
+        { "chunked twice", "HTTP/1.1", "Transfer-Encoding: chunked, chunked\r\n" },
+        { "chunked in two fields", "HTTP/1.1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" },
+        { "another coding before chunked", "HTTP/1.1",
+            "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n" },
+        { "no coding", "HTTP/1.1", "Transfer-Encoding:\r\n" },
+        { "quoted coding", "HTTP/1.1", "Transfer-Encoding: \"chunked\"\r\n" },
+        { "coding with a parameter", "HTTP/1.1", "Transfer-Encoding: chunked;q=1\r\n" },
+        { "coding in HTTP/1.0", "HTTP/1.0", "Transfer-Encoding: chunked\r\n" },
+        { "coding and length", "HTTP/1.1", "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n" },
+        { "length and coding", "HTTP/1.1", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n" },
+        { "length and unknown coding", "HTTP/1.1", "Content-Length: 3\r\nTransfer-Encoding: identity\r\n" },
+        { "equal lengths", "HTTP/1.1", "Content-Length: 0\r\nContent-Length: 0\r\n" },
+        { "list of equal lengths", "HTTP/1.1", "Content-Length: 0, 0\r\n" },
+        { "no length", "HTTP/1.1", "Content-Length:\r\n" },
+        { "signed length", "HTTP/1.1", "Content-Length: +0\r\n" },
+        { "hexadecimal length", "HTTP/1.1", "Content-Length: 0x0\r\n" },
+        { "length that overflows", "HTTP/1.1", "Content-Length: 18446744073709551616\r\n" },
+        { "folded field", "HTTP/1.1", "X-Folded: a\r\n Content-Length: 3\r\n" },
+        { "folded length", "HTTP/1.1", "Content-Length:\r\n 0\r\n" },
+        { "space before the first field", "HTTP/1.1", " Content-Length: 3\r\n" },
+        { "space before a colon", "HTTP/1.1", "Content-Length : 0\r\n" },
+        { "line feed alone", "HTTP/1.1", "X-A: a\nContent-Length: 0\r\n" },
+        { "carriage return alone", "HTTP/1.1", "X-A: a\rContent-Length: 0\r\n" },
+        { "null byte", "HTTP/1.1", std::string_view("X-A: \0\r\n", 8) },
+    };
+
+    struct AmbiguousChunk {
+        std::string_view reason;
+        std::string_view bytes;
+    };
+
+    constexpr AmbiguousChunk ambiguousChunks[] = {
+        { "size that overflows", "10000000000000000\r\n" },
+        { "signed size", "+3\r\nabc\r\n0\r\n\r\n" },
+        { "hexadecimal prefix", "0x3\r\nabc\r\n0\r\n\r\n" },
+        { "space before the end of the size line", "3 \r\nabc\r\n0\r\n\r\n" },
+        { "line feed alone", "3\nabc\n0\n\n" },
+        { "chunk longer than its size", "3\r\nabcd\r\n0\r\n\r\n" },
+    };
+
+    constexpr std::string_view hiddenRequest = "GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n";
+
+} // namespace
+
+// Guards against a body that is taken for a request of its own, because two readers disagree on where the request
+// before it ends (review/6). Such a request is refused and nothing behind it is read.
+TEST(HttpServerTest, AmbiguousRequestsAreRefusedWhole)
+{
+    ServerFixture server;
+    for (const AmbiguousRequest& ambiguous : ambiguousRequests) {
+        SCOPED_TRACE(ambiguous.reason);
+        std::string request = "POST /a " + std::string(ambiguous.version) + "\r\nHost: a\r\n"
+            + std::string(ambiguous.lines) + "\r\n" + std::string(hiddenRequest);
+        std::string answer = answerTo(server, request);
+        EXPECT_NE(answer.find(" 400 "), std::string::npos) << answer.substr(0, 100);
+        EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+    }
+    for (const AmbiguousChunk& ambiguous : ambiguousChunks) {
+        SCOPED_TRACE(ambiguous.reason);
+        std::string request = "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + std::string(ambiguous.bytes) + std::string(hiddenRequest);
+        std::string answer = answerTo(server, request);
+        EXPECT_EQ(answer.find(" 200 "), std::string::npos) << answer.substr(0, 100);
+    }
+    EXPECT_EQ(server.handled, 0);
+}
+
+// Guards against a refusal of what every reader understands in the same way.
+TEST(HttpServerTest, UnambiguousRequestsAreRead)
+{
+    ServerFixture server;
+    int handled = 0;
+    for (std::string_view request :
+        { "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: Chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\n\r\n",
+            "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length:   3 \r\n\r\nabc", "POST /a HTTP/1.1\r\nHost: a\r\n\r\n",
+            "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nX-Empty:\r\n\r\n" }) {
+        SCOPED_TRACE(request);
+        RawSocket caller = server.connect();
+        caller.write(std::string(request) + "GET /b HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        std::string answers = caller.readUntilClosed();
+        EXPECT_NE(answers.find("POST/a"), std::string::npos) << answers;
+        EXPECT_NE(answers.find("GET/b"), std::string::npos) << answers;
+        handled += 2;
+        EXPECT_EQ(server.handled, handled);
+    }
+}
+
+// Guards against headers of a request that come behind its body: a trailer must not set or replace one.
+TEST(HttpServerTest, TrailersAreNoHeaders)
+{
+    std::promise<HttpRequest> received;
+    ServerFixture server({}, [&](const std::shared_ptr<HttpExchange>& call) {
+        received.set_value(call->request());
+        call->respond({});
+    });
+    RawSocket caller = server.connect();
+    caller.write("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "3\r\nabc\r\n0\r\nX-Trailer: a\r\nHost: b\r\n\r\n");
+    HttpRequest request = received.get_future().get();
+    EXPECT_EQ(request.body, "abc");
+    EXPECT_EQ(request.headers.size(), 1U);
+    EXPECT_EQ(request.header("Host"), "a");
+    EXPECT_TRUE(request.header("X-Trailer").empty());
+}
+
 // Guards against unbounded memory use for headers.
 TEST(HttpServerTest, RefusesEndlessHeaders)
 {
--- a/tests/UpstreamClientTest.cpp
+++ b/tests/UpstreamClientTest.cpp
@@ -112,6 +112,24 @@
     EXPECT_EQ(client.exchange("POST", "").code, ResultCode::UpstreamLost);
 }
 
+// Guards against a response whose end two readers see at different places: the rest of its bytes would be taken for the
+// response to another request.
+TEST(UpstreamClientTest, AmbiguousResponsesAreNoAnswers)
+{
+    ClientFixture client({ .acceptsCloseDelimited = true });
+    for (const char* lines : { "Transfer-Encoding: identity\r\n", "Transfer-Encoding: gzip\r\n",
+             "Transfer-Encoding: chunked, identity\r\n", "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+             "Content-Length: 2\r\nTransfer-Encoding: identity\r\n", "Content-Length: 2\r\nContent-Length: 2\r\n",
+             "Content-Length: 2, 2\r\n", "Content-Length: +2\r\n" }) {
+        std::string response = std::string("HTTP/1.1 200 OK\r\n") + lines + "\r\nok";
+        EXPECT_EQ(client.exchange("GET", response).code, ResultCode::MalformedAnswer) << lines;
+    }
+    EXPECT_EQ(client.exchange("GET", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n").code,
+        ResultCode::MalformedAnswer);
+    EXPECT_EQ(client.exchange("GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n").code,
+        ResultCode::Ok);
+}
+
 // Guards against a success with an empty or short body that is framed as whole, because the upstream stopped in the
 // middle of the head or of the framing and closed.
 TEST(UpstreamClientTest, ResponseThatStopsAnywhereIsAnError)
