Answer header fields that the parser can't hold with 431

Cause: the parser throws at fields over 65,533 bytes. The exception left the read, the session and its place in max-connections were never freed, and runGuarded() counted it towards the end of the process.

Change: the head is checked for such fields before the parser sees it; an exception of the parser (a trailer) becomes the same answer. The check of a document names header limits that aren't kept.

--- a/dragonflylane/ConfigCheck.cpp
+++ b/dragonflylane/ConfigCheck.cpp
@@ -1,5 +1,7 @@
 #include "dragonflylane/ConfigCheck.h"
 
+#include "dragonflylane/HttpFraming.h"
+
 #include <set>
 
 namespace dragonflylane {
@@ -106,6 +108,13 @@
                 hasKeys = hasKeys || !tenant->keys.empty();
             if (m_policy.requiresApiKeys && !hasKeys)
                 add(FindingKind::Contradiction, meshPolicyKey(), "API keys are required, but no tenant has one");
+            if (m_policy.maxHeaderBytes > maxHeadBytes)
+                add(FindingKind::Contradiction, meshPolicyKey(),
+                    "daemons accept headers of at most " + std::to_string(maxHeadBytes) + " bytes");
+            else if (m_policy.maxHeaderBytes > maxFieldBytes)
+                add(FindingKind::Contradiction, meshPolicyKey(),
+                    "a single header field of over " + std::to_string(maxFieldBytes)
+                        + " bytes is refused all the same");
         }
 
         void checkTenant(const TenantItem& tenant)
--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -12,6 +12,7 @@
 #include "dragonflylane/Frame.h"
 #include "dragonflylane/GuardedRun.h"
 #include "dragonflylane/HttpExchange.h"
+#include "dragonflylane/HttpFraming.h"
 #include "dragonflylane/HttpServer.h"
 #include "dragonflylane/Journal.h"
 #include "dragonflylane/KeeperPlanner.h"
@@ -507,10 +508,9 @@
         if (m_callerPolicy == current)
             return;
         m_callerPolicy = current;
-        constexpr uint32_t maxHeaderBytes = 1 << 20;
         HttpServerOptions options = callerServerOptions();
         if (policy && policy->maxHeaderBytes > 0)
-            options.maxHeaderBytes = std::min(policy->maxHeaderBytes, maxHeaderBytes);
+            options.maxHeaderBytes = std::min(policy->maxHeaderBytes, maxHeadBytes);
         if (policy && policy->maxBodyBytes > 0)
             options.maxBodyBytes = std::min(policy->maxBodyBytes, options.maxBodyBytes);
         if (policy && policy->headerTimeout.count() > 0)
--- a/dragonflylane/HttpFraming.cpp
+++ b/dragonflylane/HttpFraming.cpp
@@ -36,7 +36,7 @@
         bool isFolded = line.front() == ' ' || line.front() == '\t';
         if (isFolded)
             return HeadVerdict::Malformed;
-        return HeadVerdict::Valid;
+        return line.size() > maxFieldBytes ? HeadVerdict::FieldTooLong : HeadVerdict::Valid;
     }
 
     bool isDigit(char c)
--- a/dragonflylane/HttpFraming.h
+++ b/dragonflylane/HttpFraming.h
@@ -11,10 +11,18 @@
 
 namespace dragonflylane {
 
+/// Longest name and longest value of a field that the parser can hold, in bytes.
+inline constexpr size_t maxFieldBytes = 65'533;
+
+/// Highest limit on the header of a request that protects the memory of a host.
+inline constexpr uint32_t maxHeadBytes = 1 << 20;
+
 enum class HeadVerdict : uint8_t {
     Valid,
     /// Folded lines, line ends other than CRLF, control characters.
     Malformed,
+    /// A field exceeds maxFieldBytes.
+    FieldTooLong,
 };
 
 /// Checks the first bytes of a message, up to and including the empty line or as far as they have arrived.
--- a/dragonflylane/RequestParser.cpp
+++ b/dragonflylane/RequestParser.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflylane/HttpFraming.h"
 
+#include <stdexcept>
 #include <string_view>
 
 namespace dragonflylane {
@@ -58,6 +59,8 @@
     HeadVerdict verdict = checkHead(input.substr(0, end == std::string_view::npos ? end : end + endOfHead.size()));
     if (verdict == HeadVerdict::Malformed)
         return RequestProgress::Malformed;
+    if (verdict == HeadVerdict::FieldTooLong)
+        return RequestProgress::HeaderTooLarge;
     if (end == std::string_view::npos)
         return input.size() > m_options.maxHeaderBytes ? RequestProgress::HeaderTooLarge : RequestProgress::Incomplete;
     while (!m_parser.is_header_done()) {
@@ -87,10 +90,15 @@
     return RequestProgress::Complete;
 }
 
+// A trailer that the parser can't hold is found by its exception only.
 beast::error_code RequestParser::put(beast::flat_buffer& buffer)
 {
     beast::error_code error;
-    buffer.consume(m_parser.put(buffer.data(), error));
+    try {
+        buffer.consume(m_parser.put(buffer.data(), error));
+    } catch (const std::length_error&) {
+        return http::error::header_limit;
+    }
     return error;
 }
 
--- a/tests/DocumentCheckTest.cpp
+++ b/tests/DocumentCheckTest.cpp
@@ -47,6 +47,19 @@
         Texts { "never_matches tenant t: it has no API key" });
 }
 
+// Guards against a limit on headers that is acknowledged and not kept (review/9).
+TEST(ConfigCheckTest, HeaderLimitsThatAreNotKept)
+{
+    MeshPolicyItem policy { .openCalls = true, .maxHeaderBytes = 16384 };
+    EXPECT_EQ(textsOf({ policy }), Texts {});
+    policy.maxHeaderBytes = 131072;
+    EXPECT_EQ(textsOf({ policy }),
+        Texts { "contradiction mesh_policy: a single header field of over 65533 bytes is refused all the same" });
+    policy.maxHeaderBytes = 2 << 20;
+    EXPECT_EQ(
+        textsOf({ policy }), Texts { "contradiction mesh_policy: daemons accept headers of at most 1048576 bytes" });
+}
+
 TEST(ConfigCheckTest, LimitsThatContradictEachOther)
 {
     RouteItem late = route("r", "/r", "a");
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -230,6 +230,28 @@
     EXPECT_TRUE(request.header("X-Trailer").empty());
 }
 
+// Guards against a field that is longer than the parser can hold and ends the process (review/9): its exception left
+// the connection, whose place was never freed.
+TEST(HttpServerTest, FieldsThatTheParserCannotHoldAreRefused)
+{
+    constexpr uint32_t maxHeaderBytes = 1 << 20;
+    ServerFixture server({ .maxConnections = 4, .maxHeaderBytes = maxHeaderBytes });
+    std::string field = "X-Long: " + std::string(70'000, 'a') + "\r\n";
+    for (int i = 0; i < 6; ++i) {
+        expectRefusal(answerTo(server, "GET / HTTP/1.1\r\nHost: a\r\n" + field + "\r\n"), "431");
+        std::string name = std::string(70'000, 'a') + ": a\r\n";
+        expectRefusal(answerTo(server, "GET / HTTP/1.1\r\nHost: a\r\n" + name + "\r\n"), "431");
+    }
+    // The same field behind a body is longer than the buffer.
+    std::string chunked = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    EXPECT_EQ(answerTo(server, chunked + field + "\r\n").find(" 200 "), std::string::npos);
+    EXPECT_EQ(server.handled, 0);
+    std::string many;
+    for (int i = 0; i < 10; ++i)
+        many += "X-" + std::to_string(i) + ": " + std::string(60'000, 'a') + "\r\n";
+    EXPECT_TRUE(answerTo(server, "GET / HTTP/1.1\r\nConnection: close\r\n" + many + "\r\n").ends_with("GET/"));
+}
+
 // Guards against unbounded memory use for headers.
 TEST(HttpServerTest, RefusesEndlessHeaders)
 {
