Check each byte of a request's head once

A caller that sends its head byte by byte made the check of the head run over all of it at each read: with the highest limit on headers, 1 MiB, that is quadratic in what a caller may send within the header timeout. The parser remembers how far it has checked.

--- a/dragonflylane/HttpFraming.cpp
+++ b/dragonflylane/HttpFraming.cpp
@@ -19,18 +19,6 @@
         return (byte < ' ' && c != '\t' && c != '\r' && c != '\n') || c == del;
     }
 
-    // A carriage return at the end may be followed by its line feed in the next read.
-    bool hasLoneLineEnd(std::string_view head)
-    {
-        for (size_t i = 0; i < head.size(); ++i) {
-            if (head[i] == '\n' && (i == 0 || head[i - 1] != '\r'))
-                return true;
-            if (head[i] == '\r' && i + 1 < head.size() && head[i + 1] != '\n')
-                return true;
-        }
-        return false;
-    }
-
     HeadVerdict checkField(std::string_view line)
     {
         bool isFolded = line.front() == ' ' || line.front() == '\t';
@@ -46,20 +34,28 @@
 
 } // namespace
 
-HeadVerdict checkHead(std::string_view head)
+// A carriage return at the end may be followed by its line feed in the next read, so the byte before `from` is checked
+// once more.
+bool hasForbiddenBytes(std::string_view head, size_t from)
+{
+    for (size_t i = from > 0 ? from - 1 : 0; i < head.size(); ++i) {
+        bool isLoneLineFeed = head[i] == '\n' && (i == 0 || head[i - 1] != '\r');
+        bool isLoneReturn = head[i] == '\r' && i + 1 < head.size() && head[i + 1] != '\n';
+        if (isLoneLineFeed || isLoneReturn || isForbidden(head[i]))
+            return true;
+    }
+    return false;
+}
+
+HeadVerdict checkFields(std::string_view head)
 {
-    if (std::any_of(head.begin(), head.end(), isForbidden) || hasLoneLineEnd(head))
-        return HeadVerdict::Malformed;
-    size_t end = head.find(lineEnd);
-    while (end != std::string_view::npos) {
-        std::string_view rest = head.substr(end + lineEnd.size());
-        if (rest.empty() || rest.starts_with(lineEnd))
-            break;
-        size_t length = rest.find(lineEnd);
-        HeadVerdict verdict = checkField(rest.substr(0, length));
+    size_t start = head.find(lineEnd) + lineEnd.size();
+    while (start < head.size() && !head.substr(start).starts_with(lineEnd)) {
+        std::string_view line = head.substr(start, head.find(lineEnd, start) - start);
+        HeadVerdict verdict = checkField(line);
         if (verdict != HeadVerdict::Valid)
             return verdict;
-        end = length == std::string_view::npos ? length : end + lineEnd.size() + length;
+        start += line.size() + lineEnd.size();
     }
     return HeadVerdict::Valid;
 }
--- a/dragonflylane/HttpFraming.h
+++ b/dragonflylane/HttpFraming.h
@@ -19,14 +19,18 @@
 
 enum class HeadVerdict : uint8_t {
     Valid,
-    /// Folded lines, line ends other than CRLF, control characters.
+    /// A folded line.
     Malformed,
     /// A field exceeds maxFieldBytes.
     FieldTooLong,
 };
 
-/// Checks the first bytes of a message, up to and including the empty line or as far as they have arrived.
-HeadVerdict checkHead(std::string_view);
+/// Checks the bytes of a head as far as they have arrived. Those before `from` have been checked already. True if the
+/// head holds a line end other than CRLF or a control character.
+bool hasForbiddenBytes(std::string_view head, size_t from);
+
+/// Checks the lines of a whole head, up to and including the empty line.
+HeadVerdict checkFields(std::string_view head);
 
 /// True if the fields state the length of the body in one way only: by one Content-Length of digits, by chunked as the
 /// only transfer coding (not under HTTP/1.0), or not at all. `version` is 10 or 11.
--- a/dragonflylane/RequestParser.cpp
+++ b/dragonflylane/RequestParser.cpp
@@ -55,14 +55,17 @@
 RequestProgress RequestParser::parseHead(beast::flat_buffer& buffer)
 {
     std::string_view input = contents(buffer);
-    size_t end = input.find(endOfHead);
-    HeadVerdict verdict = checkHead(input.substr(0, end == std::string_view::npos ? end : end + endOfHead.size()));
-    if (verdict == HeadVerdict::Malformed)
+    size_t end = input.find(endOfHead, m_checkedBytes < endOfHead.size() ? 0 : m_checkedBytes - endOfHead.size());
+    bool isWhole = end != std::string_view::npos;
+    std::string_view head = isWhole ? input.substr(0, end + endOfHead.size()) : input;
+    if (hasForbiddenBytes(head, m_checkedBytes))
         return RequestProgress::Malformed;
-    if (verdict == HeadVerdict::FieldTooLong)
-        return RequestProgress::HeaderTooLarge;
-    if (end == std::string_view::npos)
-        return input.size() > m_options.maxHeaderBytes ? RequestProgress::HeaderTooLarge : RequestProgress::Incomplete;
+    m_checkedBytes = head.size();
+    if (!isWhole)
+        return head.size() > m_options.maxHeaderBytes ? RequestProgress::HeaderTooLarge : RequestProgress::Incomplete;
+    HeadVerdict verdict = checkFields(head);
+    if (verdict != HeadVerdict::Valid)
+        return verdict == HeadVerdict::FieldTooLong ? RequestProgress::HeaderTooLarge : RequestProgress::Malformed;
     while (!m_parser.is_header_done()) {
         if (auto error = put(buffer))
             return progressOf(error);
--- a/dragonflylane/RequestParser.h
+++ b/dragonflylane/RequestParser.h
@@ -58,6 +58,8 @@
     const RequestParserOptions m_options;
     /// Method, target and fields of the head. The parser adds trailers to its own fields later.
     HttpRequest m_request;
+    /// Bytes of an incomplete head that have been checked.
+    size_t m_checkedBytes { 0 };
     bool m_hasHead { false };
 };
 
