Hold announcements until a leader answers unless members know the owner

Change: without an answer, only an owner whose earlier process is known to members that were not restarted goes by what they know. After a kill of everything nobody knows it, so it waits for the leader, as do new hosts during an outage.

Tests: DepartureRecorderTest.WithoutAnAnswerTheWaitLastsIfNoMemberKnowsTheEarlierProcess fails by what the code before did (its own test, WithoutAnAnswerTheWaitEnds, asked for the opposite and is replaced by two: the wait ends if members know the earlier process, and only then).

--- a/dragonflylane/Daemon.cpp
+++ b/dragonflylane/Daemon.cpp
@@ -415,6 +415,7 @@
 
     void adoptEarlierRecord(const MemberRecord& record)
     {
+        m_departures->earlierRecordFound();
         if (record.upstream)
             m_owner.adoptEarlierRecord(*record.upstream);
     }
--- a/dragonflylane/DepartureRecorder.cpp
+++ b/dragonflylane/DepartureRecorder.cpp
@@ -76,7 +76,8 @@
 
 bool DepartureRecorder::isInformed(TimePoint now) const
 {
-    return m_hasAnswer || now - m_options.startedAt >= m_options.answerTimeout;
+    bool isOverdue = now - m_options.startedAt >= m_options.answerTimeout;
+    return m_hasAnswer || (m_hasEarlierRecord && isOverdue);
 }
 
 } // namespace dragonflylane
--- a/dragonflylane/DepartureRecorder.h
+++ b/dragonflylane/DepartureRecorder.h
@@ -29,8 +29,8 @@
     /// A departure that isn't recorded within this time is reported as QuorumLost. Shorter than the second after which
     /// an upstream gives up.
     Duration recordTimeout { std::chrono::milliseconds(800) };
-    /// Without an answer for this long after the start, the daemon goes by what the members know. Longer than the
-    /// election of a leader after a restart of all control hosts.
+    /// Without an answer for this long after the start, the daemon goes by what the members know of its earlier
+    /// process, if they do. Longer than the election of a leader after a restart of all control hosts.
     Duration answerTimeout { std::chrono::seconds(5) };
 };
 
@@ -50,7 +50,10 @@
     void tick(TimePoint now);
     TimePoint nextWakeup() const;
 
-    /// True once the departures from before the start of this process are known, or the time to wait for them is over.
+    /// Members that were not restarted have shown the record of an earlier process of this daemon.
+    void earlierRecordFound() { m_hasEarlierRecord = true; }
+    /// True once the departures from before the start of this process are known from the leader, or from the members if
+    /// the time to wait for the leader is over.
     bool isInformed(TimePoint now) const;
     bool hasAnswer() const { return m_hasAnswer; }
     const DepartureList& recorded() const { return m_recorded; }
@@ -68,6 +71,7 @@
 
     DepartureRecorderOptions m_options;
     bool m_hasAnswer { false };
+    bool m_hasEarlierRecord { false };
     DepartureList m_recorded;
     DepartureList m_unrecorded;
     std::vector<Waiter> m_waiters;
--- a/dragonflylane/DepartureTask.h
+++ b/dragonflylane/DepartureTask.h
@@ -44,6 +44,7 @@
 
     /// See DepartureRecorder.
     void record(const DepartedProcess&, DepartureRecorder::Callback);
+    void earlierRecordFound() { m_recorder.earlierRecordFound(); }
     bool isInformed() const { return m_recorder.isInformed(BootClock::now()); }
 
 private:
--- a/tests/DepartureRecorderTest.cpp
+++ b/tests/DepartureRecorderTest.cpp
@@ -105,15 +105,27 @@
     EXPECT_LE(countRequests(seconds(20)), 10U);
 }
 
-// Guards against upstreams that can't join while there is no quorum.
-TEST_F(DepartureRecorderTest, WithoutAnAnswerTheWaitEnds)
+// Guards against upstreams that are not used for the whole of an outage of the control hosts because their daemons were
+// restarted, although other daemons know what was published of them.
+TEST_F(DepartureRecorderTest, WithoutAnAnswerTheWaitEndsIfMembersKnowTheEarlierProcess)
 {
+    m_recorder.earlierRecordFound();
     EXPECT_FALSE(m_recorder.isInformed(m_now));
     countRequests(DepartureRecorderOptions().answerTimeout);
     EXPECT_TRUE(m_recorder.isInformed(m_now));
     EXPECT_FALSE(m_recorder.hasAnswer());
 }
 
+// Guards against a departure that is forgotten since every daemon was killed and the quorum comes back late
+// (review/10): nobody but the control leader can know it then.
+TEST_F(DepartureRecorderTest, WithoutAnAnswerTheWaitLastsIfNoMemberKnowsTheEarlierProcess)
+{
+    countRequests(seconds(60));
+    EXPECT_FALSE(m_recorder.isInformed(m_now));
+    ASSERT_TRUE(answer({}));
+    EXPECT_TRUE(m_recorder.isInformed(m_now));
+}
+
 // Guards against a report from before the drain that is believed, and against one from after it that isn't.
 TEST_F(DepartureRecorderTest, DrainOutdatesOnlyEarlierAnnouncementsOfItsProcess)
 {
--- a/tests/PlatformDepartureTest.cpp
+++ b/tests/PlatformDepartureTest.cpp
@@ -201,6 +201,28 @@
         expectNoRequests();
     }
 
+    // Guards against a late report that is believed because the quorum comes back later than an owner that waits for it
+    // would expect (review/10 on a busy machine).
+    TEST_F(PlatformDepartureTest, DepartureOutlastsTheKillOfEveryDaemonIfTheQuorumComesBackLate)
+    {
+        ASSERT_TRUE(startMesh());
+        ASSERT_TRUE(deregister());
+        m_mesh.killAll();
+        ASSERT_TRUE(startOwner());
+        std::this_thread::sleep_for(seconds(6));
+        size_t before = m_upstream.arrivals();
+        ASSERT_TRUE(m_mesh.keepAllRunning());
+        // Reports that are late by different times, and calls from the first moment at which they can be served.
+        for (TimePoint end = BootClock::now() + seconds(5); BootClock::now() < end;) {
+            report("ready", 5);
+            isServed();
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+        EXPECT_EQ(m_upstream.arrivals(), before);
+        ASSERT_TRUE(startAll());
+        expectNoRequests();
+    }
+
     // Guards against an acknowledgement that can't be kept: without a control host nothing is stored.
     TEST_F(PlatformDepartureTest, DepartureIsNotAcknowledgedWhileItCannotBeStored)
     {
