--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -9,7 +9,7 @@
 constexpr double drainSeconds = 2;
 constexpr double contactSeconds = 3;
 // "A status report may arrive seconds late."
-constexpr double reportDelay = 3.5;
+constexpr double reportDelay = 2;
 
 int runLeavingBackend()
 {
